--- /dev/null
+++ b/router/errkind/errkind.go
@@ -0,0 +1,167 @@
+// Package errkind holds the closed list of error kinds and the table from a
+// kind to the answer that a caller gets.
+package errkind
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Kind names a class of failure. The list is closed: every error that reaches
+// a caller or an operator has one of these kinds.
+type Kind string
+
+// The kinds.
+const (
+	BadRequest        Kind = "bad_request"
+	Unauthorized      Kind = "unauthorized"
+	NotFound          Kind = "not_found"
+	UnknownService    Kind = "unknown_service"
+	TooLarge          Kind = "too_large"
+	NotReady          Kind = "not_ready"
+	NoOwner           Kind = "no_owner"
+	WrongOwner        Kind = "wrong_owner"
+	LeaseLapsed       Kind = "lease_lapsed"
+	Draining          Kind = "draining"
+	Overloaded        Kind = "overloaded"
+	JournalFull       Kind = "journal_full"
+	JournalUnsafe     Kind = "journal_unavailable"
+	DeadlinePassed    Kind = "deadline_passed"
+	CallerLeft        Kind = "caller_left"
+	PeerUnreachable   Kind = "peer_unreachable"
+	PeerRefused       Kind = "peer_refused"
+	UpstreamRefused   Kind = "upstream_refused"
+	UpstreamDown      Kind = "upstream_unreachable"
+	FingerprintDiffer Kind = "idempotency_key_reused"
+	Barred            Kind = "request_barred"
+	OutcomeUnknown    Kind = "outcome_unknown"
+	AnswerIncomplete  Kind = "answer_incomplete"
+	StoreUnavailable  Kind = "store_unavailable"
+	NoteInvalid       Kind = "note_invalid"
+	NoteConflict      Kind = "note_conflict"
+	Conflict          Kind = "conflict"
+	Internal          Kind = "internal"
+)
+
+// Outcome says whether the work of a refused request may have run.
+type Outcome string
+
+// The outcomes.
+const (
+	// NotRun promises that the work did not run and will not run.
+	NotRun Outcome = "not-run"
+	// Unknown means that the work may have run, may be running or may still
+	// run.
+	Unknown Outcome = "unknown"
+)
+
+// Answer is what a caller gets for a kind.
+type Answer struct {
+	Status  int
+	Outcome Outcome
+	// Retryable tells a router that another attempt, possibly elsewhere, can
+	// succeed without a change by the caller.
+	Retryable bool
+	// RetryAfter is the pause that the caller is asked for; 0 sends none.
+	RetryAfter time.Duration
+	// Title is the one-line text of the problem document.
+	Title string
+}
+
+const (
+	shortPause = time.Second
+	longPause  = 5 * time.Second
+)
+
+var answers = map[Kind]Answer{
+	BadRequest:        {http.StatusBadRequest, NotRun, false, 0, "the request is malformed"},
+	Unauthorized:      {http.StatusUnauthorized, NotRun, false, 0, "a valid token is needed"},
+	NotFound:          {http.StatusNotFound, NotRun, false, 0, "there is no such resource"},
+	UnknownService:    {http.StatusNotFound, NotRun, false, 0, "there is no such service"},
+	TooLarge:          {http.StatusRequestEntityTooLarge, NotRun, false, 0, "the request is too large"},
+	NotReady:          {http.StatusServiceUnavailable, NotRun, true, shortPause, "this router has no configuration yet"},
+	NoOwner:           {http.StatusServiceUnavailable, NotRun, true, shortPause, "the key has no owner at present"},
+	WrongOwner:        {http.StatusMisdirectedRequest, NotRun, true, 0, "another host owns the key"},
+	LeaseLapsed:       {http.StatusServiceUnavailable, NotRun, true, shortPause, "the owner's lease has lapsed"},
+	Draining:          {http.StatusServiceUnavailable, NotRun, true, shortPause, "the owner is leaving"},
+	Overloaded:        {http.StatusServiceUnavailable, NotRun, true, shortPause, "the upstream is at its limit"},
+	JournalFull:       {http.StatusServiceUnavailable, NotRun, false, longPause, "no room to record the idempotency key"},
+	JournalUnsafe:     {http.StatusServiceUnavailable, NotRun, true, shortPause, "the idempotency key could not be recorded at the standby"},
+	DeadlinePassed:    {http.StatusGatewayTimeout, NotRun, false, 0, "the deadline passed before the work began"},
+	CallerLeft:        {499, NotRun, false, 0, "the caller left before the work began"},
+	PeerUnreachable:   {http.StatusServiceUnavailable, NotRun, true, shortPause, "the owner's host cannot be reached"},
+	PeerRefused:       {http.StatusBadGateway, NotRun, false, 0, "the owner's host refused this router"},
+	UpstreamRefused:   {http.StatusServiceUnavailable, NotRun, true, shortPause, "the upstream refused the work"},
+	UpstreamDown:      {http.StatusServiceUnavailable, NotRun, true, shortPause, "the upstream cannot be reached"},
+	FingerprintDiffer: {http.StatusUnprocessableEntity, NotRun, false, 0, "the idempotency key names another request"},
+	Barred:            {http.StatusConflict, NotRun, false, 0, "the request was given up before it arrived"},
+	OutcomeUnknown:    {http.StatusBadGateway, Unknown, false, 0, "the work may or may not have run"},
+	AnswerIncomplete:  {http.StatusBadGateway, Unknown, false, 0, "the upstream's answer was cut short"},
+	StoreUnavailable:  {http.StatusServiceUnavailable, NotRun, true, longPause, "the platform's store does not answer"},
+	NoteInvalid:       {http.StatusUnprocessableEntity, NotRun, false, 0, "the release note is not valid"},
+	NoteConflict:      {http.StatusConflict, NotRun, false, 0, "another release note was published first"},
+	Conflict:          {http.StatusConflict, NotRun, true, 0, "the state changed at the same time"},
+	Internal:          {http.StatusInternalServerError, Unknown, false, 0, "internal error"},
+}
+
+// Kinds returns every kind, in no particular order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(answers))
+	for k := range answers {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// AnswerOf returns the answer for a kind. A kind outside the list gets the
+// answer for Internal.
+func AnswerOf(k Kind) Answer {
+	if a, ok := answers[k]; ok {
+		return a
+	}
+	return answers[Internal]
+}
+
+// Error is an error with a kind.
+type Error struct {
+	Kind   Kind
+	Detail string
+	// RetryAfter replaces the pause of the kind's answer when above 0.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// New returns an error of the kind with a formatted detail. A %w verb keeps
+// the wrapped error reachable.
+func New(k Kind, format string, args ...any) *Error {
+	err := fmt.Errorf(format, args...)
+	return &Error{Kind: k, Detail: err.Error(), Err: errors.Unwrap(err)}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return string(e.Kind) + ": " + e.Detail
+}
+
+// Unwrap returns the cause, or nil.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Of returns the kind of err: that of the first Error in its chain, or
+// Internal.
+func Of(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
+
+// Is reports whether err has the kind.
+func Is(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
--- /dev/null
+++ b/router/keyspace/shard.go
@@ -0,0 +1,174 @@
+package keyspace
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Shard is a closed range of the hash space: both ends belong to it. A closed
+// range can express the whole space without a value beyond MaxHash.
+type Shard struct {
+	First Hash
+	Last  Hash
+}
+
+// Contains reports whether h lies in the shard.
+func (s Shard) Contains(h Hash) bool {
+	return s.First <= h && h <= s.Last
+}
+
+// Overlaps reports whether the shards share a position.
+func (s Shard) Overlaps(o Shard) bool {
+	return s.First <= o.Last && o.First <= s.Last
+}
+
+// Fraction returns the share of the hash space that the shard covers, between
+// 0 and 1.
+func (s Shard) Fraction() float64 {
+	const space = float64(1<<63) * 2
+	return (float64(s.Last-s.First) + 1) / space
+}
+
+// String formats the shard as "first-last" in hexadecimal.
+func (s Shard) String() string {
+	return s.First.String() + "-" + s.Last.String()
+}
+
+// MarshalText encodes the shard as "first-last" in hexadecimal.
+func (s Shard) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
+
+// UnmarshalText decodes "first-last" and refuses a range whose ends are
+// swapped.
+func (s *Shard) UnmarshalText(text []byte) error {
+	v, err := ParseShard(string(text))
+	if err != nil {
+		return err
+	}
+	*s = v
+	return nil
+}
+
+// ParseShard decodes "first-last" in hexadecimal.
+func ParseShard(text string) (Shard, error) {
+	first, last, ok := strings.Cut(text, "-")
+	if !ok {
+		return Shard{}, fmt.Errorf("shard %q: want first-last", text)
+	}
+	f, err := parseHash(first)
+	if err != nil {
+		return Shard{}, fmt.Errorf("shard %q: %w", text, err)
+	}
+	l, err := parseHash(last)
+	if err != nil {
+		return Shard{}, fmt.Errorf("shard %q: %w", text, err)
+	}
+	if f > l {
+		return Shard{}, fmt.Errorf("shard %q: first is after last", text)
+	}
+	return Shard{First: f, Last: l}, nil
+}
+
+// Divide cuts the whole hash space into n shards of equal size, give or take
+// one position. It returns one shard for n below 2.
+func Divide(n int) []Shard {
+	if n < 2 {
+		return []Shard{{First: 0, Last: MaxHash}}
+	}
+	width := uint64(MaxHash)/uint64(n) + 1
+	shards := make([]Shard, 0, n)
+	first := uint64(0)
+	for i := 0; i < n-1; i++ {
+		shards = append(shards, Shard{First: Hash(first), Last: Hash(first + width - 1)})
+		first += width
+	}
+	return append(shards, Shard{First: Hash(first), Last: MaxHash})
+}
+
+// SplitAt cuts the single position h out of the shard, so that a hot key can
+// move alone. It returns one to three shards that cover the same range.
+func (s Shard) SplitAt(h Hash) []Shard {
+	if !s.Contains(h) {
+		return []Shard{s}
+	}
+	var parts []Shard
+	if s.First < h {
+		parts = append(parts, Shard{First: s.First, Last: h - 1})
+	}
+	parts = append(parts, Shard{First: h, Last: h})
+	if h < s.Last {
+		parts = append(parts, Shard{First: h + 1, Last: s.Last})
+	}
+	return parts
+}
+
+// Sort orders shards by their first position.
+func Sort(shards []Shard) {
+	slices.SortFunc(shards, func(a, b Shard) int {
+		if a.First < b.First {
+			return -1
+		}
+		if a.First > b.First {
+			return 1
+		}
+		return 0
+	})
+}
+
+// Check returns an error when two of the shards overlap or the slice is not
+// sorted.
+func Check(shards []Shard) error {
+	for i, s := range shards {
+		if s.First > s.Last {
+			return fmt.Errorf("shard %v: first is after last", s)
+		}
+		if i > 0 && shards[i-1].Last >= s.First {
+			return fmt.Errorf("shards %v and %v overlap or are not sorted", shards[i-1], s)
+		}
+	}
+	return nil
+}
+
+// Find returns the shard of the sorted slice that contains h.
+func Find(shards []Shard, h Hash) (Shard, bool) {
+	i, found := slices.BinarySearchFunc(shards, h, func(s Shard, h Hash) int {
+		if s.Last < h {
+			return -1
+		}
+		if s.First > h {
+			return 1
+		}
+		return 0
+	})
+	if !found {
+		return Shard{}, false
+	}
+	return shards[i], true
+}
+
+// Remove returns a copy of the sorted slice without the given shards. Each
+// removed shard must be an element of the slice.
+func Remove(shards, removed []Shard) ([]Shard, error) {
+	rest := slices.Clone(shards)
+	for _, r := range removed {
+		i := slices.Index(rest, r)
+		if i < 0 {
+			return nil, fmt.Errorf("shard %v is not in the set", r)
+		}
+		rest = slices.Delete(rest, i, i+1)
+	}
+	return rest, nil
+}
+
+// Add returns a sorted copy of the slice with the given shards added. It
+// refuses shards that overlap the slice.
+func Add(shards, added []Shard) ([]Shard, error) {
+	sum := slices.Concat(shards, added)
+	Sort(sum)
+	if err := Check(sum); err != nil {
+		return nil, err
+	}
+	return sum, nil
+}
--- /dev/null
+++ b/router/ownership/record.go
@@ -0,0 +1,111 @@
+// Package ownership keeps the records of who owns which shards: their form in
+// the table service, the operations that change them and the settling of
+// writes whose answers were lost.
+package ownership
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"burdockglade.dev/platform/table"
+	"burdockglade.dev/router/keyspace"
+)
+
+// Host names a router process and tells how to reach it.
+type Host struct {
+	Name string `json:"name"`
+	// Incarnation is drawn at random when the process starts, so that a
+	// restarted process is not taken for its predecessor.
+	Incarnation uint64 `json:"incarnation,string"`
+	// HopAddr is the address for requests from other routers (HTTP).
+	HopAddr string `json:"hop_addr"`
+	// ControlAddr is the address for control messages (TCP) and heartbeats
+	// (UDP, same port).
+	ControlAddr string `json:"control_addr"`
+}
+
+// IsZero reports whether the value names no host.
+func (h Host) IsZero() bool {
+	return h.Name == ""
+}
+
+// Same reports whether both values name the same process.
+func (h Host) Same(o Host) bool {
+	return h.Name == o.Name && h.Incarnation == o.Incarnation
+}
+
+// Group is a set of shards of one service that have one holder and one lease.
+type Group struct {
+	Service string `json:"service"`
+	ID      string `json:"id"`
+	Holder  Host   `json:"holder"`
+	// Generation grows with each change of holder and each change of standby.
+	Generation uint64 `json:"generation"`
+	// Standby renews the holder's lease and may take the group over. A zero
+	// value means that the group has none.
+	Standby Host             `json:"standby"`
+	Shards  []keyspace.Shard `json:"shards"`
+	// JournalComplete is false when the holder may lack idempotency keys that
+	// an earlier holder accepted.
+	JournalComplete bool `json:"journal_complete"`
+	// HolderSince is when the present holder took the group, by its wall clock.
+	HolderSince time.Time `json:"holder_since"`
+	// Version is the row's version. It is not stored in the row's value.
+	Version int64 `json:"version"`
+	// WriteID is the id of the write that made this version.
+	WriteID string `json:"write_id"`
+}
+
+// Key returns the row key of the group.
+func (g Group) Key() string {
+	return GroupKey(g.Service, g.ID)
+}
+
+// GroupPrefix is the prefix of all group rows.
+const GroupPrefix = "group/"
+
+// GroupKey returns the row key of a group.
+func GroupKey(service, id string) string {
+	return GroupPrefix + service + "/" + id
+}
+
+// ServiceGroupPrefix returns the prefix of a service's group rows.
+func ServiceGroupPrefix(service string) string {
+	return GroupPrefix + service + "/"
+}
+
+// ServiceKey returns the key of the row that marks a service as divided.
+func ServiceKey(service string) string {
+	return "service/" + service
+}
+
+// EncodeGroup returns the row value of a group. Version and write id are left
+// to the table service.
+func EncodeGroup(g Group) ([]byte, error) {
+	g.Version = 0
+	g.WriteID = ""
+	value, err := json.Marshal(g)
+	if err != nil {
+		return nil, fmt.Errorf("encoding group %s: %w", g.Key(), err)
+	}
+	return value, nil
+}
+
+// DecodeGroup reads a group from its row and checks it.
+func DecodeGroup(row table.Row) (Group, error) {
+	var g Group
+	if err := json.Unmarshal(row.Value, &g); err != nil {
+		return Group{}, fmt.Errorf("decoding row %q: %w", row.Key, err)
+	}
+	if g.Key() != row.Key || strings.Contains(g.Service, "/") || g.ID == "" {
+		return Group{}, fmt.Errorf("row %q holds group %q", row.Key, g.Key())
+	}
+	if err := keyspace.Check(g.Shards); err != nil {
+		return Group{}, fmt.Errorf("row %q: %w", row.Key, err)
+	}
+	g.Version = row.Version
+	g.WriteID = row.WriteID
+	return g, nil
+}
