Add peer channels, gossip of rows, caller-facing forwarding and metrics scopes

Cause: the path from a caller to the owner's gate was missing. Change: package peer (JSON-RPC over TCP with mutual proof of the shared secret, authenticated datagrams), package member (rows, directory, exchange between routers), package forward (entry, hop client, hop server, resolve), metrics. Ruled out: one connection per call (a silent connection would be found sooner, but a new one costs a round trip and a handshake); streaming bodies over jsonrpc2 (it has no streams).

--- /dev/null
+++ b/router/forward/entry.go
@@ -0,0 +1,261 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/gate"
+	"burdockglade.dev/router/note"
+	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/router/retry"
+	"burdockglade.dev/router/route"
+)
+
+// Gate is the gate of this host.
+type Gate interface {
+	Serve(w http.ResponseWriter, r *http.Request, req gate.Request) error
+}
+
+// Peers sends control calls.
+type Peers interface {
+	Call(ctx context.Context, to ownership.Host, method string, params, answer any) error
+	CallFresh(ctx context.Context, to ownership.Host, method string, params, answer any) error
+}
+
+// Options configure an Entry.
+type Options struct {
+	Self ownership.Host
+	// Services returns the definition of a service.
+	Services func(name string) (note.Service, bool)
+	// Ready reports whether the router has a configuration.
+	Ready  func() bool
+	Routes *route.Table
+	Gate   Gate
+	Peers  Peers
+	// HopToken authenticates this router to the routers of owners.
+	HopToken string
+	// Learn takes in records that came with answers.
+	Learn func(...ownership.Group)
+	// ReadGroup reads a group row from the table service, as the last resort
+	// when neither holder nor standby answers.
+	ReadGroup func(ctx context.Context, service, id string) (ownership.Group, error)
+	// Budget limits attempts beyond the first.
+	Budget *retry.Budgets
+	Log    *event.Logger
+	Scope  tally.Scope
+}
+
+// Entry is the caller-facing handler.
+type Entry struct {
+	o      Options
+	hops   *hopClient
+	finder *finder
+	stats  *stats
+}
+
+// NewEntry returns the handler.
+func NewEntry(o Options) *Entry {
+	e := &Entry{o: o, hops: newHopClient(o), stats: newStats(o.Scope)}
+	e.finder = newFinder(o)
+	return e
+}
+
+// Times of repeated attempts.
+const (
+	backoffBase = 10 * time.Millisecond
+	backoffMax  = 500 * time.Millisecond
+	// freeCorrections is the number of attempts per request that only follow a
+	// newer record; they cost the owner nothing and are outside the budget.
+	freeCorrections = 4
+)
+
+// ServeHTTP answers one caller.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	start := time.Now()
+	if !e.o.Ready() {
+		e.refuse(w, nil, errkind.New(errkind.NotReady, "no release note is in force yet"))
+		return
+	}
+	r, err := newRequest(in, e.o.Services, start)
+	if err == nil {
+		r.body, err = newBody(in, r.service.MaxBody)
+	}
+	if err != nil {
+		e.refuse(w, r, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(in.Context(), r.deadline)
+	defer cancel()
+	w.Header().Set(HeaderRequestID, r.id)
+	defer e.stats.request(r, start)
+	if err := e.serve(ctx, w, r); err != nil {
+		e.refuse(w, r, err)
+	}
+}
+
+// serve makes attempts until one answers the caller or no further attempt is
+// allowed. The error is the reason of the last attempt.
+func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, r *request) error {
+	e.o.Budget.Request(r.service.Name, r.service.RetryShare)
+	mayHaveRun := false
+	for n := 0; ; n++ {
+		err := e.attempt(ctx, w, r, n)
+		if err == nil {
+			return nil
+		}
+		unknown := errkind.AnswerOf(errkind.Of(err)).Outcome == errkind.Unknown
+		mayHaveRun = mayHaveRun || unknown
+		wait, again := e.decide(ctx, r, n, err)
+		if !again || !sleep(ctx, wait) {
+			return finalError(ctx, r, err, mayHaveRun)
+		}
+		e.stats.retry(r, err)
+	}
+}
+
+// finalError keeps a later not-run refusal from hiding that an earlier attempt
+// may have run.
+func finalError(ctx context.Context, r *request, err error, mayHaveRun bool) error {
+	if !mayHaveRun || errkind.AnswerOf(errkind.Of(err)).Outcome == errkind.Unknown {
+		return err
+	}
+	if ctx.Err() != nil {
+		return errkind.New(errkind.OutcomeUnknown, "an earlier attempt may have run, and the deadline passed: %w", err)
+	}
+	return errkind.New(errkind.OutcomeUnknown, "an earlier attempt may have run: %w", err)
+}
+
+// decide tells whether and after which pause the request is sent again.
+func (e *Entry) decide(ctx context.Context, r *request, n int, err error) (time.Duration, bool) {
+	if ctx.Err() != nil || !r.body.replayable() {
+		return 0, false
+	}
+	kind := errkind.Of(err)
+	answer := errkind.AnswerOf(kind)
+	if answer.Outcome == errkind.Unknown && !r.repeatable() {
+		return 0, false
+	}
+	if answer.Outcome == errkind.Unknown && (kind == errkind.Internal || isJournalUnknown(err)) {
+		return 0, false
+	}
+	if answer.Outcome == errkind.NotRun && !answer.Retryable && kind != errkind.Barred {
+		return 0, false
+	}
+	if kind == errkind.WrongOwner && n < freeCorrections {
+		return 0, true
+	}
+	if !e.o.Budget.Retry(r.service.Name) {
+		return 0, false
+	}
+	return pause(n, err), true
+}
+
+// errJournalUnknown marks an unknown outcome that the owner's journal states
+// for good: asking again gives the same answer.
+var errJournalUnknown = errors.New("the owner's journal does not know the outcome")
+
+func isJournalUnknown(err error) bool {
+	return errors.Is(err, errJournalUnknown)
+}
+
+func pause(n int, err error) time.Duration {
+	limit := min(backoffBase<<min(n, 10), backoffMax)
+	wait := rand.N(limit)
+	var e *errkind.Error
+	if errors.As(err, &e) && e.Kind != errkind.Overloaded && e.RetryAfter > 0 {
+		wait = max(wait, min(e.RetryAfter, backoffMax))
+	}
+	return wait
+}
+
+// sleep waits and reports whether the context is still open.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// attempt sends the request once to the present owner. It returns nil when the
+// caller has its answer.
+func (e *Entry) attempt(ctx context.Context, w http.ResponseWriter, r *request, n int) error {
+	record, err := e.finder.owner(ctx, r)
+	if err != nil {
+		return err
+	}
+	if record.Holder.Same(e.o.Self) {
+		return e.local(ctx, w, r, record, n)
+	}
+	err = e.hops.send(ctx, w, r, record, n)
+	if err == nil {
+		return nil
+	}
+	e.afterHop(ctx, r, record, err)
+	return err
+}
+
+// afterHop brings the route table up to date after a refused or failed hop.
+func (e *Entry) afterHop(ctx context.Context, r *request, record *ownership.Group, err error) {
+	var wrong *wrongOwnerError
+	if errors.As(err, &wrong) && wrong.record != nil {
+		e.o.Learn(*wrong.record)
+	}
+	switch errkind.Of(err) {
+	case errkind.WrongOwner, errkind.LeaseLapsed, errkind.PeerUnreachable, errkind.OutcomeUnknown, errkind.Draining:
+		e.finder.refresh(ctx, r, record)
+	}
+}
+
+// local passes the request to the gate of this host.
+func (e *Entry) local(ctx context.Context, w http.ResponseWriter, r *request, record *ownership.Group, n int) error {
+	in := r.in.Clone(ctx)
+	in.Header = endToEnd(r.in.Header)
+	in.Body = r.body.open()
+	in.ContentLength = r.body.length
+	setOwner(w, record)
+	err := e.o.Gate.Serve(w, in, r.gateRequest(attemptID(r.id, n), record.Generation))
+	if err != nil {
+		clearOwner(w)
+		e.afterHop(ctx, r, record, err)
+	}
+	return err
+}
+
+func (r *request) gateRequest(id string, generation uint64) gate.Request {
+	return gate.Request{
+		ID:             id,
+		Service:        r.service.Name,
+		Key:            r.key,
+		Path:           r.in.URL.RequestURI(),
+		Tenant:         r.tenant,
+		IdempotencyKey: r.idempotencyKey,
+		Hash:           r.hash,
+		Deadline:       r.deadline,
+		Generation:     generation,
+	}
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, r *request, err error) {
+	if r != nil && r.in.Context().Err() != nil {
+		// Nobody reads the answer; the outcome is still counted below.
+		e.stats.refusal(r, errkind.CallerLeft)
+	} else {
+		e.stats.refusal(r, errkind.Of(err))
+	}
+	clearOwner(w)
+	errkind.Write(w, err)
+}
--- /dev/null
+++ b/router/forward/request.go
@@ -0,0 +1,150 @@
+// Package forward serves callers: it finds the owner of a request's key,
+// passes the request to the gate of this host or, in one hop, to the router of
+// the owner's host, and decides about retries.
+package forward
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/router/note"
+	"burdockglade.dev/router/retry"
+)
+
+// Headers that callers send.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderTenant         = "Burdock-Tenant"
+	// HeaderTimeout is the time that the caller gives the request, in
+	// milliseconds.
+	HeaderTimeout = "Request-Timeout"
+)
+
+// Headers that callers get.
+const (
+	HeaderRequestID  = "Burdock-Request-Id"
+	HeaderOwner      = "Burdock-Owner"
+	HeaderGeneration = "Burdock-Generation"
+)
+
+// Limits of what a caller may send.
+const (
+	maxKeyBytes            = 1024
+	maxTenantBytes         = 64
+	maxIdempotencyKeyBytes = 255
+	requestIDBytes         = 16
+)
+
+// request is one caller's request with everything that routing needs.
+type request struct {
+	id             string
+	service        note.Service
+	key            string
+	hash           keyspace.Hash
+	tenant         string
+	idempotencyKey string
+	deadline       time.Time
+	idempotent     bool
+	body           *body
+	in             *http.Request
+}
+
+// repeatable reports whether the work may be sent again although an earlier
+// attempt may have run. The owner's journal guards work with an idempotency
+// key.
+func (r *request) repeatable() bool {
+	return r.idempotent || r.idempotencyKey != ""
+}
+
+// splitPath returns the service and the key of an escaped path
+// /service/key[/rest].
+func splitPath(escaped string) (service, key string, err error) {
+	parts := strings.SplitN(strings.TrimPrefix(escaped, "/"), "/", 3)
+	if len(parts) < 2 || parts[0] == "" || parts[1] == "" {
+		return "", "", errkind.New(errkind.BadRequest, "path %q: want /service/key", escaped)
+	}
+	service, err = url.PathUnescape(parts[0])
+	if err != nil {
+		return "", "", errkind.New(errkind.BadRequest, "service in path: %w", err)
+	}
+	key, err = url.PathUnescape(parts[1])
+	if err != nil {
+		return "", "", errkind.New(errkind.BadRequest, "key in path: %w", err)
+	}
+	if len(key) > maxKeyBytes {
+		return "", "", errkind.New(errkind.BadRequest, "key has %d bytes: the limit is %d", len(key), maxKeyBytes)
+	}
+	return service, key, nil
+}
+
+// newRequest checks a caller's request and gives it an id and a deadline.
+func newRequest(in *http.Request, services func(string) (note.Service, bool), now time.Time) (*request, error) {
+	name, key, err := splitPath(in.URL.EscapedPath())
+	if err != nil {
+		return nil, err
+	}
+	service, ok := services(name)
+	if !ok {
+		return nil, errkind.New(errkind.UnknownService, "service %q", name)
+	}
+	timeout, err := requestTimeout(in.Header.Get(HeaderTimeout), service)
+	if err != nil {
+		return nil, err
+	}
+	r := &request{
+		id:             newRequestID(),
+		service:        service,
+		key:            key,
+		hash:           keyspace.HashKey(name, key),
+		tenant:         in.Header.Get(HeaderTenant),
+		idempotencyKey: in.Header.Get(HeaderIdempotencyKey),
+		deadline:       now.Add(timeout),
+		idempotent:     retry.Idempotent(in.Method, service.IdempotentMethods),
+		in:             in,
+	}
+	if len(r.tenant) > maxTenantBytes {
+		return nil, errkind.New(errkind.BadRequest, "%s has %d bytes: the limit is %d", HeaderTenant, len(r.tenant), maxTenantBytes)
+	}
+	if len(r.idempotencyKey) > maxIdempotencyKeyBytes {
+		return nil, errkind.New(errkind.BadRequest, "%s has %d bytes: the limit is %d", HeaderIdempotencyKey, len(r.idempotencyKey), maxIdempotencyKeyBytes)
+	}
+	if in.ContentLength > service.MaxBody {
+		return nil, errkind.New(errkind.TooLarge, "body of %d bytes: the limit of service %q is %d", in.ContentLength, name, service.MaxBody)
+	}
+	return r, nil
+}
+
+func requestTimeout(header string, service note.Service) (time.Duration, error) {
+	if header == "" {
+		return service.RequestTimeout, nil
+	}
+	ms, err := strconv.ParseInt(header, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, errkind.New(errkind.BadRequest, "%s %q: want a number of milliseconds above 0", HeaderTimeout, header)
+	}
+	return min(time.Duration(ms)*time.Millisecond, service.MaxRequestTimeout), nil
+}
+
+func newRequestID() string {
+	var id [requestIDBytes]byte
+	// crypto/rand.Read does not fail.
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+// refusal turns the end of the request's context into an error kind. It is for
+// requests that did not run.
+func (r *request) contextError(ctx context.Context) error {
+	if r.in.Context().Err() != nil {
+		return errkind.New(errkind.CallerLeft, "the caller closed its connection")
+	}
+	return errkind.New(errkind.DeadlinePassed, "no owner took the request within its deadline: %w", ctx.Err())
+}
--- /dev/null
+++ b/router/member/directory.go
@@ -0,0 +1,223 @@
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// suspectTime is how long a host that did not answer is passed over when a
+// standby, a target or a peer is chosen.
+const suspectTime = 5 * time.Second
+
+// Load is a host's own summary of its load. It lags, and no safety rests on
+// it.
+type Load struct {
+	Host string `json:"host"`
+	// Seq grows with each summary of a process; Incarnation separates
+	// processes.
+	Incarnation uint64 `json:"incarnation,string"`
+	Seq         uint64 `json:"seq"`
+	// InUse is the mean number of busy slots; Slots is the capacity.
+	InUse float64 `json:"in_use"`
+	Slots int     `json:"slots"`
+	// NoteVersion is the release note version that the host has in force.
+	NoteVersion int64 `json:"note_version"`
+	// Healthy is false while the host's upstream takes no work.
+	Healthy bool `json:"healthy"`
+}
+
+// SeenLoad is a load summary with the local time of its arrival.
+type SeenLoad struct {
+	Load
+	At time.Time
+}
+
+// Directory holds the known members, their loads and which of them did not
+// answer lately. It is safe for concurrent use.
+type Directory struct {
+	mu       sync.RWMutex
+	members  map[string]Member
+	loads    map[string]SeenLoad
+	suspects map[string]time.Time // until when a host is passed over
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{
+		members:  map[string]Member{},
+		loads:    map[string]SeenLoad{},
+		suspects: map[string]time.Time{},
+	}
+}
+
+// Put takes in a member unless a newer version is known. A new incarnation of
+// a host is no longer suspect.
+func (d *Directory) Put(m Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, ok := d.members[m.Host.Name]
+	if ok && old.Version >= m.Version {
+		return
+	}
+	if ok && !old.Host.Same(m.Host) {
+		delete(d.suspects, m.Host.Name)
+	}
+	d.members[m.Host.Name] = m
+}
+
+// Remove forgets a member unless a newer version than the given one is known.
+func (d *Directory) Remove(host string, version int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m, ok := d.members[host]; ok && m.Version <= version {
+		delete(d.members, host)
+		delete(d.loads, host)
+		delete(d.suspects, host)
+	}
+}
+
+// Get returns a member by host name.
+func (d *Directory) Get(host string) (Member, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	m, ok := d.members[host]
+	return m, ok
+}
+
+// All returns the members sorted by host name.
+func (d *Directory) All() []Member {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	all := make([]Member, 0, len(d.members))
+	for _, m := range d.members {
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Host.Name, b.Host.Name) })
+	return all
+}
+
+// Suspect passes a host over for a while, because it did not answer.
+func (d *Directory) Suspect(now time.Time, host string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.suspects[host] = now.Add(suspectTime)
+}
+
+// Heard ends the suspicion of a host.
+func (d *Directory) Heard(host string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.suspects, host)
+}
+
+// Suspected reports whether the host did not answer lately.
+func (d *Directory) Suspected(now time.Time, host string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return now.Before(d.suspects[host])
+}
+
+// PutLoad takes in a load summary and reports whether it was newer.
+func (d *Directory) PutLoad(now time.Time, l Load) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m, ok := d.members[l.Host]
+	if !ok || m.Host.Incarnation != l.Incarnation {
+		return false
+	}
+	old, ok := d.loads[l.Host]
+	if ok && old.Incarnation == l.Incarnation && old.Seq >= l.Seq {
+		return false
+	}
+	d.loads[l.Host] = SeenLoad{Load: l, At: now}
+	return true
+}
+
+// LoadOf returns the newest load summary of a host.
+func (d *Directory) LoadOf(host string) (SeenLoad, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	l, ok := d.loads[host]
+	return l, ok
+}
+
+// Loads returns the newest load summaries, in no particular order.
+func (d *Directory) Loads() []SeenLoad {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	all := make([]SeenLoad, 0, len(d.loads))
+	for _, l := range d.loads {
+		all = append(all, l)
+	}
+	return all
+}
+
+// Peers returns up to n random members besides self that are not suspect.
+func (d *Directory) Peers(now time.Time, self string, n int) []Member {
+	d.mu.RLock()
+	peers := make([]Member, 0, len(d.members))
+	for name, m := range d.members {
+		if name != self && !now.Before(d.suspects[name]) {
+			peers = append(peers, m)
+		}
+	}
+	d.mu.RUnlock()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
+}
+
+// PickStandby chooses a standby for a group of the service held by self: an
+// active member of the same service that is not suspect, in another zone of the
+// same region where one exists, else in the same region, else anywhere. Among
+// equals the choice is random, so that standbys spread over the hosts.
+func (d *Directory) PickStandby(now time.Time, self Member, service string, exclude ...string) (Member, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var best Member
+	bestRank, ties := -1, 0
+	for name, m := range d.members {
+		if name == self.Host.Name || m.Service != service || m.State != Active {
+			continue
+		}
+		if slices.Contains(exclude, name) || now.Before(d.suspects[name]) {
+			continue
+		}
+		if l, ok := d.loads[name]; ok && l.Incarnation == m.Host.Incarnation && !l.Healthy {
+			continue
+		}
+		rank := standbyRank(self, m)
+		if rank < bestRank {
+			continue
+		}
+		if rank > bestRank {
+			best, bestRank, ties = m, rank, 1
+			continue
+		}
+		ties++
+		if rand.IntN(ties) == 0 {
+			best = m
+		}
+	}
+	return best, bestRank >= 0
+}
+
+// Ranks of a standby. A zone is lost as a whole, and regions are cut from each
+// other, so another zone of the same region is best.
+const (
+	rankOtherRegion = iota
+	rankSameZone
+	rankOtherZone
+)
+
+func standbyRank(self, m Member) int {
+	if m.Region != self.Region {
+		return rankOtherRegion
+	}
+	if m.Zone == self.Zone {
+		return rankSameZone
+	}
+	return rankOtherZone
+}
--- /dev/null
+++ b/router/member/rows.go
@@ -0,0 +1,218 @@
+package member
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"burdockglade.dev/platform/table"
+)
+
+// Buckets is the number of parts into which rows are divided for comparison
+// between two routers.
+const Buckets = 64
+
+// tombstoneLife is how long a deleted row is remembered. It must exceed the
+// longest period of a scan, or routers that have not seen the deletion would
+// bring the row back.
+const tombstoneLife = 30 * time.Minute
+
+// Version names one version of a row.
+type Version struct {
+	Key     string `json:"key"`
+	Version int64  `json:"version"`
+}
+
+// Rows is the set of rows that a router knows. It is safe for concurrent use.
+type Rows struct {
+	mu         sync.Mutex
+	rows       map[string]table.Row
+	tombstones map[string]tombstone
+	digests    [Buckets]uint64
+}
+
+type tombstone struct {
+	version int64
+	expires time.Time
+}
+
+// NewRows returns an empty set.
+func NewRows() *Rows {
+	return &Rows{rows: map[string]table.Row{}, tombstones: map[string]tombstone{}}
+}
+
+func bucketOf(key string) int {
+	return int(xxhash.Sum64String(key) % Buckets)
+}
+
+// digestOf returns a value that changes with the row's version. Digests of a
+// bucket are combined by XOR, so that one row can be replaced without reading
+// the others.
+func digestOf(key string, version int64) uint64 {
+	var buffer [8]byte
+	binary.BigEndian.PutUint64(buffer[:], uint64(version))
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write(buffer[:])
+	return d.Sum64()
+}
+
+// Merge takes in rows and returns those that were newer than the known ones.
+func (r *Rows) Merge(now time.Time, rows ...table.Row) []table.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var newer []table.Row
+	for _, row := range rows {
+		if row.Version <= r.versionOf(now, row.Key) {
+			continue
+		}
+		r.replace(row)
+		newer = append(newer, row)
+	}
+	return newer
+}
+
+// versionOf returns the newest version known for a key, deleted rows included.
+func (r *Rows) versionOf(now time.Time, key string) int64 {
+	if row, ok := r.rows[key]; ok {
+		return row.Version
+	}
+	t, ok := r.tombstones[key]
+	if !ok || now.After(t.expires) {
+		return 0
+	}
+	return t.version
+}
+
+func (r *Rows) replace(row table.Row) {
+	b := bucketOf(row.Key)
+	if old, ok := r.rows[row.Key]; ok {
+		r.digests[b] ^= digestOf(old.Key, old.Version)
+	}
+	delete(r.tombstones, row.Key)
+	r.rows[row.Key] = row
+	r.digests[b] ^= digestOf(row.Key, row.Version)
+}
+
+// Reconcile compares the known rows under the prefix with a full scan that
+// started when the set held the versions in before. It drops rows that the
+// scan lacks and returns the dropped and the newer rows.
+func (r *Rows) Reconcile(now time.Time, prefix string, before, scan []table.Row) (dropped, newer []table.Row) {
+	present := make(map[string]bool, len(scan))
+	for _, row := range scan {
+		present[row.Key] = true
+	}
+	r.mu.Lock()
+	for _, row := range before {
+		have, ok := r.rows[row.Key]
+		// A row that changed during the scan may have been written after it.
+		if !ok || present[row.Key] || have.Version != row.Version || !strings.HasPrefix(row.Key, prefix) {
+			continue
+		}
+		r.remove(now, have)
+		dropped = append(dropped, have)
+	}
+	r.mu.Unlock()
+	return dropped, r.Merge(now, scan...)
+}
+
+func (r *Rows) remove(now time.Time, row table.Row) {
+	r.digests[bucketOf(row.Key)] ^= digestOf(row.Key, row.Version)
+	delete(r.rows, row.Key)
+	for key, t := range r.tombstones {
+		if now.After(t.expires) {
+			delete(r.tombstones, key)
+		}
+	}
+	r.tombstones[row.Key] = tombstone{version: row.Version, expires: now.Add(tombstoneLife)}
+}
+
+// Digests returns one value per bucket. Two routers with equal values hold the
+// same versions, but for hash collisions.
+func (r *Rows) Digests() [Buckets]uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.digests
+}
+
+// Versions returns the versions in the buckets whose digest differs.
+func (r *Rows) Versions(digests [Buckets]uint64) []Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var versions []Version
+	for key, row := range r.rows {
+		b := bucketOf(key)
+		if digests[b] != r.digests[b] {
+			versions = append(versions, Version{Key: key, Version: row.Version})
+		}
+	}
+	return versions
+}
+
+// Compare sorts the peer's versions into keys that the peer has newer and rows
+// that this router has newer. Rows of the compared buckets that the peer lacks
+// are newer here.
+func (r *Rows) Compare(now time.Time, peer []Version, digests [Buckets]uint64) (want []string, offer []table.Row) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	peerHas := make(map[string]int64, len(peer))
+	for _, v := range peer {
+		peerHas[v.Key] = v.Version
+		if v.Version > r.versionOf(now, v.Key) {
+			want = append(want, v.Key)
+		}
+	}
+	for key, row := range r.rows {
+		b := bucketOf(key)
+		if digests[b] != r.digests[b] && row.Version > peerHas[key] {
+			offer = append(offer, row)
+		}
+	}
+	return want, offer
+}
+
+// Wanted returns the keys among the versions that are newer than the known
+// rows.
+func (r *Rows) Wanted(now time.Time, versions []Version) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var want []string
+	for _, v := range versions {
+		if v.Version > r.versionOf(now, v.Key) {
+			want = append(want, v.Key)
+		}
+	}
+	return want
+}
+
+// Get returns the rows of the keys that are known.
+func (r *Rows) Get(keys []string) []table.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rows := make([]table.Row, 0, len(keys))
+	for _, key := range keys {
+		if row, ok := r.rows[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// All returns the rows under the prefix, sorted by key.
+func (r *Rows) All(prefix string) []table.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var rows []table.Row
+	for key, row := range r.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows
+}
--- /dev/null
+++ b/router/peer/server.go
@@ -0,0 +1,244 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/event"
+)
+
+var (
+	evRefused = event.Define(1500, log.WarnLevel, "control connection refused",
+		"a process connected to the control port and did not prove that it knows the shared secret, or sent a malformed message",
+		"check the secret file of the host named in the line; otherwise find out who connects")
+	evAcceptFailed = event.Define(1501, log.ErrorLevel, "accepting control connections failed",
+		"the listener returned an error, for example because the process has too many open files",
+		"raise the limit of open files or restart the router")
+	evBadDatagram = event.Define(1502, log.WarnLevel, "datagram refused",
+		"a datagram on the control port was malformed or not signed with the shared secret",
+		"check the secret file of the host at the address in the line; otherwise find out who sends")
+)
+
+// Limits of the control server.
+const (
+	handshakeTimeout = 2 * time.Second
+	// maxConnections bounds open control connections. A router talks to its
+	// standbys, its holders and a few random peers at a time.
+	maxConnections = 2048
+	// serverIdleTimeout closes a connection that brought no message. It is
+	// longer than the client's idle time, so that clients close first.
+	serverIdleTimeout = 5 * time.Minute
+	acceptPause       = 50 * time.Millisecond
+)
+
+// Caller names the authenticated process at the other end of a connection.
+type Caller struct {
+	Host        string
+	Incarnation uint64
+}
+
+// Method answers one control method. The answer is encoded as JSON. Calls may
+// arrive twice, so methods must be idempotent.
+type Method func(ctx context.Context, from Caller, params json.RawMessage) (any, error)
+
+// Handle wraps a typed function as a Method and refuses parameters that do not
+// decode.
+func Handle[P, A any](f func(ctx context.Context, from Caller, params P) (A, error)) Method {
+	return func(ctx context.Context, from Caller, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, errkind.New(errkind.BadRequest, "parameters: %w", err)
+		}
+		return f(ctx, from, params)
+	}
+}
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	Secret      Secret
+	Host        string
+	Incarnation uint64
+	Methods     map[string]Method
+	Log         *event.Logger
+}
+
+// Server answers control calls.
+type Server struct {
+	o     ServerOptions
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// NewServer returns a server for the methods.
+func NewServer(o ServerOptions) *Server {
+	return &Server{o: o, conns: map[net.Conn]struct{}{}}
+}
+
+// Serve accepts connections until the context ends, then closes all of them.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		s.closeAll()
+	})
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			s.o.Log.Log(evAcceptFailed, event.F("error", err.Error()))
+			time.Sleep(acceptPause)
+			continue
+		}
+		if !s.track(conn) {
+			_ = conn.Close()
+			continue
+		}
+		go s.serveConn(ctx, conn)
+	}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= maxConnections {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) forget(conn net.Conn) {
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	_ = conn.Close()
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+// session is the server's side of one connection.
+type session struct {
+	server *Server
+
+	mu     sync.Mutex
+	caller Caller
+	nonces [2][]byte // client's, server's
+	proven bool
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	defer s.forget(conn)
+	sess := &session{server: s}
+	// The deadline ends connections that do not authenticate, and later those
+	// that went silent.
+	_ = conn.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+		answer, err := sess.handle(ctx, req)
+		if err == nil && sess.authenticated() {
+			_ = conn.SetReadDeadline(time.Now().Add(serverIdleTimeout))
+		}
+		if errors.Is(err, errBadProof) {
+			s.o.Log.Log(evRefused, event.F("address", conn.RemoteAddr().String()), event.F("error", err.Error()))
+		}
+		return answer, toRPCError(err)
+	}))
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec{}), handler, jsonrpc2.SetLogger(discard{}))
+	<-rpc.DisconnectNotify()
+}
+
+func (s *session) authenticated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proven
+}
+
+func (s *session) handle(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	var raw json.RawMessage
+	if req.Params != nil {
+		raw = *req.Params
+	}
+	switch req.Method {
+	case methodHello:
+		return s.hello(raw)
+	case methodProve:
+		return s.prove(raw)
+	}
+	s.mu.Lock()
+	caller, proven := s.caller, s.proven
+	s.mu.Unlock()
+	if !proven {
+		return nil, errkind.New(errkind.Unauthorized, "method %q before authentication: %w", req.Method, errBadProof)
+	}
+	method, ok := s.server.o.Methods[req.Method]
+	if !ok {
+		return nil, errkind.New(errkind.NotFound, "unknown control method %q", req.Method)
+	}
+	return method(ctx, caller, raw)
+}
+
+func (s *session) hello(raw json.RawMessage) (any, error) {
+	var p helloRequest
+	if err := json.Unmarshal(raw, &p); err != nil || p.Host == "" || len(p.Nonce) != nonceBytes {
+		return nil, errkind.New(errkind.BadRequest, "malformed hello")
+	}
+	nonce, err := newNonce()
+	if err != nil {
+		return nil, errkind.New(errkind.Internal, "%w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.caller = Caller{Host: p.Host, Incarnation: p.Incarnation}
+	s.nonces = [2][]byte{p.Nonce, nonce}
+	s.proven = false
+	o := s.server.o
+	return helloAnswer{
+		Host:        o.Host,
+		Incarnation: o.Incarnation,
+		Nonce:       nonce,
+		Proof:       o.Secret.mac(roleServer, p.Nonce, nonce, []byte(o.Host)),
+	}, nil
+}
+
+func (s *session) prove(raw json.RawMessage) (any, error) {
+	var p proveRequest
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, errkind.New(errkind.BadRequest, "malformed proof")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.nonces[0] == nil || !s.server.o.Secret.verify(p.Proof, roleClient, s.nonces[0], s.nonces[1], []byte(s.caller.Host)) {
+		return nil, errkind.New(errkind.Unauthorized, "host %q: %w", s.caller.Host, errBadProof)
+	}
+	s.proven = true
+	return empty{}, nil
+}
+
+func toRPCError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &jsonrpc2.Error{Code: codeFailure, Message: fmt.Sprint(err), Data: encodeFailure(err)}
+}
+
+// discard drops the library's own log lines; failures are logged as events.
+type discard struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (discard) Printf(string, ...any) {}
