Add settings of a router process and an INI reader with line numbers

Cause: the router reads its settings from an INI file, and operators need every mistake at once with file, line, key, what was found and what is allowed.

Change: package settings reads the sections of the design into a typed struct, collects all problems, checks contradictions between keys and reads the two secrets from files that only their owner can read.

Ruled out: ini.v1 alone, because it keeps no line numbers, merges repeated sections and keys and reads quotes, continuations and inline comments in ways that hide mistakes. Host names as addresses, because hosts address each other by IP number. A public upstream listener, because it has no authentication.

--- /dev/null
+++ b/router/settings/settings.go
@@ -0,0 +1,208 @@
+// Package settings reads and checks the INI settings of one router process.
+//
+// docs/burdockglade.sample.ini lists every key with its default. Durations are
+// written as Go durations such as 150ms or 10m, sizes in bytes.
+package settings
+
+import "time"
+
+// Settings are the settings of one router process.
+type Settings struct {
+	Host      Host
+	Listen    Listen
+	Advertise Advertise
+	Peers     Peers
+	Platform  Platform
+	Lease     Lease
+	Notes     Notes
+	Drain     Drain
+	Admin     Admin
+	Log       Log
+	Limits    Limits
+}
+
+// Host says where the process runs. Names have 1 to 63 characters out of a-z,
+// 0-9, dot, hyphen and underscore and start with a letter or digit.
+type Host struct {
+	// Name identifies the host in rows and messages. Required. Two running
+	// hosts must not share a name.
+	Name string
+	// Zone is the availability zone. Required. The standby of a group is
+	// chosen in another zone where one exists.
+	Zone string
+	// Region is the region of the zone. Required. The standby of a group is
+	// chosen in the same region.
+	Region string
+	// Service is the service that the local upstream is expected to serve.
+	// Default: none. The service that the upstream announces is
+	// authoritative.
+	Service string
+}
+
+// Listen holds the addresses that the process listens on, each an IP number
+// and a port from 1 to 65535. Two listeners must not share an address.
+type Listen struct {
+	// Caller accepts requests of callers (HTTP). Default 127.0.0.1:8080.
+	Caller string
+	// Upstream accepts announcements of the local upstream (HTTP). Default
+	// 127.0.0.1:8081. It carries no authentication and is therefore always a
+	// loopback address.
+	Upstream string
+	// Hop accepts requests forwarded by other routers (HTTP). Default
+	// 127.0.0.1:8082.
+	Hop string
+	// Control accepts control messages (TCP) and heartbeats (UDP, same port).
+	// Default 127.0.0.1:8083.
+	Control string
+	// Admin accepts requests of operators (HTTP). Default 127.0.0.1:8084.
+	Admin string
+	// Metrics is scraped for metrics (HTTP). Default 127.0.0.1:8085.
+	Metrics string
+	// AllowPublic permits listeners on addresses that are not loopback.
+	// Default false.
+	AllowPublic bool
+}
+
+// Advertise holds the addresses that other routers use for this process.
+type Advertise struct {
+	// Hop is the address for forwarded requests. Default: Listen.Hop.
+	// Required when Listen.Hop is a wildcard address.
+	Hop string
+	// Control is the address for control messages and heartbeats. Default:
+	// Listen.Control. Required when Listen.Control is a wildcard address.
+	Control string
+}
+
+// Peers says how the process finds and authenticates other routers.
+type Peers struct {
+	// Seeds are control addresses of other routers that are asked first.
+	// Default: none; the process then starts from the member rows.
+	Seeds []string
+	// SecretFile is the path of the file with the cluster's shared secret.
+	// Required. A relative path starts at the directory of the settings file.
+	SecretFile string
+	// Secret is the content of SecretFile. Only Load fills it in.
+	Secret Secret
+}
+
+// Platform says how the platform's services are reached.
+type Platform struct {
+	// TableURL is the address of the table service, such as
+	// http://10.0.0.5:7000. Required.
+	TableURL string
+	// ObjectURL is the address of the object store. Required.
+	ObjectURL string
+	// Timeout bounds one call. Default 2s, range 50ms to 1m.
+	Timeout time.Duration
+}
+
+// Lease holds the times of the lease and the number of groups. Heartbeat,
+// Duration, ReplaceAfter, DriftMargin and Horizon must be the same on all
+// hosts of a cluster: the holder's lease ends before the standby's promise
+// only when both use the same times.
+type Lease struct {
+	// Heartbeat is the pause between two heartbeats of a holder. Default
+	// 150ms, range 10ms to 10s. Shorter than ReplaceAfter.
+	Heartbeat time.Duration
+	// Duration is how long one answered heartbeat keeps the lease. Default
+	// 500ms, range 50ms to 1m.
+	Duration time.Duration
+	// ReplaceAfter is how long a holder waits for an answer before it
+	// replaces its standby. Default 250ms, range 20ms to 1m. Shorter than
+	// Duration.
+	ReplaceAfter time.Duration
+	// DriftMargin is the extra time that the standby's promise runs, against
+	// clocks that run at different speeds. Default 25ms, range 1ms to 10s,
+	// at least 1% of Duration.
+	DriftMargin time.Duration
+	// Horizon is how long a holder serves without a successful touch of its
+	// row. Default 1h, range 10s to 24h, at least 20 times Duration.
+	Horizon time.Duration
+	// Groups is the number of groups that a host creates. Default 2, range 1
+	// to 16. With 2, the load of a lost host is divided between two standbys.
+	Groups int
+}
+
+// Notes holds the settings of release notes.
+type Notes struct {
+	// PollInterval is the mean pause between two reads of the head row.
+	// Default 5s, range 100ms to 15s: a version must be in force within 15s
+	// even when no peer passes it on.
+	PollInterval time.Duration
+}
+
+// Drain holds the settings of a stop.
+type Drain struct {
+	// StopTimeout is how long a stop waits for a store outage to end, so that
+	// shards can move. Default 10m, range 1s to 24h.
+	StopTimeout time.Duration
+}
+
+// Admin holds the settings of the administration API.
+type Admin struct {
+	// TokenFile is the path of the file with the bearer token of operators.
+	// Required. A relative path starts at the directory of the settings file.
+	TokenFile string
+	// Token is the content of TokenFile. Only Load fills it in.
+	Token Secret
+}
+
+// Log holds the settings of the log.
+type Log struct {
+	// Level is the lowest level that is written: debug, info, warn or error.
+	// Default info.
+	Level string
+}
+
+// Limits holds the limits of the HTTP listeners.
+type Limits struct {
+	// MaxHeaderBytes is the largest request header in bytes. Default 32768,
+	// range 4096 to 1048576. Larger ones are refused.
+	MaxHeaderBytes int
+	// MaxBodyBytes is the largest request body in bytes, whatever the limit
+	// of the service. Default 67108864, range 1024 to 1073741824.
+	MaxBodyBytes int64
+	// ReadHeaderTimeout bounds the arrival of a request's header. Default 5s,
+	// range 100ms to 1m.
+	ReadHeaderTimeout time.Duration
+	// IdleTimeout closes a connection without requests. Default 1m, range 1s
+	// to 1h.
+	IdleTimeout time.Duration
+}
+
+// Default returns the settings with every default filled in and the required
+// keys empty.
+func Default() Settings {
+	return Settings{
+		Listen: Listen{
+			Caller:   "127.0.0.1:8080",
+			Upstream: "127.0.0.1:8081",
+			Hop:      "127.0.0.1:8082",
+			Control:  "127.0.0.1:8083",
+			Admin:    "127.0.0.1:8084",
+			Metrics:  "127.0.0.1:8085",
+		},
+		Advertise: Advertise{
+			Hop:     "127.0.0.1:8082",
+			Control: "127.0.0.1:8083",
+		},
+		Platform: Platform{Timeout: 2 * time.Second},
+		Lease: Lease{
+			Heartbeat:    150 * time.Millisecond,
+			Duration:     500 * time.Millisecond,
+			ReplaceAfter: 250 * time.Millisecond,
+			DriftMargin:  25 * time.Millisecond,
+			Horizon:      time.Hour,
+			Groups:       2,
+		},
+		Notes: Notes{PollInterval: 5 * time.Second},
+		Drain: Drain{StopTimeout: 10 * time.Minute},
+		Log:   Log{Level: "info"},
+		Limits: Limits{
+			MaxHeaderBytes:    32 << 10,
+			MaxBodyBytes:      64 << 20,
+			ReadHeaderTimeout: 5 * time.Second,
+			IdleTimeout:       time.Minute,
+		},
+	}
+}
