--- a/router/forward/entry.go
+++ b/router/forward/entry.go
@@ -14,7 +14,6 @@
 	"burdockglade.dev/router/gate"
 	"burdockglade.dev/router/note"
 	"burdockglade.dev/router/ownership"
-	"burdockglade.dev/router/retry"
 	"burdockglade.dev/router/route"
 )
 
@@ -29,6 +28,16 @@
 	CallFresh(ctx context.Context, to ownership.Host, method string, params, answer any) error
 }
 
+// Budget limits the attempts of a service beyond the first.
+type Budget interface {
+	// Request counts a new request; share is the part of the requests that may
+	// be repeated.
+	Request(service string, share float64)
+	// Retry takes one attempt from the budget and reports whether there was
+	// one.
+	Retry(service string) bool
+}
+
 // Options configure an Entry.
 type Options struct {
 	Self ownership.Host
@@ -47,7 +56,7 @@
 	// when neither holder nor standby answers.
 	ReadGroup func(ctx context.Context, service, id string) (ownership.Group, error)
 	// Budget limits attempts beyond the first.
-	Budget *retry.Budgets
+	Budget Budget
 	Log    *event.Logger
 	Scope  tally.Scope
 }
@@ -142,7 +151,8 @@
 	if answer.Outcome == errkind.Unknown && !r.repeatable() {
 		return 0, false
 	}
-	if answer.Outcome == errkind.Unknown && (kind == errkind.Internal || isJournalUnknown(err)) {
+	if answer.Outcome == errkind.Unknown && !r.idempotent && errors.Is(err, errOwnerAnswered) {
+		// The owner's journal holds the id as unknown for good.
 		return 0, false
 	}
 	if answer.Outcome == errkind.NotRun && !answer.Retryable && kind != errkind.Barred {
@@ -157,12 +167,19 @@
 	return pause(n, err), true
 }
 
-// errJournalUnknown marks an unknown outcome that the owner's journal states
-// for good: asking again gives the same answer.
-var errJournalUnknown = errors.New("the owner's journal does not know the outcome")
+// errOwnerAnswered marks a refusal that came from the owner's gate, as opposed
+// to a failure on the way there.
+var errOwnerAnswered = errors.New("refused by the owner's gate")
 
-func isJournalUnknown(err error) bool {
-	return errors.Is(err, errJournalUnknown)
+// fromOwner marks the refusal of a gate and keeps its kind and detail.
+func fromOwner(err error) error {
+	var e *errkind.Error
+	if !errors.As(err, &e) {
+		e = errkind.New(errkind.Internal, "%w", err)
+	}
+	marked := *e
+	marked.Err = errors.Join(errOwnerAnswered, e.Err)
+	return &marked
 }
 
 func pause(n int, err error) time.Duration {
@@ -231,8 +248,9 @@
 	if err != nil {
 		clearOwner(w)
 		e.afterHop(ctx, r, record, err)
+		return fromOwner(err)
 	}
-	return err
+	return nil
 }
 
 func (r *request) gateRequest(id string, generation uint64) gate.Request {
--- /dev/null
+++ b/router/forward/forward_test.go
@@ -0,0 +1,473 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/gate"
+	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/router/note"
+	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/router/route"
+)
+
+const token = "hop-token"
+
+// gateFunc is a gate made of a function.
+type gateFunc func(w http.ResponseWriter, r *http.Request, req gate.Request) error
+
+func (f gateFunc) Serve(w http.ResponseWriter, r *http.Request, req gate.Request) error {
+	return f(w, r, req)
+}
+
+// echoGate answers with its name, the key and the body.
+func echoGate(name string) gateFunc {
+	return func(w http.ResponseWriter, r *http.Request, req gate.Request) error {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return errkind.New(errkind.OutcomeUnknown, "reading the body: %w", err)
+		}
+		_, _ = fmt.Fprintf(w, "%s %s %s", name, req.Key, body)
+		return nil
+	}
+}
+
+// peersFunc answers control calls.
+type peersFunc func(to ownership.Host, method string, params, answer any) error
+
+func (f peersFunc) Call(_ context.Context, to ownership.Host, method string, params, answer any) error {
+	return f(to, method, params, answer)
+}
+
+func (f peersFunc) CallFresh(_ context.Context, to ownership.Host, method string, params, answer any) error {
+	return f(to, method, params, answer)
+}
+
+func noPeers(to ownership.Host, _ string, _, _ any) error {
+	return errkind.New(errkind.PeerUnreachable, "host %s", to.Name)
+}
+
+// budget allows a fixed number of retries.
+type budget struct {
+	left atomic.Int64
+}
+
+func (b *budget) Request(string, float64) {}
+
+func (b *budget) Retry(string) bool {
+	return b.left.Add(-1) >= 0
+}
+
+func services(name string) (note.Service, bool) {
+	s := note.DefaultService("orders")
+	s.MaxBody = 1 << 20
+	return s, name == "orders"
+}
+
+// owner starts the hop server of a host and returns the host.
+func owner(t *testing.T, name string, g gateFunc, newest *route.Table) ownership.Host {
+	t.Helper()
+	if newest == nil {
+		newest = route.NewTable()
+	}
+	server := httptest.NewServer(NewHopServer(HopServerOptions{
+		Gate:       g,
+		CheckToken: func(s string) bool { return s == token },
+		Services:   services,
+		Newest:     newest.Lookup,
+	}))
+	t.Cleanup(server.Close)
+	return ownership.Host{Name: name, Incarnation: 1, HopAddr: server.Listener.Addr().String()}
+}
+
+func whole(holder ownership.Host, version int64) ownership.Group {
+	return ownership.Group{
+		Service: "orders", ID: "g", Holder: holder, Generation: uint64(version), Version: version,
+		Shards: []keyspace.Shard{{First: 0, Last: keyspace.MaxHash}},
+	}
+}
+
+// entry starts the caller-facing server of a router named self.
+func entry(t *testing.T, routes *route.Table, local gateFunc, peers peersFunc, retries int64) string {
+	t.Helper()
+	b := &budget{}
+	b.left.Store(retries)
+	e := NewEntry(Options{
+		Self:     ownership.Host{Name: "self", Incarnation: 1},
+		Services: services,
+		Ready:    func() bool { return true },
+		Routes:   routes,
+		Gate:     local,
+		Peers:    peers,
+		HopToken: token,
+		Learn:    func(records ...ownership.Group) { routes.Merge(records...) },
+		ReadGroup: func(context.Context, string, string) (ownership.Group, error) {
+			return ownership.Group{}, errors.New("no store")
+		},
+		Budget: b,
+	})
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+type got struct {
+	status  int
+	header  http.Header
+	body    string
+	bodyErr error
+}
+
+func do(t *testing.T, method, url, body string, headers ...string) got {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	return got{resp.StatusCode, resp.Header, string(answer), err}
+}
+
+func (g got) wantRefusal(t *testing.T, kind errkind.Kind, outcome errkind.Outcome) {
+	t.Helper()
+	if g.header.Get(errkind.HeaderError) != string(kind) || g.header.Get(errkind.HeaderOutcome) != string(outcome) {
+		t.Errorf("status %d, error %q, outcome %q, body %s: want %s, %s", g.status,
+			g.header.Get(errkind.HeaderError), g.header.Get(errkind.HeaderOutcome), g.body, kind, outcome)
+	}
+}
+
+// Guards against answers of the wrong owner and lost bodies on both paths.
+func TestRequestReachesTheOwner(t *testing.T) {
+	for _, remote := range []bool{false, true} {
+		routes := route.NewTable()
+		holder := ownership.Host{Name: "self", Incarnation: 1}
+		if remote {
+			holder = owner(t, "b", echoGate("remote"), nil)
+		}
+		routes.Merge(whole(holder, 1))
+		url := entry(t, routes, echoGate("local"), noPeers, 0)
+		want := "local a/b body"
+		if remote {
+			want = "remote a/b body"
+		}
+		g := do(t, http.MethodPost, url+"/orders/a%2Fb/more?x=1", "body")
+		if g.status != http.StatusOK || g.body != want || g.header.Get(HeaderOwner) != holder.Name {
+			t.Errorf("remote %v: status %d, body %q, owner %q", remote, g.status, g.body, g.header.Get(HeaderOwner))
+		}
+	}
+}
+
+// Guards against a caller that sets the headers of the routers, and against an
+// upstream that does.
+func TestInternalHeadersDoNotPass(t *testing.T) {
+	var seen http.Header
+	holder := owner(t, "b", func(w http.ResponseWriter, r *http.Request, _ gate.Request) error {
+		seen = r.Header.Clone()
+		w.Header().Set(headerRefusal, "wrong_owner")
+		w.Header().Set("X-Answer", "yes")
+		_, _ = io.WriteString(w, "ok")
+		return nil
+	}, nil)
+	routes := route.NewTable()
+	routes.Merge(whole(holder, 1))
+	url := entry(t, routes, echoGate("local"), noPeers, 0)
+	do(t, http.MethodGet, url+"/orders/k", "", "Burdock-Generation", "99", "Burdock-Hop-Token", "x", "X-Own", "1", "Connection", "X-Gone", "X-Gone", "1")
+	for name := range seen {
+		if strings.HasPrefix(name, "Burdock-") || name == "X-Gone" {
+			t.Errorf("header %s reached the gate", name)
+		}
+	}
+	if seen.Get("X-Own") != "1" {
+		t.Error("a header of the caller was lost")
+	}
+}
+
+// Guards against a hop port that takes requests from anybody.
+func TestHopNeedsTheToken(t *testing.T) {
+	holder := owner(t, "b", echoGate("remote"), nil)
+	do(t, http.MethodGet, "http://"+holder.HopAddr+"/hop/orders/k", "").wantRefusal(t, errkind.Unauthorized, errkind.NotRun)
+	do(t, http.MethodGet, "http://"+holder.HopAddr+"/hop/orders/k", "", headerAuthorization, "wrong").wantRefusal(t, errkind.Unauthorized, errkind.NotRun)
+}
+
+// Guards against requests that fail because a route is stale, and against a
+// retry that needs the budget for it.
+func TestStaleRouteIsCorrected(t *testing.T) {
+	newer := route.NewTable()
+	right := owner(t, "right", echoGate("right"), newer)
+	newer.Merge(whole(right, 2))
+	stale := owner(t, "stale", func(http.ResponseWriter, *http.Request, gate.Request) error {
+		return errkind.New(errkind.WrongOwner, "moved")
+	}, newer)
+	routes := route.NewTable()
+	routes.Merge(whole(stale, 1))
+	url := entry(t, routes, echoGate("local"), noPeers, 0)
+	if g := do(t, http.MethodPost, url+"/orders/k", "body"); g.body != "right k body" {
+		t.Errorf("status %d, body %q", g.status, g.body)
+	}
+}
+
+// Guards against two routers that point at each other for ever.
+func TestContradictingRoutesEnd(t *testing.T) {
+	table := route.NewTable()
+	wrong := func(http.ResponseWriter, *http.Request, gate.Request) error {
+		return errkind.New(errkind.WrongOwner, "not here")
+	}
+	a := owner(t, "a", wrong, table)
+	table.Merge(whole(a, 1))
+	routes := route.NewTable()
+	routes.Merge(whole(a, 1))
+	url := entry(t, routes, echoGate("local"), noPeers, 2)
+	do(t, http.MethodGet, url+"/orders/k", "", HeaderTimeout, "2000").wantRefusal(t, errkind.WrongOwner, errkind.NotRun)
+}
+
+// unusedAddress returns an address that refuses connections.
+func unusedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// Guards against keys that stay lost after the standby took them over.
+func TestStandbyIsAskedWhenTheHolderIsLost(t *testing.T) {
+	standby := owner(t, "standby", echoGate("standby"), nil)
+	standby.ControlAddr = "standby-control"
+	lost := whole(ownership.Host{Name: "lost", Incarnation: 1, HopAddr: unusedAddress(t)}, 1)
+	lost.Standby = standby
+	routes := route.NewTable()
+	routes.Merge(lost)
+	var asked atomic.Int32
+	peers := func(to ownership.Host, method string, _, answer any) error {
+		if to.Name != "standby" || method != MethodRoute {
+			return noPeers(to, method, nil, nil)
+		}
+		out := answer.(*RouteAnswer)
+		if asked.Add(1) > 1 {
+			taken := whole(standby, 2)
+			out.Record = &taken
+		}
+		return nil
+	}
+	url := entry(t, routes, echoGate("local"), peers, 10)
+	if g := do(t, http.MethodPost, url+"/orders/k", "body"); g.body != "standby k body" {
+		t.Errorf("status %d, body %q", g.status, g.body)
+	}
+}
+
+// breakingListener closes connections after the request was read.
+func breakingOwner(t *testing.T, received *atomic.Int32) ownership.Host {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(server.Close)
+	return ownership.Host{Name: "breaking", Incarnation: 1, HopAddr: server.Listener.Addr().String()}
+}
+
+// Guards against non-idempotent work without a key that runs twice, and
+// against a refusal that claims that it did not run.
+func TestUnknownOutcomeIsNotRepeated(t *testing.T) {
+	var received atomic.Int32
+	routes := route.NewTable()
+	routes.Merge(whole(breakingOwner(t, &received), 1))
+	url := entry(t, routes, echoGate("local"), noPeers, 10)
+	do(t, http.MethodPost, url+"/orders/k", "body").wantRefusal(t, errkind.OutcomeUnknown, errkind.Unknown)
+	if received.Load() != 1 {
+		t.Errorf("the work was sent %d times", received.Load())
+	}
+}
+
+// Guards against work that is refused although the owner proved that it did
+// not receive it.
+func TestBarredRequestIsSentAgain(t *testing.T) {
+	var received atomic.Int32
+	first := breakingOwner(t, &received)
+	second := owner(t, "second", echoGate("second"), nil)
+	routes := route.NewTable()
+	routes.Merge(whole(first, 1))
+	peers := func(_ ownership.Host, method string, params, answer any) error {
+		if method != MethodResolve {
+			return errors.New("unexpected method")
+		}
+		if q := params.(gate.ResolveQuery); !strings.HasSuffix(q.ID, ".0") {
+			return fmt.Errorf("unexpected id %q", q.ID)
+		}
+		routes.Merge(whole(second, 2))
+		answer.(*gate.ResolveAnswer).State = gate.ResolveNotRun
+		return nil
+	}
+	url := entry(t, routes, echoGate("local"), peers, 10)
+	if g := do(t, http.MethodPost, url+"/orders/k", "body"); g.body != "second k body" {
+		t.Errorf("status %d, body %q", g.status, g.body)
+	}
+}
+
+// Guards against an idempotency key that is lost between routers: work with a
+// key is sent again and the owner's journal decides.
+func TestKeyedWorkIsSentAgainWithItsKey(t *testing.T) {
+	var mu sync.Mutex
+	var keys []string
+	holder := owner(t, "b", func(w http.ResponseWriter, r *http.Request, req gate.Request) error {
+		mu.Lock()
+		keys = append(keys, req.IdempotencyKey)
+		n := len(keys)
+		mu.Unlock()
+		if n == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		return echoGate("b")(w, r, req)
+	}, nil)
+	routes := route.NewTable()
+	routes.Merge(whole(holder, 1))
+	url := entry(t, routes, echoGate("local"), noPeers, 10)
+	g := do(t, http.MethodPost, url+"/orders/k", "body", HeaderIdempotencyKey, "pay-1")
+	if g.body != "b k body" || strings.Join(keys, ",") != "pay-1,pay-1" {
+		t.Errorf("status %d, body %q, keys %v", g.status, g.body, keys)
+	}
+}
+
+// Guards against an endless repeat of work whose outcome the owner's journal
+// holds as unknown.
+func TestUnknownOutcomeOfTheJournalIsFinal(t *testing.T) {
+	var received atomic.Int32
+	holder := owner(t, "b", func(http.ResponseWriter, *http.Request, gate.Request) error {
+		received.Add(1)
+		return errkind.New(errkind.OutcomeUnknown, "an earlier holder may have run it")
+	}, nil)
+	routes := route.NewTable()
+	routes.Merge(whole(holder, 1))
+	url := entry(t, routes, echoGate("local"), noPeers, 10)
+	do(t, http.MethodPost, url+"/orders/k", "body", HeaderIdempotencyKey, "pay-1").wantRefusal(t, errkind.OutcomeUnknown, errkind.Unknown)
+	if received.Load() != 1 {
+		t.Errorf("the work was sent %d times", received.Load())
+	}
+}
+
+// Guards against a request on a silent connection that waits for its whole
+// deadline although a new connection would work.
+func TestSilentHopIsResolved(t *testing.T) {
+	release := make(chan struct{})
+	var calls atomic.Int32
+	holder := owner(t, "b", func(w http.ResponseWriter, r *http.Request, req gate.Request) error {
+		if calls.Add(1) == 1 {
+			<-release
+		}
+		return echoGate("b")(w, r, req)
+	}, nil)
+	defer close(release)
+	routes := route.NewTable()
+	routes.Merge(whole(holder, 1))
+	peers := func(_ ownership.Host, _ string, _, answer any) error {
+		answer.(*gate.ResolveAnswer).State = gate.ResolveNotRun
+		return nil
+	}
+	url := entry(t, routes, echoGate("local"), peers, 10)
+	if g := do(t, http.MethodPost, url+"/orders/k", "body"); g.body != "b k body" || calls.Load() != 2 {
+		t.Errorf("status %d, body %q after %d calls", g.status, g.body, calls.Load())
+	}
+}
+
+// Guards against a partial answer that the caller takes for a whole one.
+func TestCutAnswerIsNotWhole(t *testing.T) {
+	holder := owner(t, "b", func(w http.ResponseWriter, _ *http.Request, _ gate.Request) error {
+		w.WriteHeader(http.StatusOK)
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}, nil)
+	routes := route.NewTable()
+	routes.Merge(whole(holder, 1))
+	url := entry(t, routes, echoGate("local"), noPeers, 10)
+	if g := do(t, http.MethodGet, url+"/orders/k", ""); g.bodyErr == nil {
+		t.Errorf("status %d, body %q without an error", g.status, g.body)
+	}
+}
+
+// Guards against a caller who gets the answer to another request.
+func TestAnswerOfAnotherRequestIsRefused(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderRequestID, "another.0")
+		_, _ = io.WriteString(w, "another's answer")
+	}))
+	t.Cleanup(server.Close)
+	routes := route.NewTable()
+	routes.Merge(whole(ownership.Host{Name: "b", Incarnation: 1, HopAddr: server.Listener.Addr().String()}, 1))
+	url := entry(t, routes, echoGate("local"), noPeers, 0)
+	g := do(t, http.MethodPost, url+"/orders/k", "body")
+	g.wantRefusal(t, errkind.OutcomeUnknown, errkind.Unknown)
+	if strings.Contains(g.body, "another's answer") {
+		t.Error("the other answer was passed on")
+	}
+}
+
+// Guards against malformed requests that reach an owner or get no clear error.
+func TestMalformedRequestsAreRefused(t *testing.T) {
+	routes := route.NewTable()
+	routes.Merge(whole(ownership.Host{Name: "self", Incarnation: 1}, 1))
+	url := entry(t, routes, func(http.ResponseWriter, *http.Request, gate.Request) error {
+		t.Error("the request reached the gate")
+		return nil
+	}, noPeers, 0)
+	tests := []struct {
+		path    string
+		body    string
+		headers []string
+		kind    errkind.Kind
+	}{
+		{"/", "", nil, errkind.BadRequest},
+		{"/orders", "", nil, errkind.BadRequest},
+		{"/orders/", "", nil, errkind.BadRequest},
+		{"/unknown/k", "", nil, errkind.UnknownService},
+		{"/orders/" + strings.Repeat("k", maxKeyBytes+1), "", nil, errkind.BadRequest},
+		{"/orders/k", "", []string{HeaderTimeout, "soon"}, errkind.BadRequest},
+		{"/orders/k", "", []string{HeaderTimeout, "-5"}, errkind.BadRequest},
+		{"/orders/k", "", []string{HeaderTenant, strings.Repeat("t", maxTenantBytes+1)}, errkind.BadRequest},
+		{"/orders/k", "", []string{HeaderIdempotencyKey, strings.Repeat("i", maxIdempotencyKeyBytes+1)}, errkind.BadRequest},
+		{"/orders/k", strings.Repeat("b", 1<<20+1), nil, errkind.TooLarge},
+	}
+	for _, test := range tests {
+		do(t, http.MethodPost, url+test.path, test.body, test.headers...).wantRefusal(t, test.kind, errkind.NotRun)
+	}
+}
+
+// Guards against a key without an owner that hangs or gets an untrue answer.
+func TestKeyWithoutOwnerIsRefused(t *testing.T) {
+	url := entry(t, route.NewTable(), echoGate("local"), noPeers, 0)
+	do(t, http.MethodPost, url+"/orders/k", "body").wantRefusal(t, errkind.NoOwner, errkind.NotRun)
+}
+
+// FuzzSplitPath guards against a panic or an empty key on hostile paths.
+func FuzzSplitPath(f *testing.F) {
+	for _, seed := range []string{"", "/", "/a/b", "/a/%2F", "/a/%zz", "//b", "/a//c"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, path string) {
+		service, key, err := splitPath(path)
+		if err == nil && (service == "" || key == "") {
+			t.Errorf("path %q: service %q, key %q", path, service, key)
+		}
+	})
+}
--- a/router/forward/hop.go
+++ b/router/forward/hop.go
@@ -32,7 +32,7 @@
 	maxRefusalBytes      = 256 << 10
 	resolveTimeout       = 2 * time.Second
 	minSilence           = 400 * time.Millisecond
-	maxSilence           = 5 * time.Second
+	maxSilence           = time.Second
 	silenceShare         = 4 // silence is noticed after this part of the remaining time
 	lateAnswerGrace      = 200 * time.Millisecond
 	hopWriteBufferBytes  = 16 << 10
@@ -63,8 +63,6 @@
 	Detail     string           `json:"detail"`
 	RetryAfter time.Duration    `json:"retry_after"`
 	Record     *ownership.Group `json:"record,omitempty"`
-	// Final marks an unknown outcome that another attempt cannot clear up.
-	Final bool `json:"final"`
 }
 
 // wrongOwnerError carries the record that the refusing gate knows.
@@ -289,10 +287,7 @@
 	if f.Kind == errkind.WrongOwner {
 		e.Err = &wrongOwnerError{record: f.Record}
 	}
-	if f.Final {
-		e.Err = errJournalUnknown
-	}
-	return e
+	return fromOwner(e)
 }
 
 func copyHeaders(to, from http.Header) {
--- a/router/forward/hopserver.go
+++ b/router/forward/hopserver.go
@@ -107,7 +107,7 @@
 // refuse answers with a refusal that the entry router understands.
 func (s *HopServer) refuse(w http.ResponseWriter, req gate.Request, err error) {
 	kind := errkind.Of(err)
-	f := refusal{Kind: kind, Detail: err.Error(), Final: isJournalUnknown(err) || errors.Is(err, gate.ErrFinal)}
+	f := refusal{Kind: kind, Detail: err.Error()}
 	var e *errkind.Error
 	if errors.As(err, &e) {
 		f.Detail = e.Detail
--- a/router/forward/request.go
+++ b/router/forward/request.go
@@ -140,8 +140,8 @@
 	return hex.EncodeToString(id[:])
 }
 
-// refusal turns the end of the request's context into an error kind. It is for
-// requests that did not run.
+// contextError turns the end of the request's context into an error kind. It is
+// for requests that did not run.
 func (r *request) contextError(ctx context.Context) error {
 	if r.in.Context().Err() != nil {
 		return errkind.New(errkind.CallerLeft, "the caller closed its connection")
--- /dev/null
+++ b/router/member/rows_test.go
@@ -0,0 +1,157 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"burdockglade.dev/platform/table"
+	"burdockglade.dev/router/ownership"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func drawRows(t *rapid.T, label string) []table.Row {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) table.Row {
+		key := Key(fmt.Sprintf("h%d", rapid.IntRange(0, 30).Draw(t, "key")))
+		version := rapid.Int64Range(1, 20).Draw(t, "version")
+		return table.Row{Key: key, Version: version, Value: []byte(fmt.Sprint(version))}
+	}), 0, 60).Draw(t, label)
+}
+
+// level exchanges rows between a and b the way Gossip.Exchange does.
+func level(a, b *Rows) {
+	digests := a.Digests()
+	versions, peerDigests := b.Versions(digests), b.Digests()
+	want, offer := a.Compare(start, versions, peerDigests)
+	a.Merge(start, b.Get(want)...)
+	b.Merge(start, offer...)
+}
+
+// Guards against rows that never reach a router or are replaced by older ones:
+// after one exchange both sides hold the newest version of each row.
+func TestExchangeLevelsAnyTwoRouters(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewRows(), NewRows()
+		rowsA, rowsB := drawRows(t, "a"), drawRows(t, "b")
+		a.Merge(start, rowsA...)
+		b.Merge(start, rowsB...)
+		newest := map[string]int64{}
+		for _, row := range append(rowsA, rowsB...) {
+			newest[row.Key] = max(newest[row.Key], row.Version)
+		}
+		level(a, b)
+		if diff := cmp.Diff(a.All(""), b.All("")); diff != "" {
+			t.Fatal(diff)
+		}
+		if a.Digests() != b.Digests() {
+			t.Fatal("equal rows have different digests")
+		}
+		for _, row := range a.All("") {
+			if row.Version != newest[row.Key] {
+				t.Fatalf("row %s has version %d, want %d", row.Key, row.Version, newest[row.Key])
+			}
+		}
+	})
+}
+
+// Guards against a deleted row that a slower router brings back.
+func TestDeletedRowStaysDeleted(t *testing.T) {
+	row := table.Row{Key: Key("a"), Version: 5}
+	a, b := NewRows(), NewRows()
+	a.Merge(start, row)
+	b.Merge(start, row)
+	dropped, _ := a.Reconcile(start, Prefix, a.All(Prefix), nil)
+	if len(dropped) != 1 {
+		t.Fatalf("dropped %d rows, want 1", len(dropped))
+	}
+	level(a, b)
+	if rows := a.All(""); len(rows) != 0 {
+		t.Errorf("the row came back: %v", rows)
+	}
+	newer := table.Row{Key: Key("a"), Version: 6}
+	if got := a.Merge(start, newer); len(got) != 1 {
+		t.Error("a newer row of the same key was refused")
+	}
+}
+
+// Guards against a scan that drops a row written while it ran.
+func TestReconcileKeepsRowsWrittenDuringTheScan(t *testing.T) {
+	r := NewRows()
+	before := r.All(Prefix)
+	r.Merge(start, table.Row{Key: Key("new"), Version: 9})
+	r.Reconcile(start, Prefix, before, nil)
+	if len(r.All(Prefix)) != 1 {
+		t.Error("a row written during the scan was dropped")
+	}
+}
+
+func testMember(name, zone, region string) Member {
+	return Member{
+		Host: ownership.Host{Name: name, Incarnation: 1}, Zone: zone, Region: region,
+		Service: "orders", State: Active, Version: 1,
+	}
+}
+
+// Guards against a standby that is lost together with its holder.
+func TestStandbyIsInAnotherZoneOfTheRegion(t *testing.T) {
+	self := testMember("self", "z1", "r1")
+	tests := map[string]struct {
+		members []Member
+		exclude []string
+		want    string
+	}{
+		"other zone first":        {[]Member{testMember("a", "z1", "r1"), testMember("b", "z2", "r1"), testMember("c", "z9", "r2")}, nil, "b"},
+		"same zone before region": {[]Member{testMember("a", "z1", "r1"), testMember("c", "z9", "r2")}, nil, "a"},
+		"other region last":       {[]Member{testMember("c", "z9", "r2")}, nil, "c"},
+		"excluded":                {[]Member{testMember("a", "z1", "r1"), testMember("b", "z2", "r1")}, []string{"b"}, "a"},
+		"nobody":                  {nil, nil, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory()
+			d.Put(self)
+			for _, m := range test.members {
+				d.Put(m)
+			}
+			got, ok := d.PickStandby(start, self, "orders", test.exclude...)
+			if got.Host.Name != test.want || ok != (test.want != "") {
+				t.Errorf("got %q, want %q", got.Host.Name, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a standby that does not answer, is leaving or cannot serve.
+func TestUnfitStandbysArePassedOver(t *testing.T) {
+	self := testMember("self", "z1", "r1")
+	silent, leaving, unhealthy := testMember("silent", "z2", "r1"), testMember("leaving", "z2", "r1"), testMember("unhealthy", "z2", "r1")
+	leaving.State = Leaving
+	d := NewDirectory()
+	for _, m := range []Member{self, silent, leaving, unhealthy} {
+		d.Put(m)
+	}
+	d.Suspect(start, "silent")
+	d.PutLoad(start, Load{Host: "unhealthy", Incarnation: 1, Seq: 1, Healthy: false})
+	if got, ok := d.PickStandby(start, self, "orders"); ok {
+		t.Errorf("got %q, want none", got.Host.Name)
+	}
+	if got, ok := d.PickStandby(start.Add(2*suspectTime), self, "orders"); !ok || got.Host.Name != "silent" {
+		t.Errorf("after the suspicion: got %q", got.Host.Name)
+	}
+}
+
+// Guards against load reports of an earlier process or out of order.
+func TestOldLoadReportsAreIgnored(t *testing.T) {
+	d := NewDirectory()
+	d.Put(testMember("a", "z", "r"))
+	if !d.PutLoad(start, Load{Host: "a", Incarnation: 1, Seq: 2}) {
+		t.Error("a new report was ignored")
+	}
+	if d.PutLoad(start, Load{Host: "a", Incarnation: 1, Seq: 1}) || d.PutLoad(start, Load{Host: "a", Incarnation: 2, Seq: 9}) {
+		t.Error("an old report or one of another process was taken")
+	}
+}
--- /dev/null
+++ b/router/node/heartbeat.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"github.com/phuslu/log"
+
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/lease"
+	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/router/peer"
+)
+
+var evHeartbeatNotSent = event.Define(1010, log.WarnLevel, "heartbeat not sent",
+	"the socket refused a heartbeat or its answer",
+	"check the network of the host; the lease lapses when this goes on")
+
+// heartbeatWire is a heartbeat as it is sent: a CBOR array, which carries no
+// field names and so keeps the control traffic low.
+type heartbeatWire struct {
+	_                  struct{} `cbor:",toarray"`
+	Service            string
+	GroupID            string
+	Generation         uint64
+	RowVersion         int64
+	Seq                uint64
+	HolderName         string
+	HolderIncarnation  uint64
+	StandbyIncarnation uint64
+	NoteVersion        int64
+}
+
+// answerWire is the answer to a heartbeat as it is sent.
+type answerWire struct {
+	_                  struct{} `cbor:",toarray"`
+	Service            string
+	GroupID            string
+	Generation         uint64
+	Seq                uint64
+	HolderIncarnation  uint64
+	StandbyName        string
+	StandbyIncarnation uint64
+	NoteVersion        int64
+}
+
+// leaseNetwork sends lease messages as datagrams.
+type leaseNetwork struct {
+	datagrams *peer.Datagrams
+	log       *event.Logger
+}
+
+// SendHeartbeat implements ownership.Network.
+func (n *leaseNetwork) SendHeartbeat(to ownership.Host, h lease.Heartbeat) {
+	n.send(to, peer.HeartbeatDatagram, heartbeatWire{
+		Service:            h.Service,
+		GroupID:            h.GroupID,
+		Generation:         h.Generation,
+		RowVersion:         h.RowVersion,
+		Seq:                h.Seq,
+		HolderName:         h.HolderName,
+		HolderIncarnation:  h.HolderIncarnation,
+		StandbyIncarnation: h.StandbyIncarnation,
+		NoteVersion:        h.NoteVersion,
+	})
+}
+
+// SendAnswer implements ownership.Network.
+func (n *leaseNetwork) SendAnswer(to ownership.Host, a lease.Answer) {
+	n.send(to, peer.AnswerDatagram, answerWire{
+		Service:            a.Service,
+		GroupID:            a.GroupID,
+		Generation:         a.Generation,
+		Seq:                a.Seq,
+		HolderIncarnation:  a.HolderIncarnation,
+		StandbyName:        a.StandbyName,
+		StandbyIncarnation: a.StandbyIncarnation,
+		NoteVersion:        a.NoteVersion,
+	})
+}
+
+func (n *leaseNetwork) send(to ownership.Host, kind peer.DatagramKind, value any) {
+	if err := n.datagrams.Send(to.ControlAddr, kind, value); err != nil {
+		n.log.Log(evHeartbeatNotSent, event.F("host", to.Name), event.F("error", err.Error()))
+	}
+}
+
+// receive hands a datagram to the lease manager. Datagrams that do not decode
+// come from another version of the product and are ignored.
+func (n *Node) receive(kind peer.DatagramKind, body []byte) {
+	switch kind {
+	case peer.HeartbeatDatagram:
+		var h heartbeatWire
+		if peer.DecodeDatagram(body, &h) != nil {
+			return
+		}
+		n.noteVersionSeen(h.NoteVersion, h.HolderName)
+		n.manager.HandleHeartbeat(lease.Heartbeat{
+			Service:            h.Service,
+			GroupID:            h.GroupID,
+			Generation:         h.Generation,
+			RowVersion:         h.RowVersion,
+			Seq:                h.Seq,
+			HolderName:         h.HolderName,
+			HolderIncarnation:  h.HolderIncarnation,
+			StandbyIncarnation: h.StandbyIncarnation,
+			NoteVersion:        h.NoteVersion,
+		})
+	case peer.AnswerDatagram:
+		var a answerWire
+		if peer.DecodeDatagram(body, &a) != nil {
+			return
+		}
+		n.noteVersionSeen(a.NoteVersion, a.StandbyName)
+		n.manager.HandleAnswer(lease.Answer{
+			Service:            a.Service,
+			GroupID:            a.GroupID,
+			Generation:         a.Generation,
+			Seq:                a.Seq,
+			HolderIncarnation:  a.HolderIncarnation,
+			StandbyName:        a.StandbyName,
+			StandbyIncarnation: a.StandbyIncarnation,
+			NoteVersion:        a.NoteVersion,
+		})
+	}
+}
--- /dev/null
+++ b/router/node/moves.go
@@ -0,0 +1,265 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/gate"
+	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/router/move"
+	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/router/peer"
+)
+
+// moveGate adapts the gate to the source of a move.
+type moveGate struct {
+	gate    *gate.Gate
+	manager *ownership.Manager
+
+	mu       sync.Mutex
+	closures map[string]*gate.Closure
+}
+
+func closureKey(service, groupID string, shards []keyspace.Shard) string {
+	key := service + "/" + groupID
+	for _, s := range shards {
+		key += "/" + s.String()
+	}
+	return key
+}
+
+// CloseShards implements move.SourceGate.
+func (m *moveGate) CloseShards(service, groupID string, shards []keyspace.Shard) (<-chan struct{}, error) {
+	held, ok := heldGroup(m.manager, service, groupID)
+	if !ok {
+		return nil, errkind.New(errkind.WrongOwner, "group %s of service %s is not held here", groupID, service)
+	}
+	if _, err := keyspace.Remove(held.Shards, shards); err != nil {
+		return nil, errkind.New(errkind.WrongOwner, "group %s: %w", groupID, err)
+	}
+	closure := m.gate.Close(service, shards)
+	m.mu.Lock()
+	m.closures[closureKey(service, groupID, shards)] = closure
+	m.mu.Unlock()
+	drained := make(chan struct{})
+	go func() {
+		if closure.Drained(context.Background()) == nil {
+			close(drained)
+		}
+	}()
+	return drained, nil
+}
+
+// ReopenShards implements move.SourceGate.
+func (m *moveGate) ReopenShards(service, groupID string, shards []keyspace.Shard) {
+	if closure := m.take(service, groupID, shards); closure != nil {
+		closure.Reopen()
+	}
+}
+
+// ReleaseShards implements move.SourceGate.
+func (m *moveGate) ReleaseShards(service, groupID string, shards []keyspace.Shard, target ownership.Group) {
+	closure := m.take(service, groupID, shards)
+	if closure == nil {
+		return
+	}
+	closure.Release(errkind.New(errkind.WrongOwner, "the key moved to host %s", target.Holder.Name))
+	m.gate.ForgetJournal(service, shards)
+}
+
+func (m *moveGate) take(service, groupID string, shards []keyspace.Shard) *gate.Closure {
+	key := closureKey(service, groupID, shards)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	closure := m.closures[key]
+	delete(m.closures, key)
+	return closure
+}
+
+// ExportJournal implements move.SourceGate.
+func (m *moveGate) ExportJournal(service, _ string, shards []keyspace.Shard) ([]move.Entry, error) {
+	entries := m.gate.ExportJournal(service, shards)
+	out := make([]move.Entry, 0, len(entries))
+	for _, e := range entries {
+		raw, err := json.Marshal(e)
+		if err != nil {
+			return nil, errkind.New(errkind.Internal, "encoding a journal entry: %w", err)
+		}
+		out = append(out, raw)
+	}
+	return out, nil
+}
+
+func heldGroup(m *ownership.Manager, service, groupID string) (ownership.Group, bool) {
+	for _, g := range m.Held() {
+		if g.Service == service && g.ID == groupID {
+			return g, true
+		}
+	}
+	return ownership.Group{}, false
+}
+
+// moveRecords adapts the group records to the driver of a move.
+type moveRecords struct {
+	records *ownership.Records
+	manager *ownership.Manager
+
+	mu sync.Mutex
+	// bases holds the source record that the write of a move was conditional
+	// on, for settling it.
+	bases map[string]ownership.Group
+}
+
+// MoveShards implements move.Records.
+func (r *moveRecords) MoveShards(ctx context.Context, w move.Write) move.WriteResult {
+	source, ok := heldGroup(r.manager, w.Service, w.SourceGroup)
+	if !ok {
+		return move.WriteResult{Outcome: move.NotApplied, Err: errkind.New(errkind.WrongOwner, "group %s is not held here", w.SourceGroup)}
+	}
+	r.mu.Lock()
+	r.bases[w.MoveID] = source
+	r.mu.Unlock()
+	newSource, newTarget, err := r.records.MoveShards(ctx, source, w.Target, w.Shards)
+	if err == nil {
+		r.forget(w.MoveID)
+		return move.WriteResult{Outcome: move.Applied, Source: newSource, Target: newTarget}
+	}
+	var unknown *ownership.UnknownError
+	var superseded *ownership.SupersededError
+	if errors.As(err, &unknown) || errors.As(err, &superseded) {
+		return move.WriteResult{Outcome: move.Unknown, Err: err}
+	}
+	r.forget(w.MoveID)
+	return move.WriteResult{Outcome: move.NotApplied, Err: err}
+}
+
+func (r *moveRecords) forget(moveID string) {
+	r.mu.Lock()
+	delete(r.bases, moveID)
+	r.mu.Unlock()
+}
+
+// SettleMove implements move.Records. An unchanged source row does not prove
+// that the write failed, because it may still arrive. A touch of the row makes
+// it fail for good.
+func (r *moveRecords) SettleMove(ctx context.Context, w move.Write) move.WriteResult {
+	r.mu.Lock()
+	base, ok := r.bases[w.MoveID]
+	r.mu.Unlock()
+	if !ok {
+		return move.WriteResult{Outcome: move.Unknown, Err: errkind.New(errkind.Internal, "move %s has no write to settle", w.MoveID)}
+	}
+	source, err := r.records.Get(ctx, w.Service, w.SourceGroup)
+	if err != nil {
+		return move.WriteResult{Outcome: move.Unknown, Err: err}
+	}
+	if source.Version == base.Version {
+		source, err = r.records.Touch(ctx, base, ownership.KeepJournal)
+		if err != nil {
+			return move.WriteResult{Outcome: move.Unknown, Err: err}
+		}
+		r.manager.Adopt(source)
+	}
+	if _, err := keyspace.Remove(source.Shards, w.Shards); err == nil {
+		r.forget(w.MoveID)
+		return move.WriteResult{Outcome: move.NotApplied, Err: errkind.New(errkind.Conflict, "the source row changed first")}
+	}
+	target, err := r.records.Get(ctx, w.Service, w.Target.ID)
+	if err != nil {
+		return move.WriteResult{Outcome: move.Unknown, Err: err}
+	}
+	r.forget(w.MoveID)
+	return move.WriteResult{Outcome: move.Applied, Source: source, Target: target}
+}
+
+// ReadGroup implements move.Records.
+func (r *moveRecords) ReadGroup(ctx context.Context, service, groupID string) (ownership.Group, error) {
+	return r.records.Get(ctx, service, groupID)
+}
+
+// movePeer sends the messages of a move.
+type movePeer struct {
+	client *peer.Client
+}
+
+// Prepare implements move.Peer.
+func (p movePeer) Prepare(ctx context.Context, to ownership.Host, r move.PrepareRequest) (move.PrepareAnswer, error) {
+	var answer move.PrepareAnswer
+	err := p.client.Call(ctx, to, move.MethodPrepare, r, &answer)
+	return answer, err
+}
+
+// Transfer implements move.Peer.
+func (p movePeer) Transfer(ctx context.Context, to ownership.Host, r move.TransferRequest) (move.TransferAnswer, error) {
+	var answer move.TransferAnswer
+	err := p.client.Call(ctx, to, move.MethodTransfer, r, &answer)
+	return answer, err
+}
+
+// Commit implements move.Peer.
+func (p movePeer) Commit(ctx context.Context, to ownership.Host, r move.CommitRequest) (move.CommitAnswer, error) {
+	var answer move.CommitAnswer
+	err := p.client.Call(ctx, to, move.MethodCommit, r, &answer)
+	return answer, err
+}
+
+// moveReceiver decides whether this host receives shards and puts journals in
+// place.
+type moveReceiver struct {
+	node *Node
+}
+
+// Accept implements move.Receiver. It chooses the group with the fewest shards.
+func (r moveReceiver) Accept(p move.PrepareRequest) (ownership.Group, error) {
+	if err := r.node.mayReceive(p.Service); err != nil {
+		return ownership.Group{}, err
+	}
+	var best ownership.Group
+	found := false
+	for _, g := range r.node.manager.Held() {
+		if g.Service != p.Service {
+			continue
+		}
+		if !p.JournalComplete && g.JournalComplete && len(g.Shards) > 0 {
+			// The shards would make the whole group refuse unseen ids.
+			continue
+		}
+		if !found || len(g.Shards) < len(best.Shards) {
+			best, found = g, true
+		}
+	}
+	if !found {
+		return ownership.Group{}, errkind.New(errkind.NotReady, "host %s has no group of service %s to receive shards", r.node.self.Name, p.Service)
+	}
+	return best, nil
+}
+
+// ImportJournal implements move.Receiver.
+func (r moveReceiver) ImportJournal(ctx context.Context, groupID string, raw []move.Entry) error {
+	entries := make([]gate.Entry, len(raw))
+	for i, e := range raw {
+		if err := json.Unmarshal(e, &entries[i]); err != nil {
+			return errkind.New(errkind.BadRequest, "journal entry %d: %w", i, err)
+		}
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	for _, g := range r.node.manager.Held() {
+		if g.ID != groupID {
+			continue
+		}
+		ref := gate.GroupRef{Service: g.Service, GroupID: g.ID, Generation: g.Generation}
+		if err := r.node.gate.ImportJournal(ref, entries); err != nil {
+			return err
+		}
+		if g.Standby.IsZero() {
+			return nil
+		}
+		return r.node.replicator.Append(ctx, g.Standby, ref, entries)
+	}
+	return errkind.New(errkind.WrongOwner, "group %s is not held here", groupID)
+}
