--- /dev/null
+++ b/router/retry/budget.go
@@ -0,0 +1,83 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// floorRate is the number of repeats per second that a service is always
+	// allowed, so that a service with little traffic can repeat at all.
+	floorRate = 1.0
+	// burstSeconds is the traffic whose share may be saved up.
+	burstSeconds = 10.0
+	// minBurst is the smallest capacity of a bucket.
+	minBurst = 10.0
+)
+
+// Budget is a token bucket that limits repeats to a share of a service's
+// requests. It is safe for concurrent use; times are passed in.
+type Budget struct {
+	mu     sync.Mutex
+	share  float64
+	tokens float64
+	// rate is a smoothed number of requests per second. It bounds the bucket.
+	rate    float64
+	counted float64
+	last    time.Time
+}
+
+// NewBudget returns a budget for repeats of the share (0 to 1) of the requests.
+// A share of 0 or less leaves only the floor.
+func NewBudget(share float64) *Budget {
+	return &Budget{share: max(share, 0), tokens: minBurst}
+}
+
+// SetShare changes the share.
+func (b *Budget) SetShare(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share = max(share, 0)
+}
+
+// Request counts one request, not a repeat, of the service.
+func (b *Budget) Request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.counted++
+	b.tokens = min(b.tokens+b.share, b.capacity())
+}
+
+// Take uses one token. It returns false when the budget is spent.
+func (b *Budget) Take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// advance adds the floor for the time since the last call and updates the rate
+// once per second.
+func (b *Budget) advance(now time.Time) {
+	if b.last.IsZero() {
+		b.last = now
+		return
+	}
+	elapsed := now.Sub(b.last).Seconds()
+	if elapsed < 1 {
+		return
+	}
+	b.last = now
+	b.rate += (b.counted/elapsed - b.rate) / 2
+	b.counted = 0
+	b.tokens = min(b.tokens+floorRate*elapsed, b.capacity())
+}
+
+func (b *Budget) capacity() float64 {
+	return max(minBurst, b.share*b.rate*burstSeconds)
+}
