--- /dev/null
+++ b/router/upstream/agent_test.go
@@ -0,0 +1,130 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/note"
+)
+
+// fakeLimiter records the slots it was given.
+type fakeLimiter struct {
+	calls []string
+}
+
+func (l *fakeLimiter) Reset(n int)    { l.calls = append(l.calls, fmt.Sprint("reset ", n)) }
+func (l *fakeLimiter) SetSlots(n int) { l.calls = append(l.calls, fmt.Sprint("set ", n)) }
+
+func post(h http.Handler, path, body, remote string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.RemoteAddr = remote
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+const loopback = "127.0.0.1:4000"
+
+const goodAnnouncement = `{"service":"s","address":"127.0.0.1:9000","slots":16,"connections":120,"kind":"fenced"}`
+
+// Guards against malformed, oversized or foreign messages that change the
+// state, and against refusals that do not name their cause.
+func TestMessagesAreCheckedStrictly(t *testing.T) {
+	service := func(name string) (note.Service, bool) { return note.DefaultService(name), name == "s" }
+	a := NewAgent(AgentOptions{Service: service})
+	replace := func(old, new string) string { return strings.Replace(goodAnnouncement, old, new, 1) }
+	cases := []struct {
+		path, body, remote string
+		kind               errkind.Kind
+		detail             string
+	}{
+		{"/v1/announce", replace(`"slots"`, `"slotz"`), loopback, errkind.BadRequest, "slotz"},
+		{"/v1/announce", goodAnnouncement + "{}", loopback, errkind.BadRequest, "after its end"},
+		{"/v1/announce", replace("127.0.0.1:9000", "localhost:9000"), loopback, errkind.BadRequest, "IP number"},
+		{"/v1/announce", replace("127.0.0.1:9000", "0.0.0.0:9000"), loopback, errkind.BadRequest, "unicast"},
+		{"/v1/announce", replace("16", "0"), loopback, errkind.BadRequest, "slots"},
+		{"/v1/announce", replace("120", "-1"), loopback, errkind.BadRequest, "connections"},
+		{"/v1/announce", replace("fenced", "iron"), loopback, errkind.BadRequest, "kind"},
+		{"/v1/announce", replace("fenced", "plain"), loopback, errkind.BadRequest, "defined as"},
+		{"/v1/announce", replace(`"s"`, `"other"`), loopback, errkind.UnknownService, "other"},
+		{"/v1/announce", replace("fenced", strings.Repeat("x", maxMessage)), loopback, errkind.TooLarge, "bytes"},
+		{"/v1/announce", goodAnnouncement, "10.0.0.1:4000", errkind.Unauthorized, "10.0.0.1"},
+		{"/v1/renew", `{"load":1}`, loopback, errkind.BadRequest, "healthy"},
+		{"/v1/renew", `{"load":-1,"healthy":true}`, loopback, errkind.BadRequest, "load"},
+		{"/v1/renew", `{"load":1,"healthy":true}`, loopback, errkind.Conflict, "announce first"},
+		{"/v1/drain", ``, loopback, errkind.Conflict, "announce first"},
+		{"/v1/withdraw", `{"x":1}`, loopback, errkind.BadRequest, "x"},
+	}
+	for _, c := range cases {
+		w := post(a.Handler(), c.path, c.body, c.remote)
+		if w.Header().Get(errkind.HeaderError) != string(c.kind) || !strings.Contains(w.Body.String(), c.detail) {
+			t.Errorf("%s %s: status %d, %s", c.path, c.body, w.Code, w.Body)
+		}
+	}
+	if got := a.Status().State; got != Absent {
+		t.Errorf("refused messages led to state %s", got)
+	}
+}
+
+// Guards against a limiter or client that does not follow the upstream's
+// announcement, drain and end.
+func TestAgentFollowsTheUpstream(t *testing.T) {
+	limiter := &fakeLimiter{}
+	a := NewAgent(AgentOptions{Limiter: limiter})
+	for _, m := range []struct {
+		path, body string
+		want       State
+	}{
+		{"/v1/announce", goodAnnouncement, Announced},
+		{"/v1/announce", strings.Replace(goodAnnouncement, "16", "18", 1), Announced},
+		{"/v1/renew", `{"load":0.5,"healthy":true}`, Announced},
+		{"/v1/drain", ``, Draining},
+		{"/v1/withdraw", `{}`, Draining},
+	} {
+		w := post(a.Handler(), m.path, m.body, loopback)
+		if w.Code != http.StatusOK || a.Status().State != m.want {
+			t.Fatalf("%s: status %d %s, state %s", m.path, w.Code, w.Body, a.Status().State)
+		}
+	}
+	if s := a.Status(); !s.Withdrawn || s.Load != 0.5 {
+		t.Errorf("status %+v", s)
+	}
+	a.Left()
+	if got := strings.Join(limiter.calls, ", "); got != "reset 16, set 18, reset 0" {
+		t.Errorf("limiter calls: %s", got)
+	}
+	if a.client.target.Load() != nil {
+		t.Error("the client still has a target")
+	}
+}
+
+// Guards against a lost upstream that nobody notices: the agent probes it by
+// itself, and a refused connection takes effect at once.
+func TestAgentProbesSilentUpstream(t *testing.T) {
+	probed := make(chan string, 10)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { probed <- r.URL.Path }))
+	changes := make(chan State, 10)
+	a := NewAgent(AgentOptions{RenewTimeout: 10 * time.Millisecond, OnChange: func(s Status) { changes <- s.State }})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go a.Run(ctx)
+	w := post(a.Handler(), "/v1/announce", strings.Replace(goodAnnouncement, "127.0.0.1:9000", serverAddress(s), 1), loopback)
+	if w.Code != http.StatusOK {
+		t.Fatal(w.Body)
+	}
+	if path := <-probed; path != ProbePath {
+		t.Errorf("probed %s", path)
+	}
+	s.Close()
+	for state := range changes {
+		if state == Down {
+			return
+		}
+	}
+}
