--- a/router/forward/entry.go
+++ b/router/forward/entry.go
@@ -231,12 +231,28 @@
 	if errors.As(err, &wrong) && wrong.record != nil {
 		e.o.Learn(*wrong.record)
 	}
+	if !r.worthWaiting(err) {
+		return
+	}
 	switch errkind.Of(err) {
-	case errkind.WrongOwner, errkind.LeaseLapsed, errkind.PeerUnreachable, errkind.OutcomeUnknown, errkind.Draining:
-		e.finder.refresh(ctx, r, record)
+	case errkind.PeerUnreachable, errkind.UpstreamDown:
+		patience := shortPatience
+		if errors.Is(err, errNoConnection) || errors.Is(err, errOwnerAnswered) {
+			patience = lostPatience
+		}
+		e.finder.refresh(ctx, r, record, patience)
+	case errkind.OutcomeUnknown, errkind.WrongOwner, errkind.LeaseLapsed, errkind.Draining:
+		e.finder.refresh(ctx, r, record, shortPatience)
 	}
 }
 
+// worthWaiting reports whether another attempt is allowed after the failure, so
+// that a request that must be refused is refused at once.
+func (r *request) worthWaiting(err error) bool {
+	unknown := errkind.AnswerOf(errkind.Of(err)).Outcome == errkind.Unknown
+	return r.body.replayable() && (!unknown || r.idempotent || r.repeatable() && !errors.Is(err, errOwnerAnswered))
+}
+
 // local passes the request to the gate of this host.
 func (e *Entry) local(ctx context.Context, w http.ResponseWriter, r *request, record *ownership.Group, n int) error {
 	in := r.in.Clone(ctx)
@@ -245,12 +261,13 @@
 	in.ContentLength = r.body.length
 	setOwner(w, record)
 	err := e.o.Gate.Serve(w, in, r.gateRequest(attemptID(r.id, n), record.Generation))
-	if err != nil {
-		clearOwner(w)
-		e.afterHop(ctx, r, record, err)
-		return fromOwner(err)
+	if err == nil {
+		return nil
 	}
-	return nil
+	clearOwner(w)
+	err = fromOwner(err)
+	e.afterHop(ctx, r, record, err)
+	return err
 }
 
 func (r *request) gateRequest(id string, generation uint64) gate.Request {
--- a/router/forward/finder.go
+++ b/router/forward/finder.go
@@ -33,10 +33,16 @@
 
 // Times of the search for an owner.
 const (
-	routeCallTimeout = time.Second
+	routeCallTimeout = 500 * time.Millisecond
 	// askAgainAfter is the pause between questions while a takeover is going
 	// on. It bounds what a loss adds to the takeover itself.
 	askAgainAfter = 30 * time.Millisecond
+	// lostPatience is how long a request waits for a newer record after its
+	// owner could not be reached. A takeover takes less than 1 s.
+	lostPatience = 2 * time.Second
+	// shortPatience is the wait after a refusal by an owner that lives: its
+	// lease may come back without a newer record.
+	shortPatience = 60 * time.Millisecond
 	// storeReadInterval spaces reads of the same row from the table service.
 	storeReadInterval = 500 * time.Millisecond
 )
@@ -63,25 +69,36 @@
 	return nil, errkind.New(errkind.NoOwner, "no record claims the key of service %q", r.service.Name)
 }
 
-// refresh looks for a record that is newer than the given one and waits a
-// moment when there is none yet. Requests for the same group share one search.
-func (f *finder) refresh(ctx context.Context, r *request, stale *ownership.Group) {
-	if newest, ok := f.o.Routes.Lookup(r.service.Name, r.hash); ok && newest.Version > stale.Version {
-		return
-	}
-	done := f.flight.DoChan(stale.Key(), func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), routeCallTimeout)
-		defer cancel()
-		f.search(ctx, r, stale)
-		return nil, nil
-	})
-	select {
-	case <-ctx.Done():
-	case <-done:
+// refresh looks for a record that is newer than the given one and gives up
+// after the patience. Requests for the same group share one search.
+func (f *finder) refresh(ctx context.Context, r *request, stale *ownership.Group, patience time.Duration) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for !f.known(r, stale) {
+		done := f.flight.DoChan(stale.Key(), func() (any, error) {
+			f.search(r, stale)
+			return nil, nil
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-done:
+		}
 	}
 }
 
-func (f *finder) search(ctx context.Context, r *request, stale *ownership.Group) {
+// known reports whether the route table has a newer record for the position.
+func (f *finder) known(r *request, stale *ownership.Group) bool {
+	newest, ok := f.o.Routes.Lookup(r.service.Name, r.hash)
+	return ok && newest.Version > stale.Version
+}
+
+// search asks once and pauses when there is nothing newer yet.
+func (f *finder) search(r *request, stale *ownership.Group) {
+	ctx, cancel := context.WithTimeout(context.Background(), routeCallTimeout)
+	defer cancel()
 	query := RouteQuery{Service: r.service.Name, Hash: r.hash, KnownGroup: stale.ID, KnownVersion: stale.Version}
 	if !stale.Standby.IsZero() && !stale.Standby.Same(f.o.Self) {
 		var answer RouteAnswer
@@ -91,7 +108,7 @@
 			return
 		}
 		if err == nil {
-			wait(ctx, min(max(answer.RetryAfter, askAgainAfter), routeCallTimeout))
+			_ = sleep(ctx, max(answer.RetryAfter, askAgainAfter))
 			return
 		}
 	}
@@ -102,7 +119,7 @@
 			return
 		}
 	}
-	wait(ctx, askAgainAfter)
+	_ = sleep(ctx, askAgainAfter)
 }
 
 // mayReadStore spaces the reads of one row, so that a lost host does not make
@@ -122,7 +139,3 @@
 	f.storeRead[key] = now
 	return true
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	_ = sleep(ctx, d)
-}
--- a/router/forward/hop.go
+++ b/router/forward/hop.go
@@ -78,6 +78,10 @@
 	return fmt.Sprintf("the key belongs to host %s at generation %d", e.record.Holder.Name, e.record.Generation)
 }
 
+// errNoConnection marks an attempt for which no connection could be made, as
+// opposed to one that did not reach a host that lives.
+var errNoConnection = errors.New("no connection")
+
 func attemptID(id string, n int) string {
 	return id + "." + strconv.Itoa(n)
 }
@@ -207,7 +211,7 @@
 		if ctx.Err() != nil {
 			return h.r.contextError(ctx)
 		}
-		return errkind.New(errkind.PeerUnreachable, "host %s: %w", h.record.Holder.Name, err)
+		return errkind.New(errkind.PeerUnreachable, "host %s: %w", h.record.Holder.Name, errors.Join(errNoConnection, err))
 	}
 	if ctx.Err() != nil {
 		return errkind.New(errkind.OutcomeUnknown, "host %s did not answer in time: %w", h.record.Holder.Name, err)
--- a/router/node/moves.go
+++ b/router/node/moves.go
@@ -157,7 +157,7 @@
 		return move.WriteResult{Outcome: move.Unknown, Err: err}
 	}
 	if source.Version == base.Version {
-		source, err = r.records.Touch(ctx, base, ownership.KeepJournal)
+		source, err = r.records.Touch(ctx, base, ownership.JournalKeep)
 		if err != nil {
 			return move.WriteResult{Outcome: move.Unknown, Err: err}
 		}
--- /dev/null
+++ b/router/retry/budgets.go
@@ -0,0 +1,46 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Budgets holds one budget per service. It is safe for concurrent use.
+type Budgets struct {
+	mu        sync.RWMutex
+	byService map[string]*Budget
+}
+
+// NewBudgets returns an empty set.
+func NewBudgets() *Budgets {
+	return &Budgets{byService: map[string]*Budget{}}
+}
+
+// Request counts one request of the service; share is the part of its requests
+// that may be repeated.
+func (b *Budgets) Request(service string, share float64) {
+	budget := b.of(service)
+	budget.SetShare(share)
+	budget.Request(time.Now())
+}
+
+// Retry takes one repeat from the service's budget. It returns false when the
+// budget is spent.
+func (b *Budgets) Retry(service string) bool {
+	return b.of(service).Take(time.Now())
+}
+
+func (b *Budgets) of(service string) *Budget {
+	b.mu.RLock()
+	budget := b.byService[service]
+	b.mu.RUnlock()
+	if budget != nil {
+		return budget
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.byService[service] == nil {
+		b.byService[service] = NewBudget(DefaultShare)
+	}
+	return b.byService[service]
+}
