--- /dev/null
+++ b/router/note/publish_test.go
@@ -0,0 +1,486 @@
+package note
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"burdockglade.dev/platform/object"
+	"burdockglade.dev/platform/table"
+	"burdockglade.dev/router/errkind"
+)
+
+// faultTable is a table whose next calls can fail.
+type faultTable struct {
+	table.Store
+	mu sync.Mutex
+	// down fails every call before it takes effect.
+	down bool
+	// commits are consumed by one commit each.
+	commits []commitFault
+	// onCommit runs before each commit.
+	onCommit func()
+	// reads counts the reads of the head row.
+	reads int
+}
+
+type commitFault int
+
+const (
+	noFault     commitFault = iota
+	lostBefore              // no answer, and nothing was written
+	lostAfter               // no answer, but the write took effect
+	unavailable             // refused, and nothing was written
+)
+
+func newFaultTable() *faultTable {
+	return &faultTable{Store: table.NewMemory()}
+}
+
+func (f *faultTable) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *faultTable) Get(ctx context.Context, key string) (table.Row, error) {
+	f.mu.Lock()
+	down := f.down
+	if key == HeadKey {
+		f.reads++
+	}
+	f.mu.Unlock()
+	if down {
+		return table.Row{}, table.ErrUnavailable
+	}
+	return f.Store.Get(ctx, key)
+}
+
+func (f *faultTable) Commit(ctx context.Context, txn table.Txn) (int64, error) {
+	fault := f.nextFault()
+	switch fault {
+	case lostBefore:
+		return 0, table.ErrOutcomeUnknown
+	case unavailable:
+		return 0, table.ErrUnavailable
+	}
+	revision, err := f.Store.Commit(ctx, txn)
+	if fault == lostAfter {
+		return 0, table.ErrOutcomeUnknown
+	}
+	return revision, err
+}
+
+func (f *faultTable) nextFault() commitFault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if hook := f.onCommit; hook != nil {
+		f.onCommit = nil
+		f.mu.Unlock()
+		hook()
+		f.mu.Lock()
+	}
+	if f.down {
+		return unavailable
+	}
+	if len(f.commits) == 0 {
+		return noFault
+	}
+	fault := f.commits[0]
+	f.commits = f.commits[1:]
+	return fault
+}
+
+// memoryObjects is an object store whose calls can fail.
+type memoryObjects struct {
+	mu      sync.Mutex
+	content map[string][]byte
+	// faults is the number of writes that fail next.
+	faults int
+}
+
+func (m *memoryObjects) Put(_ context.Context, name string, content []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.faults > 0 {
+		m.faults--
+		return object.ErrUnavailable
+	}
+	if have, ok := m.content[name]; ok && !bytes.Equal(have, content) {
+		return object.ErrExists
+	}
+	m.content[name] = bytes.Clone(content)
+	return nil
+}
+
+func (m *memoryObjects) Get(_ context.Context, name string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	content, ok := m.content[name]
+	if !ok {
+		return nil, object.ErrNotFound
+	}
+	return content, nil
+}
+
+func newPublisher() (*Publisher, *faultTable, *memoryObjects) {
+	rows := newFaultTable()
+	objects := &memoryObjects{content: map[string][]byte{}}
+	return NewPublisher(PublisherOptions{Table: rows, Objects: objects}), rows, objects
+}
+
+// noteAt returns a note that adds a service to a version.
+func noteAt(base int64, service string) []byte {
+	return fmt.Appendf(nil, "[note]\ntitle = T\nbase = %d\n[add service %s]\nkind = fenced\n", base, service)
+}
+
+func mustPublish(t testing.TB, p *Publisher, id string, text []byte) Result {
+	t.Helper()
+	r, err := p.Publish(t.Context(), id, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func wantHead(t testing.TB, store table.Store, version int64, id string) {
+	t.Helper()
+	c, _, err := ReadHead(t.Context(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Version != version || c.PublishID != id {
+		t.Errorf("head is version %d of %q, want %d of %q", c.Version, c.PublishID, version, id)
+	}
+}
+
+func wantKind(t testing.TB, err error, kind errkind.Kind) {
+	t.Helper()
+	if !errkind.Is(err, kind) {
+		t.Fatalf("got %v, want kind %s", err, kind)
+	}
+}
+
+// A publication must leave the text, the version and the configuration.
+func TestPublishWritesTextAndHead(t *testing.T) {
+	p, rows, _ := newPublisher()
+	r := mustPublish(t, p, "publish-a", []byte(firstNote))
+	if r.Version != 1 || r.PublishID != "publish-a" || len(r.Config.Services) != 2 {
+		t.Errorf("got %+v", r)
+	}
+	wantHead(t, rows, 1, "publish-a")
+	entry, text, err := p.Version(t.Context(), 1)
+	if err != nil || string(text) != firstNote || entry.PublishID != "publish-a" {
+		t.Errorf("got %+v %q %v", entry, text, err)
+	}
+	_, _, err = p.Version(t.Context(), 2)
+	wantKind(t, err, errkind.NotFound)
+}
+
+// A head row whose text was never stored cannot be explained later.
+func TestTextIsStoredBeforeTheHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows, objects := newPublisher()
+		objects.faults = 1000
+		_, err := p.Publish(t.Context(), "publish-a", noteAt(0, "a"))
+		wantKind(t, err, errkind.StoreUnavailable)
+		wantHead(t, rows, 0, "")
+		objects.faults = 3
+		mustPublish(t, p, "publish-a", noteAt(0, "a"))
+		wantHead(t, rows, 1, "publish-a")
+	})
+}
+
+// Of two operators who race, exactly one may win, and the other must learn
+// which note won.
+func TestTwoOperatorsRace(t *testing.T) {
+	p, rows, _ := newPublisher()
+	rows.onCommit = func() { mustPublish(t, p, "publish-b", noteAt(0, "b")) }
+	_, err := p.Publish(t.Context(), "publish-a", noteAt(0, "a"))
+	wantConflict(t, err, ConflictError{Base: 0, Version: 1, PublishID: "publish-b"})
+	wantHead(t, rows, 1, "publish-b")
+}
+
+// Many operators at once must not lose a version or win one twice.
+func TestManyOperatorsRace(t *testing.T) {
+	p, rows, _ := newPublisher()
+	const operators = 8
+	errs := make([]error, operators)
+	var group sync.WaitGroup
+	for i := range operators {
+		group.Go(func() {
+			_, errs[i] = p.Publish(t.Context(), fmt.Sprintf("publish-%d", i), noteAt(0, fmt.Sprintf("s%d", i)))
+		})
+	}
+	group.Wait()
+	won := 0
+	for _, err := range errs {
+		if err == nil {
+			won++
+			continue
+		}
+		wantKind(t, err, errkind.NoteConflict)
+	}
+	c, _, err := ReadHead(t.Context(), rows)
+	if won != 1 || err != nil || c.Version != 1 {
+		t.Errorf("%d operators won, head %+v, %v", won, c, err)
+	}
+}
+
+// A lost answer must not make a note fail that took effect, or count twice.
+func TestLostAnswersAreSettledByReading(t *testing.T) {
+	for _, faults := range [][]commitFault{
+		{lostAfter}, {lostBefore}, {lostBefore, lostBefore, lostAfter}, {lostBefore, unavailable, noFault},
+	} {
+		t.Run(fmt.Sprint(faults), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, rows, _ := newPublisher()
+				rows.commits = faults
+				if r := mustPublish(t, p, "publish-a", noteAt(0, "a")); r.Version != 1 {
+					t.Errorf("got version %d", r.Version)
+				}
+				wantHead(t, rows, 1, "publish-a")
+			})
+		})
+	}
+}
+
+// A write that was lost before it took effect must not hide the note that won
+// meanwhile.
+func TestLostAnswerThenAnotherWins(t *testing.T) {
+	p, rows, _ := newPublisher()
+	rows.commits = []commitFault{lostBefore}
+	rows.onCommit = func() {
+		faults := rows.commits
+		rows.commits = nil
+		mustPublish(t, p, "publish-b", noteAt(0, "b"))
+		rows.commits = faults
+	}
+	_, err := p.Publish(t.Context(), "publish-a", noteAt(0, "a"))
+	wantConflict(t, err, ConflictError{Base: 0, Version: 1, PublishID: "publish-b"})
+}
+
+// When neither the write nor the reads are answered, a refusal as "not run"
+// would be false: the note is in force.
+func TestStoreDownAfterTheWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows, _ := newPublisher()
+		rows.commits = []commitFault{lostAfter}
+		rows.onCommit = func() { go func() { time.Sleep(time.Millisecond); rows.setDown(true) }() }
+		slow := &slowCommit{Store: rows}
+		p = NewPublisher(PublisherOptions{Table: slow, Objects: p.opts.Objects})
+		_, err := p.Publish(t.Context(), "publish-a", noteAt(0, "a"))
+		wantKind(t, err, errkind.OutcomeUnknown)
+		if !strings.Contains(err.Error(), "publish-a") {
+			t.Errorf("the message does not name the publish id: %v", err)
+		}
+		rows.setDown(false)
+		if r := mustPublish(t, p, "publish-a", noteAt(0, "a")); r.Version != 1 {
+			t.Errorf("got %+v", r)
+		}
+		wantHead(t, rows, 1, "publish-a")
+	})
+}
+
+// slowCommit answers commits after a pause.
+type slowCommit struct{ table.Store }
+
+func (s *slowCommit) Commit(ctx context.Context, txn table.Txn) (int64, error) {
+	revision, err := s.Store.Commit(ctx, txn)
+	time.Sleep(10 * time.Millisecond)
+	return revision, err
+}
+
+// A store that is down before the write leaves nothing behind.
+func TestStoreDownBeforeTheWrite(t *testing.T) {
+	p, rows, objects := newPublisher()
+	rows.setDown(true)
+	_, err := p.Publish(t.Context(), "publish-a", noteAt(0, "a"))
+	wantKind(t, err, errkind.StoreUnavailable)
+	rows.setDown(false)
+	wantHead(t, rows, 0, "")
+	rows.commits = []commitFault{unavailable}
+	_, err = p.Publish(t.Context(), "publish-a", noteAt(0, "a"))
+	wantKind(t, err, errkind.StoreUnavailable)
+	wantHead(t, rows, 0, "")
+	if len(objects.content) != 1 {
+		t.Errorf("%d texts", len(objects.content))
+	}
+}
+
+// A repeated call must have the result of the first one, even when other notes
+// were published in between.
+func TestRepeatedPublishHasTheSameResult(t *testing.T) {
+	p, rows, _ := newPublisher()
+	mustPublish(t, p, "publish-a", noteAt(0, "a"))
+	if r := mustPublish(t, p, "publish-a", noteAt(0, "a")); r.Version != 1 || len(r.Config.Services) != 1 {
+		t.Errorf("got %+v", r)
+	}
+	mustPublish(t, p, "publish-b", noteAt(1, "b"))
+	mustPublish(t, p, "publish-c", noteAt(2, "c"))
+	if r := mustPublish(t, p, "publish-a", noteAt(0, "a")); r.Version != 1 || r.Config.Version != 0 {
+		t.Errorf("got %+v", r)
+	}
+	wantHead(t, rows, 3, "publish-c")
+	_, err := p.Publish(t.Context(), "publish-d", noteAt(0, "d"))
+	wantConflict(t, err, ConflictError{Base: 0, Version: 1, PublishID: "publish-a"})
+}
+
+// A publish id that is used for another note must not report the first note's
+// success.
+func TestPublishIDOfAnotherNote(t *testing.T) {
+	p, rows, _ := newPublisher()
+	mustPublish(t, p, "publish-a", noteAt(0, "a"))
+	_, err := p.Publish(t.Context(), "publish-a", noteAt(0, "b"))
+	wantKind(t, err, errkind.Conflict)
+	_, err = p.Publish(t.Context(), "publish-a", noteAt(1, "b"))
+	wantKind(t, err, errkind.Conflict)
+	wantHead(t, rows, 1, "publish-a")
+}
+
+// An id that could leave the name space of the notes' texts must be refused.
+func TestMalformedPublishID(t *testing.T) {
+	p, _, _ := newPublisher()
+	for _, id := range []string{"", "short", "../../group/x", strings.Repeat("a", 65), "publish a"} {
+		_, err := p.Publish(t.Context(), id, noteAt(0, "a"))
+		wantKind(t, err, errkind.BadRequest)
+	}
+}
+
+// A publication older than the log row cannot be told apart from one that
+// lost, so neither may be claimed. The log row must not grow without bound.
+func TestPublicationOlderThanTheLog(t *testing.T) {
+	p, rows, _ := newPublisher()
+	mustPublish(t, p, "publish-first", noteAt(0, "a"))
+	fillLog(t, rows, LogLength)
+	if r := mustPublish(t, p, "publish-first", noteAt(0, "a")); r.Version != 1 {
+		t.Errorf("got %+v", r)
+	}
+	mustPublish(t, p, "publish-last", noteAt(LogLength, "b"))
+	_, err := p.Publish(t.Context(), "publish-first", noteAt(0, "a"))
+	wantKind(t, err, errkind.OutcomeUnknown)
+	wantHead(t, rows, LogLength+1, "publish-last")
+	log, _, err := readLog(t.Context(), rows)
+	if err != nil || len(log) != LogLength || log[0].Version != 2 {
+		t.Errorf("the log has %d entries, %v", len(log), err)
+	}
+}
+
+// fillLog brings head and log to the version without publishing each one.
+func fillLog(t *testing.T, rows table.Store, version int64) {
+	t.Helper()
+	head, _, err := ReadHead(t.Context(), rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, _, err := readLog(t.Context(), rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for head.Version < version {
+		head.Version++
+		head.PublishID = fmt.Sprintf("publish-%d", head.Version)
+		log = appendLog(log, Published{Version: head.Version, PublishID: head.PublishID})
+	}
+	putHead(t, rows, head)
+	value, err := json.Marshal(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	txn := table.Txn{ID: "fill", Writes: []table.Write{{Key: LogKey, Value: value}}}
+	if _, err := rows.Commit(t.Context(), txn); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Under any sequence of faults, success means that the note made its version
+// and a definite refusal means that it did not.
+func TestAnswersAreTrueUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom([]commitFault{noFault, lostBefore, lostAfter, unavailable}), 0, 6).Draw(rt, "faults")
+		synctest.Test(t, func(t *testing.T) {
+			p, rows, _ := newPublisher()
+			rows.commits = faults
+			for i := range 4 {
+				id := fmt.Sprintf("publish-%d", i)
+				base := headVersion(t, rows)
+				_, err := p.Publish(t.Context(), id, noteAt(base, fmt.Sprintf("s%d", i)))
+				made := madeBy(t, rows, base+1) == id
+				if err == nil && !made {
+					rt.Errorf("%s reported success for version %d of another note", id, base+1)
+				}
+				if err != nil && !errkind.Is(err, errkind.OutcomeUnknown) && made {
+					rt.Errorf("%s reported %v and made version %d", id, err, base+1)
+				}
+			}
+		})
+	})
+}
+
+func headVersion(t testing.TB, store table.Store) int64 {
+	t.Helper()
+	c, _, err := ReadHead(t.Context(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c.Version
+}
+
+func madeBy(t testing.TB, store table.Store, version int64) string {
+	t.Helper()
+	log, _, err := readLog(t.Context(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry, _ := inLog(log, version)
+	return entry.PublishID
+}
+
+// A preview must refuse what a publication would refuse.
+func TestPreview(t *testing.T) {
+	d, err := Preview("n.ini", []byte(firstNote), Config{})
+	if err != nil || len(d.Added) != 2 {
+		t.Errorf("got %+v, %v", d, err)
+	}
+	_, err = Preview("n.ini", []byte(firstNote), firstConfig(t))
+	wantKind(t, err, errkind.NoteConflict)
+	_, err = Preview("n.ini", []byte("x"), Config{})
+	var problems Problems
+	if !errors.As(err, &problems) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Size of the rows that polls and publications transfer.
+func BenchmarkHeadRow(b *testing.B) {
+	for _, services := range []int{3, 16, MaxServices} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			c := Config{Version: 1000, PublishID: "0198c0de-0000-7000-8000-000000000000", Services: map[string]Service{}}
+			for i := range services {
+				name := fmt.Sprintf("service-%02d", i)
+				c.Services[name] = DefaultService(name)
+			}
+			size := 0
+			for b.Loop() {
+				value, err := EncodeHead(c)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := DecodeHead(table.Row{Key: HeadKey, Value: value}); err != nil {
+					b.Fatal(err)
+				}
+				size = len(value)
+			}
+			b.ReportMetric(float64(size), "row-bytes")
+		})
+	}
+}
