--- /dev/null
+++ b/ctl/e2e/path_test.go
@@ -0,0 +1,101 @@
+package e2e
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"burdockglade.dev/platform/verify"
+)
+
+const twoServices = `[note]
+title = two services
+base = 0
+[add service orders]
+kind = fenced
+[add service designs]
+kind = fenced
+`
+
+// threeHosts starts a service on three hosts in two availability zones.
+func threeHosts(t testing.TB, service string) *cluster {
+	t.Helper()
+	c := newCluster(t)
+	c.publish("first", twoServices)
+	for i := range 3 {
+		c.addHost(fmt.Sprintf("h%d", i+1), fmt.Sprintf("z%d", i%2+1), service)
+	}
+	return c
+}
+
+// spread waits until every host owns some of the keys and returns the owner of
+// each key.
+func (c *cluster) spread(service string, keys int) map[string]string {
+	c.t.Helper()
+	owners := map[string]string{}
+	eventually(c.t, "all hosts own keys", func() bool {
+		clear(owners)
+		distinct := map[string]bool{}
+		for i := range keys {
+			path := fmt.Sprintf("/%s/key-%d", service, i)
+			a, err := c.request(http.MethodGet, c.hosts[0], path, "")
+			if err != nil || a.status != http.StatusOK {
+				return false
+			}
+			owners[path] = a.header.Get("Burdock-Owner")
+			distinct[owners[path]] = true
+		}
+		return len(distinct) == len(c.hosts)
+	})
+	return owners
+}
+
+// checkLedgers judges by what the upstreams ran.
+func (c *cluster) checkLedgers() {
+	c.t.Helper()
+	// A change of standby raises the generation while requests go on.
+	for _, f := range verify.Without(verify.All(c.ledgers()), verify.OverlappingGenerations) {
+		c.t.Error(f)
+	}
+}
+
+// Guards against a broken path: concurrent requests for many keys of two
+// services through every router, each of which must get its own whole answer
+// from the key's one owner.
+func TestEveryCallerGetsItsOwnAnswerFromTheOwner(t *testing.T) {
+	c := threeHosts(t, "orders")
+	c.addHost("d1", "z1", "designs")
+	for _, h := range c.hosts {
+		c.served(h, "/orders/first")
+		c.served(h, "/designs/first")
+	}
+	const callers, requests = 16, 40
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			for n := range requests {
+				service := [2]string{"orders", "designs"}[n%2]
+				key := fmt.Sprintf("key-%d", (i*7+n)%50)
+				body := fmt.Sprintf("caller %d request %d", i, n)
+				a, err := c.request(http.MethodPost, c.hosts[(i+n)%len(c.hosts)], "/"+service+"/"+key, body)
+				if err != nil {
+					t.Errorf("%s/%s: %v", service, key, err)
+					continue
+				}
+				sum := sha256.Sum256([]byte(body))
+				if a.status != http.StatusOK || a.echo.Key != key || a.echo.Service != service || a.echo.BodySHA256 != hex.EncodeToString(sum[:]) {
+					t.Errorf("%s/%s: status %d, answer %+v %s", service, key, a.status, a.echo, a.raw)
+					continue
+				}
+				if a.echo.Upstream != a.header.Get("Burdock-Owner") {
+					t.Errorf("%s/%s: answered by %s, owner %s", service, key, a.echo.Upstream, a.header.Get("Burdock-Owner"))
+				}
+			}
+		})
+	}
+	wg.Wait()
+	c.checkLedgers()
+}
--- /dev/null
+++ b/router/node/listeners.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Limits of the HTTP servers.
+const (
+	hopReadHeaderTimeout = 5 * time.Second
+	hopIdleTimeout       = 2 * time.Minute
+	upstreamReadTimeout  = 5 * time.Second
+	failureQueue         = 8
+)
+
+// listeners holds the open sockets and the HTTP servers on them.
+type listeners struct {
+	caller, upstream, hop, control, admin, metrics net.Listener
+	heartbeats                                     *net.UDPConn
+
+	callerServer *http.Server
+	hopServer    *http.Server
+	others       []*http.Server
+	failed       chan error
+	running      sync.WaitGroup
+}
+
+// listen opens all sockets, or none.
+func (n *Node) listen() (*listeners, error) {
+	l := &listeners{failed: make(chan error, failureQueue)}
+	addresses := n.s.Listen
+	for _, want := range []struct {
+		key     string
+		address string
+		into    *net.Listener
+	}{
+		{"caller", addresses.Caller, &l.caller},
+		{"upstream", addresses.Upstream, &l.upstream},
+		{"hop", addresses.Hop, &l.hop},
+		{"control", addresses.Control, &l.control},
+		{"admin", addresses.Admin, &l.admin},
+		{"metrics", addresses.Metrics, &l.metrics},
+	} {
+		socket, err := net.Listen("tcp", want.address)
+		if err != nil {
+			l.close()
+			return nil, fmt.Errorf("[listen] %s: %w", want.key, err)
+		}
+		*want.into = socket
+	}
+	address, err := net.ResolveUDPAddr("udp", addresses.Control)
+	if err == nil {
+		l.heartbeats, err = net.ListenUDP("udp", address)
+	}
+	if err != nil {
+		l.close()
+		return nil, fmt.Errorf("[listen] control (UDP): %w", err)
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, socket := range []net.Listener{l.caller, l.upstream, l.hop, l.control, l.admin, l.metrics} {
+		if socket != nil {
+			_ = socket.Close()
+		}
+	}
+	if l.heartbeats != nil {
+		_ = l.heartbeats.Close()
+	}
+}
+
+// serve starts the HTTP servers.
+func (l *listeners) serve(n *Node) {
+	limits := n.s.Limits
+	l.callerServer = &http.Server{
+		Handler:           http.MaxBytesHandler(n.entry, limits.MaxBodyBytes),
+		ReadHeaderTimeout: limits.ReadHeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+	}
+	hop := http.NewServeMux()
+	hop.Handle("/hop/", n.hop)
+	l.hopServer = &http.Server{
+		Handler:           hop,
+		ReadHeaderTimeout: hopReadHeaderTimeout,
+		IdleTimeout:       hopIdleTimeout,
+		// The caller's headers pass this port together with the router's own.
+		MaxHeaderBytes: 2 * limits.MaxHeaderBytes,
+	}
+	metricsMux := http.NewServeMux()
+	metricsMux.Handle("GET /metrics", n.o.Metrics.Handler)
+	upstreamServer := &http.Server{Handler: n.agent.Handler(), ReadTimeout: upstreamReadTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes}
+	adminServer := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: limits.ReadHeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes}
+	metricsServer := &http.Server{Handler: metricsMux, ReadHeaderTimeout: limits.ReadHeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes}
+	l.others = []*http.Server{upstreamServer, adminServer, metricsServer}
+	l.run(l.callerServer, l.caller)
+	l.run(l.hopServer, l.hop)
+	l.run(upstreamServer, l.upstream)
+	l.run(adminServer, l.admin)
+	l.run(metricsServer, l.metrics)
+}
+
+func (l *listeners) run(s *http.Server, socket net.Listener) {
+	l.running.Go(func() {
+		if err := s.Serve(socket); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			select {
+			case l.failed <- err:
+			default:
+			}
+		}
+	})
+}
+
+// finishRequests stops taking requests from callers and from other routers and
+// waits for those in flight.
+func (l *listeners) finishRequests(ctx context.Context) error {
+	err := l.callerServer.Shutdown(ctx)
+	return shutdownError(err, l.hopServer.Shutdown(ctx))
+}
+
+// closeOthers ends the servers that carry no callers' requests.
+func (l *listeners) closeOthers() {
+	for _, s := range append(l.others, l.callerServer, l.hopServer) {
+		_ = s.Close()
+	}
+	l.running.Wait()
+}
--- a/router/node/moves.go
+++ b/router/node/moves.go
@@ -106,11 +106,6 @@
 type moveRecords struct {
 	records *ownership.Records
 	manager *ownership.Manager
-
-	mu sync.Mutex
-	// bases holds the source record that the write of a move was conditional
-	// on, for settling it.
-	bases map[string]ownership.Group
 }
 
 // MoveShards implements move.Records.
@@ -119,12 +114,8 @@
 	if !ok {
 		return move.WriteResult{Outcome: move.NotApplied, Err: errkind.New(errkind.WrongOwner, "group %s is not held here", w.SourceGroup)}
 	}
-	r.mu.Lock()
-	r.bases[w.MoveID] = source
-	r.mu.Unlock()
 	newSource, newTarget, err := r.records.MoveShards(ctx, source, w.Target, w.Shards)
 	if err == nil {
-		r.forget(w.MoveID)
 		return move.WriteResult{Outcome: move.Applied, Source: newSource, Target: newTarget}
 	}
 	var unknown *ownership.UnknownError
@@ -132,49 +123,39 @@
 	if errors.As(err, &unknown) || errors.As(err, &superseded) {
 		return move.WriteResult{Outcome: move.Unknown, Err: err}
 	}
-	r.forget(w.MoveID)
 	return move.WriteResult{Outcome: move.NotApplied, Err: err}
 }
 
-func (r *moveRecords) forget(moveID string) {
-	r.mu.Lock()
-	delete(r.bases, moveID)
-	r.mu.Unlock()
-}
-
-// SettleMove implements move.Records. An unchanged source row does not prove
-// that the write failed, because it may still arrive. A touch of the row makes
-// it fail for good.
+// SettleMove implements move.Records. A source row that still has the shards
+// does not prove that the write failed, because it may still arrive. A touch of
+// the row makes every earlier write fail for good.
 func (r *moveRecords) SettleMove(ctx context.Context, w move.Write) move.WriteResult {
-	r.mu.Lock()
-	base, ok := r.bases[w.MoveID]
-	r.mu.Unlock()
-	if !ok {
-		return move.WriteResult{Outcome: move.Unknown, Err: errkind.New(errkind.Internal, "move %s has no write to settle", w.MoveID)}
-	}
 	source, err := r.records.Get(ctx, w.Service, w.SourceGroup)
 	if err != nil {
 		return move.WriteResult{Outcome: move.Unknown, Err: err}
 	}
-	if source.Version == base.Version {
-		source, err = r.records.Touch(ctx, base, ownership.JournalKeep)
+	if hasShards(source, w.Shards) {
+		source, err = r.records.Touch(ctx, source, ownership.JournalKeep)
 		if err != nil {
 			return move.WriteResult{Outcome: move.Unknown, Err: err}
 		}
 		r.manager.Adopt(source)
 	}
-	if _, err := keyspace.Remove(source.Shards, w.Shards); err == nil {
-		r.forget(w.MoveID)
+	if hasShards(source, w.Shards) {
 		return move.WriteResult{Outcome: move.NotApplied, Err: errkind.New(errkind.Conflict, "the source row changed first")}
 	}
 	target, err := r.records.Get(ctx, w.Service, w.Target.ID)
 	if err != nil {
 		return move.WriteResult{Outcome: move.Unknown, Err: err}
 	}
-	r.forget(w.MoveID)
 	return move.WriteResult{Outcome: move.Applied, Source: source, Target: target}
 }
 
+func hasShards(g ownership.Group, shards []keyspace.Shard) bool {
+	_, err := keyspace.Remove(g.Shards, shards)
+	return err == nil
+}
+
 // ReadGroup implements move.Records.
 func (r *moveRecords) ReadGroup(ctx context.Context, service, groupID string) (ownership.Group, error) {
 	return r.records.Get(ctx, service, groupID)
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -244,7 +244,7 @@
 }
 
 func (n *Node) buildMoves() error {
-	rows := &moveRecords{records: n.records, manager: n.manager, bases: map[string]ownership.Group{}}
+	rows := &moveRecords{records: n.records, manager: n.manager}
 	n.source = move.NewSource(move.SourceOptions{
 		Gate:    &moveGate{gate: n.gate, manager: n.manager, closures: map[string]*gate.Closure{}},
 		Records: rows,
