Add the administration API with server and client

Cause: operators publish notes, look at owners and members, and start moves, drains and takeovers at a router.

Change: package admin has the Backend interface that package node implements, the HTTP handler with its limits and timeouts, and a client that implements the same interface. The client follows no redirect and uses no proxy, and it separates requests that cannot have had an effect from changes whose answer is missing.

Ruled out: a token check for each route, which one new route can forget; JSON bodies with unknown fields, because a misspelt field would be taken for an absent one; a takeover without declare_lost, because a holder that still runs would serve the same keys.

Conclusion: package node needs to implement Backend only.

--- /dev/null
+++ b/router/admin/admin_test.go
@@ -0,0 +1,312 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/router/note"
+)
+
+const token = "0123456789abcdef0123"
+
+// fakeBackend answers with fixed values and records the calls.
+type fakeBackend struct {
+	calls []string
+	err   error
+	crash bool
+}
+
+func (b *fakeBackend) called(format string, args ...any) error {
+	b.calls = append(b.calls, fmt.Sprintf(format, args...))
+	if b.crash {
+		panic("fault")
+	}
+	return b.err
+}
+
+var (
+	sampleConfig = note.Config{Version: 3, PublishID: "publish-3", Services: map[string]note.Service{"a": note.DefaultService("a")}}
+	sampleShard  = keyspace.Shard{First: 16, Last: 31}
+	sampleDiff   = NoteDiff{Base: 3, Difference: note.Difference{Withdrawn: []string{"a"}}}
+	sampleStatus = NoteStatus{Version: 3, PublishID: "publish-3", Hosts: []HostVersion{{Host: "h1", Version: 2, Lags: true, HeardMillis: 40}}}
+	sampleOwners = Owners{Groups: []Group{{Service: "a", ID: "g", Holder: "h1", Generation: 7, Shards: []keyspace.Shard{sampleShard}}}}
+	sampleHosts  = Members{Members: []Member{{Host: "h1", Zone: "z", Incarnation: 1<<63 + 1}}}
+	sampleMoved  = Moved{Service: "a", Shard: sampleShard, Source: "h1", Target: "h2", TargetGroup: "g2"}
+)
+
+func (b *fakeBackend) Note(context.Context) (note.Config, error) {
+	return sampleConfig, b.called("Note")
+}
+
+func (b *fakeBackend) NoteVersion(_ context.Context, v int64) (NoteVersion, error) {
+	return NoteVersion{Version: v, PublishID: "p", Text: "[note]\n"}, b.called("NoteVersion %d", v)
+}
+
+func (b *fakeBackend) DiffNote(_ context.Context, text []byte) (NoteDiff, error) {
+	return sampleDiff, b.called("DiffNote %s", text)
+}
+
+func (b *fakeBackend) PublishNote(_ context.Context, id string, text []byte) (note.Result, error) {
+	return note.Result{Version: 4, PublishID: id}, b.called("PublishNote %s %s", id, text)
+}
+
+func (b *fakeBackend) NoteStatus(context.Context) (NoteStatus, error) {
+	return sampleStatus, b.called("NoteStatus")
+}
+
+func (b *fakeBackend) Owners(_ context.Context, service string) (Owners, error) {
+	return sampleOwners, b.called("Owners %s", service)
+}
+
+func (b *fakeBackend) Members(context.Context) (Members, error) {
+	return sampleHosts, b.called("Members")
+}
+
+func (b *fakeBackend) Move(_ context.Context, r MoveRequest) (Moved, error) {
+	return sampleMoved, b.called("Move %s %v %s %s", r.Service, r.Shard, r.Key, r.Target)
+}
+
+func (b *fakeBackend) Drain(_ context.Context, host string) (Drained, error) {
+	return Drained{Host: host, ShardsLeft: 5}, b.called("Drain %s", host)
+}
+
+func (b *fakeBackend) TakeOver(_ context.Context, service, group string) (TakenOver, error) {
+	return TakenOver{Service: service, Group: group, Holder: "h2", Generation: 8}, b.called("TakeOver %s %s", service, group)
+}
+
+func newAPI(t *testing.T) (*fakeBackend, http.Handler) {
+	t.Helper()
+	b := &fakeBackend{}
+	h, err := NewHandler(Options{Backend: b, Token: token})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b, h
+}
+
+// do sends one request with the headers, given as name and value in turn.
+func do(h http.Handler, method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// A route without the check would give the cluster to anyone who reaches it.
+func TestEveryRouteRefusesBadTokens(t *testing.T) {
+	b, h := newAPI(t)
+	paths := []string{"GET /", "GET /v1/other", "POST /v1/members"}
+	for pattern := range h.(*handler).routes() {
+		paths = append(paths, strings.NewReplacer("{version}", "1", "{host}", "h", "{service}", "a", "{group}", "g").Replace(pattern))
+	}
+	for _, path := range paths {
+		method, url, _ := strings.Cut(path, " ")
+		for _, header := range []string{"", "Bearer", "Bearer ", "Bearer " + token + "x", "Bearer " + token[1:], "Basic " + token, token, "Bearer  " + token} {
+			w := do(h, method, url, `{"declare_lost":true}`, "Authorization", header, HeaderPublishID, "publish-1")
+			if w.Code != http.StatusUnauthorized || w.Header().Get(errkind.HeaderError) != string(errkind.Unauthorized) {
+				t.Errorf("%s with %q: status %d", path, header, w.Code)
+			}
+		}
+	}
+	if len(b.calls) > 0 {
+		t.Errorf("calls without a token: %v", b.calls)
+	}
+}
+
+// An empty token would accept an empty header.
+func TestEmptyTokenIsRefused(t *testing.T) {
+	if _, err := NewServer(Options{Backend: &fakeBackend{}}); err == nil {
+		t.Error("accepted")
+	}
+}
+
+// Requests that mean nothing must not reach the router.
+func TestMalformedRequestsAreRefused(t *testing.T) {
+	const large = 65 << 10
+	cases := []struct {
+		request string
+		body    string
+		kind    errkind.Kind
+	}{
+		{"GET /v1/note/versions/x", "", errkind.BadRequest},
+		{"GET /v1/note/versions/0", "", errkind.BadRequest},
+		{"POST /v1/note", "[note]", errkind.BadRequest}, // no publish id
+		{"POST /v1/note/diff", strings.Repeat("#", maxNoteBytes+1), errkind.TooLarge},
+		{"GET /v1/owners?service=a/b", "", errkind.BadRequest},
+		{"POST /v1/moves", "", errkind.BadRequest},
+		{"POST /v1/moves", `{"service":"a","key":"k"}`, errkind.BadRequest},
+		{"POST /v1/moves", `{"service":"a","target":"h"}`, errkind.BadRequest},
+		{"POST /v1/moves", `{"service":"a","target":"h","key":"k","shard":"0000000000000000-ffffffffffffffff"}`, errkind.BadRequest},
+		{"POST /v1/moves", `{"service":"a","target":"h","shard":"2-1"}`, errkind.BadRequest},
+		{"POST /v1/moves", `{"service":"a","target":"h","key":"k","force":true}`, errkind.BadRequest},
+		{"POST /v1/moves", `{"service":"a","target":"h","key":"k"}{}`, errkind.BadRequest},
+		{"POST /v1/moves", `{"service":"a","target":"h","key":"` + strings.Repeat("k", large) + `"}`, errkind.TooLarge},
+		{"POST /v1/groups/a/g/takeover", `{}`, errkind.BadRequest},
+		{"POST /v1/groups/a/g/takeover", `{"declare_lost":false}`, errkind.BadRequest},
+		{"POST /v1/groups/A/g/takeover", `{"declare_lost":true}`, errkind.BadRequest},
+		{"DELETE /v1/note", "", errkind.NotFound},
+		{"GET /v1/other", "", errkind.NotFound},
+	}
+	for _, c := range cases {
+		b, h := newAPI(t)
+		method, path, _ := strings.Cut(c.request, " ")
+		w := do(h, method, path, c.body, "Authorization", "Bearer "+token)
+		if got := w.Header().Get(errkind.HeaderError); got != string(c.kind) || w.Code != errkind.AnswerOf(c.kind).Status {
+			t.Errorf("%s: status %d, kind %q, want %s", c.request, w.Code, got, c.kind)
+		}
+		if len(b.calls) > 0 {
+			t.Errorf("%s: called %v", c.request, b.calls)
+		}
+	}
+}
+
+// newClient serves the backend on loopback and returns a client of it.
+func newClient(t *testing.T, b Backend) *Client {
+	t.Helper()
+	server, err := NewServer(Options{Backend: b, Token: token})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = server
+	s.Start()
+	t.Cleanup(s.Close)
+	return clientOf(t, s.URL)
+}
+
+func clientOf(t *testing.T, url string) *Client {
+	t.Helper()
+	c, err := NewClient(ClientOptions{BaseURL: url, Token: token})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Client and server must agree on every path, field and header.
+func TestClientReachesEveryRoute(t *testing.T) {
+	b := &fakeBackend{}
+	c := newClient(t, b)
+	ctx := t.Context()
+	check := func(got any, err error, want any) {
+		t.Helper()
+		if err != nil {
+			t.Error(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+	}
+	config, err := c.Note(ctx)
+	check(config, err, sampleConfig)
+	version, err := c.NoteVersion(ctx, 2)
+	check(version, err, NoteVersion{Version: 2, PublishID: "p", Text: "[note]\n"})
+	diff, err := c.DiffNote(ctx, []byte("[note]"))
+	check(diff, err, sampleDiff)
+	result, err := c.PublishNote(ctx, "publish-4", []byte("[note]"))
+	check(result, err, note.Result{Version: 4, PublishID: "publish-4"})
+	status, err := c.NoteStatus(ctx)
+	check(status, err, sampleStatus)
+	owners, err := c.Owners(ctx, "a")
+	check(owners, err, sampleOwners)
+	members, err := c.Members(ctx)
+	check(members, err, sampleHosts)
+	moved, err := c.Move(ctx, MoveRequest{Service: "a", Shard: &sampleShard, Target: "h2"})
+	check(moved, err, sampleMoved)
+	_, err = c.Move(ctx, MoveRequest{Service: "a", Key: "k", Target: "h2"})
+	check(nil, err, nil)
+	drained, err := c.Drain(ctx, "h/1")
+	check(drained, err, Drained{Host: "h/1", ShardsLeft: 5})
+	taken, err := c.TakeOver(ctx, "a", "g 1")
+	check(taken, err, TakenOver{Service: "a", Group: "g 1", Holder: "h2", Generation: 8})
+	want := []string{
+		"Note", "NoteVersion 2", "DiffNote [note]", "PublishNote publish-4 [note]", "NoteStatus", "Owners a", "Members",
+		"Move a " + sampleShard.String() + "  h2", "Move a <nil> k h2", "Drain h/1", "TakeOver a g 1",
+	}
+	check(b.calls, nil, want)
+}
+
+// An error that loses its kind on the way makes the operator act wrongly.
+func TestErrorsKeepTheirKind(t *testing.T) {
+	for _, kind := range []errkind.Kind{errkind.NoteConflict, errkind.OutcomeUnknown, errkind.StoreUnavailable, errkind.NotReady} {
+		c := newClient(t, &fakeBackend{err: errkind.New(kind, "detail of %s", kind)})
+		_, err := c.PublishNote(t.Context(), "publish-1", []byte("x"))
+		if !errkind.Is(err, kind) || !strings.Contains(err.Error(), "detail of") {
+			t.Errorf("%s: got %v", kind, err)
+		}
+	}
+}
+
+// A fault in one request must leave the router running and answer the
+// operator.
+func TestPanicIsAnswered(t *testing.T) {
+	c := newClient(t, &fakeBackend{crash: true})
+	_, err := c.Members(t.Context())
+	if !errkind.Is(err, errkind.Internal) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// A change whose answer is lost must not be reported as not run.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := clientOf(t, "http://"+listener.Addr().String())
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadAtLeast(conn, make([]byte, 4096), 1)
+			_ = conn.Close()
+		}
+	}()
+	_, err = c.PublishNote(t.Context(), "publish-1", []byte("x"))
+	if !errkind.Is(err, errkind.OutcomeUnknown) {
+		t.Errorf("publish: got %v", err)
+	}
+	_, err = c.Members(t.Context())
+	if !errkind.Is(err, errkind.PeerUnreachable) {
+		t.Errorf("members: got %v", err)
+	}
+	_ = listener.Close()
+	_, err = c.PublishNote(t.Context(), "publish-1", []byte("x"))
+	if !errkind.Is(err, errkind.PeerUnreachable) {
+		t.Errorf("no listener: got %v", err)
+	}
+}
+
+// The wait for a version must not end while a host lags or is unknown.
+func TestInForce(t *testing.T) {
+	cases := []struct {
+		status NoteStatus
+		want   bool
+	}{
+		{NoteStatus{Version: 3, Hosts: []HostVersion{{Version: 3}, {Version: 4}}}, true},
+		{NoteStatus{Version: 3, Hosts: []HostVersion{{Version: 3}, {Version: 2}}}, false},
+		{NoteStatus{Version: 2, Hosts: []HostVersion{{Version: 3}}}, false},
+		{NoteStatus{Version: 3}, false},
+	}
+	for _, c := range cases {
+		if got := c.status.InForce(3); got != c.want {
+			t.Errorf("%+v: got %v", c.status, got)
+		}
+	}
+}
