Add the administration backend of a router

Cause: operators need the API that package admin defines. Change: node implements admin.Backend; orders for other hosts travel as control calls. Ruled out: answering a move from the receiving router's own route table only (a stale table would name a shard that was split).

--- a/router/node/listeners.go
+++ b/router/node/listeners.go
@@ -76,7 +76,7 @@
 }
 
 // serve starts the HTTP servers.
-func (l *listeners) serve(n *Node) {
+func (l *listeners) serve(n *Node, adminServer *http.Server) {
 	limits := n.s.Limits
 	l.callerServer = &http.Server{
 		Handler:           http.MaxBytesHandler(n.entry, limits.MaxBodyBytes),
@@ -96,7 +96,6 @@
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", n.o.Metrics.Handler)
 	upstreamServer := &http.Server{Handler: n.agent.Handler(), ReadTimeout: upstreamReadTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes}
-	adminServer := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: limits.ReadHeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes}
 	metricsServer := &http.Server{Handler: metricsMux, ReadHeaderTimeout: limits.ReadHeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes}
 	l.others = []*http.Server{upstreamServer, adminServer, metricsServer}
 	l.run(l.callerServer, l.caller)
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -15,6 +15,7 @@
 
 	"burdockglade.dev/platform/object"
 	"burdockglade.dev/platform/table"
+	"burdockglade.dev/router/admin"
 	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
@@ -95,8 +96,9 @@
 	leaving   atomic.Bool
 	drains    chan struct{}
 
-	listeners *listeners
-	running   sync.WaitGroup
+	adminServer *http.Server
+	listeners   *listeners
+	running     sync.WaitGroup
 }
 
 // New builds a router. It opens no listener yet.
@@ -115,7 +117,7 @@
 			ControlAddr: o.Settings.Advertise.Control,
 		},
 	}
-	for _, build := range []func() error{n.buildPlatform, n.buildPeers, n.buildOwnership, n.buildUpstream, n.buildNotes, n.buildMoves, n.buildForwarding} {
+	for _, build := range []func() error{n.buildPlatform, n.buildPeers, n.buildOwnership, n.buildUpstream, n.buildNotes, n.buildMoves, n.buildForwarding, n.buildAdmin} {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -197,11 +199,12 @@
 func (n *Node) timing() lease.Timing {
 	t := lease.DefaultTiming()
 	l := n.s.Lease
-	t.Heartbeat = l.Heartbeat
+	t.HeartbeatEvery = l.Heartbeat
 	t.Duration = l.Duration
-	t.ReplaceAfter = l.ReplaceAfter
+	t.Silence = l.ReplaceAfter
 	t.DriftMargin = l.DriftMargin
 	t.Horizon = l.Horizon
+	t.TouchEvery = l.Horizon / lease.DefaultTouchDivisor
 	return t
 }
 
@@ -288,6 +291,19 @@
 	return nil
 }
 
+func (n *Node) buildAdmin() error {
+	server, err := admin.NewServer(admin.Options{
+		Token:             n.s.Admin.Token.Reveal(),
+		Backend:           backend{n},
+		Log:               n.log,
+		MaxHeaderBytes:    n.s.Limits.MaxHeaderBytes,
+		ReadHeaderTimeout: n.s.Limits.ReadHeaderTimeout,
+		IdleTimeout:       n.s.Limits.IdleTimeout,
+	})
+	n.adminServer = server
+	return err
+}
+
 // Run serves until the context ends and then shuts down gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	l, err := n.listen()
@@ -318,7 +334,7 @@
 // start runs the loops of all parts.
 func (n *Node) start(ctx context.Context) {
 	methods := map[string]peer.Method{}
-	for _, set := range []map[string]peer.Method{n.gossip.Methods(), n.journalMethods(), n.moveMethods(), n.requestMethods()} {
+	for _, set := range []map[string]peer.Method{n.gossip.Methods(), n.journalMethods(), n.moveMethods(), n.requestMethods(), n.adminMethods()} {
 		for name, m := range set {
 			methods[name] = m
 		}
@@ -337,7 +353,7 @@
 	n.running.Go(func() { n.registrar.run(ctx) })
 	n.running.Go(func() { n.placer.run(ctx) })
 	n.running.Go(func() { n.firstScan(ctx) })
-	n.listeners.serve(n)
+	n.listeners.serve(n, n.adminServer)
 }
 
 // scanPause is the pause between attempts of the first scan.
--- a/router/node/shutdown.go
+++ b/router/node/shutdown.go
@@ -32,9 +32,9 @@
 const (
 	standbyHandoverTimeout = 5 * time.Second
 	// finishMargin is added to the longest deadline when the listeners close.
-	finishMargin     = time.Second
-	relinquishPause  = 200 * time.Millisecond
-	relinquishWindow = 30 * time.Second
+	finishMargin       = time.Second
+	relinquishPause    = 200 * time.Millisecond
+	relinquishWindow   = 30 * time.Second
 	emptyGroupPatience = 2 * time.Second
 )
 
