Serve requests end to end; spread an idle service's shards over its hosts

Change: only shards that a move brought count as arrivals; members carry the time of their announcement, so that cold hosts get load step by step; the answer to a heartbeat is not sent while the holder's address is unknown. Ruled out: a shorter stay for all shards (two hosts with late summaries would pass shards back and forth).

--- a/ctl/e2e/path_test.go
+++ b/ctl/e2e/path_test.go
@@ -24,7 +24,7 @@
 func threeHosts(t testing.TB, service string) *cluster {
 	t.Helper()
 	c := newCluster(t)
-	c.publish("first", twoServices)
+	c.publish("first-note", twoServices)
 	for i := range 3 {
 		c.addHost(fmt.Sprintf("h%d", i+1), fmt.Sprintf("z%d", i%2+1), service)
 	}
--- a/router/member/member.go
+++ b/router/member/member.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"burdockglade.dev/platform/table"
 	"burdockglade.dev/router/ownership"
@@ -33,6 +34,9 @@
 	State   State  `json:"state"`
 	// Slots is the number of requests that the upstream runs at a time.
 	Slots int `json:"slots"`
+	// JoinedAt is when the upstream was announced, by the host's wall clock. A
+	// host that joined lately is cold and gets its load step by step.
+	JoinedAt time.Time `json:"joined_at"`
 	// Version is the row's version. It is not stored in the row's value.
 	Version int64 `json:"version"`
 }
--- a/router/node/groups.go
+++ b/router/node/groups.go
@@ -5,22 +5,34 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"burdockglade.dev/platform/table"
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/gate"
 	"burdockglade.dev/router/member"
 	"burdockglade.dev/router/ownership"
 )
 
+var evJournalNotInstalled = event.Define(1031, log.ErrorLevel, "journal not installed",
+	"this host took a group over and has no room for its idempotency journal; the group is not served",
+	"drain the host or wait until older idempotency keys expire")
+
 // installs holds the groups whose journal is in place at the gate. The gate
 // serves a group only then: a request served before could run work a second
 // time that the lost holder already ran.
 type installs struct {
-	mu     sync.RWMutex
+	// serving has the keys of the groups that may be served. Requests read it
+	// without waiting for mu, which is held while records are taken in.
+	serving sync.Map
+
+	mu     sync.Mutex
 	groups map[string]installed
 }
 
 type installed struct {
+	promoted   bool
 	generation uint64
 	standby    ownership.Host
 }
@@ -30,9 +42,7 @@
 }
 
 func (i *installs) has(service, id string) bool {
-	i.mu.RLock()
-	defer i.mu.RUnlock()
-	_, ok := i.groups[ownership.GroupKey(service, id)]
+	_, ok := i.serving.Load(ownership.GroupKey(service, id))
 	return ok
 }
 
@@ -50,20 +60,46 @@
 
 // learnGroups brings records that are newer than the known ones to the gate,
 // to the lease manager and to the route table.
+//
+// The order matters. The journal of a group must be in place before the first
+// permit is used, and the manager must know a new standby before the copy of
+// the journal to it begins: intents that the copy misses are then written to
+// the new standby by their own requests.
 func (n *Node) learnGroups(records []ownership.Group) {
+	n.installs.mu.Lock()
+	defer n.installs.mu.Unlock()
 	for _, r := range records {
-		n.install(r)
+		n.promote(r)
 	}
 	n.manager.Adopt(records...)
+	for _, r := range records {
+		n.install(r)
+	}
 	n.routes.Merge(records...)
 }
 
-// install brings the gate's journal in line with a record.
+// promote moves the copy of a journal to the gate when this host became the
+// holder of the group.
+func (n *Node) promote(r ownership.Group) {
+	have, held := n.installs.groups[r.Key()]
+	if held || !r.Holder.Same(n.self) {
+		return
+	}
+	ref := gate.GroupRef{Service: r.Service, GroupID: r.ID, Generation: r.Generation}
+	if err := n.replica.Promote(n.gate, ref); err != nil {
+		// Without its journal the group must not be served. The next record or
+		// scan tries again.
+		n.log.Log(evJournalNotInstalled, event.F("group", r.ID), event.F("error", err.Error()))
+		return
+	}
+	have.promoted = true
+	n.installs.groups[r.Key()] = have
+}
+
+// install lets the gate serve a group that this host holds, or drops a group
+// that it no longer holds.
 func (n *Node) install(r ownership.Group) {
-	key := r.Key()
-	n.installs.mu.Lock()
-	defer n.installs.mu.Unlock()
-	have, held := n.installs.groups[key]
+	have, held := n.installs.groups[r.Key()]
 	if held && have.generation > r.Generation {
 		return
 	}
@@ -71,20 +107,21 @@
 		n.uninstall(r, held)
 		return
 	}
-	ref := gate.GroupRef{Service: r.Service, GroupID: r.ID, Generation: r.Generation}
-	if !held {
-		n.replica.Promote(n.gate, ref)
+	if !have.promoted {
+		return
 	}
-	if !held || have.generation != r.Generation || !have.standby.Same(r.Standby) {
-		n.gate.SetStandby(ref, r.Standby)
+	n.gate.SetGroup(r)
+	if have.generation != r.Generation || !have.standby.Same(r.Standby) {
 		n.introduceStandby(r)
 	}
-	n.installs.groups[key] = installed{generation: r.Generation, standby: r.Standby}
+	n.installs.serving.Store(r.Key(), struct{}{})
+	n.installs.groups[r.Key()] = installed{promoted: true, generation: r.Generation, standby: r.Standby}
 }
 
 // uninstall drops what belongs to a group that another host holds.
 func (n *Node) uninstall(r ownership.Group, held bool) {
 	if held {
+		n.installs.serving.Delete(r.Key())
 		delete(n.installs.groups, r.Key())
 		n.gate.DropGroup(r.Service, r.ID)
 	}
--- a/router/node/heartbeat.go
+++ b/router/node/heartbeat.go
@@ -77,6 +77,10 @@
 }
 
 func (n *leaseNetwork) send(to ownership.Host, kind peer.DatagramKind, value any) {
+	if to.ControlAddr == "" {
+		// The holder's record has not arrived yet; the next heartbeat will do.
+		return
+	}
 	if err := n.datagrams.Send(to.ControlAddr, kind, value); err != nil {
 		n.log.Log(evHeartbeatNotSent, event.F("host", to.Name), event.F("error", err.Error()))
 	}
--- a/router/node/loads.go
+++ b/router/node/loads.go
@@ -41,10 +41,36 @@
 	sketch *balance.Sketch
 	seq    uint64
 	parked time.Duration // smoothed time that moves kept shards closed
+	// arrivals has the shards that moves brought, with the time of the move.
+	// Shards of a group that was created or taken over here are not in it, so
+	// they may move on at once.
+	arrivals map[string]time.Time
+}
+
+func loadKey(service string, shard keyspace.Shard) string {
+	return service + "/" + shard.String()
+}
+
+// arrivalMemory is how long an arrival is remembered. It is above the time for
+// which the policy keeps a shard where it arrived.
+const arrivalMemory = 10 * time.Minute
+
+// expect notes that a move is about to bring shards.
+func (m *loadMeter) expect(now time.Time, service string, shards []keyspace.Shard) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key, at := range m.arrivals {
+		if now.Sub(at) > arrivalMemory {
+			delete(m.arrivals, key)
+		}
+	}
+	for _, s := range shards {
+		m.arrivals[loadKey(service, s)] = now
+	}
 }
 
 func newLoadMeter() *loadMeter {
-	return &loadMeter{sketch: balance.NewSketch()}
+	return &loadMeter{sketch: balance.NewSketch(), arrivals: map[string]time.Time{}}
 }
 
 func compareLoads(s *shardLoad, service string, h keyspace.Hash) int {
@@ -76,7 +102,7 @@
 
 // follow brings the measured shards in line with the held groups and closes
 // the present second.
-func (m *loadMeter) follow(now time.Time, held []ownership.Group) {
+func (m *loadMeter) follow(held []ownership.Group) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known := map[string]*shardLoad{}
@@ -84,14 +110,15 @@
 		s.rate += loadDecay * (s.count - s.rate)
 		s.slotLoad += loadDecay * (s.busy - s.slotLoad)
 		s.count, s.busy = 0, 0
-		known[s.service+"/"+s.shard.String()] = s
+		known[loadKey(s.service, s.shard)] = s
 	}
 	m.shards = m.shards[:0]
 	for _, g := range held {
 		for _, shard := range g.Shards {
-			s := known[g.Service+"/"+shard.String()]
+			key := loadKey(g.Service, shard)
+			s := known[key]
 			if s == nil {
-				s = &shardLoad{service: g.Service, shard: shard, arrived: now}
+				s = &shardLoad{service: g.Service, shard: shard, arrived: m.arrivals[key]}
 			}
 			s.group = g.ID
 			m.shards = append(m.shards, s)
--- a/router/node/moves.go
+++ b/router/node/moves.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"time"
 
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/gate"
@@ -215,6 +216,7 @@
 	if !found {
 		return ownership.Group{}, errkind.New(errkind.NotReady, "host %s has no group of service %s to receive shards", r.node.self.Name, p.Service)
 	}
+	r.node.loads.expect(time.Now(), p.Service, p.Shards)
 	return best, nil
 }
 
@@ -237,10 +239,7 @@
 		if err := r.node.gate.ImportJournal(ref, entries); err != nil {
 			return err
 		}
-		if g.Standby.IsZero() {
-			return nil
-		}
-		return r.node.replicator.Append(ctx, g.Standby, ref, entries)
+		return r.node.gate.ReplicateEntries(ctx, ref, g.Standby, entries)
 	}
 	return errkind.New(errkind.WrongOwner, "group %s is not held here", groupID)
 }
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -179,7 +179,7 @@
 	}
 	n.records = records
 	n.network = &leaseNetwork{log: n.log}
-	n.replica = gate.NewReplica(gate.ReplicaOptions{})
+	n.replica = gate.NewReplica(gate.ReplicaOptions{Service: n.service})
 	n.manager, err = ownership.NewManager(ownership.ManagerOptions{
 		Self:          n.self,
 		Records:       records,
@@ -401,6 +401,7 @@
 		Slots:   status.Announcement.Slots,
 		State:   member.Active,
 	}
+	m.JoinedAt = n.registrar.since(serving(status))
 	if n.leaving.Load() || !serving(status) {
 		m.State = member.Leaving
 	}
--- a/router/node/placement.go
+++ b/router/node/placement.go
@@ -57,7 +57,7 @@
 			return
 		case <-ticker.C:
 		}
-		p.n.loads.follow(time.Now(), p.n.manager.Held())
+		p.n.loads.follow(p.n.manager.Held())
 		if p.n.leaving.Load() || !p.n.ready() || !serving(p.n.agent.Status()) {
 			continue
 		}
@@ -116,7 +116,8 @@
 		Self: balance.HostLoad{
 			Host: self.Host, Region: self.Region, Zone: self.Zone,
 			SlotLoad: p.n.loads.total(), Capacity: float64(self.Slots), MeasuredAt: now,
-			Leaving: p.n.leaving.Load(),
+			JoinedAt: self.JoinedAt,
+			Leaving:  p.n.leaving.Load(),
 		},
 		Shards: shards,
 		Hot:    hot,
@@ -133,7 +134,7 @@
 func (p *placer) hostLoad(m member.Member) balance.HostLoad {
 	h := balance.HostLoad{
 		Host: m.Host, Region: m.Region, Zone: m.Zone,
-		Capacity: float64(m.Slots), Leaving: m.State != member.Active,
+		Capacity: float64(m.Slots), JoinedAt: m.JoinedAt, Leaving: m.State != member.Active,
 	}
 	if l, ok := p.n.directory.LoadOf(m.Host.Name); ok && l.Incarnation == m.Host.Incarnation {
 		h.SlotLoad = l.InUse
--- a/router/node/registrar.go
+++ b/router/node/registrar.go
@@ -41,9 +41,9 @@
 	n    *Node
 	wake chan struct{}
 
-	mu      sync.Mutex
-	written member.Member
-	joined  string
+	mu       sync.Mutex
+	joined   string
+	joinedAt time.Time
 }
 
 func newRegistrar(n *Node) *registrar {
@@ -143,8 +143,23 @@
 }
 
 func sameMember(a, b member.Member) bool {
+	sameTime := a.JoinedAt.Equal(b.JoinedAt)
 	a.Version, b.Version = 0, 0
-	return a == b
+	a.JoinedAt, b.JoinedAt = time.Time{}, time.Time{}
+	return a == b && sameTime
+}
+
+// since returns when the present upstream was announced, and starts anew when
+// it was absent or down in between.
+func (r *registrar) since(serving bool) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !serving {
+		r.joinedAt = time.Time{}
+	} else if r.joinedAt.IsZero() {
+		r.joinedAt = time.Now().UTC().Round(time.Millisecond)
+	}
+	return r.joinedAt
 }
 
 // join creates the groups of this host once per announcement.
--- a/router/node/shutdown.go
+++ b/router/node/shutdown.go
@@ -117,10 +117,13 @@
 		Mover:  n.source,
 		Policy: n.placer.policy(definition),
 		Input: func() balance.Input {
-			n.loads.follow(time.Now(), n.manager.Held())
+			n.loads.follow(n.manager.Held())
 			in := n.placer.input(service)
 			for i := range in.Shards {
-				in.Shards[i].InFlight, in.Shards[i].LongestRemaining = n.gate.ShardInFlight(service, in.Shards[i].Shard)
+				in.Shards[i].InFlight = n.gate.ShardInFlight(service, in.Shards[i].Shard)
+				if in.Shards[i].InFlight > 0 {
+					in.Shards[i].LongestRemaining = definition.MaxRequestTimeout
+				}
 			}
 			return in
 		},
