Drive the leases of a host's groups in ownership.Manager

Cause: the state machines need a driver that sends heartbeats on time, carries out store calls and gives permits. Change: Manager runs holder, standby and waiter roles from one timer loop. Store calls run in the background, so a slow store delays no heartbeat. Permit reads an immutable index and one atomic lease end. Touches that failed are retried every 15 s at most. Ruled out: touch retries that back off to the touch interval of 7.5 minutes. An outage that ends a few minutes before the horizon would still stop service.

--- a/router/lease/holder.go
+++ b/router/lease/holder.go
@@ -6,6 +6,11 @@
 // the default timing a lease spans four heartbeats.
 const sentKept = 16
 
+// maxTouchPause is the longest pause between touches that failed. It keeps the
+// retries of 1,560 groups near 100 a second during a store outage, and the
+// first touch after an outage comes soon enough for the horizon.
+const maxTouchPause = 15 * time.Second
+
 // HolderOptions configure a Holder.
 type HolderOptions struct {
 	Timing  Timing
@@ -79,7 +84,7 @@
 		nextBeat:    o.Now,
 		nextTouch:   o.Now,
 		nextReplace: o.Now,
-		touchWait:   backoff{first: o.Timing.RetryPause, limit: o.Timing.TouchEvery},
+		touchWait:   backoff{first: o.Timing.RetryPause, limit: min(o.Timing.TouchEvery, maxTouchPause)},
 		replaceWait: backoff{first: o.Timing.RetryPause, limit: o.Timing.MaxRetryPause},
 	}
 	if !o.WrittenAt.IsZero() {
--- a/router/ownership/errors.go
+++ b/router/ownership/errors.go
@@ -14,7 +14,9 @@
 	// Newest holds the rows as they were read after the conflict. A row that
 	// no longer exists is missing.
 	Newest []Group
-	Reason string
+	// Deleted reports that the group's row no longer exists.
+	Deleted bool
+	Reason  string
 }
 
 // Error implements error.
--- a/router/ownership/manager.go
+++ b/router/ownership/manager.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
-	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/lease"
 	"burdockglade.dev/router/note"
 )
@@ -20,7 +25,8 @@
 	SendAnswer(to Host, a lease.Answer)
 }
 
-// ManagerOptions configure a Manager.
+// ManagerOptions configure a Manager. Log and Scope may be nil, and so may
+// NoteVersion, FreezeJournal and OnChange.
 type ManagerOptions struct {
 	Self    Host
 	Records *Records
@@ -28,16 +34,18 @@
 	// PickStandby chooses a host of the service that may become a standby,
 	// other than the named ones.
 	PickStandby func(service string, exclude ...string) (Host, bool)
-	// Service returns the definition in force.
+	// Service returns the definition in force. It must not call the manager.
 	Service func(name string) (note.Service, bool)
 	// NoteVersion returns the release note version in force.
 	NoteVersion func() int64
-	// FreezeJournal is called before a takeover. From then on this host
-	// accepts no journal entries of that generation. It returns whether this
-	// host's copy of the journal is complete.
+	// FreezeJournal is called before this host becomes the holder of a group
+	// that it was standby of. From then on this host accepts no journal entries
+	// of that generation. It returns whether this host's copy is complete. Nil
+	// stands for copies that are never complete.
 	FreezeJournal func(service, groupID string, generation uint64) (complete bool)
 	// OnChange is called with each newer record that this host wrote or
-	// learned, outside all locks.
+	// learned, outside all locks. Calls for one group may overlap; the higher
+	// version is the newer one.
 	OnChange func(Group)
 	Timing   lease.Timing
 	Log      *event.Logger
@@ -45,9 +53,32 @@
 }
 
 // Manager drives the leases of all groups of this host, as holder and as
-// standby.
+// standby. Its methods are safe for concurrent use.
 type Manager struct {
-	o ManagerOptions
+	o    ManagerOptions
+	self lease.Node
+	// epoch is the zero of the lease ends in the index.
+	epoch time.Time
+	index atomic.Pointer[heldIndex]
+	wake  chan struct{}
+
+	// ctx ends when Run ends. Store calls run under it, in the background.
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	mu       sync.Mutex
+	stopped  bool
+	newest   map[string]Group
+	held     map[string]*holderRole
+	standbys map[string]*standbyRole
+	waiters  map[string]*lease.Waiter
+	joined   map[string]bool
+	joining  map[string]bool
+	// changed is closed and replaced when a record changes.
+	changed chan struct{}
+	// after collects what must run once mu is released.
+	after []func()
 }
 
 // NewManager returns a manager, or an error when an option is missing or the
@@ -59,55 +90,365 @@
 	if err := o.Timing.Check(); err != nil {
 		return nil, err
 	}
-	return &Manager{o: o}, nil
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	m := &Manager{
+		o:        o,
+		self:     node(o.Self),
+		epoch:    time.Now(),
+		wake:     make(chan struct{}, 1),
+		newest:   map[string]Group{},
+		held:     map[string]*holderRole{},
+		standbys: map[string]*standbyRole{},
+		waiters:  map[string]*lease.Waiter{},
+		joined:   map[string]bool{},
+		joining:  map[string]bool{},
+		changed:  make(chan struct{}),
+	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	m.index.Store(newHeldIndex(nil))
+	return m, nil
+}
+
+func node(h Host) lease.Node {
+	return lease.Node{Name: h.Name, Incarnation: h.Incarnation}
+}
+
+// leaseRecord returns the part of the record that the lease depends on.
+func leaseRecord(g Group) lease.Record {
+	return lease.Record{
+		Generation: g.Generation,
+		Version:    g.Version,
+		Holder:     node(g.Holder),
+		Standby:    node(g.Standby),
+	}
 }
 
-// Run drives the leases until the context ends.
+// Run drives the leases until the context ends, and then waits for the store
+// calls that are under way. It returns nil.
 func (m *Manager) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.stop()
+			return nil
+		case <-timer.C:
+		case <-m.wake:
+		}
+		next := m.tick()
+		timer.Reset(time.Until(next))
+	}
 }
 
-// Join creates this host's groups of a service.
-func (m *Manager) Join(ctx context.Context, service string, groups int) error {
-	return errkind.New(errkind.NotReady, "joining is not built yet")
+func (m *Manager) stop() {
+	m.lock()
+	m.stopped = true
+	m.unlock()
+	m.cancel()
+	m.tasks.Wait()
+}
+
+// idleTick is the longest pause of the timer loop.
+const idleTick = time.Minute
+
+// tick does what is due and returns when it has to run again.
+func (m *Manager) tick() time.Time {
+	m.lock()
+	defer m.unlock()
+	now := time.Now()
+	next := now.Add(idleTick)
+	for _, role := range m.held {
+		m.tickHolder(now, role)
+		next = soonest(next, role.machine.Next())
+	}
+	for _, role := range m.standbys {
+		role.machine.SetExtraWait(m.extraWait(role.rec.Service))
+		m.standbyActions(role, role.machine.Tick(now))
+		next = soonest(next, role.machine.Next())
+	}
+	for key, w := range m.waiters {
+		if now.Before(w.Due()) {
+			next = soonest(next, w.Due())
+			continue
+		}
+		delete(m.waiters, key)
+		base := m.newest[key]
+		m.background(func(ctx context.Context) { m.waitedTakeOver(ctx, base) })
+	}
+	return next
+}
+
+// soonest returns the earlier time, where a zero b stands for never.
+func soonest(a, b time.Time) time.Time {
+	if b.IsZero() {
+		return a
+	}
+	return earlier(a, b)
 }
 
-// Adopt takes in records learned from peers, scans or moves.
-func (m *Manager) Adopt(records ...Group) {}
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (m *Manager) lock() {
+	m.mu.Lock()
+}
 
-// HandleHeartbeat takes in a heartbeat from a holder.
-func (m *Manager) HandleHeartbeat(hb lease.Heartbeat) {}
+// unlock releases the lock and then runs what was deferred under it, so that
+// callbacks may call the manager.
+func (m *Manager) unlock() {
+	after := m.after
+	m.after = nil
+	m.mu.Unlock()
+	for _, f := range after {
+		f()
+	}
+}
 
-// HandleAnswer takes in a standby's answer.
-func (m *Manager) HandleAnswer(a lease.Answer) {}
+// background starts a store call that ends with Run. The lock must be held.
+func (m *Manager) background(f func(ctx context.Context)) {
+	if m.stopped {
+		return
+	}
+	m.tasks.Add(1)
+	go func() {
+		defer m.tasks.Done()
+		f(m.ctx)
+	}()
+}
 
-// Permit returns the right to run one request at the position. Errors have the
-// kind WrongOwner or LeaseLapsed.
-func (m *Manager) Permit(service string, h keyspace.Hash) (Permit, error) {
-	return Permit{}, errkind.New(errkind.WrongOwner, "this host does not hold position %v of service %s", h, service)
+// wakeUp makes the timer loop look at the machines again.
+func (m *Manager) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
 }
 
-// Held returns the groups that this host holds.
-func (m *Manager) Held() []Group { return nil }
+// Adopt takes in records learned from peers, scans or moves, and starts or
+// stops this host's roles. Records that are not newer are ignored.
+func (m *Manager) Adopt(records ...Group) {
+	m.lock()
+	defer m.unlock()
+	for _, g := range records {
+		m.adopt(g)
+	}
+}
 
-// Standbys returns the groups for which this host is the standby.
-func (m *Manager) Standbys() []Group { return nil }
+// adopt takes in one record. The lock must be held.
+func (m *Manager) adopt(g Group) {
+	if m.note(g) {
+		m.reconcile(g.Key())
+	}
+}
 
-// ReplaceStandby replaces a leaving host as standby of all groups held here.
-func (m *Manager) ReplaceStandby(ctx context.Context, leavingHost string) error {
-	return errkind.New(errkind.NotReady, "replacing a standby is not built yet")
+// note keeps a record when it is newer and tells the rest of the router.
+func (m *Manager) note(g Group) bool {
+	key := g.Key()
+	if m.newest[key].Version >= g.Version {
+		return false
+	}
+	m.newest[key] = g
+	close(m.changed)
+	m.changed = make(chan struct{})
+	if m.o.OnChange != nil {
+		m.after = append(m.after, func() { m.o.OnChange(g) })
+	}
+	return true
 }
 
-// Relinquish hands a group to its standby.
-func (m *Manager) Relinquish(ctx context.Context, service, groupID string) error {
-	return errkind.New(errkind.NotReady, "handing a group over is not built yet")
+// reconcile makes this host's roles in a group follow the newest record.
+func (m *Manager) reconcile(key string) {
+	g := m.newest[key]
+	now := time.Now()
+	m.reconcileHolder(now, key, g)
+	m.reconcileStandby(now, key, g)
+	m.reconcileWaiter(now, key, g)
+	m.wakeUp()
 }
 
-// DeclareLost takes over a group whose holder and standby are off.
-func (m *Manager) DeclareLost(ctx context.Context, service, groupID string) (Group, error) {
-	return Group{}, errkind.New(errkind.NotReady, "declaring a group lost is not built yet")
+// forget drops a group whose row was deleted.
+func (m *Manager) forget(key string) {
+	m.dropHolder(key)
+	delete(m.newest, key)
+	delete(m.standbys, key)
+	delete(m.waiters, key)
+}
+
+// waiterSpread is the share of the horizon over which the hosts of a service
+// spread their takeovers, and waiterRetries divides it into pauses after a
+// failure.
+const (
+	waiterSpread  = 1.0 / 64
+	waiterRetries = 1.0 / 64
+)
+
+func (m *Manager) reconcileWaiter(now time.Time, key string, g Group) {
+	if !m.joined[g.Service] || m.held[key] != nil || m.standbys[key] != nil {
+		delete(m.waiters, key)
+		return
+	}
+	if w := m.waiters[key]; w != nil && w.Version() == g.Version {
+		return
+	}
+	spread := time.Duration(float64(m.o.Timing.Horizon) * waiterSpread * rand.Float64())
+	w := lease.NewWaiter(lease.WaiterOptions{
+		Timing:    m.o.Timing,
+		ExtraWait: m.extraWait(g.Service),
+		Delay:     spread,
+		Version:   g.Version,
+		Now:       now,
+	})
+	m.waiters[key] = &w
+}
+
+// extraWait returns how long work may run at a holder's upstream after the end
+// of the lease. While the definition is not known, it is the wait for plain
+// upstreams, which is the longest.
+func (m *Manager) extraWait(service string) time.Duration {
+	s, ok := m.o.Service(service)
+	if !ok {
+		return note.DefaultService(service).Settle
+	}
+	switch s.Kind {
+	case note.Fenced:
+		return 0
+	case note.Deadline:
+		return s.RunLimit
+	default:
+		return s.Settle
+	}
+}
+
+// pickStandby returns a standby for the service, or a zero host.
+func (m *Manager) pickStandby(service string, exclude ...string) Host {
+	exclude = append([]string{m.o.Self.Name}, exclude...)
+	h, ok := m.o.PickStandby(service, exclude...)
+	if !ok || slices.Contains(exclude, h.Name) {
+		return Host{}
+	}
+	return h
+}
+
+func (m *Manager) noteVersion() int64 {
+	if m.o.NoteVersion == nil {
+		return 0
+	}
+	return m.o.NoteVersion()
+}
+
+func (m *Manager) freezeJournal(g Group, generation uint64) bool {
+	if m.o.FreezeJournal == nil {
+		return false
+	}
+	return m.o.FreezeJournal(g.Service, g.ID, generation)
+}
+
+// count adds one to a counter of the service.
+func (m *Manager) count(name, service string) {
+	m.o.Scope.Tagged(map[string]string{"service": service}).Counter(name).Inc(1)
+}
+
+// log writes an event about a group.
+func (m *Manager) log(e event.Event, g Group, fields ...event.Field) {
+	all := append([]event.Field{
+		event.F("group", g.Key()),
+		event.F("generation", g.Generation),
+		event.F("holder", g.Holder.Name),
+		event.F("standby", g.Standby.Name),
+	}, fields...)
+	m.o.Log.Log(e, all...)
+}
+
+// Join creates this host's groups of a service. It does nothing when this
+// process has joined already. Errors have the kind UnknownService, Conflict,
+// StoreUnavailable or OutcomeUnknown; after the last one the groups may exist,
+// and a further call may create more.
+func (m *Manager) Join(ctx context.Context, service string, groups int) error {
+	s, ok := m.o.Service(service)
+	if !ok {
+		return errkind.New(errkind.UnknownService, "service %q is not in the release note in force", service)
+	}
+	m.lock()
+	if m.joined[service] || m.joining[service] {
+		busy := m.joining[service]
+		m.unlock()
+		if busy {
+			return errkind.New(errkind.Conflict, "service %q is being joined", service)
+		}
+		return nil
+	}
+	m.joining[service] = true
+	m.unlock()
+
+	sentAt := time.Now()
+	created, err := m.o.Records.Join(ctx, JoinRequest{
+		Service: service,
+		Shards:  s.Shards,
+		Holder:  m.o.Self,
+		Groups:  groups,
+		Standby: func() Host { return m.pickStandby(service) },
+	})
+
+	m.lock()
+	defer m.unlock()
+	delete(m.joining, service)
+	if err != nil {
+		return err
+	}
+	m.joined[service] = true
+	for _, g := range created {
+		m.installWritten(g, sentAt)
+		m.log(evJoined, g, event.F("shards", len(g.Shards)))
+	}
+	for key, g := range m.newest {
+		if g.Service == service {
+			m.reconcileWaiter(time.Now(), key, g)
+		}
+	}
+	m.wakeUp()
+	return nil
+}
+
+// Held returns the groups that this host holds, by key.
+func (m *Manager) Held() []Group {
+	m.lock()
+	defer m.unlock()
+	groups := make([]Group, 0, len(m.held))
+	for _, role := range m.held {
+		groups = append(groups, role.rec)
+	}
+	return sortGroups(groups)
+}
+
+// Standbys returns the groups for which this host is the standby, by key. A
+// group known only from heartbeats has no shards and version 0 until its row
+// is read.
+func (m *Manager) Standbys() []Group {
+	m.lock()
+	defer m.unlock()
+	groups := make([]Group, 0, len(m.standbys))
+	for _, role := range m.standbys {
+		groups = append(groups, role.rec)
+	}
+	return sortGroups(groups)
+}
+
+func sortGroups(groups []Group) []Group {
+	slices.SortFunc(groups, func(a, b Group) int { return strings.Compare(a.Key(), b.Key()) })
+	return groups
 }
 
 // NewestOf returns the newest known record of a group.
-func (m *Manager) NewestOf(service, groupID string) (Group, bool) { return Group{}, false }
+func (m *Manager) NewestOf(service, groupID string) (Group, bool) {
+	m.lock()
+	defer m.unlock()
+	g, ok := m.newest[GroupKey(service, groupID)]
+	return g, ok
+}
--- /dev/null
+++ b/router/ownership/manager_test.go
@@ -0,0 +1,382 @@
+package ownership
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/router/lease"
+	"burdockglade.dev/router/note"
+)
+
+// run runs f in a bubble with a cluster of three hosts, a, b and c. All have
+// joined; a holds the shards and b is its standby.
+func run(t *testing.T, setUp func(c *cluster), f func(c *cluster, a, b, d *member)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(t, ctx)
+		if setUp != nil {
+			setUp(c)
+		}
+		a := c.start("a", 1)
+		b := c.start("b", 2)
+		d := c.start("c", 3)
+		for _, p := range []*member{a, b, d} {
+			c.join(p)
+		}
+		time.Sleep(time.Second)
+		f(c, a, b, d)
+		cancel()
+		for _, p := range c.members {
+			<-p.done
+		}
+	})
+}
+
+func group(t *testing.T, p *member) Group {
+	t.Helper()
+	for _, g := range p.m.Held() {
+		if len(g.Shards) > 0 {
+			return g
+		}
+	}
+	t.Fatalf("%s holds no shards", p.host.Name)
+	return Group{}
+}
+
+func (c *cluster) wantOwner(d time.Duration, maxGap time.Duration, want *member) {
+	c.t.Helper()
+	gap, last := c.watch(d)
+	if gap > maxGap {
+		c.t.Errorf("no owner for %v, want at most %v", gap, maxGap)
+	}
+	if last == nil || want != nil && last != want {
+		c.t.Errorf("last owner %+v, want %+v", last, want)
+	}
+}
+
+// Guards against a loss of the holder that lasts longer than a second, or that
+// ignores the work that may still run at its upstream.
+func TestHolderLost(t *testing.T) {
+	tests := []struct {
+		kind note.UpstreamKind
+		gap  time.Duration
+	}{
+		{note.Fenced, time.Second},
+		{note.Deadline, 1300 * time.Millisecond},
+		{note.Plain, 3 * time.Second},
+	}
+	for _, test := range tests {
+		run(t, func(c *cluster) { c.kind = test.kind }, func(c *cluster, a, b, d *member) {
+			c.wantOwner(time.Second, 0, a)
+			a.kill()
+			killed := time.Now()
+			c.wantOwner(5*time.Second, test.gap, b)
+			g := group(c.t, b)
+			extra := b.m.extraWait(testService)
+			if waited := g.HolderSince.Sub(killed); waited < 350*time.Millisecond+extra {
+				c.t.Errorf("%s: taken over after %v", test.kind, waited)
+			}
+			if !g.JournalComplete || g.Standby.Name != "c" || g.Generation != 2 {
+				c.t.Errorf("%s: took over %+v", test.kind, g)
+			}
+			b.kill()
+			c.wantOwner(5*time.Second, test.gap, d)
+		})
+	}
+}
+
+// Guards against a gap in service, or a wrong standby, when the standby is
+// lost, restarts or leaves.
+func TestStandbyReplaced(t *testing.T) {
+	ways := map[string]func(c *cluster, a, b *member){
+		"lost":      func(c *cluster, a, b *member) { b.kill() },
+		"restarted": func(c *cluster, a, b *member) { b.kill(); c.start("b", 22) },
+		"leaving": func(c *cluster, a, b *member) {
+			if err := a.m.ReplaceStandby(c.ctx, "b"); err != nil {
+				c.t.Error(err)
+			}
+			b.kill()
+		},
+		"answer of the store lost": func(c *cluster, a, b *member) {
+			c.store.set(func(s *faultStore) { s.loseAnswers = 1 })
+			b.kill()
+		},
+	}
+	for name, lose := range ways {
+		t.Run(name, func(t *testing.T) {
+			run(t, nil, func(c *cluster, a, b, d *member) {
+				lose(c, a, b)
+				c.wantOwner(3*time.Second, 0, a)
+				g := group(c.t, a)
+				if g.Standby.Name != "c" || g.Generation != 2 || !g.JournalComplete {
+					c.t.Errorf("group after the replacement: %+v", g)
+				}
+				if got := d.m.Standbys(); len(got) == 0 || !sameLease(got[0], g) && !sameLease(got[len(got)-1], g) {
+					c.t.Errorf("standbys of c: %+v", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against two owners, or none, when the pair or one of its hosts is cut
+// off, and against an old holder that serves when the cut ends.
+func TestCutOff(t *testing.T) {
+	run(t, nil, func(c *cluster, a, b, d *member) {
+		c.locked(func() { c.cut[[2]string{"a", "b"}] = true })
+		c.wantOwner(3*time.Second, 0, a)
+		if g := group(c.t, a); g.Standby.Name != "c" {
+			c.t.Errorf("standby after the cut: %+v", g)
+		}
+		c.isolate("a", true)
+		c.wantOwner(3*time.Second, time.Second, d)
+		c.isolate("a", false)
+		c.wantOwner(3*time.Second, 0, d)
+		if _, err := a.m.Permit(testService, 1); !errkind.Is(err, errkind.WrongOwner) && !errkind.Is(err, errkind.LeaseLapsed) {
+			c.t.Errorf("permit of the old holder: %v", err)
+		}
+	})
+}
+
+// Guards against a store outage or a slow store that ends service before the
+// horizon, and against service and missing waiters after it.
+func TestStoreOutage(t *testing.T) {
+	short := func(c *cluster) {
+		c.timing.Horizon = 20 * time.Second
+		c.timing.TouchEvery = c.timing.Horizon / 8
+	}
+	run(t, short, func(c *cluster, a, b, d *member) {
+		c.store.set(func(s *faultStore) { s.latency = 5 * time.Second })
+		c.wantOwner(30*time.Second, 0, a)
+		c.store.set(func(s *faultStore) { s.latency, s.refuse = 0, true })
+		// A short cut of the pair must not end the lease for the whole outage.
+		c.locked(func() { c.cut[[2]string{"a", "b"}] = true })
+		time.Sleep(700 * time.Millisecond)
+		c.locked(func() { c.cut[[2]string{"a", "b"}] = false })
+		time.Sleep(200 * time.Millisecond)
+		c.wantOwner(10*time.Second, 0, a)
+		time.Sleep(15 * time.Second)
+		if p := c.observe(); p != nil {
+			c.t.Errorf("%s serves after the horizon", p.host.Name)
+		}
+		c.store.set(func(s *faultStore) { s.refuse = false })
+		// The holder's touch and the waiter's takeover race.
+		c.wantOwner(10*time.Second, 4*time.Second, nil)
+	})
+	run(t, short, func(c *cluster, a, b, d *member) {
+		c.store.set(func(s *faultStore) { s.refuse = true })
+		a.kill()
+		b.kill()
+		time.Sleep(5 * time.Second)
+		c.store.set(func(s *faultStore) { s.refuse = false })
+		gap, last := c.watch(30 * time.Second)
+		if last != d || gap < 10*time.Second {
+			c.t.Errorf("after the horizon: owner %v, gap %v", last, gap)
+		}
+		if g := group(c.t, d); g.JournalComplete {
+			c.t.Errorf("journal complete after a horizon takeover: %+v", g)
+		}
+	})
+}
+
+// Guards against a hand-over under which both hosts serve or the journal is
+// taken for complete without a look at the copy, and against a group that
+// stays closed when the hand-over does not come about.
+func TestRelinquish(t *testing.T) {
+	for _, complete := range []bool{true, false} {
+		run(t, func(c *cluster) { c.frozen = complete }, func(c *cluster, a, b, d *member) {
+			c.observe()
+			g := group(c.t, a)
+			c.store.set(func(s *faultStore) { s.refuse = true })
+			if err := a.m.Relinquish(c.ctx, testService, g.ID); !errkind.Is(err, errkind.StoreUnavailable) {
+				c.t.Errorf("hand-over without a store: %v", err)
+			}
+			ctx, cancel := context.WithTimeout(c.ctx, 10*time.Millisecond)
+			err := a.m.Relinquish(ctx, testService, g.ID)
+			cancel()
+			if err == nil {
+				c.t.Error("hand-over within 10 ms, before the permits ended")
+			}
+			time.Sleep(100 * time.Millisecond)
+			c.store.set(func(s *faultStore) { s.refuse, s.loseAnswers = false, 1 })
+			c.wantOwner(time.Second, 0, a)
+			if err := a.m.Relinquish(c.ctx, testService, g.ID); err != nil {
+				c.t.Error(err)
+			}
+			c.wantOwner(2*time.Second, 600*time.Millisecond, b)
+			if g := group(c.t, b); g.JournalComplete != complete || g.JournalUnjudged || g.Generation != 2 {
+				c.t.Errorf("copy complete %v: %+v", complete, g)
+			}
+		})
+	}
+}
+
+// Guards against an operator's takeover that does not serve, and against one of
+// a living group.
+func TestDeclareLost(t *testing.T) {
+	run(t, nil, func(c *cluster, a, b, d *member) {
+		g := group(c.t, a)
+		if _, err := a.m.DeclareLost(c.ctx, testService, g.ID); !errkind.Is(err, errkind.Conflict) {
+			c.t.Errorf("declared its own group lost: %v", err)
+		}
+		a.kill()
+		b.kill()
+		time.Sleep(time.Second)
+		taken, err := d.m.DeclareLost(c.ctx, testService, g.ID)
+		if err != nil || taken.JournalComplete {
+			c.t.Fatalf("declared lost: %+v, %v", taken, err)
+		}
+		c.wantOwner(time.Second, 0, d)
+	})
+}
+
+// Guards against a second set of groups, a wrong permit and missing options.
+func TestManagerAnswers(t *testing.T) {
+	run(t, nil, func(c *cluster, a, b, d *member) {
+		if err := a.m.Join(c.ctx, testService, 1); err != nil || len(a.m.Held()) != 1 {
+			c.t.Errorf("second join: %v, %d groups", err, len(a.m.Held()))
+		}
+		if err := a.m.Join(c.ctx, "other", 1); !errkind.Is(err, errkind.UnknownService) {
+			c.t.Errorf("join of an unknown service: %v", err)
+		}
+		if _, err := b.m.Permit(testService, 1); !errkind.Is(err, errkind.WrongOwner) {
+			c.t.Errorf("permit of another host: %v", err)
+		}
+		g := group(c.t, a)
+		p, err := a.m.Permit(testService, 1)
+		left := time.Until(p.Until)
+		if err != nil || left <= 0 || left > c.timing.Duration || p.GroupID != g.ID || p.Generation != 1 || !p.Standby.Same(b.host) {
+			c.t.Errorf("permit %+v, %v", p, err)
+		}
+		records := testRecords(c.t, c.store, "a")
+		split, err := records.SplitShard(c.ctx, g, 1)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		a.m.Adopt(split, g)
+		if newest, ok := a.m.NewestOf(testService, g.ID); !ok || newest.Version != split.Version {
+			c.t.Errorf("newest %+v", newest)
+		}
+		c.wantOwner(time.Second, 0, a)
+	})
+	if _, err := NewManager(ManagerOptions{}); err == nil {
+		t.Error("a manager without options was made")
+	}
+}
+
+// Guards against two owners under random faults of the whole driver: message
+// loss, delay and doubling, lost store calls and answers, cuts, kills,
+// restarts and hand-overs.
+func TestOneOwnerUnderRandomFaults(t *testing.T) {
+	served := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		fault := ""
+		run(t, nil, func(c *cluster, a, b, d *member) {
+			c.locked(func() { c.random = rand.New(rand.NewPCG(random.Uint64(), 2)) })
+			c.store.set(func(s *faultStore) { s.random = rand.New(rand.NewPCG(random.Uint64(), 1)) })
+			for i := range 12 {
+				c.randomFault(random, i)
+				end := time.Now().Add(700 * time.Millisecond)
+				for time.Now().Before(end) {
+					if c.observe() != nil {
+						served++
+					}
+					time.Sleep(3 * time.Millisecond)
+				}
+			}
+			fault = c.fault
+		})
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+	t.Logf("an owner was seen %d times", served)
+	if served == 0 {
+		t.Error("no host ever served")
+	}
+}
+
+func (c *cluster) randomFault(random *rand.Rand, i int) {
+	var alive []*member
+	c.locked(func() {
+		for _, p := range c.members {
+			if !p.gone {
+				alive = append(alive, p)
+			}
+		}
+	})
+	p := alive[random.IntN(len(alive))]
+	q := alive[random.IntN(len(alive))]
+	switch random.IntN(8) {
+	case 0:
+		p.kill()
+		next := c.start(p.host.Name, uint64(100+i))
+		go func() { _ = next.m.Join(c.ctx, testService, 1) }()
+	case 1:
+		c.isolate(p.host.Name, true)
+	case 2, 3:
+		c.isolate(p.host.Name, false)
+	case 4:
+		c.locked(func() { c.cut[[2]string{p.host.Name, q.host.Name}] = true })
+	case 5:
+		c.store.set(func(s *faultStore) { s.refuse = !s.refuse })
+	case 6:
+		for _, g := range p.m.Held() {
+			go func() { _ = p.m.Relinquish(c.ctx, testService, g.ID) }()
+		}
+	case 7:
+		go func() {
+			rows, _ := testRecords(c.t, c.store, q.host.Name).List(c.ctx, testService)
+			p.m.Adopt(rows...)
+		}()
+	}
+}
+
+type nullNetwork struct{}
+
+func (nullNetwork) SendHeartbeat(Host, lease.Heartbeat) {}
+func (nullNetwork) SendAnswer(Host, lease.Answer)       {}
+
+// BenchmarkPermit measures the check of the lease before each request.
+func BenchmarkPermit(b *testing.B) {
+	s := newFaultStore()
+	records, err := NewRecords(RecordsOptions{Store: s})
+	if err != nil {
+		b.Fatal(err)
+	}
+	m, err := NewManager(ManagerOptions{
+		Self: testHost("a", 1), Records: records, Network: nullNetwork{}, Timing: lease.DefaultTiming(),
+		PickStandby: func(string, ...string) (Host, bool) { return Host{}, false },
+		Service: func(name string) (note.Service, bool) {
+			service := note.DefaultService(name)
+			service.Shards = 100
+			return service, true
+		},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := m.Join(b.Context(), testService, 2); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		h := uint64(1)
+		for pb.Next() {
+			h = h*6364136223846793005 + 1442695040888963407
+			if _, err := m.Permit(testService, keyspace.Hash(h)); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
--- a/router/ownership/records.go
+++ b/router/ownership/records.go
@@ -210,9 +210,9 @@
 		if !passed && !errors.Is(err, table.ErrConflict) {
 			return Group{}, err
 		}
-		newest, err := r.read(ctx, base.Service, base.ID)
+		newest, err := r.reread(ctx, base, passed)
 		if errkind.Is(err, errkind.NotFound) {
-			return Group{}, &ConflictError{Op: op, Reason: "the group was deleted"}
+			return Group{}, &ConflictError{Op: op, Deleted: true, Reason: "the group was deleted"}
 		}
 		if err != nil && passed {
 			return Group{}, &UnknownError{Op: op, Err: err}
@@ -231,6 +231,16 @@
 	}
 }
 
+// reread returns the row after a write that did not go through. Only when it
+// may have been in force does it wait for the store: a caller that learns at
+// once that nothing was written goes on under its old lease.
+func (r *Records) reread(ctx context.Context, base Group, passed bool) (Group, error) {
+	if passed {
+		return r.read(ctx, base.Service, base.ID)
+	}
+	return r.Get(ctx, base.Service, base.ID)
+}
+
 // provesAbsence reports whether the newest row proves that a lost write of
 // next was never in force. A generation is made by exactly one write, so
 // another lease under next's generation excludes next.
@@ -249,6 +259,7 @@
 		g.Standby = standby
 		g.Generation++
 		g.JournalComplete = g.JournalComplete && copyComplete
+		g.JournalUnjudged = false
 		g.HolderSince = r.now()
 		return nil
 	})
@@ -277,6 +288,7 @@
 	next.Standby = standby
 	next.Generation++
 	next.JournalComplete = false
+	next.JournalUnjudged = false
 	next.HolderSince = r.now()
 	groups, err := r.commit(ctx, op, []change{{before: base, after: next}})
 	if err == nil {
@@ -286,15 +298,16 @@
 	if !passed && !errors.Is(err, table.ErrConflict) {
 		return Group{}, err
 	}
-	newest, err := r.read(ctx, base.Service, base.ID)
+	newest, err := r.reread(ctx, base, passed)
+	deleted := errkind.Is(err, errkind.NotFound)
 	var rows []Group
 	if err == nil {
 		rows = []Group{newest}
 	}
-	if passed && (err != nil || newest.Generation > next.Generation || sameLease(newest, next)) {
+	if passed && !deleted && (err != nil || newest.Generation > next.Generation || sameLease(newest, next)) {
 		return Group{}, &SupersededError{Op: op, Newest: rows}
 	}
-	return Group{}, &ConflictError{Op: op, Newest: rows, Reason: "the row changed"}
+	return Group{}, &ConflictError{Op: op, Newest: rows, Deleted: deleted, Reason: "the row changed"}
 }
 
 // ReplaceStandby gives the group another standby, or none when the host is
@@ -318,6 +331,8 @@
 		g.Holder = g.Standby
 		g.Standby = standby
 		g.Generation++
+		g.JournalUnjudged = g.JournalUnjudged || g.JournalComplete
+		g.JournalComplete = false
 		g.HolderSince = r.now()
 		return nil
 	})
@@ -329,21 +344,24 @@
 // The marks.
 const (
 	JournalKeep JournalMark = iota
-	// JournalComplete: one idempotency window has passed since HolderSince.
-	JournalComplete
-	// JournalIncomplete: the holder's copy lacks entries. HolderSince starts
-	// again, because the window counts from it.
-	JournalIncomplete
+	// JournalIsComplete: one idempotency window has passed since HolderSince,
+	// or the copy of a new holder was found complete after a hand-over.
+	JournalIsComplete
+	// JournalIsIncomplete: the copy of a new holder lacks entries. HolderSince
+	// starts again, because the window counts from it.
+	JournalIsIncomplete
 )
 
 // Touch writes the row so that waiters see that the holder lives.
 func (r *Records) Touch(ctx context.Context, base Group, mark JournalMark) (Group, error) {
 	return r.update(ctx, "touch", base, func(g *Group) error {
 		switch mark {
-		case JournalComplete:
+		case JournalIsComplete:
 			g.JournalComplete = true
-		case JournalIncomplete:
+			g.JournalUnjudged = false
+		case JournalIsIncomplete:
 			g.JournalComplete = false
+			g.JournalUnjudged = false
 			g.HolderSince = r.now()
 		}
 		return nil
@@ -424,6 +442,7 @@
 	}
 	if !source.JournalComplete {
 		t.JournalComplete = false
+		t.JournalUnjudged = false
 		if source.HolderSince.After(target.HolderSince) {
 			t.HolderSince = source.HolderSince
 		}
