--- a/router/gate/entry.go
+++ b/router/gate/entry.go
@@ -83,13 +83,3 @@
 	Age    time.Duration `json:"age"`
 	Answer *KeptAnswer   `json:"answer,omitempty"`
 }
-
-// JournalLimits bound a journal.
-type JournalLimits struct {
-	// Entries is the number of ids.
-	Entries int
-	// AnswerBytes is the size of one kept answer with its headers.
-	AnswerBytes int
-	// TotalBytes is the size of all kept answers.
-	TotalBytes int64
-}
--- a/router/gate/gate.go
+++ b/router/gate/gate.go
@@ -5,12 +5,15 @@
 
 import (
 	"context"
-	"net/http"
+	"errors"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"burdockglade.dev/router/admit"
+	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/note"
@@ -59,7 +62,8 @@
 
 // Request is what the router knows of a request besides its HTTP form.
 type Request struct {
-	// ID must be unique per attempt: a blocked id stays refused.
+	// ID must be unique per attempt, not only per caller's request: an id that
+	// Resolve blocked stays refused.
 	ID      string
 	Service string
 	Key     string
@@ -98,70 +102,109 @@
 	ParkLimit int
 	// Journal bounds the idempotency journal; zero fields mean the defaults.
 	Journal JournalLimits
+	// MaxTenants is the number of tenants with histograms of their own; 0
+	// means DefaultMaxTenants.
+	MaxTenants int
 }
 
 // Gate guards the local upstream.
 type Gate struct {
-	opts Options
+	opts    Options
+	started time.Time
+	metrics *metrics
+	copies  chan copyJob
+	resync  chan struct{}
+
+	mu       sync.Mutex
+	journal  *Journal
+	requests *requestTable
+	closures map[*Closure]struct{}
+	parked   int
+	flights  map[*flight]struct{}
+	grants   map[groupKey]*granted
+	syncs    map[groupKey]*syncTask
 }
 
 // New returns a gate.
-func New(opts Options) (*Gate, error) { return &Gate{opts: opts}, nil }
-
-// Serve runs one request at the upstream and writes the answer. A returned
-// error means that nothing was written to w. When the answer is cut after its
-// headers were sent, Serve panics with http.ErrAbortHandler so that a partial
-// answer is never taken for a whole one.
-func (g *Gate) Serve(w http.ResponseWriter, r *http.Request, req Request) error {
-	panic("not built yet")
+func New(opts Options) (*Gate, error) {
+	if opts.Authority == nil || opts.Upstream == nil || opts.Limiter == nil || opts.Service == nil {
+		return nil, errors.New("gate: Authority, Upstream, Limiter and Service are required")
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Incarnation == 0 {
+		opts.Incarnation = rand.Uint64()
+	}
+	if opts.ParkLimit <= 0 {
+		opts.ParkLimit = DefaultParkLimit
+	}
+	if syncer, ok := opts.Replicator.(Syncer); ok && opts.Syncer == nil {
+		opts.Syncer = syncer
+	}
+	return &Gate{
+		opts:     opts,
+		started:  opts.Now(),
+		metrics:  newMetrics(opts.Scope, opts.MaxTenants),
+		copies:   make(chan copyJob, copyQueue),
+		resync:   make(chan struct{}, 1),
+		journal:  NewJournal(opts.Journal),
+		requests: newRequestTable(),
+		closures: map[*Closure]struct{}{},
+		flights:  map[*flight]struct{}{},
+		grants:   map[groupKey]*granted{},
+		syncs:    map[groupKey]*syncTask{},
+	}, nil
 }
 
-// Resolve tells what became of a request whose hop went silent.
-func (g *Gate) Resolve(ctx context.Context, q ResolveQuery) ResolveAnswer { panic("not built yet") }
-
-// Close parks new requests for the shards until the closure is reopened or
-// released.
-func (g *Gate) Close(service string, shards []keyspace.Shard) *Closure { panic("not built yet") }
-
-// CloseService parks new requests for the whole service.
-func (g *Gate) CloseService(service string) *Closure { panic("not built yet") }
-
-// ExportJournal returns the journal entries of the shards.
-func (g *Gate) ExportJournal(service string, shards []keyspace.Shard) []Entry { panic("not built yet") }
-
-// ImportJournal adds entries to the journal of the group. It refuses with
-// errkind.JournalFull and then adds none.
-func (g *Gate) ImportJournal(group GroupRef, entries []Entry) error { panic("not built yet") }
-
-// ForgetJournal drops the entries of shards that moved away.
-func (g *Gate) ForgetJournal(service string, shards []keyspace.Shard) { panic("not built yet") }
-
-// SetStandby tells the gate a group's standby. The whole journal of the group
-// is sent to it in the background.
-func (g *Gate) SetStandby(group GroupRef, standby ownership.Host) { panic("not built yet") }
-
-// DropGroup ends the resynchronisation of a group that this host no longer
-// holds.
-func (g *Gate) DropGroup(service, groupID string) { panic("not built yet") }
-
-// InFlight returns the number of requests that the upstream may be running.
-func (g *Gate) InFlight() int { panic("not built yet") }
+func (g *Gate) now() time.Time {
+	return g.opts.Now()
+}
 
 // Incarnation returns the gate's incarnation.
-func (g *Gate) Incarnation() uint64 { return g.opts.Incarnation }
-
-// Run sends grants and journals in the background until ctx ends.
-func (g *Gate) Run(ctx context.Context) error { panic("not built yet") }
-
-// Closure is a set of closed shards.
-type Closure struct{}
+func (g *Gate) Incarnation() uint64 {
+	return g.opts.Incarnation
+}
 
-// Drained waits until no request for the shards is in flight.
-func (c *Closure) Drained(ctx context.Context) error { panic("not built yet") }
+// Run extends grants and copies journals in the background until ctx ends.
+func (g *Gate) Run(ctx context.Context) error {
+	for range copyWorkers {
+		go g.copyEntries(ctx)
+	}
+	ticker := time.NewTicker(grantInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			g.extendGrants(ctx)
+		case <-g.resync:
+			g.startSyncs(ctx)
+		}
+	}
+}
 
-// Reopen lets the parked requests continue.
-func (c *Closure) Reopen() { panic("not built yet") }
+// permit returns a permit that is valid now.
+func (g *Gate) permit(service string, h keyspace.Hash) (ownership.Permit, error) {
+	permit, err := g.opts.Authority.Permit(service, h)
+	if err != nil {
+		return ownership.Permit{}, err
+	}
+	if !permit.Until.After(g.now()) {
+		return ownership.Permit{}, errkind.New(errkind.LeaseLapsed, "the lease of group %s lapsed", permit.GroupID)
+	}
+	return permit, nil
+}
 
-// Release refuses the parked requests with err, and all that arrive until the
-// authority no longer gives a permit for the shards.
-func (c *Closure) Release(err error) { panic("not built yet") }
+// complete reports whether the journal holds every idempotency key that an
+// earlier holder of the group accepted. The time since the takeover is read
+// from the wall clock; the process must have run as long, so that a step of
+// that clock cannot make a new process believe in a complete journal.
+func (g *Gate) complete(permit ownership.Permit, window time.Duration) bool {
+	if permit.JournalComplete {
+		return true
+	}
+	now := g.now()
+	return now.Sub(permit.HolderSince) >= window && now.Sub(g.started) >= window
+}
--- /dev/null
+++ b/router/gate/metrics.go
@@ -0,0 +1,80 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// DefaultMaxTenants is the number of tenants with histograms of their own.
+const DefaultMaxTenants = 64
+
+// otherTenants is the tag of all tenants beyond the bound.
+const otherTenants = "other"
+
+// buckets reach from 0.25 ms to about 65 s.
+var buckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 19)
+
+// metrics keeps histograms per service and tenant.
+type metrics struct {
+	scope      tally.Scope
+	maxTenants int
+
+	mu      sync.Mutex
+	tenants map[string]struct{}
+	byTag   map[metricKey]*histograms
+}
+
+type metricKey struct {
+	service, tenant string
+}
+
+type histograms struct {
+	queueWait, upstreamTime tally.Histogram
+}
+
+func newMetrics(scope tally.Scope, maxTenants int) *metrics {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	if maxTenants <= 0 {
+		maxTenants = DefaultMaxTenants
+	}
+	return &metrics{
+		scope: scope, maxTenants: maxTenants,
+		tenants: map[string]struct{}{}, byTag: map[metricKey]*histograms{},
+	}
+}
+
+func (m *metrics) of(service, tenant string) *histograms {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := metricKey{service, m.bounded(tenant)}
+	h := m.byTag[key]
+	if h == nil {
+		scope := m.scope.Tagged(map[string]string{"service": service, "tenant": key.tenant})
+		h = &histograms{
+			queueWait:    scope.Histogram("gate_queue_wait", buckets),
+			upstreamTime: scope.Histogram("gate_upstream_time", buckets),
+		}
+		m.byTag[key] = h
+	}
+	return h
+}
+
+// bounded returns the tag of a tenant. Tenant names come from callers, so
+// their number is limited.
+func (m *metrics) bounded(tenant string) string {
+	if tenant == "" {
+		return otherTenants
+	}
+	if _, ok := m.tenants[tenant]; ok {
+		return tenant
+	}
+	if len(m.tenants) >= m.maxTenants {
+		return otherTenants
+	}
+	m.tenants[tenant] = struct{}{}
+	return tenant
+}
