Answer "outcome unknown" when an earlier publication may still arrive

Cause: a repeated publication that found the store down answered store_unavailable, which says "not run", although the write of the first call with the same publish id may have taken effect or may still do so.

Change: the publisher first looks for the note's text. Every call stores the text before it writes the head row, so a missing text excludes an earlier write; otherwise failures of the store are answered outcome_unknown.

Ruled out: always answering outcome_unknown, because a first call during an outage then looks as if it may have run; remembering publish ids in memory, because the repeated call can reach another router.

Conclusion: a definite refusal is true unless another call with the same publish id is running at that moment.

--- a/router/note/publish.go
+++ b/router/note/publish.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"regexp"
 	"time"
 
@@ -82,11 +83,11 @@
 // Publish puts the note in force. A call with the publish id and text of an
 // earlier call has the result of that call, whatever was published since.
 //
-// Errors have these kinds. NoteInvalid, NoteConflict, BadRequest and Conflict
-// (the publish id names another text): the note did not take effect and will
-// not. StoreUnavailable: this call had no effect; an earlier call with the same
-// publish id may have had one. OutcomeUnknown: the note may take effect. In the
-// last two cases a call with the same publish id determines the outcome.
+// Errors have these kinds. NoteInvalid, NoteConflict, BadRequest, Conflict (the
+// publish id names another text) and StoreUnavailable: the note did not take
+// effect and will not, unless another call with the publish id is running.
+// OutcomeUnknown: the note may take effect; a call with the same publish id
+// determines the outcome.
 func (p *Publisher) Publish(ctx context.Context, publishID string, text []byte) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.Patience)
 	defer cancel()
@@ -135,8 +136,8 @@
 	text   []byte
 	digest string
 	note   Note
-	// sent is set when a write of the head row may take effect although its
-	// answer was lost.
+	// sent is set when a write of the head row, of this call or of an earlier
+	// one, may take effect although its answer was lost.
 	sent bool
 }
 
@@ -157,9 +158,10 @@
 		return Result{}, err
 	}
 	a.note = n
+	a.sent = a.startedBefore(ctx)
 	s, err := a.read(ctx)
 	if err != nil {
-		return Result{}, errkind.New(errkind.StoreUnavailable, "%w", err)
+		return Result{}, a.storeFailed(err)
 	}
 	if result, done, err := a.settled(s); done {
 		return result, err
@@ -175,6 +177,14 @@
 	return a.commit(ctx, s, next)
 }
 
+// startedBefore reports whether an earlier call with the publish id may have
+// sent its write of the head row. Each call stores the note's text before that,
+// so a missing text excludes it.
+func (a *attempt) startedBefore(ctx context.Context) bool {
+	_, err := a.opts.Objects.Get(ctx, objectName(a.id))
+	return !errors.Is(err, object.ErrNotFound)
+}
+
 // read reads the head row before the log row, so the log holds at least the
 // version of the head.
 func (a *attempt) read(ctx context.Context) (state, error) {
@@ -224,7 +234,7 @@
 			return errkind.New(errkind.Conflict, "publish id %s was used for another note: %w", a.id, err)
 		}
 		if !errors.Is(err, object.ErrUnavailable) || !sleep(ctx, pause) {
-			return errkind.New(errkind.StoreUnavailable, "writing the text of the note: %w", err)
+			return a.storeFailed(fmt.Errorf("writing the text of the note: %w", err))
 		}
 	}
 }
@@ -244,7 +254,7 @@
 		case errors.Is(err, table.ErrInvalid):
 			return a.refused(err)
 		case errors.Is(err, table.ErrUnavailable) && !a.sent:
-			return Result{}, errkind.New(errkind.StoreUnavailable, "writing %s: %w", HeadKey, err)
+			return Result{}, a.storeFailed(fmt.Errorf("writing %s: %w", HeadKey, err))
 		case !errors.Is(err, table.ErrConflict) && !errors.Is(err, table.ErrUnavailable):
 			a.sent = true
 		}
@@ -253,7 +263,7 @@
 			return result, err
 		}
 		if !sleep(ctx, pause) {
-			return Result{}, a.undecided(err)
+			return Result{}, a.storeFailed(err)
 		}
 	}
 }
@@ -298,7 +308,7 @@
 		if a.sent {
 			return Result{}, false, err
 		}
-		return Result{}, true, a.afterConflict(cause, err)
+		return Result{}, true, a.storeFailed(fmt.Errorf("%w; reading the winner: %w", cause, err))
 	}
 	if r, done, err := a.settled(s); done {
 		return r, true, err
@@ -306,22 +316,16 @@
 	return Result{}, false, cause
 }
 
-// afterConflict is the answer when the write failed on its condition and the
-// winner cannot be read. Nothing was written.
-func (a *attempt) afterConflict(cause, readErr error) error {
-	return errkind.New(errkind.StoreUnavailable, "another note was published first, and its version could not be read: %v: %w", readErr, cause)
-}
-
-// undecided is the answer when the time is up and no row names a winner.
-func (a *attempt) undecided(cause error) error {
+// storeFailed is the answer when a store fails and no row names a winner.
+func (a *attempt) storeFailed(cause error) error {
 	if a.sent {
 		return a.unknown(cause)
 	}
-	return errkind.New(errkind.StoreUnavailable, "the rows %s and %s do not fit together: %w", HeadKey, LogKey, cause)
+	return errkind.New(errkind.StoreUnavailable, "%w", cause)
 }
 
 func (a *attempt) unknown(cause error) error {
-	return errkind.New(errkind.OutcomeUnknown, "the answer to the write of version %d was lost; repeat the publication with publish id %s: %w", a.note.Base+1, a.id, cause)
+	return errkind.New(errkind.OutcomeUnknown, "a write of version %d with publish id %s may have taken effect or may still do so; repeat the publication with this publish id: %w", a.note.Base+1, a.id, cause)
 }
 
 // sleep pauses and reports whether the context is still live.
