Generate docs/EVENTS.md and docs/ERRORS.md from the code

Cause: the pages for operators must not drift from the events and error kinds in the code.

Change: package internal/catalogue renders both pages; its test compares them with the files and writes them with -update. A further test finds the constants of type Kind in the source and checks that each has an answer and a remedy.

Ruled out: a list of kinds in the test, because a new kind would be missing from it too.

Conclusion: packages with events join the page by an import in catalogue_test.go.

--- /dev/null
+++ b/router/internal/catalogue/catalogue_test.go
@@ -0,0 +1,127 @@
+package catalogue
+
+import (
+	"flag"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/event"
+
+	// Packages that define events.
+	_ "burdockglade.dev/router/admin"
+	_ "burdockglade.dev/router/note"
+)
+
+var update = flag.Bool("update", false, "write the pages in docs")
+
+const docs = "../../../docs/"
+
+func comparePage(t *testing.T, name string, want []byte) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(docs+name, want, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(docs + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), string(got)); diff != "" {
+		t.Errorf("%s is not the page that the code makes; run with -update:\n%s", name, diff)
+	}
+}
+
+// An event that is missing from the page cannot be looked up by an operator.
+func TestEventsPage(t *testing.T) {
+	comparePage(t, "EVENTS.md", Events(event.All()))
+}
+
+// An event without cause or remedy, or with a number of no area, explains
+// nothing.
+func TestEventsAreDescribed(t *testing.T) {
+	for _, e := range event.All() {
+		if e.Name == "" || e.Cause == "" || e.Remedy == "" {
+			t.Errorf("event %d lacks name, cause or remedy", e.Number)
+		}
+		if e.Number < 1000 || e.Number > 1799 {
+			t.Errorf("event %d is outside 1000 to 1799", e.Number)
+		}
+	}
+}
+
+// A page with an old answer makes callers retry wrongly.
+func TestErrorsPage(t *testing.T) {
+	comparePage(t, "ERRORS.md", Errors())
+}
+
+// A kind without an answer would be answered as an internal error.
+func TestErrorTableIsTotal(t *testing.T) {
+	inTable := map[errkind.Kind]bool{}
+	for _, k := range errkind.Kinds() {
+		inTable[k] = true
+	}
+	declared := declaredKinds(t)
+	for _, k := range declared {
+		if !inTable[k] {
+			t.Errorf("kind %s has no answer", k)
+		}
+		if remedies[k] == "" {
+			t.Errorf("kind %s has no remedy", k)
+		}
+	}
+	if len(declared) != len(inTable) || len(declared) != len(remedies) {
+		t.Errorf("%d kinds, %d answers, %d remedies", len(declared), len(inTable), len(remedies))
+	}
+}
+
+// declaredKinds returns the constants of type Kind in the source.
+func declaredKinds(t *testing.T) []errkind.Kind {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), "../../errkind/errkind.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kinds []errkind.Kind
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok {
+			return true
+		}
+		if name, ok := spec.Type.(*ast.Ident); !ok || name.Name != "Kind" {
+			return true
+		}
+		for _, value := range spec.Values {
+			text, err := strconv.Unquote(value.(*ast.BasicLit).Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			kinds = append(kinds, errkind.Kind(text))
+		}
+		return true
+	})
+	if len(kinds) == 0 {
+		t.Fatal("no kinds found")
+	}
+	return kinds
+}
+
+// A retry of work that may have run breaks requirement 5.
+func TestOnlyDefiniteRefusalsAreRetryable(t *testing.T) {
+	for _, k := range errkind.Kinds() {
+		a := errkind.AnswerOf(k)
+		if a.Retryable && a.Outcome != errkind.NotRun {
+			t.Errorf("%s is retryable with outcome %s", k, a.Outcome)
+		}
+		if a.Status < 400 || a.Title == "" || (a.Outcome != errkind.NotRun && a.Outcome != errkind.Unknown) {
+			t.Errorf("%s has the answer %+v", k, a)
+		}
+	}
+}
