--- a/router/admin/admin_test.go
+++ b/router/admin/admin_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 
@@ -173,6 +174,20 @@
 	}
 }
 
+// A route without a section on the page cannot be used without the code.
+func TestAdminPageListsEveryRoute(t *testing.T) {
+	page, err := os.ReadFile("../../docs/ADMIN.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, h := newAPI(t)
+	for pattern := range h.(*handler).routes() {
+		if !strings.Contains(string(page), "\n## "+pattern+"\n") {
+			t.Errorf("the page lacks %s", pattern)
+		}
+	}
+}
+
 // newClient serves the backend on loopback and returns a client of it.
 func newClient(t *testing.T, b Backend) *Client {
 	t.Helper()
--- a/router/note/note_test.go
+++ b/router/note/note_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -300,6 +302,38 @@
 	})
 }
 
+// An example that is refused, or a key with another range, misleads operators.
+func TestNotesPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/NOTES.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	blocks := regexp.MustCompile("(?s)```ini\n(.*?)```").FindAllStringSubmatch(string(page), -1)
+	c := Config{}
+	for i, block := range blocks {
+		c, err = Apply(mustParse(t, block[1]), c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.PublishID = fmt.Sprintf("publish-%d", i)
+	}
+	if len(blocks) < 3 {
+		t.Errorf("%d examples, want one for each operation", len(blocks))
+	}
+	defaults := DefaultService("s")
+	for _, k := range serviceKeys {
+		value := k.get(defaults)
+		if k.name == "kind" {
+			value = "required"
+		} else if value == "" {
+			value = "none"
+		}
+		if line := fmt.Sprintf("| `%s` | %s | %s |", k.name, value, k.want); !strings.Contains(string(page), line) {
+			t.Errorf("the page lacks %s", line)
+		}
+	}
+}
+
 // A damaged row or message must not come into force.
 func TestDamagedConfigurationsAreRefused(t *testing.T) {
 	cases := map[string]func(c *Config){
