--- a/ctl/cmd/burdockctl/main.go
+++ b/ctl/cmd/burdockctl/main.go
@@ -1,30 +1,32 @@
-// Command burdockctl is the operator's command.
+// Command burdockctl operates burdockglade routers and runs the stand-ins of
+// the platform for development.
 package main
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/alecthomas/kong"
-
+	"burdockglade.dev/ctl/command"
 	"burdockglade.dev/ctl/dev"
 )
 
+// grammar is the operator's command line with the commands for development.
 type grammar struct {
-	Dev dev.Cmd `cmd:"" help:"Stand-ins of the platform for development and tests."`
+	command.Grammar
+
+	Dev dev.Cmd `cmd:"" help:"Stand-ins of the platform, a demo and a load tool."`
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	var g grammar
-	parsed := kong.Parse(&g, kong.Name("burdockctl"), kong.UsageOnError())
-	parsed.BindTo(ctx, (*context.Context)(nil))
-	if err := parsed.Run(); err != nil {
-		fmt.Fprintf(os.Stderr, "burdockctl: %v\n", err)
-		os.Exit(1)
-	}
+	streams := command.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	return command.Run(ctx, &g, &g.Grammar, os.Args[1:], streams)
 }
