Add the load tool of the dev commands

Cause: throughput, latency and wrong answers must be measured with requests whose answers can be checked. Change: LoadCmd sends a closed loop or an open loop with Poisson arrivals, with a number of keys, Zipf skew, method mix, idempotency keys, repeats and tenants. Each answer must echo its request's path, query, body digest and padding. The report counts refusals by kind and outcome, failures, cut and wrong answers, with latency percentiles from HdrHistogram. All sizes have upper bounds and all targets are loopback IPs. Ruled out: latency from the sending in an open loop; it hides the wait for a free worker, so it counts from the arrival.

--- /dev/null
+++ b/ctl/dev/dev_test.go
@@ -0,0 +1,279 @@
+package dev
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/platform/verify"
+)
+
+// Guards against tags that kong refuses and against defaults that are not
+// those of the documentation.
+func TestGrammar(t *testing.T) {
+	var cmd Cmd
+	parser, err := kong.New(&cmd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := parser.Parse([]string{"load", "--target", "http://127.0.0.1:1,http://127.0.0.1:2", "--service", "orders", "--no-idempotency"}); err != nil {
+		t.Fatal(err)
+	}
+	l := cmd.Load
+	if len(l.Targets) != 2 || l.Mix["GET"] != 80 || l.Mix["DELETE"] != 1 || l.Idempotency || l.Timeout != 2*time.Second {
+		t.Errorf("parsed %+v", l)
+	}
+	if _, err := parser.Parse([]string{"upstream", "--service", "orders"}); err != nil {
+		t.Fatal(err)
+	}
+	if cmd.Upstream.Kind != "fenced" || cmd.Upstream.RenewEvery != 250*time.Millisecond || cmd.Upstream.Slots != 16 {
+		t.Errorf("parsed %+v", cmd.Upstream)
+	}
+}
+
+// Guards against stand-ins without authentication that other machines reach,
+// and against load that leaves the machine.
+func TestRefuseOtherAddresses(t *testing.T) {
+	load := func(target string) *LoadCmd {
+		return &LoadCmd{Targets: []string{target}, Service: "s", Workers: 1, Keys: 1, Duration: time.Second, Timeout: time.Second, Mix: map[string]int{"GET": 1}}
+	}
+	runs := map[string]interface{ Run(context.Context) error }{
+		"table":            &TableCmd{Listen: "0.0.0.0:0"},
+		"objects":          &ObjectsCmd{Listen: "192.0.2.1:0"},
+		"upstream":         &UpstreamCmd{Service: "s", Kind: "plain", Listen: ":0", ControlListen: "127.0.0.1:0"},
+		"upstream control": &UpstreamCmd{Service: "s", Kind: "plain", Listen: "127.0.0.1:0", ControlListen: "[::]:0"},
+		"load":             load("http://192.0.2.1:80"),
+		"load by name":     load("http://localhost:80"),
+	}
+	for name, c := range runs {
+		if err := c.Run(t.Context()); err == nil {
+			t.Errorf("%s: the address was accepted", name)
+		}
+	}
+}
+
+// Guards against load settings beyond the bounds.
+func TestLoadBounds(t *testing.T) {
+	for name, change := range map[string]func(*LoadCmd){
+		"rate":     func(c *LoadCmd) { c.Rate = maxLoadRate + 1 },
+		"workers":  func(c *LoadCmd) { c.Workers = 0 },
+		"duration": func(c *LoadCmd) { c.Duration = maxLoadDuration + 1 },
+		"Zipf":     func(c *LoadCmd) { c.Zipf = 1 },
+		"mix":      func(c *LoadCmd) { c.Mix = map[string]int{"GET": 0} },
+		"method":   func(c *LoadCmd) { c.Mix = map[string]int{"TRACE": 1} },
+	} {
+		c := LoadCmd{Targets: []string{"http://127.0.0.1:1"}, Service: "s", Workers: 1, Keys: 1, Duration: time.Second, Timeout: time.Second, Mix: map[string]int{"GET": 1}}
+		if _, err := c.plan(); err != nil {
+			t.Fatal(err)
+		}
+		change(&c)
+		if _, err := c.plan(); err == nil {
+			t.Errorf("%s out of bounds was accepted", name)
+		}
+	}
+}
+
+// started runs a command and returns the URL that it prints, and a function
+// that stops it.
+func started(t *testing.T, run func(ctx context.Context, out io.Writer) error) (url string, stop func() error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	read, write := io.Pipe()
+	done := make(chan error, 1)
+	go func() {
+		done <- run(ctx, write)
+		_ = write.Close()
+	}()
+	line, err := bufio.NewReader(read).ReadString('\n')
+	if err != nil {
+		t.Fatalf("%v, %v", err, <-done)
+	}
+	go func() { _, _ = io.Copy(io.Discard, read) }()
+	_, url, _ = strings.Cut(line, "http://")
+	url, _, _ = strings.Cut(strings.TrimSpace(url), ",")
+	return "http://" + url, func() error {
+		cancel()
+		return <-done
+	}
+}
+
+// Guards against commands that do not serve, or that do not end with their
+// context.
+func TestStandinCommands(t *testing.T) {
+	for name, c := range map[string]struct {
+		run  func(ctx context.Context, out io.Writer) error
+		path string
+	}{
+		"table": {func(ctx context.Context, out io.Writer) error {
+			return (&TableCmd{Listen: "127.0.0.1:0", Out: out}).Run(ctx)
+		}, "/v1/counters"},
+		"objects": {func(ctx context.Context, out io.Writer) error {
+			return (&ObjectsCmd{Listen: "127.0.0.1:0", Out: out}).Run(ctx)
+		}, "/v1/faults"},
+		"upstream": {func(ctx context.Context, out io.Writer) error {
+			return (&UpstreamCmd{Service: "s", Kind: "plain", StopTimeout: time.Minute, Out: out}).Run(ctx)
+		}, "/burdock/ledger"},
+	} {
+		url, stop := started(t, c.run)
+		resp, err := http.Get(url + c.path)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: status %d", name, resp.StatusCode)
+		}
+		if err := stop(); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func startPlain(t *testing.T, o standin.UpstreamOptions) *standin.Upstream {
+	t.Helper()
+	o.Service, o.Kind = "orders", standin.KindPlain
+	u, err := standin.StartUpstream(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(u.Close)
+	return u
+}
+
+// loadOf returns a short run against the address.
+func loadOf(address string) LoadCmd {
+	return LoadCmd{
+		Targets: []string{"http://" + address}, Service: "orders", Workers: 4, Keys: 50, Zipf: 1.2, Tenants: 3, BodyBytes: 100,
+		Duration: 200 * time.Millisecond, Timeout: 30 * time.Second, Idempotency: true, Seed: 1,
+		Mix: map[string]int{"GET": 4, "POST": 4, "PUT": 1, "DELETE": 1}, Out: io.Discard,
+	}
+}
+
+// Guards against a load tool that counts other than what the upstream ran, in
+// both loops.
+func TestLoadCountsWhatRan(t *testing.T) {
+	for _, rate := range []float64{0, 500} {
+		u := startPlain(t, standin.UpstreamOptions{AnswerBytes: 2000})
+		c := loadOf(u.Address())
+		c.Rate = rate
+		report, err := c.Measure(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if report.Sent == 0 || report.Answers != report.Sent || report.Wrong+report.Cut > 0 || report.Latency.Max == 0 {
+			t.Errorf("rate %v: report %+v, want answers to all requests", rate, report)
+		}
+		ledger := u.Ledger()
+		if int64(len(ledger.Units)) != report.Sent {
+			t.Errorf("rate %v: the upstream ran %d requests of %d", rate, len(ledger.Units), report.Sent)
+		}
+		if found := verify.All([]standin.Ledger{ledger}); len(found) > 0 {
+			t.Errorf("rate %v: %v", rate, found[0])
+		}
+	}
+}
+
+// Guards against refusals, cut answers and wrong answers that count as
+// answers.
+func TestLoadCountsFaults(t *testing.T) {
+	u := startPlain(t, standin.UpstreamOptions{})
+	faults := func(f standin.UpstreamFaults) Report {
+		t.Helper()
+		if err := u.SetFaults(f); err != nil {
+			t.Fatal(err)
+		}
+		c := loadOf(u.Address())
+		report, err := c.Measure(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return report
+	}
+	if r := faults(standin.UpstreamFaults{Shed: true}); r.Refusals["overloaded not-run"] != r.Sent || r.Answers != 0 {
+		t.Errorf("shedding upstream: %+v", r)
+	}
+	if r := faults(standin.UpstreamFaults{CutShare: 1}); r.Cut != r.Sent || r.Answers != 0 {
+		t.Errorf("cut answers: %+v", r)
+	}
+	if r := faults(standin.UpstreamFaults{Refuse: true}); r.Sent == 0 || r.Answers != 0 || r.Wrong != 0 {
+		t.Errorf("refusing upstream: %+v", r)
+	}
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") }))
+	defer other.Close()
+	c := loadOf(other.Listener.Addr().String())
+	if err := c.Run(t.Context()); !errors.Is(err, ErrWrongAnswers) {
+		t.Errorf("answers of another server: %v, want wrong answers", err)
+	}
+}
+
+// Guards against a repeated request that runs twice and is not noticed: a
+// plain upstream without a router in front runs it again.
+func TestLoadNoticesRepeatedWork(t *testing.T) {
+	u := startPlain(t, standin.UpstreamOptions{})
+	c := loadOf(u.Address())
+	c.Repeat, c.Mix = 1, map[string]int{"POST": 1}
+	report, err := c.Measure(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Repeats == 0 || report.Wrong != report.Repeats {
+		t.Errorf("report %+v, want all repeats to be wrong", report)
+	}
+	if found := verify.AtMostOnce([]standin.Ledger{u.Ledger()}); int64(len(found)) != report.Repeats {
+		t.Errorf("%d findings for %d repeats", len(found), report.Repeats)
+	}
+}
+
+// Guards against an answer to another request that is taken for the right one.
+func TestJudge(t *testing.T) {
+	u := startPlain(t, standin.UpstreamOptions{AnswerBytes: 1000})
+	r := loadRequest{method: "PUT", service: "orders", key: "k", query: "n=1", body: []byte("b")}
+	req, err := http.NewRequestWithContext(t.Context(), r.method, "http://"+u.Address()+r.uri(), strings.NewReader(string(r.body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(standin.HeaderRequestID, "r1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := http.Header{standin.HeaderRequestID: {"r1"}}
+	if v := judge(r, 200, own, body); v.kind != verdictOK {
+		t.Fatalf("verdict %+v, want ok", v)
+	}
+	for name, v := range map[string]verdict{
+		"other key":     judge(with(r, func(r *loadRequest) { r.key = "l" }), 200, own, body),
+		"other query":   judge(with(r, func(r *loadRequest) { r.query = "n=2" }), 200, own, body),
+		"other body":    judge(with(r, func(r *loadRequest) { r.body = []byte("c") }), 200, own, body),
+		"other method":  judge(with(r, func(r *loadRequest) { r.method = "POST" }), 200, own, body),
+		"other id":      judge(with(r, func(r *loadRequest) { r.idempotencyKey = "i" }), 200, own, body),
+		"other request": judge(r, 200, http.Header{standin.HeaderRequestID: {"r2"}}, body),
+		"cut":           judge(r, 200, own, body[:len(body)-3]),
+		"two answers":   judge(r, 200, own, append(body[:len(body):len(body)], body...)),
+		"mixed padding": judge(r, 200, own, append(body[:len(body)-5:len(body)-5], "zzz\"}"...)),
+		"bare 503":      judge(r, 503, http.Header{}, nil),
+	} {
+		if v.kind != verdictWrong {
+			t.Errorf("%s: verdict %+v, want wrong", name, v)
+		}
+	}
+}
+
+func with(r loadRequest, change func(*loadRequest)) loadRequest {
+	change(&r)
+	return r
+}
--- /dev/null
+++ b/ctl/dev/report.go
@@ -0,0 +1,205 @@
+package dev
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Range and precision of the latency histograms, in microseconds.
+const (
+	minLatency    = 1
+	maxLatency    = 10 * 60 * 1_000_000
+	latencyDigits = 3
+	// maxExamples bounds the wrong answers that a report describes.
+	maxExamples = 10
+)
+
+// tally counts what one worker got.
+type tally struct {
+	notSent  int64
+	repeats  int64
+	counts   map[verdictKind]map[string]int64
+	answers  *hdrhistogram.Histogram // of whole answers
+	refusals *hdrhistogram.Histogram
+	examples []string
+}
+
+func newTally() *tally {
+	return &tally{
+		counts:   make(map[verdictKind]map[string]int64),
+		answers:  hdrhistogram.New(minLatency, maxLatency, latencyDigits),
+		refusals: hdrhistogram.New(minLatency, maxLatency, latencyDigits),
+	}
+}
+
+// add counts one request.
+func (t *tally) add(v verdict, latency time.Duration) {
+	detail := v.detail
+	if v.kind == verdictWrong {
+		detail = ""
+		t.example(v.detail)
+	}
+	t.count(v.kind, detail, 1)
+	micros := min(max(latency.Microseconds(), minLatency), maxLatency)
+	// The value is inside the range, so recording it does not fail.
+	switch v.kind {
+	case verdictOK:
+		_ = t.answers.RecordValue(micros)
+	case verdictRefused:
+		_ = t.refusals.RecordValue(micros)
+	}
+}
+
+func (t *tally) count(kind verdictKind, detail string, n int64) {
+	if t.counts[kind] == nil {
+		t.counts[kind] = make(map[string]int64)
+	}
+	t.counts[kind][detail] += n
+}
+
+func (t *tally) example(text string) {
+	if len(t.examples) < maxExamples {
+		t.examples = append(t.examples, text)
+	}
+}
+
+// Report is the result of a load run.
+type Report struct {
+	Seconds float64 `json:"seconds"`
+	// Sent counts requests, repeated ones included.
+	Sent int64 `json:"sent"`
+	// NotSent counts arrivals of an open loop for which no worker was free in
+	// time.
+	NotSent int64 `json:"not_sent"`
+	Repeats int64 `json:"repeats"`
+	// Answers counts whole answers to their own requests.
+	Answers          int64   `json:"answers"`
+	AnswersPerSecond float64 `json:"answers_per_second"`
+	// Refusals counts by error kind and outcome.
+	Refusals map[string]int64 `json:"refusals"`
+	// NoAnswer counts requests without an answer by cause.
+	NoAnswer map[string]int64 `json:"no_answer"`
+	// Cut counts answers that ended early, as the caller could see.
+	Cut int64 `json:"cut"`
+	// Wrong counts answers that looked whole and were not the answer to their
+	// request.
+	Wrong         int64    `json:"wrong"`
+	WrongExamples []string `json:"wrong_examples,omitempty"`
+	Latency       Latency  `json:"latency"`
+	RefusedIn     Latency  `json:"refused_in"`
+}
+
+// Latency holds percentiles in microseconds. In an open loop it counts from
+// the arrival, so it includes the wait for a free worker.
+type Latency struct {
+	Mean float64 `json:"mean_us"`
+	P50  int64   `json:"p50_us"`
+	P90  int64   `json:"p90_us"`
+	P99  int64   `json:"p99_us"`
+	P999 int64   `json:"p999_us"`
+	Max  int64   `json:"max_us"`
+}
+
+func percentiles(h *hdrhistogram.Histogram) Latency {
+	if h.TotalCount() == 0 {
+		return Latency{}
+	}
+	return Latency{
+		Mean: h.Mean(),
+		P50:  h.ValueAtQuantile(50),
+		P90:  h.ValueAtQuantile(90),
+		P99:  h.ValueAtQuantile(99),
+		P999: h.ValueAtQuantile(99.9),
+		Max:  h.Max(),
+	}
+}
+
+// merge adds the tallies of all workers up.
+func merge(tallies []*tally, took time.Duration, notSent int64) Report {
+	total := newTally()
+	for _, t := range tallies {
+		total.answers.Merge(t.answers)
+		total.refusals.Merge(t.refusals)
+		total.repeats += t.repeats
+		notSent += t.notSent
+		for kind, details := range t.counts {
+			for detail, n := range details {
+				total.count(kind, detail, n)
+			}
+		}
+		for _, text := range t.examples {
+			total.example(text)
+		}
+	}
+	return Report{
+		Seconds:          took.Seconds(),
+		Sent:             total.sum(verdictOK) + total.sum(verdictRefused) + total.sum(verdictNoAnswer) + total.sum(verdictCut) + total.sum(verdictWrong),
+		NotSent:          notSent,
+		Repeats:          total.repeats,
+		Answers:          total.sum(verdictOK),
+		AnswersPerSecond: float64(total.sum(verdictOK)) / took.Seconds(),
+		Refusals:         total.counts[verdictRefused],
+		NoAnswer:         total.counts[verdictNoAnswer],
+		Cut:              total.sum(verdictCut),
+		Wrong:            total.sum(verdictWrong),
+		WrongExamples:    total.examples,
+		Latency:          percentiles(total.answers),
+		RefusedIn:        percentiles(total.refusals),
+	}
+}
+
+func (t *tally) sum(kind verdictKind) int64 {
+	var sum int64
+	for _, n := range t.counts[kind] {
+		sum += n
+	}
+	return sum
+}
+
+// print writes the report as text.
+func (r Report) print(out io.Writer) error {
+	w := &textWriter{out: out}
+	w.line("sent %d requests in %.2f s (%d of them repeats), %d arrivals not sent", r.Sent, r.Seconds, r.Repeats, r.NotSent)
+	w.line("answers %d, %.1f/s", r.Answers, r.AnswersPerSecond)
+	w.latency("latency of answers", r.Latency)
+	w.counts("refused", r.Refusals)
+	if len(r.Refusals) > 0 {
+		w.latency("latency of refusals", r.RefusedIn)
+	}
+	w.counts("no answer", r.NoAnswer)
+	w.line("cut answers %d", r.Cut)
+	w.line("wrong answers %d", r.Wrong)
+	for _, text := range r.WrongExamples {
+		w.line("  %s", text)
+	}
+	return w.err
+}
+
+// textWriter keeps the first error of its lines.
+type textWriter struct {
+	out io.Writer
+	err error
+}
+
+func (w *textWriter) line(format string, args ...any) {
+	if w.err == nil {
+		_, w.err = fmt.Fprintf(w.out, format+"\n", args...)
+	}
+}
+
+func (w *textWriter) latency(what string, l Latency) {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	w.line("%s in ms: mean %.3f, p50 %.3f, p90 %.3f, p99 %.3f, p99.9 %.3f, max %.3f",
+		what, l.Mean/1000, ms(l.P50), ms(l.P90), ms(l.P99), ms(l.P999), ms(l.Max))
+}
+
+func (w *textWriter) counts(what string, counts map[string]int64) {
+	for _, detail := range slices.Sorted(maps.Keys(counts)) {
+		w.line("%s: %s %d", what, detail, counts[detail])
+	}
+}
