move: evacuation, and tests of machines and drivers

Cause: a planned stop has to move everything away, and the steps of a move had no test. Change: Evacuate (idle shards first, four moves at a time; shards with requests in flight together at the end; backoff; progress). Row writes of one source follow each other. Ruled out: one busy batch after the other (later ones would take new work while earlier ones drain). The first run of TestTargetReadsItsRow hung: Target.Run woke itself without end; fixed in step, which now wakes it only when the wake time changed. Conclusion: the drivers can be wired to gate, records and peer.

--- /dev/null
+++ b/router/move/driver_test.go
@@ -0,0 +1,344 @@
+package move
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdockglade.dev/router/balance"
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/router/ownership"
+)
+
+// fakes stand in for gate, rows, peer and receiver of both hosts, and record
+// the order of the calls.
+type fakes struct {
+	mu    sync.Mutex
+	calls []string
+	rows  map[string]ownership.Group
+	// drain is how long requests in flight take; refuse and rowsErr make the
+	// target and the store fail while above 0.
+	drain    time.Duration
+	refuse   int
+	unknown  int
+	commits  int // failed commit messages
+	writing  int
+	overlaps bool
+	target   *Target
+}
+
+func newFakes() *fakes {
+	f := &fakes{rows: map[string]ownership.Group{
+		"a": {Service: "s", ID: "a", Holder: source, Shards: shards[:3], Version: 1, JournalComplete: true},
+		"b": {Service: "s", ID: "b", Holder: target, Shards: shards[3:], Version: 2, JournalComplete: true},
+	}}
+	f.target = NewTarget(TargetOptions{Receiver: f, Records: f, Adopter: f})
+	return f
+}
+
+func (f *fakes) source() *Source {
+	return NewSource(SourceOptions{Gate: f, Records: f, Peer: f, Adopter: f})
+}
+
+func (f *fakes) called(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, name)
+}
+
+// fails counts a fault down.
+func (f *fakes) fails(n *int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*n--
+	return *n >= 0
+}
+
+func (f *fakes) CloseShards(string, string, []keyspace.Shard) (<-chan struct{}, error) {
+	f.called("close")
+	drained := make(chan struct{})
+	time.AfterFunc(f.drain, func() { close(drained) })
+	return drained, nil
+}
+func (f *fakes) ReopenShards(string, string, []keyspace.Shard) { f.called("reopen") }
+func (f *fakes) ReleaseShards(_, _ string, _ []keyspace.Shard, g ownership.Group) {
+	f.called("release to " + g.ID)
+}
+func (f *fakes) ExportJournal(string, string, []keyspace.Shard) ([]Entry, error) {
+	f.called("export")
+	return []Entry{Entry(`"e"`)}, nil
+}
+
+func (f *fakes) MoveShards(_ context.Context, w Write) WriteResult {
+	f.mu.Lock()
+	f.writing++
+	f.overlaps = f.overlaps || f.writing > 1
+	f.mu.Unlock()
+	time.Sleep(10 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writing--
+	f.calls = append(f.calls, "write")
+	a, b, err := Apply(f.rows["a"], f.rows["b"], w.Shards)
+	if err != nil || w.Target.Version != f.rows["b"].Version {
+		return WriteResult{Outcome: NotApplied, Err: errors.Join(err, errLost)}
+	}
+	a.Version = max(a.Version, b.Version) + 1
+	b.Version = a.Version
+	f.rows["a"], f.rows["b"] = a, b
+	if f.unknown > 0 {
+		return WriteResult{Outcome: Unknown, Err: errLost}
+	}
+	return WriteResult{Outcome: Applied, Source: a, Target: b}
+}
+
+func (f *fakes) SettleMove(context.Context, Write) WriteResult {
+	f.called("settle")
+	if f.fails(&f.unknown) {
+		return WriteResult{Outcome: Unknown, Err: errLost}
+	}
+	return WriteResult{Outcome: Applied, Source: f.rows["a"], Target: f.rows["b"]}
+}
+
+func (f *fakes) ReadGroup(_ context.Context, _, id string) (ownership.Group, error) {
+	f.called("read " + id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rows[id], nil
+}
+
+func (f *fakes) Prepare(ctx context.Context, _ ownership.Host, r PrepareRequest) (PrepareAnswer, error) {
+	f.called("prepare")
+	return f.target.Prepare(ctx, r)
+}
+func (f *fakes) Transfer(ctx context.Context, _ ownership.Host, r TransferRequest) (TransferAnswer, error) {
+	f.called("transfer")
+	return f.target.Transfer(ctx, r)
+}
+func (f *fakes) Commit(ctx context.Context, _ ownership.Host, r CommitRequest) (CommitAnswer, error) {
+	f.called("commit")
+	if f.fails(&f.commits) {
+		return CommitAnswer{}, errLost
+	}
+	return f.target.Commit(ctx, r)
+}
+
+func (f *fakes) Adopt(records ...ownership.Group) { f.called("adopt") }
+
+func (f *fakes) Accept(PrepareRequest) (ownership.Group, error) {
+	if f.fails(&f.refuse) {
+		return ownership.Group{}, errkind.New(errkind.Overloaded, "no capacity")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rows["b"], nil
+}
+func (f *fakes) ImportJournal(context.Context, string, []Entry) error {
+	f.called("import")
+	return nil
+}
+
+// Guards against a change of the order of the steps, a waiting request that is
+// released before the target serves, and shards that reopen in the wrong case.
+func TestSourceSteps(t *testing.T) {
+	upToImport := []string{"prepare", "close", "export", "transfer", "import"}
+	cases := []struct {
+		name    string
+		set     func(*fakes, *Plan)
+		outcome Outcome
+		reason  Reason
+		parked  time.Duration
+		calls   []string
+	}{
+		{"applied", func(*fakes, *Plan) {}, Applied, ReasonNone, 10 * time.Millisecond,
+			append(upToImport[:5:5], "write", "adopt", "commit", "adopt", "release to b")},
+		{"refused", func(f *fakes, _ *Plan) { f.refuse = 1 }, NotApplied, ReasonRefused, 0,
+			[]string{"prepare"}},
+		{"long drain", func(f *fakes, _ *Plan) { f.drain = time.Second }, NotApplied, ReasonDrain, DrainLimit,
+			[]string{"prepare", "close", "reopen"}},
+		{"long drain during a stop", func(f *fakes, p *Plan) { f.drain, p.StopDrain = 20*time.Second, time.Minute }, Applied, ReasonNone, 20*time.Second + 10*time.Millisecond,
+			[]string{"prepare", "close", "prepare", "export", "transfer", "import", "write", "adopt", "commit", "adopt", "release to b"}},
+		{"answer to the write lost", func(f *fakes, _ *Plan) { f.unknown = 2 }, Applied, ReasonNone, 360 * time.Millisecond,
+			append(upToImport[:5:5], "write", "settle", "settle", "settle", "adopt", "commit", "adopt", "release to b")},
+		{"commit message lost", func(f *fakes, _ *Plan) { f.commits = 1 }, Applied, ReasonNone, 10 * time.Millisecond,
+			append(upToImport[:5:5], "write", "adopt", "commit", "release to b", "commit", "adopt")},
+		{"target changed its row", func(f *fakes, p *Plan) {
+			f.drain, p.StopDrain = 500*time.Millisecond, time.Minute
+			time.AfterFunc(100*time.Millisecond, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				g := f.rows["b"]
+				g.Version = 9
+				f.rows["b"] = g
+			})
+		}, NotApplied, ReasonWrite, 510 * time.Millisecond, append(upToImport[:5:5], "write", "reopen")},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakes()
+				p := plan()
+				c.set(f, &p)
+				r := f.source().Run(t.Context(), p)
+				if r.Outcome != c.outcome || r.Reason != c.reason || r.Parked != c.parked {
+					t.Errorf("result %+v", r)
+				}
+				if !slices.Equal(f.calls, c.calls) {
+					t.Errorf("calls %q\nwant  %q", f.calls, c.calls)
+				}
+			})
+		})
+	}
+}
+
+// Guards against shards that reopen while the target may own them, when the
+// process ends a move.
+func TestSourceStopped(t *testing.T) {
+	for _, c := range []struct {
+		after   time.Duration
+		outcome Outcome
+		last    string
+	}{
+		{50 * time.Millisecond, NotApplied, "reopen"}, // during the drain
+		{time.Second, Unknown, "settle"},              // after the write
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakes()
+			f.drain, f.unknown = 80*time.Millisecond, 1000
+			ctx, cancel := context.WithTimeout(t.Context(), c.after)
+			defer cancel()
+			r := f.source().Run(ctx, plan())
+			if r.Outcome != c.outcome || f.calls[len(f.calls)-1] != c.last {
+				t.Errorf("after %v: %+v, calls %q", c.after, r, f.calls)
+			}
+		})
+	}
+}
+
+// Guards against a driver that never reads the row when the source is lost
+// after its commit.
+func TestTargetReadsItsRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakes()
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.target.Run(ctx)
+		p, err := f.target.Prepare(ctx, PrepareRequest{MoveID: "m"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := f.target.Transfer(ctx, TransferRequest{MoveID: "m"}); err != nil {
+			t.Fatal(err)
+		}
+		f.MoveShards(ctx, Write{Shards: shards[:1], Target: p.Target})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if want := []string{"import", "write", "read b", "adopt"}; !slices.Equal(f.calls, want) {
+			t.Errorf("calls %q, want %q", f.calls, want)
+		}
+		cancel()
+	})
+}
+
+// evacuate runs an evacuation whose input follows the row of the source.
+func evacuate(ctx context.Context, f *fakes, busy bool, mover Mover) (Progress, error) {
+	var last Progress
+	err := Evacuate(ctx, EvacuateOptions{
+		Mover:  mover,
+		Policy: balance.NewPolicy(balance.Options{Rand: rand.New(rand.NewPCG(1, 2))}),
+		Input: func() balance.Input {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			in := balance.Input{Hosts: []balance.HostLoad{{Host: target, Capacity: 10}}}
+			for i, s := range f.rows["a"].Shards {
+				load := balance.ShardLoad{Group: "a", Shard: s}
+				if busy && i == 0 {
+					load.InFlight, load.LongestRemaining = 1, 5*time.Second
+				}
+				in.Shards = append(in.Shards, load)
+			}
+			return in
+		},
+		Group: func(id string) (ownership.Group, bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.rows[id], true
+		},
+		Random: func() float64 { return 0.5 },
+		Report: func(p Progress) { last = p },
+	})
+	return last, err
+}
+
+// Guards against a stop that gives up after a refusal, loses a shard, or makes
+// two writes of a row at the same time.
+func TestEvacuate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakes()
+		f.refuse, f.unknown = 3, 2
+		p, err := evacuate(t.Context(), f, true, f.source())
+		if err != nil || p.Left != 0 || p.Moved != 3 || p.Failed < 3 {
+			t.Errorf("%v, %+v", err, p)
+		}
+		if len(f.rows["b"].Shards) != 4 || f.overlaps {
+			t.Errorf("target has %v, overlapping writes: %v", f.rows["b"].Shards, f.overlaps)
+		}
+	})
+}
+
+// Guards against a stop that never ends because no target accepts, and one
+// that leaves attempts running.
+func TestEvacuateEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakes()
+		f.refuse = 1 << 30
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+		defer cancel()
+		p, err := evacuate(ctx, f, false, f.source())
+		if !errors.Is(err, context.DeadlineExceeded) || p.Left != 3 || p.Moving != 0 {
+			t.Errorf("%v, %+v", err, p)
+		}
+		if p.Failed < 5 || p.Failed > 1000 {
+			t.Errorf("%d attempts in 10 min", p.Failed)
+		}
+	})
+}
+
+// orderMover records the order of the moves and applies them at once.
+type orderMover struct {
+	f     *fakes
+	plans []Plan
+}
+
+func (m *orderMover) Run(_ context.Context, p Plan) Result {
+	m.f.mu.Lock()
+	defer m.f.mu.Unlock()
+	m.plans = append(m.plans, p)
+	g := m.f.rows["a"]
+	g.Shards, _ = keyspace.Remove(g.Shards, p.Shards)
+	m.f.rows["a"] = g
+	return Result{Outcome: Applied}
+}
+
+// Guards against long requests that hold up the idle shards, and against a
+// drain that is shorter than their deadlines.
+func TestEvacuateIdleShardsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakes()
+		m := &orderMover{f: f}
+		// The first shard of the list is busy until only it is left.
+		busyShard := f.rows["a"].Shards[0]
+		if _, err := evacuate(t.Context(), f, true, m); err != nil {
+			t.Fatal(err)
+		}
+		last := m.plans[len(m.plans)-1]
+		if len(m.plans) != 2 || last.Shards[0] != busyShard || last.StopDrain < 5*time.Second || m.plans[0].StopDrain != 0 {
+			t.Errorf("plans %+v", m.plans)
+		}
+	})
+}
--- /dev/null
+++ b/router/move/evacuate.go
@@ -0,0 +1,238 @@
+package move
+
+import (
+	"context"
+	"time"
+
+	"burdockglade.dev/router/balance"
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/router/ownership"
+)
+
+const (
+	// maxIdleMoves bounds the moves of idle shards at the same time. Their row
+	// writes wait for each other anyway.
+	maxIdleMoves = 4
+	// drainMargin is added to the deadline of the longest request: it covers
+	// the end of a grant after the deadline.
+	drainMargin = time.Second
+)
+
+// Mover makes one attempt of a move. *Source implements it.
+type Mover interface {
+	Run(ctx context.Context, plan Plan) Result
+}
+
+// Progress of an evacuation, in shards.
+type Progress struct {
+	Left   int
+	Moving int
+	Moved  int
+	// Failed counts attempts, not shards.
+	Failed int
+}
+
+// EvacuateOptions configure an evacuation. Report and Log may be nil; the rest
+// is required.
+type EvacuateOptions struct {
+	Mover Mover
+	// Policy is used by no one else meanwhile.
+	Policy *balance.Policy
+	// Input returns the present shards of this host for one service, and the
+	// hosts that can receive them.
+	Input func() balance.Input
+	// Group returns this host's record of a group.
+	Group func(groupID string) (ownership.Group, bool)
+	// Random returns a number in [0, 1).
+	Random func() float64
+	Report func(Progress)
+	Log    *event.Logger
+}
+
+// Evacuate moves every shard of one service off a leaving host: idle shards
+// first, those with the longest requests last. It repeats failed moves until
+// no shard is left, and then returns nil, or until ctx ends, and then returns
+// its error. All attempts have ended when it returns.
+func Evacuate(ctx context.Context, o EvacuateOptions) error {
+	e := &evacuation{
+		EvacuateOptions: o,
+		moving:          map[keyspace.Shard]bool{},
+		results:         make(chan attempt),
+	}
+	err := e.run(ctx)
+	if err != nil {
+		o.Log.Log(eventEvacuationEnd, event.F("left", e.progress.Left), event.F("moved", e.progress.Moved))
+	}
+	return err
+}
+
+// attempt is a finished move.
+type attempt struct {
+	move   balance.Move
+	result Result
+}
+
+type evacuation struct {
+	EvacuateOptions
+	moving   map[keyspace.Shard]bool
+	results  chan attempt
+	idle     int // attempts under way for idle shards
+	busy     int // attempts under way for shards with requests in flight
+	failures int // failed attempts since the last success
+	retryAt  time.Time
+	progress Progress
+}
+
+func (e *evacuation) run(ctx context.Context) error {
+	for {
+		in := e.Input()
+		e.report(len(in.Shards))
+		if len(in.Shards) == 0 && e.active() == 0 {
+			return nil
+		}
+		if ctx.Err() != nil {
+			e.waitAll()
+			e.report(len(e.Input().Shards))
+			return ctx.Err()
+		}
+		now := time.Now()
+		if !now.Before(e.retryAt) {
+			e.launch(ctx, now, in)
+		}
+		e.wait(ctx)
+	}
+}
+
+func (e *evacuation) active() int {
+	return e.idle + e.busy
+}
+
+func (e *evacuation) report(left int) {
+	e.progress.Left = left
+	e.progress.Moving = len(e.moving)
+	if e.Report != nil {
+		e.Report(e.progress)
+	}
+}
+
+// launch starts moves for the shards that are not moving yet. Shards with
+// requests in flight follow when no idle shard is left, and then all at once,
+// so that none of them takes new work while another one drains.
+func (e *evacuation) launch(ctx context.Context, now time.Time, in balance.Input) {
+	in.Shards = e.notMoving(in.Shards)
+	if len(in.Shards) == 0 {
+		return
+	}
+	moves := e.Policy.Spread(now, in)
+	if len(moves) == 0 {
+		e.backOff(now)
+		return
+	}
+	idleLeft := !moves[0].Busy || e.idle > 0
+	for _, m := range moves {
+		if idleLeft && (m.Busy || e.idle >= maxIdleMoves) {
+			break
+		}
+		e.start(ctx, now, m)
+	}
+}
+
+func (e *evacuation) notMoving(shards []balance.ShardLoad) []balance.ShardLoad {
+	var rest []balance.ShardLoad
+	for _, s := range shards {
+		if !e.moving[s.Shard] {
+			rest = append(rest, s)
+		}
+	}
+	return rest
+}
+
+func (e *evacuation) start(ctx context.Context, now time.Time, m balance.Move) {
+	group, ok := e.Group(m.Group)
+	if !ok {
+		// The group was lost after its shards were listed.
+		e.backOff(now)
+		return
+	}
+	e.count(m, 1)
+	for _, s := range m.Shards {
+		e.moving[s] = true
+	}
+	plan := evacuationPlan(group, m)
+	go func() {
+		e.results <- attempt{move: m, result: e.Mover.Run(ctx, plan)}
+	}()
+}
+
+func evacuationPlan(group ownership.Group, m balance.Move) Plan {
+	plan := Plan{
+		Service:         group.Service,
+		SourceGroup:     group.ID,
+		Generation:      group.Generation,
+		JournalComplete: group.JournalComplete,
+		Shards:          m.Shards,
+		RequestRate:     m.RequestRate,
+		Target:          m.Target,
+	}
+	if m.Busy {
+		plan.StopDrain = m.LongestRemaining + drainMargin
+	}
+	return plan
+}
+
+func (e *evacuation) count(m balance.Move, n int) {
+	if m.Busy {
+		e.busy += n
+	} else {
+		e.idle += n
+	}
+}
+
+// wait returns when an attempt ends, when the pause after a failure ends or
+// when ctx ends.
+func (e *evacuation) wait(ctx context.Context) {
+	var timer <-chan time.Time
+	if pause := time.Until(e.retryAt); pause > 0 || e.active() == 0 {
+		t := time.NewTimer(pause)
+		defer t.Stop()
+		timer = t.C
+	}
+	select {
+	case a := <-e.results:
+		e.finished(a)
+	case <-timer:
+	case <-ctx.Done():
+	}
+}
+
+func (e *evacuation) waitAll() {
+	for e.active() > 0 {
+		e.finished(<-e.results)
+	}
+}
+
+func (e *evacuation) finished(a attempt) {
+	now := time.Now()
+	e.count(a.move, -1)
+	for _, s := range a.move.Shards {
+		delete(e.moving, s)
+	}
+	if a.result.Outcome == Applied {
+		e.failures = 0
+		e.progress.Moved += len(a.move.Shards)
+		e.Policy.Moved(now, a.move)
+		e.Log.Log(eventEvacuation, event.F("moved", e.progress.Moved), event.F("left", e.progress.Left))
+		return
+	}
+	e.progress.Failed++
+	if a.result.Reason == ReasonRefused || a.result.Reason == ReasonTransfer {
+		e.Policy.Refused(now, a.move.Target.Name)
+	}
+	e.backOff(now)
+}
+
+func (e *evacuation) backOff(now time.Time) {
+	e.failures++
+	e.retryAt = now.Add(Backoff(e.failures, e.Random()))
+}
--- a/router/move/source.go
+++ b/router/move/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -33,10 +34,12 @@
 	Log     *event.Logger
 }
 
-// Source carries out moves from this host. It is safe for concurrent use, but
-// moves from the same group at the same time fail on each other's row version.
+// Source carries out moves from this host. It is safe for concurrent use.
 type Source struct {
 	o SourceOptions
+	// rows keeps writes of this host's rows apart. Two moves of a group at the
+	// same time would fail on each other's row version.
+	rows sync.Mutex
 }
 
 // NewSource returns a Source.
@@ -137,9 +140,7 @@
 	case SendTransfer:
 		go func() { r.events <- TransferAnswered{Err: r.transfer()} }()
 	case WriteRows:
-		r.call(r.lastCtx, rowsTimeout, func(ctx context.Context) SourceEvent {
-			return RowsAnswered{r.o.Records.MoveShards(ctx, a.Write)}
-		})
+		go func() { r.events <- RowsAnswered{r.writeRows(a.Write)} }()
 	case SettleRows:
 		r.o.Log.Log(eventUnknown, event.F("move", a.Write.MoveID), event.F("group", a.Write.SourceGroup))
 		r.call(r.lastCtx, rowsTimeout, func(ctx context.Context) SourceEvent {
@@ -169,6 +170,16 @@
 	}()
 }
 
+// writeRows begins to count its time when it has the lock, so that a write is
+// not given up before it was sent.
+func (r *sourceRun) writeRows(w Write) WriteResult {
+	r.rows.Lock()
+	defer r.rows.Unlock()
+	ctx, cancel := context.WithTimeout(r.lastCtx, rowsTimeout)
+	defer cancel()
+	return r.o.Records.MoveShards(ctx, w)
+}
+
 // transfer sends the journal of the shards. A journal without entries is sent
 // as one empty part, which makes the target look for the commit in its row.
 func (r *sourceRun) transfer() error {
--- a/router/move/target.go
+++ b/router/move/target.go
@@ -151,8 +151,15 @@
 
 func (t *Target) step(e TargetEvent) []TargetAction {
 	t.mu.Lock()
+	before, _ := t.machine.Wake()
 	actions := t.machine.Step(time.Now(), e)
+	after, _ := t.machine.Wake()
 	t.mu.Unlock()
+	// Run steps the machine itself; without this test it would wake itself
+	// without end.
+	if before.Equal(after) {
+		return actions
+	}
 	select {
 	case t.wake <- struct{}{}:
 	default:
