--- a/router/gate/entry.go
+++ b/router/gate/entry.go
@@ -76,8 +76,10 @@
 	Fingerprint Digest        `json:"fingerprint"`
 	Hash        keyspace.Hash `json:"hash"`
 	State       EntryState    `json:"state"`
-	// Sequence orders the entries of one id: each attempt has a higher one.
-	Sequence uint64 `json:"sequence,string"`
+	// Attempt identifies one attempt at the work. An entry changes or cancels
+	// the entry of the same attempt only: a late message about an attempt that
+	// did not run must not remove one that did.
+	Attempt uint64 `json:"attempt,string"`
 	// Age is the time since the intent was written, in nanoseconds. It is sent
 	// in place of a time because the clocks of two hosts differ.
 	Age    time.Duration `json:"age"`
--- a/router/gate/gate.go
+++ b/router/gate/gate.go
@@ -148,7 +148,7 @@
 		metrics:  newMetrics(opts.Scope, opts.MaxTenants),
 		copies:   make(chan copyJob, copyQueue),
 		resync:   make(chan struct{}, 1),
-		journal:  NewJournal(opts.Journal),
+		journal:  NewJournal(opts.Journal, rand.Uint64()),
 		requests: newRequestTable(),
 		closures: map[*Closure]struct{}{},
 		flights:  map[*flight]struct{}{},
--- a/router/gate/journal.go
+++ b/router/gate/journal.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"bytes"
 	"cmp"
 	"container/heap"
 	"slices"
@@ -44,12 +45,14 @@
 // drops an entry inside its window. It has no clock and no lock; times are
 // passed in.
 type Journal struct {
-	limits   JournalLimits
-	sequence uint64
+	limits JournalLimits
+	// attempts numbers the attempts of this process from a random start, so
+	// that numbers of different processes do not meet.
+	attempts uint64
 	bytes    int64
-	// byID holds all entries of an idempotency key. There is more than one only
-	// when hosts with different shards accepted the key for different requests
-	// before the shards came together.
+	// byID holds all entries of an idempotency key. There is more than one when
+	// hosts accepted the key for different requests before their shards came
+	// together, or when the cancellation of an attempt was lost.
 	byID   map[idKey][]*record
 	expiry expiryHeap
 }
@@ -66,7 +69,7 @@
 	hash        keyspace.Hash
 	group       string
 	state       EntryState
-	sequence    uint64
+	attempt     uint64
 	// since is the time of the latest change; the entry is kept until expires.
 	since   time.Time
 	expires time.Time
@@ -79,9 +82,10 @@
 	index int
 }
 
-// NewJournal returns an empty journal.
-func NewJournal(limits JournalLimits) *Journal {
-	return &Journal{limits: limits.withDefaults(), byID: map[idKey][]*record{}}
+// NewJournal returns an empty journal. seed is the random start of the numbers
+// of attempts.
+func NewJournal(limits JournalLimits, seed uint64) *Journal {
+	return &Journal{limits: limits.withDefaults(), attempts: seed, byID: map[idKey][]*record{}}
 }
 
 // Len returns the number of entries.
@@ -136,10 +140,10 @@
 	if j.Len() >= j.limits.Entries {
 		return nil, 0, errkind.New(errkind.JournalFull, "the journal holds %d idempotency keys", j.Len())
 	}
-	j.sequence++
+	j.attempts++
 	rec := &record{
 		key: key, fingerprint: a.fingerprint, hash: a.hash, group: a.group,
-		state: Intent, sequence: j.sequence,
+		state: Intent, attempt: j.attempts,
 		since: now, expires: now.Add(a.window),
 		running: true, ended: make(chan struct{}),
 	}
@@ -157,12 +161,25 @@
 	case rec.state == Done:
 		return 0, errkind.New(errkind.OutcomeUnknown, "the work ran, and its answer was too large to keep")
 	}
+	// An intent that no attempt of this process owns came from another host.
 	return 0, errkind.New(errkind.OutcomeUnknown, "the work was begun and its end is not known")
 }
 
+// find returns the entry of the key and fingerprint that knows most.
 func (j *Journal) find(key idKey, fingerprint Digest) *record {
+	var best *record
 	for _, rec := range j.byID[key] {
-		if rec.fingerprint == fingerprint {
+		if rec.fingerprint == fingerprint && (best == nil || knowledge(rec.state) > knowledge(best.state)) {
+			best = rec
+		}
+	}
+	return best
+}
+
+// attempt returns the entry of an attempt, or nil.
+func (j *Journal) attempt(key idKey, number uint64) *record {
+	for _, rec := range j.byID[key] {
+		if rec.attempt == number {
 			return rec
 		}
 	}
@@ -263,11 +280,11 @@
 func (rec *record) entry(now time.Time) Entry {
 	return Entry{
 		ID: rec.key.id, Fingerprint: rec.fingerprint, Hash: rec.hash, State: rec.state,
-		Sequence: rec.sequence, Age: max(now.Sub(rec.since), 0), Answer: rec.answer,
+		Attempt: rec.attempt, Age: max(now.Sub(rec.since), 0), Answer: rec.answer,
 	}
 }
 
-// Export returns the matching entries in the order of their sequence.
+// Export returns the matching entries, the oldest first.
 func (j *Journal) Export(now time.Time, match func(*record) bool) []Entry {
 	j.sweep(now)
 	var entries []Entry
@@ -277,10 +294,7 @@
 		}
 	}
 	slices.SortFunc(entries, func(a, b Entry) int {
-		if c := cmp.Compare(a.Sequence, b.Sequence); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ID.String(), b.ID.String())
+		return cmp.Or(cmp.Compare(b.Age, a.Age), cmp.Compare(a.Attempt, b.Attempt), bytes.Compare(a.ID[:], b.ID[:]))
 	})
 	return entries
 }
@@ -303,7 +317,7 @@
 func (j *Journal) room(service string, entries []Entry) bool {
 	added := 0
 	for _, e := range entries {
-		if e.State != Cancelled && j.find(idKey{service, e.ID}, e.Fingerprint) == nil {
+		if e.State != Cancelled && j.attempt(idKey{service, e.ID}, e.Attempt) == nil {
 			added++
 		}
 	}
@@ -311,9 +325,8 @@
 }
 
 // Merge takes entries of another host's journal without regard to the limit of
-// entries; see room. An entry replaces one with a lower sequence, or one with
-// the same sequence that knows less. Entries older than the window are left
-// out.
+// entries; see room. An entry replaces that of the same attempt unless it knows
+// less. Entries older than the window are left out.
 func (j *Journal) Merge(now time.Time, service, group string, entries []Entry, window time.Duration) {
 	j.sweep(now)
 	for _, e := range entries {
@@ -322,13 +335,12 @@
 }
 
 func (j *Journal) merge(now time.Time, service, group string, e Entry, window time.Duration) {
-	j.sequence = max(j.sequence, e.Sequence)
 	if e.Age < 0 || e.Age >= window {
 		return
 	}
 	key := idKey{service, e.ID}
-	rec := j.find(key, e.Fingerprint)
-	if rec != nil && (rec.running || !supersedes(e, rec)) {
+	rec := j.attempt(key, e.Attempt)
+	if rec != nil && (rec.running || knowledge(e.State) < knowledge(rec.state)) {
 		return
 	}
 	if e.State == Cancelled {
@@ -339,25 +351,16 @@
 	}
 	since := now.Add(-e.Age)
 	if rec == nil {
-		rec = &record{key: key, fingerprint: e.Fingerprint, since: since, expires: since.Add(window)}
+		rec = &record{key: key, fingerprint: e.Fingerprint, attempt: e.Attempt, since: since, expires: since.Add(window)}
 		j.insert(rec)
 	} else {
 		rec.since, rec.expires = since, since.Add(window)
 		heap.Fix(&j.expiry, rec.index)
 	}
-	rec.hash, rec.group, rec.state, rec.sequence = e.Hash, group, e.State, e.Sequence
+	rec.hash, rec.group, rec.state = e.Hash, group, e.State
 	j.keep(rec, e.Answer)
 }
 
-// supersedes reports whether the entry is newer than the record, or the same
-// and knows at least as much.
-func supersedes(e Entry, rec *record) bool {
-	if e.Sequence != rec.sequence {
-		return e.Sequence > rec.sequence
-	}
-	return knowledge(e.State) >= knowledge(rec.state)
-}
-
 // knowledge orders the states of one attempt. A cancelled attempt never reached
 // the upstream, so no other end can follow it.
 func knowledge(s EntryState) int {
--- a/router/gate/replica.go
+++ b/router/gate/replica.go
@@ -106,7 +106,7 @@
 func (r *Replica) group(key groupKey) *replicaGroup {
 	c := r.groups[key]
 	if c == nil {
-		c = &replicaGroup{journal: NewJournal(r.opts.Limits)}
+		c = &replicaGroup{journal: NewJournal(r.opts.Limits, 0)}
 		r.groups[key] = c
 	}
 	return c
@@ -152,7 +152,7 @@
 
 // Promote moves the copy of the group to the journal of the gate, when this
 // host became the group's holder. It must be called before the authority gives
-// permits for the group. Intents without an answer become unknown.
+// permits for the group. An intent without an answer is refused as unknown.
 func (r *Replica) Promote(g *Gate, group GroupRef) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -176,6 +176,6 @@
 }
 
 func (r *Replica) clear(c *replicaGroup) {
-	c.journal = NewJournal(r.opts.Limits)
+	c.journal = NewJournal(r.opts.Limits, 0)
 	c.syncing, c.complete = false, false
 }
--- a/router/gate/sync.go
+++ b/router/gate/sync.go
@@ -321,7 +321,9 @@
 }
 
 // ImportJournal adds entries of another holder to the journal of the group. It
-// refuses with errkind.JournalFull, and then adds none.
+// refuses with errkind.JournalFull, and then adds none. When the other holder's
+// journal is not complete, that of the group is not complete either: its record
+// must say so.
 func (g *Gate) ImportJournal(group GroupRef, entries []Entry) error {
 	return g.merge(group, entries, false)
 }
@@ -333,18 +335,12 @@
 	if !ok {
 		return errkind.New(errkind.UnknownService, "service %q is not defined", group.Service)
 	}
-	settled := slices.Clone(entries)
-	for i := range settled {
-		if settled[i].State == Intent {
-			settled[i].State = Unknown
-		}
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !beyondLimit && !g.journal.room(group.Service, settled) {
+	if !beyondLimit && !g.journal.room(group.Service, entries) {
 		return errkind.New(errkind.JournalFull, "there is no room for %d journal entries", len(entries))
 	}
-	g.journal.Merge(g.now(), group.Service, group.GroupID, settled, service.IdempotencyWindow)
+	g.journal.Merge(g.now(), group.Service, group.GroupID, entries, service.IdempotencyWindow)
 	return nil
 }
 
