Bound the question to peers at the start

Cause: the bootstrap rule asks every peer that can be reached, and one silent peer could hold up the start without end.

Change: the question ends after 2 s with the answers so far.

Ruled out: taking the first answer, because another peer may hold a higher version.

Measured: go test -race ./note passes, with a peer that never answers.

--- a/router/note/follow.go
+++ b/router/note/follow.go
@@ -16,7 +16,8 @@
 	Table table.Store
 	// AskPeers asks every peer that can be reached and returns the
 	// configurations that they hold, without those of peers that hold none.
-	// Nil means that there are no peers.
+	// It returns the answers so far when its context ends. Nil means that
+	// there are no peers.
 	AskPeers func(ctx context.Context) []Config
 	// PollInterval is the mean pause between two polls of the head row.
 	// Default DefaultPollInterval.
@@ -38,6 +39,10 @@
 // configuration, because the host serves nothing until then.
 const maxBootstrapPause = time.Second
 
+// askTimeout bounds one question to all peers, so that a silent peer does not
+// hold up the start.
+const askTimeout = 2 * time.Second
+
 // Follower keeps the configuration in force at one router. It applies only
 // higher versions. It is safe for concurrent use.
 type Follower struct {
@@ -157,6 +162,8 @@
 		f.becomeReady()
 		return true
 	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	answered := false
 	for _, c := range f.opts.AskPeers(ctx) {
 		if f.valid(c) {
--- a/router/note/follow_test.go
+++ b/router/note/follow_test.go
@@ -145,6 +145,20 @@
 	})
 }
 
+// A silent peer must not keep a router from the answers of the others.
+func TestBootstrapWithASilentPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := newFaultTable()
+		rows.setDown(true)
+		f := start(t, FollowerOptions{Table: rows, AskPeers: func(ctx context.Context) []Config {
+			<-ctx.Done()
+			return []Config{configAt(1)}
+		}})
+		time.Sleep(askTimeout + time.Millisecond)
+		wantCurrent(t, f, 1, true)
+	})
+}
+
 // A damaged answer is no answer.
 func TestBootstrapIgnoresDamagedAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
