--- a/router/note/follow.go
+++ b/router/note/follow.go
@@ -16,7 +16,8 @@
 	Table table.Store
 	// AskPeers asks every peer that can be reached and returns the
 	// configurations that they hold, without those of peers that hold none.
-	// Nil means that there are no peers.
+	// It returns the answers so far when its context ends. Nil means that
+	// there are no peers.
 	AskPeers func(ctx context.Context) []Config
 	// PollInterval is the mean pause between two polls of the head row.
 	// Default DefaultPollInterval.
@@ -38,6 +39,10 @@
 // configuration, because the host serves nothing until then.
 const maxBootstrapPause = time.Second
 
+// askTimeout bounds one question to all peers, so that a silent peer does not
+// hold up the start.
+const askTimeout = 2 * time.Second
+
 // Follower keeps the configuration in force at one router. It applies only
 // higher versions. It is safe for concurrent use.
 type Follower struct {
@@ -47,9 +52,10 @@
 	current atomic.Pointer[Config]
 
 	mu sync.Mutex // serialises changes and OnChange
-	// failing is set between a failed poll and the next successful one. Only
-	// Run uses it.
-	failing bool
+	// failing is set between a failed poll and the next successful one, and
+	// rowVersion is that of the head row last decoded. Only Run uses them.
+	failing    bool
+	rowVersion int64
 }
 
 // NewFollower returns a follower without a configuration.
@@ -156,6 +162,8 @@
 		f.becomeReady()
 		return true
 	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	answered := false
 	for _, c := range f.opts.AskPeers(ctx) {
 		if f.valid(c) {
@@ -173,15 +181,16 @@
 
 // poll reads the head row once and reports whether the store answered.
 func (f *Follower) poll(ctx context.Context) bool {
-	c, _, err := ReadHead(ctx, f.opts.Table)
+	c, rowVersion, err := readNewerHead(ctx, f.opts.Table, f.rowVersion)
 	if err != nil {
 		f.pollFailed(ctx, err)
 		return false
 	}
 	if f.failing {
 		f.failing = false
-		f.opts.Log.Log(evPollRecovered, event.F("version", c.Version))
+		f.opts.Log.Log(evPollRecovered)
 	}
+	f.rowVersion = rowVersion
 	f.apply(c)
 	return true
 }
