route: merge by buckets, proved against a reference

Cause: the function lay was long and unproved, and every merge copied all spans and the map of all groups. Change: the hash space has 1,024 buckets; a merge rebuilds those that its records touch. A bucket keeps all claims, so a claim that a newer one covered comes back when that one goes. Records of the same group within one merge are reduced to the newest. Records without shards are kept, at most 4,096 of them. Ruled out: one flat sorted slice (24 bytes for each of 78,000 shards copied on every merge); refusing unknown records below the newest dropped version (a record that was only late would be refused too). The property test against the former code fails at once: two records of one group in one merge were both returned and painted. It passes on the new code.

--- a/router/route/table.go
+++ b/router/route/table.go
@@ -7,6 +7,8 @@
 package route
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,179 +17,158 @@
 	"burdockglade.dev/router/ownership"
 )
 
-// span is one shard with the group that claims it.
-type span struct {
-	shard keyspace.Shard
-	group *ownership.Group
-}
+// maxEmpty bounds the records without shards. Their versions keep older
+// records of the same groups out. 45 hosts a day that are replaced leave 90 of
+// them, so this is more than a month's worth.
+const maxEmpty = 4096
 
-// snapshot is immutable. Spans are sorted and do not overlap.
-type snapshot struct {
-	services map[string][]span
-	groups   map[string]*ownership.Group
+// groupKey names a group without the allocation of a row key.
+type groupKey struct {
+	service string
+	id      string
 }
 
-// Table finds the group of a key. Look-ups take no lock.
+// Table finds the group of a key. Look-ups by key take no lock.
 type Table struct {
-	mu      sync.Mutex
-	current atomic.Pointer[snapshot]
+	// spaces is replaced whole. The spaces in it are immutable.
+	spaces atomic.Pointer[map[string]*space]
+
+	// merging keeps merges apart; mu guards groups and is held briefly.
+	merging sync.Mutex
+	mu      sync.RWMutex
+	groups  map[groupKey]*ownership.Group
+	empty   int // records without shards
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{}
-	t.current.Store(&snapshot{
-		services: map[string][]span{},
-		groups:   map[string]*ownership.Group{},
-	})
+	t := &Table{groups: map[groupKey]*ownership.Group{}}
+	t.spaces.Store(&map[string]*space{})
 	return t
 }
 
 // Lookup returns the record that claims the position. The caller must not
 // change the record.
 func (t *Table) Lookup(service string, h keyspace.Hash) (*ownership.Group, bool) {
-	spans := t.current.Load().services[service]
-	low, high := 0, len(spans)
-	for low < high {
-		mid := int(uint(low+high) >> 1)
-		if spans[mid].shard.Last < h {
-			low = mid + 1
-		} else {
-			high = mid
-		}
-	}
-	if low == len(spans) || !spans[low].shard.Contains(h) {
+	s, ok := (*t.spaces.Load())[service]
+	if !ok {
 		return nil, false
 	}
-	return spans[low].group, true
+	g := s.lookup(h)
+	return g, g != nil
 }
 
 // Group returns the newest record of a group.
 func (t *Table) Group(service, id string) (*ownership.Group, bool) {
-	g, ok := t.current.Load().groups[ownership.GroupKey(service, id)]
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	g, ok := t.groups[groupKey{service, id}]
 	return g, ok
 }
 
 // Groups returns all records, in no particular order. The caller must not
 // change them.
 func (t *Table) Groups() []*ownership.Group {
-	groups := t.current.Load().groups
-	all := make([]*ownership.Group, 0, len(groups))
-	for _, g := range groups {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	all := make([]*ownership.Group, 0, len(t.groups))
+	for _, g := range t.groups {
 		all = append(all, g)
 	}
 	return all
 }
 
 // Merge takes in records and returns those that were newer than the ones in
-// the table.
+// the table, at most one for each group. The table keeps the records' shard
+// slices; the caller must not change them.
 func (t *Table) Merge(records ...ownership.Group) []ownership.Group {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	old := t.current.Load()
-	var newer []ownership.Group
-	changed := map[string][]*ownership.Group{}
-	for _, r := range records {
-		if have, ok := old.groups[r.Key()]; ok && have.Version >= r.Version {
-			continue
-		}
-		newer = append(newer, r)
-		changed[r.Service] = append(changed[r.Service], &newer[len(newer)-1])
-	}
-	if len(newer) == 0 {
+	t.merging.Lock()
+	defer t.merging.Unlock()
+	changed := t.take(records)
+	if len(changed) == 0 {
 		return nil
 	}
-	t.current.Store(old.with(changed))
+	t.paint(changed)
+	newer := make([]ownership.Group, 0, len(changed))
+	for _, c := range changed {
+		newer = append(newer, *c.new)
+	}
 	return newer
 }
 
-// with returns a copy of the snapshot in which the changed records replace the
-// older ones.
-func (s *snapshot) with(changed map[string][]*ownership.Group) *snapshot {
-	next := &snapshot{
-		services: make(map[string][]span, len(s.services)+len(changed)),
-		groups:   make(map[string]*ownership.Group, len(s.groups)+len(changed)),
-	}
-	for k, v := range s.services {
-		next.services[k] = v
-	}
-	for k, v := range s.groups {
-		next.groups[k] = v
+// take stores the newest record of each group and returns what it replaced.
+func (t *Table) take(records []ownership.Group) []change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	latest := t.newest(records)
+	changed := make([]change, 0, len(latest))
+	for key, g := range latest {
+		old := t.groups[key]
+		t.groups[key] = g
+		t.empty += emptiness(g) - emptiness(old)
+		changed = append(changed, change{old: old, new: g})
 	}
-	for service, records := range changed {
-		for _, r := range records {
-			next.groups[r.Key()] = r
+	t.dropOldestEmpty()
+	return changed
+}
+
+// newest returns the newest of the given records for each group that has one
+// newer than the table's.
+func (t *Table) newest(records []ownership.Group) map[groupKey]*ownership.Group {
+	latest := map[groupKey]*ownership.Group{}
+	for _, r := range records {
+		key := groupKey{r.Service, r.ID}
+		have := latest[key]
+		if have == nil {
+			have = t.groups[key]
+		}
+		if have == nil || r.Version > have.Version {
+			latest[key] = &r
 		}
-		next.services[service] = repaint(s.services[service], records)
 	}
-	return next
+	return latest
 }
 
-// repaint drops the spans of the changed groups and lays their shards over the
-// rest. A shard yields where a newer record claims the same positions.
-func repaint(spans []span, records []*ownership.Group) []span {
-	replaced := make(map[string]bool, len(records))
-	for _, r := range records {
-		replaced[r.ID] = true
+func emptiness(g *ownership.Group) int {
+	if g != nil && len(g.Shards) == 0 {
+		return 1
 	}
-	kept := make([]span, 0, len(spans))
-	for _, s := range spans {
-		if !replaced[s.group.ID] {
-			kept = append(kept, s)
+	return 0
+}
+
+// dropOldestEmpty forgets the older half of the records without shards when
+// there are too many. A stale record of such a group could then come back; it
+// loses against every newer claim.
+func (t *Table) dropOldestEmpty() {
+	if t.empty <= maxEmpty {
+		return
+	}
+	var empty []groupKey
+	for key, g := range t.groups {
+		if len(g.Shards) == 0 {
+			empty = append(empty, key)
 		}
 	}
-	byVersion := slices.Clone(records)
-	slices.SortFunc(byVersion, func(a, b *ownership.Group) int { return int(a.Version - b.Version) })
-	for _, r := range byVersion {
-		kept = lay(kept, r)
+	slices.SortFunc(empty, func(a, b groupKey) int { return cmp.Compare(t.groups[a].Version, t.groups[b].Version) })
+	for _, key := range empty[:len(empty)/2] {
+		delete(t.groups, key)
+		t.empty--
 	}
-	return kept
 }
 
-// lay adds the shards of one record to the sorted spans. Older spans are cut
-// where they overlap; newer ones cut the record's shards.
-func lay(spans []span, r *ownership.Group) []span {
-	out := make([]span, 0, len(spans)+len(r.Shards))
-	i := 0
-	for _, shard := range r.Shards {
-		for i < len(spans) && spans[i].shard.Last < shard.First {
-			out = append(out, spans[i])
-			i++
-		}
-		first := shard.First
-		covered := false
-		for i < len(spans) && spans[i].shard.First <= shard.Last {
-			s := spans[i]
-			if s.group.Version > r.Version {
-				if first < s.shard.First {
-					out = append(out, span{keyspace.Shard{First: first, Last: s.shard.First - 1}, r})
-				}
-				out = append(out, s)
-				if s.shard.Last >= shard.Last {
-					covered = true
-					i++
-					break
-				}
-				first = s.shard.Last + 1
-				i++
-				continue
-			}
-			if s.shard.First < first {
-				out = append(out, span{keyspace.Shard{First: s.shard.First, Last: first - 1}, s.group})
-			}
-			if s.shard.Last > shard.Last {
-				// The rest of the older span stays for the shards that follow.
-				out = append(out, span{keyspace.Shard{First: first, Last: shard.Last}, r})
-				covered = true
-				spans = slices.Clone(spans)
-				spans[i].shard.First = shard.Last + 1
-				break
-			}
-			i++
-		}
-		if !covered {
-			out = append(out, span{keyspace.Shard{First: first, Last: shard.Last}, r})
+// paint makes the changes visible to look-ups.
+func (t *Table) paint(changed []change) {
+	byService := map[string][]change{}
+	for _, c := range changed {
+		byService[c.new.Service] = append(byService[c.new.Service], c)
+	}
+	spaces := maps.Clone(*t.spaces.Load())
+	for service, changes := range byService {
+		s := spaces[service]
+		if s == nil {
+			s = &space{}
 		}
+		spaces[service] = s.with(changes)
 	}
-	return append(out, spans[i:]...)
+	t.spaces.Store(&spaces)
 }
