--- a/router/keyspace/shard.go
+++ b/router/keyspace/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"slices"
 	"strings"
 )
@@ -77,14 +78,21 @@
 	if n < 2 {
 		return []Shard{{First: 0, Last: MaxHash}}
 	}
-	width := uint64(MaxHash)/uint64(n) + 1
-	shards := make([]Shard, 0, n)
-	first := uint64(0)
-	for i := 0; i < n-1; i++ {
-		shards = append(shards, Shard{First: Hash(first), Last: Hash(first + width - 1)})
-		first += width
+	shards := make([]Shard, n)
+	for i := range shards {
+		shards[i].First = boundary(i, n)
+		if i > 0 {
+			shards[i-1].Last = shards[i].First - 1
+		}
 	}
-	return append(shards, Shard{First: Hash(first), Last: MaxHash})
+	shards[n-1].Last = MaxHash
+	return shards
+}
+
+// boundary returns i*2^64/n, rounded down. It needs i < n.
+func boundary(i, n int) Hash {
+	quotient, _ := bits.Div64(uint64(i), 0, uint64(n))
+	return Hash(quotient)
 }
 
 // SplitAt cuts the single position h out of the shard, so that a hot key can
