Add the demo; answers carry the id of the attempt on both paths

Cause: a newcomer needs one command that shows the whole path; the id in answers had the attempt's number only on the local path.

--- a/ctl/dev/dev.go
+++ b/ctl/dev/dev.go
@@ -22,6 +22,7 @@
 	Table    TableCmd    `cmd:"" help:"Run the stand-in for the table service."`
 	Objects  ObjectsCmd  `cmd:"" help:"Run the stand-in for the object store."`
 	Upstream UpstreamCmd `cmd:"" help:"Run a stand-in upstream."`
+	Demo     DemoCmd     `cmd:"" help:"Run a whole system in one process."`
 	Load     LoadCmd     `cmd:"" help:"Send bounded load to routers and check every answer."`
 }
 
--- a/router/forward/hop.go
+++ b/router/forward/hop.go
@@ -246,7 +246,7 @@
 		return readRefusal(resp)
 	}
 	copyHeaders(w.Header(), endToEnd(resp.Header))
-	w.Header().Set(HeaderRequestID, h.r.id)
+	w.Header().Set(HeaderRequestID, h.id)
 	setOwner(w, h.record)
 	w.WriteHeader(resp.StatusCode)
 	if err := copyBody(w, resp.Body); err != nil {
--- a/router/forward/request.go
+++ b/router/forward/request.go
@@ -30,6 +30,8 @@
 
 // Headers that callers get.
 const (
+	// HeaderRequestID is the id of the request, a dot and the number of the
+	// attempt that answered.
 	HeaderRequestID  = "Burdock-Request-Id"
 	HeaderOwner      = "Burdock-Owner"
 	HeaderGeneration = "Burdock-Generation"
--- a/router/forward/resolve.go
+++ b/router/forward/resolve.go
@@ -70,7 +70,7 @@
 		return errkind.New(errkind.OutcomeUnknown, "the work ran at host %s and its answer was lost", h.record.Holder.Name)
 	}
 	copyHeaders(w.Header(), endToEnd(kept.Header))
-	w.Header().Set(HeaderRequestID, h.r.id)
+	w.Header().Set(HeaderRequestID, h.id)
 	setOwner(w, h.record)
 	w.WriteHeader(kept.Status)
 	if _, err := w.Write(kept.Body); err != nil {
