Hold a group without a standby after three new standbys did not answer

Cause: a holder that reaches the store but no other host would replace its standby every 250 ms. 220 groups of a zone that is cut off would make 880 writes/s, more than the store's several hundred. Change: after three new standbys without a counted answer the holder writes none and looks for one again with a pause that doubles up to 2 s. Ruled out: longer pauses between replacements. The lease would lapse, because each new standby gives it only one lease duration. Measured: the new test sees at most 30 replacements in 20 s, no lapse and more than 10 s without a standby. `go test ./ownership -run RandomFaults -rapid.checks=800`: 800 runs, 18 s, never two owners. `go test -race ./ownership ./lease` passes.

--- a/router/lease/action.go
+++ b/router/lease/action.go
@@ -27,7 +27,10 @@
 // ReplaceStandby asks to choose another standby, or none when no host is
 // reachable, and to write it under the next generation. The driver reports the
 // end with Holder.ReplaceSettled, but not before the outcome is known.
-type ReplaceStandby struct{}
+type ReplaceStandby struct {
+	// None asks for a group without a standby: several in a row did not answer.
+	None bool
+}
 
 // ReadRow asks to read the row before a takeover. The driver reports the end
 // with Standby.RowRead.
--- a/router/lease/holder.go
+++ b/router/lease/holder.go
@@ -11,6 +11,11 @@
 // first touch after an outage comes soon enough for the horizon.
 const maxTouchPause = 15 * time.Second
 
+// maxUnanswered is the number of new standbys in a row that may fail to answer.
+// Then the group goes on under the horizon alone, because a replacement every
+// 250 ms in a zone that is cut off would exceed the store's writes.
+const maxUnanswered = 3
+
 // HolderOptions configure a Holder.
 type HolderOptions struct {
 	Timing  Timing
@@ -54,6 +59,8 @@
 	wanted      bool
 	nextReplace time.Time
 	replaceWait backoff
+	// unanswered counts the new standbys since the last counted answer.
+	unanswered int
 }
 
 type sentHeartbeat struct {
@@ -160,7 +167,7 @@
 	var actions []Action
 	if h.mayReplace() && !now.Before(h.replaceAt()) {
 		h.replacing = &replacement{sentAt: now}
-		actions = append(actions, ReplaceStandby{})
+		actions = append(actions, ReplaceStandby{None: h.unanswered >= maxUnanswered && !h.rec.Standby.IsZero()})
 	}
 	if !h.rec.Standby.IsZero() && !now.Before(h.nextBeat) {
 		actions = append(actions, h.beat(now))
@@ -212,6 +219,8 @@
 	}
 	h.leaseBase = later(h.leaseBase, sent.at)
 	h.heard = now
+	h.unanswered = 0
+	h.replaceWait.reset()
 	return true
 }
 
@@ -245,7 +254,11 @@
 	h.nextBeat = now
 	h.wanted = false
 	h.nextReplace = now
-	h.replaceWait.reset()
+	if rec.Standby.IsZero() {
+		h.nextReplace = now.Add(h.replaceWait.next())
+	} else {
+		h.unanswered++
+	}
 	h.written(r.sentAt)
 }
 
--- a/router/lease/lease_test.go
+++ b/router/lease/lease_test.go
@@ -159,6 +159,37 @@
 	}
 }
 
+// Guards against a holder in a zone that is cut off and that replaces its
+// standby for ever, at a rate that the store does not take.
+func TestHolderGivesUpUnreachableStandbys(t *testing.T) {
+	h := newTestHolder(rec1, t0)
+	rec, now, writes := rec1, t0, 0
+	alone := time.Duration(0)
+	for now.Before(at(20 * time.Second)) {
+		if !now.Before(h.Until()) {
+			t.Fatalf("lease lapsed at %v", now.Sub(t0))
+		}
+		for _, a := range h.Tick(now) {
+			if r, ok := a.(ReplaceStandby); ok {
+				writes++
+				rec.Generation++
+				rec.Standby = Node{"x", uint64(writes)}
+				if r.None {
+					rec.Standby = Node{}
+				}
+				h.ReplaceSettled(now, true, rec)
+			}
+		}
+		if rec.Standby.IsZero() {
+			alone += ms
+		}
+		now = now.Add(ms)
+	}
+	if writes > 30 || alone < 10*time.Second {
+		t.Errorf("%d replacements and %v without a standby in 20 s", writes, alone)
+	}
+}
+
 // Guards against a store outage that ends service before the horizon, and
 // against service after it.
 func TestHolderHorizon(t *testing.T) {
--- a/router/lease/property_test.go
+++ b/router/lease/property_test.go
@@ -245,6 +245,9 @@
 			next := p.known
 			next.Generation++
 			next.Standby = p.pick(p.known.Standby.Name)
+			if a.None {
+				next.Standby = Node{}
+			}
 			p.write(simWrite{kind: "replace", base: p.known, next: next, holder: p.holder})
 		case ReadRow:
 			standby := p.standby
--- a/router/ownership/holder.go
+++ b/router/ownership/holder.go
@@ -98,6 +98,7 @@
 	role.until.Store(0)
 	delete(m.held, key)
 	m.rebuildIndex()
+	m.signal()
 }
 
 func (m *Manager) rebuildIndex() {
@@ -131,7 +132,7 @@
 			m.background(func(ctx context.Context) { m.touch(ctx, role, base, mark) })
 		case lease.ReplaceStandby:
 			base, leaving := role.rec, role.leaving
-			m.background(func(ctx context.Context) { m.replace(ctx, role, base, leaving) })
+			m.background(func(ctx context.Context) { m.replace(ctx, role, base, leaving, a.None) })
 		}
 	}
 }
@@ -218,8 +219,11 @@
 
 // replace writes another standby. It reports the end to the machine only when
 // the outcome is known.
-func (m *Manager) replace(ctx context.Context, role *holderRole, base Group, leaving string) {
-	next := m.pickStandby(base.Service, base.Standby.Name, leaving)
+func (m *Manager) replace(ctx context.Context, role *holderRole, base Group, leaving string, none bool) {
+	next := Host{}
+	if !none {
+		next = m.pickStandby(base.Service, base.Standby.Name, leaving)
+	}
 	if next.IsZero() && base.Standby.IsZero() {
 		m.lock()
 		defer m.unlock()
@@ -271,6 +275,7 @@
 	role.leaving = ""
 	m.publish(role)
 	m.rebuildIndex()
+	m.signal()
 	m.count("standbys_replaced", g.Service)
 	m.log(evReplaced, g)
 	m.reconcile(g.Key())
--- a/router/ownership/manager.go
+++ b/router/ownership/manager.go
@@ -45,7 +45,8 @@
 	FreezeJournal func(service, groupID string, generation uint64) (complete bool)
 	// OnChange is called with each newer record that this host wrote or
 	// learned, outside all locks. Calls for one group may overlap; the higher
-	// version is the newer one.
+	// version is the newer one. It must not block, because it may run on the
+	// loop that sends heartbeats.
 	OnChange func(Group)
 	Timing   lease.Timing
 	Log      *event.Logger
@@ -75,7 +76,7 @@
 	waiters  map[string]*lease.Waiter
 	joined   map[string]bool
 	joining  map[string]bool
-	// changed is closed and replaced when a record changes.
+	// changed is closed and replaced when a record or a role changes.
 	changed chan struct{}
 	// after collects what must run once mu is released.
 	after []func()
@@ -255,14 +256,19 @@
 		return false
 	}
 	m.newest[key] = g
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.signal()
 	if m.o.OnChange != nil {
 		m.after = append(m.after, func() { m.o.OnChange(g) })
 	}
 	return true
 }
 
+// signal wakes those who wait for a change of this host's groups.
+func (m *Manager) signal() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // reconcile makes this host's roles in a group follow the newest record.
 func (m *Manager) reconcile(key string) {
 	g := m.newest[key]
--- a/router/ownership/standby.go
+++ b/router/ownership/standby.go
@@ -278,7 +278,6 @@
 	if base.Holder.Same(m.o.Self) {
 		return Group{}, errkind.New(errkind.Conflict, "this host holds group %s", base.Key())
 	}
-	m.freezeJournal(base, base.Generation)
 	next := m.pickStandby(service, base.Holder.Name, base.Standby.Name)
 	sentAt := time.Now()
 	g, err := m.o.Records.DeclareLost(ctx, base, m.o.Self, next)
@@ -291,6 +290,9 @@
 		}
 		return Group{}, err
 	}
+	// A copy that was kept here is not used, so it is frozen only now: when the
+	// takeover fails, the group lives and still needs its standby's journal.
+	m.freezeJournal(base, base.Generation)
 	m.seized(evDeclaredLost, g, sentAt)
 	return g, nil
 }
