Forget the oldest ended requests in place of refusing new ones

Cause: the table of ended requests held 100,000 for 2 minutes, which is 833 requests per second that may not run twice; above that the gate would have refused work although the upstream was free.

Change: ends are kept for 1 minute, at most 200,000 of them by digest, and a full table forgets the oldest. A not_run answer tells how long ago the request may have been sent for it to hold; the asker treats a later one as unknown. Closure.Idle gives the channel that moves wait on. Refusals of the upstream keep the kinds that a repeat does not change.

Ruled out: the time of the resolve query in the query, because it can be delayed after it was stamped.

Conclusion: asker and gate must agree on the meaning of within.

--- a/router/gate/closure.go
+++ b/router/gate/closure.go
@@ -85,6 +85,11 @@
 	}
 }
 
+// Idle returns a channel that is closed when Drained would return nil.
+func (c *Closure) Idle() <-chan struct{} {
+	return c.drained
+}
+
 // Reopen lets the parked requests continue. It has no effect after Release.
 func (c *Closure) Reopen() {
 	c.finish(nil)
--- a/router/gate/requests.go
+++ b/router/gate/requests.go
@@ -8,12 +8,14 @@
 
 const (
 	// endedKept is how long the end of a request that may not run twice is
-	// remembered for Resolve. Requests last 60 s at most by default.
-	endedKept = 2 * time.Minute
+	// remembered for Resolve, unless there are too many. Requests last 60 s at
+	// most by default.
+	endedKept = time.Minute
 	// endedMargin covers the difference in rate of two hosts' clocks.
 	endedMargin = time.Second
-	// maxEnded bounds the requests that are remembered or running.
-	maxEnded = 100_000
+	// maxTracked bounds the requests that are running or remembered, at about
+	// 150 bytes each.
+	maxTracked = 200_000
 	// maxEndedBytes bounds the answers that are kept for Resolve only.
 	maxEndedBytes = 8 << 20
 	// barredKept is how long a blocked request id is refused.
@@ -28,57 +30,76 @@
 	answer *KeptAnswer
 	// ownBytes is the size of an answer that the journal does not hold.
 	ownBytes int
-	ended    chan struct{}
+	// ended is closed at the end and then no longer kept.
+	ended chan struct{}
 }
 
 // requestTable remembers requests by the id of their attempt, so that Resolve
 // can answer for them. It has no clock and no lock.
 type requestTable struct {
-	byID   map[string]*tracked
-	ended  expiryQueue
-	bytes  int
-	barred map[string]struct{}
-	bars   expiryQueue
-	limit  int
-	bound  int
+	byID  map[Digest]*tracked
+	ended expiryQueue
+	// forgotten is the latest end of a request that is no longer remembered.
+	forgotten time.Time
+	bytes     int
+	barred    map[Digest]struct{}
+	bars      expiryQueue
+	limit     int
+	bound     int
 }
 
 func newRequestTable() *requestTable {
-	return &requestTable{byID: map[string]*tracked{}, barred: map[string]struct{}{}, limit: maxEnded, bound: maxBarred}
+	return &requestTable{byID: map[Digest]*tracked{}, barred: map[Digest]struct{}{}, limit: maxTracked, bound: maxBarred}
 }
 
 // begin registers an attempt. The check against the blocked ids and the
 // registration are one step under the gate's lock, so Resolve either sees the
-// attempt or blocks it.
-func (t *requestTable) begin(now time.Time, id string) (*tracked, error) {
+// attempt or blocks it. When the table is full, the oldest end is forgotten.
+func (t *requestTable) begin(now time.Time, id Digest) (*tracked, error) {
 	t.sweep(now)
-	if err := t.refuseBarred(id); err != nil {
-		return nil, err
+	if _, ok := t.barred[id]; ok {
+		return nil, errkind.New(errkind.Barred, "the request was given up before it arrived")
 	}
 	if _, ok := t.byID[id]; ok {
-		return nil, errkind.New(errkind.OutcomeUnknown, "request id %q arrived before", id)
+		return nil, errkind.New(errkind.OutcomeUnknown, "the request id arrived before")
 	}
-	if len(t.byID) >= t.limit {
-		return nil, errkind.New(errkind.Overloaded, "%d requests are remembered already", len(t.byID))
+	if len(t.byID) >= t.limit && !t.forget() {
+		return nil, errkind.New(errkind.Overloaded, "%d requests are running already", len(t.byID))
 	}
 	r := &tracked{state: ResolveRunning, ended: make(chan struct{})}
 	t.byID[id] = r
 	return r, nil
 }
 
-func (t *requestTable) refuseBarred(id string) error {
-	if _, ok := t.barred[id]; ok {
-		return errkind.New(errkind.Barred, "request id %q was given up", id)
+// forget drops the oldest ended request.
+func (t *requestTable) forget() bool {
+	first, ok := t.ended.pop()
+	if !ok {
+		return false
+	}
+	t.forgotten = first.at.Add(-endedKept - endedMargin)
+	t.bytes -= t.byID[first.id].ownBytes
+	delete(t.byID, first.id)
+	return true
+}
+
+// within returns how long ago a request may have been sent for it to be
+// remembered if it has ended. A request that was sent after the latest
+// forgotten end cannot be among the forgotten ones.
+func (t *requestTable) within(now time.Time) time.Duration {
+	if t.forgotten.IsZero() {
+		return endedKept
 	}
-	return nil
+	return max(min(endedKept, now.Sub(t.forgotten)-endedMargin), 0)
 }
 
 // end records the end of an attempt. An attempt that did not run is forgotten:
 // Resolve may block its id. owned tells that the journal counts the answer's
 // bytes.
-func (t *requestTable) end(now time.Time, id string, r *tracked, state ResolveState, answer *KeptAnswer, owned bool) {
+func (t *requestTable) end(now time.Time, id Digest, r *tracked, state ResolveState, answer *KeptAnswer, owned bool) {
 	r.state = state
 	close(r.ended)
+	r.ended = nil
 	if state == ResolveNotRun {
 		delete(t.byID, id)
 		return
@@ -96,7 +117,7 @@
 }
 
 // bar blocks a request id for good. It returns false when there is no room.
-func (t *requestTable) bar(now time.Time, id string) bool {
+func (t *requestTable) bar(now time.Time, id Digest) bool {
 	t.sweep(now)
 	if _, ok := t.barred[id]; ok {
 		return true
@@ -110,12 +131,12 @@
 }
 
 func (t *requestTable) sweep(now time.Time) {
-	for id, ok := t.ended.next(now); ok; id, ok = t.ended.next(now) {
-		t.bytes -= t.byID[id].ownBytes
-		delete(t.byID, id)
+	for t.ended.due(now) {
+		t.forget()
 	}
-	for id, ok := t.bars.next(now); ok; id, ok = t.bars.next(now) {
-		delete(t.barred, id)
+	for t.bars.due(now) {
+		first, _ := t.bars.pop()
+		delete(t.barred, first.id)
 	}
 }
 
@@ -127,26 +148,27 @@
 }
 
 type expiring struct {
-	id string
+	id Digest
 	at time.Time
 }
 
-func (q *expiryQueue) add(id string, at time.Time) {
+func (q *expiryQueue) add(id Digest, at time.Time) {
 	if q.head > len(q.items)/2 {
 		n := copy(q.items, q.items[q.head:])
-		clear(q.items[n:])
 		q.items, q.head = q.items[:n], 0
 	}
 	q.items = append(q.items, expiring{id, at})
 }
 
-// next removes and returns an id that has expired.
-func (q *expiryQueue) next(now time.Time) (string, bool) {
-	if q.head == len(q.items) || now.Before(q.items[q.head].at) {
-		return "", false
+// due reports whether the first id has expired.
+func (q *expiryQueue) due(now time.Time) bool {
+	return q.head < len(q.items) && !now.Before(q.items[q.head].at)
+}
+
+func (q *expiryQueue) pop() (expiring, bool) {
+	if q.head == len(q.items) {
+		return expiring{}, false
 	}
-	id := q.items[q.head].id
-	q.items[q.head] = expiring{}
 	q.head++
-	return id, true
+	return q.items[q.head-1], true
 }
--- a/router/gate/resolve.go
+++ b/router/gate/resolve.go
@@ -43,8 +43,8 @@
 	Answer      *KeptAnswer  `json:"answer,omitempty"`
 	Incarnation uint64       `json:"incarnation,string"`
 	// Within is how long ago, by the asker's clock, the request may have been
-	// sent at most when this answer arrives, for not_run to hold. The gate
-	// forgets ended requests after that time.
+	// sent at most when this answer arrives, for not_run to hold: the gate may
+	// have forgotten requests that ended earlier. A later not_run is unknown.
 	Within time.Duration `json:"within"`
 }
 
@@ -52,7 +52,7 @@
 // running request until ctx ends. For a request that did not arrive, it blocks
 // the id for good and answers not_run.
 func (g *Gate) Resolve(ctx context.Context, q ResolveQuery) ResolveAnswer {
-	answer := ResolveAnswer{State: ResolveUnknown, Incarnation: g.opts.Incarnation, Within: endedKept}
+	answer := ResolveAnswer{State: ResolveUnknown, Incarnation: g.opts.Incarnation}
 	service, ok := g.opts.Service(q.Service)
 	if !ok || q.ID == "" || q.Method == "" || retry.Idempotent(q.Method, service.IdempotentMethods) {
 		return answer
@@ -62,9 +62,8 @@
 		look = g.lookJournal
 	}
 	for {
-		state, kept, ended := look(q, service)
-		answer.State, answer.Answer = state, kept
-		if state != ResolveRunning {
+		ended := look(q, service, &answer)
+		if answer.State != ResolveRunning {
 			return answer
 		}
 		select {
@@ -75,28 +74,33 @@
 	}
 }
 
-// lookRequest answers from the requests of this process.
-func (g *Gate) lookRequest(q ResolveQuery, _ note.Service) (ResolveState, *KeptAnswer, <-chan struct{}) {
+// lookRequest answers from the requests of this process. It returns the channel
+// that is closed at the end of a running request.
+func (g *Gate) lookRequest(q ResolveQuery, _ note.Service, answer *ResolveAnswer) <-chan struct{} {
+	id := digestOf(q.ID)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	g.requests.sweep(now)
-	if r := g.requests.byID[q.ID]; r != nil {
-		return r.state, r.answer, r.ended
+	if r := g.requests.byID[id]; r != nil {
+		answer.State, answer.Answer = r.state, r.answer
+		return r.ended
 	}
-	if !g.requests.bar(now, q.ID) {
-		return ResolveUnknown, nil, nil
+	answer.State = ResolveUnknown
+	if g.requests.bar(now, id) {
+		answer.State, answer.Within = ResolveNotRun, g.requests.within(now)
 	}
-	return ResolveNotRun, nil, nil
+	return nil
 }
 
 // lookJournal answers for a request that was sent to another process, whose
 // journal this one took over. Only a complete journal that knows the key is an
 // answer.
-func (g *Gate) lookJournal(q ResolveQuery, service note.Service) (ResolveState, *KeptAnswer, <-chan struct{}) {
+func (g *Gate) lookJournal(q ResolveQuery, service note.Service, answer *ResolveAnswer) <-chan struct{} {
+	answer.State = ResolveUnknown
 	permit, err := g.permit(q.Service, q.Hash)
 	if err != nil || q.IDHash == (Digest{}) || !g.complete(permit, service.IdempotencyWindow) {
-		return ResolveUnknown, nil, nil
+		return nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -104,11 +108,11 @@
 	rec := g.journal.find(idKey{q.Service, q.IDHash}, q.Fingerprint)
 	switch {
 	case rec == nil:
-		return ResolveUnknown, nil, nil
 	case rec.running:
-		return ResolveRunning, nil, rec.ended
+		answer.State = ResolveRunning
+		return rec.ended
 	case rec.state == Done:
-		return ResolveDone, rec.answer, nil
+		answer.State, answer.Answer = ResolveDone, rec.answer
 	}
-	return ResolveUnknown, nil, nil
+	return nil
 }
--- a/router/gate/serve.go
+++ b/router/gate/serve.go
@@ -83,7 +83,7 @@
 func (j *job) track(ctx context.Context) error {
 	g := j.gate
 	g.mu.Lock()
-	entry, err := g.requests.begin(g.now(), j.req.ID)
+	entry, err := g.requests.begin(g.now(), digestOf(j.req.ID))
 	g.mu.Unlock()
 	if err != nil {
 		return err
@@ -111,7 +111,7 @@
 	if owned {
 		kept = j.rec.answer
 	}
-	g.requests.end(g.now(), j.req.ID, j.entry, state, kept, owned)
+	g.requests.end(g.now(), digestOf(j.req.ID), j.entry, state, kept, owned)
 }
 
 // serve repeats the steps from parking to sending while the shard is closed or
--- a/router/upstream/client.go
+++ b/router/upstream/client.go
@@ -360,22 +360,31 @@
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength}, nil
 }
 
-// refusal is the error for an answer that says not-run. A 503 is the upstream's
-// own load shedding unless it names another kind.
+// refusal is the error for an answer that says not-run.
 func refusal(resp *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBody))
-	kind := errkind.UpstreamRefused
-	named := errkind.Kind(resp.Header.Get(errkind.HeaderError))
-	if resp.StatusCode == http.StatusServiceUnavailable && (named == "" || named == errkind.Overloaded) {
-		kind = errkind.Overloaded
-	}
-	err := errkind.New(kind, "the upstream refused the work: status %d %s", resp.StatusCode, strings.TrimSpace(string(text)))
+	err := errkind.New(refusalKind(resp), "the upstream refused the work: status %d %s", resp.StatusCode, strings.TrimSpace(string(text)))
 	if seconds, parseErr := strconv.Atoi(resp.Header.Get("Retry-After")); parseErr == nil && seconds > 0 {
 		err.RetryAfter = time.Duration(seconds) * time.Second
 	}
 	return err
 }
 
+// refusalKind keeps the kinds that another attempt does not change. A 503 is the
+// upstream's own load shedding unless it names another kind.
+func refusalKind(resp *http.Response) errkind.Kind {
+	named := errkind.Kind(resp.Header.Get(errkind.HeaderError))
+	switch named {
+	case errkind.BadRequest, errkind.NotFound, errkind.TooLarge, errkind.DeadlinePassed, errkind.Overloaded:
+		return named
+	case "":
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			return errkind.Overloaded
+		}
+	}
+	return errkind.UpstreamRefused
+}
+
 // answerBody gives read errors a kind and ends the request when it is closed.
 type answerBody struct {
 	body   io.ReadCloser
--- a/router/upstream/client_test.go
+++ b/router/upstream/client_test.go
@@ -125,6 +125,7 @@
 		"old grant": {answering("HTTP/1.1 409 Conflict\r\nBurdock-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"), errkind.UpstreamRefused},
 		"shed":      {answering("HTTP/1.1 503 Busy\r\nBurdock-Outcome: not-run\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"), errkind.Overloaded},
 		"lapsed":    {answering("HTTP/1.1 503 Lapsed\r\nBurdock-Outcome: not-run\r\nBurdock-Error: lease_lapsed\r\nContent-Length: 0\r\n\r\n"), errkind.UpstreamRefused},
+		"malformed": {answering("HTTP/1.1 400 Bad\r\nBurdock-Outcome: not-run\r\nBurdock-Error: bad_request\r\nContent-Length: 0\r\n\r\n"), errkind.BadRequest},
 		"until EOF": {answering("HTTP/1.1 200 OK\r\n\r\nhalf"), errkind.AnswerIncomplete},
 		"HTTP/1.0":  {answering("HTTP/1.0 200 OK\r\n\r\nhalf"), errkind.AnswerIncomplete},
 	}
