move: tests for imports that outlast a preparation, row writes and stops

The turn of a row write is a channel instead of a mutex, because time does not pass in a synctest bubble while a mutex blocks. Ruled out: a test that sleeps.

--- a/router/move/driver_test.go
+++ b/router/move/driver_test.go
@@ -309,6 +309,55 @@
 	})
 }
 
+// Guards against a stop that returns while an attempt still holds shards closed.
+func TestEvacuateWaitsForAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakes()
+		f.drain = 4 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		g := f.rows["a"]
+		g.Shards = g.Shards[:1]
+		f.rows["a"] = g
+		p, err := evacuate(ctx, f, true, f.source())
+		if want := []string{"prepare", "close", "reopen"}; !slices.Equal(f.calls, want) {
+			t.Errorf("calls %q, want %q", f.calls, want)
+		}
+		if !errors.Is(err, context.DeadlineExceeded) || p.Left != 1 || p.Moving != 0 {
+			t.Errorf("%v, %+v", err, p)
+		}
+	})
+}
+
+// readyPeer prepares every move at once, as several targets would.
+type readyPeer struct{ *fakes }
+
+func (p readyPeer) Prepare(context.Context, ownership.Host, PrepareRequest) (PrepareAnswer, error) {
+	answer := PrepareAnswer{Target: p.rows["b"]}
+	return answer, nil
+}
+func (p readyPeer) Transfer(context.Context, ownership.Host, TransferRequest) (TransferAnswer, error) {
+	return TransferAnswer{}, nil
+}
+
+// Guards against moves of one group that fail on each other's row version.
+func TestRowWritesFollowEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakes()
+		s := NewSource(SourceOptions{Gate: f, Records: f, Peer: readyPeer{f}, Adopter: f})
+		var wg sync.WaitGroup
+		for i := range 3 {
+			p := plan()
+			p.Shards = shards[i : i+1]
+			wg.Go(func() { s.Run(t.Context(), p) })
+		}
+		wg.Wait()
+		if f.overlaps {
+			t.Error("two row writes at the same time")
+		}
+	})
+}
+
 // orderMover records the order of the moves and applies them at once.
 type orderMover struct {
 	f     *fakes
--- a/router/move/machine_test.go
+++ b/router/move/machine_test.go
@@ -379,6 +379,23 @@
 	}
 }
 
+// Guards against a slow import whose move gives way to another one, so that
+// two moves write the target's row.
+func TestPreparationLastsThroughImport(t *testing.T) {
+	m := NewTargetMachine()
+	m.Step(t0, PrepareAsked{PrepareRequest{MoveID: "m"}})
+	m.Step(t0, AcceptAnswered{MoveID: "m", Group: targetGroup(11)})
+	m.Step(t0, TransferAsked{TransferRequest{MoveID: "m"}})
+	late := t0.Add(2 * PreparationHold)
+	if !m.Busy(late) {
+		t.Fatal("preparation expired during the import")
+	}
+	m.Step(late, ImportEnded{MoveID: "m", Err: errLost})
+	if m.Busy(late.Add(PreparationHold)) {
+		t.Fatal("preparation did not expire after the import")
+	}
+}
+
 // Guards against a hole or an overlap of ownership in the rows, and against a
 // target that takes its journal for complete although the source's was not.
 func TestApply(t *testing.T) {
--- a/router/move/source.go
+++ b/router/move/source.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -37,14 +36,14 @@
 // Source carries out moves from this host. It is safe for concurrent use.
 type Source struct {
 	o SourceOptions
-	// rows keeps writes of this host's rows apart. Two moves of a group at the
-	// same time would fail on each other's row version.
-	rows sync.Mutex
+	// rows has room for one write at a time. Two moves of a group at the same
+	// time would fail on each other's row version.
+	rows chan struct{}
 }
 
 // NewSource returns a Source.
 func NewSource(o SourceOptions) *Source {
-	return &Source{o: o}
+	return &Source{o: o, rows: make(chan struct{}, 1)}
 }
 
 // Run makes one attempt. When ctx ends before the write of the rows was sent,
@@ -170,11 +169,11 @@
 	}()
 }
 
-// writeRows begins to count its time when it has the lock, so that a write is
+// writeRows begins to count its time when it has its turn, so that a write is
 // not given up before it was sent.
 func (r *sourceRun) writeRows(w Write) WriteResult {
-	r.rows.Lock()
-	defer r.rows.Unlock()
+	r.rows <- struct{}{}
+	defer func() { <-r.rows }()
 	ctx, cancel := context.WithTimeout(r.lastCtx, rowsTimeout)
 	defer cancel()
 	return r.o.Records.MoveShards(ctx, w)
