--- a/router/gate/journal.go
+++ b/router/gate/journal.go
@@ -13,9 +13,12 @@
 
 // Defaults of JournalLimits.
 const (
-	DefaultJournalEntries = 100_000
+	// DefaultJournalEntries takes 55 MB when it is used up: an entry without an
+	// answer has about 280 bytes. A window of one hour needs 3,600 entries, 1 MB,
+	// for each request with a key per second.
+	DefaultJournalEntries = 200_000
 	DefaultAnswerBytes    = 16 << 10
-	DefaultTotalBytes     = 16 << 20
+	DefaultTotalBytes     = 8 << 20
 )
 
 // JournalLimits bound a journal; zero fields mean the defaults.
@@ -77,7 +80,7 @@
 	// running is true while an attempt of this process owns the entry, and sent
 	// once the upstream may have got the request.
 	running, sent bool
-	// ended is closed when the attempt ends.
+	// ended is closed when the attempt ends, and then no longer kept.
 	ended chan struct{}
 	index int
 }
@@ -202,18 +205,23 @@
 
 // Cancel removes the entry of work that did not run.
 func (j *Journal) Cancel(rec *record) {
-	rec.running = false
-	close(rec.ended)
 	j.remove(rec)
 	rec.state = Cancelled
+	rec.stop()
 }
 
 func (j *Journal) end(now time.Time, rec *record) {
-	rec.running = false
 	window := rec.expires.Sub(rec.since)
 	rec.since, rec.expires = now, now.Add(window)
 	heap.Fix(&j.expiry, rec.index)
+	rec.stop()
+}
+
+// stop wakes the requests that wait for the attempt.
+func (rec *record) stop() {
+	rec.running = false
 	close(rec.ended)
+	rec.ended = nil
 }
 
 // keep stores the answer when it fits.
--- a/router/gate/requests.go
+++ b/router/gate/requests.go
@@ -14,10 +14,10 @@
 	// endedMargin covers the difference in rate of two hosts' clocks.
 	endedMargin = time.Second
 	// maxTracked bounds the requests that are running or remembered, at about
-	// 150 bytes each.
-	maxTracked = 200_000
+	// 130 bytes each.
+	maxTracked = 100_000
 	// maxEndedBytes bounds the answers that are kept for Resolve only.
-	maxEndedBytes = 8 << 20
+	maxEndedBytes = 4 << 20
 	// barredKept is how long a blocked request id is refused.
 	barredKept = time.Hour
 	// maxBarred bounds the blocked request ids.
--- a/router/gate/serve.go
+++ b/router/gate/serve.go
@@ -31,6 +31,8 @@
 	// permit is the one under which the intent was written.
 	permit ownership.Permit
 	rec    *record
+	// other is closed at the end of another attempt with the same key.
+	other <-chan struct{}
 	// entry is the request's entry for Resolve; nil for idempotent work.
 	entry *tracked
 }
@@ -150,7 +152,7 @@
 	case v == replay:
 		return false, j.replay(rec)
 	case v == wait:
-		return j.await(ctx, rec)
+		return j.await(ctx)
 	}
 	j.rec = rec
 	defer j.endRecord()
@@ -172,7 +174,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.journal.Begin(g.now(), a)
+	rec, v, err := g.journal.Begin(g.now(), a)
+	if rec != nil {
+		j.other = rec.ended
+	}
+	return rec, v, err
 }
 
 // issuedAt returns the time in a UUIDv7, or zero.
@@ -219,9 +225,9 @@
 }
 
 // await waits for the end of another attempt with the same key.
-func (j *job) await(ctx context.Context, rec *record) (again bool, err error) {
+func (j *job) await(ctx context.Context) (again bool, err error) {
 	select {
-	case <-rec.ended:
+	case <-j.other:
 		return true, nil
 	case <-ctx.Done():
 		return false, errkind.New(errkind.OutcomeUnknown, "another request with the idempotency key is still running")
--- a/router/gate/sync.go
+++ b/router/gate/sync.go
@@ -27,6 +27,9 @@
 const (
 	copyWorkers = 4
 	copyQueue   = 1024
+	// copyBatch bounds the entries of one message, so that a round trip of 3 ms
+	// between zones does not limit the rate.
+	copyBatch   = 64
 	copyTimeout = 500 * time.Millisecond
 	// appendTimeout bounds one attempt to write an intent to the standby.
 	appendTimeout = 300 * time.Millisecond
@@ -134,22 +137,50 @@
 		select {
 		case <-ctx.Done():
 			return
-		case c := <-g.copies:
-			g.copyEntry(ctx, c)
+		case first := <-g.copies:
+			for target, entries := range g.batches(first) {
+				for _, part := range split(entries) {
+					g.copyPart(ctx, target, part)
+				}
+			}
 		}
 	}
 }
 
-func (g *Gate) copyEntry(ctx context.Context, c copyJob) {
-	permit, err := g.permit(c.service, c.hash)
-	if err != nil || permit.Standby.IsZero() {
-		return
+// copyTarget is a standby of a group.
+type copyTarget struct {
+	ref     GroupRef
+	standby ownership.Host
+}
+
+// batches takes the queued entries and sorts them by their present standby.
+// Entries of groups that this host no longer holds are left out.
+func (g *Gate) batches(first copyJob) map[copyTarget][]Entry {
+	byTarget := map[copyTarget][]Entry{}
+	for c, n := first, 1; ; n++ {
+		permit, err := g.permit(c.service, c.hash)
+		if err == nil && !permit.Standby.IsZero() {
+			target := copyTarget{refOf(permit), permit.Standby}
+			byTarget[target] = append(byTarget[target], c.entry)
+		}
+		if n == copyBatch {
+			return byTarget
+		}
+		select {
+		case c = <-g.copies:
+		default:
+			return byTarget
+		}
 	}
+}
+
+func (g *Gate) copyPart(ctx context.Context, target copyTarget, entries []Entry) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	err = g.opts.Replicator.Append(ctx, permit.Standby, refOf(permit), []Entry{c.entry})
+	err := g.opts.Replicator.Append(ctx, target.standby, target.ref, entries)
 	if err != nil {
-		g.opts.Log.Log(eventCopyDropped, event.F("service", c.service), event.F("error", err.Error()))
+		g.opts.Log.Log(eventCopyDropped, event.F("service", target.ref.Service),
+			event.F("entries", len(entries)), event.F("error", err.Error()))
 	}
 }
 
