Move each busy shard of a leaving host alone

Change: a shard with requests in flight is a batch of its own. Ruled out: a test that holds the host too long by itself (its questions end after 300 ms).

--- a/router/balance/policy.go
+++ b/router/balance/policy.go
@@ -364,19 +364,21 @@
 }
 
 // batches cuts sorted shards where the group changes, where idle shards end
-// and where a batch is full.
+// and where a batch is full. A shard with requests in flight is a batch of its
+// own: all shards of a move stay closed until the last of their requests ends,
+// so one long request would keep the keys of the others waiting.
 func batches(shards []ShardLoad) [][]ShardLoad {
 	open := map[string]int{}
 	var all [][]ShardLoad
 	for _, s := range shards {
-		key := s.Group
 		if s.InFlight > 0 {
-			key += "\x00busy"
+			all = append(all, []ShardLoad{s})
+			continue
 		}
-		i, ok := open[key]
+		i, ok := open[s.Group]
 		if !ok || len(all[i]) == spreadShards {
 			i = len(all)
-			open[key] = i
+			open[s.Group] = i
 			all = append(all, nil)
 		}
 		all[i] = append(all[i], s)
--- a/router/balance/policy_test.go
+++ b/router/balance/policy_test.go
@@ -355,3 +355,19 @@
 		i++
 	}
 }
+
+// Guards against keys that wait for a long request on another key because both
+// shards leave the host in one move.
+func TestSpreadMovesEachBusyShardAlone(t *testing.T) {
+	in := Input{Self: HostLoad{Capacity: 16, SlotLoad: 1}}
+	for i, shard := range keyspace.Divide(6) {
+		in.Shards = append(in.Shards, ShardLoad{Group: "g", Shard: shard, InFlight: i % 2})
+	}
+	in.Hosts = []HostLoad{{Host: ownership.Host{Name: "target"}, Capacity: 16, MeasuredAt: time.Unix(1, 0)}}
+	p := NewPolicy(Options{Rand: rand.New(rand.NewPCG(1, 2))})
+	for _, m := range p.Spread(time.Unix(2, 0), in) {
+		if m.Busy && len(m.Shards) != 1 {
+			t.Errorf("%d shards leave in one move although one of them is busy", len(m.Shards))
+		}
+	}
+}
