Test doubted upstreams and equal shares of a full queue

Cause: two trial mutations passed the tests: a renewal that restores a doubted upstream without a probe, and two tenants with equal shares that displace each other.

Change: one check for each.

Conclusion: tests only; no code changed.

--- a/router/admit/queue_test.go
+++ b/router/admit/queue_test.go
@@ -148,6 +148,18 @@
 	}
 }
 
+// Guards against two tenants with equal shares that push each other out of a
+// full queue without end.
+func TestEqualSharesDoNotDisplaceEachOther(t *testing.T) {
+	q := NewQueue(QueueOptions{Limit: 2})
+	q.Push(epoch, "a", time.Time{}, 1)
+	q.Push(epoch, "b", time.Time{}, 1)
+	_, displaced, err := q.Push(epoch, "a", time.Time{}, 1)
+	if displaced != nil || !errkind.Is(err, errkind.Overloaded) {
+		t.Errorf("displaced %v, error %v", displaced, err)
+	}
+}
+
 // Guards against unbounded memory from caller-chosen tenant names.
 func TestTenantsBeyondTheBoundShareOneClass(t *testing.T) {
 	q := NewQueue(QueueOptions{Limit: 1000, MaxTenants: 4})
--- a/router/upstream/tracker_test.go
+++ b/router/upstream/tracker_test.go
@@ -80,6 +80,7 @@
 		t.Error("each renewal started a probe")
 	}
 	next := tr.Announce(at(400*time.Millisecond), announcement())
+	tr.Renew(at(450*time.Millisecond), Renewal{Healthy: true})
 	wantState(t, tr, Suspect)
 	tr.Probed(at(500*time.Millisecond), id, true)
 	wantState(t, tr, Suspect)
