Treat every announcement as that of a cold upstream

Cause: an upstream that restarts within the renewal timeout, without a refused connection, kept the concurrency limit of its predecessor.

Change: the agent resets the limiter on each announcement. SetSlots had no user left and is removed. A test closes and drains shards under many requests and checks that nothing runs meanwhile.

Ruled out: comparing addresses, because a restarted process keeps its.

Conclusion: an upstream that repeats its announcement starts cold again; it should renew instead.

--- a/router/admit/limit.go
+++ b/router/admit/limit.go
@@ -39,12 +39,6 @@
 	return min(int(l.value), l.slots)
 }
 
-// SetSlots changes the announced slots of a warm upstream.
-func (l *Limit) SetSlots(slots int) {
-	l.slots = max(slots, 0)
-	l.value = max(minLimit, min(l.value, float64(l.slots)))
-}
-
 // Observe takes the result of one request. inFlight is the number of requests
 // that were running, this one included: a limit that was not used up has not
 // been tested and does not grow.
--- a/router/admit/limiter.go
+++ b/router/admit/limiter.go
@@ -184,15 +184,6 @@
 	}
 }
 
-// SetSlots changes the announced slots of a warm upstream.
-func (l *Limiter) SetSlots(slots int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.limit.SetSlots(slots)
-	l.refuseWithoutSlots()
-	l.dispatch(l.now())
-}
-
 // SetQueueLimit changes the bound of the queue.
 func (l *Limiter) SetQueueLimit(n int) {
 	l.mu.Lock()
--- a/router/gate/gate_test.go
+++ b/router/gate/gate_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -550,6 +551,53 @@
 	})
 }
 
+// Guards against a request that slips through between the check of the closed
+// shards and the count, under many closures and requests at once.
+func TestNothingRunsWhileClosedAndDrained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, nil)
+		var running, closed atomic.Int32
+		f.do = func(context.Context, upstream.Call) (*upstream.Answer, error) {
+			running.Add(1)
+			defer running.Add(-1)
+			time.Sleep(3 * time.Millisecond)
+			if closed.Load() > 0 {
+				t.Error("a request ran while its shard was closed and drained")
+			}
+			return whole("ok"), nil
+		}
+		requests := make([]Request, 400)
+		for i := range requests {
+			requests[i] = request("")
+			requests[i].IdempotencyKey = []string{"", requests[i].ID}[i%2]
+		}
+		var wg sync.WaitGroup
+		for worker := range 20 {
+			wg.Go(func() {
+				for i := worker; i < len(requests); i += 20 {
+					time.Sleep(time.Duration(i%7) * time.Millisecond)
+					if _, err := f.post(requests[i]); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+		for range 15 {
+			time.Sleep(4 * time.Millisecond)
+			c := f.Close("s", []keyspace.Shard{{First: 0, Last: 1000}})
+			<-c.Idle()
+			closed.Add(1)
+			time.Sleep(2 * time.Millisecond)
+			if n := running.Load(); n != 0 || f.InFlight() != 0 {
+				t.Errorf("%d requests run, %d in flight", n, f.InFlight())
+			}
+			closed.Add(-1)
+			c.Reopen()
+		}
+		wg.Wait()
+	})
+}
+
 // Guards against an intent of a request that is parked after it was written:
 // the target of a move would refuse the key as begun.
 func TestShardClosedBetweenIntentAndSend(t *testing.T) {
--- a/router/upstream/agent.go
+++ b/router/upstream/agent.go
@@ -48,8 +48,6 @@
 type SlotLimiter interface {
 	// Reset starts over for a cold upstream; 0 slots mean none.
 	Reset(slots int)
-	// SetSlots changes the slots of a warm upstream.
-	SetSlots(slots int)
 }
 
 // AgentOptions configure an Agent. All fields are optional.
@@ -76,6 +74,9 @@
 
 	mu      sync.Mutex
 	tracker *Tracker
+	// cold is set by an announcement: it comes from a process that has just
+	// started, possibly in place of one whose end was not noticed.
+	cold bool
 }
 
 // NewAgent returns an agent without an upstream.
@@ -155,8 +156,9 @@
 	id := step(a.tracker, a.opts.Now())
 	after := a.tracker.Status()
 	if before.State != after.State || before.Announcement != after.Announcement || before.Withdrawn != after.Withdrawn {
-		a.changed(before, after)
+		a.changed(after)
 	}
+	a.adjustLimiter(up(before), up(after), after.Announcement.Slots)
 	if id != 0 {
 		a.requestProbe(id)
 	}
@@ -171,9 +173,8 @@
 	a.probes <- id
 }
 
-func (a *Agent) changed(before, after Status) {
+func (a *Agent) changed(after Status) {
 	a.client.SetTarget(after.Announcement.Address, after.Announcement.Connections)
-	a.adjustLimiter(before, after)
 	a.report(after)
 	select {
 	case a.changes <- after:
@@ -187,16 +188,15 @@
 	}
 }
 
-func (a *Agent) adjustLimiter(before, after Status) {
+func (a *Agent) adjustLimiter(wasUp, isUp bool, slots int) {
+	cold := a.cold
+	a.cold = false
 	if a.opts.Limiter == nil {
 		return
 	}
-	wasUp, isUp := up(before), up(after)
 	switch {
-	case isUp && (!wasUp || before.Announcement.Address != after.Announcement.Address):
-		a.opts.Limiter.Reset(after.Announcement.Slots)
-	case isUp && before.Announcement.Slots != after.Announcement.Slots:
-		a.opts.Limiter.SetSlots(after.Announcement.Slots)
+	case isUp && (cold || !wasUp):
+		a.opts.Limiter.Reset(slots)
 	case wasUp && !isUp:
 		a.opts.Limiter.Reset(0)
 	}
@@ -301,7 +301,10 @@
 	if err := a.check(m); err != nil {
 		return err
 	}
-	a.apply(func(t *Tracker, now time.Time) ProbeID { return t.Announce(now, m) })
+	a.apply(func(t *Tracker, now time.Time) ProbeID {
+		a.cold = true
+		return t.Announce(now, m)
+	})
 	return nil
 }
 
--- a/router/upstream/agent_test.go
+++ b/router/upstream/agent_test.go
@@ -18,8 +18,7 @@
 	calls []string
 }
 
-func (l *fakeLimiter) Reset(n int)    { l.calls = append(l.calls, fmt.Sprint("reset ", n)) }
-func (l *fakeLimiter) SetSlots(n int) { l.calls = append(l.calls, fmt.Sprint("set ", n)) }
+func (l *fakeLimiter) Reset(n int) { l.calls = append(l.calls, fmt.Sprint(n)) }
 
 func post(h http.Handler, path, body, remote string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
@@ -73,7 +72,7 @@
 }
 
 // Guards against a limiter or client that does not follow the upstream's
-// announcement, drain and end.
+// announcement, restart, drain and end.
 func TestAgentFollowsTheUpstream(t *testing.T) {
 	limiter := &fakeLimiter{}
 	a := NewAgent(AgentOptions{Limiter: limiter})
@@ -83,6 +82,7 @@
 	}{
 		{"/v1/announce", goodAnnouncement, Announced},
 		{"/v1/announce", strings.Replace(goodAnnouncement, "16", "18", 1), Announced},
+		{"/v1/announce", strings.Replace(goodAnnouncement, "16", "18", 1), Announced},
 		{"/v1/renew", `{"load":0.5,"healthy":true}`, Announced},
 		{"/v1/drain", ``, Draining},
 		{"/v1/withdraw", `{}`, Draining},
@@ -96,8 +96,8 @@
 		t.Errorf("status %+v", s)
 	}
 	a.Left()
-	if got := strings.Join(limiter.calls, ", "); got != "reset 16, set 18, reset 0" {
-		t.Errorf("limiter calls: %s", got)
+	if got := strings.Join(limiter.calls, ", "); got != "16, 18, 18, 0" {
+		t.Errorf("the limiter was reset to %s slots", got)
 	}
 	if a.client.target.Load() != nil {
 		t.Error("the client still has a target")
