move: evacuation does not collide with itself at a target

Cause: a leaving host sent several moves to one target at a time, which takes one, and then avoided that target for seconds. Change: one idle move per target at a time; a target that only receives another move (errkind.Conflict) is not remembered as refusing, and the pause does not grow. Result.Refused says which results count. Ruled out: a queue at the target (its length would be unavailable time).

--- a/router/move/driver_test.go
+++ b/router/move/driver_test.go
@@ -291,6 +291,24 @@
 	})
 }
 
+// Guards against a stop that takes long because a target that is busy for a
+// moment is avoided for seconds: a host with 200 shards and one target must
+// be empty within 2 s.
+func TestEvacuateKeepsBusyTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakes()
+		all := keyspace.Divide(400)
+		a, b := f.rows["a"], f.rows["b"]
+		a.Shards, b.Shards = all[:200], nil
+		f.rows["a"], f.rows["b"] = a, b
+		start := time.Now()
+		p, err := evacuate(t.Context(), f, false, f.source())
+		if err != nil || p.Moved != 200 || time.Since(start) > 2*time.Second {
+			t.Errorf("%v after %v: %+v", err, time.Since(start), p)
+		}
+	})
+}
+
 // Guards against a stop that never ends because no target accepts, and one
 // that leaves attempts running.
 func TestEvacuateEndsWithItsContext(t *testing.T) {
--- a/router/move/evacuate.go
+++ b/router/move/evacuate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"burdockglade.dev/router/balance"
+	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/ownership"
@@ -58,6 +59,7 @@
 	e := &evacuation{
 		EvacuateOptions: o,
 		moving:          map[keyspace.Shard]bool{},
+		targets:         map[string]bool{},
 		results:         make(chan attempt),
 	}
 	err := e.run(ctx)
@@ -76,6 +78,7 @@
 type evacuation struct {
 	EvacuateOptions
 	moving   map[keyspace.Shard]bool
+	targets  map[string]bool // targets of the attempts for idle shards
 	results  chan attempt
 	idle     int // attempts under way for idle shards
 	busy     int // attempts under way for shards with requests in flight
@@ -134,6 +137,11 @@
 		if idleLeft && (m.Busy || e.idle >= maxIdleMoves) {
 			break
 		}
+		// A target takes one move at a time. Moves of busy shards to the same
+		// target find it free again while they drain.
+		if e.targets[m.Target.Name] {
+			continue
+		}
 		e.start(ctx, now, m)
 	}
 }
@@ -181,11 +189,17 @@
 	return plan
 }
 
+// count notes the begin (n = 1) or the end (n = -1) of an attempt.
 func (e *evacuation) count(m balance.Move, n int) {
 	if m.Busy {
 		e.busy += n
+		return
+	}
+	e.idle += n
+	if n > 0 {
+		e.targets[m.Target.Name] = true
 	} else {
-		e.idle += n
+		delete(e.targets, m.Target.Name)
 	}
 }
 
@@ -226,9 +240,13 @@
 		return
 	}
 	e.progress.Failed++
-	if a.result.Reason == ReasonRefused || a.result.Reason == ReasonTransfer {
+	if a.result.Refused() {
 		e.Policy.Refused(now, a.move.Target.Name)
 	}
+	if errkind.Is(a.result.Err, errkind.Conflict) {
+		// The target receives another host's move and is soon free again.
+		e.failures = 0
+	}
 	e.backOff(now)
 }
 
--- a/router/move/port.go
+++ b/router/move/port.go
@@ -97,7 +97,8 @@
 
 // Adopter takes in records: into the route table and, for groups that this
 // host holds, into lease and gate. It ignores records that are not newer than
-// the ones it has, so a repeated call does no harm.
+// the ones it has, so a repeated call does no harm. Requests that wait at
+// closed shards go on waiting until ReleaseShards.
 type Adopter interface {
 	Adopt(records ...ownership.Group)
 }
--- a/router/move/source_machine.go
+++ b/router/move/source_machine.go
@@ -103,6 +103,14 @@
 	Announced bool
 }
 
+// Refused reports whether the target should be left alone for a while: it
+// refused, could not be reached or did not take the journal. A target that
+// only receives another move (errkind.Conflict) is free again within moments.
+func (r Result) Refused() bool {
+	atTarget := r.Reason == ReasonRefused || r.Reason == ReasonTransfer
+	return atTarget && !errkind.Is(r.Err, errkind.Conflict)
+}
+
 // SourceEvent is an input of the source's state machine.
 type SourceEvent interface{ sourceEvent() }
 
