Close three gaps between the parts of a router

Cause, found by reading the seams: (1) a move's source could release waiting requests while a peer's copy of the same record was still being taken in, so a permit for moved shards was possible for a moment; (2) a not-run that comes later than the gate remembers ended requests was believed; (3) the member row of a lost host stayed, so the host was chosen as standby again and again, and empty groups of lost hosts piled up at their standbys. Ruled out: removing member rows on suspicion alone (a cut between two hosts would remove a living one).

--- a/router/forward/hop.go
+++ b/router/forward/hop.go
@@ -98,6 +98,8 @@
 	r      *request
 	record *ownership.Group
 	id     string
+	// began is when the attempt began; the request was sent later.
+	began time.Time
 	// sent is set when a connection was chosen: from then on the owner may
 	// have received the request.
 	sent atomic.Bool
@@ -107,7 +109,7 @@
 func (c *hopClient) send(ctx context.Context, w http.ResponseWriter, r *request, record *ownership.Group, n int) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h := &hop{client: c, r: r, record: record, id: attemptID(r.id, n)}
+	h := &hop{client: c, r: r, record: record, id: attemptID(r.id, n), began: time.Now()}
 	result := make(chan hopResult, 1)
 	req, err := h.newRequest(ctx)
 	if err != nil {
--- a/router/forward/resolve.go
+++ b/router/forward/resolve.go
@@ -36,6 +36,11 @@
 	}
 	var res resolution
 	res.err = h.client.o.Peers.CallFresh(ctx, h.record.Holder, MethodResolve, query, &res.answer)
+	// The gate forgets ended requests, so an answer that comes late does not
+	// prove that the request did not run.
+	if res.answer.State == gate.ResolveNotRun && time.Since(h.began) >= res.answer.Within {
+		res.answer.State = gate.ResolveUnknown
+	}
 	return res
 }
 
--- a/router/node/groups.go
+++ b/router/node/groups.go
@@ -73,6 +73,7 @@
 	}
 	n.manager.Adopt(records...)
 	for _, r := range records {
+		n.checkFormerHolder(r)
 		n.install(r)
 	}
 	n.routes.Merge(records...)
--- a/router/node/heartbeat.go
+++ b/router/node/heartbeat.go
@@ -5,6 +5,7 @@
 
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/lease"
+	"burdockglade.dev/router/member"
 	"burdockglade.dev/router/ownership"
 	"burdockglade.dev/router/peer"
 )
@@ -44,6 +45,7 @@
 // leaseNetwork sends lease messages as datagrams.
 type leaseNetwork struct {
 	datagrams *peer.Datagrams
+	directory *member.Directory
 	log       *event.Logger
 }
 
@@ -78,8 +80,13 @@
 
 func (n *leaseNetwork) send(to ownership.Host, kind peer.DatagramKind, value any) {
 	if to.ControlAddr == "" {
-		// The holder's record has not arrived yet; the next heartbeat will do.
-		return
+		// A standby that knows a group only from a heartbeat has the holder's
+		// name and no address.
+		m, ok := n.directory.Get(to.Name)
+		if !ok || !m.Host.Same(to) {
+			return
+		}
+		to = m.Host
 	}
 	if err := n.datagrams.Send(to.ControlAddr, kind, value); err != nil {
 		n.log.Log(evHeartbeatNotSent, event.F("host", to.Name), event.F("error", err.Error()))
--- a/router/node/moves.go
+++ b/router/node/moves.go
@@ -45,13 +45,7 @@
 	m.mu.Lock()
 	m.closures[closureKey(service, groupID, shards)] = closure
 	m.mu.Unlock()
-	drained := make(chan struct{})
-	go func() {
-		if closure.Drained(context.Background()) == nil {
-			close(drained)
-		}
-	}()
-	return drained, nil
+	return closure.Idle(), nil
 }
 
 // ReopenShards implements move.SourceGate.
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -178,7 +178,7 @@
 		return err
 	}
 	n.records = records
-	n.network = &leaseNetwork{log: n.log}
+	n.network = &leaseNetwork{directory: n.directory, log: n.log}
 	n.replica = gate.NewReplica(gate.ReplicaOptions{Service: n.service})
 	n.manager, err = ownership.NewManager(ownership.ManagerOptions{
 		Self:          n.self,
@@ -440,8 +440,11 @@
 	n *Node
 }
 
-// Adopt implements move.Adopter.
+// Adopt implements move.Adopter. The lease manager gets the records first and
+// directly: when Adopt returns, no permit for moved shards may be given any
+// more, even if a peer's copy of the record is being taken in at the same time.
 func (a adopter) Adopt(records ...ownership.Group) {
+	a.n.manager.Adopt(records...)
 	for _, r := range records {
 		a.n.gossipGroup(r)
 	}
--- a/router/node/placement.go
+++ b/router/node/placement.go
@@ -62,6 +62,37 @@
 			continue
 		}
 		p.decide(ctx)
+		p.deleteSurplus(ctx)
+	}
+}
+
+// deleteSurplus deletes one empty group beyond the number that a host starts
+// with. Takeovers bring further groups, whose rows and heartbeats are of no use
+// once their shards have moved on.
+func (p *placer) deleteSurplus(ctx context.Context) {
+	service := p.n.agent.Status().Announcement.Service
+	held := 0
+	var empty []ownership.Group
+	for _, g := range p.n.manager.Held() {
+		if g.Service != service {
+			continue
+		}
+		held++
+		if len(g.Shards) == 0 {
+			empty = append(empty, g)
+		}
+	}
+	if held <= p.n.s.Lease.Groups || len(empty) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	// Oldest first would also do; a move to the deleted group is refused by its
+	// row's version.
+	if err := p.n.manager.DeleteEmpty(ctx, service, empty[0].ID); err != nil {
+		p.n.log.Log(evSplitFailed, event.F("group", empty[0].ID), event.F("error", err.Error()))
 	}
 }
 
--- a/router/node/shutdown.go
+++ b/router/node/shutdown.go
@@ -147,7 +147,7 @@
 	for _, g := range n.manager.Held() {
 		if len(g.Shards) == 0 {
 			// A row that stays is taken over and does no harm.
-			_ = n.records.DeleteEmpty(ctx, g)
+			_ = n.manager.DeleteEmpty(ctx, g.Service, g.ID)
 		}
 	}
 }
--- a/router/ownership/manager.go
+++ b/router/ownership/manager.go
@@ -287,6 +287,31 @@
 	delete(m.waiters, key)
 }
 
+// DeleteEmpty deletes the row of a group that is held here and has no shards.
+// Errors are those of Records.DeleteEmpty, or the kind WrongOwner.
+func (m *Manager) DeleteEmpty(ctx context.Context, service, groupID string) error {
+	key := GroupKey(service, groupID)
+	m.lock()
+	role := m.held[key]
+	var base Group
+	if role != nil {
+		base = role.rec
+	}
+	m.unlock()
+	if role == nil {
+		return errkind.New(errkind.WrongOwner, "this host does not hold group %s", key)
+	}
+	if err := m.o.Records.DeleteEmpty(ctx, base); err != nil {
+		return err
+	}
+	m.lock()
+	defer m.unlock()
+	if m.held[key] == role {
+		m.forget(key)
+	}
+	return nil
+}
+
 // waiterSpread is the share of the horizon over which the hosts of a service
 // spread their takeovers, and waiterRetries divides it into pauses after a
 // failure.
