Extend the grants of the requests that are awaited

Cause: an extension raised the right to commit of a whole group. A request that the router gave up on could commit as long as any other request of its group was extended, so its shard did not drain: planned moves gave up after 100 ms and a stop waited for the longest request of the group.

Change: an extension names 1 to 64 requests. The gate names the flights whose answers it awaits, records the new end before the message is sent and leaves a flight's end alone once it gave up on it. The table of groups in the gate is removed. A grant without a standby is at most 500 ms long, as one with a standby, where it was 1 s. Requests whose grant lasts until their deadline are not extended. Request ids above 128 bytes are refused.

Ruled out: an acknowledgement that lists the requests taken, because the gate has to count an extension from its sending on; one not-after time per request, because the message would be longer and the ends differ by at most 500 ms.

Conclusion: an abandoned request keeps its shard for at most 500 ms.

--- a/router/gate/closure.go
+++ b/router/gate/closure.go
@@ -67,8 +67,8 @@
 }
 
 // Drained waits until the upstream runs no request for the shards and can start
-// none. Requests that the gate gave up on count until their grant, deadline or
-// settle time has ended.
+// none. Requests that the gate gave up on count until their own grant, deadline
+// or settle time has ended.
 func (c *Closure) Drained(ctx context.Context) error {
 	select {
 	case <-c.drained:
--- a/router/gate/flight.go
+++ b/router/gate/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -28,33 +29,33 @@
 	grantTimeout = 200 * time.Millisecond
 	// grantLimit bounds a grant of a group without a standby, whose lease is as
 	// long as the horizon: requests that the gate gave up on stay in flight
-	// until the grant ends.
-	grantLimit = time.Second
+	// until their grant ends. It is the length of a lease with a standby.
+	grantLimit = 500 * time.Millisecond
 )
 
 type groupKey struct {
 	service, id string
 }
 
-// granted is what the upstream was granted for a group.
-type granted struct {
-	// end is the latest end of any grant that was sent, acknowledged or not.
-	end time.Time
-	// active holds the flights whose answer is awaited.
-	active map[*flight]struct{}
-	// extending is true while an extension is under way.
-	extending bool
-}
-
 // flight is a request that the upstream may be running.
 type flight struct {
-	service string
-	hash    keyspace.Hash
-	group   groupKey
-	kind    note.UpstreamKind
-	settle  time.Duration
-	// notAfter is the end that the request carries; zero until it is sent.
+	id       string
+	service  string
+	hash     keyspace.Hash
+	groupID  string
+	kind     note.UpstreamKind
+	settle   time.Duration
+	deadline time.Time
+
+	// The fields below are guarded by the gate's lock.
+
+	// notAfter is the latest end that the upstream was sent for the request,
+	// acknowledged or not; zero until the request is sent.
 	notAfter time.Time
+	// awaited is true from the send until the answer arrives or is given up.
+	awaited bool
+	// extending is true while an extension is under way.
+	extending bool
 }
 
 // enter counts a request as in flight, unless its position is closed. The check
@@ -80,15 +81,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f.notAfter = notAfter
-	s := g.grants[f.group]
-	if s == nil {
-		s = &granted{active: map[*flight]struct{}{}}
-		g.grants[f.group] = s
-	}
-	s.active[f] = struct{}{}
-	if notAfter.After(s.end) {
-		s.end = notAfter
-	}
+	f.awaited = true
 }
 
 // leave ends a flight of which nothing runs at the upstream any more.
@@ -104,7 +97,7 @@
 		return
 	}
 	delete(g.flights, f)
-	g.deactivate(f)
+	f.awaited = false
 	for c := range g.closures {
 		if !c.covers(f.service, f.hash) {
 			continue
@@ -116,51 +109,22 @@
 	}
 }
 
-func (g *Gate) deactivate(f *flight) {
-	s := g.grants[f.group]
-	if s == nil {
-		return
-	}
-	delete(s.active, f)
-	if len(s.active) == 0 && !g.now().Before(s.end) {
-		delete(g.grants, f.group)
-	}
-}
-
 // linger keeps a flight whose answer did not arrive until the upstream can no
-// longer run it.
+// longer run it. It is not extended any more, so its end does not move.
 func (g *Gate) linger(f *flight) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s := g.grants[f.group]; s != nil {
-		delete(s.active, f)
-	}
+	f.awaited = false
 	end := g.now().Add(f.settle)
 	if f.kind != note.Plain {
 		end = f.notAfter
 	}
-	g.dropAfter(f, end)
-}
-
-// dropAfter drops the flight at its end. At a fenced upstream a grant covers
-// the whole group: when it was extended for other requests meanwhile, the
-// abandoned request may still commit under it, so the end moves along.
-func (g *Gate) dropAfter(f *flight, end time.Time) {
-	if f.kind == note.Fenced {
-		if s := g.grants[f.group]; s != nil && s.end.After(end) {
-			end = s.end
-		}
-	}
 	left := end.Sub(g.now())
 	if left <= 0 {
 		g.drop(f)
 		return
 	}
-	time.AfterFunc(left, func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.dropAfter(f, end)
-	})
+	time.AfterFunc(left, func() { g.leave(f) })
 }
 
 // InFlight returns the number of requests that the upstream may be running.
@@ -170,57 +134,78 @@
 	return len(g.flights)
 }
 
-// extendGrants sends extensions for the groups that need one.
+// extension is one message that extends the grants of some flights.
+type extension struct {
+	upstream.Grant
+	flights []*flight
+}
+
+// extendGrants sends extensions for the requests that need one.
 func (g *Gate) extendGrants(ctx context.Context) {
+	for _, e := range g.dueExtensions() {
+		if g.raise(e) {
+			go g.extend(ctx, e)
+		}
+	}
+}
+
+// dueExtensions sorts the flights whose grant ends soon into messages. A flight
+// whose position belongs to another group by now is left out.
+func (g *Gate) dueExtensions() []*extension {
+	var all []*extension
+	open := map[GroupRef]*extension{}
 	for _, f := range g.lowGrants() {
-		permit, err := g.opts.Authority.Permit(f.service, f.hash)
-		if err != nil || permit.GroupID != f.group.id {
+		permit, err := g.permit(f.service, f.hash)
+		if err != nil || permit.GroupID != f.groupID {
 			continue
 		}
-		end := g.grantEnd(permit)
-		if g.raiseGrant(f.group, end) {
-			go g.extend(ctx, f.group, permit, end)
+		ref := refOf(permit)
+		e := open[ref]
+		if e == nil || len(e.flights) == upstream.MaxGrantRequests {
+			e = &extension{Grant: upstream.Grant{
+				GroupID: permit.GroupID, Generation: permit.Generation, NotAfter: g.grantEnd(permit),
+			}}
+			open[ref] = e
+			all = append(all, e)
 		}
+		e.NotAfter = earlier(e.NotAfter, permit.Until)
+		e.flights = append(e.flights, f)
 	}
+	return all
 }
 
-// lowGrants returns one awaited flight of each fenced group whose grant ends
-// soon, and forgets groups that hold none.
+// lowGrants returns the awaited flights whose grant ends soon. A grant that has
+// lapsed cannot be extended, and one until the deadline need not be.
 func (g *Gate) lowGrants() []*flight {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	var low []*flight
-	for key, s := range g.grants {
-		if len(s.active) == 0 && !now.Before(s.end) {
-			delete(g.grants, key)
-			continue
-		}
-		if s.extending || s.end.Sub(now) > grantLow {
-			continue
-		}
-		for f := range s.active {
-			if f.kind == note.Fenced {
-				low = append(low, f)
-			}
-			break
+	for f := range g.flights {
+		left := f.notAfter.Sub(now)
+		if f.awaited && !f.extending && f.kind == note.Fenced &&
+			left > 0 && left <= grantLow && f.notAfter.Before(f.deadline) {
+			low = append(low, f)
 		}
 	}
 	return low
 }
 
-// raiseGrant records the extension before it is sent, because it counts even
-// when its acknowledgement is lost.
-func (g *Gate) raiseGrant(key groupKey, end time.Time) bool {
+// raise records the extension before it is sent, because it counts even when
+// its acknowledgement is lost. It leaves out the flights that ended or were
+// given up meanwhile, and returns false when none is left.
+func (g *Gate) raise(e *extension) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.grants[key]
-	if s == nil || s.extending || end.Sub(s.end) < grantStep {
-		return false
+	e.flights = slices.DeleteFunc(e.flights, func(f *flight) bool {
+		return !f.awaited || e.NotAfter.Sub(f.notAfter) < grantStep
+	})
+	for _, f := range e.flights {
+		f.extending = true
+		f.notAfter = e.NotAfter
+		e.RequestIDs = append(e.RequestIDs, f.id)
 	}
-	s.extending = true
-	s.end = end
-	return true
+	return len(e.flights) > 0
 }
 
 // grantEnd is the end of a grant that is given now.
@@ -228,18 +213,16 @@
 	return earlier(permit.Until, g.now().Add(grantLimit))
 }
 
-func (g *Gate) extend(ctx context.Context, key groupKey, permit ownership.Permit, end time.Time) {
+func (g *Gate) extend(ctx context.Context, e *extension) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	err := g.opts.Upstream.Extend(ctx, upstream.Grant{
-		GroupID: permit.GroupID, Generation: permit.Generation, NotAfter: end,
-	})
+	err := g.opts.Upstream.Extend(ctx, e.Grant)
 	if err != nil && ctx.Err() != context.Canceled {
-		g.opts.Log.Log(eventGrant, event.F("group", key.id), event.F("error", err.Error()))
+		g.opts.Log.Log(eventGrant, event.F("group", e.GroupID), event.F("error", err.Error()))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s := g.grants[key]; s != nil {
-		s.extending = false
+	for _, f := range e.flights {
+		f.extending = false
 	}
 }
--- a/router/gate/gate.go
+++ b/router/gate/gate.go
@@ -121,7 +121,6 @@
 	closures map[*Closure]struct{}
 	parked   int
 	flights  map[*flight]struct{}
-	grants   map[groupKey]*granted
 	syncs    map[groupKey]*syncTask
 }
 
@@ -152,7 +151,6 @@
 		requests: newRequestTable(),
 		closures: map[*Closure]struct{}{},
 		flights:  map[*flight]struct{}{},
-		grants:   map[groupKey]*granted{},
 		syncs:    map[groupKey]*syncTask{},
 	}, nil
 }
--- a/router/gate/serve.go
+++ b/router/gate/serve.go
@@ -64,6 +64,9 @@
 	if req.ID == "" {
 		return nil, errkind.New(errkind.BadRequest, "the request has no id")
 	}
+	if len(req.ID) > upstream.MaxRequestID {
+		return nil, errkind.New(errkind.BadRequest, "the request id has %d bytes, at most %d are allowed", len(req.ID), upstream.MaxRequestID)
+	}
 	deadline := req.Deadline
 	if deadline.IsZero() {
 		deadline = g.now().Add(service.RequestTimeout)
@@ -246,9 +249,8 @@
 	result := admit.Failed
 	defer func() { release(result) }()
 	f := &flight{
-		service: j.req.Service, hash: j.req.Hash,
-		group: groupKey{j.req.Service, j.permit.GroupID},
-		kind:  j.service.Kind, settle: j.service.Settle,
+		id: j.req.ID, service: j.req.Service, hash: j.req.Hash, groupID: j.permit.GroupID,
+		kind: j.service.Kind, settle: j.service.Settle, deadline: j.deadline,
 	}
 	if !g.enter(f, j.rec) {
 		return true, nil
--- a/router/upstream/client.go
+++ b/router/upstream/client.go
@@ -68,12 +68,23 @@
 	NotAfter time.Time
 }
 
-// Grant extends the right to commit work of a group.
+const (
+	// MaxGrantRequests bounds the requests that one grant extends. It is above
+	// the slots of common upstreams, so that one message per group suffices.
+	MaxGrantRequests = 64
+	// MaxRequestID bounds the bytes of a request id, so that a grant has at most
+	// about 10 KB.
+	MaxRequestID = 128
+)
+
+// Grant extends the right to commit of some requests of a group.
 type Grant struct {
 	GroupID    string
 	Generation uint64
 	// NotAfter is the end of the grant; monotonic.
 	NotAfter time.Time
+	// RequestIDs are the 1 to MaxGrantRequests requests that the grant is for.
+	RequestIDs []string
 }
 
 // grantBody is the body of PUT /burdock/grants.
@@ -81,7 +92,8 @@
 	Group      string `json:"group"`
 	Generation uint64 `json:"generation"`
 	// NotAfter is in Unix microseconds.
-	NotAfter int64 `json:"not_after"`
+	NotAfter int64    `json:"not_after"`
+	Requests []string `json:"requests"`
 }
 
 // Answer is the head of the upstream's answer and its body, which the caller
@@ -411,10 +423,13 @@
 	if t == nil {
 		return errkind.New(errkind.UpstreamDown, "no upstream is announced")
 	}
+	if n := len(grant.RequestIDs); n == 0 || n > MaxGrantRequests {
+		return errkind.New(errkind.BadRequest, "a grant for %d requests: want 1 to %d", n, MaxGrantRequests)
+	}
 	now := time.Now()
 	body, err := json.Marshal(grantBody{
 		Group: grant.GroupID, Generation: grant.Generation,
-		NotAfter: wallMicros(now, grant.NotAfter.Sub(now)),
+		NotAfter: wallMicros(now, grant.NotAfter.Sub(now)), Requests: grant.RequestIDs,
 	})
 	if err != nil {
 		return fmt.Errorf("encoding a grant: %w", err)
