Refuse a takeover of living hosts; make repeated moves and drained demos quiet

`move` of a shard to its own holder closed it and moved it to the host's other group. `move` in an unknown service was answered no_owner. `members` and `note status` showed "-1ms ago" for a host that was never heard. Change: the router asks holder and standby over a fresh connection and refuses the takeover with conflict when one of them answers. A move to the holder is answered as done. The other four are corrected. Ruled out: a check of the age of the last heard summary for the takeover; it would delay the repair after a real loss. A silent host proves nothing, so the declaration stays necessary. Conclusion: a wrong declaration is refused when the hosts can be reached.

--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -104,7 +104,7 @@
 }
 
 func (b *backend) Members(context.Context) (admin.Members, error) {
-	return admin.Members{Members: []admin.Member{{Host: "host-1", Zone: "z1", HeardMillis: 40}}}, b.called("members")
+	return admin.Members{Members: []admin.Member{{Host: "host-1", Zone: "z1", HeardMillis: 40}, {Host: "host-2", HeardMillis: -1}}}, b.called("members")
 }
 
 func (b *backend) Move(_ context.Context, r admin.MoveRequest) (admin.Moved, error) {
@@ -257,17 +257,21 @@
 	c := newCtl(t, b)
 	c.want(ExitOK, "25.00%", "", "owners", "-s", "market")
 	c.want(ExitOK, "3fffffffffffffff", "", "owners", "--shards")
-	c.want(ExitOK, "40ms ago", "", "members")
+	out, _ := c.want(ExitOK, "40ms ago", "", "members")
+	if !strings.Contains(out, "never") || strings.Contains(out, "-1ms") {
+		t.Errorf("a host that was never heard is shown as\n%s", out)
+	}
 	c.want(ExitOK, `"host": "host-1"`, "", "-o", "json", "members")
 	c.want(ExitFailed, "not confirmed", "", "move", "-s", "market", "--key", "k", "-t", "host-2")
 	c.want(ExitOK, "moved", "y\n", "move", "-s", "market", "--key", "k", "-t", "host-2")
+	c.want(ExitOK, "is already at", "y\n", "move", "-s", "market", "--key", "k", "-t", "host-1")
 	c.want(ExitUsage, "first is after last", "", "-y", "move", "-s", "market", "--shard", "0000000000000002-0000000000000001", "-t", "h")
 	c.want(ExitFailed, "not confirmed", "", "drain", "host-1")
 	c.want(ExitOK, "draining", "", "-y", "drain", "host-1")
 	c.want(ExitUsage, "--declare-lost", "", "-y", "takeover", "market", "g1")
 	c.want(ExitUsage, "--declare-lost", "", "-y", "takeover", "market", "g1", "--declare-lost=false")
 	c.want(ExitOK, "taken over", "", "-y", "takeover", "market", "g1", "--declare-lost")
-	want := "owners market|owners |members|members|move market <nil> k host-2|drain host-1|takeover market g1"
+	want := "owners market|owners |members|members|move market <nil> k host-2|move market <nil> k host-1|drain host-1|takeover market g1"
 	if got := strings.Join(b.calls, "|"); got != want {
 		t.Errorf("calls %s\nwant  %s", got, want)
 	}
--- a/ctl/command/operate.go
+++ b/ctl/command/operate.go
@@ -137,6 +137,10 @@
 		return err
 	}
 	return e.Print(moved, func(w io.Writer) {
+		if moved.Source == moved.Target {
+			row(w, "shard", moved.Shard, "is already at", moved.Target)
+			return
+		}
 		row(w, "moved", moved.Shard, "from", moved.Source, "to", moved.Target)
 	})
 }
@@ -276,7 +280,10 @@
 	return "no"
 }
 
-// ago formats a time since something was heard.
+// ago formats a time since something was heard; a negative one means never.
 func ago(millis int64) string {
+	if millis < 0 {
+		return "never"
+	}
 	return (time.Duration(millis) * time.Millisecond).String() + " ago"
 }
--- a/ctl/dev/demo.go
+++ b/ctl/dev/demo.go
@@ -84,6 +84,16 @@
 	done chan struct{}
 }
 
+// ended reports whether the router has stopped, for example after a drain.
+func (h demoHost) ended() bool {
+	select {
+	case <-h.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Run starts the system, prints how to use it and serves until ctx ends.
 func (c *DemoCmd) Run(ctx context.Context) error {
 	if c.Hosts < 1 || c.Hosts > maxDemoHosts {
@@ -100,6 +110,8 @@
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
 		d.dir = dir
+	} else if err := os.MkdirAll(d.dir, 0o700); err != nil {
+		return err
 	}
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer func() {
@@ -285,7 +297,11 @@
 	defer cancel()
 	var errs []error
 	for _, h := range d.hosts {
-		errs = append(errs, h.upstream.Stop(ctx, 0))
+		err := h.upstream.Stop(ctx, 0)
+		// An upstream cannot take leave of a router that was drained before.
+		if !h.ended() {
+			errs = append(errs, err)
+		}
 		h.stop()
 		<-h.done
 	}
--- a/ctl/dev/dev_test.go
+++ b/ctl/dev/dev_test.go
@@ -5,8 +5,11 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -277,3 +280,26 @@
 	change(&r)
 	return r
 }
+
+// Guards against a demo that demands an existing directory, and against a
+// directory that others can read although it holds the token. The demo ends
+// early because its first port is taken.
+func TestDemoCreatesItsDirectory(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	dir := filepath.Join(t.TempDir(), "demo")
+	c := &DemoCmd{Hosts: 1, Service: "orders", BasePort: taken.Addr().(*net.TCPAddr).Port, Dir: dir, Out: io.Discard, Err: io.Discard}
+	if err := c.Run(t.Context()); err == nil {
+		t.Error("the demo ran on a port that is taken")
+	}
+	info, err := os.Stat(dir)
+	if err != nil || info.Mode().Perm() != 0o700 {
+		t.Errorf("the directory is %v, %v", info, err)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "token")); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/ctl/e2e/operator_test.go
@@ -0,0 +1,100 @@
+package e2e
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+
+	"burdockglade.dev/router/admin"
+	"burdockglade.dev/router/errkind"
+)
+
+// operator returns a client of a host's administration API.
+func (c *cluster) operator(h *host) *admin.Client {
+	c.t.Helper()
+	client, err := admin.NewClient(admin.ClientOptions{BaseURL: "http://" + h.admin, Token: adminToken})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(client.Close)
+	return client
+}
+
+func (c *cluster) host(name string) *host {
+	c.t.Helper()
+	i := slices.IndexFunc(c.hosts, func(h *host) bool { return h.name == name })
+	if i < 0 {
+		c.t.Fatalf("no host %q", name)
+	}
+	return c.hosts[i]
+}
+
+// groupWithStandby waits for a group that has shards and a standby.
+func (c *cluster) groupWithStandby(operator *admin.Client, service string) admin.Group {
+	c.t.Helper()
+	var found admin.Group
+	eventually(c.t, "a group with shards and a standby", func() bool {
+		owners, err := operator.Owners(c.t.Context(), service)
+		i := slices.IndexFunc(owners.Groups, func(g admin.Group) bool { return g.Standby != "" && len(g.Shards) > 0 })
+		if err != nil || i < 0 {
+			return false
+		}
+		found = owners.Groups[i]
+		return true
+	})
+	return found
+}
+
+// Guards against two owners of a key after a wrong declaration: a takeover of a
+// group whose hosts answer is refused. When both hosts are lost, the
+// declaration must bring the keys back without the wait for the horizon.
+func TestDeclareLost(t *testing.T) {
+	c := threeHosts(t, "orders")
+	c.spread("orders", 60)
+	g := c.groupWithStandby(c.operator(c.hosts[0]), "orders")
+	left := c.hosts[slices.IndexFunc(c.hosts, func(h *host) bool { return h.name != g.Holder && h.name != g.Standby })]
+	operator := c.operator(left)
+
+	if _, err := operator.TakeOver(t.Context(), "orders", g.ID); !errkind.Is(err, errkind.Conflict) {
+		t.Errorf("takeover of a group whose hosts answer: %v", err)
+	}
+	c.host(g.Holder).kill()
+	c.host(g.Standby).kill()
+	taken, err := operator.TakeOver(t.Context(), "orders", g.ID)
+	if err != nil || taken.Holder != left.name || taken.Generation <= g.Generation {
+		t.Fatalf("takeover of a lost group: %+v, %v", taken, err)
+	}
+	eventually(t, "the group's keys are served", func() bool {
+		owners, err := operator.Owners(t.Context(), "orders")
+		return err == nil && slices.ContainsFunc(owners.Groups, func(o admin.Group) bool {
+			return o.ID == g.ID && o.Holder == left.name
+		})
+	})
+}
+
+// Guards against moves that close shards for nothing and against refusals that
+// name another cause than the operator's mistake.
+func TestMoveToTheHolderAndOfUnknownService(t *testing.T) {
+	c := threeHosts(t, "orders")
+	c.spread("orders", 60)
+	operator := c.operator(c.hosts[0])
+	if _, err := operator.Move(t.Context(), admin.MoveRequest{Service: "nope", Key: "k", Target: "h1"}); !errkind.Is(err, errkind.UnknownService) {
+		t.Errorf("move in an unknown service: %v", err)
+	}
+	eventually(t, "the key is at h2", func() bool {
+		_, err := operator.Move(t.Context(), admin.MoveRequest{Service: "orders", Key: "k", Target: "h2"})
+		return err == nil
+	})
+	eventually(t, "a repeated move changes nothing", func() bool {
+		before, err := c.request(http.MethodGet, c.hosts[0], "/orders/k", "")
+		if err != nil || before.header.Get("Burdock-Owner") != "h2" {
+			return false
+		}
+		moved, err := operator.Move(t.Context(), admin.MoveRequest{Service: "orders", Key: "k", Target: "h2"})
+		if err != nil {
+			return false
+		}
+		after, err := c.request(http.MethodGet, c.hosts[0], "/orders/k", "")
+		return err == nil && moved.Source == "h2" && moved.TargetGroup == before.echo.Group && after.echo.Group == before.echo.Group
+	})
+}
--- a/router/node/admin.go
+++ b/router/node/admin.go
@@ -176,6 +176,9 @@
 
 // Move implements admin.Backend. The holder of the shard carries it out.
 func (b backend) Move(ctx context.Context, r admin.MoveRequest) (admin.Moved, error) {
+	if _, ok := b.n.service(r.Service); !ok {
+		return admin.Moved{}, errkind.New(errkind.UnknownService, "service %q", r.Service)
+	}
 	h := keyspace.HashKey(r.Service, r.Key)
 	if r.Shard != nil {
 		h = r.Shard.First
@@ -219,9 +222,43 @@
 
 // TakeOver implements admin.Backend.
 func (b backend) TakeOver(ctx context.Context, service, group string) (admin.TakenOver, error) {
+	if err := b.checkLost(ctx, service, group); err != nil {
+		return admin.TakenOver{}, err
+	}
 	g, err := b.n.manager.DeclareLost(ctx, service, group)
 	if err != nil {
 		return admin.TakenOver{}, err
 	}
 	return admin.TakenOver{Service: g.Service, Group: g.ID, Holder: g.Holder.Name, Generation: g.Generation}, nil
 }
+
+// lostTimeout is how long a takeover waits for an answer of the hosts that the
+// operator declared lost.
+const lostTimeout = time.Second
+
+// checkLost refuses a takeover while the group's holder or standby answers: the
+// declaration is then wrong. Silence proves nothing, so the declaration is
+// needed all the same.
+func (b backend) checkLost(ctx context.Context, service, group string) error {
+	g, err := b.n.records.Get(ctx, service, group)
+	if err != nil {
+		return err
+	}
+	for _, h := range []ownership.Host{g.Holder, g.Standby} {
+		if h.IsZero() || h.Same(b.n.self) {
+			continue
+		}
+		if b.answers(ctx, h) {
+			return errkind.New(errkind.Conflict, "host %s of group %s answers, so it is not lost", h.Name, group)
+		}
+	}
+	return nil
+}
+
+// answers reports whether the process of a host answers a control call.
+func (b backend) answers(ctx context.Context, h ownership.Host) bool {
+	ctx, cancel := context.WithTimeout(ctx, lostTimeout)
+	defer cancel()
+	err := b.n.client.CallFresh(ctx, h, methodNoteGet, noteQuery{}, &noteAnswer{})
+	return err == nil || errkind.Is(err, errkind.NotReady)
+}
--- a/router/node/placement.go
+++ b/router/node/placement.go
@@ -202,6 +202,11 @@
 		if g.Service != service || !found {
 			continue
 		}
+		if m.Host.Same(p.n.self) {
+			// The shard is where the operator wants it, for example after the
+			// repetition of a move whose answer was lost.
+			return move.Result{Outcome: move.Applied, Target: g}, nil
+		}
 		result := p.move(ctx, service, balance.Move{Group: g.ID, Shards: []keyspace.Shard{shard}, Target: m.Host})
 		if result.Outcome != move.Applied {
 			return result, errkind.New(errkind.Conflict, "the move ended without effect (%v): %w", result.Reason, result.Err)
