Keep standbys in another zone, and groups away from hosts without an upstream

A hand-over picks the new standby from the view of the host that gives the group away, so holder and standby were in one zone and were lost with it; nothing improved such a pair later. And a host whose upstream was down stayed standby, took groups over when their holder was lost and kept them, because it tried to hand groups over only once. Change: every 5 s a host compares its groups' standbys with the other hosts in memory and replaces one that shares its zone while another zone has a host. A host whose upstream is down leaves its standby roles and hands groups over for as long as it is down. An operator's move that failed at the store, at the target or with an unknown outcome is reported with that kind; all were conflict, whose outcome is "not run". Ruled out: picking the standby from the view of the new holder in ownership.Manager alone; pairs that were formed while a zone was down would stay. Conclusion: a zone loss finds each group's standby in another zone, up to 5 s after a host there is up. ownership.Manager still forms the pair in one zone at first.

--- a/ctl/e2e/operator_test.go
+++ b/ctl/e2e/operator_test.go
@@ -98,3 +98,49 @@
 		return err == nil && moved.Source == "h2" && moved.TargetGroup == before.echo.Group && after.echo.Group == before.echo.Group
 	})
 }
+
+// Guards against groups that the loss of one zone takes away for good: a
+// standby in the zone of its holder is replaced when a host in another zone is
+// there.
+func TestStandbysAreInAnotherZone(t *testing.T) {
+	c := newCluster(t)
+	c.publish("first-note", twoServices)
+	c.addHost("h1", "z1", "orders")
+	c.addHost("h2", "z1", "orders")
+	c.served(c.hosts[0], "/orders/k")
+	operator := c.operator(c.hosts[0])
+	g := c.groupWithStandby(operator, "orders")
+	if g.Holder == g.Standby {
+		t.Fatalf("holder and standby of %s are one host", g.ID)
+	}
+	c.addHost("h3", "z2", "orders")
+	eventually(t, "every group has holder and standby in two zones", func() bool {
+		owners, err := operator.Owners(t.Context(), "orders")
+		return err == nil && len(owners.Groups) == 6 && !slices.ContainsFunc(owners.Groups, func(g admin.Group) bool {
+			return (g.Holder == "h3") == (g.Standby == "h3")
+		})
+	})
+}
+
+// Guards against keys that no host serves although one could: a host whose
+// upstream is down must be neither holder nor standby of a group, also when it
+// is the standby of a host that is lost next.
+func TestHostWithoutUpstreamGetsNoGroups(t *testing.T) {
+	c := threeHosts(t, "orders")
+	c.spread("orders", 60)
+	h1, h2, h3 := c.hosts[0], c.hosts[1], c.hosts[2]
+	operator := c.operator(h1)
+	h3.upstream.kill()
+	eventually(t, "the host without an upstream has no role", func() bool {
+		owners, err := operator.Owners(t.Context(), "orders")
+		return err == nil && !slices.ContainsFunc(owners.Groups, func(g admin.Group) bool {
+			return len(g.Shards) > 0 && (g.Holder == h3.name || g.Standby == h3.name)
+		})
+	})
+	h2.kill()
+	for _, path := range []string{"/orders/a", "/orders/b", "/orders/c", "/orders/d", "/orders/e", "/orders/f"} {
+		if owner := c.served(h3, path); owner != h1.name {
+			t.Errorf("%s is served by %s", path, owner)
+		}
+	}
+}
--- a/router/member/rows_test.go
+++ b/router/member/rows_test.go
@@ -144,6 +144,28 @@
 	}
 }
 
+// Guards against pairs that stay in one zone for good, and against replacements
+// that gain nothing.
+func TestBetterStandbyIsFound(t *testing.T) {
+	self := testMember("self", "z1", "r1")
+	same, apart, far := testMember("same", "z1", "r1"), testMember("apart", "z2", "r1"), testMember("far", "z9", "r2")
+	d := NewDirectory()
+	d.Put(self)
+	d.Put(same)
+	d.Put(far)
+	for present, want := range map[string]bool{"same": false, "far": true, "unknown": false} {
+		if got := d.HasBetterStandby(start, self, "orders", present); got != want {
+			t.Errorf("one zone, standby %s: got %v", present, got)
+		}
+	}
+	d.Put(apart)
+	for present, want := range map[string]bool{"same": true, "far": true, "apart": false} {
+		if got := d.HasBetterStandby(start, self, "orders", present); got != want {
+			t.Errorf("two zones, standby %s: got %v", present, got)
+		}
+	}
+}
+
 // Guards against load reports of an earlier process or out of order.
 func TestOldLoadReportsAreIgnored(t *testing.T) {
 	d := NewDirectory()
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -94,7 +94,10 @@
 
 	registrar *registrar
 	leaving   atomic.Bool
-	drains    chan struct{}
+	// relinquishing is true while groups are handed over because the upstream
+	// is down.
+	relinquishing atomic.Bool
+	drains        chan struct{}
 
 	adminServer *http.Server
 	listeners   *listeners
@@ -352,6 +355,7 @@
 	n.running.Go(func() { n.target.Run(ctx) })
 	n.running.Go(func() { n.registrar.run(ctx) })
 	n.running.Go(func() { n.placer.run(ctx) })
+	n.running.Go(func() { n.keepStandbysApart(ctx) })
 	n.running.Go(func() { n.firstScan(ctx) })
 	n.listeners.serve(n, n.adminServer)
 }
--- a/router/node/placement.go
+++ b/router/node/placement.go
@@ -208,14 +208,29 @@
 			return move.Result{Outcome: move.Applied, Target: g}, nil
 		}
 		result := p.move(ctx, service, balance.Move{Group: g.ID, Shards: []keyspace.Shard{shard}, Target: m.Host})
-		if result.Outcome != move.Applied {
-			return result, errkind.New(errkind.Conflict, "the move ended without effect (%v): %w", result.Reason, result.Err)
-		}
-		return result, nil
+		return result, moveError(result)
 	}
 	return move.Result{}, errkind.New(errkind.WrongOwner, "host %s does not hold the shard", p.n.self.Name)
 }
 
+// moveError returns what an operator gets for a move that was not applied. The
+// kind tells whether the move may have happened and, where the store or the
+// target is the cause, which of them.
+func moveError(r move.Result) error {
+	kind := errkind.Conflict
+	switch {
+	case r.Outcome == move.Applied:
+		return nil
+	case r.Outcome == move.Unknown:
+		return errkind.New(errkind.OutcomeUnknown, "the move may have happened: %w", r.Err)
+	case errkind.Is(r.Err, errkind.StoreUnavailable):
+		kind = errkind.StoreUnavailable
+	case errkind.Is(r.Err, errkind.PeerUnreachable):
+		kind = errkind.PeerUnreachable
+	}
+	return errkind.New(kind, "the move ended without effect (%v): %w", r.Reason, r.Err)
+}
+
 // mayReceive reports whether this host takes shards of the service.
 func (n *Node) mayReceive(service string) error {
 	status := n.agent.Status()
--- a/router/node/shutdown.go
+++ b/router/node/shutdown.go
@@ -168,10 +168,32 @@
 }
 
 // relinquishAll hands all groups to their standbys because the upstream takes
-// no work. It repeats failed attempts while the upstream stays down.
+// no work, and leaves its standby roles. It goes on while the upstream stays
+// down: a takeover that was under way can still bring a group to this host.
 func (n *Node) relinquishAll() {
-	ctx, cancel := context.WithTimeout(context.Background(), relinquishWindow)
-	defer cancel()
+	if !n.relinquishing.CompareAndSwap(false, true) {
+		return
+	}
+	defer n.relinquishing.Store(false)
+	left := false
+	for n.agent.Status().State == upstream.Down && !n.leaving.Load() {
+		ctx, cancel := context.WithTimeout(context.Background(), relinquishWindow)
+		n.relinquishHeld(ctx)
+		if !left {
+			n.leaveStandbyRoles(ctx)
+			left = len(n.manager.Standbys()) == 0
+		}
+		sleepFor(ctx, relinquishPause)
+		cancel()
+	}
+}
+
+// relinquishHeld makes attempts until no group with shards can be handed over
+// any more or the context ends.
+func (n *Node) relinquishHeld(ctx context.Context) {
+	if len(n.relinquishable()) == 0 {
+		return
+	}
 	closures := n.closeAllShards()
 	defer func() {
 		for _, c := range closures {
@@ -184,10 +206,7 @@
 	}
 	for ctx.Err() == nil && n.agent.Status().State == upstream.Down {
 		left := 0
-		for _, g := range n.manager.Held() {
-			if g.Standby.IsZero() || len(g.Shards) == 0 {
-				continue
-			}
+		for _, g := range n.relinquishable() {
 			if err := n.manager.Relinquish(ctx, g.Service, g.ID); err != nil {
 				left++
 				n.log.Log(evRelinquishFailed, event.F("group", g.ID), event.F("error", err.Error()))
@@ -200,6 +219,17 @@
 	}
 }
 
+// relinquishable returns the held groups that have shards and a standby.
+func (n *Node) relinquishable() []ownership.Group {
+	var groups []ownership.Group
+	for _, g := range n.manager.Held() {
+		if !g.Standby.IsZero() && len(g.Shards) > 0 {
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
 // closure is a set of closed shards of the gate.
 type closure interface {
 	Drained(ctx context.Context) error
