Add operators' metrics, docs/METRICS.md and the events of all packages

Cause: no page named the metrics, and lapses, store latency, moves, queue, note version, silent peers and bytes between regions could not be watched. The names of the gate said "gate" twice, had no unit and put requests without a tenant under "other". docs/EVENTS.md had the events of 2 of 10 packages. Change: gauges of ownership, gate, entry, peers and note version, sampled once a second; counters of takeovers by way, moves by result, failed control calls and bytes of hops by region; histograms of store calls by operation and outcome. The gate's are burdock_gate_queue_wait_seconds and burdock_gate_upstream_seconds. A test compares the names in the source with the page, another the number of event definitions with those of the imported packages. Ruled out: a test that runs the instruments, because rare ones need faults to appear. Gauges that are set at each change, because the last of two concurrent updates can be the older value. The cost of the new counters on a hop was not measured. Conclusion: the page and the code cannot drift apart unnoticed.

--- a/router/forward/entry.go
+++ b/router/forward/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -57,8 +58,13 @@
 	ReadGroup func(ctx context.Context, service, id string) (ownership.Group, error)
 	// Budget limits attempts beyond the first.
 	Budget Budget
-	Log    *event.Logger
-	Scope  tally.Scope
+	// Region is the region of this host, and RegionOf returns that of another
+	// host or "". They serve the count of bytes between regions; RegionOf may
+	// be nil.
+	Region   string
+	RegionOf func(host string) string
+	Log      *event.Logger
+	Scope    tally.Scope
 }
 
 // Entry is the caller-facing handler.
@@ -67,11 +73,13 @@
 	hops   *hopClient
 	finder *finder
 	stats  *stats
+	active atomic.Int64
 }
 
 // NewEntry returns the handler.
 func NewEntry(o Options) *Entry {
-	e := &Entry{o: o, hops: newHopClient(o), stats: newStats(o.Scope)}
+	stats := newStats(o)
+	e := &Entry{o: o, hops: newHopClient(o, stats), stats: stats}
 	e.finder = newFinder(o)
 	return e
 }
@@ -85,8 +93,15 @@
 	freeCorrections = 4
 )
 
+// InFlight returns the number of callers' requests that are being answered.
+func (e *Entry) InFlight() int64 {
+	return e.active.Load()
+}
+
 // ServeHTTP answers one caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	e.active.Add(1)
+	defer e.active.Add(-1)
 	start := time.Now()
 	if !e.o.Ready() {
 		e.refuse(w, nil, errkind.New(errkind.NotReady, "no release note is in force yet"))
--- a/router/forward/hop.go
+++ b/router/forward/hop.go
@@ -41,12 +41,13 @@
 
 // hopClient sends requests to the routers of owners.
 type hopClient struct {
-	o    Options
-	http http.RoundTripper
+	o     Options
+	stats *stats
+	http  http.RoundTripper
 }
 
-func newHopClient(o Options) *hopClient {
-	return &hopClient{o: o, http: &http.Transport{
+func newHopClient(o Options, stats *stats) *hopClient {
+	return &hopClient{o: o, stats: stats, http: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: hopDialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    hopIdlePerHost,
 		IdleConnTimeout:        hopIdleTimeout,
@@ -133,7 +134,7 @@
 	}
 	// A body without GetBody keeps net/http from sending the request again by
 	// itself.
-	req.Body = h.r.body.open()
+	req.Body = counted(h.r.body.open(), h.client.stats.hopBytes(h.r.service.Name, h.record.Holder.Name, sentBytes))
 	req.ContentLength = h.r.body.length
 	if h.r.body.stream != nil {
 		req.Header.Set(headerExpect, expectContinue)
@@ -249,7 +250,8 @@
 	w.Header().Set(HeaderRequestID, h.id)
 	setOwner(w, h.record)
 	w.WriteHeader(resp.StatusCode)
-	if err := copyBody(w, resp.Body); err != nil {
+	received := h.client.stats.hopBytes(h.r.service.Name, h.record.Holder.Name, receivedBytes)
+	if err := copyBody(w, counted(resp.Body, received)); err != nil {
 		// The caller must not take a partial answer for a whole one.
 		panic(http.ErrAbortHandler)
 	}
--- a/router/forward/stats.go
+++ b/router/forward/stats.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"io"
+	"net/http"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -13,13 +15,22 @@
 type stats struct {
 	scope   tally.Scope
 	tenants *metrics.Tenants
+	// region and regionOf tell which hops leave the region.
+	region   string
+	regionOf func(host string) string
 }
 
-func newStats(scope tally.Scope) *stats {
-	if scope == nil {
-		scope = tally.NoopScope
+func newStats(o Options) *stats {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.RegionOf == nil {
+		o.RegionOf = func(string) string { return "" }
+	}
+	return &stats{
+		scope: o.Scope.SubScope("caller"), tenants: metrics.NewTenants(metrics.MaxTenants),
+		region: o.Region, regionOf: o.RegionOf,
 	}
-	return &stats{scope: scope.SubScope("caller"), tenants: metrics.NewTenants(metrics.MaxTenants)}
 }
 
 func (s *stats) tagged(r *request) tally.Scope {
@@ -40,3 +51,45 @@
 func (s *stats) retry(r *request, err error) {
 	s.tagged(r).Tagged(map[string]string{"kind": string(errkind.Of(err))}).Counter("retries").Inc(1)
 }
+
+// Directions of the bytes of a hop, seen from the entry.
+const (
+	sentBytes     = "sent"
+	receivedBytes = "received"
+)
+
+// hopBytes returns the counter of the body bytes between this host and another.
+// Headers are not counted.
+func (s *stats) hopBytes(service, host, direction string) tally.Counter {
+	region, link := s.regionOf(host), "cross_region"
+	switch region {
+	case "":
+		region, link = "unknown", "unknown"
+	case s.region:
+		link = "same_region"
+	}
+	tags := map[string]string{"service": service, "region": region, "link": link, "direction": direction}
+	return s.scope.Tagged(tags).Counter("hop_bytes")
+}
+
+// countedBody counts the bytes that are read from a body.
+type countedBody struct {
+	io.ReadCloser
+	bytes tally.Counter
+}
+
+// counted wraps a body. An absent body stays as it is, because net/http sends
+// it differently.
+func counted(body io.ReadCloser, bytes tally.Counter) io.ReadCloser {
+	if body == http.NoBody {
+		return body
+	}
+	return &countedBody{ReadCloser: body, bytes: bytes}
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes.Inc(int64(n))
+	return n, err
+}
--- a/router/gate/metrics.go
+++ b/router/gate/metrics.go
@@ -10,8 +10,11 @@
 // DefaultMaxTenants is the number of tenants with histograms of their own.
 const DefaultMaxTenants = 64
 
-// otherTenants is the tag of all tenants beyond the bound.
-const otherTenants = "other"
+// Tags of requests without a tenant and of all tenants beyond the bound.
+const (
+	noTenant     = "none"
+	otherTenants = "other"
+)
 
 // buckets reach from 0.25 ms to about 65 s.
 var buckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 19)
@@ -55,8 +58,8 @@
 	if h == nil {
 		scope := m.scope.Tagged(map[string]string{"service": service, "tenant": key.tenant})
 		h = &histograms{
-			queueWait:    scope.Histogram("gate_queue_wait", buckets),
-			upstreamTime: scope.Histogram("gate_upstream_time", buckets),
+			queueWait:    scope.Histogram("queue_wait_seconds", buckets),
+			upstreamTime: scope.Histogram("upstream_seconds", buckets),
 		}
 		m.byTag[key] = h
 	}
@@ -67,7 +70,7 @@
 // their number is limited.
 func (m *metrics) bounded(tenant string) string {
 	if tenant == "" {
-		return otherTenants
+		return noTenant
 	}
 	if _, ok := m.tenants[tenant]; ok {
 		return tenant
--- a/router/internal/catalogue/catalogue_test.go
+++ b/router/internal/catalogue/catalogue_test.go
@@ -16,7 +16,15 @@
 
 	// Packages that define events.
 	_ "burdockglade.dev/router/admin"
+	_ "burdockglade.dev/router/forward"
+	_ "burdockglade.dev/router/gate"
+	_ "burdockglade.dev/router/member"
+	_ "burdockglade.dev/router/move"
+	_ "burdockglade.dev/router/node"
 	_ "burdockglade.dev/router/note"
+	_ "burdockglade.dev/router/ownership"
+	_ "burdockglade.dev/router/peer"
+	_ "burdockglade.dev/router/upstream"
 )
 
 var update = flag.Bool("update", false, "write the pages in docs")
@@ -44,6 +52,31 @@
 	comparePage(t, "EVENTS.md", Events(event.All()))
 }
 
+// A package that defines events and is not imported here would be missing from
+// the page without a failing test.
+func TestAllEventsAreImported(t *testing.T) {
+	defined := 0
+	err := eachSource(func(file *ast.File) error {
+		ast.Inspect(file, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			if f, ok := call.Fun.(*ast.SelectorExpr); ok && f.Sel.Name == "Define" {
+				defined++
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if known := len(event.All()); defined != known || known == 0 {
+		t.Errorf("the source defines %d events, the imported packages %d", defined, known)
+	}
+}
+
 // An event without cause or remedy, or with a number of no area, explains
 // nothing.
 func TestEventsAreDescribed(t *testing.T) {
--- a/router/move/source.go
+++ b/router/move/source.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
 
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/metrics"
 )
 
 // Time limits of the calls of a move.
@@ -24,13 +26,15 @@
 // maxPartBytes bounds the entries of one transfer message.
 const maxPartBytes = 1 << 20
 
-// SourceOptions configure a Source. Log may be nil; the rest is required.
+// SourceOptions configure a Source. Log and Scope may be nil; the rest is
+// required.
 type SourceOptions struct {
 	Gate    SourceGate
 	Records Records
 	Peer    Peer
 	Adopter Adopter
 	Log     *event.Logger
+	Scope   tally.Scope
 }
 
 // Source carries out moves from this host. It is safe for concurrent use.
@@ -43,6 +47,9 @@
 
 // NewSource returns a Source.
 func NewSource(o SourceOptions) *Source {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
 	return &Source{o: o, rows: make(chan struct{}, 1)}
 }
 
@@ -216,7 +223,39 @@
 	return append(parts, entries[first:])
 }
 
+// resultTags are the values of the tag "result" for moves that were not
+// applied.
+var resultTags = map[Reason]string{
+	ReasonRefused:  "refused",
+	ReasonNotHeld:  "not_held",
+	ReasonDrain:    "requests_in_flight",
+	ReasonTransfer: "journal_not_sent",
+	ReasonWrite:    "rows_not_written",
+	ReasonLost:     "group_lost",
+	ReasonStopped:  "stopped",
+}
+
+func resultTag(r Result) string {
+	switch {
+	case r.Outcome == Applied:
+		return "applied"
+	case r.Outcome == Unknown:
+		return "unknown"
+	}
+	return resultTags[r.Reason]
+}
+
+// count records the end of a move.
+func (s *Source) count(service string, r Result) {
+	scope := s.o.Scope.Tagged(map[string]string{"service": service})
+	if r.Parked > 0 {
+		scope.Histogram("parked_seconds", metrics.LatencyBuckets).RecordDuration(r.Parked)
+	}
+	scope.Tagged(map[string]string{"result": resultTag(r)}).Counter("moves").Inc(1)
+}
+
 func (s *Source) report(plan Plan, r Result) {
+	s.count(plan.Service, r)
 	fields := []event.Field{
 		event.F("move", r.MoveID),
 		event.F("service", plan.Service),
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -149,6 +149,9 @@
 		}
 		n.objects = client
 	}
+	scope := n.o.Metrics.SubScope("store")
+	n.store = metrics.Table(n.store, scope)
+	n.objects = metrics.Objects(n.objects, scope)
 	return nil
 }
 
@@ -158,7 +161,7 @@
 		return err
 	}
 	n.secret = secret
-	n.client = peer.NewClient(peer.ClientOptions{Secret: secret, Host: n.self.Name, Incarnation: n.self.Incarnation})
+	n.client = peer.NewClient(peer.ClientOptions{Secret: secret, Host: n.self.Name, Incarnation: n.self.Incarnation, Scope: n.o.Metrics.SubScope("peer")})
 	n.gossip = member.NewGossip(member.GossipOptions{
 		Self:          n.self,
 		Seeds:         n.s.Peers.Seeds,
@@ -257,6 +260,7 @@
 		Peer:    movePeer{n.client},
 		Adopter: adopter{n},
 		Log:     n.log,
+		Scope:   n.o.Metrics.SubScope("move"),
 	})
 	n.target = move.NewTarget(move.TargetOptions{
 		Receiver: moveReceiver{n},
@@ -280,6 +284,8 @@
 		Learn:     n.learnRecords,
 		ReadGroup: n.records.Get,
 		Budget:    retry.NewBudgets(),
+		Region:    n.s.Host.Region,
+		RegionOf:  n.regionOf,
 		Log:       n.log,
 		Scope:     n.o.Metrics,
 	})
@@ -356,6 +362,7 @@
 	n.running.Go(func() { n.registrar.run(ctx) })
 	n.running.Go(func() { n.placer.run(ctx) })
 	n.running.Go(func() { n.keepStandbysApart(ctx) })
+	n.running.Go(func() { n.reportGauges(ctx) })
 	n.running.Go(func() { n.firstScan(ctx) })
 	n.listeners.serve(n, n.adminServer)
 }
--- a/router/ownership/manager.go
+++ b/router/ownership/manager.go
@@ -361,6 +361,12 @@
 	m.o.Scope.Tagged(map[string]string{"service": service}).Counter(name).Inc(1)
 }
 
+// countTakeover adds one to the takeovers of the service. How is one of standby,
+// horizon and declared.
+func (m *Manager) countTakeover(how, service string) {
+	m.o.Scope.Tagged(map[string]string{"service": service, "how": how}).Counter("takeovers").Inc(1)
+}
+
 // log writes an event about a group.
 func (m *Manager) log(e event.Event, g Group, fields ...event.Field) {
 	all := append([]event.Field{
@@ -458,3 +464,40 @@
 	g, ok := m.newest[GroupKey(service, groupID)]
 	return g, ok
 }
+
+// Summary counts the groups of this host.
+type Summary struct {
+	// Held and Shards count the groups held here and their shards; Standbys
+	// counts the groups for which this host is the standby.
+	Held, Shards, Standbys int
+	// WithoutStandby and Lapsed count held groups that have no standby, and
+	// those that may not be served now.
+	WithoutStandby, Lapsed int
+	// LeaseLeft is the shortest time until the end of the lease of a held
+	// group; 0 when one has lapsed or none is held.
+	LeaseLeft time.Duration
+}
+
+// Summary returns the present counts.
+func (m *Manager) Summary(now time.Time) Summary {
+	m.lock()
+	defer m.unlock()
+	s := Summary{Held: len(m.held), Standbys: len(m.standbys)}
+	first := true
+	for _, role := range m.held {
+		s.Shards += len(role.rec.Shards)
+		if role.rec.Standby.IsZero() {
+			s.WithoutStandby++
+		}
+		left := max(0, role.machine.Until().Sub(now))
+		if role.blocked || left == 0 {
+			left = 0
+			s.Lapsed++
+		}
+		if first || left < s.LeaseLeft {
+			s.LeaseLeft = left
+		}
+		first = false
+	}
+	return s
+}
--- a/router/ownership/standby.go
+++ b/router/ownership/standby.go
@@ -208,7 +208,7 @@
 	m.lock()
 	defer m.unlock()
 	if err == nil {
-		m.count("takeovers", base.Service)
+		m.countTakeover("standby", base.Service)
 		m.log(evTookOver, g)
 		m.installWritten(g, sentAt)
 		return true
@@ -233,7 +233,7 @@
 		next := m.pickStandby(base.Service, base.Holder.Name, base.Standby.Name)
 		g, err = m.o.Records.TakeOverAfterHorizon(ctx, base, m.o.Self, next)
 		if err == nil {
-			m.seized(evTookOverHorizon, g, sentAt)
+			m.seized(evTookOverHorizon, "horizon", g, sentAt)
 			return
 		}
 	}
@@ -293,16 +293,16 @@
 	// A copy that was kept here is not used, so it is frozen only now: when the
 	// takeover fails, the group lives and still needs its standby's journal.
 	m.freezeJournal(base, base.Generation)
-	m.seized(evDeclaredLost, g, sentAt)
+	m.seized(evDeclaredLost, "declared", g, sentAt)
 	return g, nil
 }
 
 // seized starts the holder's role after a takeover without the old holder's
 // journal.
-func (m *Manager) seized(e event.Event, g Group, sentAt time.Time) {
+func (m *Manager) seized(e event.Event, how string, g Group, sentAt time.Time) {
 	m.lock()
 	defer m.unlock()
-	m.count("takeovers", g.Service)
+	m.countTakeover(how, g.Service)
 	m.log(e, g)
 	m.installWritten(g, sentAt)
 }
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"github.com/uber-go/tally/v4"
 
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/ownership"
@@ -35,6 +36,8 @@
 	Incarnation uint64
 	// Dial opens connections; nil uses TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Scope may be nil.
+	Scope tally.Scope
 }
 
 // Client sends control calls to other routers. It keeps one connection per
@@ -55,6 +58,9 @@
 
 // NewClient returns a client.
 func NewClient(o ClientOptions) *Client {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
 	if o.Dial == nil {
 		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			d := net.Dialer{Timeout: dialTimeout}
@@ -71,6 +77,28 @@
 // when no connection could be made (the call had no effect), or wraps
 // ErrNoAnswer. A call may be sent twice, on an old and on a new connection.
 func (c *Client) Call(ctx context.Context, to ownership.Host, method string, params, answer any) error {
+	return c.count(c.call(ctx, to, method, params, answer))
+}
+
+// count counts calls that found no peer. Refusals by the peer's methods are
+// answers and are not counted.
+func (c *Client) count(err error) error {
+	reason := ""
+	switch {
+	case errors.Is(err, ErrNoAnswer):
+		reason = "no_answer"
+	case errkind.Is(err, errkind.PeerUnreachable):
+		reason = "unreachable"
+	case errkind.Is(err, errkind.PeerRefused):
+		reason = "refused"
+	default:
+		return err
+	}
+	c.o.Scope.Tagged(map[string]string{"reason": reason}).Counter("calls_failed").Inc(1)
+	return err
+}
+
+func (c *Client) call(ctx context.Context, to ownership.Host, method string, params, answer any) error {
 	if l := c.existing(to); l != nil {
 		err := c.callWithin(ctx, l, silentAfter, method, params, answer)
 		if err == nil || !errors.Is(err, ErrNoAnswer) || ctx.Err() != nil {
@@ -95,10 +123,10 @@
 func (c *Client) CallFresh(ctx context.Context, to ownership.Host, method string, params, answer any) error {
 	l, err := c.connect(ctx, to)
 	if err != nil {
-		return err
+		return c.count(err)
 	}
 	defer func() { _ = l.rpc.Close() }()
-	return callOn(ctx, l, method, params, answer)
+	return c.count(callOn(ctx, l, method, params, answer))
 }
 
 // Close closes all connections.
