Mark the groups of ended processes in owners

Cause: after a stop of a whole cluster, `owners` named the hosts as holders of groups that nobody served, because the rows name ended processes of the same hosts. An operator could not tell which groups to declare lost. Change: the administration API reports holder_gone and standby_gone when the member row is absent or names another process; `owners` prints (gone). Ruled out: a mark for hosts that are merely silent; silence does not prove an end, and members shows it. Measured: TestStoppedClusterComesBack stops the only host, starts it again, finds the marks and brings the keys back by declaring the groups lost. Conclusion: the runbook can name the groups by a filter.

--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -99,7 +99,7 @@
 }
 
 func (b *backend) Owners(_ context.Context, service string) (admin.Owners, error) {
-	g := admin.Group{Service: "market", ID: "g1", Holder: "host-1", Generation: 7, Shards: keyspace.Divide(4)[:1]}
+	g := admin.Group{Service: "market", ID: "g1", Holder: "host-1", Standby: "host-2", StandbyGone: true, Generation: 7, Shards: keyspace.Divide(4)[:1]}
 	return admin.Owners{Groups: []admin.Group{g}}, b.called("owners %s", service)
 }
 
@@ -255,7 +255,7 @@
 func TestCommandsReachTheRouter(t *testing.T) {
 	b := newBackend()
 	c := newCtl(t, b)
-	c.want(ExitOK, "25.00%", "", "owners", "-s", "market")
+	c.want(ExitOK, "host-1  host-2(gone)  7           1       25.00%", "", "owners", "-s", "market")
 	c.want(ExitOK, "3fffffffffffffff", "", "owners", "--shards")
 	out, _ := c.want(ExitOK, "40ms ago", "", "members")
 	if !strings.Contains(out, "never") || strings.Contains(out, "-1ms") {
--- a/ctl/command/operate.go
+++ b/ctl/command/operate.go
@@ -24,7 +24,9 @@
 	return `Examples:
 
     burdockctl owners --service market
-    burdockctl owners --service market --shards`
+    burdockctl owners --service market --shards
+
+(gone) marks a process that has ended or was replaced.`
 }
 
 // Run shows the groups.
@@ -48,7 +50,7 @@
 		for _, s := range g.Shards {
 			share += s.Fraction()
 		}
-		row(w, g.Service, g.ID, g.Holder, orNone(g.Standby), g.Generation, len(g.Shards), fmt.Sprintf("%.2f%%", 100*share), journal(g.JournalComplete))
+		row(w, g.Service, g.ID, process(g.Holder, g.HolderGone), process(g.Standby, g.StandbyGone), g.Generation, len(g.Shards), fmt.Sprintf("%.2f%%", 100*share), journal(g.JournalComplete))
 		if !c.Shards {
 			continue
 		}
@@ -266,6 +268,15 @@
 	})
 }
 
+// process names a host, and marks one whose process has ended. The mark has no
+// space, so that scripts can split the columns.
+func process(host string, gone bool) string {
+	if gone {
+		return host + "(gone)"
+	}
+	return orNone(host)
+}
+
 func orNone(name string) string {
 	if name == "" {
 		return "-"
--- a/ctl/e2e/operator_test.go
+++ b/ctl/e2e/operator_test.go
@@ -144,3 +144,35 @@
 		}
 	}
 }
+
+// Guards against a stopped cluster that nobody can bring back before the
+// horizon: the groups of the ended processes are marked, and declaring them
+// lost brings their keys back.
+func TestStoppedClusterComesBack(t *testing.T) {
+	c := newCluster(t)
+	c.publish("first-note", twoServices)
+	h := c.addHost("h1", "z1", "orders")
+	c.served(h, "/orders/k")
+	h.router.stop(t)
+	c.startRouter(h)
+	operator := c.operator(h)
+	var lost []string
+	eventually(t, "the groups of the ended process are marked", func() bool {
+		owners, err := operator.Owners(t.Context(), "orders")
+		lost = nil
+		for _, g := range owners.Groups {
+			if g.HolderGone && len(g.Shards) > 0 {
+				lost = append(lost, g.ID)
+			}
+		}
+		return err == nil && len(lost) > 0
+	})
+	for _, id := range lost {
+		if _, err := operator.TakeOver(t.Context(), "orders", id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if owner := c.served(h, "/orders/k"); owner != h.name {
+		t.Errorf("the key is served by %s", owner)
+	}
+}
--- a/router/admin/backend.go
+++ b/router/admin/backend.go
@@ -102,6 +102,11 @@
 	HolderSince     time.Time        `json:"holder_since"`
 	JournalComplete bool             `json:"journal_complete"`
 	Shards          []keyspace.Shard `json:"shards"`
+	// HolderGone and StandbyGone report that the row names a process that has
+	// ended or was replaced: its member row is absent or names another one. A
+	// host that was lost a moment ago still has its member row.
+	HolderGone  bool `json:"holder_gone,omitempty"`
+	StandbyGone bool `json:"standby_gone,omitempty"`
 }
 
 // Members are the hosts that a router knows.
--- a/router/node/admin.go
+++ b/router/node/admin.go
@@ -153,12 +153,22 @@
 				Service: g.Service, ID: g.ID, Holder: g.Holder.Name, Standby: g.Standby.Name,
 				Generation: g.Generation, RowVersion: g.Version, HolderSince: g.HolderSince,
 				JournalComplete: g.JournalComplete, Shards: g.Shards,
+				HolderGone: b.gone(g.Holder), StandbyGone: b.gone(g.Standby),
 			})
 		}
 	}
 	return owners, nil
 }
 
+// gone reports whether the process is not the present one of its host.
+func (b backend) gone(h ownership.Host) bool {
+	if h.IsZero() || h.Same(b.n.self) {
+		return false
+	}
+	m, ok := b.n.directory.Get(h.Name)
+	return !ok || !m.Host.Same(h)
+}
+
 // Members implements admin.Backend.
 func (b backend) Members(context.Context) (admin.Members, error) {
 	now := time.Now()
