--- /dev/null
+++ b/ctl/e2e/operator_test.go
@@ -0,0 +1,178 @@
+package e2e
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+
+	"burdockglade.dev/router/admin"
+	"burdockglade.dev/router/errkind"
+)
+
+// operator returns a client of a host's administration API.
+func (c *cluster) operator(h *host) *admin.Client {
+	c.t.Helper()
+	client, err := admin.NewClient(admin.ClientOptions{BaseURL: "http://" + h.admin, Token: adminToken})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(client.Close)
+	return client
+}
+
+func (c *cluster) host(name string) *host {
+	c.t.Helper()
+	i := slices.IndexFunc(c.hosts, func(h *host) bool { return h.name == name })
+	if i < 0 {
+		c.t.Fatalf("no host %q", name)
+	}
+	return c.hosts[i]
+}
+
+// groupWithStandby waits for a group that has shards and a standby.
+func (c *cluster) groupWithStandby(operator *admin.Client, service string) admin.Group {
+	c.t.Helper()
+	var found admin.Group
+	eventually(c.t, "a group with shards and a standby", func() bool {
+		owners, err := operator.Owners(c.t.Context(), service)
+		i := slices.IndexFunc(owners.Groups, func(g admin.Group) bool { return g.Standby != "" && len(g.Shards) > 0 })
+		if err != nil || i < 0 {
+			return false
+		}
+		found = owners.Groups[i]
+		return true
+	})
+	return found
+}
+
+// Guards against two owners of a key after a wrong declaration: a takeover of a
+// group whose hosts answer is refused. When both hosts are lost, the
+// declaration must bring the keys back without the wait for the horizon.
+func TestDeclareLost(t *testing.T) {
+	c := threeHosts(t, "orders")
+	c.spread("orders", 60)
+	g := c.groupWithStandby(c.operator(c.hosts[0]), "orders")
+	left := c.hosts[slices.IndexFunc(c.hosts, func(h *host) bool { return h.name != g.Holder && h.name != g.Standby })]
+	operator := c.operator(left)
+
+	if _, err := operator.TakeOver(t.Context(), "orders", g.ID); !errkind.Is(err, errkind.Conflict) {
+		t.Errorf("takeover of a group whose hosts answer: %v", err)
+	}
+	c.host(g.Holder).kill()
+	c.host(g.Standby).kill()
+	taken, err := operator.TakeOver(t.Context(), "orders", g.ID)
+	if err != nil || taken.Holder != left.name || taken.Generation <= g.Generation {
+		t.Fatalf("takeover of a lost group: %+v, %v", taken, err)
+	}
+	eventually(t, "the group's keys are served", func() bool {
+		owners, err := operator.Owners(t.Context(), "orders")
+		return err == nil && slices.ContainsFunc(owners.Groups, func(o admin.Group) bool {
+			return o.ID == g.ID && o.Holder == left.name
+		})
+	})
+}
+
+// Guards against moves that close shards for nothing and against refusals that
+// name another cause than the operator's mistake.
+func TestMoveToTheHolderAndOfUnknownService(t *testing.T) {
+	c := threeHosts(t, "orders")
+	c.spread("orders", 60)
+	operator := c.operator(c.hosts[0])
+	if _, err := operator.Move(t.Context(), admin.MoveRequest{Service: "nope", Key: "k", Target: "h1"}); !errkind.Is(err, errkind.UnknownService) {
+		t.Errorf("move in an unknown service: %v", err)
+	}
+	eventually(t, "the key is at h2", func() bool {
+		_, err := operator.Move(t.Context(), admin.MoveRequest{Service: "orders", Key: "k", Target: "h2"})
+		return err == nil
+	})
+	eventually(t, "a repeated move changes nothing", func() bool {
+		before, err := c.request(http.MethodGet, c.hosts[0], "/orders/k", "")
+		if err != nil || before.header.Get("Burdock-Owner") != "h2" {
+			return false
+		}
+		moved, err := operator.Move(t.Context(), admin.MoveRequest{Service: "orders", Key: "k", Target: "h2"})
+		if err != nil {
+			return false
+		}
+		after, err := c.request(http.MethodGet, c.hosts[0], "/orders/k", "")
+		return err == nil && moved.Source == "h2" && moved.TargetGroup == before.echo.Group && after.echo.Group == before.echo.Group
+	})
+}
+
+// Guards against groups that the loss of one zone takes away for good: a
+// standby in the zone of its holder is replaced when a host in another zone is
+// there.
+func TestStandbysAreInAnotherZone(t *testing.T) {
+	c := newCluster(t)
+	c.publish("first-note", twoServices)
+	c.addHost("h1", "z1", "orders")
+	c.addHost("h2", "z1", "orders")
+	c.served(c.hosts[0], "/orders/k")
+	operator := c.operator(c.hosts[0])
+	g := c.groupWithStandby(operator, "orders")
+	if g.Holder == g.Standby {
+		t.Fatalf("holder and standby of %s are one host", g.ID)
+	}
+	c.addHost("h3", "z2", "orders")
+	eventually(t, "every group has holder and standby in two zones", func() bool {
+		owners, err := operator.Owners(t.Context(), "orders")
+		return err == nil && len(owners.Groups) == 6 && !slices.ContainsFunc(owners.Groups, func(g admin.Group) bool {
+			return (g.Holder == "h3") == (g.Standby == "h3")
+		})
+	})
+}
+
+// Guards against keys that no host serves although one could: a host whose
+// upstream is down must be neither holder nor standby of a group, also when it
+// is the standby of a host that is lost next.
+func TestHostWithoutUpstreamGetsNoGroups(t *testing.T) {
+	c := threeHosts(t, "orders")
+	c.spread("orders", 60)
+	h1, h2, h3 := c.hosts[0], c.hosts[1], c.hosts[2]
+	operator := c.operator(h1)
+	h3.upstream.kill()
+	eventually(t, "the host without an upstream has no role", func() bool {
+		owners, err := operator.Owners(t.Context(), "orders")
+		return err == nil && !slices.ContainsFunc(owners.Groups, func(g admin.Group) bool {
+			return len(g.Shards) > 0 && (g.Holder == h3.name || g.Standby == h3.name)
+		})
+	})
+	h2.kill()
+	for _, path := range []string{"/orders/a", "/orders/b", "/orders/c", "/orders/d", "/orders/e", "/orders/f"} {
+		if owner := c.served(h3, path); owner != h1.name {
+			t.Errorf("%s is served by %s", path, owner)
+		}
+	}
+}
+
+// Guards against a stopped cluster that nobody can bring back before the
+// horizon: the groups of the ended processes are marked, and declaring them
+// lost brings their keys back.
+func TestStoppedClusterComesBack(t *testing.T) {
+	c := newCluster(t)
+	c.publish("first-note", twoServices)
+	h := c.addHost("h1", "z1", "orders")
+	c.served(h, "/orders/k")
+	h.router.stop(t)
+	c.startRouter(h)
+	operator := c.operator(h)
+	var lost []string
+	eventually(t, "the groups of the ended process are marked", func() bool {
+		owners, err := operator.Owners(t.Context(), "orders")
+		lost = nil
+		for _, g := range owners.Groups {
+			if g.HolderGone && len(g.Shards) > 0 {
+				lost = append(lost, g.ID)
+			}
+		}
+		return err == nil && len(lost) > 0
+	})
+	for _, id := range lost {
+		if _, err := operator.TakeOver(t.Context(), "orders", id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if owner := c.served(h, "/orders/k"); owner != h.name {
+		t.Errorf("the key is served by %s", owner)
+	}
+}
