e2e: take ports below the kernel's range and hold a key alone in its shard

TestReleaseNoteStaysInForceAcrossRestartAndOutage: router h3 ended with '[listen] hop: bind: address already in use'. address() closed a port of the kernel's range for outgoing connections, and another connection took it before the router listened. TestGracefulStopWaitsForLongRequests: the held key was drawn from all keys of the leaving host, and another key of the list could lie in the same shard. The test then waited for a shard that rightly stays until the held request ends, and the held request met its deadline of 30 s.

Change: address() hands out ports from 10000 to 31999 that are free for TCP and UDP. The held key is the only one of its shard; every other key of the host must still move while the request is held, as before.

Ruled out: a fault of the product; the log of h3 has the bind error only, and the owners of all keys outside the held shard had moved.

--- a/ctl/e2e/cluster_test.go
+++ b/ctl/e2e/cluster_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -151,15 +153,42 @@
 	}
 }
 
-// addresses hands out free loopback addresses.
+// Bounds of the ports that address hands out. They lie below the range from
+// which the kernel takes the ports of outgoing connections: a port of that range
+// can be in use again before the process that it is meant for listens.
+const (
+	firstPort = 10000
+	ports     = 22000
+)
+
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(ports)) }
+
+// address hands out loopback addresses that are free for TCP and UDP.
 func address(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range ports {
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+		if isFree(a) {
+			return a
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+func isFree(address string) bool {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
 	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	u, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return u.Close() == nil
 }
 
 // host is one host: a router and the upstream beside it.
@@ -177,6 +206,8 @@
 	router           *process
 	upstream         *process
 	settings         string
+	// relays stand between this host and the others; nil without relays.
+	relays *relays
 }
 
 func (h *host) kill() {
@@ -195,6 +226,7 @@
 	hosts     []*host
 	http      *http.Client
 	extra     string // additional settings
+	relayed   bool   // hosts added from now on are reached through relays
 }
 
 const adminToken = "operator-token-for-tests"
@@ -285,12 +317,22 @@
 		control: address(c.t), admin: address(c.t), metrics: address(c.t), upstreamControl: address(c.t),
 	}
 	h.settings = filepath.Join(c.dir, name+".ini")
+	tableURL, extra := c.tableURL, c.extra
+	if c.relayed {
+		h.relays = c.startRelays(h)
+		tableURL = "http://" + h.relays.store.Address()
+		extra += fmt.Sprintf("\n[advertise]\nhop = %s\ncontrol = %s\n", h.relays.hop.Address(), h.relays.control.Address())
+	}
 	var seeds []string
 	for _, other := range c.hosts {
-		seeds = append(seeds, other.control)
+		if other.relays != nil {
+			seeds = append(seeds, other.relays.control.Address())
+		} else {
+			seeds = append(seeds, other.control)
+		}
 	}
 	text := fmt.Sprintf(settingsText, name, zone, h.caller, h.upstreamListener, h.hop, h.control, h.admin, h.metrics,
-		strings.Join(seeds, ", "), c.tableURL, c.objectURL, c.extra)
+		strings.Join(seeds, ", "), tableURL, c.objectURL, extra)
 	if len(seeds) == 0 {
 		text = strings.Replace(text, "seeds = \n", "", 1)
 	}
--- a/ctl/e2e/stop_test.go
+++ b/ctl/e2e/stop_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
 	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/router/note"
 )
 
 // background sends requests for keys through a host until it is stopped.
@@ -47,17 +50,40 @@
 	c.checkLedgers()
 }
 
+// shardOf returns the shard of a path's key under the default division.
+func shardOf(path string) keyspace.Shard {
+	service, key, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	shards := keyspace.Divide(note.DefaultService(service).Shards)
+	s, _ := keyspace.Find(shards, keyspace.HashKey(service, key))
+	return s
+}
+
+// perShard counts the keys of each shard.
+func perShard(owners map[string]string) map[keyspace.Shard]int {
+	counts := map[keyspace.Shard]int{}
+	for path := range owners {
+		counts[shardOf(path)]++
+	}
+	return counts
+}
+
 // Guards against a long request that a planned stop cuts.
 func TestGracefulStopWaitsForLongRequests(t *testing.T) {
 	c := threeHosts(t, "orders")
 	owners := c.spread("orders", 40)
 	victim := c.hosts[2]
+	// The shard of the held key stays until its request ends, so the key must be
+	// the only one of its shard: all others must move meanwhile.
 	path := ""
+	inShard := perShard(owners)
 	for p, owner := range owners {
-		if owner == victim.name {
+		if owner == victim.name && inShard[shardOf(p)] == 1 {
 			path = p
 		}
 	}
+	if path == "" {
+		t.Fatal("no key of the leaving host is alone in its shard")
+	}
 	c.upstreamFaults(victim, standin.UpstreamFaults{HoldWork: true})
 	result := make(chan answer, 1)
 	go func() {
