Hold a request in the stop test even while placement moves keys

Cause: in the stop test the chosen key could move to another host just before the long request arrived; the request was then answered at once and the test waited for 60 s. Change: the test tries further keys that are alone in their shard. Ruled out: a fault of the product; the request was answered by the new owner.

--- a/ctl/e2e/stop_test.go
+++ b/ctl/e2e/stop_test.go
@@ -70,41 +70,8 @@
 // Guards against a long request that a planned stop cuts.
 func TestGracefulStopWaitsForLongRequests(t *testing.T) {
 	c := threeHosts(t, "orders")
-	owners := c.spread("orders", 40)
 	victim := c.hosts[2]
-	// The shard of the held key stays until its request ends, so the key must be
-	// the only one of its shard: all others must move meanwhile.
-	path := ""
-	inShard := perShard(owners)
-	for p, owner := range owners {
-		if owner == victim.name && inShard[shardOf(p)] == 1 {
-			path = p
-		}
-	}
-	if path == "" {
-		t.Fatal("no key of the leaving host is alone in its shard")
-	}
-	c.upstreamFaults(victim, standin.UpstreamFaults{HoldWork: true})
-	result := make(chan answer, 1)
-	go func() {
-		a, err := c.request(http.MethodPost, c.hosts[0], path, "long", "Request-Timeout", "30000")
-		if err != nil {
-			t.Errorf("long request: %v", err)
-		}
-		result <- a
-	}()
-	eventually(t, "the long request is at work", func() bool {
-		l, err := c.ledger(victim)
-		if err != nil {
-			return false
-		}
-		for _, u := range l.Units {
-			if u.Method == http.MethodPost && u.State == standin.UnitRunning {
-				return true
-			}
-		}
-		return false
-	})
+	owners, path, result := c.holdOneRequest(victim)
 	stopped := make(chan struct{})
 	go func() {
 		victim.router.stop(t)
@@ -129,6 +96,64 @@
 	c.checkLedgers()
 }
 
+// holdOneRequest starts a long request that the host's upstream holds, and
+// returns its path. The shard of the held key stays until its request ends, so
+// the key must be the only one of its shard: all others must move meanwhile. A
+// key can move away just before the request arrives; then another is tried.
+func (c *cluster) holdOneRequest(h *host) (owners map[string]string, path string, result chan answer) {
+	c.t.Helper()
+	for range 10 {
+		owners = c.spread("orders", 40)
+		c.upstreamFaults(h, standin.UpstreamFaults{HoldWork: true})
+		if path, result = c.tryHold(h, owners); path != "" {
+			return owners, path, result
+		}
+		c.upstreamFaults(h, standin.UpstreamFaults{})
+	}
+	c.t.Fatalf("no request could be held at %s", h.name)
+	return nil, "", nil
+}
+
+func (c *cluster) tryHold(h *host, owners map[string]string) (string, chan answer) {
+	inShard := perShard(owners)
+	for path, owner := range owners {
+		if owner != h.name || inShard[shardOf(path)] != 1 {
+			continue
+		}
+		result := make(chan answer, 1)
+		go func() {
+			a, err := c.request(http.MethodPost, c.hosts[0], path, "long", "Request-Timeout", "30000")
+			if err != nil {
+				c.t.Errorf("long request: %v", err)
+			}
+			result <- a
+		}()
+		held := false
+		eventually(c.t, "the long request is at work or answered", func() bool {
+			held = c.running(h, http.MethodPost)
+			return held || len(result) > 0
+		})
+		if held {
+			return path, result
+		}
+	}
+	return "", nil
+}
+
+// running reports whether the host's upstream has work of the method.
+func (c *cluster) running(h *host, method string) bool {
+	l, err := c.ledger(h)
+	if err != nil {
+		return false
+	}
+	for _, u := range l.Units {
+		if u.Method == method && u.State == standin.UnitRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // Guards against an outage of the table service that costs requests.
 func TestStoreOutageCostsNoRequest(t *testing.T) {
 	c := threeHosts(t, "orders")
