Count the requests of all shards in one pass

Cause: a stopping host asked the gate once per shard, and each question went through every request in flight under the gate's lock.

Ruled out: a count kept per shard, because the gate does not know the cuts of shards, which change while requests are in flight.

Conclusion: the cost of a stop no longer grows with shards times requests.

--- a/router/node/shutdown.go
+++ b/router/node/shutdown.go
@@ -119,12 +119,7 @@
 		Input: func() balance.Input {
 			n.loads.follow(n.manager.Held())
 			in := n.placer.input(service)
-			for i := range in.Shards {
-				in.Shards[i].InFlight = n.gate.ShardInFlight(service, in.Shards[i].Shard)
-				if in.Shards[i].InFlight > 0 {
-					in.Shards[i].LongestRemaining = definition.MaxRequestTimeout
-				}
-			}
+			n.setInFlight(service, in.Shards, definition.MaxRequestTimeout)
 			return in
 		},
 		Group: func(id string) (ownership.Group, bool) {
@@ -140,6 +135,21 @@
 	n.log.Log(evEvacuated, event.F("service", service))
 }
 
+// setInFlight fills in the requests in flight of each shard. A busy shard counts
+// with the longest deadline that a caller may ask for.
+func (n *Node) setInFlight(service string, loads []balance.ShardLoad, longest time.Duration) {
+	shards := make([]keyspace.Shard, len(loads))
+	for i, l := range loads {
+		shards[i] = l.Shard
+	}
+	for i, count := range n.gate.InFlightByShard(service, shards) {
+		loads[i].InFlight = count
+		if count > 0 {
+			loads[i].LongestRemaining = longest
+		}
+	}
+}
+
 // deleteEmptyGroups removes the rows of groups that hold nothing.
 func (n *Node) deleteEmptyGroups(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, emptyGroupPatience)
