--- a/router/gate/flight.go
+++ b/router/gate/flight.go
@@ -70,7 +70,7 @@
 	}
 	g.flights[f] = struct{}{}
 	if rec != nil {
-		rec.sent = true
+		rec.detail.sent = true
 	}
 	return true
 }
--- a/router/gate/journal.go
+++ b/router/gate/journal.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"cmp"
 	"container/heap"
+	"iter"
 	"slices"
 	"time"
+	"unique"
 
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/keyspace"
@@ -13,9 +15,9 @@
 
 // Defaults of JournalLimits.
 const (
-	// DefaultJournalEntries takes 55 MB when it is used up: an entry without an
-	// answer has about 280 bytes. A window of one hour needs 3,600 entries, 1 MB,
-	// for each request with a key per second.
+	// DefaultJournalEntries takes 28 MB when it is used up: an entry without an
+	// answer has about 140 bytes. A window of one hour needs 3,600 entries,
+	// 0.5 MB, for each request with a key per second.
 	DefaultJournalEntries = 200_000
 	DefaultAnswerBytes    = 16 << 10
 	DefaultTotalBytes     = 8 << 20
@@ -53,10 +55,14 @@
 	// that numbers of different processes do not meet.
 	attempts uint64
 	bytes    int64
-	// byID holds all entries of an idempotency key. There is more than one when
-	// hosts accepted the key for different requests before their shards came
-	// together, or when the cancellation of an attempt was lost.
-	byID   map[idKey][]*record
+	// epoch is the first time that was passed in. The entries keep their times
+	// as durations since then, because a time.Time has 24 bytes.
+	epoch time.Time
+	// byID holds the first entry of each digest; next leads to the others. There
+	// is more than one when hosts accepted the key for different requests before
+	// their shards came together, when the cancellation of an attempt was lost,
+	// or when several services got the key.
+	byID   map[Digest]*record
 	expiry expiryHeap
 }
 
@@ -65,30 +71,68 @@
 	id      Digest
 }
 
-// record is one entry of the journal.
+// record is one entry of the journal. It has 96 bytes, the size of an
+// allocation; a field more would take 112.
 type record struct {
-	key         idKey
+	id          Digest
 	fingerprint Digest
 	hash        keyspace.Hash
-	group       string
-	state       EntryState
 	attempt     uint64
 	// since is the time of the latest change; the entry is kept until expires.
-	since   time.Time
-	expires time.Time
-	answer  *KeptAnswer
-	// running is true while an attempt of this process owns the entry, and sent
-	// once the upstream may have got the request.
-	running, sent bool
-	// ended is closed when the attempt ends, and then no longer kept.
+	since, expires time.Duration
+	// origin is the service and the group. Entries of a group share it.
+	origin unique.Handle[groupKey]
+	// detail is nil for an entry that no attempt owns and that has no answer.
+	detail *detail
+	// next is the next entry of the same digest.
+	next  *record
+	index int32
+	// known is the index of the state in ranked.
+	known uint8
+}
+
+// detail is what only some entries need.
+type detail struct {
+	answer *KeptAnswer
+	// ended is closed when the attempt of this process that owns the entry ends,
+	// and then no longer kept.
 	ended chan struct{}
-	index int
+	// sent is true once the upstream may have got the attempt's request.
+	sent bool
+}
+
+func (rec *record) service() string { return rec.origin.Value().service }
+
+func (rec *record) group() string { return rec.origin.Value().id }
+
+func (rec *record) state() EntryState { return ranked[rec.known] }
+
+// ended returns a channel that is closed when the attempt ends, or nil when no
+// attempt of this process owns the entry.
+func (rec *record) ended() chan struct{} {
+	if rec.detail == nil {
+		return nil
+	}
+	return rec.detail.ended
+}
+
+func (rec *record) running() bool { return rec.ended() != nil }
+
+// unsent reports whether an attempt owns the entry whose request cannot have
+// reached the upstream.
+func (rec *record) unsent() bool { return rec.running() && !rec.detail.sent }
+
+func (rec *record) answer() *KeptAnswer {
+	if rec.detail == nil {
+		return nil
+	}
+	return rec.detail.answer
 }
 
 // NewJournal returns an empty journal. seed is the random start of the numbers
 // of attempts.
 func NewJournal(limits JournalLimits, seed uint64) *Journal {
-	return &Journal{limits: limits.withDefaults(), attempts: seed, byID: map[idKey][]*record{}}
+	return &Journal{limits: limits.withDefaults(), attempts: seed, byID: map[Digest]*record{}}
 }
 
 // Len returns the number of entries.
@@ -131,7 +175,7 @@
 		v, err := known(rec)
 		return rec, v, err
 	}
-	if len(j.byID[key]) > 0 {
+	if j.has(key) {
 		return nil, 0, errkind.New(errkind.FingerprintDiffer, "the idempotency key was used for another method, path or key")
 	}
 	if !a.issued.IsZero() && now.Sub(a.issued) > a.window {
@@ -145,10 +189,10 @@
 	}
 	j.attempts++
 	rec := &record{
-		key: key, fingerprint: a.fingerprint, hash: a.hash, group: a.group,
-		state: Intent, attempt: j.attempts,
-		since: now, expires: now.Add(a.window),
-		running: true, ended: make(chan struct{}),
+		id: a.id, fingerprint: a.fingerprint, hash: a.hash,
+		origin: unique.Make(groupKey{a.service, a.group}), known: knowledge(Intent), attempt: j.attempts,
+		since: j.at(now), expires: j.at(now) + a.window,
+		detail: &detail{ended: make(chan struct{})},
 	}
 	j.insert(rec)
 	return rec, run, nil
@@ -157,11 +201,11 @@
 // known decides about an attempt whose key and fingerprint are in the journal.
 func known(rec *record) (verdict, error) {
 	switch {
-	case rec.running:
+	case rec.running():
 		return wait, nil
-	case rec.state == Done && rec.answer != nil:
+	case rec.state() == Done && rec.answer() != nil:
 		return replay, nil
-	case rec.state == Done:
+	case rec.state() == Done:
 		return 0, errkind.New(errkind.OutcomeUnknown, "the work ran, and its answer was too large to keep")
 	}
 	// An intent that no attempt of this process owns came from another host.
@@ -171,17 +215,35 @@
 // find returns the entry of the key and fingerprint that knows most.
 func (j *Journal) find(key idKey, fingerprint Digest) *record {
 	var best *record
-	for _, rec := range j.byID[key] {
-		if rec.fingerprint == fingerprint && (best == nil || knowledge(rec.state) > knowledge(best.state)) {
+	for rec := range j.entries(key) {
+		if rec.fingerprint == fingerprint && (best == nil || rec.known > best.known) {
 			best = rec
 		}
 	}
 	return best
 }
 
+// entries are those of the key, in the order in which they were added.
+func (j *Journal) entries(key idKey) iter.Seq[*record] {
+	return func(yield func(*record) bool) {
+		for rec := j.byID[key.id]; rec != nil; rec = rec.next {
+			if rec.service() == key.service && !yield(rec) {
+				return
+			}
+		}
+	}
+}
+
+func (j *Journal) has(key idKey) bool {
+	for range j.entries(key) {
+		return true
+	}
+	return false
+}
+
 // attempt returns the entry of an attempt, or nil.
 func (j *Journal) attempt(key idKey, number uint64) *record {
-	for _, rec := range j.byID[key] {
+	for rec := range j.entries(key) {
 		if rec.attempt == number {
 			return rec
 		}
@@ -192,47 +254,68 @@
 // Finish records that the work ran. A nil answer, or one beyond the limits, is
 // not kept.
 func (j *Journal) Finish(now time.Time, rec *record, answer *KeptAnswer) {
-	rec.state = Done
+	rec.known = knowledge(Done)
 	j.keep(rec, answer)
 	j.end(now, rec)
 }
 
 // Lose records that the work may have run.
 func (j *Journal) Lose(now time.Time, rec *record) {
-	rec.state = Unknown
+	rec.known = knowledge(Unknown)
 	j.end(now, rec)
 }
 
 // Cancel removes the entry of work that did not run.
 func (j *Journal) Cancel(rec *record) {
 	j.remove(rec)
-	rec.state = Cancelled
+	rec.known = knowledge(Cancelled)
 	rec.stop()
 }
 
 func (j *Journal) end(now time.Time, rec *record) {
-	window := rec.expires.Sub(rec.since)
-	rec.since, rec.expires = now, now.Add(window)
-	heap.Fix(&j.expiry, rec.index)
+	j.renew(now, rec)
 	rec.stop()
 }
 
+// renew begins the entry's window again.
+func (j *Journal) renew(now time.Time, rec *record) {
+	window := rec.expires - rec.since
+	rec.since = j.at(now)
+	rec.expires = rec.since + window
+	heap.Fix(&j.expiry, int(rec.index))
+}
+
+// at is the time in the form in which the entries keep it.
+func (j *Journal) at(now time.Time) time.Duration {
+	if j.epoch.IsZero() {
+		j.epoch = now
+	}
+	return now.Sub(j.epoch)
+}
+
 // stop wakes the requests that wait for the attempt.
 func (rec *record) stop() {
-	rec.running = false
-	close(rec.ended)
-	rec.ended = nil
+	close(rec.detail.ended)
+	rec.detail.ended = nil
+	if rec.detail.answer == nil {
+		rec.detail = nil
+	}
 }
 
 // keep stores the answer when it fits.
 func (j *Journal) keep(rec *record, answer *KeptAnswer) {
-	j.bytes -= int64(answerSize(rec.answer))
-	rec.answer = nil
+	j.bytes -= int64(answerSize(rec.answer()))
+	if rec.detail != nil {
+		rec.detail.answer = nil
+	}
 	size := answerSize(answer)
 	if answer == nil || size > j.limits.AnswerBytes || j.bytes+int64(size) > j.limits.TotalBytes {
 		return
 	}
-	rec.answer = answer
+	if rec.detail == nil {
+		rec.detail = &detail{}
+	}
+	rec.detail.answer = answer
 	j.bytes += int64(size)
 }
 
@@ -251,19 +334,37 @@
 }
 
 func (j *Journal) insert(rec *record) {
-	j.byID[rec.key] = append(j.byID[rec.key], rec)
+	if first := j.byID[rec.id]; first == nil {
+		j.byID[rec.id] = rec
+	} else {
+		for first.next != nil {
+			first = first.next
+		}
+		first.next = rec
+	}
 	heap.Push(&j.expiry, rec)
 }
 
 func (j *Journal) remove(rec *record) {
-	rest := slices.DeleteFunc(j.byID[rec.key], func(o *record) bool { return o == rec })
-	if len(rest) == 0 {
-		delete(j.byID, rec.key)
-	} else {
-		j.byID[rec.key] = rest
+	j.unlink(rec)
+	heap.Remove(&j.expiry, int(rec.index))
+	j.bytes -= int64(answerSize(rec.answer()))
+}
+
+func (j *Journal) unlink(rec *record) {
+	before := j.byID[rec.id]
+	switch {
+	case before != rec:
+		for before.next != rec {
+			before = before.next
+		}
+		before.next = rec.next
+	case rec.next != nil:
+		j.byID[rec.id] = rec.next
+	default:
+		delete(j.byID, rec.id)
 	}
-	heap.Remove(&j.expiry, rec.index)
-	j.bytes -= int64(answerSize(rec.answer))
+	rec.next = nil
 }
 
 // sweep drops entries whose window has passed. An entry of a running attempt is
@@ -271,13 +372,11 @@
 func (j *Journal) sweep(now time.Time) {
 	for len(j.expiry) > 0 {
 		rec := j.expiry[0]
-		if now.Before(rec.expires) {
+		if j.at(now) < rec.expires {
 			return
 		}
-		if rec.running {
-			window := rec.expires.Sub(rec.since)
-			rec.since, rec.expires = now, now.Add(window)
-			heap.Fix(&j.expiry, 0)
+		if rec.running() {
+			j.renew(now, rec)
 			continue
 		}
 		j.remove(rec)
@@ -285,10 +384,10 @@
 }
 
 // entry returns the form of the record that is sent to other hosts.
-func (rec *record) entry(now time.Time) Entry {
+func (j *Journal) entry(now time.Time, rec *record) Entry {
 	return Entry{
-		ID: rec.key.id, Fingerprint: rec.fingerprint, Hash: rec.hash, State: rec.state,
-		Attempt: rec.attempt, Age: max(now.Sub(rec.since), 0), Answer: rec.answer,
+		ID: rec.id, Fingerprint: rec.fingerprint, Hash: rec.hash, State: rec.state(),
+		Attempt: rec.attempt, Age: max(j.at(now)-rec.since, 0), Answer: rec.answer(),
 	}
 }
 
@@ -298,7 +397,7 @@
 	var entries []Entry
 	for _, rec := range j.expiry {
 		if match(rec) {
-			entries = append(entries, rec.entry(now))
+			entries = append(entries, j.entry(now, rec))
 		}
 	}
 	slices.SortFunc(entries, func(a, b Entry) int {
@@ -311,7 +410,7 @@
 func (j *Journal) Forget(match func(*record) bool) {
 	var dropped []*record
 	for _, rec := range j.expiry {
-		if !rec.running && match(rec) {
+		if !rec.running() && match(rec) {
 			dropped = append(dropped, rec)
 		}
 	}
@@ -348,7 +447,7 @@
 	}
 	key := idKey{service, e.ID}
 	rec := j.attempt(key, e.Attempt)
-	if rec != nil && (rec.running || knowledge(e.State) < knowledge(rec.state)) {
+	if rec != nil && (rec.running() || knowledge(e.State) < rec.known) {
 		return
 	}
 	if e.State == Cancelled {
@@ -357,46 +456,49 @@
 		}
 		return
 	}
-	since := now.Add(-e.Age)
+	since := j.at(now) - e.Age
 	if rec == nil {
-		rec = &record{key: key, fingerprint: e.Fingerprint, attempt: e.Attempt, since: since, expires: since.Add(window)}
+		rec = &record{
+			id: e.ID, fingerprint: e.Fingerprint, attempt: e.Attempt, since: since, expires: since + window,
+			origin: unique.Make(groupKey{service, group}),
+		}
 		j.insert(rec)
 	} else {
-		rec.since, rec.expires = since, since.Add(window)
-		heap.Fix(&j.expiry, rec.index)
+		rec.since, rec.expires = since, since+window
+		rec.origin = unique.Make(groupKey{service, group})
+		heap.Fix(&j.expiry, int(rec.index))
 	}
-	rec.hash, rec.group, rec.state = e.Hash, group, e.State
+	rec.hash, rec.known = e.Hash, knowledge(e.State)
 	j.keep(rec, e.Answer)
 }
 
-// knowledge orders the states of one attempt. A cancelled attempt never reached
-// the upstream, so no other end can follow it.
-func knowledge(s EntryState) int {
-	switch s {
-	case Intent:
-		return 0
-	case Unknown:
-		return 1
-	case Cancelled:
-		return 2
+// ranked orders the states of one attempt by what they know. A cancelled attempt
+// never reached the upstream, so no other end can follow it.
+var ranked = [...]EntryState{Intent, Unknown, Cancelled, Done}
+
+// knowledge returns the index of the state in ranked. A state that this version
+// does not know counts as Unknown: its work is never run again.
+func knowledge(s EntryState) uint8 {
+	if i := slices.Index(ranked[:], s); i >= 0 {
+		return uint8(i)
 	}
-	return 3
+	return knowledge(Unknown)
 }
 
 // expiryHeap orders records by the end of their window.
 type expiryHeap []*record
 
 func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].expires.Before(h[j].expires) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expires < h[j].expires }
 func (h expiryHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+	h[i].index, h[j].index = int32(i), int32(j)
 }
 
 // Push implements heap.Interface.
 func (h *expiryHeap) Push(x any) {
 	rec := x.(*record)
-	rec.index = len(*h)
+	rec.index = int32(len(*h))
 	*h = append(*h, rec)
 }
 
--- a/router/gate/journal_test.go
+++ b/router/gate/journal_test.go
@@ -125,7 +125,7 @@
 		j.Merge(epoch, "s", "g", c.entries, time.Hour)
 		got := Cancelled
 		if rec := j.find(idKey{"s", HashID("a")}, Digest{1}); rec != nil {
-			got = rec.state
+			got = rec.state()
 		}
 		if got != c.want {
 			t.Errorf("%v: %s, want %s", c.entries, got, c.want)
@@ -133,6 +133,62 @@
 	}
 }
 
+// Guards against one service's key that answers for another's, and against an
+// entry that is lost when another one of the same digest ends.
+func TestKeysOfServicesAreSeparate(t *testing.T) {
+	services := []string{"s", "t", "u"}
+	for gone := range services {
+		j := NewJournal(JournalLimits{}, 0)
+		var recs []*record
+		for i, service := range services {
+			a := attemptOf("key")
+			a.service, a.fingerprint = service, Digest{byte(i)}
+			rec, v, err := j.Begin(epoch, a)
+			if err != nil || v != run {
+				t.Fatalf("%s: verdict %v, error %v", service, v, err)
+			}
+			recs = append(recs, rec)
+		}
+		j.Cancel(recs[gone])
+		for i, service := range services {
+			for fingerprint := range services {
+				rec := j.find(idKey{service, HashID("key")}, Digest{byte(fingerprint)})
+				if (rec == recs[i]) != (i == fingerprint && i != gone) || rec != nil && rec != recs[i] {
+					t.Errorf("without %s: found %v for %s, fingerprint %d", services[gone], rec, service, fingerprint)
+				}
+			}
+		}
+		j.Forget(everything)
+		if j.Len() != 2 {
+			t.Errorf("%d entries, want the two running ones", j.Len())
+		}
+		for i, rec := range recs {
+			if i != gone {
+				j.Lose(epoch, rec)
+			}
+		}
+		if j.Forget(everything); j.Len() != 0 || len(j.byID) != 0 {
+			t.Errorf("%d entries, %d keys left", j.Len(), len(j.byID))
+		}
+	}
+}
+
+// Guards against work that is run again, or whose end is forgotten, because a
+// newer version sent a state that this one does not know.
+func TestStateOfANewerVersion(t *testing.T) {
+	for first, want := range map[EntryState]verdict{Intent: 0, Done: replay} {
+		j := NewJournal(JournalLimits{}, 0)
+		a := attemptOf("key")
+		for _, state := range []EntryState{first, "newer"} {
+			j.Merge(epoch, "s", "g", []Entry{{ID: a.id, Fingerprint: a.fingerprint, State: state, Attempt: 1, Answer: keptOf("a")}}, time.Hour)
+		}
+		_, v, err := j.Begin(epoch, a)
+		if v != want || (want != replay) != errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Errorf("%s, then a newer state: verdict %v, error %v", first, v, err)
+		}
+	}
+}
+
 // Guards against entries that lose a field or their age between hosts.
 func TestEntriesSurviveTheTransfer(t *testing.T) {
 	j := NewJournal(JournalLimits{}, 0)
@@ -232,13 +288,13 @@
 	if err != nil || v != run {
 		return
 	}
-	intent := rec.entry(w.now)
+	intent := h.journal.entry(w.now, rec)
 	if !reached {
 		w.later(h, intent)
 	}
 	if !reached || h.replica.Append(h.ref(), []Entry{intent}) != nil {
 		h.journal.Cancel(rec)
-		w.later(h, rec.entry(w.now))
+		w.later(h, h.journal.entry(w.now, rec))
 		return
 	}
 	if last, ok := w.started[key]; ok && w.now.Sub(last) < modelWindow {
@@ -264,7 +320,7 @@
 		h.journal.Cancel(rec)
 		delete(w.started, key)
 	}
-	w.later(h, rec.entry(w.now))
+	w.later(h, h.journal.entry(w.now, rec))
 }
 
 // takeover gives the group to its standby; running work is lost.
--- a/router/gate/resolve.go
+++ b/router/gate/resolve.go
@@ -108,11 +108,11 @@
 	rec := g.journal.find(idKey{q.Service, q.IDHash}, q.Fingerprint)
 	switch {
 	case rec == nil:
-	case rec.running:
+	case rec.running():
 		answer.State = ResolveRunning
-		return rec.ended
-	case rec.state == Done:
-		answer.State, answer.Answer = ResolveDone, rec.answer
+		return rec.ended()
+	case rec.state() == Done:
+		answer.State, answer.Answer = ResolveDone, rec.answer()
 	}
 	return nil
 }
--- a/router/gate/serve.go
+++ b/router/gate/serve.go
@@ -114,7 +114,7 @@
 	}
 	owned := j.rec != nil
 	if owned {
-		kept = j.rec.answer
+		kept = j.rec.answer()
 	}
 	g.requests.end(g.now(), digestOf(j.req.ID), j.entry, state, kept, owned)
 }
@@ -179,7 +179,7 @@
 	defer g.mu.Unlock()
 	rec, v, err := g.journal.Begin(g.now(), a)
 	if rec != nil {
-		j.other = rec.ended
+		j.other = rec.ended()
 	}
 	return rec, v, err
 }
@@ -202,12 +202,12 @@
 	g := j.gate
 	rec := j.rec
 	g.mu.Lock()
-	if !rec.running {
+	if !rec.running() {
 		g.mu.Unlock()
 		return
 	}
 	g.journal.Cancel(rec)
-	entry := rec.entry(g.now())
+	entry := g.journal.entry(g.now(), rec)
 	g.mu.Unlock()
 	j.rec = nil
 	g.copyLater(j.req, entry)
@@ -216,7 +216,7 @@
 // replay writes the kept answer.
 func (j *job) replay(rec *record) error {
 	j.gate.mu.Lock()
-	answer := rec.answer
+	answer := rec.answer()
 	j.gate.mu.Unlock()
 	if answer == nil {
 		return errkind.New(errkind.OutcomeUnknown, "the answer is no longer kept")
@@ -401,7 +401,7 @@
 	}
 	g.mu.Lock()
 	g.journal.Lose(g.now(), j.rec)
-	entry := j.rec.entry(g.now())
+	entry := g.journal.entry(g.now(), j.rec)
 	g.mu.Unlock()
 	g.copyLater(j.req, entry)
 }
@@ -418,7 +418,7 @@
 	}
 	g.mu.Lock()
 	g.journal.Finish(g.now(), j.rec, kept)
-	entry := j.rec.entry(g.now())
+	entry := g.journal.entry(g.now(), j.rec)
 	g.mu.Unlock()
 	j.resolved(ResolveDone, nil)
 	g.copyLater(j.req, entry)
--- a/router/gate/sync.go
+++ b/router/gate/sync.go
@@ -83,7 +83,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	g.mu.Lock()
-	entry := j.rec.entry(g.now())
+	entry := g.journal.entry(g.now(), j.rec)
 	g.mu.Unlock()
 	return g.opts.Replicator.Append(ctx, j.permit.Standby, refOf(j.permit), []Entry{entry})
 }
@@ -302,11 +302,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.journal.Export(g.now(), func(rec *record) bool {
-		if rec.key.service != task.ref.Service {
+		if rec.service() != task.ref.Service {
 			return false
 		}
 		_, inside := keyspace.Find(task.shards, rec.hash)
-		return inside || rec.group == task.ref.GroupID
+		return inside || rec.group() == task.ref.GroupID
 	})
 }
 
@@ -335,7 +335,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.journal.Export(g.now(), func(rec *record) bool {
-		return match(rec) && (!rec.running || rec.sent)
+		return match(rec) && !rec.unsent()
 	})
 }
 
@@ -343,7 +343,7 @@
 	sorted := slices.Clone(shards)
 	keyspace.Sort(sorted)
 	return func(rec *record) bool {
-		if rec.key.service != service {
+		if rec.service() != service {
 			return false
 		}
 		_, ok := keyspace.Find(sorted, rec.hash)
