Return exit code 2 for invalid settings

Change: errors.As. A test runs check and run with invalid settings. Ruled out: nothing. Conclusion: as documented.

--- a/ctl/e2e/operator_test.go
+++ b/ctl/e2e/operator_test.go
@@ -1,8 +1,13 @@
 package e2e
 
 import (
+	"errors"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 
 	"burdockglade.dev/router/admin"
@@ -176,3 +181,19 @@
 		t.Errorf("the key is served by %s", owner)
 	}
 }
+
+// Guards against a supervisor that restarts a router with invalid settings
+// forever: both ways to meet such settings must end with the documented code.
+func TestInvalidSettingsHaveTheirExitCode(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "host.ini")
+	if err := os.WriteFile(file, []byte("[host]\nname = h1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, args := range [][]string{{"check", file}, {"run", "--settings", file}} {
+		out, err := exec.Command(binaries.router, args...).CombinedOutput()
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) || exit.ExitCode() != 2 || !strings.Contains(string(out), "token_file") {
+			t.Errorf("%v: %v\n%s", args, err, out)
+		}
+	}
+}
--- a/router/cmd/burdockglade/main.go
+++ b/router/cmd/burdockglade/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -102,7 +103,9 @@
 		return
 	}
 	fmt.Fprintf(os.Stderr, "burdockglade: %v\n", err)
-	if _, ok := err.(invalidError); ok {
+	// The command line parser wraps the errors of commands.
+	var invalid invalidError
+	if errors.As(err, &invalid) {
 		os.Exit(exitInvalid)
 	}
 	os.Exit(exitFailed)
