--- a/router/forward/stats.go
+++ b/router/forward/stats.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -18,6 +19,14 @@
 	// region and regionOf tell which hops leave the region.
 	region   string
 	regionOf func(host string) string
+	// hops has the counters of hops by hopKey. Finding a tagged scope takes
+	// longer than all the rest of the count.
+	hops sync.Map
+}
+
+// hopKey names a counter of hops.
+type hopKey struct {
+	service, region, direction string
 }
 
 func newStats(o Options) *stats {
@@ -61,7 +70,11 @@
 // hopBytes returns the counter of the body bytes between this host and another.
 // Headers are not counted.
 func (s *stats) hopBytes(service, host, direction string) tally.Counter {
-	region, link := s.regionOf(host), "cross_region"
+	key := hopKey{service, s.regionOf(host), direction}
+	if c, ok := s.hops.Load(key); ok {
+		return c.(tally.Counter)
+	}
+	region, link := key.region, "cross_region"
 	switch region {
 	case "":
 		region, link = "unknown", "unknown"
@@ -69,7 +82,8 @@
 		link = "same_region"
 	}
 	tags := map[string]string{"service": service, "region": region, "link": link, "direction": direction}
-	return s.scope.Tagged(tags).Counter("hop_bytes")
+	c, _ := s.hops.LoadOrStore(key, s.scope.Tagged(tags).Counter("hop_bytes"))
+	return c.(tally.Counter)
 }
 
 // countedBody counts the bytes that are read from a body.
