Compare one root before the digests of all buckets

Cause: each exchange sent 64 digests as JSON numbers, 1.3 KB in each direction, although routers hold the same rows most of the time. Change: the first question of an exchange has one value for all buckets. Only when it differs does a second question carry the digests, packed in base64. Ruled out: the packed digests in each exchange, which would still be 0.7 KB in each direction.

--- a/router/member/gossip.go
+++ b/router/member/gossip.go
@@ -72,20 +72,25 @@
 	Rows []table.Row `json:"rows"`
 }
 
-// Digest asks for a comparison of all rows.
+// Digest asks for a comparison of all rows. The first question of an exchange
+// carries the root alone, which suffices while both hold the same; the second
+// carries the digests of all buckets.
 type Digest struct {
-	From        ownership.Host  `json:"from"`
-	Digests     [Buckets]uint64 `json:"digests"`
-	Loads       Loads           `json:"loads"`
-	NoteVersion int64           `json:"note_version"`
+	From        ownership.Host `json:"from"`
+	Root        uint64         `json:"root,string"`
+	Digests     *Digests       `json:"digests,omitempty"`
+	Loads       Loads          `json:"loads,omitempty"`
+	NoteVersion int64          `json:"note_version"`
 }
 
-// DigestAnswer has the versions of the rows in the buckets that differ.
+// DigestAnswer tells whether the rows are the same and, when the question had
+// digests, has the versions of the rows in the buckets that differ.
 type DigestAnswer struct {
-	Digests     [Buckets]uint64 `json:"digests"`
-	Versions    []Version       `json:"versions"`
-	Loads       Loads           `json:"loads"`
-	NoteVersion int64           `json:"note_version"`
+	Same        bool      `json:"same"`
+	Digests     *Digests  `json:"digests,omitempty"`
+	Versions    []Version `json:"versions,omitempty"`
+	Loads       Loads     `json:"loads,omitempty"`
+	NoteVersion int64     `json:"note_version"`
 }
 
 // Fetch asks for rows by key.
@@ -317,7 +322,7 @@
 	var answer DigestAnswer
 	err := g.o.Peers.Call(ctx, to, MethodDigest, Digest{
 		From:        g.o.Self,
-		Digests:     g.rows.Digests(),
+		Root:        g.rows.Digests().root(),
 		Loads:       g.loads(),
 		NoteVersion: g.o.NoteVersion(),
 	}, &answer)
@@ -326,18 +331,36 @@
 	}
 	g.learnLoads(answer.Loads)
 	g.o.OnNoteVersion(answer.NoteVersion, to)
-	want, offer := g.rows.Compare(time.Now(), answer.Versions, answer.Digests)
+	if !answer.Same {
+		g.level(ctx, to)
+	}
+	return true
+}
+
+// level compares the buckets with a peer whose rows differ and exchanges rows.
+func (g *Gossip) level(ctx context.Context, to ownership.Host) {
+	digests := g.rows.Digests()
+	var answer DigestAnswer
+	err := g.o.Peers.Call(ctx, to, MethodDigest, Digest{
+		From:        g.o.Self,
+		Root:        digests.root(),
+		Digests:     &digests,
+		NoteVersion: g.o.NoteVersion(),
+	}, &answer)
+	if !g.heard(to, err) || answer.Digests == nil {
+		return
+	}
+	want, offer := g.rows.Compare(time.Now(), answer.Versions, *answer.Digests)
 	for len(want) > 0 {
 		n := min(len(want), maxRowsPerMessage)
 		var records Records
 		if err := g.o.Peers.Call(ctx, to, MethodFetch, Fetch{Keys: want[:n]}, &records); !g.heard(to, err) {
-			return true
+			return
 		}
 		g.Learn(records.Rows...)
 		want = want[n:]
 	}
 	g.sendRows(ctx, to, offer)
-	return true
 }
 
 // loads returns the own summary and some random ones of others.
@@ -384,12 +407,15 @@
 func (g *Gossip) handleDigest(_ context.Context, _ peer.Caller, p Digest) (DigestAnswer, error) {
 	g.learnLoads(p.Loads)
 	g.o.OnNoteVersion(p.NoteVersion, p.From)
-	return DigestAnswer{
-		Digests:     g.rows.Digests(),
-		Versions:    g.rows.Versions(p.Digests),
-		Loads:       g.loads(),
-		NoteVersion: g.o.NoteVersion(),
-	}, nil
+	digests := g.rows.Digests()
+	answer := DigestAnswer{Same: p.Root == digests.root(), NoteVersion: g.o.NoteVersion()}
+	if p.Digests == nil {
+		answer.Loads = g.loads()
+		return answer, nil
+	}
+	answer.Digests = &digests
+	answer.Versions = g.rows.Versions(*p.Digests)
+	return answer, nil
 }
 
 func (g *Gossip) handleFetch(_ context.Context, _ peer.Caller, p Fetch) (Records, error) {
--- a/router/member/rows.go
+++ b/router/member/rows.go
@@ -1,6 +1,9 @@
 package member
 
 import (
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -40,12 +43,49 @@
 	return uint32(xxhash.Sum64(row.Value))
 }
 
+// Digests has one value per bucket.
+type Digests [Buckets]uint64
+
+func (d Digests) bytes() []byte {
+	packed := make([]byte, 0, 8*Buckets)
+	for _, v := range d {
+		packed = binary.BigEndian.AppendUint64(packed, v)
+	}
+	return packed
+}
+
+// root returns one value for all buckets.
+func (d Digests) root() uint64 {
+	return xxhash.Sum64(d.bytes())
+}
+
+// MarshalText encodes the values in base64, which takes half of their size as
+// JSON numbers.
+func (d Digests) MarshalText() ([]byte, error) {
+	return base64.StdEncoding.AppendEncode(nil, d.bytes()), nil
+}
+
+// UnmarshalText decodes what MarshalText made.
+func (d *Digests) UnmarshalText(text []byte) error {
+	packed, err := base64.StdEncoding.AppendDecode(nil, text)
+	if err != nil {
+		return fmt.Errorf("digests: %w", err)
+	}
+	if len(packed) != 8*Buckets {
+		return fmt.Errorf("digests of %d bytes: want %d", len(packed), 8*Buckets)
+	}
+	for i := range d {
+		d[i] = binary.BigEndian.Uint64(packed[8*i:])
+	}
+	return nil
+}
+
 // Rows is the set of rows that a router knows. It is safe for concurrent use.
 type Rows struct {
 	mu         sync.Mutex
 	rows       map[string]table.Row
 	tombstones map[string]tombstone
-	digests    [Buckets]uint64
+	digests    Digests
 }
 
 type tombstone struct {
@@ -177,14 +217,14 @@
 
 // Digests returns one value per bucket. Two routers with equal values hold the
 // same values of all rows, but for hash collisions.
-func (r *Rows) Digests() [Buckets]uint64 {
+func (r *Rows) Digests() Digests {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.digests
 }
 
 // Versions returns the versions in the buckets whose digest differs.
-func (r *Rows) Versions(digests [Buckets]uint64) []Version {
+func (r *Rows) Versions(digests Digests) []Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var versions []Version
@@ -200,7 +240,7 @@
 // Compare sorts the peer's versions into keys that the peer has newer and rows
 // that this router has newer, each with another value. Rows of the compared buckets that the peer lacks
 // are newer here.
-func (r *Rows) Compare(now time.Time, peer []Version, digests [Buckets]uint64) (want []string, offer []table.Row) {
+func (r *Rows) Compare(now time.Time, peer []Version, digests Digests) (want []string, offer []table.Row) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	peerHas := make(map[string]Version, len(peer))
--- a/router/member/rows_test.go
+++ b/router/member/rows_test.go
@@ -1,17 +1,22 @@
 package member
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/phuslu/log"
 	"pgregory.net/rapid"
 
 	"burdockglade.dev/platform/table"
+	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/router/peer"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -233,3 +238,71 @@
 		}
 	}
 }
+
+// Guards against digests that change on their way, and against a router that
+// stops on malformed ones.
+func TestDigestsKeepTheirValues(t *testing.T) {
+	var sent, got Digests
+	for i := range sent {
+		sent[i] = uint64(i) * 0x9e3779b97f4a7c15
+	}
+	text, err := json.Marshal(Digest{Digests: &sent})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(text, &Digest{Digests: &got}); err != nil || got != sent {
+		t.Errorf("got %v, %v", got, err)
+	}
+	for _, malformed := range []string{`""`, `"AAAA"`, `"?"`, `5`} {
+		var d Digests
+		if json.Unmarshal([]byte(malformed), &d) == nil {
+			t.Errorf("%s accepted", malformed)
+		}
+	}
+}
+
+// pairCaller hands calls to the other router in the process, with the encoding
+// that they have on a connection.
+type pairCaller struct {
+	other *Gossip
+}
+
+func (c pairCaller) Call(ctx context.Context, _ ownership.Host, method string, params, answer any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	result, err := c.other.Methods()[method](ctx, peer.Caller{}, raw)
+	if err != nil {
+		return err
+	}
+	if raw, err = json.Marshal(result); err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, answer)
+}
+
+// Guards against an exchange that leaves differences, or that goes on when
+// there are none.
+func TestExchangeLevelsBothSides(t *testing.T) {
+	rows := benchSize{hosts: 4, shardsPerGroup: 2}.rows()
+	quiet := event.NewLogger(io.Discard, log.ErrorLevel)
+	b := benchGossip(1, nil, quiet)
+	a := benchGossip(0, pairCaller{b}, quiet)
+	a.Learn(rows[:7]...)
+	b.Learn(rows[5:]...)
+	a.Learn(changed(a.rows, rows[1]))
+	if a.rows.Digests() == b.rows.Digests() {
+		t.Fatal("nothing differs before the exchange")
+	}
+	if !a.Exchange(t.Context(), b.o.Self) {
+		t.Fatal("no answer")
+	}
+	if diff := cmp.Diff(a.rows.All(""), b.rows.All("")); diff != "" || len(a.rows.All("")) != len(rows) {
+		t.Errorf("%d of %d rows; %s", len(a.rows.All("")), len(rows), diff)
+	}
+	answer, err := b.handleDigest(t.Context(), peer.Caller{}, Digest{Root: a.rows.Digests().root()})
+	if err != nil || !answer.Same || answer.Digests != nil {
+		t.Errorf("got %+v, %v", answer, err)
+	}
+}
