--- a/router/gate/journal.go
+++ b/router/gate/journal.go
@@ -15,8 +15,8 @@
 
 // Defaults of JournalLimits.
 const (
-	// DefaultJournalEntries takes 28 MB when it is used up: an entry without an
-	// answer has about 140 bytes. A window of one hour needs 3,600 entries,
+	// DefaultJournalEntries takes 25 MB when it is used up: an entry without an
+	// answer has about 125 bytes. A window of one hour needs 3,600 entries,
 	// 0.5 MB, for each request with a key per second.
 	DefaultJournalEntries = 200_000
 	DefaultAnswerBytes    = 16 << 10
@@ -58,7 +58,7 @@
 	// epoch is the first time that was passed in. The entries keep their times
 	// as durations since then, because a time.Time has 24 bytes.
 	epoch time.Time
-	// byID holds the first entry of each digest; next leads to the others. There
+	// byID holds the first entry of each digest, which leads to the others. There
 	// is more than one when hosts accepted the key for different requests before
 	// their shards came together, when the cancellation of an attempt was lost,
 	// or when several services got the key.
@@ -71,27 +71,32 @@
 	id      Digest
 }
 
-// record is one entry of the journal. It has 96 bytes, the size of an
-// allocation; a field more would take 112.
+// record is one entry of the journal. It takes an allocation of 80 bytes; the
+// next size is 96.
 type record struct {
 	id          Digest
 	fingerprint Digest
 	hash        keyspace.Hash
 	attempt     uint64
-	// since is the time of the latest change; the entry is kept until expires.
-	since, expires time.Duration
-	// origin is the service and the group. Entries of a group share it.
-	origin unique.Handle[groupKey]
-	// detail is nil for an entry that no attempt owns and that has no answer.
+	// since is the time of the latest change.
+	since  time.Duration
+	origin unique.Handle[origin]
+	// detail is nil for an entry that needs none.
 	detail *detail
-	// next is the next entry of the same digest.
-	next  *record
-	index int32
+	index  int32
 	// known is the index of the state in ranked.
 	known uint8
 }
 
-// detail is what only some entries need.
+// origin is what the entries of a group share.
+type origin struct {
+	groupKey
+	// window is how long an entry is kept since its latest change.
+	window time.Duration
+}
+
+// detail is what only some entries need: those that an attempt owns, those with
+// an answer and those that share their digest.
 type detail struct {
 	answer *KeptAnswer
 	// ended is closed when the attempt of this process that owns the entry ends,
@@ -99,12 +104,41 @@
 	ended chan struct{}
 	// sent is true once the upstream may have got the attempt's request.
 	sent bool
+	// next is the next entry of the same digest.
+	next *record
 }
 
 func (rec *record) service() string { return rec.origin.Value().service }
 
 func (rec *record) group() string { return rec.origin.Value().id }
 
+// expires returns until when the entry is kept.
+func (rec *record) expires() time.Duration {
+	return rec.since + rec.origin.Value().window
+}
+
+func (rec *record) next() *record {
+	if rec.detail == nil {
+		return nil
+	}
+	return rec.detail.next
+}
+
+// details returns the entry's details for a change. trim must follow a removal.
+func (rec *record) details() *detail {
+	if rec.detail == nil {
+		rec.detail = &detail{}
+	}
+	return rec.detail
+}
+
+// trim drops the details that are no longer needed.
+func (rec *record) trim() {
+	if d := rec.detail; d != nil && d.answer == nil && d.ended == nil && d.next == nil {
+		rec.detail = nil
+	}
+}
+
 func (rec *record) state() EntryState { return ranked[rec.known] }
 
 // ended returns a channel that is closed when the attempt ends, or nil when no
@@ -190,8 +224,8 @@
 	j.attempts++
 	rec := &record{
 		id: a.id, fingerprint: a.fingerprint, hash: a.hash,
-		origin: unique.Make(groupKey{a.service, a.group}), known: knowledge(Intent), attempt: j.attempts,
-		since: j.at(now), expires: j.at(now) + a.window,
+		origin: unique.Make(origin{groupKey{a.service, a.group}, a.window}),
+		known:  knowledge(Intent), attempt: j.attempts, since: j.at(now),
 		detail: &detail{ended: make(chan struct{})},
 	}
 	j.insert(rec)
@@ -226,7 +260,7 @@
 // entries are those of the key, in the order in which they were added.
 func (j *Journal) entries(key idKey) iter.Seq[*record] {
 	return func(yield func(*record) bool) {
-		for rec := j.byID[key.id]; rec != nil; rec = rec.next {
+		for rec := j.byID[key.id]; rec != nil; rec = rec.next() {
 			if rec.service() == key.service && !yield(rec) {
 				return
 			}
@@ -279,9 +313,7 @@
 
 // renew begins the entry's window again.
 func (j *Journal) renew(now time.Time, rec *record) {
-	window := rec.expires - rec.since
 	rec.since = j.at(now)
-	rec.expires = rec.since + window
 	heap.Fix(&j.expiry, int(rec.index))
 }
 
@@ -297,9 +329,7 @@
 func (rec *record) stop() {
 	close(rec.detail.ended)
 	rec.detail.ended = nil
-	if rec.detail.answer == nil {
-		rec.detail = nil
-	}
+	rec.trim()
 }
 
 // keep stores the answer when it fits.
@@ -307,15 +337,13 @@
 	j.bytes -= int64(answerSize(rec.answer()))
 	if rec.detail != nil {
 		rec.detail.answer = nil
+		rec.trim()
 	}
 	size := answerSize(answer)
 	if answer == nil || size > j.limits.AnswerBytes || j.bytes+int64(size) > j.limits.TotalBytes {
 		return
 	}
-	if rec.detail == nil {
-		rec.detail = &detail{}
-	}
-	rec.detail.answer = answer
+	rec.details().answer = answer
 	j.bytes += int64(size)
 }
 
@@ -334,13 +362,13 @@
 }
 
 func (j *Journal) insert(rec *record) {
-	if first := j.byID[rec.id]; first == nil {
+	if last := j.byID[rec.id]; last == nil {
 		j.byID[rec.id] = rec
 	} else {
-		for first.next != nil {
-			first = first.next
+		for last.next() != nil {
+			last = last.next()
 		}
-		first.next = rec
+		last.details().next = rec
 	}
 	heap.Push(&j.expiry, rec)
 }
@@ -352,19 +380,23 @@
 }
 
 func (j *Journal) unlink(rec *record) {
-	before := j.byID[rec.id]
+	before, next := j.byID[rec.id], rec.next()
 	switch {
 	case before != rec:
-		for before.next != rec {
-			before = before.next
+		for before.next() != rec {
+			before = before.next()
 		}
-		before.next = rec.next
-	case rec.next != nil:
-		j.byID[rec.id] = rec.next
+		before.detail.next = next
+		before.trim()
+	case next != nil:
+		j.byID[rec.id] = next
 	default:
 		delete(j.byID, rec.id)
 	}
-	rec.next = nil
+	if rec.detail != nil {
+		rec.detail.next = nil
+		rec.trim()
+	}
 }
 
 // sweep drops entries whose window has passed. An entry of a running attempt is
@@ -372,7 +404,7 @@
 func (j *Journal) sweep(now time.Time) {
 	for len(j.expiry) > 0 {
 		rec := j.expiry[0]
-		if j.at(now) < rec.expires {
+		if j.at(now) < rec.expires() {
 			return
 		}
 		if rec.running() {
@@ -457,15 +489,12 @@
 		return
 	}
 	since := j.at(now) - e.Age
+	from := unique.Make(origin{groupKey{service, group}, window})
 	if rec == nil {
-		rec = &record{
-			id: e.ID, fingerprint: e.Fingerprint, attempt: e.Attempt, since: since, expires: since + window,
-			origin: unique.Make(groupKey{service, group}),
-		}
+		rec = &record{id: e.ID, fingerprint: e.Fingerprint, attempt: e.Attempt, since: since, origin: from}
 		j.insert(rec)
 	} else {
-		rec.since, rec.expires = since, since+window
-		rec.origin = unique.Make(groupKey{service, group})
+		rec.since, rec.origin = since, from
 		heap.Fix(&j.expiry, int(rec.index))
 	}
 	rec.hash, rec.known = e.Hash, knowledge(e.State)
@@ -489,7 +518,7 @@
 type expiryHeap []*record
 
 func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].expires < h[j].expires }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expires() < h[j].expires() }
 func (h expiryHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = int32(i), int32(j)
--- a/router/gate/journalsize_test.go
+++ b/router/gate/journalsize_test.go
@@ -11,8 +11,8 @@
 // Guards against a field that makes every entry of the journal larger by a size
 // class of the allocator, and against details that stay after the end.
 func TestJournalEntrySize(t *testing.T) {
-	if size := unsafe.Sizeof(record{}); size > 96 {
-		t.Errorf("an entry has %d bytes, want at most 96", size)
+	if size := unsafe.Sizeof(record{}); size > 80 {
+		t.Errorf("an entry has %d bytes, want at most 80", size)
 	}
 	j := NewJournal(JournalLimits{}, 0)
 	lost, done, kept := mustBegin(t, j, epoch, "lost"), mustBegin(t, j, epoch, "done"), mustBegin(t, j, epoch, "kept")
