Send group ids in heartbeats as bytes

Cause: heartbeats and answers are most of the control bytes, and each carried a UUID as a text of 36 bytes. Change: an id that is a UUID is sent as a byte string of 16 bytes; any other id stays a text. Ruled out: leaving out the service or an incarnation, which the receiver checks; longer intervals, which lengthen the time until a lost host's keys are served.

--- a/router/node/heartbeat.go
+++ b/router/node/heartbeat.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
 	"burdockglade.dev/router/event"
@@ -18,7 +19,7 @@
 type heartbeatWire struct {
 	_                  struct{} `cbor:",toarray"`
 	Service            string
-	GroupID            string
+	GroupID            any // see packID
 	Generation         uint64
 	RowVersion         int64
 	Seq                uint64
@@ -32,7 +33,7 @@
 type answerWire struct {
 	_                  struct{} `cbor:",toarray"`
 	Service            string
-	GroupID            string
+	GroupID            any // see packID
 	Generation         uint64
 	Seq                uint64
 	HolderIncarnation  uint64
@@ -41,6 +42,30 @@
 	NoteVersion        int64
 }
 
+// packID returns the id of a group as it is sent: the 16 bytes of a UUID in its
+// usual form, else the text. CBOR keeps byte strings and texts apart. Heartbeats
+// are most of the control traffic, and the text of a UUID has 36 bytes.
+func packID(id string) any {
+	u, err := uuid.Parse(id)
+	if err != nil || u.String() != id {
+		return id
+	}
+	return u[:]
+}
+
+// unpackID returns the id, or "" for a value that is none.
+func unpackID(packed any) string {
+	switch v := packed.(type) {
+	case string:
+		return v
+	case []byte:
+		if u, err := uuid.FromBytes(v); err == nil {
+			return u.String()
+		}
+	}
+	return ""
+}
+
 // leaseNetwork sends lease messages as datagrams.
 type leaseNetwork struct {
 	datagrams *peer.Datagrams
@@ -51,7 +76,7 @@
 func (n *leaseNetwork) SendHeartbeat(to ownership.Host, h lease.Heartbeat) {
 	n.send(to, peer.HeartbeatDatagram, heartbeatWire{
 		Service:            h.Service,
-		GroupID:            h.GroupID,
+		GroupID:            packID(h.GroupID),
 		Generation:         h.Generation,
 		RowVersion:         h.RowVersion,
 		Seq:                h.Seq,
@@ -66,7 +91,7 @@
 func (n *leaseNetwork) SendAnswer(to ownership.Host, a lease.Answer) {
 	n.send(to, peer.AnswerDatagram, answerWire{
 		Service:            a.Service,
-		GroupID:            a.GroupID,
+		GroupID:            packID(a.GroupID),
 		Generation:         a.Generation,
 		Seq:                a.Seq,
 		HolderIncarnation:  a.HolderIncarnation,
@@ -98,7 +123,7 @@
 		n.noteVersionSeen(h.NoteVersion, h.HolderName)
 		n.manager.HandleHeartbeat(lease.Heartbeat{
 			Service:            h.Service,
-			GroupID:            h.GroupID,
+			GroupID:            unpackID(h.GroupID),
 			Generation:         h.Generation,
 			RowVersion:         h.RowVersion,
 			Seq:                h.Seq,
@@ -115,7 +140,7 @@
 		n.noteVersionSeen(a.NoteVersion, a.StandbyName)
 		n.manager.HandleAnswer(lease.Answer{
 			Service:            a.Service,
-			GroupID:            a.GroupID,
+			GroupID:            unpackID(a.GroupID),
 			Generation:         a.Generation,
 			Seq:                a.Seq,
 			HolderIncarnation:  a.HolderIncarnation,
