Tell the placement through which regions a shard's requests enter

Cause: cross-region traffic is paid by volume, and the policy can weigh the regions of callers, but nothing told them to it. Change: the entry names its region on a hop; the owner keeps smoothed counts per shard, for at most 8 regions. Ruled out: the caller's address as a source of its region (behind address translation it says nothing).

--- a/router/forward/entry.go
+++ b/router/forward/entry.go
@@ -13,6 +13,7 @@
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/gate"
+	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/note"
 	"burdockglade.dev/router/ownership"
 	"burdockglade.dev/router/route"
@@ -58,6 +59,9 @@
 	ReadGroup func(ctx context.Context, service, id string) (ownership.Group, error)
 	// Budget limits attempts beyond the first.
 	Budget Budget
+	// OnCaller is told the region through which a request for a position
+	// entered, so that placement can prefer it. Nil is allowed.
+	OnCaller func(service string, h keyspace.Hash, region string)
 	// Region is the region of this host, and RegionOf returns that of another
 	// host or "". They serve the count of bytes between regions; RegionOf may
 	// be nil.
@@ -275,6 +279,9 @@
 	in.Body = r.body.open()
 	in.ContentLength = r.body.length
 	setOwner(w, record)
+	if e.o.OnCaller != nil && n == 0 {
+		e.o.OnCaller(r.service.Name, r.hash, e.o.Region)
+	}
 	err := e.o.Gate.Serve(w, in, r.gateRequest(attemptID(r.id, n), record.Generation))
 	if err == nil {
 		return nil
--- a/router/forward/headers.go
+++ b/router/forward/headers.go
@@ -14,6 +14,7 @@
 	headerBeliefGroup    = "Burdock-Group"
 	headerBeliefGen      = "Burdock-Generation"
 	headerNoteVersion    = "Burdock-Note-Version"
+	headerHopRegion      = "Burdock-Hop-Region" // of the entry
 	headerHopTenant      = "Burdock-Hop-Tenant"
 	headerHopIdempotency = "Burdock-Hop-Idempotency-Key"
 	headerRefusal        = "Burdock-Refusal" // set on refusals of the owner's router
--- a/router/forward/hop.go
+++ b/router/forward/hop.go
@@ -157,6 +157,9 @@
 	header.Set(headerDeadline, strconv.FormatInt(max(time.Until(r.deadline).Milliseconds(), 1), 10))
 	header.Set(headerBeliefGroup, h.record.ID)
 	header.Set(headerBeliefGen, strconv.FormatUint(h.record.Generation, 10))
+	if region := h.client.o.Region; region != "" {
+		header.Set(headerHopRegion, region)
+	}
 	if r.tenant != "" {
 		header.Set(headerHopTenant, r.tenant)
 	}
--- a/router/forward/hopserver.go
+++ b/router/forward/hopserver.go
@@ -30,7 +30,9 @@
 	Services   func(name string) (note.Service, bool)
 	// Newest returns the newest record that claims a position.
 	Newest func(service string, h keyspace.Hash) (*ownership.Group, bool)
-	Log    *event.Logger
+	// OnCaller is that of Options.
+	OnCaller func(service string, h keyspace.Hash, region string)
+	Log      *event.Logger
 }
 
 // HopServer answers requests from other routers. It never forwards: a request
@@ -57,6 +59,9 @@
 		s.refuse(w, req, err)
 		return
 	}
+	if region := in.Header.Get(headerHopRegion); region != "" && s.o.OnCaller != nil {
+		s.o.OnCaller(req.Service, req.Hash, region)
+	}
 	ctx, cancel := context.WithDeadline(in.Context(), req.Deadline)
 	defer cancel()
 	out := in.Clone(ctx)
--- a/router/node/loads.go
+++ b/router/node/loads.go
@@ -28,12 +28,20 @@
 	group    string
 	shard    keyspace.Shard
 	arrived  time.Time
-	count    float64 // requests in the present second
-	busy     float64 // slot-seconds in the present second
-	rate     float64 // smoothed requests/s
-	slotLoad float64 // smoothed slot-seconds/s
+	count    float64            // requests in the present second
+	busy     float64            // slot-seconds in the present second
+	rate     float64            // smoothed requests/s
+	slotLoad float64            // smoothed slot-seconds/s
+	regions  map[string]float64 // smoothed requests by the region of their entry
 }
 
+// Limits of the count by region.
+const (
+	maxCallerRegions = 8
+	// forgetRegion is the smoothed count below which a region is dropped.
+	forgetRegion = 0.01
+)
+
 // loadMeter measures the load of the shards that this host holds.
 type loadMeter struct {
 	mu     sync.Mutex
@@ -100,6 +108,53 @@
 	}
 }
 
+// addCaller counts the region through which a request entered.
+func (m *loadMeter) addCaller(service string, h keyspace.Hash, region string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	i, ok := slices.BinarySearchFunc(m.shards, h, func(s *shardLoad, h keyspace.Hash) int {
+		return compareLoads(s, service, h)
+	})
+	if !ok {
+		return
+	}
+	s := m.shards[i]
+	if s.regions == nil {
+		s.regions = map[string]float64{}
+	}
+	if _, known := s.regions[region]; known || len(s.regions) < maxCallerRegions {
+		s.regions[region] += loadDecay
+	}
+}
+
+// decayRegions ages the counts by region by one second.
+func (s *shardLoad) decayRegions() {
+	for region, count := range s.regions {
+		count *= 1 - loadDecay
+		if count < forgetRegion {
+			delete(s.regions, region)
+			continue
+		}
+		s.regions[region] = count
+	}
+}
+
+// callerRegions returns the share of each region, or nil when it is not known.
+func (s *shardLoad) callerRegions() map[string]float64 {
+	total := 0.0
+	for _, count := range s.regions {
+		total += count
+	}
+	if total == 0 {
+		return nil
+	}
+	shares := make(map[string]float64, len(s.regions))
+	for region, count := range s.regions {
+		shares[region] = count / total
+	}
+	return shares
+}
+
 // follow brings the measured shards in line with the held groups and closes
 // the present second.
 func (m *loadMeter) follow(held []ownership.Group) {
@@ -110,6 +165,7 @@
 		s.rate += loadDecay * (s.count - s.rate)
 		s.slotLoad += loadDecay * (s.busy - s.slotLoad)
 		s.count, s.busy = 0, 0
+		s.decayRegions()
 		known[loadKey(s.service, s.shard)] = s
 	}
 	m.shards = m.shards[:0]
@@ -162,6 +218,8 @@
 			ParkedWait:  m.parked,
 			ArrivedAt:   s.arrived,
 			Pinned:      pinned(s.group),
+
+			CallerRegions: s.callerRegions(),
 		})
 	}
 	return loads, m.sketch.Above(balance.SplitShare)
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -283,6 +283,7 @@
 		HopToken:  n.secret.HopToken(),
 		Learn:     n.learnRecords,
 		ReadGroup: n.records.Get,
+		OnCaller:  n.loads.addCaller,
 		Budget:    retry.NewBudgets(),
 		Region:    n.s.Host.Region,
 		RegionOf:  n.regionOf,
@@ -295,6 +296,7 @@
 		CheckToken: n.secret.CheckHopToken,
 		Services:   n.service,
 		Newest:     n.routes.Lookup,
+		OnCaller:   n.loads.addCaller,
 		Log:        n.log,
 	})
 	return nil
