--- /dev/null
+++ b/ctl/e2e/bench_test.go
@@ -0,0 +1,334 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"burdockglade.dev/ctl/dev"
+	"burdockglade.dev/platform/standin"
+)
+
+// ticksPerSecond is the unit of processor times in /proc, which Linux fixes
+// at 100 for user space.
+const ticksPerSecond = 100
+
+// cpu returns the processor time that the process has used.
+func (p *process) cpu(b *testing.B) time.Duration {
+	b.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	// The second field is the name in parentheses and may contain spaces.
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
+// residentMB returns the resident memory of the process in MB.
+func (p *process) residentMB(b *testing.B) float64 {
+	b.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(status), "VmRSS:")
+	kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+	return float64(kb) / 1000
+}
+
+// end stops all processes of a round, so that rounds do not share the machine.
+func (c *cluster) end() {
+	for _, h := range c.hosts {
+		h.kill()
+	}
+	c.table.kill()
+	c.objects.kill()
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+var upstreamAddress = regexp.MustCompile(`listens at (http://[0-9.:]+)`)
+
+// closedLoop sends requests from 8 workers for a while and returns the sorted
+// latencies.
+func (c *cluster) closedLoop(b *testing.B, url string, headers map[string]string, duration time.Duration) []time.Duration {
+	b.Helper()
+	const workers = 8
+	all := make([][]time.Duration, workers)
+	end := time.Now().Add(duration)
+	var wg sync.WaitGroup
+	for i := range workers {
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				took, err := c.timed(url, headers)
+				if err != nil {
+					b.Errorf("%s: %v", url, err)
+					return
+				}
+				all[i] = append(all[i], took)
+			}
+		})
+	}
+	wg.Wait()
+	sorted := slices.Concat(all...)
+	slices.Sort(sorted)
+	return sorted
+}
+
+func (c *cluster) timed(url string, headers map[string]string) (time.Duration, error) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	begin := time.Now()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var echo standin.EchoAnswer
+	err = json.NewDecoder(resp.Body).Decode(&echo)
+	if resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return time.Since(begin), err
+}
+
+// BenchmarkPath compares a request through two routers, through the owner's
+// router alone, and the direct call to the same upstream, in turns. Processor
+// time is that of the router processes.
+func BenchmarkPath(b *testing.B) {
+	c := newCluster(b)
+	c.publish("first-note", twoServices)
+	for i := range 2 {
+		c.addHost(fmt.Sprintf("h%d", i+1), fmt.Sprintf("z%d", i+1), "orders", "--slots", "64")
+	}
+	owned := ""
+	for path, owner := range c.spread("orders", 40) {
+		if owner == "h2" {
+			owned = path
+		}
+	}
+	entry, owner := c.hosts[0], c.hosts[1]
+	direct := upstreamAddress.FindStringSubmatch(owner.upstream.log.String())[1]
+	headers := map[string]string{
+		"Burdock-Group": "direct", "Burdock-Generation": "1",
+		"Burdock-Not-After": strconv.FormatInt(time.Now().Add(time.Hour).UnixMicro(), 10),
+	}
+	const slice = time.Second
+	var two, one, none []time.Duration
+	var entryCPU, ownerCPU, aloneCPU, took time.Duration
+	for b.Loop() {
+		none = append(none, c.closedLoop(b, direct+owned, headers, slice)...)
+		before := owner.router.cpu(b)
+		one = append(one, c.closedLoop(b, "http://"+owner.caller+owned, nil, slice)...)
+		aloneCPU += owner.router.cpu(b) - before
+		beforeEntry, beforeOwner := entry.router.cpu(b), owner.router.cpu(b)
+		two = append(two, c.closedLoop(b, "http://"+entry.caller+owned, nil, slice)...)
+		entryCPU += entry.router.cpu(b) - beforeEntry
+		ownerCPU += owner.router.cpu(b) - beforeOwner
+		took += slice
+	}
+	for name, latencies := range map[string][]time.Duration{"direct": none, "one-hop": one, "two-hop": two} {
+		slices.Sort(latencies)
+		b.ReportMetric(float64(quantile(latencies, 0.5).Microseconds()), name+"-p50-us")
+		b.ReportMetric(float64(quantile(latencies, 0.99).Microseconds()), name+"-p99-us")
+		b.ReportMetric(float64(len(latencies))/took.Seconds(), name+"-req/s")
+	}
+	b.ReportMetric(float64(aloneCPU.Microseconds())/float64(len(one)), "one-hop-cpu-us/req")
+	b.ReportMetric(float64(entryCPU.Microseconds())/float64(len(two)), "entry-cpu-us/req")
+	b.ReportMetric(float64(ownerCPU.Microseconds())/float64(len(two)), "owner-cpu-us/req")
+	b.ReportMetric(entry.router.residentMB(b), "entry-MB")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkLossOfAHost kills the router and upstream of one of three hosts and
+// measures the time until all its keys are served again. Each round is a
+// cluster of its own.
+func BenchmarkLossOfAHost(b *testing.B) {
+	var rounds []time.Duration
+	for b.Loop() {
+		c := threeHosts(b, "orders")
+		owners := c.spread("orders", 60)
+		victim, entry := c.hosts[1], c.hosts[0]
+		var o outage
+		var wg sync.WaitGroup
+		victim.kill()
+		lostAt := time.Now()
+		for path, owner := range owners {
+			if owner != victim.name {
+				continue
+			}
+			wg.Go(func() {
+				d := c.watch(entry, path, victim.name, lostAt)
+				o.mu.Lock()
+				o.longest = max(o.longest, d)
+				o.mu.Unlock()
+			})
+		}
+		wg.Wait()
+		rounds = append(rounds, o.longest)
+		c.end()
+	}
+	slices.Sort(rounds)
+	b.ReportMetric(float64(quantile(rounds, 0.5).Milliseconds()), "median-ms")
+	b.ReportMetric(float64(rounds[len(rounds)-1].Milliseconds()), "max-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkGracefulStop stops one of three hosts, which moves all its shards,
+// while each of 40 keys is asked for without a pause through another host. It
+// reports the longest wait of a request and the requests that got no answer.
+func BenchmarkGracefulStop(b *testing.B) {
+	var longest time.Duration
+	var stopped []time.Duration
+	refused, sent := 0, 0
+	for b.Loop() {
+		c := threeHosts(b, "orders")
+		owners := c.spread("orders", 40)
+		stop := make(chan struct{})
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for path := range owners {
+			wg.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(5 * time.Millisecond):
+					}
+					begin := time.Now()
+					a, err := c.request(http.MethodPost, c.hosts[0], path, "n")
+					mu.Lock()
+					sent++
+					longest = max(longest, time.Since(begin))
+					if err != nil || a.status != http.StatusOK {
+						refused++
+					}
+					mu.Unlock()
+				}
+			})
+		}
+		begin := time.Now()
+		c.hosts[2].router.stop(b)
+		stopped = append(stopped, time.Since(begin))
+		close(stop)
+		wg.Wait()
+		c.end()
+	}
+	slices.Sort(stopped)
+	b.ReportMetric(float64(longest.Milliseconds()), "longest-wait-ms")
+	b.ReportMetric(float64(refused), "refused")
+	b.ReportMetric(float64(sent), "sent")
+	b.ReportMetric(float64(quantile(stopped, 0.5).Milliseconds()), "stop-median-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkSteadyStore counts what a cluster without requests asks of the
+// table service, and the processor time of one router.
+func BenchmarkSteadyStore(b *testing.B) {
+	const window = 20 * time.Second
+	for _, hosts := range []int{3, 6, 9} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			c := newCluster(b)
+			c.notePoll = "5s"
+			c.publish("first-note", twoServices)
+			for i := range hosts {
+				c.addHost(fmt.Sprintf("h%d", i+1), fmt.Sprintf("z%d", i%3+1), "orders")
+			}
+			c.spread("orders", 40*hosts)
+			var reads, writes float64
+			var cpu time.Duration
+			n := 0
+			for b.Loop() {
+				before, cpuBefore := c.counters(b), c.hosts[0].router.cpu(b)
+				time.Sleep(window)
+				after := c.counters(b)
+				reads += float64(after.Reads - before.Reads)
+				writes += float64(after.Writes - before.Writes)
+				cpu += c.hosts[0].router.cpu(b) - cpuBefore
+				n++
+			}
+			seconds := float64(n) * window.Seconds()
+			b.ReportMetric(reads/seconds/float64(hosts), "reads/s/host")
+			b.ReportMetric(writes/seconds/float64(hosts), "writes/s/host")
+			b.ReportMetric(cpu.Seconds()/seconds*100, "router-%core")
+			b.ReportMetric(c.hosts[0].router.residentMB(b), "router-MB")
+			b.ReportMetric(0, "ns/op")
+			c.end()
+		})
+	}
+}
+
+func (c *cluster) counters(b *testing.B) standin.Counters {
+	b.Helper()
+	resp, err := c.http.Get(c.tableURL + "/v1/counters")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var counters standin.Counters
+	if err := json.NewDecoder(resp.Body).Decode(&counters); err != nil {
+		b.Fatal(err)
+	}
+	return counters
+}
+
+// BenchmarkOverload offers twice the capacity of one upstream (16 slots of
+// 40 ms, 400 requests/s) to its router. Goodput is the rate of answers that
+// came within the requests' timeout.
+func BenchmarkOverload(b *testing.B) {
+	const capacity = 400
+	for _, queue := range []string{"256", "10000"} {
+		b.Run("queue="+queue, func(b *testing.B) {
+			c := newCluster(b)
+			c.publish("first-note", "[note]\ntitle = one service\nbase = 0\n[add service orders]\nkind = fenced\nqueue_limit = "+queue+"\n")
+			h := c.addHost("h1", "z1", "orders", "--slots", "16", "--work-time", "40ms")
+			c.served(h, "/orders/key-1")
+			load := dev.LoadCmd{
+				Targets: []string{"http://" + h.caller}, Service: "orders", Rate: capacity, Workers: 512,
+				Duration: 5 * time.Second, Keys: 1000, Timeout: 500 * time.Millisecond, Seed: 1,
+			}
+			// The limit of a cold upstream rises while it serves.
+			load.Mix = map[string]int{"GET": 1}
+			if _, err := load.Measure(context.Background()); err != nil {
+				b.Fatal(err)
+			}
+			var answers, p99 float64
+			n := 0
+			for b.Loop() {
+				load.Mix = map[string]int{"GET": 1}
+				load.Rate = 2 * capacity
+				r, err := load.Measure(context.Background())
+				if err != nil {
+					b.Fatal(err)
+				}
+				answers += r.AnswersPerSecond
+				p99 += float64(r.Latency.P99) / 1000
+				n++
+			}
+			b.ReportMetric(answers/float64(n)/capacity, "goodput/capacity")
+			b.ReportMetric(p99/float64(n), "answer-p99-ms")
+			b.ReportMetric(0, "ns/op")
+			c.end()
+		})
+	}
+}
--- a/ctl/e2e/cluster_test.go
+++ b/ctl/e2e/cluster_test.go
@@ -195,6 +195,7 @@
 	hosts     []*host
 	http      *http.Client
 	extra     string // additional settings
+	notePoll  string // interval of polls of the head row; 1s when empty
 }
 
 const adminToken = "operator-token-for-tests"
@@ -291,6 +292,9 @@
 	}
 	text := fmt.Sprintf(settingsText, name, zone, h.caller, h.upstreamListener, h.hop, h.control, h.admin, h.metrics,
 		strings.Join(seeds, ", "), c.tableURL, c.objectURL, c.extra)
+	if c.notePoll != "" {
+		text = strings.Replace(text, "poll_interval = 1s", "poll_interval = "+c.notePoll, 1)
+	}
 	if len(seeds) == 0 {
 		text = strings.Replace(text, "seeds = \n", "", 1)
 	}
