--- a/ctl/e2e/cluster_test.go
+++ b/ctl/e2e/cluster_test.go
@@ -227,6 +227,7 @@
 	http      *http.Client
 	extra     string // additional settings
 	relayed   bool   // hosts added from now on are reached through relays
+	notePoll  string // interval of polls of the head row; 1s when empty
 }
 
 const adminToken = "operator-token-for-tests"
@@ -333,6 +334,9 @@
 	}
 	text := fmt.Sprintf(settingsText, name, zone, h.caller, h.upstreamListener, h.hop, h.control, h.admin, h.metrics,
 		strings.Join(seeds, ", "), tableURL, c.objectURL, extra)
+	if c.notePoll != "" {
+		text = strings.Replace(text, "poll_interval = 1s", "poll_interval = "+c.notePoll, 1)
+	}
 	if len(seeds) == 0 {
 		text = strings.Replace(text, "seeds = \n", "", 1)
 	}
