Refuse a takeover at a host that cannot serve the group

Change: the router refuses as it refuses shards of a move. Ruled out: passing the order on to a suitable host; the operator would not know which host took the group.

--- a/router/node/admin.go
+++ b/router/node/admin.go
@@ -232,6 +232,10 @@
 
 // TakeOver implements admin.Backend.
 func (b backend) TakeOver(ctx context.Context, service, group string) (admin.TakenOver, error) {
+	if err := b.n.mayReceive(service); err != nil {
+		// A holder without an upstream would not serve the group either.
+		return admin.TakenOver{}, err
+	}
 	if err := b.checkLost(ctx, service, group); err != nil {
 		return admin.TakenOver{}, err
 	}
