Do not give up a living standby for a lost host

The fault came with the comparison of standbys in. Change: the better host must answer a control call before the standby is replaced; a host that does not answer is suspect. Ruled out: the age of the last load summary, because it grows with the number of hosts. The new test was not run on the former code. Conclusion: a comparison costs one call for each group that could be better placed.

--- a/ctl/e2e/operator_test.go
+++ b/ctl/e2e/operator_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"burdockglade.dev/router/admin"
 	"burdockglade.dev/router/errkind"
@@ -223,3 +224,28 @@
 		}
 	}
 }
+
+// Guards against a living standby that is given up for a lost host of another
+// zone, whose member row stays for a while.
+func TestLostHostIsNoBetterStandby(t *testing.T) {
+	c := threeHosts(t, "orders")
+	c.spread("orders", 60)
+	operator := c.operator(c.hosts[0])
+	c.hosts[1].kill()
+	paired := func(owners admin.Owners) bool {
+		return len(owners.Groups) > 0 && !slices.ContainsFunc(owners.Groups, func(g admin.Group) bool {
+			return len(g.Shards) > 0 && (g.Holder == "h2" || g.Standby == "h2" || g.Standby == "")
+		})
+	}
+	eventually(t, "the lost host has no role", func() bool {
+		owners, err := operator.Owners(t.Context(), "orders")
+		return err == nil && paired(owners)
+	})
+	// Long enough for two comparisons of the standbys and for the end of the
+	// suspicion against the lost host.
+	for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(pollEvery) {
+		if owners, err := operator.Owners(t.Context(), "orders"); err == nil && !paired(owners) {
+			t.Fatalf("the lost host has a role again: %+v", owners.Groups)
+		}
+	}
+}
--- a/router/member/directory.go
+++ b/router/member/directory.go
@@ -204,14 +204,18 @@
 	return best, bestRank >= 0
 }
 
-// HasBetterStandby reports whether PickStandby would choose a standby of a
-// higher rank than the present one. A standby can be worse than it need be when
-// it was chosen while no better host was up, or by a host of another zone that
-// handed the group over. A standby that is not a known member is left alone.
-func (d *Directory) HasBetterStandby(now time.Time, self Member, service, present string) bool {
+// BetterStandby returns a host that PickStandby ranks above the present
+// standby. A standby can be worse than it need be when it was chosen while no
+// better host was up, or by a host of another zone that handed the group over.
+// A standby that is not a known member is left alone. The host may have been
+// lost a moment ago; the caller finds out whether it answers.
+func (d *Directory) BetterStandby(now time.Time, self Member, service, present string) (Member, bool) {
 	have, known := d.Get(present)
 	best, found := d.PickStandby(now, self, service, present)
-	return known && found && standbyRank(self, best) > standbyRank(self, have)
+	if !known || !found || standbyRank(self, best) <= standbyRank(self, have) {
+		return Member{}, false
+	}
+	return best, true
 }
 
 // Ranks of a standby. A zone is lost as a whole, and regions are cut from each
--- a/router/member/rows_test.go
+++ b/router/member/rows_test.go
@@ -154,13 +154,13 @@
 	d.Put(same)
 	d.Put(far)
 	for present, want := range map[string]bool{"same": false, "far": true, "unknown": false} {
-		if got := d.HasBetterStandby(start, self, "orders", present); got != want {
+		if _, got := d.BetterStandby(start, self, "orders", present); got != want {
 			t.Errorf("one zone, standby %s: got %v", present, got)
 		}
 	}
 	d.Put(apart)
 	for present, want := range map[string]bool{"same": true, "far": true, "apart": false} {
-		if got := d.HasBetterStandby(start, self, "orders", present); got != want {
+		if _, got := d.BetterStandby(start, self, "orders", present); got != want {
 			t.Errorf("two zones, standby %s: got %v", present, got)
 		}
 	}
--- a/router/node/admin.go
+++ b/router/node/admin.go
@@ -246,9 +246,8 @@
 	return admin.TakenOver{Service: g.Service, Group: g.ID, Holder: g.Holder.Name, Generation: g.Generation}, nil
 }
 
-// lostTimeout is how long a takeover waits for an answer of the hosts that the
-// operator declared lost.
-const lostTimeout = time.Second
+// answerTimeout is how long a host has to show that its process lives.
+const answerTimeout = time.Second
 
 // checkLost refuses a takeover while the group's holder or standby answers: the
 // declaration is then wrong. Silence proves nothing, so the declaration is
@@ -262,7 +261,7 @@
 		if h.IsZero() || h.Same(b.n.self) {
 			continue
 		}
-		if b.answers(ctx, h) {
+		if b.n.answers(ctx, h) {
 			return errkind.New(errkind.Conflict, "host %s of group %s answers, so it is not lost", h.Name, group)
 		}
 	}
@@ -270,9 +269,9 @@
 }
 
 // answers reports whether the process of a host answers a control call.
-func (b backend) answers(ctx context.Context, h ownership.Host) bool {
-	ctx, cancel := context.WithTimeout(ctx, lostTimeout)
+func (n *Node) answers(ctx context.Context, h ownership.Host) bool {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	err := b.n.client.CallFresh(ctx, h, methodNoteGet, noteQuery{}, &noteAnswer{})
+	err := n.client.CallFresh(ctx, h, methodNoteGet, noteQuery{}, &noteAnswer{})
 	return err == nil || errkind.Is(err, errkind.NotReady)
 }
--- a/router/node/standby.go
+++ b/router/node/standby.go
@@ -30,7 +30,17 @@
 func (n *Node) replacePoorStandbys(ctx context.Context) {
 	self := n.member()
 	for _, g := range n.manager.Held() {
-		if g.Standby.IsZero() || !n.directory.HasBetterStandby(time.Now(), self, g.Service, g.Standby.Name) {
+		if g.Standby.IsZero() {
+			continue
+		}
+		better, ok := n.directory.BetterStandby(time.Now(), self, g.Service, g.Standby.Name)
+		if !ok {
+			continue
+		}
+		// The member row of a lost host stays for a while. A standby that
+		// lives must not be given up for it.
+		if !n.answers(ctx, better.Host) {
+			n.directory.Suspect(time.Now(), better.Host.Name)
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, replaceStandbyTimeout)
