ownership: create groups again when a host has lost all of its own

Cause: Manager.Join did nothing once the process had joined, and the registrar tried once for each announcement. A host whose upstream froze and returned, or that was paused past its lease, had handed its groups over and got no new ones. Every move to it was refused with 'not_ready: host h2 has no group of service orders to receive shards' until its router was restarted.

Change: Join does nothing while the host holds a group of the service. The registrar looks at that, and is woken when the gate drops a group.

Ruled out: a second set of groups for a host that holds one (TestManagerAnswers still passes), and groups of a host that leaves (the registrar does not join while it is leaving or its upstream is not serving).

Measured: go test -count=1 ./router/ownership passes. Without the change of manager.go TestRelinquish fails with 'join after the hand-over: <nil>, 0 groups'.

--- a/router/node/groups.go
+++ b/router/node/groups.go
@@ -124,6 +124,8 @@
 		n.installs.serving.Delete(r.Key())
 		delete(n.installs.groups, r.Key())
 		n.gate.DropGroup(r.Service, r.ID)
+		// It may have been the last group of this host.
+		n.registrar.poke()
 	}
 	if !r.Standby.Same(n.self) {
 		n.replica.Drop(r.Service, r.ID)
--- a/router/node/registrar.go
+++ b/router/node/registrar.go
@@ -162,12 +162,13 @@
 	return r.joinedAt
 }
 
-// join creates the groups of this host once per announcement.
+// join creates the groups of this host when it has none, at an announcement
+// and after others took all of them over.
 func (r *registrar) join(ctx context.Context, service string) bool {
 	r.mu.Lock()
 	done := r.joined == service
 	r.mu.Unlock()
-	if done {
+	if done && r.holds(service) {
 		return true
 	}
 	if _, ok := r.n.service(service); !ok {
--- a/router/ownership/manager.go
+++ b/router/ownership/manager.go
@@ -372,8 +372,9 @@
 	m.o.Log.Log(e, all...)
 }
 
-// Join creates this host's groups of a service. It does nothing when this
-// process has joined already. Errors have the kind UnknownService, Conflict,
+// Join creates this host's groups of a service. It does nothing while this
+// process holds a group of the service. A host that lost its groups to others
+// gets new ones, because without a group it could not receive shards. Errors have the kind UnknownService, Conflict,
 // StoreUnavailable or OutcomeUnknown; after the last one the groups may exist,
 // and a further call may create more.
 func (m *Manager) Join(ctx context.Context, service string, groups int) error {
@@ -382,7 +383,7 @@
 		return errkind.New(errkind.UnknownService, "service %q is not in the release note in force", service)
 	}
 	m.lock()
-	if m.joined[service] || m.joining[service] {
+	if m.holds(service) || m.joining[service] {
 		busy := m.joining[service]
 		m.unlock()
 		if busy {
@@ -422,6 +423,17 @@
 	return nil
 }
 
+// holds reports whether this host holds a group of the service. The lock must
+// be held.
+func (m *Manager) holds(service string) bool {
+	for _, role := range m.held {
+		if role.rec.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Held returns the groups that this host holds, by key.
 func (m *Manager) Held() []Group {
 	m.lock()
--- a/router/ownership/manager_test.go
+++ b/router/ownership/manager_test.go
@@ -260,6 +260,10 @@
 			if g := group(c.t, b); g.JournalComplete != complete || g.JournalUnjudged || g.Generation != 2 {
 				c.t.Errorf("copy complete %v: %+v", complete, g)
 			}
+			// Without a group of its own the host could not receive shards.
+			if err := a.m.Join(c.ctx, testService, 1); err != nil || len(a.m.Held()) != 1 {
+				c.t.Errorf("join after the hand-over: %v, %d groups", err, len(a.m.Held()))
+			}
 		})
 	}
 }
