--- a/ctl/e2e/cluster_test.go
+++ b/ctl/e2e/cluster_test.go
@@ -434,6 +434,16 @@
 	c.put("http://"+h.upstreamControl+"/burdock/faults", f)
 }
 
+// getJSON reports whether the answer arrived and was decoded.
+func (c *cluster) getJSON(url string, into any) bool {
+	resp, err := c.http.Get(url)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(into) == nil
+}
+
 func (c *cluster) put(url string, value any) {
 	c.t.Helper()
 	body, err := json.Marshal(value)
