--- a/ctl/e2e/bench_test.go
+++ b/ctl/e2e/bench_test.go
@@ -255,6 +255,7 @@
 				c.addHost(fmt.Sprintf("h%d", i+1), fmt.Sprintf("z%d", i%3+1), "orders")
 			}
 			c.spread("orders", 40*hosts)
+			c.settle(b)
 			var reads, writes float64
 			var cpu time.Duration
 			n := 0
@@ -278,6 +279,20 @@
 	}
 }
 
+// settle waits until no row was written for 10 s, so that the first placement
+// of the shards is over.
+func (c *cluster) settle(b *testing.B) {
+	b.Helper()
+	const quiet = 10 * time.Second
+	writes, since := int64(-1), time.Now()
+	eventually(b, "no writes for 10 s", func() bool {
+		if w := c.counters(b).Writes; w != writes {
+			writes, since = w, time.Now()
+		}
+		return time.Since(since) > quiet
+	})
+}
+
 func (c *cluster) counters(b *testing.B) standin.Counters {
 	b.Helper()
 	resp, err := c.http.Get(c.tableURL + "/v1/counters")
