Do not merge a hot key back a second after its split

Cause: a shard that was just split off has no measured load, so the next decision took it for cold and merged it; the one after split it again. Each is a write of the row and a record for every router, and a shard that is to be split or merged is not moved, so a hot key could not leave its host. The rule that a single position stays 5 minutes looked only at when a move brought the shard. In the same decision a merge could also name a shard of a split, and was then refused (event 1030 every 2 s in an idle cluster of 3 hosts). Change: shards carry the time since which they are measured, and a single position is merged only when it was measured for 5 minutes. A merge does not use a shard that the same decision splits. Ruled out: taking the split as an arrival, which would keep the hot key from moving for a minute. Before: 3 idle hosts after a short load wrote 0.75 rows/s each and did not come to rest within a minute.

--- a/router/balance/model.go
+++ b/router/balance/model.go
@@ -34,6 +34,9 @@
 	ParkedWait time.Duration
 	// ArrivedAt is when this host received the shard.
 	ArrivedAt time.Time
+	// MeasuredSince is when this host began to measure the shard. A shard that
+	// was just split off has no measured load yet.
+	MeasuredSince time.Time
 	// Pinned shards are not proposed for a move, such as those of a group with
 	// an incomplete journal. Spread ignores it.
 	Pinned bool
--- a/router/balance/policy.go
+++ b/router/balance/policy.go
@@ -131,7 +131,7 @@
 func (p *Policy) Propose(now time.Time, in Input) Output {
 	var out Output
 	out.Splits = proposeSplits(in)
-	out.Merges = proposeMerges(now, in)
+	out.Merges = proposeMerges(now, in, out.Splits)
 	f, ok := p.survey(now, in)
 	if !ok || in.Self.Leaving {
 		return out
--- a/router/balance/policy_test.go
+++ b/router/balance/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -219,6 +220,17 @@
 	if len(merges) != 1 || merges[0].Into != whole || len(merges[0].Shards) != 3 {
 		t.Fatalf("merges %v", merges)
 	}
+	fresh := in
+	fresh.Shards = slices.Clone(in.Shards)
+	fresh.Shards[1].MeasuredSince = t0.Add(-mergeAge + 1)
+	if merges := policy(even).Propose(t0, fresh).Merges; len(merges) != 0 {
+		t.Fatalf("merged a shard that was just split off: %v", merges)
+	}
+	beside := in
+	beside.Hot = []Hot{{Hash: parts[0].Shard.First + 1, Share: 0.3}}
+	if out := policy(even).Propose(t0, beside); len(out.Splits) != 1 || len(out.Merges) != 0 {
+		t.Fatalf("splits %v, merges %v", out.Splits, out.Merges)
+	}
 	parts[1].SlotLoad = 1
 	if merges := policy(even).Propose(t0, in).Merges; len(merges) != 1 {
 		t.Fatal("the input must not be shared with the policy")
--- a/router/balance/split.go
+++ b/router/balance/split.go
@@ -62,8 +62,9 @@
 }
 
 // proposeMerges returns a merge for each cold single-position shard whose
-// neighbours are in the same group at this host.
-func proposeMerges(now time.Time, in Input) []Merge {
+// neighbours are in the same group at this host. A shard of a split in the same
+// decision is no longer there when the merge is carried out.
+func proposeMerges(now time.Time, in Input, splits []Split) []Merge {
 	sorted := sortedShards(in.Shards)
 	var merges []Merge
 	for i := 1; i+1 < len(sorted); i++ {
@@ -71,6 +72,9 @@
 		if !coldSingle(now, in, single) || !adjoin(before, single) || !adjoin(single, after) {
 			continue
 		}
+		if split(splits, before) || split(splits, after) {
+			continue
+		}
 		merges = append(merges, Merge{
 			Group:  single.Group,
 			Shards: []keyspace.Shard{before.Shard, single.Shard, after.Shard},
@@ -82,10 +86,14 @@
 	return merges
 }
 
+func split(splits []Split, s ShardLoad) bool {
+	return slices.ContainsFunc(splits, func(p Split) bool { return p.Shard == s.Shard })
+}
+
 func coldSingle(now time.Time, in Input, s ShardLoad) bool {
 	single := s.Shard.First == s.Shard.Last
 	cold := s.SlotLoad <= mergeShare*in.Self.SlotLoad
-	return single && cold && now.Sub(s.ArrivedAt) >= mergeAge
+	return single && cold && now.Sub(s.ArrivedAt) >= mergeAge && now.Sub(s.MeasuredSince) >= mergeAge
 }
 
 func adjoin(a, b ShardLoad) bool {
--- a/router/node/loads.go
+++ b/router/node/loads.go
@@ -28,10 +28,11 @@
 	group    string
 	shard    keyspace.Shard
 	arrived  time.Time
-	count    float64 // requests in the present second
-	busy     float64 // slot-seconds in the present second
-	rate     float64 // smoothed requests/s
-	slotLoad float64 // smoothed slot-seconds/s
+	since    time.Time // when the measurement began
+	count    float64   // requests in the present second
+	busy     float64   // slot-seconds in the present second
+	rate     float64   // smoothed requests/s
+	slotLoad float64   // smoothed slot-seconds/s
 }
 
 // loadMeter measures the load of the shards that this host holds.
@@ -102,7 +103,7 @@
 
 // follow brings the measured shards in line with the held groups and closes
 // the present second.
-func (m *loadMeter) follow(held []ownership.Group) {
+func (m *loadMeter) follow(now time.Time, held []ownership.Group) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known := map[string]*shardLoad{}
@@ -118,7 +119,7 @@
 			key := loadKey(g.Service, shard)
 			s := known[key]
 			if s == nil {
-				s = &shardLoad{service: g.Service, shard: shard, arrived: m.arrivals[key]}
+				s = &shardLoad{service: g.Service, shard: shard, arrived: m.arrivals[key], since: now}
 			}
 			s.group = g.ID
 			m.shards = append(m.shards, s)
@@ -155,13 +156,14 @@
 			continue
 		}
 		loads = append(loads, balance.ShardLoad{
-			Group:       s.group,
-			Shard:       s.shard,
-			RequestRate: s.rate,
-			SlotLoad:    s.slotLoad + idleLoad*s.shard.Fraction(),
-			ParkedWait:  m.parked,
-			ArrivedAt:   s.arrived,
-			Pinned:      pinned(s.group),
+			Group:         s.group,
+			Shard:         s.shard,
+			RequestRate:   s.rate,
+			SlotLoad:      s.slotLoad + idleLoad*s.shard.Fraction(),
+			ParkedWait:    m.parked,
+			ArrivedAt:     s.arrived,
+			MeasuredSince: s.since,
+			Pinned:        pinned(s.group),
 		})
 	}
 	return loads, m.sketch.Above(balance.SplitShare)
--- a/router/node/placement.go
+++ b/router/node/placement.go
@@ -57,7 +57,7 @@
 			return
 		case <-ticker.C:
 		}
-		p.n.loads.follow(p.n.manager.Held())
+		p.n.loads.follow(time.Now(), p.n.manager.Held())
 		if p.n.leaving.Load() || !p.n.ready() || !serving(p.n.agent.Status()) {
 			continue
 		}
--- a/router/node/shutdown.go
+++ b/router/node/shutdown.go
@@ -117,7 +117,7 @@
 		Mover:  n.source,
 		Policy: n.placer.policy(definition),
 		Input: func() balance.Input {
-			n.loads.follow(n.manager.Held())
+			n.loads.follow(time.Now(), n.manager.Held())
 			in := n.placer.input(service)
 			for i := range in.Shards {
 				in.Shards[i].InFlight = n.gate.ShardInFlight(service, in.Shards[i].Shard)
