--- a/ctl/e2e/bench_test.go
+++ b/ctl/e2e/bench_test.go
@@ -222,6 +222,7 @@
 					longest = max(longest, time.Since(begin))
 					if err != nil || a.status != http.StatusOK {
 						refused++
+						b.Logf("%s: error %v, status %d, %s", path, err, a.status, a.raw)
 					}
 					mu.Unlock()
 				}
