Answer other routers until they are quiet before a stop closes the hop port

Change: after its shards have moved, a stopping router goes on answering wrong_owner until no router has asked for 500 ms, at most 5 s. Ruled out: http.Server.SetKeepAlivesEnabled(false), which closes idle connections at once as well.

--- a/router/forward/hopserver.go
+++ b/router/forward/hopserver.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -39,6 +40,8 @@
 // takes one hop at most.
 type HopServer struct {
 	o HopServerOptions
+	// last is when the latest request came, in Unix nanoseconds.
+	last atomic.Int64
 }
 
 // NewHopServer returns the handler.
@@ -46,8 +49,18 @@
 	return &HopServer{o: o}
 }
 
+// LastRequest returns when the latest request of another router came, or the
+// zero time.
+func (s *HopServer) LastRequest() time.Time {
+	if last := s.last.Load(); last != 0 {
+		return time.Unix(0, last)
+	}
+	return time.Time{}
+}
+
 // ServeHTTP answers one router.
 func (s *HopServer) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	s.last.Store(time.Now().UnixNano())
 	if !s.o.CheckToken(in.Header.Get(headerAuthorization)) {
 		s.o.Log.Log(evHopRefused, event.F("address", in.RemoteAddr))
 		errkind.Write(w, errkind.New(errkind.Unauthorized, "this port takes requests from routers of the cluster"))
--- a/router/node/shutdown.go
+++ b/router/node/shutdown.go
@@ -32,7 +32,12 @@
 const (
 	standbyHandoverTimeout = 5 * time.Second
 	// finishMargin is added to the longest deadline when the listeners close.
-	finishMargin       = time.Second
+	finishMargin = time.Second
+	// quietTime without a request of another router ends the wait before the
+	// listeners close; quietLimit bounds the wait.
+	quietTime  = 500 * time.Millisecond
+	quietLimit = 5 * time.Second
+
 	relinquishPause    = 200 * time.Millisecond
 	relinquishWindow   = 30 * time.Second
 	emptyGroupPatience = 2 * time.Second
@@ -48,6 +53,7 @@
 	defer cancel()
 	n.leaveStandbyRoles(stopCtx)
 	n.evacuateAll(stopCtx)
+	n.awaitQuietHop(stopCtx)
 	finishCtx, cancelFinish := context.WithTimeout(ctx, n.longestRequest()+finishMargin)
 	defer cancelFinish()
 	if err := n.listeners.finishRequests(finishCtx); err != nil {
@@ -59,6 +65,17 @@
 	n.listeners.closeOthers()
 }
 
+// awaitQuietHop answers other routers until they have learned that this host
+// owns nothing. A listener that closes while they still send cuts requests: an
+// idle connection can carry the next request at the moment it is closed.
+func (n *Node) awaitQuietHop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quietLimit)
+	defer cancel()
+	for ctx.Err() == nil && time.Since(n.hop.LastRequest()) < quietTime {
+		sleepFor(ctx, quietTime/4)
+	}
+}
+
 // longestRequest returns the longest deadline that a caller may ask for.
 func (n *Node) longestRequest() time.Duration {
 	c, _ := n.follower.Current()
