e2e: keep placement from emptying the host whose router is paused

Cause: on a scratch copy whose leases were broken, TestRouterPausedPastItsLease waited 60 s for work at a host; placement can also move the chosen shards.

Change: the test pins the shards before it chooses keys.

Ruled out: a failure of this kind in the product's own runs; none was seen.

--- a/ctl/e2e/pause_test.go
+++ b/ctl/e2e/pause_test.go
@@ -15,6 +15,9 @@
 // requests in flight.
 func TestRouterPausedPastItsLease(t *testing.T) {
 	c := threeHosts(t, "orders")
+	c.spread("orders", 40)
+	// A shard that moved away meanwhile would leave the paused host without work.
+	c.pin()
 	owners := c.spread("orders", 40)
 	c.settled(c.hosts[0])
 	victim, entry := c.hosts[1], c.hosts[0]
