--- a/router/forward/entry.go
+++ b/router/forward/entry.go
@@ -57,6 +57,9 @@
 	// ReadGroup reads a group row from the table service, as the last resort
 	// when neither holder nor standby answers.
 	ReadGroup func(ctx context.Context, service, id string) (ownership.Group, error)
+	// AnyPeer returns some other router to ask for a record that this one lacks.
+	// Nil is allowed.
+	AnyPeer func() (ownership.Host, bool)
 	// Budget limits attempts beyond the first.
 	Budget Budget
 	// OnCaller is told the region through which a request for a position
@@ -177,6 +180,10 @@
 	if answer.Outcome == errkind.NotRun && !answer.Retryable && kind != errkind.Barred {
 		return 0, false
 	}
+	if kind == errkind.NoOwner {
+		// The finder has waited for a record already.
+		return 0, false
+	}
 	if kind == errkind.WrongOwner && n < freeCorrections {
 		return 0, true
 	}
--- a/router/forward/finder.go
+++ b/router/forward/finder.go
@@ -60,13 +60,48 @@
 	return &finder{o: o, storeRead: map[string]time.Time{}}
 }
 
-// owner returns the record of the route table, or asks others when it has
-// none.
+// owner returns the record of the route table. When it has none, because the
+// router has just started, peers are asked for a while.
 func (f *finder) owner(ctx context.Context, r *request) (*ownership.Group, error) {
-	if record, ok := f.o.Routes.Lookup(r.service.Name, r.hash); ok && !record.Holder.IsZero() {
-		return record, nil
+	deadline := time.Now().Add(lostPatience)
+	for {
+		record, ok := f.o.Routes.Lookup(r.service.Name, r.hash)
+		if ok && !record.Holder.IsZero() {
+			return record, nil
+		}
+		if !time.Now().Before(deadline) || ctx.Err() != nil {
+			return nil, errkind.New(errkind.NoOwner, "no record claims the key of service %q", r.service.Name)
+		}
+		// Requests for one position share a question.
+		done := f.flight.DoChan(r.service.Name+"/"+r.hash.String(), func() (any, error) {
+			f.askAnyone(r)
+			return nil, nil
+		})
+		select {
+		case <-ctx.Done():
+		case <-done:
+		}
 	}
-	return nil, errkind.New(errkind.NoOwner, "no record claims the key of service %q", r.service.Name)
+}
+
+// askAnyone asks one peer for the record of a position and pauses when it has
+// none.
+func (f *finder) askAnyone(r *request) {
+	ctx, cancel := context.WithTimeout(context.Background(), routeCallTimeout)
+	defer cancel()
+	if f.o.AnyPeer != nil {
+		if peer, ok := f.o.AnyPeer(); ok {
+			var answer RouteAnswer
+			query := RouteQuery{Service: r.service.Name, Hash: r.hash}
+			if f.o.Peers.Call(ctx, peer, MethodRoute, query, &answer) == nil && answer.Record != nil {
+				f.o.Learn(*answer.Record)
+			}
+		}
+	}
+	if _, ok := f.o.Routes.Lookup(r.service.Name, r.hash); ok {
+		return
+	}
+	_ = sleep(ctx, askAgainAfter)
 }
 
 // refresh looks for a record that is newer than the given one and gives up
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -477,6 +477,33 @@
 	do(t, http.MethodPost, url+"/orders/k", "body").wantRefusal(t, errkind.NoOwner, errkind.NotRun)
 }
 
+// Guards against refusals by a router that has just started and lacks records
+// that its peers have.
+func TestMissingRecordIsAskedOfPeers(t *testing.T) {
+	holder := owner(t, "b", echoGate("b"), nil)
+	routes := route.NewTable()
+	b := &budget{}
+	e := NewEntry(Options{
+		Self: ownership.Host{Name: "self", Incarnation: 1}, Services: services, Ready: func() bool { return true },
+		Routes: routes, Gate: echoGate("local"), HopToken: token, Budget: b,
+		Learn:   func(records ...ownership.Group) { routes.Merge(records...) },
+		AnyPeer: func() (ownership.Host, bool) { return ownership.Host{Name: "peer"}, true },
+		Peers: peersFunc(func(to ownership.Host, method string, _, answer any) error {
+			if to.Name != "peer" || method != MethodRoute {
+				return noPeers(to, method, nil, nil)
+			}
+			record := whole(holder, 1)
+			answer.(*RouteAnswer).Record = &record
+			return nil
+		}),
+	})
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	if g := do(t, http.MethodPost, server.URL+"/orders/k", "body"); g.body != "b k body" {
+		t.Errorf("status %d, body %q", g.status, g.body)
+	}
+}
+
 // FuzzSplitPath guards against a panic or an empty key on hostile paths.
 func FuzzSplitPath(f *testing.F) {
 	for _, seed := range []string{"", "/", "/a/b", "/a/%2F", "/a/%zz", "//b", "/a//c"} {
--- a/router/node/moves.go
+++ b/router/node/moves.go
@@ -10,6 +10,7 @@
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/gate"
 	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/router/member"
 	"burdockglade.dev/router/move"
 	"burdockglade.dev/router/ownership"
 	"burdockglade.dev/router/peer"
@@ -193,10 +194,14 @@
 	if err := r.node.mayReceive(p.Service); err != nil {
 		return ownership.Group{}, err
 	}
+	needStandby, err := r.node.mustHaveStandby(p)
+	if err != nil {
+		return ownership.Group{}, err
+	}
 	var best ownership.Group
 	found := false
 	for _, g := range r.node.manager.Held() {
-		if g.Service != p.Service {
+		if g.Service != p.Service || needStandby && g.Standby.IsZero() {
 			continue
 		}
 		if !p.JournalComplete && g.JournalComplete && len(g.Shards) > 0 {
@@ -214,6 +219,27 @@
 	return best, nil
 }
 
+// mustHaveStandby reports whether shards are taken only into a group with a
+// standby. Without one, the loss of this host would leave the shards without a
+// holder until the horizon, so a host that joined a moment ago waits until it
+// knows its peers. The last host of a service takes them in any case.
+func (n *Node) mustHaveStandby(p move.PrepareRequest) (bool, error) {
+	source, ok := n.routes.Group(p.Service, p.SourceGroup)
+	if ok {
+		_, ok = n.directory.Get(source.Holder.Name)
+	}
+	if !ok {
+		return false, errkind.New(errkind.NotReady, "host %s does not know the host of group %s yet", n.self.Name, p.SourceGroup)
+	}
+	now := time.Now()
+	for _, m := range n.directory.All() {
+		if m.Service == p.Service && m.State == member.Active && !m.Host.Same(n.self) && !n.directory.Suspected(now, m.Host.Name) {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 // ImportJournal implements move.Receiver.
 func (r moveReceiver) ImportJournal(ctx context.Context, groupID string, raw []move.Entry) error {
 	entries := make([]gate.Entry, len(raw))
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -284,6 +284,7 @@
 		Learn:     n.learnRecords,
 		ReadGroup: n.records.Get,
 		OnCaller:  n.loads.addCaller,
+		AnyPeer:   n.anyPeer,
 		Budget:    retry.NewBudgets(),
 		Region:    n.s.Host.Region,
 		RegionOf:  n.regionOf,
@@ -426,6 +427,17 @@
 	return s.State == upstream.Announced || s.State == upstream.Suspect
 }
 
+// anyPeer returns a random member, or a seed while none is known.
+func (n *Node) anyPeer() (ownership.Host, bool) {
+	if peers := n.directory.Peers(time.Now(), n.self.Name, 1); len(peers) > 0 {
+		return peers[0].Host, true
+	}
+	if seeds := n.s.Peers.Seeds; len(seeds) > 0 {
+		return ownership.Host{ControlAddr: seeds[rand.IntN(len(seeds))]}, true
+	}
+	return ownership.Host{}, false
+}
+
 func (n *Node) pickStandby(service string, exclude ...string) (ownership.Host, bool) {
 	m, ok := n.directory.PickStandby(time.Now(), n.member(), service, exclude...)
 	return m.Host, ok
