Pass paths with empty and dot segments to the owner unchanged

Cause: the hop listener had a mux, which answers such paths with a redirect; the entry took that for a lost answer and refused with outcome_unknown, which was not true either. Change: the hop listener serves its one handler directly. Ruled out: cleaning the path at the entry (the upstream may tell them apart). Conclusion: paths below the key are the upstream's business. The process tests also say why a wait for the spread of keys fails; that is being looked into.

--- a/ctl/e2e/path_test.go
+++ b/ctl/e2e/path_test.go
@@ -36,6 +36,12 @@
 func (c *cluster) spread(service string, keys int) map[string]string {
 	c.t.Helper()
 	owners := map[string]string{}
+	problem := ""
+	defer func() {
+		if c.t.Failed() {
+			c.t.Logf("last pass over the keys: %s", problem)
+		}
+	}()
 	eventually(c.t, "all hosts own keys", func() bool {
 		clear(owners)
 		distinct := map[string]bool{}
@@ -43,11 +49,13 @@
 			path := fmt.Sprintf("/%s/key-%d", service, i)
 			a, err := c.request(http.MethodGet, c.hosts[0], path, "")
 			if err != nil || a.status != http.StatusOK {
+				problem = fmt.Sprintf("%s: status %d, error %v, %s", path, a.status, err, a.raw)
 				return false
 			}
 			owners[path] = a.header.Get("Burdock-Owner")
 			distinct[owners[path]] = true
 		}
+		problem = fmt.Sprintf("owners %v", distinct)
 		return len(distinct) == len(c.hosts)
 	})
 	return owners
@@ -97,5 +105,13 @@
 		})
 	}
 	wg.Wait()
+	// Empty and dot segments belong to the upstream: a listener that cleans
+	// paths answers them with a redirect.
+	const odd = "/orders/key-1//a/./../b"
+	for _, h := range c.hosts {
+		if a, err := c.request(http.MethodGet, h, odd, ""); err != nil || a.status != http.StatusOK || a.echo.URI != odd {
+			t.Errorf("%s through %s: status %d, URI %q, error %v", odd, h.name, a.status, a.echo.URI, err)
+		}
+	}
 	c.checkLedgers()
 }
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -176,6 +176,24 @@
 	}
 }
 
+// Guards against paths that a router cleans up on the way: empty and dot
+// segments below the key belong to the upstream.
+func TestPathReachesTheGateUnchanged(t *testing.T) {
+	seen := ""
+	holder := owner(t, "b", func(w http.ResponseWriter, _ *http.Request, req gate.Request) error {
+		seen = req.Path
+		_, err := io.WriteString(w, "ok")
+		return err
+	}, nil)
+	routes := route.NewTable()
+	routes.Merge(whole(holder, 1))
+	url := entry(t, routes, echoGate("local"), noPeers, 0)
+	const path = "/orders/k//a/./../b%2Fc?x=%20&y"
+	if g := do(t, http.MethodGet, url+path, ""); g.status != http.StatusOK || seen != path {
+		t.Errorf("status %d, path %q, want %q", g.status, seen, path)
+	}
+}
+
 // Guards against a caller that sets the headers of the routers, and against an
 // upstream that does.
 func TestInternalHeadersDoNotPass(t *testing.T) {
--- a/router/forward/headers.go
+++ b/router/forward/headers.go
@@ -13,7 +13,6 @@
 	headerDeadline       = "Burdock-Deadline" // remaining milliseconds
 	headerBeliefGroup    = "Burdock-Group"
 	headerBeliefGen      = "Burdock-Generation"
-	headerNoteVersion    = "Burdock-Note-Version"
 	headerHopRegion      = "Burdock-Hop-Region" // of the entry
 	headerHopTenant      = "Burdock-Hop-Tenant"
 	headerHopIdempotency = "Burdock-Hop-Idempotency-Key"
--- a/router/forward/hopserver.go
+++ b/router/forward/hopserver.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,10 @@
 		errkind.Write(w, errkind.New(errkind.Unauthorized, "this port takes requests from routers of the cluster"))
 		return
 	}
+	if !strings.HasPrefix(in.URL.Path, hopPrefix+"/") {
+		errkind.Write(w, errkind.New(errkind.NotFound, "path %q: want %s/service/key", in.URL.Path, hopPrefix))
+		return
+	}
 	req, err := s.parse(in)
 	w.Header().Set(HeaderRequestID, req.ID)
 	if err != nil {
--- a/router/node/listeners.go
+++ b/router/node/listeners.go
@@ -84,10 +84,10 @@
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 	}
-	hop := http.NewServeMux()
-	hop.Handle("/hop/", n.hop)
 	l.hopServer = &http.Server{
-		Handler:           hop,
+		// No mux here and for callers: it would redirect paths with empty or dot
+		// segments, which belong to the upstream.
+		Handler:           n.hop,
 		ReadHeaderTimeout: hopReadHeaderTimeout,
 		IdleTimeout:       hopIdleTimeout,
 		// The caller's headers pass this port together with the router's own.
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -482,5 +482,3 @@
 	}
 	return nil
 }
-
-var _ http.Handler = (*forward.Entry)(nil)
--- a/router/node/notes.go
+++ b/router/node/notes.go
@@ -123,8 +123,9 @@
 	return configs
 }
 
-// noteChanged tells peers of a new version.
-func (n *Node) noteChanged(_, after note.Config) {
+// noteChanged tells random peers of a new version and lets the registrar look
+// whether the service of the upstream is defined now.
+func (n *Node) noteChanged(_, _ note.Config) {
 	n.registrar.poke()
 	go func() {
 		for _, m := range n.directory.Peers(time.Now(), n.self.Name, notePushFanout) {
@@ -132,7 +133,6 @@
 			n.gossip.Exchange(ctx, m.Host)
 			cancel()
 		}
-		_ = after
 	}()
 }
 
