--- a/ctl/e2e/operator_test.go
+++ b/ctl/e2e/operator_test.go
@@ -243,7 +243,14 @@
 	})
 	// Long enough for two comparisons of the standbys and for the end of the
 	// suspicion against the lost host.
-	for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(pollEvery) {
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for end := time.After(12 * time.Second); ; {
+		select {
+		case <-end:
+			return
+		case <-ticker.C:
+		}
 		if owners, err := operator.Owners(t.Context(), "orders"); err == nil && !paired(owners) {
 			t.Fatalf("the lost host has a role again: %+v", owners.Groups)
 		}
