Test that oversized headers and bodies are refused

Cause: the limits of the caller's listener had no test with a real process. Change: a header of 64 KiB gets 431, a body of 9 MiB gets 413 with not-run, and the router goes on serving. Ruled out: a problem document for the header, because net/http answers before any handler runs.

--- a/ctl/e2e/path_test.go
+++ b/ctl/e2e/path_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
@@ -125,3 +126,21 @@
 	}
 	c.checkLedgers()
 }
+
+// Guards against oversized input that harms the router or gets no clear answer.
+func TestOversizedInputIsRefused(t *testing.T) {
+	c := newCluster(t)
+	c.publish("first-note", twoServices)
+	h := c.addHost("h1", "z1", "orders")
+	c.served(h, "/orders/key")
+	big := strings.Repeat("x", 64<<10)
+	if a, err := c.request(http.MethodGet, h, "/orders/key", "", "X-Big", big); err != nil || a.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("header of 64 KiB: status %d, error %v", a.status, err)
+	}
+	body := strings.Repeat("x", 9<<20)
+	a, err := c.request(http.MethodPost, h, "/orders/key", body)
+	if err != nil || a.status != http.StatusRequestEntityTooLarge || a.header.Get("Burdock-Outcome") != "not-run" {
+		t.Errorf("body of 9 MiB: status %d, outcome %q, error %v", a.status, a.header.Get("Burdock-Outcome"), err)
+	}
+	c.served(h, "/orders/key")
+}
