Keep asking after a hop that was not sent when its silence was noticed

Cause, found in the read-through: when the silence timer fired before the request had a connection, it was not set again, so a silent connection chosen afterwards would be noticed at the deadline only. Change: the timer is set again. Ruled out: a test with the present times, because the dial limit of 300 ms lies below the shortest silence of 400 ms; the path is reached only when one of the two constants changes. Conclusion: the rule no longer depends on the relation of two constants.

--- a/router/forward/hop.go
+++ b/router/forward/hop.go
@@ -187,6 +187,7 @@
 			return h.failed(ctx, got.err)
 		case <-silence.C:
 			if !h.sent.Load() {
+				silence.Reset(minSilence)
 				continue
 			}
 			resolved = make(chan resolution, 1)
