Rename module platform to stores

Cause: the folder platform/ is to hold only the translation between the product and the users' platform. Ruled out: keeping both in one folder, because its purpose could not be told.

--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/alecthomas/kong"
 
-	"burdockglade.dev/platform/object"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/admin"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/keyspace"
--- a/ctl/dev/demo.go
+++ b/ctl/dev/demo.go
@@ -15,9 +15,9 @@
 
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/platform/object"
-	"burdockglade.dev/platform/standin"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/standin"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/metrics"
 	"burdockglade.dev/router/node"
--- a/ctl/dev/dev.go
+++ b/ctl/dev/dev.go
@@ -12,9 +12,9 @@
 	"os"
 	"time"
 
-	"burdockglade.dev/platform/object"
-	"burdockglade.dev/platform/standin"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/standin"
+	"burdockglade.dev/stores/table"
 )
 
 // Cmd is the grammar of `burdockctl dev`.
--- a/ctl/dev/dev_test.go
+++ b/ctl/dev/dev_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/alecthomas/kong"
 
-	"burdockglade.dev/platform/standin"
-	"burdockglade.dev/platform/verify"
+	"burdockglade.dev/stores/standin"
+	"burdockglade.dev/stores/verify"
 )
 
 // Guards against tags that kong refuses and against defaults that are not
--- a/ctl/dev/judge.go
+++ b/ctl/dev/judge.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"syscall"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // maxLoadAnswer bounds the answers that the load tool takes.
--- a/ctl/dev/load.go
+++ b/ctl/dev/load.go
@@ -16,7 +16,7 @@
 
 	mathrand "math/rand/v2"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // Bounds of the load tool. It shares a machine with what it measures.
--- a/ctl/e2e/bench_test.go
+++ b/ctl/e2e/bench_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"burdockglade.dev/ctl/dev"
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // ticksPerSecond is the unit of processor times in /proc, which Linux fixes
--- a/ctl/e2e/cluster_test.go
+++ b/ctl/e2e/cluster_test.go
@@ -20,9 +20,9 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/platform/object"
-	"burdockglade.dev/platform/standin"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/standin"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/note"
 )
 
--- a/ctl/e2e/partition_test.go
+++ b/ctl/e2e/partition_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 	"burdockglade.dev/router/admin"
 )
 
--- a/ctl/e2e/path_test.go
+++ b/ctl/e2e/path_test.go
@@ -9,7 +9,7 @@
 	"sync"
 	"testing"
 
-	"burdockglade.dev/platform/verify"
+	"burdockglade.dev/stores/verify"
 )
 
 const twoServices = `[note]
--- a/ctl/e2e/pause_test.go
+++ b/ctl/e2e/pause_test.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"testing"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // Guards against work that is committed, or answered as done, under a lease
--- a/ctl/e2e/relays_test.go
+++ b/ctl/e2e/relays_test.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // relays are the ways into a host and its way to the table service. Other hosts
--- a/ctl/e2e/silence_test.go
+++ b/ctl/e2e/silence_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"testing"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // Guards against requests that hang, get an answer of another request, or run
--- a/ctl/e2e/slow_test.go
+++ b/ctl/e2e/slow_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"testing"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // Guards against a publication, a planned move, a drain that two operators
--- a/ctl/e2e/stop_test.go
+++ b/ctl/e2e/stop_test.go
@@ -7,7 +7,7 @@
 	"sync"
 	"testing"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/note"
 )
--- a/ctl/e2e/store_test.go
+++ b/ctl/e2e/store_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 	"burdockglade.dev/router/note"
 )
 
--- a/ctl/e2e/trial_test.go
+++ b/ctl/e2e/trial_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/platform/standin"
-	"burdockglade.dev/platform/verify"
+	"burdockglade.dev/stores/standin"
+	"burdockglade.dev/stores/verify"
 )
 
 // callerPatience bounds one request of a trial, far above its Request-Timeout.
--- a/router/member/member.go
+++ b/router/member/member.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/ownership"
 )
 
--- a/router/member/rows.go
+++ b/router/member/rows.go
@@ -12,7 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/ownership"
 )
 
--- a/router/member/rows_test.go
+++ b/router/member/rows_test.go
@@ -13,7 +13,7 @@
 	"github.com/phuslu/log"
 	"pgregory.net/rapid"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/ownership"
 	"burdockglade.dev/router/peer"
--- a/router/metrics/store_test.go
+++ b/router/metrics/store_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"burdockglade.dev/platform/object"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/table"
 )
 
 // Guards against an outage that is counted as ordinary answers, and against
--- a/router/node/capacity_bench_test.go
+++ b/router/node/capacity_bench_test.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/lease"
--- a/router/node/groups.go
+++ b/router/node/groups.go
@@ -7,7 +7,7 @@
 
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/gate"
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -13,8 +13,8 @@
 
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/platform/object"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/admin"
 	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/errkind"
--- a/router/note/follow.go
+++ b/router/note/follow.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/event"
 )
 
--- a/router/note/follow_test.go
+++ b/router/note/follow_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 )
 
 // configAt returns a configuration with one service.
--- a/router/note/head.go
+++ b/router/note/head.go
@@ -10,7 +10,7 @@
 	"io"
 	"slices"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 )
 
 // Keys of the rows.
--- a/router/note/note_test.go
+++ b/router/note/note_test.go
@@ -12,7 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 )
 
--- a/router/note/publish.go
+++ b/router/note/publish.go
@@ -10,8 +10,8 @@
 	"regexp"
 	"time"
 
-	"burdockglade.dev/platform/object"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 )
--- a/router/note/publish_test.go
+++ b/router/note/publish_test.go
@@ -16,8 +16,8 @@
 
 	"pgregory.net/rapid"
 
-	"burdockglade.dev/platform/object"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 )
 
--- a/router/ownership/commit.go
+++ b/router/ownership/commit.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 )
 
--- a/router/ownership/helper_test.go
+++ b/router/ownership/helper_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/lease"
 	"burdockglade.dev/router/note"
--- a/router/ownership/record.go
+++ b/router/ownership/record.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/keyspace"
 )
 
--- a/router/ownership/records.go
+++ b/router/ownership/records.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/uuid"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/keyspace"
 )
--- a/platform/object/client.go
+++ b/stores/object/client.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"burdockglade.dev/platform/internal/storehttp"
+	"burdockglade.dev/stores/internal/storehttp"
 )
 
 // ClientOptions configure a Client.
--- a/platform/object/object_test.go
+++ b/stores/object/object_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/platform/object"
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/standin"
 )
 
 // callTimeout is far above what a loopback call takes; no test waits for it.
--- a/platform/standin/announce_test.go
+++ b/stores/standin/announce_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // message is what a router received.
--- a/platform/standin/grant_test.go
+++ b/stores/standin/grant_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // extend sends an extension until end and expects it to be taken.
--- a/platform/standin/objectserver.go
+++ b/stores/standin/objectserver.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"burdockglade.dev/platform/object"
+	"burdockglade.dev/stores/object"
 )
 
 // ObjectServer is a stand-in for the object store.
--- a/platform/standin/relay_test.go
+++ b/stores/standin/relay_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // echoServer answers each byte with itself until the test ends.
--- a/platform/standin/store_test.go
+++ b/stores/standin/store_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"burdockglade.dev/platform/object"
-	"burdockglade.dev/platform/standin"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/standin"
+	"burdockglade.dev/stores/table"
 )
 
 // ask sends a request to a handler without a network. It returns status 0 when
--- a/platform/standin/tableserver.go
+++ b/stores/standin/tableserver.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"strings"
 
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/table"
 )
 
 // maxTxnBodyBytes holds a transaction of table.MaxTxnBytes in base64 with its
--- a/platform/standin/upstream_test.go
+++ b/stores/standin/upstream_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // startUpstream runs an upstream until the test ends.
--- a/platform/table/client.go
+++ b/stores/table/client.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"burdockglade.dev/platform/internal/storehttp"
+	"burdockglade.dev/stores/internal/storehttp"
 )
 
 // maxAnswerBytes holds the largest answer to a scan: MaxScanRows values of
--- a/platform/table/client_test.go
+++ b/stores/table/client_test.go
@@ -6,8 +6,8 @@
 	"net/http/httptest"
 	"testing"
 
-	"burdockglade.dev/platform/standin"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/standin"
+	"burdockglade.dev/stores/table"
 )
 
 // Guards against a lost answer that reads as a refusal: a writer would give up
--- a/platform/table/conformance_test.go
+++ b/stores/table/conformance_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"burdockglade.dev/platform/standin"
-	"burdockglade.dev/platform/table"
+	"burdockglade.dev/stores/standin"
+	"burdockglade.dev/stores/table"
 )
 
 // callTimeout is far above what a loopback call takes; no test waits for it.
--- a/platform/verify/verify.go
+++ b/stores/verify/verify.go
@@ -11,7 +11,7 @@
 	"fmt"
 	"slices"
 
-	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/stores/standin"
 )
 
 // Rule names what a finding breaks.
--- a/platform/verify/verify_test.go
+++ b/stores/verify/verify_test.go
@@ -6,8 +6,8 @@
 
 	"pgregory.net/rapid"
 
-	"burdockglade.dev/platform/standin"
-	"burdockglade.dev/platform/verify"
+	"burdockglade.dev/stores/standin"
+	"burdockglade.dev/stores/verify"
 )
 
 // unit is a committed POST for key k of group g.
