--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -16,12 +16,12 @@
 
 	"github.com/alecthomas/kong"
 
-	"burdockglade.dev/stores/object"
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/admin"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/note"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/table"
 )
 
 const token = "0123456789abcdef0123"
--- a/ctl/dev/demo.go
+++ b/ctl/dev/demo.go
@@ -15,14 +15,14 @@
 
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/stores/object"
-	"burdockglade.dev/stores/standin"
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/metrics"
 	"burdockglade.dev/router/node"
 	"burdockglade.dev/router/note"
 	"burdockglade.dev/router/settings"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/standin"
+	"burdockglade.dev/stores/table"
 )
 
 // DemoCmd runs a whole system in one process on loopback addresses: stand-ins
--- a/ctl/e2e/cluster_test.go
+++ b/ctl/e2e/cluster_test.go
@@ -20,10 +20,10 @@
 	"testing"
 	"time"
 
+	"burdockglade.dev/router/note"
 	"burdockglade.dev/stores/object"
 	"burdockglade.dev/stores/standin"
 	"burdockglade.dev/stores/table"
-	"burdockglade.dev/router/note"
 )
 
 // patience bounds every wait for an event. It is far above what a passing run
--- a/ctl/e2e/partition_test.go
+++ b/ctl/e2e/partition_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/stores/standin"
 	"burdockglade.dev/router/admin"
+	"burdockglade.dev/stores/standin"
 )
 
 // pair starts a service on two hosts in two zones that reach each other and the
--- a/ctl/e2e/stop_test.go
+++ b/ctl/e2e/stop_test.go
@@ -7,9 +7,9 @@
 	"sync"
 	"testing"
 
-	"burdockglade.dev/stores/standin"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/note"
+	"burdockglade.dev/stores/standin"
 )
 
 // background sends requests for keys through a host until it is stopped.
--- a/ctl/e2e/store_test.go
+++ b/ctl/e2e/store_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/stores/standin"
 	"burdockglade.dev/router/note"
+	"burdockglade.dev/stores/standin"
 )
 
 // loseAnswers makes the table service lose the answers of its next writes after
--- a/router/admit/limit.go
+++ b/router/admit/limit.go
@@ -33,6 +33,14 @@
 	return l
 }
 
+// NewFullLimit returns the limit for an upstream that serves with all its slots
+// from the start.
+func NewFullLimit(slots int) Limit {
+	l := Limit{slots: max(slots, 0)}
+	l.value = float64(l.slots)
+	return l
+}
+
 // Allowed returns the number of requests that may run at once. It is 0 when no
 // slots are announced.
 func (l *Limit) Allowed() int {
--- a/router/cmd/burdockglade/main.go
+++ b/router/cmd/burdockglade/main.go
@@ -27,6 +27,7 @@
 
 type grammar struct {
 	Run     runCommand     `cmd:"" help:"Run the router of this host until SIGTERM or SIGINT."`
+	Sidecar sidecarCommand `cmd:"" help:"Run the router beside an upstream on the users' platform until SIGTERM or SIGINT."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file and exit."`
 	Version versionCommand `cmd:"" help:"Print the version and exit."`
 }
--- a/router/errkind/problem.go
+++ b/router/errkind/problem.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -50,10 +51,17 @@
 		h.Set("Retry-After", strconv.Itoa(retrySeconds(pause)))
 	}
 	w.WriteHeader(answer.Status)
-	_ = json.NewEncoder(w).Encode(Problem{
+	_ = WriteProblem(w, kind, detail, answer.Status)
+}
+
+// WriteProblem writes the problem document of a refusal. status is the one that
+// was sent, which may differ from the one of the kind's answer.
+func WriteProblem(w io.Writer, kind Kind, detail string, status int) error {
+	answer := AnswerOf(kind)
+	return json.NewEncoder(w).Encode(Problem{
 		Type:    "about:blank",
 		Title:   answer.Title,
-		Status:  answer.Status,
+		Status:  status,
 		Detail:  detail,
 		Kind:    kind,
 		Outcome: answer.Outcome,
--- a/router/event/event.go
+++ b/router/event/event.go
@@ -146,3 +146,16 @@
 	c.written++
 	return dropped, true
 }
+
+// asyncLines is the number of lines that wait for a slow reader of the log.
+// Further lines are dropped.
+const asyncLines = 1024
+
+// NewAsyncLogger returns a logger whose writes never block: lines that the
+// reader of w does not take in time are dropped. close writes what waits.
+func NewAsyncLogger(w io.Writer, level log.Level) (l *Logger, closeLog func()) {
+	async := &log.AsyncWriter{ChannelSize: asyncLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: w}}
+	l = NewLogger(w, level)
+	l.out.Writer = async
+	return l, func() { _ = async.Close() }
+}
--- /dev/null
+++ b/router/fleet/directory.go
@@ -0,0 +1,161 @@
+package fleet
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"burdockglade.dev/router/h1"
+)
+
+// Costs that are added to the used share of a host's slots when hosts are
+// compared. Traffic between zones is paid for by volume, and regions lie 8 ms
+// apart.
+const (
+	otherZoneCost   = 0.25
+	otherRegionCost = 0.35
+	errorCost       = 1.5
+	// slowCost is the cost of a host that is twice as slow as the mean.
+	slowCost = 0.3
+	maxSlow  = 3
+	// pausedCost sets hosts that could not be reached behind all others.
+	pausedCost = 10
+	// jitter keeps routers with the same view from choosing the same host.
+	jitter = 0.08
+	// fullCost is added per used slot share above 1, where requests wait.
+	fullCost = 2
+)
+
+// Directory holds the known hosts by name. It is safe for concurrent use.
+type Directory struct {
+	zone, region string
+	dial         func(address string) *h1.Client
+
+	mu        sync.RWMutex
+	hosts     map[string]*Host
+	byService map[string][]*Host
+}
+
+// NewDirectory returns an empty directory for a host in the zone and region.
+// dial makes the client for a host's address.
+func NewDirectory(zone, region string, dial func(address string) *h1.Client) *Directory {
+	return &Directory{zone: zone, region: region, dial: dial, hosts: map[string]*Host{}, byService: map[string][]*Host{}}
+}
+
+// Put adds a host or replaces what is known of it.
+func (d *Directory) Put(m Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.hosts[m.Host]
+	if h == nil || h.Client.Address() != m.Address {
+		h = &Host{Client: d.dial(m.Address)}
+		d.hosts[m.Host] = h
+	}
+	h.mu.Lock()
+	if h.member.Started != m.Started || h.member.Instance != m.Instance {
+		h.slowness, h.errors = 0, 0
+	}
+	h.member = m
+	h.mu.Unlock()
+	d.index()
+}
+
+// Remove forgets a host.
+func (d *Directory) Remove(host string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h := d.hosts[host]; h != nil {
+		h.Client.CloseIdle()
+		delete(d.hosts, host)
+		d.index()
+	}
+}
+
+func (d *Directory) index() {
+	d.byService = map[string][]*Host{}
+	for _, name := range slices.Sorted(maps.Keys(d.hosts)) {
+		h := d.hosts[name]
+		service := h.Member().Service
+		d.byService[service] = append(d.byService[service], h)
+	}
+}
+
+// Host returns a host by name, or nil.
+func (d *Directory) Host(name string) *Host {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.hosts[name]
+}
+
+// Hosts is the number of known hosts.
+func (d *Directory) Hosts() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return len(d.hosts)
+}
+
+// Members returns the hosts of a service, ordered by name.
+func (d *Directory) Members(service string) []Member {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	members := make([]Member, 0, len(d.byService[service]))
+	for _, h := range d.byService[service] {
+		members = append(members, h.Member())
+	}
+	return members
+}
+
+// Choose returns the host of a service with the lowest cost among those that
+// take new work and are not in exclude, or nil.
+func (d *Directory) Choose(now time.Time, service string, exclude []*Host) *Host {
+	d.mu.RLock()
+	hosts := d.byService[service]
+	d.mu.RUnlock()
+	views := make([]view, 0, len(hosts))
+	for _, h := range hosts {
+		if v := h.view(now); v.member.State == Ready && !slices.Contains(exclude, h) {
+			views = append(views, v)
+		}
+	}
+	return d.cheapest(views)
+}
+
+func (d *Directory) cheapest(views []view) *Host {
+	var slowness float64
+	for _, v := range views {
+		slowness += v.slowness / float64(len(views))
+	}
+	var best *Host
+	lowest := 0.0
+	for _, v := range views {
+		cost := d.cost(v, slowness) + jitter*rand.Float64()
+		if best == nil || cost < lowest {
+			best, lowest = v.host, cost
+		}
+	}
+	return best
+}
+
+// cost compares hosts; lower is better. meanSlowness is that of all candidates.
+func (d *Directory) cost(v view, meanSlowness float64) float64 {
+	cost := v.used + errorCost*v.errors
+	if v.used > 1 {
+		cost += fullCost * (v.used - 1)
+	}
+	switch {
+	case v.member.Zone == d.zone:
+	case v.member.Region == d.region:
+		cost += otherZoneCost
+	default:
+		cost += otherRegionCost
+	}
+	if meanSlowness > 0 && v.slowness > meanSlowness {
+		cost += slowCost * min(v.slowness/meanSlowness-1, maxSlow)
+	}
+	if v.paused {
+		cost += pausedCost
+	}
+	return cost
+}
--- /dev/null
+++ b/router/fleet/host.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"burdockglade.dev/router/h1"
+)
+
+const (
+	// loadHalfLife is the time in which a reported load loses half its weight:
+	// requests last tens to hundreds of milliseconds.
+	loadHalfLife = 300 * time.Millisecond
+	// sampleWeight is the weight of a new sample in means of latency and errors.
+	sampleWeight = 0.1
+	// firstPause and longestPause bound the time for which a host that cannot
+	// be reached gets no requests.
+	firstPause   = 300 * time.Millisecond
+	longestPause = 3 * time.Second
+)
+
+// Load is what a host reports of its upstream.
+type Load struct {
+	// Busy requests hold a slot, Waiting ones wait for one.
+	Busy    int
+	Waiting int
+	// Slots is the number of requests that the host lets run at once.
+	Slots int
+}
+
+// Used is the used share of the slots; above 1 when requests wait.
+func (l Load) Used() float64 {
+	if l.Slots == 0 {
+		return 1
+	}
+	return float64(l.Busy+l.Waiting) / float64(l.Slots)
+}
+
+// Host is another host as seen from this one. It is safe for concurrent use.
+type Host struct {
+	Client *h1.Client
+
+	mu      sync.Mutex
+	member  Member
+	sending int
+	load    Load
+	loadAt  time.Time
+	// slowness is the mean of latency in units of the latency objective.
+	slowness float64
+	// errors is the mean share of requests that failed at the upstream.
+	errors float64
+	// failures counts attempts in a row that did not reach the host.
+	failures int
+	pausedTo time.Time
+}
+
+// Member returns what the host told last.
+func (h *Host) Member() Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.member
+}
+
+// Begin counts a request that is being sent to the host.
+func (h *Host) Begin() {
+	h.mu.Lock()
+	h.sending++
+	h.mu.Unlock()
+}
+
+// Result is what became of a request that was sent to a host.
+type Result struct {
+	// Reached tells that the host answered.
+	Reached bool
+	// Failed tells that the upstream failed or lost the request.
+	Failed bool
+	// Took is the latency, and Objective what it is compared with. They are 0
+	// when nothing ran.
+	Took      time.Duration
+	Objective time.Duration
+	// Load is what the host reported, if HasLoad.
+	Load    Load
+	HasLoad bool
+}
+
+// End takes the result of a request that Begin counted.
+func (h *Host) End(now time.Time, r Result) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sending--
+	if r.HasLoad {
+		h.load, h.loadAt = r.Load, now
+	}
+	if !r.Reached {
+		h.failures++
+		pause := min(firstPause<<min(h.failures-1, 8), longestPause)
+		h.pausedTo = now.Add(pause)
+		return
+	}
+	h.failures = 0
+	failed := 0.0
+	if r.Failed {
+		failed = 1
+	}
+	h.errors += sampleWeight * (failed - h.errors)
+	if r.Took > 0 && r.Objective > 0 {
+		h.slowness += sampleWeight * (float64(r.Took)/float64(r.Objective) - h.slowness)
+	}
+}
+
+// Cancelled takes back a request that Begin counted and whose caller left.
+func (h *Host) Cancelled() {
+	h.mu.Lock()
+	h.sending--
+	h.mu.Unlock()
+}
+
+// view is a snapshot for the choice of a host.
+type view struct {
+	host     *Host
+	member   Member
+	used     float64
+	slowness float64
+	errors   float64
+	paused   bool
+}
+
+func (h *Host) view(now time.Time) view {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	slots := max(h.load.Slots, h.member.Slots, 1)
+	age := float64(now.Sub(h.loadAt)) / float64(loadHalfLife)
+	reported := h.load.Used() / (1 + age)
+	return view{
+		host:     h,
+		member:   h.member,
+		used:     max(reported, float64(h.sending)/float64(slots)),
+		slowness: h.slowness,
+		errors:   h.errors,
+		paused:   now.Before(h.pausedTo),
+	}
+}
--- /dev/null
+++ b/router/keyown/grants.go
@@ -0,0 +1,130 @@
+package keyown
+
+import (
+	"time"
+
+	"burdockglade.dev/router/steady"
+)
+
+// Grant is the right to hold a range of keys.
+type Grant struct {
+	From, To   uint16
+	Generation uint64
+	// Handover is what the last holder left; empty when there is nothing.
+	Handover string
+}
+
+// Handover is a range that an upstream gave up, with what it leaves for the next
+// holder.
+type Handover struct {
+	From, To uint16
+	Token    string
+}
+
+// clockDrift is how much slower than ours the clock may run with which an
+// upstream measures its hold, as a divisor: 1/33 is 3%.
+const clockDrift = 33
+
+// span names a granted range.
+type span struct {
+	from, to   uint16
+	generation uint64
+}
+
+// Grants follows which ranges the local upstream may hold, and until when. It
+// has no clock of its own.
+type Grants struct {
+	holder Holder
+	until  map[span]steady.Time
+	// active are the ranges of the latest grant.
+	active map[span]bool
+	// unknownUntil is the end of grants that an earlier process of this router
+	// may have given.
+	unknownUntil steady.Time
+}
+
+// NewGrants returns the state of a router that has just started. Grants of its
+// predecessor may last for maxHold.
+func NewGrants(now steady.Time, maxHold time.Duration) *Grants {
+	return &Grants{
+		until:        map[span]steady.Time{},
+		active:       map[span]bool{},
+		unknownUntil: now.Add(withDrift(maxHold)),
+	}
+}
+
+func withDrift(d time.Duration) time.Duration {
+	return d + d/clockDrift
+}
+
+// Reset forgets the grants of an earlier run of the upstream, which ended with
+// it.
+func (g *Grants) Reset(h Holder) {
+	if g.holder == h {
+		return
+	}
+	if g.holder != (Holder{}) {
+		g.unknownUntil = 0
+	}
+	g.holder = h
+	clear(g.until)
+	clear(g.active)
+}
+
+// Renew returns the grants for a heartbeat that arrived at now: the ranges that
+// the map gives to the holder and that are not to move. leaseEnd is the end of
+// the host's lease; a grant never outlasts it. maxHold is the longest grant. It
+// returns a duration of 0 when no grant can be given.
+func (g *Grants) Renew(now steady.Time, m *Map, h Holder, leaving bool, leaseEnd steady.Time, maxHold time.Duration) ([]Grant, time.Duration) {
+	left := leaseEnd.Sub(now)
+	hold := min(maxHold, left-left/clockDrift)
+	if hold < shortestHold || m == nil {
+		return nil, 0
+	}
+	clear(g.active)
+	grants := []Grant{}
+	for _, r := range m.Ranges {
+		if r.Holder != h || r.Next != "" || leaving {
+			continue
+		}
+		grants = append(grants, Grant{From: r.From, To: r.To, Generation: r.Generation, Handover: r.Handover})
+		s := span{r.From, r.To, r.Generation}
+		g.active[s] = true
+		g.until[s] = max(g.until[s], now.Add(withDrift(hold)))
+	}
+	return grants, hold
+}
+
+// shortestHold is the shortest hold worth granting; a renewal takes a heartbeat.
+const shortestHold = 200 * time.Millisecond
+
+// Holds reports whether the upstream was granted the range and still has it.
+func (g *Grants) Holds(now steady.Time, r *Range) bool {
+	s := span{r.From, r.To, r.Generation}
+	return g.active[s] && now < g.until[s]
+}
+
+// Ended reports whether the hold on a range has certainly lapsed.
+func (g *Grants) Ended(now steady.Time, r *Range) bool {
+	s := span{r.From, r.To, r.Generation}
+	if until, ok := g.until[s]; ok {
+		return now >= until
+	}
+	return now >= g.unknownUntil
+}
+
+// Drop ends the grants of ranges that the upstream gave up.
+func (g *Grants) Drop(r *Range) {
+	s := span{r.From, r.To, r.Generation}
+	delete(g.active, s)
+	g.until[s] = 0
+}
+
+// EndAll ends all grants, because the upstream's process has ended.
+func (g *Grants) EndAll() {
+	clear(g.active)
+	for s := range g.until {
+		g.until[s] = 0
+	}
+	g.unknownUntil = 0
+}
--- a/router/member/gossip.go
+++ b/router/member/gossip.go
@@ -9,11 +9,11 @@
 
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/ownership"
 	"burdockglade.dev/router/peer"
+	"burdockglade.dev/stores/table"
 )
 
 var (
--- a/router/member/gossip_bench_test.go
+++ b/router/member/gossip_bench_test.go
@@ -14,11 +14,11 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/ownership"
 	"burdockglade.dev/router/peer"
+	"burdockglade.dev/stores/table"
 )
 
 // benchSize is a cluster of one service. Each host holds two groups.
--- a/router/member/member.go
+++ b/router/member/member.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/stores/table"
 )
 
 // State says whether a member takes part in placement.
--- a/router/member/rows.go
+++ b/router/member/rows.go
@@ -12,8 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/stores/table"
 )
 
 // Buckets is the number of parts into which rows are divided for comparison
--- a/router/member/rows_test.go
+++ b/router/member/rows_test.go
@@ -13,10 +13,10 @@
 	"github.com/phuslu/log"
 	"pgregory.net/rapid"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/ownership"
 	"burdockglade.dev/router/peer"
+	"burdockglade.dev/stores/table"
 )
 
 var start = time.Unix(1_000_000, 0)
--- a/router/node/capacity_bench_test.go
+++ b/router/node/capacity_bench_test.go
@@ -13,7 +13,6 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/lease"
@@ -21,6 +20,7 @@
 	"burdockglade.dev/router/ownership"
 	"burdockglade.dev/router/peer"
 	"burdockglade.dev/router/route"
+	"burdockglade.dev/stores/table"
 )
 
 const (
--- a/router/node/groups.go
+++ b/router/node/groups.go
@@ -7,12 +7,12 @@
 
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/gate"
 	"burdockglade.dev/router/member"
 	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/stores/table"
 )
 
 var evJournalNotInstalled = event.Define(1031, log.ErrorLevel, "journal not installed",
--- a/router/node/lost.go
+++ b/router/node/lost.go
@@ -7,11 +7,11 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/member"
 	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/stores/table"
 )
 
 var evMemberRemoved = event.Define(1023, log.WarnLevel, "member row of a lost host removed",
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -13,8 +13,6 @@
 
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/stores/object"
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/admin"
 	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/errkind"
@@ -33,6 +31,8 @@
 	"burdockglade.dev/router/route"
 	"burdockglade.dev/router/settings"
 	"burdockglade.dev/router/upstream"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/table"
 )
 
 var (
--- a/router/node/registrar.go
+++ b/router/node/registrar.go
@@ -9,10 +9,10 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/member"
 	"burdockglade.dev/router/upstream"
+	"burdockglade.dev/stores/table"
 )
 
 var (
--- a/router/note/follow.go
+++ b/router/note/follow.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/event"
+	"burdockglade.dev/stores/table"
 )
 
 // FollowerOptions configure a Follower.
--- a/router/note/note_test.go
+++ b/router/note/note_test.go
@@ -12,8 +12,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/stores/table"
 )
 
 const firstNote = `[note]
--- a/router/note/publish.go
+++ b/router/note/publish.go
@@ -10,10 +10,10 @@
 	"regexp"
 	"time"
 
-	"burdockglade.dev/stores/object"
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
+	"burdockglade.dev/stores/object"
+	"burdockglade.dev/stores/table"
 )
 
 // PublisherOptions configure a Publisher.
--- a/router/note/publish_test.go
+++ b/router/note/publish_test.go
@@ -16,9 +16,9 @@
 
 	"pgregory.net/rapid"
 
+	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/stores/object"
 	"burdockglade.dev/stores/table"
-	"burdockglade.dev/router/errkind"
 )
 
 // faultTable is a table whose next calls can fail.
--- a/router/ownership/commit.go
+++ b/router/ownership/commit.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/stores/table"
 )
 
 // Pauses between attempts to settle a write whose answer was lost.
--- a/router/ownership/helper_test.go
+++ b/router/ownership/helper_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/lease"
 	"burdockglade.dev/router/note"
+	"burdockglade.dev/stores/table"
 )
 
 // faultStore is a table with settable faults.
--- a/router/ownership/record.go
+++ b/router/ownership/record.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/stores/table"
 )
 
 // Host names a router process and tells how to reach it.
--- a/router/ownership/records.go
+++ b/router/ownership/records.go
@@ -10,9 +10,9 @@
 
 	"github.com/google/uuid"
 
-	"burdockglade.dev/stores/table"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/keyspace"
+	"burdockglade.dev/stores/table"
 )
 
 // RecordsOptions configure Records.
--- a/router/retry/budget.go
+++ b/router/retry/budget.go
@@ -20,6 +20,8 @@
 type Budget struct {
 	mu     sync.Mutex
 	share  float64
+	floor  float64
+	burst  float64
 	tokens float64
 	// rate is a smoothed number of requests per second. It bounds the bucket.
 	rate    float64
@@ -30,7 +32,14 @@
 // NewBudget returns a budget for repeats of the share (0 to 1) of the requests.
 // A share of 0 or less leaves only the floor.
 func NewBudget(share float64) *Budget {
-	return &Budget{share: max(share, 0), tokens: minBurst}
+	return NewSharedBudget(share, floorRate, minBurst)
+}
+
+// NewSharedBudget returns one host's part of a budget that is divided among
+// hosts. floor is the number of repeats per second that are always allowed, and
+// burst the smallest capacity of the bucket.
+func NewSharedBudget(share, floor, burst float64) *Budget {
+	return &Budget{share: max(share, 0), floor: floor, burst: burst, tokens: burst}
 }
 
 // SetShare changes the share.
@@ -75,9 +84,9 @@
 	b.last = now
 	b.rate += (b.counted/elapsed - b.rate) / 2
 	b.counted = 0
-	b.tokens = min(b.tokens+floorRate*elapsed, b.capacity())
+	b.tokens = min(b.tokens+b.floor*elapsed, b.capacity())
 }
 
 func (b *Budget) capacity() float64 {
-	return max(minBurst, b.share*b.rate*burstSeconds)
+	return max(b.burst, b.share*b.rate*burstSeconds)
 }
--- /dev/null
+++ b/router/rowstore/follow.go
@@ -0,0 +1,149 @@
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"burdockglade.dev/router/retry"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. Silent connections are
+	// found by keep-alive probes, so that a long wait delays nothing.
+	watchWait = 25 * time.Second
+	// readTimeout bounds one reading of rows.
+	readTimeout = 2 * time.Second
+	// shortestRetry is added to each pause after a failed call; firstRetry and
+	// lastRetry bound the rest.
+	shortestRetry = 50 * time.Millisecond
+	firstRetry    = 100 * time.Millisecond
+	lastRetry     = 800 * time.Millisecond
+)
+
+// Follower keeps a reader up to date with a table.
+type Follower struct {
+	Store Store
+	Table string
+	// Changed is called with each row that is new or changed, and with rows that
+	// were deleted.
+	Changed func(Row)
+	// Synced is called after each reading that succeeded.
+	Synced func()
+	// Lost is called when a call fails after one that succeeded, Found when a
+	// call succeeds again.
+	Lost  func(error)
+	Found func()
+
+	versions map[Key]int64
+	lost     bool
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.versions = map[Key]int64{}
+	backoff := retry.Backoff{Base: firstRetry, Cap: lastRetry}
+	failures := 0
+	version, read := int64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if read {
+			version, err = f.watch(ctx, version)
+		} else {
+			version, err = f.read(ctx)
+		}
+		if errors.Is(err, ErrHistoryGone) {
+			read = false
+			continue
+		}
+		f.report(err)
+		if err == nil {
+			read = true
+			failures = 0
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(shortestRetry + backoff.Pause(failures)):
+		}
+		failures++
+	}
+}
+
+func (f *Follower) report(err error) {
+	switch {
+	case err != nil && !f.lost:
+		f.lost = true
+		f.Lost(err)
+	case err == nil && f.lost:
+		f.lost = false
+		f.Found()
+	}
+}
+
+// read reads the whole table. Its parts are read one after another; the watch
+// goes on from the earliest of them.
+func (f *Follower) read(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	parts, err := f.Store.Parts(ctx, f.Table)
+	if err != nil {
+		return 0, err
+	}
+	if len(parts) == 0 {
+		parts = []string{""}
+	}
+	first := int64(-1)
+	present := map[Key]bool{}
+	for _, part := range parts {
+		rows, version, err := f.Store.List(ctx, f.Table, part)
+		if err != nil {
+			return 0, err
+		}
+		if first < 0 || version < first {
+			first = version
+		}
+		for _, r := range rows {
+			present[r.Key] = true
+			f.apply(r)
+		}
+	}
+	f.dropAbsent(present, first)
+	f.Synced()
+	return first, nil
+}
+
+// dropAbsent reports rows that were deleted while nobody watched.
+func (f *Follower) dropAbsent(present map[Key]bool, version int64) {
+	for key := range f.versions {
+		if !present[key] {
+			f.apply(Row{Key: key, Version: version, Deleted: true})
+		}
+	}
+}
+
+func (f *Follower) watch(ctx context.Context, after int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
+	defer cancel()
+	rows, version, err := f.Store.Watch(ctx, f.Table, after, watchWait)
+	if err != nil {
+		return after, err
+	}
+	for _, r := range rows {
+		f.apply(r)
+	}
+	f.Synced()
+	return max(version, after), nil
+}
+
+// apply hands a row on unless a newer version of it was seen.
+func (f *Follower) apply(r Row) {
+	if seen, ok := f.versions[r.Key]; ok && r.Version <= seen {
+		return
+	}
+	f.versions[r.Key] = r.Version
+	if r.Deleted {
+		delete(f.versions, r.Key)
+	}
+	f.Changed(r)
+}
--- /dev/null
+++ b/router/sidecar/entry.go
@@ -0,0 +1,316 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/retry"
+	"burdockglade.dev/router/vhost"
+)
+
+const (
+	// keptBodyBytes is the size up to which a request body is kept for another
+	// attempt.
+	keptBodyBytes = 64 << 10
+	// maxHops bounds the hosts that one request is offered to.
+	maxHops = 4
+	// shortestPause and longestPause bound the pause that a refused caller is
+	// asked for.
+	shortestPause = 50 * time.Millisecond
+	longestPause  = time.Second
+	// retryShare is the part of the remaining time after which a refused caller
+	// is asked to come back; callers ignore longer pauses.
+	retryShare = 3
+)
+
+// entry takes requests of the host's callers.
+type entry struct {
+	host    string
+	service func() string
+	headers Headers
+	routes  *atomic.Pointer[vhost.Table]
+	fleet   *fleet.Directory
+	keys    *keyIndex
+	gate    *gate
+	budgets *budgets
+	log     *event.Logger
+	metrics *entryMetrics
+}
+
+// joinReader puts what was read already before the rest.
+func joinReader(head []byte, rest io.Reader) io.Reader {
+	return io.MultiReader(bytes.NewReader(head), rest)
+}
+
+// ServeHTTP answers one request of a caller.
+func (e *entry) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	start := time.Now()
+	table := e.routes.Load()
+	if table == nil {
+		e.refuse(w, req, nil, start.Add(longestPause), errkind.New(errkind.NotReady, "no configuration yet"))
+		return
+	}
+	route := table.Route(req.Host, req.URL.Path)
+	if route == nil {
+		e.refuse(w, req, nil, start, errkind.New(errkind.NotFound, "no route for host %q and path %q in configuration %d", req.Host, req.URL.Path, table.Version()))
+		return
+	}
+	if limit := table.Limits().MaxBodyBytes; limit > 0 {
+		if req.ContentLength > limit {
+			e.refuse(w, req, route, start, errkind.New(errkind.TooLarge, "a body of %d bytes; the limit is %d", req.ContentLength, limit))
+			return
+		}
+		req.Body = http.MaxBytesReader(w, req.Body, limit)
+	}
+	e.serveRoute(w, req, table, route, start)
+}
+
+func (e *entry) serveRoute(w http.ResponseWriter, req *http.Request, table *vhost.Table, route *vhost.Route, start time.Time) {
+	c, err := e.newCall(req, table, route, start)
+	if err != nil {
+		e.refuse(w, req, route, start, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline)
+	defer cancel()
+	e.budgets.of(c.Service).Request(start)
+	r := e.attempts(ctx, c, route)
+	defer r.close()
+	e.metrics.observe(route.Name, r, time.Since(start))
+	if r.Err != nil {
+		e.refuse(w, req, route, c.Deadline, r.Err)
+		return
+	}
+	writeAnswer(w, r)
+}
+
+// newCall reads a request and chooses its service.
+func (e *entry) newCall(req *http.Request, table *vhost.Table, route *vhost.Route, start time.Time) (*Call, *errkind.Error) {
+	c := &Call{
+		Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header,
+		RequestID:  req.Header.Get(e.headers.RequestID),
+		Service:    route.Pick(),
+		Caller:     e.service(),
+		Deadline:   start.Add(e.timeLeft(req, route)),
+		Priority:   route.Priority,
+		Repeatable: route.Repeatable,
+		Objective:  route.TargetLatency,
+	}
+	if s := table.Service(c.Service); s != nil && s.Keyed {
+		key, err := strconv.ParseUint(req.Header.Get(e.headers.Key), 10, 16)
+		if err != nil {
+			return nil, errkind.New(errkind.BadRequest, "service %s needs a key from 0 to 65535 in %s: %w", c.Service, e.headers.Key, err)
+		}
+		c.Keyed, c.Key = true, uint16(key)
+	}
+	if err := readBody(req, c); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return nil, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+		}
+		return nil, errkind.New(errkind.CallerLeft, "%w", err)
+	}
+	return c, nil
+}
+
+// timeLeft is the shorter of the caller's deadline and the route's timeout.
+func (e *entry) timeLeft(req *http.Request, route *vhost.Route) time.Duration {
+	limit := route.Timeout
+	ms, err := strconv.ParseInt(req.Header.Get(e.headers.DeadlineMs), 10, 64)
+	if err != nil || ms < 0 {
+		return limit // the caller names no deadline
+	}
+	asked := time.Duration(ms) * time.Millisecond
+	if limit <= 0 || asked < limit {
+		return asked
+	}
+	return limit
+}
+
+// attempts offers the call to hosts until one answers or nothing more can help.
+func (e *entry) attempts(ctx context.Context, c *Call, route *vhost.Route) *Result {
+	var tried []*fleet.Host
+	arrivals := 0
+	unknown := false
+	var last *Result
+	for range maxHops {
+		h, r := e.choose(ctx, c, tried)
+		if r != nil {
+			if last == nil {
+				last = r
+			}
+			break
+		}
+		if last != nil && last.Body != nil {
+			last.close()
+		}
+		last = e.attempt(ctx, h, c, len(tried))
+		tried = append(tried, h)
+		if last.Arrived {
+			arrivals++
+		}
+		unknown = unknown || (last.Err != nil && !last.notRun())
+		if !e.another(ctx, c, route, last, arrivals) {
+			break
+		}
+	}
+	return e.final(ctx, c, last, unknown)
+}
+
+// choose returns the host for the next attempt, or a refusal.
+func (e *entry) choose(ctx context.Context, c *Call, tried []*fleet.Host) (*fleet.Host, *Result) {
+	if c.Keyed {
+		return e.chooseHolder(ctx, c, tried)
+	}
+	h := e.fleet.Choose(time.Now(), c.Service, tried)
+	if h == nil {
+		return nil, refused(errkind.NoOwner, "no upstream of %s takes work; %d were tried", c.Service, len(tried))
+	}
+	return h, nil
+}
+
+// chooseHolder returns the host whose upstream holds the call's key. A key that
+// is being moved is waited for.
+func (e *entry) chooseHolder(ctx context.Context, c *Call, tried []*fleet.Host) (*fleet.Host, *Result) {
+	wait := min(time.Until(c.Deadline), c.Objective) / moveWaitShare
+	found := e.keys.holder(ctx, c.Service, c.Key, wait, len(tried) > 0)
+	if found.Host == "" {
+		return nil, refused(errkind.NoOwner, "key %d of %s has no holder in map version %d", c.Key, c.Service, found.Version)
+	}
+	h := e.fleet.Host(found.Host)
+	if h == nil {
+		return nil, refused(errkind.NoOwner, "key %d of %s is held by host %s, which is not known", c.Key, c.Service, found.Host)
+	}
+	return h, nil
+}
+
+// moveWaitShare is the part of the remaining time for which a request waits for
+// a key that is being moved.
+const moveWaitShare = 2
+
+// attempt offers the call to one host.
+func (e *entry) attempt(ctx context.Context, h *fleet.Host, c *Call, before int) *Result {
+	// A first offer does not wait when other hosts may have a free slot.
+	c.MayWait = c.Keyed || before > 0
+	h.Begin()
+	start := time.Now()
+	var r *Result
+	if h.Member().Host == e.host {
+		r = e.gate.serve(ctx, c)
+	} else {
+		r = sendHop(ctx, h.Client, e.headers, c)
+	}
+	now := time.Now()
+	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+		h.Cancelled()
+		return r
+	}
+	result := fleet.Result{Reached: !r.Down, Load: r.Load, HasLoad: r.HasLoad}
+	if r.Arrived {
+		result.Failed = r.Err != nil || r.Status >= http.StatusInternalServerError
+		result.Took, result.Objective = now.Sub(start), c.Objective
+	}
+	h.End(now, result)
+	return r
+}
+
+// another decides whether the call is offered to another host.
+func (e *entry) another(ctx context.Context, c *Call, route *vhost.Route, r *Result, arrivals int) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	failedAtUpstream := r.Err == nil && r.Status >= http.StatusInternalServerError && c.Repeatable
+	if r.Err == nil && !failedAtUpstream {
+		return false
+	}
+	if c.Stream != nil && r.Arrived {
+		return false // the body cannot be sent again
+	}
+	if !r.Arrived && r.notRun() {
+		return errkind.AnswerOf(r.Err.Kind).Retryable
+	}
+	if arrivals >= max(route.MaxAttempts, 1) {
+		return false
+	}
+	outcome, kind := errkind.Unknown, errkind.OutcomeUnknown
+	if r.Err != nil {
+		outcome, kind = errkind.AnswerOf(r.Err.Kind).Outcome, r.Err.Kind
+	}
+	class := retry.Once
+	if c.Repeatable {
+		class = retry.Repeatable
+	}
+	now := time.Now()
+	take := func() bool { return e.budgets.of(c.Service).Take(now) }
+	decision := retry.Decide(class, outcome, kind, c.Deadline.Sub(now), take)
+	e.log.Log(eventRetry, event.F("request", c.RequestID), event.F("service", c.Service),
+		event.F("kind", string(kind)), event.F("outcome", string(outcome)), event.F("arrivals", arrivals), event.F("decision", int(decision)))
+	return decision == retry.Repeat
+}
+
+// final turns the last attempt into the result for the caller. When any attempt
+// may have run, the caller is not told that the request did not run.
+func (e *entry) final(ctx context.Context, c *Call, last *Result, unknown bool) *Result {
+	if last.Err == nil {
+		return last
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return refused(errkind.CallerLeft, "the caller left")
+	}
+	if unknown && last.notRun() {
+		last.Err = errkind.New(errkind.OutcomeUnknown, "an earlier attempt may have run; the last one: %w", last.Err)
+	}
+	return last
+}
+
+// refuse answers a request with an error.
+func (e *entry) refuse(w http.ResponseWriter, req *http.Request, route *vhost.Route, deadline time.Time, err *errkind.Error) {
+	id := req.Header.Get(e.headers.RequestID)
+	if err.Kind == errkind.CallerLeft {
+		panic(http.ErrAbortHandler) // nobody reads an answer
+	}
+	answer := errkind.AnswerOf(err.Kind)
+	status := answer.Status
+	now := time.Now()
+	if answer.Outcome == errkind.NotRun && (answer.Retryable || err.Kind == errkind.DeadlinePassed) {
+		status = http.StatusServiceUnavailable
+		pause := pauseFor(err, deadline.Sub(now))
+		w.Header().Set(e.headers.RetryAfter, strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
+	}
+	if answer.Outcome == errkind.Unknown && !now.Before(deadline) {
+		status = http.StatusGatewayTimeout
+	}
+	name := ""
+	if route != nil {
+		name = route.Name
+	}
+	e.metrics.refused(name, err.Kind)
+	e.log.Log(eventRefused, event.F("request", id), event.F("route", name), event.F("kind", string(err.Kind)),
+		event.F("status", status), event.F("left_ms", deadline.Sub(now).Milliseconds()), event.F("detail", err.Detail))
+	if id != "" {
+		w.Header().Set(e.headers.RequestID, id)
+	}
+	w.Header()["Date"] = nil
+	w.Header().Set("Content-Type", errkind.ProblemType)
+	w.WriteHeader(status)
+	_ = errkind.WriteProblem(w, err.Kind, err.Detail, status) // the caller may be gone
+}
+
+// pauseFor is the pause that a refused caller is asked for: what the refusal
+// says, within the part of the remaining time that callers honour.
+func pauseFor(err *errkind.Error, left time.Duration) time.Duration {
+	longest := min(max(left/retryShare, shortestPause), longestPause)
+	if err.RetryAfter > 0 {
+		return min(max(err.RetryAfter, shortestPause), longest)
+	}
+	return longest
+}
--- /dev/null
+++ b/router/sidecar/events.go
@@ -0,0 +1,51 @@
+package sidecar
+
+import (
+	"github.com/phuslu/log"
+
+	"burdockglade.dev/router/event"
+)
+
+// Events of this package.
+var (
+	eventStarted = event.Define(1800, log.InfoLevel, "sidecar started",
+		"The process started beside an upstream.", "none")
+	eventStopping = event.Define(1801, log.InfoLevel, "sidecar stopping",
+		"The process got SIGTERM or SIGINT and finishes its requests.", "none")
+	eventStopped = event.Define(1802, log.InfoLevel, "sidecar stopped",
+		"All requests are finished, or the grace period is over.", "If requests were cut, compare the grace period with the routes' timeouts.")
+	eventReloaded = event.Define(1803, log.InfoLevel, "settings read again",
+		"SIGHUP arrived.", "none")
+	eventReloadFailed = event.Define(1804, log.ErrorLevel, "settings not read",
+		"The settings file is unreadable or not valid; the earlier settings stay in force.", "Correct the file and send SIGHUP.")
+	eventStoreLost = event.Define(1810, log.WarnLevel, "store lost",
+		"Following a table of the store failed.", "Look whether other hosts report the same; if they do, the store is down.")
+	eventStoreFound = event.Define(1811, log.InfoLevel, "store regained",
+		"Following a table of the store works again.", "none")
+	eventConfig = event.Define(1812, log.InfoLevel, "configuration in force",
+		"A newer configuration was read.", "none")
+	eventRowInvalid = event.Define(1813, log.WarnLevel, "row ignored",
+		"A row of the store cannot be read; what it replaced stays in force.", "Look who wrote the row.")
+	eventMember = event.Define(1814, log.InfoLevel, "member changed",
+		"Another host was added, changed or removed.", "none")
+	eventUpstream = event.Define(1820, log.InfoLevel, "upstream changed",
+		"The local upstream announced itself, changed, or gave notice that it leaves.", "none")
+	eventStaleReport = event.Define(1821, log.WarnLevel, "heartbeat ignored",
+		"A heartbeat of an earlier run of the upstream, or one that was overtaken, arrived.", "none")
+	eventPublishFailed = event.Define(1822, log.WarnLevel, "member row not written",
+		"The store did not take this host's own row; it is written again.", "See event 1810.")
+	eventGrant = event.Define(1830, log.DebugLevel, "keys granted",
+		"A heartbeat of the upstream was answered with the keys that it is to hold.", "none")
+	eventMapChanged = event.Define(1831, log.InfoLevel, "key map changed",
+		"This host changed which upstreams hold which keys.", "If it repeats without hosts coming or going, look at the field why.")
+	eventMapFailed = event.Define(1832, log.ErrorLevel, "key map not written",
+		"The key map cannot be encoded.", "Report it with the log.")
+	eventRenewalFailed = event.Define(1833, log.WarnLevel, "lease not renewed",
+		"The store did not take the renewal. Keys are served until the lease lapses.", "See event 1810.")
+	eventLeasesUnread = event.Define(1834, log.WarnLevel, "leases not read",
+		"The leases of the service's hosts cannot be read; no lease is taken for lapsed meanwhile.", "See event 1810.")
+	eventRefused = event.Define(1840, log.InfoLevel, "request refused",
+		"A request of a caller got an answer of the router's own.", "The fields kind and detail name the cause; see docs/ERRORS.md.")
+	eventRetry = event.Define(1841, log.InfoLevel, "request offered again",
+		"An attempt failed; the field decision says whether another one follows (0 means yes).", "If many have the decision 4, the retry budget is spent.")
+)
--- /dev/null
+++ b/router/sidecar/keydriver.go
@@ -0,0 +1,416 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/keyown"
+	"burdockglade.dev/router/rowstore"
+	"burdockglade.dev/router/steady"
+)
+
+const (
+	// leaseTime is how long a host's lease lasts after the sending of a renewal
+	// that the store acknowledged. It covers store outages of about 5 s.
+	leaseTime = 7 * time.Second
+	// renewInterval is the time between renewals.
+	renewInterval = 1500 * time.Millisecond
+	// holdTime is how long an upstream holds keys after one heartbeat.
+	holdTime = 4 * time.Second
+	// settleTime is how long the set of members must be unchanged before keys
+	// are divided for the first time.
+	settleTime = 1500 * time.Millisecond
+	// rangesPerMember is the number of ranges that each member gets at first.
+	rangesPerMember = 16
+	// actPause separates the hosts that may act on the same finding, in order
+	// of their names, so that they do not all write at once.
+	actPause = 400 * time.Millisecond
+	// keyTick is the time between checks of whether there is something to do.
+	keyTick = 100 * time.Millisecond
+	// readInterval is the time between readings of the leases.
+	readInterval = time.Second
+	// storeCallTimeout bounds one call to the store.
+	storeCallTimeout = 1500 * time.Millisecond
+)
+
+// Tables of the store.
+const (
+	tableFleet = "fleet" // members and key maps: read by all hosts
+	tableLease = "lease" // leases: read by the hosts of the service
+
+	partMembers = "members"
+	partKeys    = "keys"
+)
+
+// keyDriver keeps the lease of this host, grants keys to the local upstream and
+// changes the key map of its service.
+type keyDriver struct {
+	host    string
+	store   rowstore.Store
+	local   *localUpstream
+	index   *keyIndex
+	fleet   *fleet.Directory
+	log     *event.Logger
+	maxHold time.Duration
+	// beatInterval is the time between heartbeats of the local upstream.
+	beatInterval time.Duration
+	keyed        func(service string) bool
+	load         func() float64
+
+	mu       sync.Mutex
+	grants   *keyown.Grants
+	leaseEnd steady.Time
+	released map[keyown.Handover]bool
+	kick     chan struct{}
+
+	// The fields below belong to run.
+	leaseVersion int64
+	lastRenewal  steady.Time
+	lastRead     steady.Time
+	watch        keyown.LeaseWatch
+	waiting      keyown.Delay
+	settled      keyown.Delay
+	membersSeen  []string
+	lastMove     steady.Time
+}
+
+// holds reports whether the local upstream holds a key.
+func (d *keyDriver) holds(key uint16) bool {
+	m, _ := d.index.get(d.local.get().service)
+	if m == nil {
+		return false
+	}
+	r := m.Find(key)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return r != nil && d.grants.Holds(steady.Now(), r)
+}
+
+// heartbeat takes what the upstream says of its keys and returns what it is to
+// hold.
+func (d *keyDriver) heartbeat(s upstreamState, r Report) Reply {
+	if !d.keyed(s.service) {
+		return Reply{}
+	}
+	m, version := d.index.get(s.service)
+	now := steady.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.grants.Reset(s.holder)
+	for _, h := range r.Released {
+		d.released[h] = true
+	}
+	if len(r.Released) > 0 {
+		d.wake()
+	}
+	grants, hold := d.grants.Renew(now, m, s.holder, !s.leaving.IsZero(), d.leaseEnd, d.maxHold)
+	if hold == 0 {
+		return Reply{}
+	}
+	d.log.Log(eventGrant, event.F("instance", s.holder.Instance), event.F("beat", r.Sequence), event.F("ranges", len(grants)),
+		event.F("hold_ms", hold.Milliseconds()), event.F("map_version", version), event.F("holds", len(r.Holds)), event.F("released", len(r.Released)))
+	return Reply{Renew: true, Grants: grants, HoldFor: hold}
+}
+
+func (d *keyDriver) wake() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run drives the lease and the key map until ctx ends.
+func (d *keyDriver) run(ctx context.Context) {
+	tick := time.NewTicker(keyTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-d.kick:
+		}
+		if s := d.local.get(); s.known && d.keyed(s.service) {
+			d.step(ctx, s)
+		}
+	}
+}
+
+// step reads the leases and commits the next change, if any is due.
+func (d *keyDriver) step(ctx context.Context, s upstreamState) {
+	now := steady.Now()
+	if now.Sub(d.lastRead) >= readInterval {
+		d.lastRead = now
+		d.readLeases(ctx, s.service)
+	}
+	m, version := d.index.get(s.service)
+	if m == nil {
+		m = &keyown.Map{}
+	}
+	p := d.plan(steady.Now(), s, m)
+	due := steady.Now().Sub(d.lastRenewal) >= renewInterval && !s.withdrawn
+	if p.next == nil && !due {
+		return
+	}
+	d.commit(ctx, s.service, version, p)
+}
+
+// readLeases notes which leases are being renewed.
+func (d *keyDriver) readLeases(ctx context.Context, service string) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	rows, _, err := d.store.List(ctx, tableLease, service)
+	if err != nil {
+		d.log.Log(eventLeasesUnread, event.F("service", service), event.F("error", err.Error()))
+		return
+	}
+	versions := make(map[string]int64, len(rows))
+	for _, r := range rows {
+		versions[r.Name] = r.Version
+	}
+	d.watch.Observe(steady.Now(), versions)
+}
+
+// change is the next change of the key map.
+type change struct {
+	// next is nil when nothing changes.
+	next *keyown.Map
+	// lapsed are the hosts whose leases the change takes for lapsed, with the
+	// versions of these leases.
+	lapsed map[string]int64
+	// done are reports of released ranges that the change takes care of.
+	done []keyown.Handover
+	why  string
+}
+
+// plan decides on the next change of the key map.
+func (d *keyDriver) plan(now steady.Time, s upstreamState, m *keyown.Map) change {
+	members := d.members(s.service, now)
+	if len(m.Ranges) == 0 {
+		return d.planFirst(now, members)
+	}
+	next := m.Clone()
+	c := change{lapsed: map[string]int64{}}
+	changed := false
+	note := func(did bool, why string) {
+		if did {
+			changed, c.why = true, why
+		}
+	}
+	others := slices.DeleteFunc(slices.Clone(members), func(x keyown.Member) bool { return x.Host == d.host })
+	c.done = d.takeReleased(next, s, others)
+	note(len(c.done) > 0, "released")
+	note(d.releaseEnded(now, next, s, others), "hold ended")
+	if s.leaving.IsZero() {
+		note(next.Renew(s.holder), "new run of the upstream")
+		note(next.CancelMoves(d.host, others), "next holder is gone")
+	} else {
+		note(next.Evacuate(d.host, others), "upstream leaves")
+	}
+	note(d.takeLapsed(now, next, members, c.lapsed), "lease lapsed")
+	if !changed {
+		if moved := d.rebalance(now, next, s, members); moved {
+			changed, c.why = true, "load"
+		}
+	}
+	if changed {
+		c.next = next
+	}
+	return c
+}
+
+// planFirst divides the keys when the members have settled.
+func (d *keyDriver) planFirst(now steady.Time, members []keyown.Member) change {
+	names := hostNames(members)
+	if !slices.Equal(names, d.membersSeen) {
+		d.membersSeen = names
+		d.settled.Reset()
+	}
+	rank := slices.Index(names, d.host)
+	if rank < 0 || !d.settled.Passed(now, settleTime+time.Duration(rank)*actPause) {
+		return change{}
+	}
+	return change{next: keyown.New(members, rangesPerMember), why: "first division"}
+}
+
+func hostNames(members []keyown.Member) []string {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Host)
+	}
+	return names
+}
+
+// members are the upstreams that may be given keys: ready, with a lease that is
+// not seen to lapse.
+func (d *keyDriver) members(service string, now steady.Time) []keyown.Member {
+	var members []keyown.Member
+	for _, m := range d.fleet.Members(service) {
+		if m.State != fleet.Ready || d.watch.Lapsed(now, m.Host, leaseTime) {
+			continue
+		}
+		members = append(members, keyown.Member{Holder: keyown.Holder{Host: m.Host, Instance: m.Instance, Started: m.Started}})
+	}
+	return members
+}
+
+// takeReleased ends the holds that the local upstream reported as released.
+func (d *keyDriver) takeReleased(next *keyown.Map, s upstreamState, others []keyown.Member) []keyown.Handover {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	done := make([]keyown.Handover, 0, len(d.released))
+	for h := range d.released {
+		done = append(done, h)
+		for _, i := range next.Of(s.holder) {
+			r := &next.Ranges[i]
+			if r.From == h.From && r.To == h.To {
+				d.grants.Drop(r)
+				next.Release(i, h.Token, others)
+			}
+		}
+	}
+	return done
+}
+
+// releaseEnded ends holds that have lapsed at an upstream that is to give up
+// its keys or that has ended.
+func (d *keyDriver) releaseEnded(now steady.Time, next *keyown.Map, s upstreamState, others []keyown.Member) bool {
+	gone := d.local.gone(time.Now(), d.beatInterval)
+	silent := time.Since(s.lastBeat) > d.maxHold
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if gone {
+		d.grants.EndAll()
+	}
+	changed := false
+	for _, i := range next.Of(s.holder) {
+		r := &next.Ranges[i]
+		if (gone || silent || r.Next != "") && d.grants.Ended(now, r) {
+			next.Release(i, "", others)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// takeLapsed frees the ranges of hosts whose leases have lapsed and gives ranges
+// without a holder to members. Hosts act one after another.
+func (d *keyDriver) takeLapsed(now steady.Time, next *keyown.Map, members []keyown.Member, lapsed map[string]int64) bool {
+	found := false
+	for host := range next.Counts() {
+		if host != d.host && d.watch.Lapsed(now, host, leaseTime) && next.TakeFrom(host) {
+			lapsed[host] = d.watch.Version(host)
+			found = true
+		}
+	}
+	free := slices.ContainsFunc(next.Ranges, func(r keyown.Range) bool { return !r.Held() })
+	if !found && !free {
+		d.waiting.Reset()
+		return false
+	}
+	rank := max(slices.Index(hostNames(members), d.host), 0)
+	if !d.waiting.Passed(now, time.Duration(rank)*actPause) {
+		clear(lapsed)
+		return false
+	}
+	return next.AssignFree(members) || found
+}
+
+// commit renews the lease and applies the change in one transaction. The lease
+// therefore also proves that this host knows the newest map.
+func (d *keyDriver) commit(ctx context.Context, service string, mapVersion int64, c change) {
+	mapKey := rowstore.Key{Table: tableFleet, Part: service, Name: partKeys}
+	leaseKey := rowstore.Key{Table: tableLease, Part: service, Name: d.host}
+	txn := rowstore.Txn{
+		Conditions: []rowstore.Condition{{Key: mapKey, Version: mapVersion}, {Key: leaseKey, Version: d.leaseVersion}},
+		Writes:     []rowstore.Write{{Key: leaseKey, Value: []byte("{}")}},
+	}
+	if c.next != nil {
+		value, err := c.next.Encode()
+		if err != nil {
+			d.log.Log(eventMapFailed, event.F("error", err.Error()))
+			return
+		}
+		txn.Writes = append(txn.Writes, rowstore.Write{Key: mapKey, Value: value})
+	}
+	for host, version := range c.lapsed {
+		key := rowstore.Key{Table: tableLease, Part: service, Name: host}
+		txn.Conditions = append(txn.Conditions, rowstore.Condition{Key: key, Version: version})
+	}
+	sent := steady.Now()
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	version, err := d.store.Commit(ctx, txn)
+	d.lastRenewal = sent
+	var conflict *rowstore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		d.adopt(service, mapKey, leaseKey, conflict.Rows)
+	case err != nil:
+		d.log.Log(eventRenewalFailed, event.F("service", service), event.F("error", err.Error()))
+	default:
+		d.committed(service, version, sent, c)
+	}
+}
+
+func (d *keyDriver) committed(service string, version int64, sent steady.Time, c change) {
+	d.leaseVersion = version
+	d.mu.Lock()
+	d.leaseEnd = sent.Add(leaseTime)
+	for _, h := range c.done {
+		delete(d.released, h)
+	}
+	d.mu.Unlock()
+	if c.next == nil {
+		return
+	}
+	d.index.put(service, version, c.next)
+	d.log.Log(eventMapChanged, event.F("service", service), event.F("version", version), event.F("why", c.why),
+		event.F("generation", c.next.Generation), event.F("lapsed", len(c.lapsed)), event.F("released", len(c.done)))
+}
+
+// adopt takes the rows that a conflict showed and lets the next step try again
+// at once.
+func (d *keyDriver) adopt(service string, mapKey, leaseKey rowstore.Key, rows []rowstore.Row) {
+	d.leaseVersion = 0
+	for _, r := range rows {
+		switch r.Key {
+		case leaseKey:
+			d.leaseVersion = r.Version
+		case mapKey:
+			m, err := keyown.Decode(r.Value)
+			if err != nil {
+				d.log.Log(eventRowInvalid, event.F("row", "key map"), event.F("error", err.Error()))
+				continue
+			}
+			d.index.put(service, r.Version, m)
+		}
+	}
+	d.lastRenewal = 0
+	d.lastRead = 0
+	d.wake()
+}
+
+// rebalance lets one range move to a host with fewer ranges or less load.
+func (d *keyDriver) rebalance(now steady.Time, next *keyown.Map, s upstreamState, members []keyown.Member) bool {
+	if !s.leaving.IsZero() || now.Sub(d.lastMove) < moveInterval {
+		return false
+	}
+	moves := next.Surplus(d.host, members)
+	if len(moves) == 0 {
+		return false
+	}
+	d.lastMove = now
+	for _, mv := range moves {
+		next.Move(mv.Range, mv.To)
+	}
+	return true
+}
+
+// moveInterval is the shortest time between moves that even out load.
+const moveInterval = time.Second
--- /dev/null
+++ b/router/sidecar/keyindex.go
@@ -0,0 +1,91 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"burdockglade.dev/router/keyown"
+)
+
+// keyIndex holds the newest known key map of each service.
+type keyIndex struct {
+	mu       sync.Mutex
+	services map[string]*indexedMap
+}
+
+// indexedMap is a key map with its row version. changed is closed when a newer
+// one replaces it.
+type indexedMap struct {
+	version int64
+	keys    *keyown.Map
+	changed chan struct{}
+}
+
+func newKeyIndex() *keyIndex {
+	return &keyIndex{services: map[string]*indexedMap{}}
+}
+
+// foundHolder is the host that holds a key; Host is empty when none does.
+type foundHolder struct {
+	Host    string
+	Version int64
+}
+
+// put takes a map if it is newer than the known one.
+func (x *keyIndex) put(service string, version int64, m *keyown.Map) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	old := x.services[service]
+	if old != nil && old.version >= version {
+		return
+	}
+	x.services[service] = &indexedMap{version: version, keys: m, changed: make(chan struct{})}
+	if old != nil {
+		close(old.changed)
+	}
+}
+
+// get returns the newest known map of a service, or nil and version 0.
+func (x *keyIndex) get(service string) (*keyown.Map, int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if im := x.services[service]; im != nil {
+		return im.keys, im.version
+	}
+	return nil, 0
+}
+
+func (x *keyIndex) current(service string) *indexedMap {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.services[service]
+}
+
+// holder returns the host that holds a key. While the key has no holder, or
+// when the known holder has refused it, it waits for a newer map.
+func (x *keyIndex) holder(ctx context.Context, service string, key uint16, wait time.Duration, refused bool) foundHolder {
+	timer := time.NewTimer(max(wait, 0))
+	defer timer.Stop()
+	for {
+		im := x.current(service)
+		if im == nil {
+			return foundHolder{}
+		}
+		found := foundHolder{Version: im.version}
+		if r := im.keys.Find(key); r != nil && r.Held() {
+			found.Host = r.Holder.Host
+			if !refused {
+				return found
+			}
+		}
+		select {
+		case <-im.changed:
+			refused = false
+		case <-timer.C:
+			return found
+		case <-ctx.Done():
+			return found
+		}
+	}
+}
--- /dev/null
+++ b/router/sidecar/members.go
@@ -0,0 +1,144 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/keyown"
+	"burdockglade.dev/router/rowstore"
+)
+
+// publishRetry is the pause before this host's own row is written again.
+const publishRetry = 250 * time.Millisecond
+
+// publisher keeps this host's member row up to date.
+type publisher struct {
+	store rowstore.Store
+	log   *event.Logger
+	// member returns the row's content, or false while there is nothing to say.
+	member func() (fleet.Member, bool)
+	kick   chan struct{}
+
+	written fleet.Member
+	version int64
+}
+
+func (p *publisher) wake() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run writes the row whenever its content has changed.
+func (p *publisher) run(ctx context.Context) {
+	for {
+		m, ok := p.member()
+		if ok && m != p.written {
+			if err := p.write(ctx, m); err != nil {
+				p.log.Log(eventPublishFailed, event.F("error", err.Error()))
+				if !sleep(ctx, publishRetry) {
+					return
+				}
+				continue
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.kick:
+		}
+	}
+}
+
+func (p *publisher) key(host string) rowstore.Key {
+	return rowstore.Key{Table: tableFleet, Part: partMembers, Name: host}
+}
+
+// write stores the row under the condition that it is unchanged, so that a
+// delayed earlier write cannot replace a later one.
+func (p *publisher) write(ctx context.Context, m fleet.Member) error {
+	value, err := m.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	key := p.key(m.Host)
+	version, err := p.store.Commit(ctx, rowstore.Txn{
+		Conditions: []rowstore.Condition{{Key: key, Version: p.version}},
+		Writes:     []rowstore.Write{{Key: key, Value: value}},
+	})
+	var conflict *rowstore.ConflictError
+	if errors.As(err, &conflict) {
+		p.version = 0
+		for _, r := range conflict.Rows {
+			p.version = r.Version
+		}
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	p.version, p.written = version, m
+	return nil
+}
+
+// remove deletes the row of a host whose upstream has left for good.
+func (p *publisher) remove(ctx context.Context, host string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	key := p.key(host)
+	_, err := p.store.Commit(ctx, rowstore.Txn{
+		Conditions: []rowstore.Condition{{Key: key, Version: p.version}},
+		Deletes:    []rowstore.Key{key},
+	})
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// fleetRow takes a row of the fleet table.
+func (s *Sidecar) fleetRow(r rowstore.Row) {
+	switch {
+	case r.Part == partMembers && r.Deleted:
+		s.fleet.Remove(r.Name)
+		s.log.Log(eventMember, event.F("host", r.Name), event.F("state", "removed"), event.F("version", r.Version))
+	case r.Part == partMembers:
+		m, err := fleet.DecodeMember(r.Value)
+		if err != nil || m.Host != r.Name {
+			s.log.Log(eventRowInvalid, event.F("row", r.Name), event.F("error", errorText(err)))
+			return
+		}
+		s.fleet.Put(m)
+		s.log.Log(eventMember, event.F("host", m.Host), event.F("service", m.Service), event.F("instance", m.Instance),
+			event.F("state", string(m.State)), event.F("address", m.Address), event.F("version", r.Version))
+	case r.Name == partKeys && !r.Deleted:
+		m, err := keyown.Decode(r.Value)
+		if err != nil {
+			s.log.Log(eventRowInvalid, event.F("row", r.Part), event.F("error", err.Error()))
+			return
+		}
+		s.index.put(r.Part, r.Version, m)
+		s.keys.wake()
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "the row names another host"
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/router/sidecar/metrics.go
@@ -0,0 +1,37 @@
+package sidecar
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/metrics"
+)
+
+// entryMetrics counts the requests of callers by route.
+type entryMetrics struct {
+	scope  tally.Scope
+	routes *metrics.Tenants
+}
+
+func newEntryMetrics(scope tally.Scope) *entryMetrics {
+	return &entryMetrics{scope: scope, routes: metrics.NewTenants(metrics.MaxTenants)}
+}
+
+// observe counts a request with its latency.
+func (m *entryMetrics) observe(route string, r *Result, took time.Duration) {
+	outcome := "refused"
+	if r.Err == nil {
+		outcome = strconv.Itoa(r.Status/100) + "xx"
+	}
+	scope := m.scope.Tagged(map[string]string{"route": m.routes.Label(route), "outcome": outcome})
+	scope.Histogram("request_seconds", metrics.LatencyBuckets).RecordDuration(took)
+}
+
+// refused counts a refusal by kind.
+func (m *entryMetrics) refused(route string, kind errkind.Kind) {
+	tags := map[string]string{"route": m.routes.Label(route), "kind": string(kind)}
+	m.scope.Tagged(tags).Counter("refusals").Inc(1)
+}
--- /dev/null
+++ b/router/sidecar/settings.go
@@ -0,0 +1,177 @@
+package sidecar
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Settings are the settings of one sidecar process, an INI file with a section
+// for each field. Durations are whole milliseconds, as the names say.
+type Settings struct {
+	Host     HostSettings     `ini:"host"`
+	Listen   ListenSettings   `ini:"listen"`
+	Upstream UpstreamSettings `ini:"upstream"`
+	Store    StoreSettings    `ini:"store"`
+	Terms    TermSettings     `ini:"terms"`
+	Log      LogSettings      `ini:"log"`
+}
+
+// HostSettings say where the process runs. All are required.
+type HostSettings struct {
+	// Name identifies the host among all hosts.
+	Name   string `ini:"name"`
+	Zone   string `ini:"zone"`
+	Region string `ini:"region"`
+	// Service is the service of the upstream on this host. Requests that start
+	// on the host are counted for it.
+	Service string `ini:"service"`
+}
+
+// ListenSettings are the addresses to listen on, each an IP number and a port.
+// All are required.
+type ListenSettings struct {
+	// Caller takes requests that start on this host.
+	Caller string `ini:"caller"`
+	// Hop takes requests from other routers.
+	Hop string `ini:"hop"`
+	// Ready answers the platform's question whether callers may send requests.
+	Ready string `ini:"ready"`
+	// Control takes the heartbeats of the local upstream.
+	Control string `ini:"control"`
+	// Metrics serves metrics under /metrics.
+	Metrics string `ini:"metrics"`
+}
+
+// UpstreamSettings describe the upstream on this host.
+type UpstreamSettings struct {
+	// Address is where the upstream takes requests. Required.
+	Address string `ini:"address"`
+	// HeartbeatMs is the time between its heartbeats. Default 1000.
+	HeartbeatMs int `ini:"heartbeat_ms"`
+}
+
+// StoreSettings describe the platform's store.
+type StoreSettings struct {
+	// Address is an IP number and a port. Required.
+	Address string `ini:"address"`
+}
+
+// TermSettings are what the deployment asks for.
+type TermSettings struct {
+	// DrainMs is the time after which an upstream that has given notice must get
+	// no new request. Default 2000.
+	DrainMs int `ini:"drain_ms"`
+	// GraceMs is the time from SIGTERM until the process is killed. Default
+	// 6000.
+	GraceMs int `ini:"grace_ms"`
+	// HoldMaxMs is the longest time for which an upstream may be granted keys.
+	// Default 10000.
+	HoldMaxMs int `ini:"hold_max_ms"`
+	// RetryRatio, RetrySlack and RetryWindowMs bound the repeats to a service:
+	// in each window all hosts together send it at most RetryRatio times its
+	// requests, plus RetrySlack. Defaults 0.2, 60 and 10000.
+	RetryRatio    float64 `ini:"retry_ratio"`
+	RetrySlack    float64 `ini:"retry_slack"`
+	RetryWindowMs int     `ini:"retry_window_ms"`
+}
+
+// LogSettings configure the log on standard output.
+type LogSettings struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `ini:"level"`
+}
+
+// DefaultSettings returns the defaults; required settings are empty.
+func DefaultSettings() Settings {
+	return Settings{
+		Upstream: UpstreamSettings{HeartbeatMs: 1000},
+		Terms: TermSettings{
+			DrainMs: 2000, GraceMs: 6000, HoldMaxMs: 10000,
+			RetryRatio: 0.2, RetrySlack: 60, RetryWindowMs: 10000,
+		},
+		Log: LogSettings{Level: "info"},
+	}
+}
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (Settings, error) {
+	file, err := ini.Load(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	dropEmpty(file)
+	s := DefaultSettings()
+	if err := file.StrictMapTo(&s); err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	if err := s.Check(); err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// dropEmpty removes keys without a value, so that their defaults hold: a
+// template leaves them empty where a deployment does not name the value.
+func dropEmpty(file *ini.File) {
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			if key.Value() == "" {
+				section.DeleteKey(key.Name())
+			}
+		}
+	}
+}
+
+// Check returns all faults of the settings, joined.
+func (s Settings) Check() error {
+	var faults []error
+	for _, f := range []struct{ key, value string }{
+		{"host.name", s.Host.Name},
+		{"host.zone", s.Host.Zone},
+		{"host.region", s.Host.Region},
+		{"host.service", s.Host.Service},
+	} {
+		if f.value == "" {
+			faults = append(faults, fmt.Errorf("%s is missing", f.key))
+		}
+	}
+	for _, f := range []struct{ key, value string }{
+		{"listen.caller", s.Listen.Caller},
+		{"listen.hop", s.Listen.Hop},
+		{"listen.ready", s.Listen.Ready},
+		{"listen.control", s.Listen.Control},
+		{"listen.metrics", s.Listen.Metrics},
+		{"upstream.address", s.Upstream.Address},
+		{"store.address", s.Store.Address},
+	} {
+		if _, err := netip.ParseAddrPort(f.value); err != nil {
+			faults = append(faults, fmt.Errorf("%s = %q: want an IP number and a port", f.key, f.value))
+		}
+	}
+	for _, f := range []struct {
+		key   string
+		value int
+	}{
+		{"upstream.heartbeat_ms", s.Upstream.HeartbeatMs},
+		{"terms.drain_ms", s.Terms.DrainMs},
+		{"terms.grace_ms", s.Terms.GraceMs},
+		{"terms.hold_max_ms", s.Terms.HoldMaxMs},
+		{"terms.retry_window_ms", s.Terms.RetryWindowMs},
+	} {
+		if f.value <= 0 {
+			faults = append(faults, fmt.Errorf("%s = %d: want more than 0", f.key, f.value))
+		}
+	}
+	if s.Terms.RetryRatio < 0 || s.Terms.RetrySlack < 0 {
+		faults = append(faults, errors.New("terms.retry_ratio and terms.retry_slack: want 0 or more"))
+	}
+	return errors.Join(faults...)
+}
+
+func millis(ms int) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/router/sidecar/sidecar.go
@@ -0,0 +1,281 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdockglade.dev/router/admit"
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/keyown"
+	"burdockglade.dev/router/metrics"
+	"burdockglade.dev/router/rowstore"
+	"burdockglade.dev/router/steady"
+	"burdockglade.dev/router/vhost"
+)
+
+// ConfigSource says where the configuration lies and how to read it.
+type ConfigSource struct {
+	Key    rowstore.Key
+	Decode func([]byte) (vhost.Config, error)
+}
+
+// Options configure a Sidecar. All but Log and Metrics are required.
+type Options struct {
+	Settings Settings
+	Store    rowstore.Store
+	Headers  Headers
+	Config   ConfigSource
+	// Control and Ready make the handlers for the upstream's heartbeats and for
+	// the question whether the router is ready.
+	Control func(*Sidecar) http.Handler
+	Ready   func(*Sidecar) http.Handler
+	Log     *event.Logger
+	Metrics *metrics.Scope
+}
+
+// Sidecar is the router beside one upstream.
+type Sidecar struct {
+	opts     Options
+	settings Settings
+	log      *event.Logger
+
+	routes    atomic.Pointer[vhost.Table]
+	fleet     *fleet.Directory
+	index     *keyIndex
+	local     *localUpstream
+	keys      *keyDriver
+	gate      *gate
+	entry     *entry
+	publisher *publisher
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+	lastCall  atomic.Int64 // steady.Time of the last request of a caller
+}
+
+// New builds a sidecar; Run starts it.
+func New(opts Options) *Sidecar {
+	st := opts.Settings
+	s := &Sidecar{
+		opts:     opts,
+		settings: st,
+		log:      opts.Log,
+		fleet:    fleet.NewDirectory(st.Host.Zone, st.Host.Region, newHopClient),
+		index:    newKeyIndex(),
+		local:    &localUpstream{host: st.Host.Name},
+	}
+	s.keys = &keyDriver{
+		host: st.Host.Name, store: opts.Store, local: s.local, index: s.index, fleet: s.fleet, log: s.log,
+		maxHold:      min(holdTime, millis(st.Terms.HoldMaxMs)),
+		beatInterval: millis(st.Upstream.HeartbeatMs),
+		keyed:        s.keyed,
+		released:     map[keyown.Handover]bool{},
+		kick:         make(chan struct{}, 1),
+	}
+	s.keys.grants = keyown.NewGrants(steady.Now(), s.keys.maxHold)
+	s.gate = &gate{
+		host: st.Host.Name, headers: opts.Headers, local: s.local, keys: s.keys,
+		limiter:    admit.NewRankedLimiter(nil),
+		client:     newUpstreamClient(st.Upstream.Address),
+		drainLimit: millis(st.Terms.DrainMs) / 2,
+	}
+	s.entry = &entry{
+		host: st.Host.Name, headers: opts.Headers, routes: &s.routes, fleet: s.fleet, keys: s.index, gate: s.gate,
+		service: func() string { return st.Host.Service },
+		budgets: newBudgets(BudgetTerms{Ratio: st.Terms.RetryRatio, Slack: st.Terms.RetrySlack, Window: millis(st.Terms.RetryWindowMs)}, s.fleet.Hosts),
+		log:     s.log,
+		metrics: newEntryMetrics(opts.Metrics.SubScope("entry")),
+	}
+	s.publisher = &publisher{store: opts.Store, log: s.log, member: s.member, kick: make(chan struct{}, 1)}
+	return s
+}
+
+// keyed reports whether a service divides its keys among its upstreams.
+func (s *Sidecar) keyed(service string) bool {
+	t := s.routes.Load()
+	if t == nil {
+		return false
+	}
+	sv := t.Service(service)
+	return sv != nil && sv.Keyed
+}
+
+// member is what this host tells the others.
+func (s *Sidecar) member() (fleet.Member, bool) {
+	u := s.local.get()
+	if !u.known {
+		return fleet.Member{}, false
+	}
+	return fleet.Member{
+		Host: s.settings.Host.Name, Instance: u.holder.Instance, Started: u.holder.Started,
+		Service: u.service, Zone: s.settings.Host.Zone, Region: s.settings.Host.Region,
+		Address: s.settings.Listen.Hop, Slots: u.slots,
+		State: u.publishedState(s.stopping.Load()),
+	}, true
+}
+
+// Heartbeat takes a report of the local upstream.
+func (s *Sidecar) Heartbeat(r Report) Reply {
+	state, current, changed := s.local.heartbeat(time.Now(), r)
+	if !current {
+		s.log.Log(eventStaleReport, event.F("instance", r.Instance), event.F("started", r.Started), event.F("sequence", r.Sequence))
+		return Reply{}
+	}
+	if changed {
+		s.upstreamChanged(state)
+	}
+	return s.keys.heartbeat(state, r)
+}
+
+// Withdraw takes the notice that a run of the local upstream leaves.
+func (s *Sidecar) Withdraw(instance string) {
+	if s.local.withdraw(time.Now(), instance) {
+		s.upstreamChanged(s.local.get())
+	}
+}
+
+func (s *Sidecar) upstreamChanged(u upstreamState) {
+	s.log.Log(eventUpstream, event.F("instance", u.holder.Instance), event.F("started", u.holder.Started), event.F("service", u.service),
+		event.F("slots", u.slots), event.F("leaving", !u.leaving.IsZero()), event.F("withdrawn", u.withdrawn))
+	s.gate.limiter.SetSlots(u.slots)
+	if m, ok := s.member(); ok {
+		s.fleet.Put(m)
+	}
+	s.publisher.wake()
+	s.keys.wake()
+}
+
+// Ready reports whether callers may send requests.
+func (s *Sidecar) Ready() bool {
+	return s.routes.Load() != nil && !s.stopping.Load()
+}
+
+// configRow takes a row of the configuration's table.
+func (s *Sidecar) configRow(r rowstore.Row) {
+	if r.Key != s.opts.Config.Key || r.Deleted {
+		return
+	}
+	c, err := s.opts.Config.Decode(r.Value)
+	if err == nil {
+		err = s.applyConfig(c)
+	}
+	if err != nil {
+		s.log.Log(eventRowInvalid, event.F("row", "configuration"), event.F("version", r.Version), event.F("error", err.Error()))
+	}
+}
+
+// applyConfig puts a configuration in force unless a newer one is.
+func (s *Sidecar) applyConfig(c vhost.Config) error {
+	old := s.routes.Load()
+	if old != nil && old.Version() >= c.Version {
+		return nil
+	}
+	t, err := vhost.NewTable(c)
+	if err != nil {
+		return err
+	}
+	s.routes.Store(t)
+	s.log.Log(eventConfig, event.F("version", c.Version), event.F("routes", len(c.Routes)), event.F("services", len(c.Services)))
+	s.keys.wake()
+	return nil
+}
+
+// follow keeps up with a table until ctx ends.
+func (s *Sidecar) follow(ctx context.Context, table string, changed func(rowstore.Row)) {
+	f := &rowstore.Follower{
+		Store: s.opts.Store, Table: table, Changed: changed,
+		Synced: func() {},
+		Lost:   func(err error) { s.log.Log(eventStoreLost, event.F("table", table), event.F("error", err.Error())) },
+		Found:  func() { s.log.Log(eventStoreFound, event.F("table", table)) },
+	}
+	f.Run(ctx)
+}
+
+// Run serves until ctx ends, then finishes the requests that are under way.
+func (s *Sidecar) Run(ctx context.Context) error {
+	servers, err := s.listen()
+	if err != nil {
+		return err
+	}
+	s.log.Log(eventStarted, event.F("host", s.settings.Host.Name), event.F("zone", s.settings.Host.Zone), event.F("service", s.settings.Host.Service))
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, task := range []func(context.Context){
+		func(ctx context.Context) { s.follow(ctx, s.opts.Config.Key.Table, s.configRow) },
+		func(ctx context.Context) { s.follow(ctx, tableFleet, s.fleetRow) },
+		s.keys.run,
+		s.publisher.run,
+	} {
+		wg.Go(func() { task(background) })
+	}
+	<-ctx.Done()
+	s.stop(servers)
+	cancel()
+	wg.Wait()
+	s.log.Log(eventStopped, event.F("unfinished", s.inFlight.Load()))
+	return nil
+}
+
+// server is a listener with its HTTP server.
+type server struct {
+	http *http.Server
+	name string
+}
+
+const (
+	// readHeaderTimeout bounds the time that a caller takes to send a header.
+	readHeaderTimeout = 5 * time.Second
+	// callerIdle is longer than callers keep connections, so that none is closed
+	// while a request is on its way.
+	callerIdle = 2 * time.Minute
+)
+
+func (s *Sidecar) listen() (servers []server, err error) {
+	l := s.settings.Listen
+	hop := &hopHandler{gate: s.gate, headers: s.opts.Headers}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", s.opts.Metrics.Handler)
+	for _, e := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"caller", l.Caller, s.counted(s.entry)},
+		{"hop", l.Hop, hop},
+		{"control", l.Control, s.opts.Control(s)},
+		{"ready", l.Ready, s.opts.Ready(s)},
+		{"metrics", l.Metrics, mux},
+	} {
+		listener, err := net.Listen("tcp4", e.address)
+		if err != nil {
+			return nil, fmt.Errorf("listening for %s: %w", e.name, err)
+		}
+		hs := &http.Server{Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes}
+		servers = append(servers, server{http: hs, name: e.name})
+		go func() { _ = hs.Serve(listener) }() // ends with Shutdown
+	}
+	return servers, nil
+}
+
+// maxHeaderBytes bounds a request's header; the configuration's own bound is
+// not above it.
+const maxHeaderBytes = 64 << 10
+
+// counted counts the requests of callers that are under way. While the router
+// stops, callers are asked to close their connections.
+func (s *Sidecar) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		s.inFlight.Add(1)
+		s.lastCall.Store(int64(steady.Now()))
+		defer s.inFlight.Add(-1)
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, req)
+	})
+}
--- /dev/null
+++ b/router/sidecar/upstream.go
@@ -0,0 +1,153 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+
+	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/keyown"
+)
+
+// Report is one heartbeat of the local upstream.
+type Report struct {
+	Instance string
+	// Started is the start of the upstream's run in Unix milliseconds.
+	Started int64
+	// Sequence grows with each heartbeat of a run.
+	Sequence int64
+	Service  string
+	Slots    int
+	Draining bool
+	// Holds are the ranges that the upstream holds or still works on.
+	Holds []keyown.Grant
+	// Released are the ranges that it gave up since its last acknowledged
+	// heartbeat.
+	Released []keyown.Handover
+}
+
+// Reply is the answer to a heartbeat.
+type Reply struct {
+	// Renew tells that Grants and HoldFor are set; otherwise the upstream keeps
+	// what it holds until it lapses.
+	Renew  bool
+	Grants []keyown.Grant
+	// HoldFor is how long the grants last, counted from the sending of the
+	// heartbeat.
+	HoldFor time.Duration
+}
+
+// upstreamState is what the router knows of the upstream beside it.
+type upstreamState struct {
+	known    bool
+	holder   keyown.Holder
+	sequence int64
+	service  string
+	slots    int
+	// leaving is the time of the first acknowledged notice that the upstream
+	// leaves; zero while it stays.
+	leaving time.Time
+	// withdrawn tells that the upstream will send no more heartbeats.
+	withdrawn bool
+	lastBeat  time.Time
+}
+
+// localUpstream follows the runs of the upstream beside this router.
+type localUpstream struct {
+	host string
+
+	mu    sync.Mutex
+	state upstreamState
+	// refusedAt is the time of the last connection that the upstream refused or
+	// did not accept, failedSince the first of them in a row.
+	refusedAt   time.Time
+	failedSince time.Time
+}
+
+func (u *localUpstream) get() upstreamState {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.state
+}
+
+// heartbeat takes a report. It returns false for a report of an earlier run and
+// for one that was overtaken.
+func (u *localUpstream) heartbeat(now time.Time, r Report) (state upstreamState, current, changed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := &u.state
+	holder := keyown.Holder{Host: u.host, Instance: r.Instance, Started: r.Started}
+	if s.known && r.Started < s.holder.Started {
+		return *s, false, false
+	}
+	if !s.known || s.holder != holder {
+		*s = upstreamState{known: true, holder: holder}
+		changed = true
+	} else if r.Sequence <= s.sequence {
+		return *s, false, false
+	}
+	changed = changed || s.slots != r.Slots || s.service != r.Service
+	s.sequence, s.service, s.slots, s.lastBeat = r.Sequence, r.Service, r.Slots, now
+	if r.Draining && s.leaving.IsZero() {
+		s.leaving = now
+		changed = true
+	}
+	u.failedSince = time.Time{}
+	return *s, true, changed
+}
+
+// withdraw takes the notice that a run of the upstream leaves. It reports
+// whether the run is the present one.
+func (u *localUpstream) withdraw(now time.Time, instance string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := &u.state
+	if !s.known || s.holder.Instance != instance {
+		return false
+	}
+	if s.leaving.IsZero() {
+		s.leaving = now
+	}
+	s.withdrawn = true
+	return true
+}
+
+// connectFailed notes that the upstream did not accept a connection.
+func (u *localUpstream) connectFailed(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.refusedAt = now
+	if u.failedSince.IsZero() {
+		u.failedSince = now
+	}
+}
+
+// connected notes that the upstream answered.
+func (u *localUpstream) connected() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failedSince = time.Time{}
+}
+
+// gone reports whether the upstream's process has ended: it refuses connections
+// and its heartbeats have stopped.
+func (u *localUpstream) gone(now time.Time, beatInterval time.Duration) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	silent := now.Sub(u.state.lastBeat) > beatInterval*3/2
+	return u.state.known && silent && !u.failedSince.IsZero() && now.Sub(u.failedSince) > goneAfter
+}
+
+// goneAfter is how long connections must fail before the process counts as
+// ended.
+const goneAfter = 300 * time.Millisecond
+
+// publishedState is the state that other hosts are told.
+func (s upstreamState) publishedState(stopping bool) fleet.State {
+	switch {
+	case stopping:
+		return fleet.Stopping
+	case !s.leaving.IsZero():
+		return fleet.Draining
+	}
+	return fleet.Ready
+}
--- /dev/null
+++ b/router/vhost/vhost.go
@@ -0,0 +1,151 @@
+// Package vhost holds the configuration of routes that are selected by host and
+// path, and looks routes up.
+package vhost
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// Cluster is a service with its share of a route's requests.
+type Cluster struct {
+	Service string
+	// Weight is relative to the sum of the route's weights.
+	Weight float64
+}
+
+// Route says where requests for a host and path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Repeatable routes carry requests that may run more than once.
+	Repeatable bool
+	// Timeout is the longest time until a final answer.
+	Timeout time.Duration
+	// TargetLatency is the latency objective.
+	TargetLatency time.Duration
+	// MaxAttempts is the number of upstreams that one request may be sent to.
+	MaxAttempts int
+	// Priority is the rank of the route's requests; 0 is the highest.
+	Priority int
+	Clusters []Cluster
+}
+
+// Service is a set of interchangeable upstreams, or of upstreams that divide
+// keys among themselves.
+type Service struct {
+	Name string
+	// HealthPath answers health checks.
+	HealthPath string
+	// MaxConnections is the number of connections that one upstream accepts.
+	MaxConnections int
+	// Keyed services run a request only at the upstream that holds its key.
+	Keyed bool
+}
+
+// Limits bound what a caller may send. Zero means no limit.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Table looks up routes and services of one configuration. It is immutable.
+type Table struct {
+	config   Config
+	byHost   map[string][]*Route
+	services map[string]*Service
+}
+
+// NewTable checks the configuration and indexes it.
+func NewTable(c Config) (*Table, error) {
+	t := &Table{config: c, byHost: map[string][]*Route{}, services: map[string]*Service{}}
+	for i := range c.Services {
+		s := &c.Services[i]
+		t.services[s.Name] = s
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if len(r.Clusters) == 0 {
+			return nil, fmt.Errorf("route %q: no service", r.Name)
+		}
+		for _, cl := range r.Clusters {
+			if t.services[cl.Service] == nil {
+				return nil, fmt.Errorf("route %q: unknown service %q", r.Name, cl.Service)
+			}
+		}
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	return t, nil
+}
+
+// Version is the version of the configuration.
+func (t *Table) Version() uint64 {
+	return t.config.Version
+}
+
+// Limits are the limits for callers.
+func (t *Table) Limits() Limits {
+	return t.config.Limits
+}
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service {
+	return t.services[name]
+}
+
+// Services returns all services.
+func (t *Table) Services() []Service {
+	return t.config.Services
+}
+
+// Route returns the route with the longest prefix of path among those of the
+// host, or nil.
+func (t *Table) Route(host, path string) *Route {
+	host = strings.ToLower(host)
+	routes := t.byHost[host]
+	if routes == nil {
+		if name, _, found := strings.Cut(host, ":"); found {
+			routes = t.byHost[name]
+		}
+	}
+	var best *Route
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Pick draws a service by weight.
+func (r *Route) Pick() string {
+	if len(r.Clusters) == 1 {
+		return r.Clusters[0].Service
+	}
+	var sum float64
+	for _, c := range r.Clusters {
+		sum += c.Weight
+	}
+	x := rand.Float64() * sum
+	for _, c := range r.Clusters {
+		if x < c.Weight {
+			return c.Service
+		}
+		x -= c.Weight
+	}
+	return r.Clusters[len(r.Clusters)-1].Service
+}
