--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -163,6 +163,15 @@
 	return resp, nil
 }
 
+// Probe makes a connection and closes it.
+func (c *Client) Probe(ctx context.Context) error {
+	cn, err := c.dial(ctx)
+	if err != nil {
+		return err
+	}
+	return cn.Close()
+}
+
 // CloseIdle closes the unused connections.
 func (c *Client) CloseIdle() {
 	c.mu.Lock()
@@ -256,7 +265,7 @@
 		c.mu.Lock()
 		c.open--
 		c.mu.Unlock()
-		if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			err = fmt.Errorf("%w: %w", ErrRefused, err)
 		}
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/router/keyown/grants.go
+++ b/router/keyown/grants.go
@@ -38,6 +38,9 @@
 	until  map[span]steady.Time
 	// active are the ranges of the latest grant.
 	active map[span]bool
+	// given are ranges that the upstream gave up, with what it left. They are not
+	// granted again with the same generation, because they may go elsewhere.
+	given map[span]string
 	// unknownUntil is the end of grants that an earlier process of this router
 	// may have given.
 	unknownUntil steady.Time
@@ -49,6 +52,7 @@
 	return &Grants{
 		until:        map[span]steady.Time{},
 		active:       map[span]bool{},
+		given:        map[span]string{},
 		unknownUntil: now.Add(withDrift(maxHold)),
 	}
 }
@@ -69,6 +73,30 @@
 	g.holder = h
 	clear(g.until)
 	clear(g.active)
+	clear(g.given)
+}
+
+// GiveUp notes that the upstream gave up a range of the map. It reports whether
+// the range is one of the holder's.
+func (g *Grants) GiveUp(m *Map, h Handover) bool {
+	if m == nil {
+		return false
+	}
+	r := m.Find(h.From)
+	if r == nil || r.From != h.From || r.To != h.To || r.Holder != g.holder {
+		return false
+	}
+	s := span{r.From, r.To, r.Generation}
+	g.given[s] = h.Token
+	g.until[s] = 0
+	delete(g.active, s)
+	return true
+}
+
+// GivenUp returns the handover of a range that the upstream gave up.
+func (g *Grants) GivenUp(r *Range) (token string, ok bool) {
+	token, ok = g.given[span{r.From, r.To, r.Generation}]
+	return token, ok
 }
 
 // Renew returns the grants for a heartbeat that arrived at now: the ranges that
@@ -87,8 +115,11 @@
 		if r.Holder != h || r.Next != "" || leaving {
 			continue
 		}
-		grants = append(grants, Grant{From: r.From, To: r.To, Generation: r.Generation, Handover: r.Handover})
 		s := span{r.From, r.To, r.Generation}
+		if _, given := g.given[s]; given {
+			continue
+		}
+		grants = append(grants, Grant{From: r.From, To: r.To, Generation: r.Generation, Handover: r.Handover})
 		g.active[s] = true
 		g.until[s] = max(g.until[s], now.Add(withDrift(hold)))
 	}
@@ -113,13 +144,6 @@
 	return now >= g.unknownUntil
 }
 
-// Drop ends the grants of ranges that the upstream gave up.
-func (g *Grants) Drop(r *Range) {
-	s := span{r.From, r.To, r.Generation}
-	delete(g.active, s)
-	g.until[s] = 0
-}
-
 // EndAll ends all grants, because the upstream's process has ended.
 func (g *Grants) EndAll() {
 	clear(g.active)
--- a/router/retry/budget.go
+++ b/router/retry/budget.go
@@ -11,6 +11,9 @@
 	floorRate = 1.0
 	// burstSeconds is the traffic whose share may be saved up.
 	burstSeconds = 10.0
+	// sharedBurstSeconds is that traffic for a budget that bounds repeats within
+	// a window of about 10 s: what was saved up adds to the window's share.
+	sharedBurstSeconds = 1.0
 	// minBurst is the smallest capacity of a bucket.
 	minBurst = 10.0
 )
@@ -18,10 +21,12 @@
 // Budget is a token bucket that limits repeats to a share of a service's
 // requests. It is safe for concurrent use; times are passed in.
 type Budget struct {
-	mu     sync.Mutex
-	share  float64
-	floor  float64
-	burst  float64
+	mu    sync.Mutex
+	share float64
+	floor float64
+	burst float64
+	// saved is the time, in seconds of traffic, whose share may be saved up.
+	saved  float64
 	tokens float64
 	// rate is a smoothed number of requests per second. It bounds the bucket.
 	rate    float64
@@ -32,14 +37,14 @@
 // NewBudget returns a budget for repeats of the share (0 to 1) of the requests.
 // A share of 0 or less leaves only the floor.
 func NewBudget(share float64) *Budget {
-	return NewSharedBudget(share, floorRate, minBurst)
+	return &Budget{share: max(share, 0), floor: floorRate, burst: minBurst, saved: burstSeconds, tokens: minBurst}
 }
 
 // NewSharedBudget returns one host's part of a budget that is divided among
 // hosts. floor is the number of repeats per second that are always allowed, and
 // burst the smallest capacity of the bucket.
 func NewSharedBudget(share, floor, burst float64) *Budget {
-	return &Budget{share: max(share, 0), floor: floor, burst: burst, tokens: burst}
+	return &Budget{share: max(share, 0), floor: floor, burst: burst, saved: sharedBurstSeconds, tokens: burst}
 }
 
 // SetShare changes the share.
@@ -88,5 +93,5 @@
 }
 
 func (b *Budget) capacity() float64 {
-	return max(b.burst, b.share*b.rate*burstSeconds)
+	return max(b.burst, b.share*b.rate*b.saved)
 }
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -45,6 +45,8 @@
 	// drainLimit is the time after the notice that the upstream leaves until
 	// the last new request may be sent.
 	drainLimit time.Duration
+	// stopping is the time since this router began to stop, or 0.
+	stopping func() time.Duration
 }
 
 // newUpstreamClient needs no bound on connections: the limiter keeps them below
@@ -103,6 +105,8 @@
 		return errkind.New(errkind.WrongOwner, "the upstream of %s serves %s, not %s", g.host, s.service, c.Service)
 	case !s.leaving.IsZero() && now.Sub(s.leaving) > g.drainLimit:
 		return errkind.New(errkind.Draining, "the upstream of %s is leaving", g.host)
+	case g.stopping() > otherNoticeTime && !c.Keyed, g.stopping() > noticeTime:
+		return errkind.New(errkind.Draining, "the router of %s is stopping", g.host)
 	case c.Keyed && !g.keys.holds(c.Key):
 		return errkind.New(errkind.NoOwner, "the upstream of %s does not hold key %d", g.host, c.Key)
 	}
@@ -169,8 +173,8 @@
 	case errors.Is(err, h1.ErrLimit):
 		return refused(errkind.Overloaded, "the upstream accepts no more connections")
 	}
-	if !failure.Reused {
-		g.local.connectFailed(time.Now())
+	if errors.Is(err, h1.ErrRefused) {
+		g.local.refused(time.Now())
 	}
 	r := refused(errkind.UpstreamDown, "the upstream could not be reached: %w", err)
 	r.Down = true
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -5,10 +5,12 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/h1"
 	"burdockglade.dev/router/keyown"
 	"burdockglade.dev/router/rowstore"
 	"burdockglade.dev/router/steady"
@@ -60,12 +62,13 @@
 	// beatInterval is the time between heartbeats of the local upstream.
 	beatInterval time.Duration
 	keyed        func(service string) bool
-	load         func() float64
+	// connect makes and closes a connection to the local upstream.
+	connect func(context.Context) error
+	probing atomic.Bool
 
 	mu       sync.Mutex
 	grants   *keyown.Grants
 	leaseEnd steady.Time
-	released map[keyown.Handover]bool
 	kick     chan struct{}
 
 	// The fields below belong to run.
@@ -103,10 +106,9 @@
 	defer d.mu.Unlock()
 	d.grants.Reset(s.holder)
 	for _, h := range r.Released {
-		d.released[h] = true
-	}
-	if len(r.Released) > 0 {
-		d.wake()
+		if d.grants.GiveUp(m, h) {
+			d.wake()
+		}
 	}
 	grants, hold := d.grants.Renew(now, m, s.holder, !s.leaving.IsZero(), d.leaseEnd, d.maxHold)
 	if hold == 0 {
@@ -136,11 +138,33 @@
 		case <-d.kick:
 		}
 		if s := d.local.get(); s.known && d.keyed(s.service) {
+			if d.local.silentFor(time.Now()) > d.beatInterval*3/2 {
+				d.probe(ctx)
+			}
 			d.step(ctx, s)
 		}
 	}
 }
 
+// probe connects to a silent upstream. A refusal tells that its process has
+// ended; its keys need not wait for the end of their hold.
+func (d *keyDriver) probe(ctx context.Context) {
+	if !d.probing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer d.probing.Store(false)
+		err := d.connect(ctx)
+		if errors.Is(err, h1.ErrRefused) {
+			d.local.refused(time.Now())
+		}
+		sleep(ctx, probePause)
+	}()
+}
+
+// probePause is the pause between connections to a silent upstream.
+const probePause = 150 * time.Millisecond
+
 // step reads the leases and commits the next change, if any is due.
 func (d *keyDriver) step(ctx context.Context, s upstreamState) {
 	now := steady.Now()
@@ -183,9 +207,7 @@
 	// lapsed are the hosts whose leases the change takes for lapsed, with the
 	// versions of these leases.
 	lapsed map[string]int64
-	// done are reports of released ranges that the change takes care of.
-	done []keyown.Handover
-	why  string
+	why    string
 }
 
 // plan decides on the next change of the key map.
@@ -203,8 +225,7 @@
 		}
 	}
 	others := slices.DeleteFunc(slices.Clone(members), func(x keyown.Member) bool { return x.Host == d.host })
-	c.done = d.takeReleased(next, s, others)
-	note(len(c.done) > 0, "released")
+	note(d.takeReleased(next, s, others), "released")
 	note(d.releaseEnded(now, next, s, others), "hold ended")
 	if s.leaving.IsZero() {
 		note(next.Renew(s.holder), "new run of the upstream")
@@ -259,22 +280,18 @@
 	return members
 }
 
-// takeReleased ends the holds that the local upstream reported as released.
-func (d *keyDriver) takeReleased(next *keyown.Map, s upstreamState, others []keyown.Member) []keyown.Handover {
+// takeReleased ends the holds that the local upstream gave up.
+func (d *keyDriver) takeReleased(next *keyown.Map, s upstreamState, others []keyown.Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	done := make([]keyown.Handover, 0, len(d.released))
-	for h := range d.released {
-		done = append(done, h)
-		for _, i := range next.Of(s.holder) {
-			r := &next.Ranges[i]
-			if r.From == h.From && r.To == h.To {
-				d.grants.Drop(r)
-				next.Release(i, h.Token, others)
-			}
+	changed := false
+	for _, i := range next.Of(s.holder) {
+		if token, ok := d.grants.GivenUp(&next.Ranges[i]); ok {
+			next.Release(i, token, others)
+			changed = true
 		}
 	}
-	return done
+	return changed
 }
 
 // releaseEnded ends holds that have lapsed at an upstream that is to give up
@@ -362,16 +379,13 @@
 	d.leaseVersion = version
 	d.mu.Lock()
 	d.leaseEnd = sent.Add(leaseTime)
-	for _, h := range c.done {
-		delete(d.released, h)
-	}
 	d.mu.Unlock()
 	if c.next == nil {
 		return
 	}
 	d.index.put(service, version, c.next)
 	d.log.Log(eventMapChanged, event.F("service", service), event.F("version", version), event.F("why", c.why),
-		event.F("generation", c.next.Generation), event.F("lapsed", len(c.lapsed)), event.F("released", len(c.done)))
+		event.F("generation", c.next.Generation), event.F("lapsed", len(c.lapsed)))
 }
 
 // adopt takes the rows that a conflict showed and lets the next step try again
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"burdockglade.dev/router/admit"
+	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/keyown"
@@ -54,8 +55,8 @@
 	entry     *entry
 	publisher *publisher
 	stopping  atomic.Bool
+	stopBegan atomic.Int64 // steady.Time of the start of the stop
 	inFlight  atomic.Int64
-	lastCall  atomic.Int64 // steady.Time of the last request of a caller
 }
 
 // New builds a sidecar; Run starts it.
@@ -74,7 +75,7 @@
 		maxHold:      min(holdTime, millis(st.Terms.HoldMaxMs)),
 		beatInterval: millis(st.Upstream.HeartbeatMs),
 		keyed:        s.keyed,
-		released:     map[keyown.Handover]bool{},
+		connect:      func(ctx context.Context) error { return s.gate.client.Probe(ctx) },
 		kick:         make(chan struct{}, 1),
 	}
 	s.keys.grants = keyown.NewGrants(steady.Now(), s.keys.maxHold)
@@ -83,6 +84,7 @@
 		limiter:    admit.NewRankedLimiter(nil),
 		client:     newUpstreamClient(st.Upstream.Address),
 		drainLimit: millis(st.Terms.DrainMs) / 2,
+		stopping:   s.stoppingFor,
 	}
 	s.entry = &entry{
 		host: st.Host.Name, headers: opts.Headers, routes: &s.routes, fleet: s.fleet, keys: s.index, gate: s.gate,
@@ -271,11 +273,14 @@
 func (s *Sidecar) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		s.inFlight.Add(1)
-		s.lastCall.Store(int64(steady.Now()))
 		defer s.inFlight.Add(-1)
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if s.stoppingFor() > noticeTime {
+			s.entry.refuse(w, req, nil, time.Now().Add(longestPause), errkind.New(errkind.Draining, "the router of this host is stopping"))
+			return
+		}
 		next.ServeHTTP(w, req)
 	})
 }
--- a/router/sidecar/stop.go
+++ b/router/sidecar/stop.go
@@ -9,11 +9,14 @@
 )
 
 const (
-	// noticeTime is how long callers may go on sending after the router has said
-	// that it is not ready.
-	noticeTime = 2500 * time.Millisecond
-	// quietTime without a request ends the wait for more of them.
-	quietTime = 300 * time.Millisecond
+	// noticeTime is how long callers and other routers may go on sending after
+	// the router has said that it is not ready. Callers ask once a second and
+	// leave after two misses; later requests would not end within the grace
+	// period.
+	noticeTime = 2200 * time.Millisecond
+	// otherNoticeTime is that time for requests of other routers that can go to
+	// another upstream; they learn of the stop from the member row.
+	otherNoticeTime = time.Second
 	// killMargin is the time before the platform kills the process.
 	killMargin = 400 * time.Millisecond
 	stopTick   = 50 * time.Millisecond
@@ -24,6 +27,7 @@
 func (s *Sidecar) stop(servers []server) {
 	began := steady.Now()
 	end := began.Add(millis(s.settings.Terms.GraceMs) - killMargin)
+	s.stopBegan.Store(int64(began))
 	s.stopping.Store(true)
 	s.log.Log(eventStopping, event.F("in_flight", s.inFlight.Load()))
 	if m, ok := s.member(); ok {
@@ -49,9 +53,16 @@
 // quiet reports whether callers have stopped sending and all their requests, and
 // those of other routers, have ended.
 func (s *Sidecar) quiet(now, began steady.Time) bool {
-	last := steady.Time(s.lastCall.Load())
 	_, busy, waiting := s.gate.limiter.Stats()
-	return now.Sub(began) >= noticeTime && now.Sub(last) >= quietTime && s.inFlight.Load() == 0 && busy+waiting == 0
+	return now.Sub(began) >= noticeTime && s.inFlight.Load() == 0 && busy+waiting == 0
+}
+
+// stoppingFor is the time since the stop began, or 0.
+func (s *Sidecar) stoppingFor() time.Duration {
+	if !s.stopping.Load() {
+		return 0
+	}
+	return steady.Now().Sub(steady.Time(s.stopBegan.Load()))
 }
 
 func (s *Sidecar) removeMember() {
--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -57,10 +57,9 @@
 
 	mu    sync.Mutex
 	state upstreamState
-	// refusedAt is the time of the last connection that the upstream refused or
-	// did not accept, failedSince the first of them in a row.
-	refusedAt   time.Time
-	failedSince time.Time
+	// refusedFirst and refusedLast are the times of the first and the last of the
+	// connections in a row that the upstream's address refused.
+	refusedFirst, refusedLast time.Time
 }
 
 func (u *localUpstream) get() upstreamState {
@@ -91,7 +90,7 @@
 		s.leaving = now
 		changed = true
 	}
-	u.failedSince = time.Time{}
+	u.refusedFirst = time.Time{}
 	return *s, true, changed
 }
 
@@ -111,35 +110,47 @@
 	return true
 }
 
-// connectFailed notes that the upstream did not accept a connection.
-func (u *localUpstream) connectFailed(now time.Time) {
+// refused notes that nothing listens at the upstream's address.
+func (u *localUpstream) refused(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.refusedAt = now
-	if u.failedSince.IsZero() {
-		u.failedSince = now
+	if u.refusedFirst.IsZero() || now.Sub(u.refusedLast) > refusalGap {
+		u.refusedFirst = now
 	}
+	u.refusedLast = now
 }
 
 // connected notes that the upstream answered.
 func (u *localUpstream) connected() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.failedSince = time.Time{}
+	u.refusedFirst = time.Time{}
 }
 
-// gone reports whether the upstream's process has ended: it refuses connections
-// and its heartbeats have stopped.
+// gone reports whether the upstream's process has ended: nothing listens at its
+// address, repeatedly and until now, and its heartbeats have stopped.
 func (u *localUpstream) gone(now time.Time, beatInterval time.Duration) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	silent := now.Sub(u.state.lastBeat) > beatInterval*3/2
-	return u.state.known && silent && !u.failedSince.IsZero() && now.Sub(u.failedSince) > goneAfter
+	repeated := !u.refusedFirst.IsZero() && u.refusedLast.Sub(u.refusedFirst) >= goneAfter
+	return u.state.known && silent && repeated && now.Sub(u.refusedLast) <= refusalGap
 }
 
-// goneAfter is how long connections must fail before the process counts as
-// ended.
-const goneAfter = 300 * time.Millisecond
+// silentFor is the time since the last heartbeat.
+func (u *localUpstream) silentFor(now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return now.Sub(u.state.lastBeat)
+}
+
+const (
+	// goneAfter is how long connections must be refused before the process
+	// counts as ended.
+	goneAfter = 300 * time.Millisecond
+	// refusalGap is the longest time between refusals in a row.
+	refusalGap = 600 * time.Millisecond
+)
 
 // publishedState is the state that other hosts are told.
 func (s upstreamState) publishedState(stopping bool) fleet.State {
