Carry hops in compact messages; bound waits by the latency objective

Requests also waited for slots until after their objective. Change: package hop sends CBOR heads that leave out fields unchanged on the connection; package connpool holds what h1 and hop share; the gate lets a call wait while its objective can be met; hosts in other regions cost more. Ruled out: stateful compression, whose writers take about 1 MB a connection.

--- a/router/admit/ranked.go
+++ b/router/admit/ranked.go
@@ -42,12 +42,34 @@
 	verdict chan error
 }
 
-// Acquire waits for a slot, or refuses at once when mayWait is false. The
-// returned function gives the slot back and must be called once. A request
-// whose deadline lies before its expected end is refused with
-// errkind.Overloaded, so that its caller can turn elsewhere in time. Rank 0 is
-// served first.
-func (l *RankedLimiter) Acquire(ctx context.Context, rank int, deadline time.Time, mayWait bool) (func(Result), error) {
+// Patience says how long a request may wait for a slot.
+type Patience int
+
+// The kinds of patience.
+const (
+	// NoWait refuses a request when no slot is free.
+	NoWait Patience = iota
+	// UntilGoal lets a request wait while its answer is expected to meet the
+	// goal. One that has missed its goal may wait for one mean service time: a
+	// queue of late requests would make all others late as well.
+	UntilGoal
+	// UntilDeadline lets a request wait while its answer is expected before the
+	// deadline.
+	UntilDeadline
+)
+
+// Wait bounds the wait of a request.
+type Wait struct {
+	Patience Patience
+	Goal     time.Time
+	Deadline time.Time
+}
+
+// Acquire waits for a slot within the bounds. The returned function gives the
+// slot back and must be called once. A request whose expected wait exceeds the
+// bounds is refused at once with errkind.Overloaded, so that its caller can turn
+// elsewhere in time. Rank 0 is served first.
+func (l *RankedLimiter) Acquire(ctx context.Context, rank int, bounds Wait) (func(Result), error) {
 	l.mu.Lock()
 	now := l.now()
 	if l.limit.Allowed() == 0 {
@@ -59,7 +81,7 @@
 		l.mu.Unlock()
 		return l.releaser(now), nil
 	}
-	if err := l.refusal(now, rank, deadline, mayWait); err != nil {
+	if err := l.refusal(now, rank, bounds); err != nil {
 		l.mu.Unlock()
 		return nil, err
 	}
@@ -67,11 +89,11 @@
 	l.arrivals++
 	heap.Push(&l.waiting, it)
 	l.mu.Unlock()
-	return l.await(ctx, it, deadline)
+	return l.await(ctx, it, bounds.Deadline)
 }
 
 // refusal decides whether a request may wait.
-func (l *RankedLimiter) refusal(now time.Time, rank int, deadline time.Time, mayWait bool) error {
+func (l *RankedLimiter) refusal(now time.Time, rank int, bounds Wait) error {
 	slots := max(l.limit.Allowed(), 1)
 	ahead := 0
 	for _, w := range l.waiting {
@@ -81,16 +103,29 @@
 	}
 	wait := time.Duration(ahead+1) * l.service / time.Duration(slots)
 	switch {
-	case !mayWait:
+	case bounds.Patience == NoWait:
 		return overloaded(wait, "%d of %d slots are used", l.inFlight, slots)
 	case len(l.waiting) >= slots*waitingPerSlot:
 		return overloaded(wait, "%d requests wait already", len(l.waiting))
-	case deadline.Sub(now) < wait+l.service:
-		return overloaded(wait, "the expected wait of %v exceeds the remaining time", wait)
+	case wait > l.longestWait(now, bounds):
+		return overloaded(wait, "the expected wait of %v is too long", wait)
 	}
 	return nil
 }
 
+// longestWait is how long a request may wait. The caller holds the lock.
+func (l *RankedLimiter) longestWait(now time.Time, bounds Wait) time.Duration {
+	toDeadline := bounds.Deadline.Sub(now) - l.service
+	if bounds.Patience == UntilDeadline {
+		return toDeadline
+	}
+	toGoal := bounds.Goal.Sub(now) - l.service
+	if toGoal < 0 {
+		return min(l.service, toDeadline)
+	}
+	return min(toGoal, toDeadline)
+}
+
 func (l *RankedLimiter) await(ctx context.Context, it *rankedItem, deadline time.Time) (func(Result), error) {
 	timer := time.NewTimer(deadline.Sub(l.now()))
 	defer timer.Stop()
--- /dev/null
+++ b/router/connpool/pool.go
@@ -0,0 +1,209 @@
+// Package connpool keeps TCP connections to one address for reuse. A connection
+// carries one request at a time.
+package connpool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const readBufferBytes = 4 << 10
+
+// ErrNotSent marks errors of requests of which no byte was sent.
+var ErrNotSent = errors.New("the request was not sent")
+
+// ErrRefused marks errors of connections that the other side refused, because
+// nothing listens at the address.
+var ErrRefused = errors.New("the connection was refused")
+
+// Options configure a Pool.
+type Options struct {
+	// Address is an IP number and a port.
+	Address string
+	// DialTimeout bounds the set-up of a connection.
+	DialTimeout time.Duration
+	// IdleTimeout is the longest time that a connection is kept unused.
+	IdleTimeout time.Duration
+	// UserTimeout ends a connection whose data is not acknowledged; 0 means the
+	// system's default.
+	UserTimeout time.Duration
+	// KeepAlive is the idle time before keep-alive probes; 0 turns them off.
+	KeepAlive time.Duration
+}
+
+// Pool holds the connections to one address. It is safe for concurrent use.
+type Pool struct {
+	opts Options
+
+	mu   sync.Mutex
+	idle []*Conn
+}
+
+// New returns a pool without connections.
+func New(opts Options) *Pool {
+	return &Pool{opts: opts}
+}
+
+// Address is the address of the other side.
+func (p *Pool) Address() string {
+	return p.opts.Address
+}
+
+// Conn is one connection.
+type Conn struct {
+	net.Conn
+	// Reader reads from the connection.
+	Reader *bufio.Reader
+	// Keep is how long the other side keeps the connection unused; 0 means that
+	// it did not say.
+	Keep time.Duration
+	// State belongs to the protocol that is spoken on the connection.
+	State any
+
+	pool  *Pool
+	since time.Time // end of the last use
+}
+
+// Take returns a connection that was unused for at most maxIdle, or a new one.
+// A maxIdle of 0 means the pool's bound.
+func (p *Pool) Take(ctx context.Context, maxIdle time.Duration) (cn *Conn, reused bool, err error) {
+	for {
+		cn = p.takeIdle()
+		if cn == nil {
+			break
+		}
+		if cn.fresh(maxIdle) && cn.usable() {
+			return cn, true, nil
+		}
+		_ = cn.Close()
+	}
+	cn, err = p.dial(ctx)
+	return cn, false, err
+}
+
+// takeIdle returns the connection that was used last.
+func (p *Pool) takeIdle() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	cn := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return cn
+}
+
+// fresh reports whether the connection was unused for a short time only.
+func (cn *Conn) fresh(maxIdle time.Duration) bool {
+	limit := cn.pool.opts.IdleTimeout
+	if cn.Keep > 0 {
+		limit = min(limit, cn.Keep)
+	}
+	if maxIdle > 0 {
+		limit = min(limit, maxIdle)
+	}
+	return time.Since(cn.since) < limit
+}
+
+// usable reports whether an unused connection is open and silent. Bytes that
+// arrive without a request belong to no later one.
+func (cn *Conn) usable() bool {
+	if cn.Reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := cn.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// Release gives a connection back after a whole exchange.
+func (cn *Conn) Release() {
+	cn.since = time.Now()
+	cn.pool.mu.Lock()
+	cn.pool.idle = append(cn.pool.idle, cn)
+	cn.pool.mu.Unlock()
+}
+
+// CloseIdle closes the unused connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, cn := range idle {
+		_ = cn.Close()
+	}
+}
+
+// Probe makes a connection and closes it.
+func (p *Pool) Probe(ctx context.Context) error {
+	cn, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	return cn.Close()
+}
+
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	d := net.Dialer{Timeout: p.opts.DialTimeout, KeepAlive: -1}
+	if p.opts.KeepAlive > 0 {
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: p.opts.KeepAlive, Interval: time.Second, Count: 2}
+	}
+	if p.opts.UserTimeout > 0 {
+		d.Control = func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, p.opts.UserTimeout) }
+	}
+	nc, err := d.DialContext(ctx, "tcp4", p.opts.Address)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			err = fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return &Conn{Conn: nc, pool: p, Reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+}
+
+func setUserTimeout(raw syscall.RawConn, limit time.Duration) error {
+	var optErr error
+	err := raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optErr
+}
+
+// Error is a failure of an exchange before the head of the answer.
+type Error struct {
+	// Sent tells whether a part of the request may have been sent.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -7,15 +7,15 @@
 	"sync"
 	"time"
 
-	"burdockglade.dev/router/h1"
+	"burdockglade.dev/router/hop"
 )
 
 // Costs that are added to the used share of a host's slots when hosts are
 // compared. Traffic between zones is paid for by volume, and regions lie 8 ms
 // apart.
 const (
-	otherZoneCost   = 0.25
-	otherRegionCost = 0.35
+	otherZoneCost   = 0.2
+	otherRegionCost = 1.0
 	errorCost       = 1.5
 	// slowCost is the cost of a host that is twice as slow as the mean.
 	slowCost = 0.3
@@ -31,7 +31,7 @@
 // Directory holds the known hosts by name. It is safe for concurrent use.
 type Directory struct {
 	zone, region string
-	dial         func(address string) *h1.Client
+	dial         func(address string) *hop.Client
 
 	mu        sync.RWMutex
 	hosts     map[string]*Host
@@ -40,7 +40,7 @@
 
 // NewDirectory returns an empty directory for a host in the zone and region.
 // dial makes the client for a host's address.
-func NewDirectory(zone, region string, dial func(address string) *h1.Client) *Directory {
+func NewDirectory(zone, region string, dial func(address string) *hop.Client) *Directory {
 	return &Directory{zone: zone, region: region, dial: dial, hosts: map[string]*Host{}, byService: map[string][]*Host{}}
 }
 
--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"burdockglade.dev/router/h1"
+	"burdockglade.dev/router/hop"
 )
 
 const (
@@ -38,7 +38,7 @@
 
 // Host is another host as seen from this one. It is safe for concurrent use.
 type Host struct {
-	Client *h1.Client
+	Client *hop.Client
 
 	mu      sync.Mutex
 	member  Member
--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -10,67 +10,26 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"burdockglade.dev/router/connpool"
 )
 
-const (
-	// maxEarlierAnswers is the number of answers to other requests that are
-	// skipped on a connection before it is given up.
-	maxEarlierAnswers = 3
-	readBufferBytes   = 4 << 10
-)
-
-// ErrNotSent marks errors of requests of which no byte was sent.
-var ErrNotSent = errors.New("the request was not sent")
-
-// ErrRefused marks errors of connections that the other side refused.
-var ErrRefused = errors.New("the connection was refused")
-
-// ErrLimit means that the limit of connections is reached.
-var ErrLimit = errors.New("too many connections")
-
-// Options configure a Client.
-type Options struct {
-	// Address is an IP number and a port.
-	Address string
-	// DialTimeout bounds the set-up of a connection.
-	DialTimeout time.Duration
-	// IdleTimeout is the longest time that a connection is kept unused.
-	IdleTimeout time.Duration
-	// MaxConnections bounds the open connections; 0 means no bound.
-	MaxConnections int
-	// UserTimeout ends a connection whose data is not acknowledged; 0 means the
-	// system's default.
-	UserTimeout time.Duration
-	// KeepAlive is the idle time before keep-alive probes; 0 turns them off.
-	KeepAlive time.Duration
-}
+// maxEarlierAnswers is the number of answers to other requests that are skipped
+// on a connection before it is given up.
+const maxEarlierAnswers = 3
 
 // Client sends requests to one address over reused connections.
 type Client struct {
-	opts Options
-
-	mu   sync.Mutex
-	idle []*conn
-	open int
+	*connpool.Pool
 }
 
 // New returns a client.
-func New(opts Options) *Client {
-	return &Client{opts: opts}
-}
-
-// Address is the address that the client sends to.
-func (c *Client) Address() string {
-	return c.opts.Address
+func New(opts connpool.Options) *Client {
+	return &Client{Pool: connpool.New(opts)}
 }
 
 // Request is one request.
@@ -103,189 +62,29 @@
 	Body   io.ReadCloser
 }
 
-// Error is a failure before the head of the answer.
-type Error struct {
-	// Sent tells whether a part of the request may have been sent.
-	Sent bool
-	// Reused tells whether the connection had carried an earlier request.
-	Reused bool
-	Err    error
-}
-
-// Error implements error.
-func (e *Error) Error() string {
-	return e.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error {
-	return e.Err
-}
-
-// conn is one connection.
-type conn struct {
-	net.Conn
-	client  *Client
-	br      *bufio.Reader
-	since   time.Time // end of the last use
-	keep    time.Duration
-	closing sync.Once
-}
-
-func (cn *conn) Close() error {
-	cn.closing.Do(func() {
-		_ = cn.Conn.Close()
-		cn.client.mu.Lock()
-		cn.client.open--
-		cn.client.mu.Unlock()
-	})
-	return nil
-}
-
 // Do sends the request once and returns the head of its answer. The request
 // ends, with its connection, when ctx does.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	cn, reused, err := c.take(ctx, r.MaxIdle)
+	cn, _, err := c.Take(ctx, r.MaxIdle)
 	if err != nil {
-		return nil, &Error{Err: err}
+		return nil, &connpool.Error{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	resp, sent, err := c.exchange(cn, r)
+	resp, sent, err := exchange(cn, r)
 	if err != nil {
 		stop()
 		_ = cn.Close()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		return nil, &Error{Sent: sent, Reused: reused, Err: err}
+		return nil, &connpool.Error{Sent: sent, Err: err}
 	}
 	resp.Body.(*body).stop = stop
 	return resp, nil
 }
 
-// Probe makes a connection and closes it.
-func (c *Client) Probe(ctx context.Context) error {
-	cn, err := c.dial(ctx)
-	if err != nil {
-		return err
-	}
-	return cn.Close()
-}
-
-// CloseIdle closes the unused connections.
-func (c *Client) CloseIdle() {
-	c.mu.Lock()
-	idle := c.idle
-	c.idle = nil
-	c.mu.Unlock()
-	for _, cn := range idle {
-		_ = cn.Close()
-	}
-}
-
-// Open is the number of open connections.
-func (c *Client) Open() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.open
-}
-
-func (c *Client) take(ctx context.Context, maxIdle time.Duration) (cn *conn, reused bool, err error) {
-	for {
-		cn = c.takeIdle()
-		if cn == nil {
-			break
-		}
-		limit := c.opts.IdleTimeout
-		if cn.keep > 0 && cn.keep < limit {
-			limit = cn.keep
-		}
-		if maxIdle > 0 && maxIdle < limit {
-			limit = maxIdle
-		}
-		if time.Since(cn.since) < limit && cn.usable() {
-			return cn, true, nil
-		}
-		_ = cn.Close()
-	}
-	cn, err = c.dial(ctx)
-	return cn, false, err
-}
-
-// takeIdle returns the connection that was used last.
-func (c *Client) takeIdle() *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := len(c.idle)
-	if n == 0 {
-		return nil
-	}
-	cn := c.idle[n-1]
-	c.idle = c.idle[:n-1]
-	return cn
-}
-
-// usable reports whether an unused connection is open and silent. Bytes that
-// arrive without a request belong to no later one.
-func (cn *conn) usable() bool {
-	if cn.br.Buffered() > 0 {
-		return false
-	}
-	raw, err := cn.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
-
-func (c *Client) dial(ctx context.Context) (*conn, error) {
-	c.mu.Lock()
-	if c.opts.MaxConnections > 0 && c.open >= c.opts.MaxConnections {
-		c.mu.Unlock()
-		return nil, fmt.Errorf("%w to %s: %w", ErrLimit, c.opts.Address, ErrNotSent)
-	}
-	c.open++
-	c.mu.Unlock()
-	d := net.Dialer{Timeout: c.opts.DialTimeout, KeepAlive: -1}
-	if c.opts.KeepAlive > 0 {
-		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: c.opts.KeepAlive, Interval: time.Second, Count: 2}
-	}
-	if c.opts.UserTimeout > 0 {
-		d.Control = func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, c.opts.UserTimeout) }
-	}
-	nc, err := d.DialContext(ctx, "tcp4", c.opts.Address)
-	if err != nil {
-		c.mu.Lock()
-		c.open--
-		c.mu.Unlock()
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			err = fmt.Errorf("%w: %w", ErrRefused, err)
-		}
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
-	return &conn{Conn: nc, client: c, br: bufio.NewReaderSize(nc, readBufferBytes)}, nil
-}
-
-func setUserTimeout(raw syscall.RawConn, limit time.Duration) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optErr
-}
-
 // exchange writes the request and reads the head of its answer.
-func (c *Client) exchange(cn *conn, r *Request) (resp *Response, sent bool, err error) {
+func exchange(cn *connpool.Conn, r *Request) (resp *Response, sent bool, err error) {
 	head := appendHead(nil, r)
 	if r.Stream == nil {
 		head = append(head, r.Body...)
@@ -293,7 +92,7 @@
 	n, err := cn.Write(head)
 	if err != nil {
 		if n == 0 {
-			err = fmt.Errorf("%w: %w", ErrNotSent, err)
+			err = fmt.Errorf("%w: %w", connpool.ErrNotSent, err)
 		}
 		return nil, n > 0, err
 	}
@@ -302,12 +101,12 @@
 		upload = startUpload(cn, r)
 	}
 	for range maxEarlierAnswers {
-		hr, err := readHead(cn.br, r.Method)
+		hr, err := readHead(cn.Reader, r.Method)
 		if err != nil {
 			return nil, true, err
 		}
 		if r.Matches == nil || r.Matches(hr.Header) {
-			return cn.response(hr, upload), true, nil
+			return response(cn, hr, upload), true, nil
 		}
 		// An answer to an earlier request. Without a length it has no end.
 		if hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 {
@@ -336,9 +135,9 @@
 	}
 }
 
-func (cn *conn) response(hr *http.Response, up *upload) *Response {
+func response(cn *connpool.Conn, hr *http.Response, up *upload) *Response {
 	unframed := hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
-	cn.keep = keepAlive(hr.Header.Get("Keep-Alive"))
+	cn.Keep = keepAlive(hr.Header.Get("Keep-Alive"))
 	return &Response{
 		Status: hr.StatusCode,
 		Header: hr.Header,
@@ -363,7 +162,7 @@
 // body is the body of an answer. It gives the connection back when it was read
 // to its end.
 type body struct {
-	conn     *conn
+	conn     *connpool.Conn
 	src      io.ReadCloser
 	upload   *upload
 	stop     func() bool
@@ -386,21 +185,13 @@
 		b.reusable = b.stop() && b.reusable
 		b.stop = nil
 	}
-	if b.ended && b.reusable && b.conn.br.Buffered() == 0 && b.upload.done() {
-		b.conn.release()
+	if b.ended && b.reusable && b.conn.Reader.Buffered() == 0 && b.upload.done() {
+		b.conn.Release()
 		return nil
 	}
 	return b.conn.Close()
 }
 
-func (cn *conn) release() {
-	cn.since = time.Now()
-	c := cn.client
-	c.mu.Lock()
-	c.idle = append(c.idle, cn)
-	c.mu.Unlock()
-}
-
 // upload sends a body while the answer is awaited.
 type upload struct {
 	finished chan struct{}
@@ -409,7 +200,7 @@
 
 // startUpload sends the body. A body that cannot be read to its end closes the
 // connection, so that the other side never takes it for whole.
-func startUpload(cn *conn, r *Request) *upload {
+func startUpload(cn *connpool.Conn, r *Request) *upload {
 	u := &upload{finished: make(chan struct{})}
 	go func() {
 		defer close(u.finished)
@@ -435,7 +226,7 @@
 
 const uploadBufferBytes = 16 << 10
 
-func sendBody(cn *conn, r *Request) error {
+func sendBody(cn *connpool.Conn, r *Request) error {
 	buf := make([]byte, uploadBufferBytes)
 	if r.Length >= 0 {
 		n, err := io.CopyBuffer(onlyWriter{cn}, io.LimitReader(r.Stream, r.Length), buf)
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/fleet"
 )
@@ -62,11 +63,13 @@
 	// Keyed calls may run only at the holder of Key.
 	Keyed bool
 	Key   uint16
-	// MayWait lets the call wait for a slot; otherwise it is refused when none
-	// is free.
-	MayWait bool
-	// Objective is the latency objective of the route.
+	// Patience says how long the call may wait for a slot.
+	Patience admit.Patience
+	// Objective is the latency objective of the route. Goal is the moment up to
+	// which an answer meets it, counted from the caller's first attempt: later
+	// attempts come with shorter deadlines.
 	Objective time.Duration
+	Goal      time.Time
 }
 
 // Result is what became of a call: an answer of the upstream, or an error.
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -1,15 +1,15 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
@@ -42,15 +42,11 @@
 	keys    *keyIndex
 	gate    *gate
 	budgets *budgets
+	longest longestTimes
 	log     *event.Logger
 	metrics *entryMetrics
 }
 
-// joinReader puts what was read already before the rest.
-func joinReader(head []byte, rest io.Reader) io.Reader {
-	return io.MultiReader(bytes.NewReader(head), rest)
-}
-
 // ServeHTTP answers one request of a caller.
 func (e *entry) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	start := time.Now()
@@ -105,6 +101,8 @@
 		Repeatable: route.Repeatable,
 		Objective:  route.TargetLatency,
 	}
+	left := c.Deadline.Sub(start)
+	c.Goal = c.Deadline.Add(route.TargetLatency - e.longest.of(route.Name, left))
 	if s := table.Service(c.Service); s != nil && s.Keyed {
 		key, err := strconv.ParseUint(req.Header.Get(e.headers.Key), 10, 16)
 		if err != nil {
@@ -122,6 +120,24 @@
 	return c, nil
 }
 
+// longestTimes holds the longest time that callers of each route have asked
+// for: that of first attempts. A shorter time means that the caller has tried
+// before.
+type longestTimes struct {
+	byRoute sync.Map // route name to time.Duration
+}
+
+// of returns the longest time of the route, asked included.
+func (l *longestTimes) of(route string, asked time.Duration) time.Duration {
+	known, _ := l.byRoute.LoadOrStore(route, asked)
+	longest := known.(time.Duration)
+	if asked <= longest {
+		return longest
+	}
+	l.byRoute.Store(route, asked)
+	return asked
+}
+
 // timeLeft is the shorter of the caller's deadline and the route's timeout.
 func (e *entry) timeLeft(req *http.Request, route *vhost.Route) time.Duration {
 	limit := route.Timeout
@@ -153,7 +169,8 @@
 		if last != nil && last.Body != nil {
 			last.close()
 		}
-		last = e.attempt(ctx, h, c, len(tried))
+		c.Patience = patience(c, len(tried))
+		last = e.attempt(ctx, h, c)
 		tried = append(tried, h)
 		if last.Arrived {
 			arrivals++
@@ -197,10 +214,23 @@
 // a key that is being moved.
 const moveWaitShare = 2
 
+// patience says how long a call may wait at the next host. The first host is not
+// waited for when others may have a free slot, and the last one until the
+// deadline. A key has one holder, where a queue makes all calls late.
+func patience(c *Call, tried int) admit.Patience {
+	switch {
+	case c.Keyed:
+		return admit.UntilGoal
+	case tried == 0:
+		return admit.NoWait
+	case tried == maxHops-1:
+		return admit.UntilDeadline
+	}
+	return admit.UntilGoal
+}
+
 // attempt offers the call to one host.
-func (e *entry) attempt(ctx context.Context, h *fleet.Host, c *Call, before int) *Result {
-	// A first offer does not wait when other hosts may have a free slot.
-	c.MayWait = c.Keyed || before > 0
+func (e *entry) attempt(ctx context.Context, h *fleet.Host, c *Call) *Result {
 	h.Begin()
 	start := time.Now()
 	var r *Result
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -18,6 +18,8 @@
 		"SIGHUP arrived.", "none")
 	eventReloadFailed = event.Define(1804, log.ErrorLevel, "settings not read",
 		"The settings file is unreadable or not valid; the earlier settings stay in force.", "Correct the file and send SIGHUP.")
+	eventListenerFailed = event.Define(1805, log.ErrorLevel, "listener failed",
+		"A listener ended while the process runs.", "Restart the process; look for a lack of descriptors.")
 	eventStoreLost = event.Define(1810, log.WarnLevel, "store lost",
 		"Following a table of the store failed.", "Look whether other hosts report the same; if they do, the store is down.")
 	eventStoreFound = event.Define(1811, log.InfoLevel, "store regained",
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"burdockglade.dev/router/admit"
+	"burdockglade.dev/router/connpool"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/h1"
@@ -52,7 +53,7 @@
 // newUpstreamClient needs no bound on connections: the limiter keeps them below
 // the upstream's slots, of which there are fewer.
 func newUpstreamClient(address string) *h1.Client {
-	return h1.New(h1.Options{
+	return h1.New(connpool.Options{
 		Address:     address,
 		DialTimeout: upstreamDial,
 		IdleTimeout: upstreamIdle,
@@ -65,7 +66,7 @@
 	if err := g.check(time.Now(), c); err != nil {
 		return g.withLoad(&Result{Err: err, Down: err.Kind == errkind.UpstreamDown})
 	}
-	release, err := g.limiter.Acquire(ctx, c.Priority, c.Deadline, c.MayWait)
+	release, err := g.limiter.Acquire(ctx, c.Priority, admit.Wait{Patience: c.Patience, Goal: c.Goal, Deadline: c.Deadline})
 	if err != nil {
 		return g.withLoad(&Result{Err: asKind(err)})
 	}
@@ -158,7 +159,7 @@
 
 // sendFailed turns a request without an answer into a result.
 func (g *gate) sendFailed(ctx context.Context, err error) *Result {
-	var failure *h1.Error
+	var failure *connpool.Error
 	if !errors.As(err, &failure) || failure.Sent {
 		if ctx.Err() == nil {
 			g.client.CloseIdle()
@@ -170,10 +171,8 @@
 		return refused(errkind.DeadlinePassed, "the deadline passed before the request was sent")
 	case ctx.Err() != nil:
 		return refused(errkind.CallerLeft, "the caller left before the request was sent")
-	case errors.Is(err, h1.ErrLimit):
-		return refused(errkind.Overloaded, "the upstream accepts no more connections")
 	}
-	if errors.Is(err, h1.ErrRefused) {
+	if errors.Is(err, connpool.ErrRefused) {
 		g.local.refused(time.Now())
 	}
 	r := refused(errkind.UpstreamDown, "the upstream could not be reached: %w", err)
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -3,55 +3,29 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"net/url"
-	"strconv"
+	"slices"
+	"strings"
 	"time"
 
+	"burdockglade.dev/router/admit"
+	"burdockglade.dev/router/connpool"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/fleet"
-	"burdockglade.dev/router/h1"
+	"burdockglade.dev/router/hop"
 	"burdockglade.dev/router/upstream"
 )
 
-// Header fields between routers. The values are URL query strings, so that one
-// short field carries all parameters: traffic between zones is paid for.
-const (
-	headerHop     = "Burdock-Hop"
-	headerLoad    = "Burdock-Load"
-	headerRefusal = "Burdock-Refusal"
-)
-
-// Parameters of headerHop and headerLoad.
-const (
-	paramService    = "s"
-	paramCaller     = "c"
-	paramRequest    = "i"
-	paramLeftMs     = "d"
-	paramPriority   = "p"
-	paramRepeatable = "r"
-	paramKey        = "k"
-	paramWait       = "w"
-	paramBusy       = "b"
-	paramWaiting    = "q"
-	paramSlots      = "n"
-	paramKind       = "e"
-	paramRetryMs    = "a"
-	paramArrived    = "u"
-	paramDown       = "x"
-)
-
 const (
 	hopDial = 300 * time.Millisecond
 	// hopIdle is the longest time that a connection to another router is kept
-	// unused; routers keep idle connections longer.
+	// unused.
 	hopIdle = 20 * time.Second
 )
 
-func newHopClient(address string) *h1.Client {
-	return h1.New(h1.Options{
+func newHopClient(address string) *hop.Client {
+	return hop.NewClient(connpool.Options{
 		Address:     address,
 		DialTimeout: hopDial,
 		IdleTimeout: hopIdle,
@@ -59,48 +33,73 @@
 	})
 }
 
-// hopParams encodes what the gate of another host has to know of a call.
-func hopParams(c *Call, left time.Duration) string {
-	v := url.Values{}
-	v.Set(paramService, c.Service)
-	v.Set(paramCaller, c.Caller)
-	v.Set(paramLeftMs, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	if c.Priority != 0 {
-		v.Set(paramPriority, strconv.Itoa(c.Priority))
+// fieldsOf returns the end-to-end fields but those that travel in the head, in
+// a fixed order.
+func fieldsOf(header http.Header, without ...string) []hop.Field {
+	fields := []hop.Field{}
+	for name, values := range upstream.EndToEnd(header) {
+		if slices.Contains(without, name) {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, hop.Field{Name: name, Value: v})
+		}
 	}
-	if c.Repeatable {
-		v.Set(paramRepeatable, "1")
+	slices.SortStableFunc(fields, func(a, b hop.Field) int { return strings.Compare(a.Name, b.Name) })
+	return fields
+}
+
+func headerOf(fields []hop.Field) http.Header {
+	header := make(http.Header, len(fields)+4)
+	for _, f := range fields {
+		header[f.Name] = append(header[f.Name], f.Value)
 	}
-	if c.Keyed {
-		v.Set(paramKey, strconv.Itoa(int(c.Key)))
+	return header
+}
+
+// requestHead encodes a call.
+func requestHead(names Headers, c *Call, now time.Time) hop.RequestHead {
+	head := hop.RequestHead{
+		Method: c.Method, Target: c.Target, Host: c.Host,
+		RequestID: c.RequestID, Service: c.Service, Caller: c.Caller,
+		LeftMs:   max(int(c.Deadline.Sub(now).Milliseconds()), 1),
+		GoalMs:   max(int(c.Goal.Sub(now).Milliseconds()), 0),
+		Priority: c.Priority,
+		Patience: int(c.Patience),
+		Key:      c.Key,
+		Fields:   fieldsOf(c.Header, names.RequestID, names.DeadlineMs, names.Key, names.Caller, names.ExpectInstance),
+		Length:   int64(len(c.Body)),
+	}
+	if c.Stream != nil {
+		head.Length = c.Length
+	}
+	for flag, set := range map[hop.RequestFlags]bool{hop.Repeatable: c.Repeatable, hop.Keyed: c.Keyed} {
+		if set {
+			head.Flags |= flag
+		}
 	}
-	if c.MayWait {
-		v.Set(paramWait, "1")
+	// A key that does not decide the host is only a field like any other.
+	if key := c.Header.Get(names.Key); key != "" && !c.Keyed {
+		head.Fields = append(head.Fields, hop.Field{Name: names.Key, Value: key})
 	}
-	return v.Encode()
+	return head
 }
 
 // sendHop sends a call to the gate of another host.
-func sendHop(ctx context.Context, client *h1.Client, names Headers, c *Call) *Result {
-	left := time.Until(c.Deadline)
-	if left <= 0 {
+func sendHop(ctx context.Context, client *hop.Client, names Headers, c *Call) *Result {
+	now := time.Now()
+	if !c.Deadline.After(now) {
 		return refused(errkind.DeadlinePassed, "the deadline passed before the request was sent")
 	}
-	header := upstream.EndToEnd(c.Header)
-	header.Del(names.DeadlineMs)
-	header.Set(headerHop, hopParams(c, left))
-	resp, err := client.Do(ctx, &h1.Request{
-		Method: c.Method, Target: c.Target, Host: c.Host, Header: header,
-		Body: c.Body, Stream: c.Stream, Length: c.Length,
-	})
+	resp, err := client.Do(ctx, &hop.Request{RequestHead: requestHead(names, c, now), Body: c.Body, Stream: c.Stream})
 	if err != nil {
 		return hopFailed(ctx, client, err)
 	}
-	return hopAnswer(resp)
+	return hopAnswer(resp, names, c)
 }
 
-func hopFailed(ctx context.Context, client *h1.Client, err error) *Result {
-	var failure *h1.Error
+func hopFailed(ctx context.Context, client *hop.Client, err error) *Result {
+	var failure *connpool.Error
 	sent := !errors.As(err, &failure) || failure.Sent
 	if ctx.Err() == nil {
 		// The other connections took the same path and are as suspect.
@@ -117,66 +116,27 @@
 	return &Result{Down: true, Err: errkind.New(errkind.PeerUnreachable, "host %s cannot be reached: %w", client.Address(), err)}
 }
 
-// hopAnswer reads the answer of another host's gate.
-func hopAnswer(resp *h1.Response) *Result {
-	r := &Result{Arrived: true, Status: resp.Status, Header: resp.Header, Body: resp.Body, Length: resp.Length}
-	r.Load, r.HasLoad = parseLoad(resp.Header.Get(headerLoad))
-	refusal := resp.Header.Get(headerRefusal)
-	resp.Header.Del(headerLoad)
-	if refusal == "" {
-		if !r.HasLoad {
-			// Only a router's answer carries a load; anything else stands at the
-			// address now and its answer means nothing.
-			r.close()
-			return &Result{Down: true, Arrived: true, Err: errkind.New(errkind.OutcomeUnknown, "the answer is not a router's")}
-		}
+// hopAnswer decodes the answer of another host's gate.
+func hopAnswer(resp *hop.Response, names Headers, c *Call) *Result {
+	r := &Result{
+		Arrived: resp.Flags&hop.Arrived != 0,
+		Down:    resp.Flags&hop.Down != 0,
+		Load:    fleet.Load{Busy: resp.Busy, Waiting: resp.Waiting, Slots: resp.Slots},
+		HasLoad: true,
+	}
+	if resp.Kind != "" {
+		_ = resp.Body.Close()
+		r.Err = errkind.New(errkind.Kind(resp.Kind), "%s", resp.Detail)
+		r.Err.RetryAfter = time.Duration(resp.RetryMs) * time.Millisecond
 		return r
 	}
-	detail, _ := io.ReadAll(io.LimitReader(resp.Body, keptAnswerBytes))
-	r.close()
-	return parseRefusal(r, refusal, string(detail))
-}
-
-func parseRefusal(r *Result, refusal, detail string) *Result {
-	out := &Result{Arrived: true, Load: r.Load, HasLoad: r.HasLoad}
-	v, err := url.ParseQuery(refusal)
-	if err != nil || v.Get(paramKind) == "" {
-		out.Err = errkind.New(errkind.OutcomeUnknown, "unreadable refusal %q", refusal)
-		return out
-	}
-	out.Arrived = v.Has(paramArrived)
-	out.Down = v.Has(paramDown)
-	out.Err = errkind.New(errkind.Kind(v.Get(paramKind)), "%s", detail)
-	if ms, err := strconv.Atoi(v.Get(paramRetryMs)); err == nil {
-		out.Err.RetryAfter = time.Duration(ms) * time.Millisecond
+	r.Status, r.Length, r.Body = resp.Status, resp.Length, resp.Body
+	r.Header = headerOf(resp.Fields)
+	r.Header.Set(names.RequestID, c.RequestID)
+	if resp.Signature != "" {
+		r.Header.Set(names.Signature, resp.Signature)
 	}
-	return out
-}
-
-func parseLoad(header string) (fleet.Load, bool) {
-	v, err := url.ParseQuery(header)
-	if err != nil || !v.Has(paramSlots) {
-		return fleet.Load{}, false
-	}
-	number := func(name string) int {
-		n, err := strconv.Atoi(v.Get(name))
-		if err != nil {
-			return 0 // left out when 0
-		}
-		return n
-	}
-	return fleet.Load{Busy: number(paramBusy), Waiting: number(paramWaiting), Slots: number(paramSlots)}, true
-}
-
-func formatLoad(l fleet.Load) string {
-	v := url.Values{paramSlots: {strconv.Itoa(l.Slots)}}
-	if l.Busy > 0 {
-		v.Set(paramBusy, strconv.Itoa(l.Busy))
-	}
-	if l.Waiting > 0 {
-		v.Set(paramWaiting, strconv.Itoa(l.Waiting))
-	}
-	return v.Encode()
+	return r
 }
 
 // hopHandler takes calls from other routers.
@@ -185,124 +145,71 @@
 	headers Headers
 }
 
-// ServeHTTP passes a call on to the local upstream.
-func (h *hopHandler) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	c, err := h.parse(req)
-	if err != nil {
-		writeRefusal(w, &Result{Err: errkind.New(errkind.BadRequest, "%w", err)})
-		return
-	}
-	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline)
-	defer cancel()
+// serve passes a call on to the local upstream.
+func (h *hopHandler) serve(ctx context.Context, req *hop.Request) *hop.Response {
+	c := h.call(req, time.Now())
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	r := h.gate.serve(ctx, c)
-	defer r.close()
-	if r.Err != nil {
-		writeRefusal(w, r)
-		return
+	resp := &hop.Response{ResponseHead: h.responseHead(r), Body: r.Body}
+	if resp.Body == nil {
+		cancel()
+		return resp
 	}
-	w.Header().Set(headerLoad, formatLoad(r.Load))
-	writeAnswer(w, r)
+	resp.Body = &cancelledBody{ReadCloser: r.Body, cancel: cancel}
+	return resp
 }
 
-// parse reads a call. The time that is left counts from its arrival.
-func (h *hopHandler) parse(req *http.Request) (*Call, error) {
-	v, err := url.ParseQuery(req.Header.Get(headerHop))
-	if err != nil {
-		return nil, fmt.Errorf("parameters: %w", err)
-	}
-	leftMs, err := strconv.Atoi(v.Get(paramLeftMs))
-	if err != nil {
-		return nil, fmt.Errorf("time left: %w", err)
-	}
-	c := &Call{
-		Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header,
-		RequestID:  req.Header.Get(h.headers.RequestID),
-		Service:    v.Get(paramService),
-		Caller:     v.Get(paramCaller),
-		Deadline:   time.Now().Add(time.Duration(leftMs) * time.Millisecond),
-		Repeatable: v.Has(paramRepeatable),
-		MayWait:    v.Has(paramWait),
-	}
-	if p := v.Get(paramPriority); p != "" {
-		if c.Priority, err = strconv.Atoi(p); err != nil {
-			return nil, fmt.Errorf("priority: %w", err)
-		}
-	}
-	if k := v.Get(paramKey); k != "" {
-		key, err := strconv.ParseUint(k, 10, 16)
-		if err != nil {
-			return nil, fmt.Errorf("key: %w", err)
-		}
-		c.Keyed, c.Key = true, uint16(key)
-	}
-	return c, readBody(req, c)
+// cancelledBody ends the context of a call with its answer.
+type cancelledBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
 }
 
-// writeRefusal answers another router. The status matters to no caller.
-func writeRefusal(w http.ResponseWriter, r *Result) {
-	v := url.Values{paramKind: {string(r.Err.Kind)}}
-	if r.Err.RetryAfter > 0 {
-		v.Set(paramRetryMs, strconv.FormatInt(r.Err.RetryAfter.Milliseconds(), 10))
-	}
-	if r.Arrived {
-		v.Set(paramArrived, "1")
-	}
-	if r.Down {
-		v.Set(paramDown, "1")
-	}
-	w.Header().Set(headerRefusal, v.Encode())
-	if r.HasLoad {
-		w.Header().Set(headerLoad, formatLoad(r.Load))
-	}
-	w.Header()["Date"] = nil
-	w.WriteHeader(http.StatusServiceUnavailable)
-	_, _ = io.WriteString(w, r.Err.Detail) // the other router may be gone
+// Close ends the answer.
+func (b *cancelledBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
 }
 
-// writeAnswer passes an upstream's answer on. An answer that breaks off ends
-// its connection, so that it cannot be taken for whole.
-func writeAnswer(w http.ResponseWriter, r *Result) {
-	header := w.Header()
-	for name, values := range upstream.EndToEnd(r.Header) {
-		header[name] = values
-	}
-	if header.Get("Date") == "" {
-		header["Date"] = nil
-	}
-	if header.Get("Content-Type") == "" {
-		header["Content-Type"] = nil // keeps net/http from guessing one
-	}
-	if r.Length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(r.Length, 10))
-	}
-	w.WriteHeader(r.Status)
-	if r.Body == nil {
-		return
+// call decodes a call. The times that are left count from its arrival.
+func (h *hopHandler) call(req *hop.Request, now time.Time) *Call {
+	c := &Call{
+		Method: req.Method, Target: req.Target, Host: req.Host, Header: headerOf(req.Fields),
+		Body: req.Body, Stream: req.Stream, Length: req.Length,
+		RequestID: req.RequestID, Service: req.Service, Caller: req.Caller,
+		Deadline:   now.Add(time.Duration(req.LeftMs) * time.Millisecond),
+		Goal:       now.Add(time.Duration(req.GoalMs) * time.Millisecond),
+		Priority:   req.Priority,
+		Repeatable: req.Flags&hop.Repeatable != 0,
+		Keyed:      req.Flags&hop.Keyed != 0,
+		Patience:   admit.Patience(req.Patience),
+		Key:        req.Key,
+	}
+	if c.RequestID != "" {
+		c.Header.Set(h.headers.RequestID, c.RequestID)
 	}
-	n, err := io.Copy(w, r.Body)
-	if err != nil || (r.Length >= 0 && n < r.Length) {
-		panic(http.ErrAbortHandler)
+	if c.Keyed {
+		c.Header.Set(h.headers.Key, formatKey(c.Key))
 	}
+	return c
 }
 
-// readBody reads a body of up to keptBodyBytes whole, so that it can be sent
-// again; a longer one becomes a stream.
-func readBody(req *http.Request, c *Call) error {
-	if req.ContentLength == 0 || req.Body == nil {
-		return nil
-	}
-	if req.ContentLength > keptBodyBytes {
-		c.Stream, c.Length = req.Body, req.ContentLength
-		return nil
-	}
-	head, err := io.ReadAll(io.LimitReader(req.Body, keptBodyBytes+1))
-	if err != nil {
-		return fmt.Errorf("reading the body: %w", err)
+func (h *hopHandler) responseHead(r *Result) hop.ResponseHead {
+	head := hop.ResponseHead{Busy: r.Load.Busy, Waiting: r.Load.Waiting, Slots: r.Load.Slots}
+	if r.Arrived {
+		head.Flags |= hop.Arrived
 	}
-	if len(head) <= keptBodyBytes {
-		c.Body = head
-		return nil
+	if r.Down {
+		head.Flags |= hop.Down
 	}
-	c.Stream, c.Length = joinReader(head, req.Body), -1
-	return nil
+	if r.Err != nil {
+		head.Kind, head.Detail = string(r.Err.Kind), r.Err.Detail
+		head.RetryMs = int(r.Err.RetryAfter.Milliseconds())
+		return head
+	}
+	head.Status, head.Length = r.Status, r.Length
+	head.Signature = r.Header.Get(h.headers.Signature)
+	head.Fields = fieldsOf(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load)
+	return head
 }
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"burdockglade.dev/router/connpool"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
-	"burdockglade.dev/router/h1"
 	"burdockglade.dev/router/keyown"
 	"burdockglade.dev/router/rowstore"
 	"burdockglade.dev/router/steady"
@@ -155,7 +155,7 @@
 	go func() {
 		defer d.probing.Store(false)
 		err := d.connect(ctx)
-		if errors.Is(err, h1.ErrRefused) {
+		if errors.Is(err, connpool.ErrRefused) {
 			d.local.refused(time.Now())
 		}
 		sleep(ctx, probePause)
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/hop"
 	"burdockglade.dev/router/keyown"
 	"burdockglade.dev/router/metrics"
 	"burdockglade.dev/router/rowstore"
@@ -224,10 +226,11 @@
 	return nil
 }
 
-// server is a listener with its HTTP server.
-type server struct {
-	http *http.Server
-	name string
+// server is what serves a listener.
+type server interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+	Close() error
 }
 
 const (
@@ -240,30 +243,39 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hop := &hopHandler{gate: s.gate, headers: s.opts.Headers}
+	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
 	for _, e := range []struct {
 		name, address string
-		handler       http.Handler
+		server        server
 	}{
-		{"caller", l.Caller, s.counted(s.entry)},
-		{"hop", l.Hop, hop},
-		{"control", l.Control, s.opts.Control(s)},
-		{"ready", l.Ready, s.opts.Ready(s)},
-		{"metrics", l.Metrics, mux},
+		{"caller", l.Caller, httpServer(s.counted(s.entry))},
+		{"hop", l.Hop, hop.NewServer(hops.serve)},
+		{"control", l.Control, httpServer(s.opts.Control(s))},
+		{"ready", l.Ready, httpServer(s.opts.Ready(s))},
+		{"metrics", l.Metrics, httpServer(mux)},
 	} {
 		listener, err := net.Listen("tcp4", e.address)
 		if err != nil {
 			return nil, fmt.Errorf("listening for %s: %w", e.name, err)
 		}
-		hs := &http.Server{Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes}
-		servers = append(servers, server{http: hs, name: e.name})
-		go func() { _ = hs.Serve(listener) }() // ends with Shutdown
+		servers = append(servers, e.server)
+		go s.serve(e.server, e.name, listener)
 	}
 	return servers, nil
 }
 
+func (s *Sidecar) serve(sv server, name string, l net.Listener) {
+	if err := sv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		s.log.Log(eventListenerFailed, event.F("listener", name), event.F("error", err.Error()))
+	}
+}
+
+func httpServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes}
+}
+
 // maxHeaderBytes bounds a request's header; the configuration's own bound is
 // not above it.
 const maxHeaderBytes = 64 << 10
--- a/router/sidecar/stop.go
+++ b/router/sidecar/stop.go
@@ -44,8 +44,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(end.Sub(steady.Now()), stopTick))
 	defer cancel()
 	for _, sv := range servers {
-		if err := sv.http.Shutdown(ctx); err != nil {
-			_ = sv.http.Close() // the grace period is over
+		if err := sv.Shutdown(ctx); err != nil {
+			_ = sv.Close() // the grace period is over
 		}
 	}
 }
