Divide busy ranges of keys

Change: rates are kept by key; a range with more load than a tenth of its holder's slots is divided at equal loads, keeping holder and generation; the parts move by load. A part is held by the grant of the whole range until the next heartbeat. Ruled out: more ranges from the start, because the busy keys lie within hundredths of the key space that are not known in advance.

--- a/router/keyown/balance.go
+++ b/router/keyown/balance.go
@@ -27,6 +27,13 @@
 	reliefGap = 0.3
 	// maxRelief bounds the ranges that move at once.
 	maxRelief = 6
+	// splitParts is the number of parts of a host's slots: a range with more load
+	// than one part is divided, so that it can be spread over hosts.
+	splitParts = 10
+	// maxPieces bounds the pieces of one range at a time.
+	maxPieces = 8
+	// maxRangesPerMember bounds the ranges of a map, which every host reads.
+	maxRangesPerMember = 40
 	// smallestRate is the load, in slots, below which moving a range is no
 	// relief.
 	smallestRate = 0.05
@@ -59,10 +66,9 @@
 }
 
 // Relieve returns moves of ranges from an overloaded host to members with less
-// load. own is the used share of the host's slots, and rate the slots that a
-// range keeps busy. A range with more load than the host has too much stays: the
-// others move away from it.
-func (m *Map) Relieve(host string, own float64, slots int, rate func(Range) float64, members []Member) []Transfer {
+// load. own is the used share of the host's slots. A range with more load than
+// the host has too much stays: the others move away from it.
+func (m *Map) Relieve(host string, own float64, slots int, loads Loads, members []Member) []Transfer {
 	others := slices.DeleteFunc(slices.Clone(members), func(x Member) bool { return x.Host == host })
 	if own < overloaded || len(others) == 0 || slots <= 0 {
 		return nil
@@ -74,8 +80,8 @@
 	mean /= float64(len(others) + 1)
 	excess := (own - mean) * float64(slots)
 	var moves []Transfer
-	for _, i := range m.busiest(host, rate) {
-		load := rate(m.Ranges[i])
+	for _, i := range m.busiest(host, loads) {
+		load := loads.Of(m.Ranges[i].From, m.Ranges[i].To)
 		if len(moves) == maxRelief || load < smallestRate {
 			break
 		}
@@ -92,7 +98,7 @@
 
 // busiest returns the indexes of the host's ranges that are not to move, the
 // busiest first.
-func (m *Map) busiest(host string, rate func(Range) float64) []int {
+func (m *Map) busiest(host string, loads Loads) []int {
 	var indexes []int
 	for i := range m.Ranges {
 		if m.Ranges[i].Holder.Host == host && m.Ranges[i].Next == "" {
@@ -100,7 +106,8 @@
 		}
 	}
 	slices.SortStableFunc(indexes, func(a, b int) int {
-		return cmp.Compare(rate(m.Ranges[b]), rate(m.Ranges[a]))
+		x, y := m.Ranges[a], m.Ranges[b]
+		return cmp.Compare(loads.Of(y.From, y.To), loads.Of(x.From, x.To))
 	})
 	return indexes
 }
@@ -114,3 +121,41 @@
 	}
 	return best
 }
+
+// Split divides ranges of the host that keep many of its slots busy, so that
+// their parts can go to different hosts. The parts keep holder and generation.
+// It reports whether the map changed.
+func (m *Map) Split(host string, slots int, loads Loads, members int) bool {
+	limit := max(float64(slots)/splitParts, smallestRate)
+	room := members*maxRangesPerMember - len(m.Ranges)
+	var ranges []Range
+	changed := false
+	for _, r := range m.Ranges {
+		load := loads.Of(r.From, r.To)
+		pieces := min(int(load/limit)+1, maxPieces, room+1)
+		if r.Holder.Host != host || r.Next != "" || pieces < 2 {
+			ranges = append(ranges, r)
+			continue
+		}
+		parts := r.divide(loads.Cuts(r.From, r.To, pieces))
+		room -= len(parts) - 1
+		changed = changed || len(parts) > 1
+		ranges = append(ranges, parts...)
+	}
+	if changed {
+		m.Ranges = ranges
+	}
+	return changed
+}
+
+// divide returns the range in parts that end with the cuts.
+func (r Range) divide(cuts []uint16) []Range {
+	var parts []Range
+	for _, last := range cuts {
+		part := r
+		part.To = last
+		parts = append(parts, part)
+		r.From = last + 1
+	}
+	return append(parts, r)
+}
--- a/router/keyown/grants.go
+++ b/router/keyown/grants.go
@@ -76,21 +76,24 @@
 	clear(g.given)
 }
 
-// GiveUp notes that the upstream gave up a range of the map. It reports whether
-// the range is one of the holder's.
+// GiveUp notes that the upstream gave up some keys. It reports whether they
+// cover ranges of the holder in the map.
 func (g *Grants) GiveUp(m *Map, h Handover) bool {
 	if m == nil {
 		return false
 	}
-	r := m.Find(h.From)
-	if r == nil || r.From != h.From || r.To != h.To || r.Holder != g.holder {
-		return false
+	taken := false
+	for _, r := range m.Ranges {
+		if r.Holder != g.holder || r.From < h.From || r.To > h.To {
+			continue
+		}
+		s := span{r.From, r.To, r.Generation}
+		g.given[s] = h.Token
+		g.until[s] = 0
+		delete(g.active, s)
+		taken = true
 	}
-	s := span{r.From, r.To, r.Generation}
-	g.given[s] = h.Token
-	g.until[s] = 0
-	delete(g.active, s)
-	return true
+	return taken
 }
 
 // GivenUp returns the handover of a range that the upstream gave up.
@@ -129,19 +132,45 @@
 // shortestHold is the shortest hold worth granting; a renewal takes a heartbeat.
 const shortestHold = 200 * time.Millisecond
 
-// Holds reports whether the upstream was granted the range and still has it.
+// Holds reports whether the upstream was granted the range and still has it. A
+// range that was divided since its grant is held by that grant.
 func (g *Grants) Holds(now steady.Time, r *Range) bool {
 	s := span{r.From, r.To, r.Generation}
-	return g.active[s] && now < g.until[s]
+	if g.active[s] {
+		return now < g.until[s]
+	}
+	if _, given := g.given[s]; given {
+		return false
+	}
+	for granted := range g.active {
+		if granted.covers(s) {
+			return now < g.until[granted]
+		}
+	}
+	return false
+}
+
+// covers reports whether t is a part of s.
+func (s span) covers(t span) bool {
+	return s.generation == t.generation && s.from <= t.from && t.to <= s.to
 }
 
 // Ended reports whether the hold on a range has certainly lapsed.
 func (g *Grants) Ended(now steady.Time, r *Range) bool {
 	s := span{r.From, r.To, r.Generation}
-	if until, ok := g.until[s]; ok {
-		return now >= until
+	if _, given := g.given[s]; given {
+		return true
+	}
+	known := false
+	for granted, until := range g.until {
+		if granted.covers(s) {
+			known = true
+			if now < until {
+				return false
+			}
+		}
 	}
-	return now >= g.unknownUntil
+	return known || now >= g.unknownUntil
 }
 
 // EndAll ends all grants, because the upstream's process has ended.
--- a/router/keyown/grants_test.go
+++ b/router/keyown/grants_test.go
@@ -34,6 +34,36 @@
 	}
 }
 
+// Guards against keys that are refused after their range was divided: the
+// upstream still holds them by the grant of the whole range.
+func TestDividedRangeIsStillHeld(t *testing.T) {
+	m := New(members(1), 1)
+	h := member(0).Holder
+	g := NewGrants(0, 4*time.Second)
+	g.Reset(h)
+	g.Renew(second, m, h, false, 10*second, 4*time.Second)
+	m.Ranges = m.Ranges[0].divide([]uint16{1000})
+	for i := range m.Ranges {
+		if !g.Holds(2*second, &m.Ranges[i]) {
+			t.Errorf("part %d is not held", i)
+		}
+		if g.Ended(2*second, &m.Ranges[i]) {
+			t.Errorf("part %d counts as ended", i)
+		}
+	}
+	m.Ranges[1].Next = "h9"
+	g.Renew(2*second, m, h, false, 10*second, 4*time.Second)
+	if g.Holds(2*second, &m.Ranges[1]) {
+		t.Error("a part that moves is still held")
+	}
+	if g.Ended(3*second, &m.Ranges[1]) {
+		t.Error("a part that moves counts as ended before its hold has lapsed")
+	}
+	if !g.Ended(6*second, &m.Ranges[1]) {
+		t.Error("a part that moves never ends")
+	}
+}
+
 // Guards against a grant that outlasts the host's lease, after which another
 // host may give the range away. Upstream clocks may run 2% slow.
 func TestGrantEndsBeforeTheLease(t *testing.T) {
@@ -122,13 +152,13 @@
 			r.Add(steady.Time(s)*second+second/2, 100, 400*time.Millisecond)
 		}
 	}
-	if got := r.Of(6*second, 100); got < 3 || got > 4.5 {
+	if got := r.Snapshot(6*second).Of(0, 200); got < 3 || got > 4.5 {
 		t.Errorf("%.2f slots, want about 4", got)
 	}
 	for s := 7; s < 11; s++ {
-		r.Of(steady.Time(s)*second, 100)
+		r.Snapshot(steady.Time(s) * second)
 	}
-	if got := r.Of(11*second, 100); got > 0.5 {
+	if got := r.Snapshot(11*second).Of(0, 200); got > 0.5 {
 		t.Errorf("%.2f slots 4 s after the last request", got)
 	}
 }
--- a/router/keyown/map_test.go
+++ b/router/keyown/map_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -153,21 +154,62 @@
 	}
 }
 
+// loadsOf gives each range's first key a load.
+func loadsOf(m *Map, load func(i int) float64) Loads {
+	r := Rates{mean: map[uint16]float64{}, busy: map[uint16]time.Duration{}}
+	for i := range m.Ranges {
+		r.mean[m.Ranges[i].From] = load(i)
+	}
+	return r.Snapshot(0)
+}
+
+// Pattern: busy keys lie together in one range. Guards against a range that one
+// host has to serve whole, and against pieces that lose keys or change holder.
+func TestSplitDividesBusyRanges(t *testing.T) {
+	all := members(3)
+	m := New(all, 4)
+	r := Rates{mean: map[uint16]float64{}, busy: map[uint16]time.Duration{}}
+	for key := uint16(900); key < 1000; key++ {
+		r.mean[key] = 0.09
+	}
+	r.mean[950] = 4
+	loads := r.Snapshot(0)
+	before := m.Clone()
+	if !m.Split("h0", 10, loads, len(all)) {
+		t.Fatal("nothing was divided")
+	}
+	for _, p := range m.Ranges {
+		if load := loads.Of(p.From, p.To); load > 6 {
+			t.Errorf("range %d to %d keeps a load of %.1f", p.From, p.To, load)
+		}
+	}
+	for key := range MaxKey + 1 {
+		a, b := before.Find(uint16(key)), m.Find(uint16(key))
+		if a.Holder != b.Holder || a.Generation != b.Generation {
+			t.Fatalf("key %d: %+v became %+v", key, a, b)
+		}
+	}
+	for range 100 {
+		m.Split("h0", 10, loads, len(all))
+	}
+	if n := len(m.Ranges); n > 3*maxRangesPerMember {
+		t.Errorf("%d ranges", n)
+	}
+}
+
 // Pattern: a hot key. Guards against moving the busiest range, which would only
 // overload another host, instead of the ranges around it.
 func TestRelieveKeepsTheHotRange(t *testing.T) {
 	all := members(3)
 	m := New(all, 4)
-	rate := func(r Range) float64 {
-		switch r.From {
-		case m.Ranges[0].From:
+	loads := loadsOf(m, func(i int) float64 {
+		if i == 0 {
 			return 9
-		default:
-			return 1
 		}
-	}
+		return 1
+	})
 	all[0].Load, all[1].Load, all[2].Load = 1.2, 0.3, 0.3
-	moves := m.Relieve("h0", 1.2, 10, rate, all)
+	moves := m.Relieve("h0", 1.2, 10, loads, all)
 	if len(moves) == 0 {
 		t.Fatal("no move")
 	}
@@ -188,7 +230,7 @@
 		all[i].Load = 1.1
 	}
 	m := New(all, 4)
-	if moves := m.Relieve("h0", 1.2, 10, func(Range) float64 { return 1 }, all); moves != nil {
+	if moves := m.Relieve("h0", 1.2, 10, loadsOf(m, func(int) float64 { return 1 }), all); moves != nil {
 		t.Errorf("moves %+v", moves)
 	}
 }
--- a/router/keyown/rates.go
+++ b/router/keyown/rates.go
@@ -1,16 +1,23 @@
 package keyown
 
 import (
+	"maps"
+	"slices"
+	"sort"
 	"time"
 
 	"burdockglade.dev/router/steady"
 )
 
-// rateWindow is the time over which the load of a range is averaged. Hot keys
-// change within seconds.
-const rateWindow = time.Second
+const (
+	// rateWindow is the time over which the load of a key is averaged. Hot keys
+	// change within seconds.
+	rateWindow = time.Second
+	// forgottenRate is the load, in slots, below which a key is forgotten.
+	forgottenRate = 0.002
+)
 
-// Rates follows how many slots each range keeps busy. The zero value has seen
+// Rates follows how many slots each key keeps busy. The zero value has seen
 // nothing.
 type Rates struct {
 	began steady.Time
@@ -18,17 +25,10 @@
 	mean  map[uint16]float64
 }
 
-// Add counts the time that a request held a slot. from is the first key of the
-// request's range.
-func (r *Rates) Add(now steady.Time, from uint16, took time.Duration) {
+// Add counts the time that a request for a key held a slot.
+func (r *Rates) Add(now steady.Time, key uint16, took time.Duration) {
 	r.roll(now)
-	r.busy[from] += took
-}
-
-// Of returns the mean number of slots that a range keeps busy.
-func (r *Rates) Of(now steady.Time, from uint16) float64 {
-	r.roll(now)
-	return r.mean[from]
+	r.busy[key] += took
 }
 
 // roll ends the window when it is over. Each window counts as much as all
@@ -41,12 +41,65 @@
 	if length < rateWindow {
 		return
 	}
-	for from := range r.mean {
-		r.mean[from] /= 2
+	for key, mean := range r.mean {
+		r.mean[key] = mean / 2
 	}
-	for from, busy := range r.busy {
-		r.mean[from] += float64(busy) / float64(length) / 2
+	for key, busy := range r.busy {
+		r.mean[key] += float64(busy) / float64(length) / 2
 	}
+	maps.DeleteFunc(r.mean, func(_ uint16, mean float64) bool { return mean < forgottenRate })
 	clear(r.busy)
 	r.began = now
 }
+
+// Snapshot returns the loads of the moment.
+func (r *Rates) Snapshot(now steady.Time) Loads {
+	r.roll(now)
+	l := Loads{keys: slices.Sorted(maps.Keys(r.mean))}
+	l.sums = make([]float64, len(l.keys)+1)
+	for i, key := range l.keys {
+		l.sums[i+1] = l.sums[i] + r.mean[key]
+	}
+	return l
+}
+
+// Loads are the loads of keys, in slots.
+type Loads struct {
+	// keys are ordered; sums[i] is the load of the keys before keys[i].
+	keys []uint16
+	sums []float64
+}
+
+// Of returns the load of a range of keys.
+func (l Loads) Of(from, to uint16) float64 {
+	i, j := l.span(from, to)
+	if i == j {
+		return 0
+	}
+	return l.sums[j] - l.sums[i]
+}
+
+// span returns the indexes of the keys in the range, the second exclusive.
+func (l Loads) span(from, to uint16) (i, j int) {
+	i = sort.Search(len(l.keys), func(k int) bool { return l.keys[k] >= from })
+	j = sort.Search(len(l.keys), func(k int) bool { return l.keys[k] > to })
+	return i, j
+}
+
+// Cuts divides a range into at most n parts of about the same load. It returns
+// the last key of each part but the last one.
+func (l Loads) Cuts(from, to uint16, n int) []uint16 {
+	i, j := l.span(from, to)
+	part := l.Of(from, to) / float64(max(n, 1))
+	var cuts []uint16
+	done := 0.0
+	for k := i; k < j && len(cuts) < n-1; k++ {
+		done += l.sums[k+1] - l.sums[k]
+		if done < part || l.keys[k] == to {
+			continue
+		}
+		cuts = append(cuts, l.keys[k])
+		done = 0
+	}
+	return cuts
+}
--- a/router/rowstore/follow_test.go
+++ b/router/rowstore/follow_test.go
@@ -58,8 +58,8 @@
 				}
 				state[r.Name] = string(r.Value)
 			},
-			Lost:   func(error) { events = append(events, "lost") },
-			Found:  func() { events = append(events, "found") },
+			Lost:  func(error) { events = append(events, "lost") },
+			Found: func() { events = append(events, "found") },
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan bool)
@@ -119,7 +119,7 @@
 		f := &Follower{
 			Store: &lateParts{Memory: NewMemory()}, Table: "t",
 			Changed: func(r Row) { seen <- r.Name },
-			Lost: func(error) {}, Found: func() {},
+			Lost:    func(error) {}, Found: func() {},
 		}
 		done := make(chan bool)
 		go func() {
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -78,7 +78,7 @@
 	done := func(r admit.Result) {
 		release(r)
 		if c.Keyed {
-			g.keys.used(c.Service, c.Key, time.Since(start))
+			g.keys.used(c.Key, time.Since(start))
 		}
 	}
 	return g.withLoad(g.send(ctx, c, done))
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -419,46 +419,35 @@
 }
 
 // used counts the time that a request for a key held a slot.
-func (d *keyDriver) used(service string, key uint16, took time.Duration) {
-	m, _ := d.index.get(service)
-	if m == nil {
-		return
-	}
-	if r := m.Find(key); r != nil {
-		d.mu.Lock()
-		d.rates.Add(steady.Now(), r.From, took)
-		d.mu.Unlock()
-	}
+func (d *keyDriver) used(key uint16, took time.Duration) {
+	d.mu.Lock()
+	d.rates.Add(steady.Now(), key, took)
+	d.mu.Unlock()
 }
 
-// rebalance moves ranges to members with fewer ranges or less load.
+// rebalance divides busy ranges and moves ranges to members with fewer of them or
+// less load.
 func (d *keyDriver) rebalance(now steady.Time, next *keyown.Map, s upstreamState, members []keyown.Member) bool {
 	load := d.load()
 	d.meanUsed += loadWeight * (load.Used() - d.meanUsed)
 	if !s.leaving.IsZero() || now.Sub(d.lastMove) < moveInterval {
 		return false
 	}
+	d.mu.Lock()
+	loads := d.rates.Snapshot(now)
+	d.mu.Unlock()
+	changed := next.Split(d.host, load.Slots, loads, len(members))
 	moves := next.Surplus(d.host, d.meanUsed, members)
 	if len(moves) == 0 {
-		moves = next.Relieve(d.host, d.meanUsed, load.Slots, d.rateOf(now), members)
+		moves = next.Relieve(d.host, d.meanUsed, load.Slots, loads, members)
 	}
-	if len(moves) == 0 {
-		return false
+	if len(moves) > 0 {
+		d.lastMove = now
 	}
-	d.lastMove = now
 	for _, mv := range moves {
 		next.Move(mv.Range, mv.To)
 	}
-	return true
-}
-
-// rateOf returns a snapshot of the load of each range, in slots.
-func (d *keyDriver) rateOf(now steady.Time) func(keyown.Range) float64 {
-	return func(r keyown.Range) float64 {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		return d.rates.Of(now, r.From)
-	}
+	return changed || len(moves) > 0
 }
 
 const (
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -194,8 +194,8 @@
 func (s *Sidecar) follow(ctx context.Context, table string, changed func(rowstore.Row), pause func() time.Duration) {
 	f := &rowstore.Follower{
 		Store: s.opts.Store, Table: table, Changed: changed, Pause: pause,
-		Lost:   func(err error) { s.log.Log(eventStoreLost, event.F("table", table), event.F("error", err.Error())) },
-		Found:  func() { s.log.Log(eventStoreFound, event.F("table", table)) },
+		Lost:  func(err error) { s.log.Log(eventStoreLost, event.F("table", table), event.F("error", err.Error())) },
+		Found: func() { s.log.Log(eventStoreFound, event.F("table", table)) },
 	}
 	f.Run(ctx)
 }
