--- a/router/event/event.go
+++ b/router/event/event.go
@@ -4,7 +4,8 @@
 // good; docs/EVENTS.md lists the numbers with cause and remedy. Numbers:
 // 1000 to 1099 process, 1100 ownership and lease, 1200 gate, admission and
 // upstream, 1300 release notes, 1400 moves and placement, 1500 peers and
-// members, 1600 forwarding, 1700 administration.
+// members, 1600 forwarding, 1700 administration, 1800
+// sidecar.
 package event
 
 import (
--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -107,6 +107,21 @@
 	return members
 }
 
+// Sample returns up to n other hosts that are not stopping and can be reached,
+// in random order.
+func (d *Directory) Sample(n int, self string, now time.Time) []*Host {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var hosts []*Host
+	for name, h := range d.hosts {
+		if v := h.view(now); name != self && v.member.State != Stopping && !v.paused {
+			hosts = append(hosts, h)
+		}
+	}
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	return hosts[:min(n, len(hosts))]
+}
+
 // Choose returns the host of a service with the lowest cost among those that
 // take new work and are not in exclude, or nil.
 func (d *Directory) Choose(now time.Time, service string, exclude []*Host) *Host {
--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -63,6 +63,9 @@
 	Repeatable RequestFlags = 1 << iota
 	// Keyed requests may run only at the holder of the key.
 	Keyed
+	// StoreCall marks a call to the store on behalf of the other router, whose
+	// parameters are the body.
+	StoreCall
 )
 
 // ResponseHead is the head of an answer: a refusal when Kind is set, and
--- a/router/internal/catalogue/catalogue_test.go
+++ b/router/internal/catalogue/catalogue_test.go
@@ -24,6 +24,7 @@
 	_ "burdockglade.dev/router/note"
 	_ "burdockglade.dev/router/ownership"
 	_ "burdockglade.dev/router/peer"
+	_ "burdockglade.dev/router/sidecar"
 	_ "burdockglade.dev/router/upstream"
 )
 
@@ -84,8 +85,8 @@
 		if e.Name == "" || e.Cause == "" || e.Remedy == "" {
 			t.Errorf("event %d lacks name, cause or remedy", e.Number)
 		}
-		if e.Number < 1000 || e.Number > 1799 {
-			t.Errorf("event %d is outside 1000 to 1799", e.Number)
+		if e.Number < 1000 || e.Number > 1899 {
+			t.Errorf("event %d is outside 1000 to 1899", e.Number)
 		}
 	}
 }
--- a/router/internal/catalogue/metrics_test.go
+++ b/router/internal/catalogue/metrics_test.go
@@ -30,6 +30,7 @@
 	"node":      "",
 	"ownership": "ownership",
 	"peer":      "peer",
+	"sidecar":   "entry",
 }
 
 // instruments are the methods whose first argument is the name of a metric.
--- a/router/keyown/balance.go
+++ b/router/keyown/balance.go
@@ -36,7 +36,7 @@
 	maxRangesPerMember = 40
 	// smallestRate is the load, in slots, below which moving a range is no
 	// relief.
-	smallestRate = 0.05
+	smallestRate = 0.2
 )
 
 // Surplus returns moves of ranges to members that have less than half of the
--- a/router/keyown/grants.go
+++ b/router/keyown/grants.go
@@ -96,6 +96,17 @@
 	return taken
 }
 
+// Surrender ends the grant of a range that is to lose its holder. From then on
+// the range is not granted with its generation, so that a heartbeat that arrives
+// before the map has changed cannot renew it.
+func (g *Grants) Surrender(r *Range) {
+	s := span{r.From, r.To, r.Generation}
+	if _, given := g.given[s]; !given {
+		g.given[s] = ""
+	}
+	delete(g.active, s)
+}
+
 // GivenUp returns the handover of a range that the upstream gave up.
 func (g *Grants) GivenUp(r *Range) (token string, ok bool) {
 	token, ok = g.given[span{r.From, r.To, r.Generation}]
--- a/router/keyown/grants_test.go
+++ b/router/keyown/grants_test.go
@@ -34,6 +34,25 @@
 	}
 }
 
+// Guards against two holders: after the decision to free a lapsed range, and
+// before the map shows it, a heartbeat of a host that has just woken up must not
+// renew the hold.
+func TestSurrenderedRangeIsNotRenewed(t *testing.T) {
+	m := New(members(1), 2)
+	h := member(0).Holder
+	g := NewGrants(0, 2*time.Second)
+	g.Reset(h)
+	g.Renew(second, m, h, false, 20*second, 2*time.Second)
+	if !g.Ended(8*second, &m.Ranges[0]) {
+		t.Fatal("the hold has not lapsed")
+	}
+	g.Surrender(&m.Ranges[0])
+	grants, _ := g.Renew(8*second, m, h, false, 20*second, 2*time.Second)
+	if len(grants) != 1 || grants[0].From == m.Ranges[0].From {
+		t.Errorf("grants %+v: want only the other range", grants)
+	}
+}
+
 // Guards against keys that are refused after their range was divided: the
 // upstream still holds them by the grant of the whole range.
 func TestDividedRangeIsStillHeld(t *testing.T) {
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,7 +92,8 @@
 	*Sidecar
 	upstream *testUpstream
 	cancel   context.CancelFunc
-	done     chan error
+	done     chan struct{}
+	err      atomic.Value // of the process, when it has ended with one
 }
 
 // cluster is some hosts on one store.
@@ -101,16 +103,24 @@
 	hosts []*testHost
 }
 
-func freeAddress(t *testing.T) string {
+// ports are listeners by address, opened before the addresses are known to
+// anybody else.
+type ports map[string]net.Listener
+
+func (p ports) address(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
+	p[l.Addr().String()] = l
 	return l.Addr().String()
 }
 
+func (p ports) open(address string) (net.Listener, error) {
+	return p[address], nil
+}
+
 func newCluster(t *testing.T, services ...string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: rowstore.NewMemory()}
@@ -173,20 +183,27 @@
 func (c *cluster) add(name, service string) *testHost {
 	c.t.Helper()
 	u := newTestUpstream(c.t, "i-"+name)
+	p := ports{}
 	settings := DefaultSettings()
 	settings.Host = HostSettings{Name: name, Zone: "z1", Region: "r1", Service: service}
-	settings.Listen = ListenSettings{Caller: freeAddress(c.t), Hop: freeAddress(c.t), Ready: freeAddress(c.t), Control: freeAddress(c.t), Metrics: freeAddress(c.t)}
+	settings.Listen = ListenSettings{Caller: p.address(c.t), Hop: p.address(c.t), Ready: p.address(c.t), Control: p.address(c.t), Metrics: p.address(c.t)}
+	settings.Listen.HopAdvertised = settings.Listen.Hop
 	settings.Upstream = UpstreamSettings{Address: u.address(), HeartbeatMs: 100}
 	settings.Terms.GraceMs = 3000
 	nothing := func(*Sidecar) http.Handler { return http.NotFoundHandler() }
 	s := New(Options{
 		Settings: settings, Store: c.store, Headers: testHeaders,
 		Config:  ConfigSource{Key: configKey, Decode: decodeTestConfig},
-		Control: nothing, Ready: nothing, Metrics: metrics.New(),
+		Control: nothing, Ready: nothing, Metrics: metrics.New(), Listen: p.open,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &testHost{Sidecar: s, upstream: u, cancel: cancel, done: make(chan error, 1)}
-	go func() { h.done <- s.Run(ctx) }()
+	h := &testHost{Sidecar: s, upstream: u, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		if err := s.Run(ctx); err != nil {
+			h.err.Store(err)
+		}
+		close(h.done)
+	}()
 	c.hosts = append(c.hosts, h)
 	go h.beats(ctx, service)
 	return h
@@ -245,9 +262,16 @@
 // ready waits until each host knows the configuration and all others.
 func (c *cluster) ready() {
 	c.t.Helper()
+	last := ""
+	defer func() {
+		if c.t.Failed() {
+			c.t.Log(last)
+		}
+	}()
 	c.eventually("all hosts know each other", func() bool {
 		for _, h := range c.hosts {
 			if !h.Ready() || h.fleet.Hosts() != len(c.hosts) {
+				last = fmt.Sprintf("%s: ready %v, knows %d hosts, ended %v", h.settings.Host.Name, h.Ready(), h.fleet.Hosts(), h.err.Load())
 				return false
 			}
 		}
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -14,6 +14,7 @@
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/hop"
+	"burdockglade.dev/router/rowstore"
 	"burdockglade.dev/router/upstream"
 )
 
@@ -143,10 +144,15 @@
 type hopHandler struct {
 	gate    *gate
 	headers Headers
+	// store is this host's own way to the store.
+	store rowstore.Store
 }
 
-// serve passes a call on to the local upstream.
+// serve passes a call on to the local upstream or to the store.
 func (h *hopHandler) serve(ctx context.Context, req *hop.Request) *hop.Response {
+	if req.Flags&hop.StoreCall != 0 {
+		return h.serveStore(ctx, req)
+	}
 	c := h.call(req, time.Now())
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	r := h.gate.serve(ctx, c)
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -18,12 +18,14 @@
 
 const (
 	// leaseTime is how long a host's lease lasts after the sending of a renewal
-	// that the store acknowledged. It covers store outages of about 5 s.
-	leaseTime = 7 * time.Second
+	// that the store acknowledged. It covers outages of the store of about 4 s;
+	// keys of a lost host wait for its end.
+	leaseTime = 5 * time.Second
 	// renewInterval is the time between renewals.
-	renewInterval = 1500 * time.Millisecond
-	// holdTime is how long an upstream holds keys after one heartbeat.
-	holdTime = 4 * time.Second
+	renewInterval = time.Second
+	// holdTime is how long an upstream holds keys after one heartbeat. It covers
+	// the loss of one heartbeat; keys of a silent upstream wait for its end.
+	holdTime = 2500 * time.Millisecond
 	// settleTime is how long the set of members must be unchanged before keys
 	// are divided for the first time.
 	settleTime = 1500 * time.Millisecond
@@ -35,7 +37,7 @@
 	// keyTick is the time between checks of whether there is something to do.
 	keyTick = 100 * time.Millisecond
 	// readInterval is the time between readings of the leases.
-	readInterval = time.Second
+	readInterval = 800 * time.Millisecond
 	// storeCallTimeout bounds one call to the store.
 	storeCallTimeout = 1500 * time.Millisecond
 )
@@ -306,7 +308,7 @@
 // its keys or that has ended.
 func (d *keyDriver) releaseEnded(now steady.Time, next *keyown.Map, s upstreamState, others []keyown.Member) bool {
 	gone := d.local.gone(time.Now(), d.beatInterval)
-	silent := time.Since(s.lastBeat) > d.maxHold
+	silent := d.local.silentFor(time.Now()) > d.maxHold
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if gone {
@@ -316,6 +318,7 @@
 	for _, i := range next.Of(s.holder) {
 		r := &next.Ranges[i]
 		if (gone || silent || r.Next != "") && d.grants.Ended(now, r) {
+			d.grants.Surrender(r)
 			next.Release(i, "", others)
 			changed = true
 		}
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -38,6 +38,9 @@
 	Caller string `ini:"caller"`
 	// Hop takes requests from other routers.
 	Hop string `ini:"hop"`
+	// HopAdvertised is the address that other routers are told for Hop. Default:
+	// Hop.
+	HopAdvertised string `ini:"hop_advertised"`
 	// Ready answers the platform's question whether callers may send requests.
 	Ready string `ini:"ready"`
 	// Control takes the heartbeats of the local upstream.
@@ -108,6 +111,9 @@
 	if err := file.StrictMapTo(&s); err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
+	if s.Listen.HopAdvertised == "" {
+		s.Listen.HopAdvertised = s.Listen.Hop
+	}
 	if err := s.Check(); err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
@@ -142,6 +148,7 @@
 	for _, f := range []struct{ key, value string }{
 		{"listen.caller", s.Listen.Caller},
 		{"listen.hop", s.Listen.Hop},
+		{"listen.hop_advertised", s.Listen.HopAdvertised},
 		{"listen.ready", s.Listen.Ready},
 		{"listen.control", s.Listen.Control},
 		{"listen.metrics", s.Listen.Metrics},
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -40,6 +40,8 @@
 	Ready   func(*Sidecar) http.Handler
 	Log     *event.Logger
 	Metrics *metrics.Scope
+	// Listen opens a listener; nil opens a TCP one.
+	Listen func(address string) (net.Listener, error)
 }
 
 // Sidecar is the router beside one upstream.
@@ -48,6 +50,7 @@
 	settings Settings
 	log      *event.Logger
 
+	store     rowstore.Store
 	routes    atomic.Pointer[vhost.Table]
 	fleet     *fleet.Directory
 	index     *keyIndex
@@ -63,6 +66,9 @@
 
 // New builds a sidecar; Run starts it.
 func New(opts Options) *Sidecar {
+	if opts.Listen == nil {
+		opts.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
+	}
 	st := opts.Settings
 	s := &Sidecar{
 		opts:     opts,
@@ -72,8 +78,9 @@
 		index:    newKeyIndex(),
 		local:    &localUpstream{host: st.Host.Name},
 	}
+	s.store = &rowstore.Relayed{Primary: opts.Store, Through: s.storesThrough, Now: time.Now}
 	s.keys = &keyDriver{
-		host: st.Host.Name, store: opts.Store, local: s.local, index: s.index, fleet: s.fleet, log: s.log,
+		host: st.Host.Name, store: s.store, local: s.local, index: s.index, fleet: s.fleet, log: s.log,
 		maxHold:      min(holdTime, millis(st.Terms.HoldMaxMs)),
 		beatInterval: millis(st.Upstream.HeartbeatMs),
 		keyed:        s.keyed,
@@ -96,7 +103,7 @@
 		log:     s.log,
 		metrics: newEntryMetrics(opts.Metrics.SubScope("entry")),
 	}
-	s.publisher = &publisher{store: opts.Store, log: s.log, member: s.member, kick: make(chan struct{}, 1)}
+	s.publisher = &publisher{store: s.store, log: s.log, member: s.member, kick: make(chan struct{}, 1)}
 	return s
 }
 
@@ -119,7 +126,7 @@
 	return fleet.Member{
 		Host: s.settings.Host.Name, Instance: u.holder.Instance, Started: u.holder.Started,
 		Service: u.service, Zone: s.settings.Host.Zone, Region: s.settings.Host.Region,
-		Address: s.settings.Listen.Hop, Slots: u.slots,
+		Address: s.settings.Listen.HopAdvertised, Slots: u.slots,
 		State: u.publishedState(s.stopping.Load()),
 	}, true
 }
@@ -193,20 +200,24 @@
 // follow keeps up with a table until ctx ends.
 func (s *Sidecar) follow(ctx context.Context, table string, changed func(rowstore.Row), pause func() time.Duration) {
 	f := &rowstore.Follower{
-		Store: s.opts.Store, Table: table, Changed: changed, Pause: pause,
+		Store: s.store, Table: table, Changed: changed, Pause: pause,
 		Lost:  func(err error) { s.log.Log(eventStoreLost, event.F("table", table), event.F("error", err.Error())) },
 		Found: func() { s.log.Log(eventStoreFound, event.F("table", table)) },
 	}
 	f.Run(ctx)
 }
 
-// gatherPerHost is the time per host for which changes of the fleet gather
-// before they are read. It keeps the readings of a restart of all hosts, which
-// grow with the square of their number, within the store's rate.
-const gatherPerHost = 3 * time.Millisecond
+const (
+	// gatherPerHost is the time per host for which changes of the fleet gather
+	// before they are read. It keeps the readings of a restart of all hosts,
+	// which grow with the square of their number, within the store's rate.
+	gatherPerHost = 3 * time.Millisecond
+	// shortestGather lets the steps of one move of keys arrive together.
+	shortestGather = 100 * time.Millisecond
+)
 
 func (s *Sidecar) gatherTime() time.Duration {
-	return time.Duration(s.fleet.Hosts()) * gatherPerHost
+	return max(time.Duration(s.fleet.Hosts())*gatherPerHost, shortestGather)
 }
 
 // Run serves until ctx ends, then finishes the requests that are under way.
@@ -252,7 +263,7 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers}
+	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.opts.Store}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
 	for _, e := range []struct {
@@ -265,7 +276,7 @@
 		{"ready", l.Ready, httpServer(s.opts.Ready(s))},
 		{"metrics", l.Metrics, httpServer(mux)},
 	} {
-		listener, err := net.Listen("tcp4", e.address)
+		listener, err := s.opts.Listen(e.address)
 		if err != nil {
 			return nil, fmt.Errorf("listening for %s: %w", e.name, err)
 		}
