Avoid silent hosts; refusals name the holder; fewer readings of the store

Change: a host that has requests under way and gives no answer for four mean latencies counts as silent: other hosts are chosen, and a key held there is refused at once but for one attempt each 300 ms. A refusal for a key names its holder, so hosts of other services read changes of the fleet later. The first three hosts of a service read the leases often, the others every 2 s. Ruled out: a second offer of repeatable requests after a time limit, because keys have one holder.

--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"burdockglade.dev/router/connpool"
@@ -80,6 +81,37 @@
 	}
 }
 
+// Pattern: a host falls silent, with requests under way. Guards against requests
+// that are sent there until their deadlines, and against a host that is never
+// tried again.
+func TestSilentHostIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := directory(upstream("near", "z1", "r1"), upstream("far", "z3", "r2"))
+		h := d.Host("near")
+		h.Begin()
+		h.End(time.Now(), Result{Reached: true, Took: 50 * time.Millisecond, Objective: time.Second})
+		h.Begin()
+		if got := shares(d); got["near"] != 200 {
+			t.Errorf("choices %v before the silence", got)
+		}
+		time.Sleep(shortestSilence + time.Millisecond)
+		if got := shares(d); got["far"] != 200 {
+			t.Errorf("choices %v during the silence", got)
+		}
+		if !h.Answers(time.Now()) || h.Answers(time.Now()) {
+			t.Error("want one request that tries the silent host")
+		}
+		time.Sleep(probeInterval)
+		if !h.Answers(time.Now()) {
+			t.Error("the silent host is not tried again")
+		}
+		h.End(time.Now(), Result{Reached: true})
+		if got := shares(d); got["near"] != 200 || !h.Answers(time.Now()) {
+			t.Errorf("choices %v after an answer", got)
+		}
+	})
+}
+
 // Guards against new work for upstreams that leave, and against an upstream that
 // gets none after its host has changed its address or its run.
 func TestChooseFollowsMembers(t *testing.T) {
--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -20,6 +20,14 @@
 	// be reached gets no requests.
 	firstPause   = 300 * time.Millisecond
 	longestPause = 3 * time.Second
+	// shortestSilence is the shortest time without an answer after which a host
+	// with requests under way counts as silent; silentLatencies is that time in
+	// mean latencies.
+	shortestSilence = 300 * time.Millisecond
+	silentLatencies = 4
+	// probeInterval is the time between requests that are let through to a host
+	// that does not answer.
+	probeInterval = 300 * time.Millisecond
 )
 
 // Load is what a host reports of its upstream.
@@ -54,6 +62,15 @@
 	slowness float64
 	// errors is the mean share of requests that failed at the upstream.
 	errors float64
+	// latency is the mean time of answers.
+	latency time.Duration
+	// heardAt is the time of the last answer, busySince that of the first request
+	// that was sent when none was under way.
+	heardAt   time.Time
+	busySince time.Time
+	// probedAt is the time of the last request that was let through to a host
+	// that does not answer.
+	probedAt time.Time
 	// failures counts attempts in a row that did not reach the host.
 	failures int
 	pausedTo time.Time
@@ -76,8 +93,11 @@
 // Begin counts a request that is being sent to the host.
 func (h *Host) Begin() {
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.sending == 0 {
+		h.busySince = time.Now()
+	}
 	h.sending++
-	h.mu.Unlock()
 }
 
 // Result is what became of a request that was sent to a host.
@@ -111,12 +131,14 @@
 		return
 	}
 	h.failures = 0
+	h.heardAt = now
 	failed := 0.0
 	if r.Failed {
 		failed = 1
 	}
 	h.errors += sampleWeight * (failed - h.errors)
 	if r.Took > 0 && r.Objective > 0 {
+		h.latency += time.Duration(sampleWeight * float64(r.Took-h.latency))
 		h.slowness += sampleWeight * (float64(r.Took)/float64(r.Objective) - h.slowness)
 	}
 }
@@ -128,6 +150,32 @@
 	h.mu.Unlock()
 }
 
+// silent reports whether the host has not answered for long although requests
+// are under way. The caller holds the lock.
+func (h *Host) silent(now time.Time) bool {
+	since := h.heardAt
+	if h.busySince.After(since) {
+		since = h.busySince
+	}
+	return h.sending > 0 && now.Sub(since) > max(shortestSilence, silentLatencies*h.latency)
+}
+
+// Answers reports whether a request should be sent to a host that has no
+// substitute: it is not known to be unreachable or silent, or it is time to try
+// again.
+func (h *Host) Answers(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !now.Before(h.pausedTo) && !h.silent(now) {
+		return true
+	}
+	if now.Sub(h.probedAt) < probeInterval {
+		return false
+	}
+	h.probedAt = now
+	return true
+}
+
 // view is a snapshot for the choice of a host.
 type view struct {
 	host     *Host
@@ -150,6 +198,6 @@
 		used:     max(reported, float64(h.sending)/float64(slots)),
 		slowness: h.slowness,
 		errors:   h.errors,
-		paused:   now.Before(h.pausedTo),
+		paused:   now.Before(h.pausedTo) || h.silent(now),
 	}
 }
--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -76,6 +76,9 @@
 	Kind    string
 	Detail  string
 	RetryMs int
+	// Holder is the host that holds the request's key as far as the refusing
+	// router knows; empty when that is no other host.
+	Holder string
 	Flags   ResponseFlags
 	// Busy, Waiting and Slots are the load of the upstream.
 	Busy    int
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -80,6 +80,9 @@
 	// Arrived tells that the request was sent to the upstream, whether or not it
 	// ran.
 	Arrived bool
+	// Holder is the host that holds the call's key as far as the refusing host
+	// knows; empty when that is no other host.
+	Holder string
 	// Down tells that the host or its upstream could not be reached.
 	Down bool
 	// Load is the load of the upstream when the call ended, if HasLoad.
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -159,7 +160,7 @@
 	unknown := false
 	var last *Result
 	for range maxHops {
-		h, r := e.choose(ctx, c, tried)
+		h, r := e.choose(ctx, c, tried, last)
 		if r != nil {
 			if last == nil {
 				last = r
@@ -184,8 +185,14 @@
 }
 
 // choose returns the host for the next attempt, or a refusal.
-func (e *entry) choose(ctx context.Context, c *Call, tried []*fleet.Host) (*fleet.Host, *Result) {
+func (e *entry) choose(ctx context.Context, c *Call, tried []*fleet.Host, last *Result) (*fleet.Host, *Result) {
 	if c.Keyed {
+		// The refusing host may know more than this one has read.
+		if last != nil && last.Holder != "" {
+			if h := e.fleet.Host(last.Holder); h != nil && !slices.Contains(tried, h) {
+				return answering(h, c)
+			}
+		}
 		return e.chooseHolder(ctx, c, tried)
 	}
 	h := e.fleet.Choose(time.Now(), c.Service, tried)
@@ -207,6 +214,14 @@
 	if h == nil {
 		return nil, refused(errkind.NoOwner, "key %d of %s is held by host %s, which is not known", c.Key, c.Service, found.Host)
 	}
+	return answering(h, c)
+}
+
+// answering returns the host, or a refusal when it is known not to answer.
+func answering(h *fleet.Host, c *Call) (*fleet.Host, *Result) {
+	if !h.Answers(time.Now()) {
+		return nil, refused(errkind.PeerUnreachable, "key %d of %s is held by host %s, which does not answer", c.Key, c.Service, h.Member().Host)
+	}
 	return h, nil
 }
 
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -64,7 +64,7 @@
 // serve passes one call on and returns what became of it.
 func (g *gate) serve(ctx context.Context, c *Call) *Result {
 	if err := g.check(time.Now(), c); err != nil {
-		return g.withLoad(&Result{Err: err, Down: err.Kind == errkind.UpstreamDown})
+		return g.withLoad(&Result{Err: err, Down: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
 	}
 	release, err := g.limiter.Acquire(ctx, c.Priority, admit.Wait{Patience: c.Patience, Goal: c.Goal, Deadline: c.Deadline})
 	if err != nil {
@@ -84,6 +84,21 @@
 	return g.withLoad(g.send(ctx, c, done))
 }
 
+// otherHolder returns the other host that holds the call's key, if one is known.
+func (g *gate) otherHolder(c *Call) string {
+	if !c.Keyed {
+		return ""
+	}
+	m, _ := g.keys.index.get(c.Service)
+	if m == nil {
+		return ""
+	}
+	if r := m.Find(c.Key); r != nil && r.Holder.Host != g.host {
+		return r.Holder.Host
+	}
+	return ""
+}
+
 func asKind(err error) *errkind.Error {
 	var e *errkind.Error
 	if errors.As(err, &e) {
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -129,6 +129,7 @@
 		_ = resp.Body.Close()
 		r.Err = errkind.New(errkind.Kind(resp.Kind), "%s", resp.Detail)
 		r.Err.RetryAfter = time.Duration(resp.RetryMs) * time.Millisecond
+		r.Holder = resp.Holder
 		return r
 	}
 	r.Status, r.Length, r.Body = resp.Status, resp.Length, resp.Body
@@ -212,6 +213,7 @@
 	if r.Err != nil {
 		head.Kind, head.Detail = string(r.Err.Kind), r.Err.Detail
 		head.RetryMs = int(r.Err.RetryAfter.Milliseconds())
+		head.Holder = r.Holder
 		return head
 	}
 	head.Status, head.Length = r.Status, r.Length
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -21,23 +21,34 @@
 	// that the store acknowledged. It covers outages of the store of about 4 s;
 	// keys of a lost host wait for its end.
 	leaseTime = 5 * time.Second
-	// renewInterval is the time between renewals.
-	renewInterval = time.Second
+	// renewInterval is the time between renewals, in small services and in those
+	// of more than largeService hosts.
+	renewInterval      = time.Second
+	largeRenewInterval = 1500 * time.Millisecond
+	largeService       = 12
 	// holdTime is how long an upstream holds keys after one heartbeat. It covers
 	// the loss of one heartbeat; keys of a silent upstream wait for its end.
 	holdTime = 2500 * time.Millisecond
 	// settleTime is how long the set of members must be unchanged before keys
 	// are divided for the first time.
 	settleTime = 1500 * time.Millisecond
-	// rangesPerMember is the number of ranges that each member gets at first.
-	rangesPerMember = 16
+	// firstRanges is the number of ranges of the first division, within the
+	// bounds for each member. Busy ranges are divided later.
+	firstRanges      = 192
+	mostRangesEach   = 16
+	fewestRangesEach = 4
+	// watchers is the number of hosts that read the leases often, in the order of
+	// their names. The others stand in for them.
+	watchers = 3
 	// actPause separates the hosts that may act on the same finding, in order
 	// of their names, so that they do not all write at once.
 	actPause = 400 * time.Millisecond
 	// keyTick is the time between checks of whether there is something to do.
 	keyTick = 100 * time.Millisecond
-	// readInterval is the time between readings of the leases.
-	readInterval = 800 * time.Millisecond
+	// readInterval is the time between readings of the leases by the first hosts,
+	// standInInterval by the others.
+	readInterval    = 800 * time.Millisecond
+	standInInterval = 2 * time.Second
 	// storeCallTimeout bounds one call to the store.
 	storeCallTimeout = 1500 * time.Millisecond
 )
@@ -174,7 +185,7 @@
 // step reads the leases and commits the next change, if any is due.
 func (d *keyDriver) step(ctx context.Context, s upstreamState) {
 	now := steady.Now()
-	if now.Sub(d.lastRead) >= readInterval {
+	if now.Sub(d.lastRead) >= d.readPause(s.service) {
 		d.lastRead = now
 		d.readLeases(ctx, s.service)
 	}
@@ -183,13 +194,34 @@
 		m = &keyown.Map{}
 	}
 	p := d.plan(steady.Now(), s, m)
-	due := steady.Now().Sub(d.lastRenewal) >= renewInterval && !s.withdrawn
+	due := steady.Now().Sub(d.lastRenewal) >= d.renewPause(s.service) && !s.withdrawn
 	if p.next == nil && !due {
 		return
 	}
 	d.commit(ctx, s.service, version, p)
 }
 
+// readPause is the time between readings of the leases.
+func (d *keyDriver) readPause(service string) time.Duration {
+	for i, m := range d.fleet.Members(service) {
+		if i >= watchers {
+			break
+		}
+		if m.Host == d.host {
+			return readInterval
+		}
+	}
+	return standInInterval
+}
+
+// renewPause is the time between renewals of the lease.
+func (d *keyDriver) renewPause(service string) time.Duration {
+	if len(d.fleet.Members(service)) > largeService {
+		return largeRenewInterval
+	}
+	return renewInterval
+}
+
 // readLeases notes which leases are being renewed.
 func (d *keyDriver) readLeases(ctx context.Context, service string) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
@@ -262,7 +294,12 @@
 	if rank < 0 || !d.settled.Passed(now, settleTime+time.Duration(rank)*actPause) {
 		return change{}
 	}
-	return change{next: keyown.New(members, rangesPerMember), why: "first division"}
+	return change{next: keyown.New(members, rangesEach(len(members))), why: "first division"}
+}
+
+// rangesEach is the number of ranges that each of n members gets at first.
+func rangesEach(n int) int {
+	return min(max(firstRanges/n, fewestRangesEach), mostRangesEach)
 }
 
 func hostNames(members []keyown.Member) []string {
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -208,16 +208,24 @@
 }
 
 const (
-	// gatherPerHost is the time per host for which changes of the fleet gather
-	// before they are read. It keeps the readings of a restart of all hosts,
-	// which grow with the square of their number, within the store's rate.
-	gatherPerHost = 3 * time.Millisecond
+	// holderGather and otherGather are the times per host for which changes of
+	// the fleet gather before a host reads them. They keep the readings of many
+	// changes, which grow with the square of the number of hosts, within the
+	// store's rate. Hosts of keyed services wait less, because their upstreams
+	// wait for keys; the others learn of a moved key from the refusing host.
+	holderGather = 4 * time.Millisecond
+	otherGather  = 24 * time.Millisecond
 	// shortestGather lets the steps of one move of keys arrive together.
 	shortestGather = 100 * time.Millisecond
+	longestGather  = 2 * time.Second
 )
 
 func (s *Sidecar) gatherTime() time.Duration {
-	return max(time.Duration(s.fleet.Hosts())*gatherPerHost, shortestGather)
+	perHost := otherGather
+	if s.keyed(s.local.get().service) {
+		perHost = holderGather
+	}
+	return min(max(time.Duration(s.fleet.Hosts())*perHost, shortestGather), longestGather)
 }
 
 // Run serves until ctx ends, then finishes the requests that are under way.
--- a/router/sidecar/sidecar_test.go
+++ b/router/sidecar/sidecar_test.go
@@ -110,7 +110,7 @@
 	c := newCluster(t, "keyed", "keyed", "plain")
 	c.ready()
 	c.eventually("all keys are held", func() bool {
-		return len(c.hosts[0].upstream.held())+len(c.hosts[1].upstream.held()) == 2*rangesPerMember
+		return len(c.hosts[0].upstream.held())+len(c.hosts[1].upstream.held()) == 2*mostRangesEach
 	})
 	for key := 0; key <= 65535; key += 4369 {
 		holder := ""
@@ -139,12 +139,12 @@
 	c := newCluster(t, "keyed", "keyed")
 	c.ready()
 	c.eventually("all keys are held", func() bool {
-		return len(c.hosts[0].upstream.held())+len(c.hosts[1].upstream.held()) == 2*rangesPerMember
+		return len(c.hosts[0].upstream.held())+len(c.hosts[1].upstream.held()) == 2*mostRangesEach
 	})
 	first := c.hosts[0]
 	first.Withdraw(first.upstream.id)
 	c.eventually("the other upstream holds all keys", func() bool {
-		return len(first.upstream.held()) == 0 && len(c.hosts[1].upstream.held()) == 2*rangesPerMember
+		return len(first.upstream.held()) == 0 && len(c.hosts[1].upstream.held()) == 2*mostRangesEach
 	})
 }
 
@@ -269,3 +269,26 @@
 		t.Error("the caller got an answer")
 	}
 }
+
+// Guards against requests that fail because their host has not read the newest
+// key map: the host that refuses the key names the holder.
+func TestRefusalNamesTheHolder(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "keyed", "keyed", "plain")
+	c.ready()
+	c.eventually("all keys are held", func() bool {
+		return len(c.hosts[0].upstream.held())+len(c.hosts[1].upstream.held()) == 2*mostRangesEach
+	})
+	m, version := c.hosts[2].index.get("keyed")
+	stale := m.Clone()
+	for i := range stale.Ranges {
+		stale.Ranges[i].Holder.Host = "h0"
+	}
+	c.hosts[2].index.put("keyed", version+1_000_000, stale)
+	for key := 0; key <= 65535; key += 4369 {
+		got := c.hosts[2].request(t, "GET", "/keys/x", fmt.Sprintf("k%d", key), "", "Key", strconv.Itoa(key))
+		if got.status != 200 {
+			t.Errorf("key %d: got %d %s", key, got.status, got.body)
+		}
+	}
+}
