--- a/router/keyown/grants_test.go
+++ b/router/keyown/grants_test.go
@@ -123,7 +123,7 @@
 	var w LeaseWatch
 	at := func(s float64) steady.Time { return steady.Time(s * float64(time.Second)) }
 	for s := 1.0; s <= 12; s++ {
-		w.Observe(at(s), map[string]int64{"renews": int64(s), "silent": 1})
+		w.Observe(at(s), map[string]int64{"renews": int64(s), "silent": 1}, time.Second)
 		if w.Lapsed(at(s), "renews", lease) {
 			t.Fatalf("second %v: a lease that is renewed counts as lapsed", s)
 		}
@@ -138,12 +138,12 @@
 	if w.Lapsed(at(22), "renews", lease) {
 		t.Error("lapsed without an observation")
 	}
-	w.Observe(at(22), map[string]int64{"renews": 12, "silent": 1})
+	w.Observe(at(22), map[string]int64{"renews": 12, "silent": 1}, time.Second)
 	if w.Lapsed(at(22.5), "renews", lease) {
 		t.Error("lapsed at once after an outage of the store")
 	}
 	for s := 23.0; s <= 25; s++ {
-		w.Observe(at(s), map[string]int64{"renews": 12, "silent": 1})
+		w.Observe(at(s), map[string]int64{"renews": 12, "silent": 1}, time.Second)
 	}
 	if !w.Lapsed(at(25), "renews", lease) {
 		t.Error("not lapsed 3 s after the store's return")
@@ -156,7 +156,7 @@
 	var w LeaseWatch
 	for s := range 12 {
 		now := steady.Time(s+1) * second
-		w.Observe(now, map[string]int64{})
+		w.Observe(now, map[string]int64{}, time.Second)
 		if got, want := w.Lapsed(now, "never", 7*time.Second), s >= 8; got != want {
 			t.Errorf("second %d: lapsed %v, want %v", s, got, want)
 		}
--- a/router/keyown/lease.go
+++ b/router/keyown/lease.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// observationGap is the longest time between two observations that count as
-	// uninterrupted.
-	observationGap = 2500 * time.Millisecond
+	// missedObservations is the number of intervals between two observations from
+	// which they count as interrupted.
+	missedObservations = 3
 	// graceAfterGap is the time that hosts get to renew their leases after the
 	// store was away.
 	graceAfterGap = 2500 * time.Millisecond
@@ -24,6 +24,9 @@
 	// last is the time of the last observation, resumed that of the first one
 	// after a gap.
 	last, resumed steady.Time
+	// gap is the longest time between two observations that count as
+	// uninterrupted.
+	gap time.Duration
 }
 
 type observation struct {
@@ -31,12 +34,14 @@
 	since   steady.Time
 }
 
-// Observe takes the versions of all leases by host.
-func (w *LeaseWatch) Observe(now steady.Time, versions map[string]int64) {
+// Observe takes the versions of all leases by host. The next observation is due
+// after the interval.
+func (w *LeaseWatch) Observe(now steady.Time, versions map[string]int64, interval time.Duration) {
 	if w.seen == nil {
 		w.seen = map[string]observation{}
 	}
-	if w.last == 0 || now.Sub(w.last) > observationGap {
+	w.gap = missedObservations * interval
+	if w.last == 0 || now.Sub(w.last) > w.gap {
 		w.resumed = now
 	}
 	w.last = now
@@ -70,7 +75,7 @@
 		w.seen[host] = observation{since: now}
 		return false
 	}
-	if now.Sub(w.last) > observationGap || now.Sub(w.resumed) < graceAfterGap {
+	if now.Sub(w.last) > w.gap || now.Sub(w.resumed) < graceAfterGap {
 		return false
 	}
 	return now.Sub(o.since) > lease+lease/clockDrift+lapseMargin
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -43,12 +43,14 @@
 	// actPause separates the hosts that may act on the same finding, in order
 	// of their names, so that they do not all write at once.
 	actPause = 400 * time.Millisecond
+	// standInPause is added for the hosts that read the leases seldom.
+	standInPause = 2500 * time.Millisecond
 	// keyTick is the time between checks of whether there is something to do.
 	keyTick = 100 * time.Millisecond
 	// readInterval is the time between readings of the leases by the first hosts,
 	// standInInterval by the others.
 	readInterval    = 800 * time.Millisecond
-	standInInterval = 2 * time.Second
+	standInInterval = 4 * time.Second
 	// storeCallTimeout bounds one call to the store.
 	storeCallTimeout = 1500 * time.Millisecond
 )
@@ -235,7 +237,7 @@
 	for _, r := range rows {
 		versions[r.Name] = r.Version
 	}
-	d.watch.Observe(steady.Now(), versions)
+	d.watch.Observe(steady.Now(), versions, d.readPause(service))
 }
 
 // change is the next change of the key map.
@@ -378,14 +380,24 @@
 		d.waiting.Reset()
 		return false
 	}
-	rank := max(slices.Index(hostNames(members), d.host), 0)
-	if !d.waiting.Passed(now, time.Duration(rank)*actPause) {
+	if !d.waiting.Passed(now, turn(slices.Index(hostNames(members), d.host))) {
 		clear(lapsed)
 		return false
 	}
 	return next.AssignFree(members) || found
 }
 
+// turn is the time after which the host with the rank acts on a finding. The
+// stand-ins leave the others time to act, and lapsed hosts time to renew: what
+// they have read may be old.
+func turn(rank int) time.Duration {
+	wait := time.Duration(max(rank, 0)) * actPause
+	if rank >= watchers {
+		wait += standInPause
+	}
+	return wait
+}
+
 // commit renews the lease and applies the change in one transaction. The lease
 // therefore also proves that this host knows the newest map.
 func (d *keyDriver) commit(ctx context.Context, service string, mapVersion int64, c change) {
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -213,7 +213,7 @@
 	// changes, which grow with the square of the number of hosts, within the
 	// store's rate. Hosts of keyed services wait less, because their upstreams
 	// wait for keys; the others learn of a moved key from the refusing host.
-	holderGather = 4 * time.Millisecond
+	holderGather = 10 * time.Millisecond
 	otherGather  = 24 * time.Millisecond
 	// shortestGather lets the steps of one move of keys arrive together.
 	shortestGather = 100 * time.Millisecond
