--- a/router/connpool/pool.go
+++ b/router/connpool/pool.go
@@ -191,6 +191,28 @@
 	return optErr
 }
 
+// Use takes a connection and runs an exchange on it, which reports whether a
+// part of the request may have been sent. The connection is closed when ctx ends
+// before stop is called, and when the exchange fails; the error is of type
+// *Error then.
+func (p *Pool) Use(ctx context.Context, maxIdle time.Duration, exchange func(*Conn) (sent bool, err error)) (stop func() bool, err error) {
+	cn, _, err := p.Take(ctx, maxIdle)
+	if err != nil {
+		return nil, &Error{Err: err}
+	}
+	stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
+	sent, err := exchange(cn)
+	if err == nil {
+		return stop, nil
+	}
+	stop()
+	_ = cn.Close()
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	return nil, &Error{Sent: sent, Err: err}
+}
+
 // Error is a failure of an exchange before the head of the answer.
 type Error struct {
 	// Sent tells whether a part of the request may have been sent.
--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -42,19 +42,13 @@
 // Do sends the request once and returns the head of its answer. The request
 // ends, with its connection, when ctx does. Errors are of type *connpool.Error.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	cn, _, err := c.Take(ctx, 0)
+	var resp *Response
+	stop, err := c.Use(ctx, 0, func(cn *connpool.Conn) (sent bool, err error) {
+		resp, sent, err = exchange(cn, r)
+		return sent, err
+	})
 	if err != nil {
-		return nil, &connpool.Error{Err: err}
-	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	resp, sent, err := exchange(cn, r)
-	if err != nil {
-		stop()
-		_ = cn.Close()
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause
-		}
-		return nil, &connpool.Error{Sent: sent, Err: err}
+		return nil, err
 	}
 	resp.Body.(*answerBody).stop = stop
 	return resp, nil
--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -79,7 +79,7 @@
 	// Holder is the host that holds the request's key as far as the refusing
 	// router knows; empty when that is no other host.
 	Holder string
-	Flags   ResponseFlags
+	Flags  ResponseFlags
 	// Busy, Waiting and Slots are the load of the upstream.
 	Busy    int
 	Waiting int
--- a/router/keyown/map.go
+++ b/router/keyown/map.go
@@ -168,18 +168,19 @@
 	})
 }
 
-// TakeFrom frees the ranges of a host whose lease has lapsed. It reports whether
-// the map changed.
-func (m *Map) TakeFrom(host string) bool {
-	changed := false
+// HeldBy reports whether the host holds a range.
+func (m *Map) HeldBy(host string) bool {
+	return slices.ContainsFunc(m.Ranges, func(r Range) bool { return r.Held() && r.Holder.Host == host })
+}
+
+// TakeFrom frees the ranges of a host whose lease has lapsed.
+func (m *Map) TakeFrom(host string) {
 	for i := range m.Ranges {
 		r := &m.Ranges[i]
 		if r.Held() && r.Holder.Host == host {
 			r.Holder, r.Next, r.Handover = Holder{}, "", ""
-			changed = true
 		}
 	}
-	return changed
 }
 
 // Renew moves the ranges of an earlier run of the host's upstream to its
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -80,6 +80,8 @@
 	// Arrived tells that the request was sent to the upstream, whether or not it
 	// ran.
 	Arrived bool
+	// Host is the host that the call was offered to.
+	Host string
 	// Holder is the host that holds the call's key as far as the refusing host
 	// knows; empty when that is no other host.
 	Holder string
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -84,7 +84,7 @@
 	defer r.close()
 	e.metrics.observe(route.Name, r, time.Since(start))
 	if r.Err != nil {
-		e.refuse(w, req, route, c.Deadline, r.Err)
+		e.refuse(w, req, route, c.Deadline, r.Err, event.F("host", r.Host), event.F("service", c.Service), event.F("config", table.Version()))
 		return
 	}
 	writeAnswer(w, r)
@@ -254,6 +254,7 @@
 	} else {
 		r = sendHop(ctx, h.Client, e.headers, c)
 	}
+	r.Host = h.Member().Host
 	now := time.Now()
 	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
 		h.Cancelled()
@@ -297,7 +298,7 @@
 	now := time.Now()
 	take := func() bool { return e.budgets.of(c.Service).Take(now) }
 	decision := retry.Decide(class, outcome, kind, c.Deadline.Sub(now), take)
-	e.log.Log(eventRetry, event.F("request", c.RequestID), event.F("service", c.Service),
+	e.log.Log(eventRetry, event.F("request", c.RequestID), event.F("service", c.Service), event.F("host", r.Host),
 		event.F("kind", string(kind)), event.F("outcome", string(outcome)), event.F("arrivals", arrivals), event.F("decision", int(decision)))
 	return decision == retry.Repeat
 }
@@ -317,8 +318,9 @@
 	return last
 }
 
-// refuse answers a request with an error.
-func (e *entry) refuse(w http.ResponseWriter, req *http.Request, route *vhost.Route, deadline time.Time, err *errkind.Error) {
+// refuse answers a request with an error. The fields say what the refusal was
+// decided on.
+func (e *entry) refuse(w http.ResponseWriter, req *http.Request, route *vhost.Route, deadline time.Time, err *errkind.Error, fields ...event.Field) {
 	id := req.Header.Get(e.headers.RequestID)
 	if err.Kind == errkind.CallerLeft {
 		panic(http.ErrAbortHandler) // nobody reads an answer
@@ -339,8 +341,9 @@
 		name = route.Name
 	}
 	e.metrics.refused(name, err.Kind)
-	e.log.Log(eventRefused, event.F("request", id), event.F("route", name), event.F("kind", string(err.Kind)),
-		event.F("status", status), event.F("left_ms", deadline.Sub(now).Milliseconds()), event.F("detail", err.Detail))
+	fields = append([]event.Field{event.F("request", id), event.F("route", name), event.F("kind", string(err.Kind)),
+		event.F("status", status), event.F("left_ms", deadline.Sub(now).Milliseconds()), event.F("detail", err.Detail)}, fields...)
+	e.log.Log(eventRefused, fields...)
 	if id != "" {
 		w.Header().Set(e.headers.RequestID, id)
 	}
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -48,6 +48,8 @@
 		"The leases of the service's hosts cannot be read; no lease is taken for lapsed meanwhile.", "See event 1810.")
 	eventRefused = event.Define(1840, log.InfoLevel, "request refused",
 		"A request of a caller got an answer of the router's own.", "The fields kind and detail name the cause; see docs/ERRORS.md.")
+	eventUpstreamFailed = event.Define(1842, log.InfoLevel, "upstream gave no usable answer",
+		"The gate sent a request to the local upstream, or tried to, and got no answer that may be passed on.", "The field arrived tells whether the upstream got the request; look at the upstream's own log for its id.")
 	eventRetry = event.Define(1841, log.InfoLevel, "request offered again",
 		"An attempt failed; the field decision says whether another one follows (0 means yes).", "If many have the decision 4, the retry budget is spent.")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -12,6 +12,7 @@
 	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/connpool"
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/h1"
 	"burdockglade.dev/router/upstream"
@@ -43,6 +44,7 @@
 	keys    *keyDriver
 	limiter *admit.RankedLimiter
 	client  *h1.Client
+	log     *event.Logger
 	// drainLimit is the time after the notice that the upstream leaves until
 	// the last new request may be sent.
 	drainLimit time.Duration
@@ -81,7 +83,12 @@
 			g.keys.used(c.Key, time.Since(start))
 		}
 	}
-	return g.withLoad(g.send(ctx, c, done))
+	r := g.send(ctx, c, done)
+	if r.Err != nil {
+		g.log.Log(eventUpstreamFailed, event.F("request", c.RequestID), event.F("caller", c.Caller), event.F("kind", string(r.Err.Kind)),
+			event.F("instance", g.local.get().holder.Instance), event.F("arrived", r.Arrived), event.F("took_ms", time.Since(start).Milliseconds()), event.F("detail", r.Err.Detail))
+	}
+	return g.withLoad(r)
 }
 
 // otherHolder returns the other host that holds the call's key, if one is known.
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -366,25 +366,29 @@
 }
 
 // takeLapsed frees the ranges of hosts whose leases have lapsed and gives ranges
-// without a holder to members. Hosts act one after another.
+// without a holder to members. Hosts act one after another; before its turn a
+// host changes nothing, because other changes of the same map are committed
+// without the conditions on the lapsed leases.
 func (d *keyDriver) takeLapsed(now steady.Time, next *keyown.Map, members []keyown.Member, lapsed map[string]int64) bool {
-	found := false
+	var hosts []string
 	for host := range next.Counts() {
-		if host != d.host && d.watch.Lapsed(now, host, leaseTime) && next.TakeFrom(host) {
-			lapsed[host] = d.watch.Version(host)
-			found = true
+		if host != d.host && d.watch.Lapsed(now, host, leaseTime) && next.HeldBy(host) {
+			hosts = append(hosts, host)
 		}
 	}
 	free := slices.ContainsFunc(next.Ranges, func(r keyown.Range) bool { return !r.Held() })
-	if !found && !free {
+	if len(hosts) == 0 && !free {
 		d.waiting.Reset()
 		return false
 	}
 	if !d.waiting.Passed(now, turn(slices.Index(hostNames(members), d.host))) {
-		clear(lapsed)
 		return false
 	}
-	return next.AssignFree(members) || found
+	for _, host := range hosts {
+		next.TakeFrom(host)
+		lapsed[host] = d.watch.Version(host)
+	}
+	return next.AssignFree(members) || len(hosts) > 0
 }
 
 // turn is the time after which the host with the rank acts on a finding. The
--- /dev/null
+++ b/router/sidecar/keydriver_test.go
@@ -0,0 +1,106 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/keyown"
+	"burdockglade.dev/router/rowstore"
+	"burdockglade.dev/router/steady"
+)
+
+// newTestDriver returns the driver of host h1 in a service of three hosts whose
+// key map is in the store and in the index.
+func newTestDriver(t *testing.T, store rowstore.Store) (*keyDriver, upstreamState) {
+	t.Helper()
+	d := &keyDriver{
+		host: "h1", store: store, local: &localUpstream{host: "h1"}, index: newKeyIndex(),
+		fleet:        fleet.NewDirectory("z1", "r1", newHopClient),
+		maxHold:      time.Second,
+		beatInterval: 100 * time.Millisecond,
+		keyed:        func(string) bool { return true },
+		load:         func() fleet.Load { return fleet.Load{Slots: 4} },
+		connect:      func(context.Context) error { return nil },
+		kick:         make(chan struct{}, 1),
+		grants:       keyown.NewGrants(steady.Now(), time.Second),
+	}
+	var members []keyown.Member
+	for i := range 3 {
+		host := fmt.Sprintf("h%d", i)
+		holder := keyown.Holder{Host: host, Instance: "i-" + host, Started: 1}
+		members = append(members, keyown.Member{Holder: holder})
+		d.fleet.Put(fleet.Member{Host: host, Instance: holder.Instance, Started: 1, Service: "s", Address: host + ":1", State: fleet.Ready})
+	}
+	m := keyown.New(members, 4)
+	value, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	version, err := store.Commit(t.Context(), rowstore.Txn{Writes: []rowstore.Write{{Key: rowstore.Key{Table: tableFleet, Part: "s", Name: partKeys}, Value: value}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.index.put("s", version, m)
+	d.local.heartbeat(time.Now(), Report{Instance: "i-h1", Started: 1, Sequence: 1, Service: "s", Slots: 4})
+	return d, d.local.get()
+}
+
+// lapse makes the driver see that the lease of a host has lapsed, and renews
+// those of the others.
+func lapse(d *keyDriver, now steady.Time, host string) steady.Time {
+	versions := map[string]int64{"h0": 1, "h1": 1, "h2": 1}
+	for range 10 {
+		now = now.Add(time.Second)
+		for other := range versions {
+			if other != host {
+				versions[other]++
+			}
+		}
+		d.watch.Observe(now, versions, time.Second)
+	}
+	return now
+}
+
+// Guards against two holders: while this host waits for its turn to free the
+// ranges of a lapsed host, a change for another reason must not free them
+// without the condition on the lease, which the other host may just have renewed.
+func TestOtherChangesDoNotFreeLapsedHosts(t *testing.T) {
+	d, s := newTestDriver(t, rowstore.NewMemory())
+	now := lapse(d, steady.Now(), "h2")
+	m, _ := d.index.get("s")
+	d.grants.Reset(s.holder)
+	r := m.Ranges[m.Of(s.holder)[0]]
+	if !d.grants.GiveUp(m, keyown.Handover{From: r.From, To: r.To, Token: "x"}) {
+		t.Fatal("nothing was given up")
+	}
+	c := d.plan(now, s, m)
+	if c.next == nil {
+		t.Fatal("the released range was not taken care of")
+	}
+	for i := range c.next.Ranges {
+		before := m.Ranges[i].Holder.Host
+		after := c.next.Ranges[i].Holder.Host
+		if before == "h2" && after != "h2" && len(c.lapsed) == 0 {
+			t.Errorf("range %d went from h2 to %q without a condition on the lease", i, after)
+		}
+	}
+}
+
+// Guards against ranges that stay with a lost host, and against taking them
+// without a condition on its lease.
+func TestLapsedHostLosesItsRanges(t *testing.T) {
+	d, s := newTestDriver(t, rowstore.NewMemory())
+	now := lapse(d, steady.Now(), "h2")
+	m, _ := d.index.get("s")
+	d.plan(now, s, m)
+	c := d.plan(now.Add(turn(1)), s, m)
+	if c.next == nil || c.next.HeldBy("h2") {
+		t.Fatal("the ranges were not taken")
+	}
+	if version, ok := c.lapsed["h2"]; !ok || version != 1 {
+		t.Errorf("conditions %v, want version 1 of the lease of h2", c.lapsed)
+	}
+}
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -92,6 +92,7 @@
 	s.gate = &gate{
 		host: st.Host.Name, headers: opts.Headers, local: s.local, keys: s.keys,
 		limiter:    admit.NewRankedLimiter(nil),
+		log:        s.log,
 		client:     newUpstreamClient(st.Upstream.Address),
 		drainLimit: millis(st.Terms.DrainMs) / 2,
 		stopping:   s.stoppingFor,
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -108,8 +108,10 @@
 
 // Watch implements rowstore.Store.
 func (r *remoteStore) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
-	// A short watch returns to the direct way soon after it works again, and
-	// notices a host that is lost.
+	// A short watch returns to the direct way soon after it works again. A host
+	// that is lost while this one waits is noticed by the time alone.
+	ctx, cancel := context.WithTimeout(ctx, relayedCallTimeout)
+	defer cancel()
 	result, err := r.do(ctx, storeCall{Call: storeWatch, Table: table, After: after, Wait: min(wait, relayedWatch)})
 	return result.Rows, result.Version, err
 }
--- /dev/null
+++ b/router/sidecar/storerelay_test.go
@@ -0,0 +1,55 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"burdockglade.dev/router/rowstore"
+)
+
+// Guards against a watch through a host that is lost while it waits: without a
+// bound of its own it would miss changes of the configuration for half a minute.
+func TestRelayedWatchThroughALostHostEnds(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	r := &remoteStore{client: newHopClient(l.Addr().String())}
+	_, _, err = r.Watch(ctx, "t", 0, time.Minute)
+	if err == nil || ctx.Err() != nil {
+		t.Errorf("got %v, %v; want an error long before the caller's deadline", err, ctx.Err())
+	}
+}
+
+// Guards against answers of the store that change their meaning on the way
+// through another host.
+func TestCallStoreKeepsErrors(t *testing.T) {
+	store := rowstore.NewMemory()
+	key := rowstore.Key{Table: "t", Part: "p", Name: "a"}
+	write := storeCall{Call: storeCommit, Txn: rowstore.Txn{
+		Conditions: []rowstore.Condition{{Key: key}},
+		Writes:     []rowstore.Write{{Key: key, Value: []byte("v")}},
+	}}
+	if r := callStore(t.Context(), store, write); r.Version != 1 || r.Conflict || r.Error != "" {
+		t.Errorf("first write: %+v", r)
+	}
+	if r := callStore(t.Context(), store, write); !r.Conflict || len(r.Rows) != 1 {
+		t.Errorf("second write: %+v, want a conflict with the row", r)
+	}
+	if r := callStore(t.Context(), store, storeCall{Call: storeList, Table: "t", Part: "p"}); len(r.Rows) != 1 {
+		t.Errorf("list: %+v", r)
+	}
+	store.ForgetHistory()
+	if r := callStore(t.Context(), store, storeCall{Call: storeWatch, Table: "t", After: 0}); !r.HistoryGone {
+		t.Errorf("watch: %+v, want that the history is gone", r)
+	}
+	if r := callStore(t.Context(), store, storeCall{Call: "drop"}); r.Error == "" {
+		t.Error("an unknown call gave no error")
+	}
+}
