--- /dev/null
+++ b/router/fleet/fuzz_test.go
@@ -0,0 +1,18 @@
+package fleet
+
+import "testing"
+
+// Guards against a row of any form that becomes a host without an address.
+func FuzzDecodeMember(f *testing.F) {
+	data, err := upstream("h", "z", "r").Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte(`{"host":null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if m, err := DecodeMember(data); err == nil && (m.Host == "" || m.Address == "") {
+			t.Errorf("taken: %+v", m)
+		}
+	})
+}
--- /dev/null
+++ b/router/keyown/fuzz_test.go
@@ -0,0 +1,24 @@
+package keyown
+
+import "testing"
+
+// Guards against a row of any form that is taken for a map with gaps.
+func FuzzDecode(f *testing.F) {
+	data, err := New(members(3), 2).Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte(`{"ranges":[{"t":65535,"h":7}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err != nil || len(m.Ranges) == 0 {
+			return
+		}
+		for _, key := range []uint16{0, 1, 30000, MaxKey} {
+			if r := m.Find(key); r == nil || key < r.From || key > r.To {
+				t.Errorf("key %d is in %+v", key, r)
+			}
+		}
+	})
+}
