Wait for the announcement in TestTakeoverNeedsAnUpstream

The log shows the refused announcement. Change: the test waits until h2 serves its own service; what it asserts is unchanged. Ruled out: a fault of the takeover, which may refuse with either kind then.

--- a/ctl/e2e/operator_test.go
+++ b/ctl/e2e/operator_test.go
@@ -160,6 +160,8 @@
 	h1 := c.addHost("h1", "z1", "orders")
 	h2 := c.addHost("h2", "z2", "designs")
 	c.served(h2, "/orders/k")
+	// Until its upstream has announced itself, h2 refuses with another kind.
+	c.served(h2, "/designs/k")
 	var group string
 	eventually(t, "h2 knows the group", func() bool {
 		owners, err := c.operator(h2).Owners(t.Context(), "orders")
