Take the soak's ports below the system's own range

Ports were freed before the processes bound them, and the relays of the same test could take them. Change: ports come from 20000 to 32000. Ruled out: a fault of the router: its port was answered before it could listen.

--- a/ctl/soak/world_test.go
+++ b/ctl/soak/world_test.go
@@ -83,15 +83,27 @@
 	return l.Addr().String()
 }
 
+// nextPort is below the range from which the system takes ports for listeners
+// and connections without one, so that none of these gets a port of a process
+// that is about to start.
+var nextPort = 20000 + os.Getpid()%800*10
+
 // freePorts returns addresses on which nothing listens.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		must(t, err)
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+	for len(addresses) < n {
+		nextPort++
+		if nextPort > 32000 {
+			t.Fatal("no free port below 32000")
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		must(t, l.Close())
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
