Follow members and key maps through one reader of each zone

Cause: every host watched the fleet table itself.

Change: the host of a zone with the widest link reads the table from the store and keeps its rows in a feed; the other hosts of the zone watch that feed over a hop connection. A host that follows another one refuses to feed, so that two hosts cannot follow each other. A failed watch falls back to the store at once. The configuration is still read by each host itself, so that no other host can delay a change of routes. Member rows carry the bandwidth of the link.

Ruled out: one reader for each region (bytes between zones are paid for); relaying the configuration as well (a silent reader would delay it beyond its bound).

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -122,6 +122,40 @@
 	return hosts[:min(n, len(hosts))]
 }
 
+// Zones is the number of zones with known hosts.
+func (d *Directory) Zones() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	zones := map[string]bool{}
+	for _, h := range d.hosts {
+		zones[h.Member().Zone] = true
+	}
+	return len(zones)
+}
+
+// Reader returns the other host of the zone that reads the fleet from the store
+// for all: the one with the widest link, then the first by name. It is nil when
+// that is self, or when no other host is known.
+func (d *Directory) Reader(now time.Time, self string) *Host {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var best *Host
+	var first Member
+	for name, h := range d.hosts {
+		m := h.Member()
+		if m.Zone != d.zone || (name != self && !h.readable(now)) {
+			continue
+		}
+		if best == nil || m.LinkMbps > first.LinkMbps || (m.LinkMbps == first.LinkMbps && m.Host < first.Host) {
+			best, first = h, m
+		}
+	}
+	if best == nil || first.Host == self {
+		return nil
+	}
+	return best
+}
+
 // Choose returns the host of a service with the lowest cost among those that
 // take new work and are not in exclude, or nil.
 func (d *Directory) Choose(now time.Time, service string, exclude []*Host) *Host {
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -143,3 +143,41 @@
 		}
 	}
 }
+
+// Guards against hosts of one zone that choose different readers, which would
+// all ask the store, and against a reader that is known not to answer.
+func TestReaderIsTheSameForAllHostsOfAZone(t *testing.T) {
+	members := []Member{
+		{Host: "a", Zone: "z1", LinkMbps: 10}, {Host: "b", Zone: "z1", LinkMbps: 200},
+		{Host: "c", Zone: "z1", LinkMbps: 200}, {Host: "d", Zone: "z2", LinkMbps: 1000},
+	}
+	now := time.Now()
+	for _, self := range []string{"a", "b", "c"} {
+		d := NewDirectory("z1", "r", func(address string) *hop.Client { return hop.NewClient(connpool.Options{Address: address}) })
+		for _, m := range members {
+			d.Put(m)
+		}
+		want := "b"
+		if self == "b" {
+			want = ""
+		}
+		if got := readerName(d, now, self); got != want {
+			t.Errorf("host %s reads through %q, want %q", self, got, want)
+		}
+		d.Host("b").AvoidAsReader(now.Add(time.Second))
+		want = map[string]string{"a": "c", "b": "", "c": ""}[self]
+		if got := readerName(d, now, self); got != want {
+			t.Errorf("host %s, b avoided: %q, want %q", self, got, want)
+		}
+		if got := d.Zones(); got != 2 {
+			t.Errorf("%d zones, want 2", got)
+		}
+	}
+}
+
+func readerName(d *Directory, now time.Time, self string) string {
+	if h := d.Reader(now, self); h != nil {
+		return h.Member().Host
+	}
+	return ""
+}
--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -74,6 +74,22 @@
 	// failures counts attempts in a row that did not reach the host.
 	failures int
 	pausedTo time.Time
+	// notReaderTo is the time until which the host is not asked for the fleet.
+	notReaderTo time.Time
+}
+
+// AvoidAsReader keeps the host from being chosen as the reader of its zone.
+func (h *Host) AvoidAsReader(to time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notReaderTo = to
+}
+
+// readable reports whether other hosts may ask the host for the fleet.
+func (h *Host) readable(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.member.State != Stopping && !now.Before(h.pausedTo) && !now.Before(h.notReaderTo)
 }
 
 // Member returns what the host told last.
--- a/router/fleet/member.go
+++ b/router/fleet/member.go
@@ -34,6 +34,8 @@
 	Address string `json:"address"`
 	Slots   int    `json:"slots"`
 	State   State  `json:"state"`
+	// LinkMbps is the bandwidth of the host's link in Mbit/s; 0 when unknown.
+	LinkMbps int `json:"link_mbps,omitempty"`
 }
 
 // Encode returns the stored form.
--- /dev/null
+++ b/router/rowstore/feed_test.go
@@ -0,0 +1,115 @@
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func feedRow(name string, version int64) Row {
+	return Row{Key: Key{Table: "t", Part: "p", Name: name}, Version: version}
+}
+
+// Guards against two hosts that follow each other: neither would ever learn of
+// a change.
+func TestFeedIsClosedWhileItsRowsComeFromAnotherHost(t *testing.T) {
+	direct := false
+	f := NewFeed(func() bool { return direct })
+	f.open(3, []Row{feedRow("a", 3)})
+	if _, _, err := f.Watch(t.Context(), 0, 0); !errors.Is(err, ErrNotFed) {
+		t.Errorf("followed through another host: %v, want ErrNotFed", err)
+	}
+	direct = true
+	if rows, version, err := f.Watch(t.Context(), 0, 0); err != nil || version != 3 || len(rows) != 1 {
+		t.Errorf("followed directly: %v, %d, %v", rows, version, err)
+	}
+	f.close()
+	if _, _, err := f.Watch(t.Context(), 0, 0); !errors.Is(err, ErrNotFed) {
+		t.Errorf("store lost: %v, want ErrNotFed", err)
+	}
+}
+
+// Guards against changes that a reader of the feed never gets: the rows of a
+// reading may be newer than the version up to which nothing is missing.
+func TestFeedHoldsBackRowsAfterItsVersion(t *testing.T) {
+	f := NewFeed(func() bool { return true })
+	f.open(4, []Row{feedRow("a", 2), feedRow("b", 6)})
+	rows, version, err := f.Watch(t.Context(), 0, 0)
+	if err != nil || version != 4 || !cmp.Equal(rows, []Row{feedRow("a", 2)}) {
+		t.Fatalf("got %v, %d, %v; want a alone and version 4", rows, version, err)
+	}
+	f.open(6, []Row{feedRow("c", 5)})
+	rows, version, err = f.Watch(t.Context(), version, 0)
+	if err != nil || version != 6 || !cmp.Equal(rows, []Row{feedRow("c", 5), feedRow("b", 6)}) {
+		t.Errorf("got %v, %d, %v; want c and b", rows, version, err)
+	}
+}
+
+// Guards against a host that stays with a reader that failed, and against
+// changes, deletions included, that get lost when it goes from one way to the
+// other.
+func TestFedFollowerMissesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := NewMemory()
+		put(t, store, "a", "1")
+		source := NewFeed(func() bool { return true })
+		failing := false
+		var ended []error
+		fed := &Fed{Store: store, Source: func() (WatchFunc, func(error)) {
+			return func(ctx context.Context, _ string, after int64, wait time.Duration) ([]Row, int64, error) {
+				if failing {
+					return nil, 0, errors.New("the reader is gone")
+				}
+				return source.Watch(ctx, after, min(wait, time.Second))
+			}, func(err error) { ended = append(ended, err) }
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		state := map[string]string{}
+		reader := &Follower{Store: store, Table: "t", Changed: func(Row) {}, Feed: source, Lost: func(error) {}, Found: func() {}}
+		follower := &Follower{Store: fed, Table: "t", Lost: func(error) {}, Found: func() {}, Changed: func(r Row) {
+			if r.Deleted {
+				delete(state, r.Name)
+				return
+			}
+			state[r.Name] = string(r.Value)
+		}}
+		done := make(chan struct{}, 2)
+		for _, f := range []*Follower{reader, follower} {
+			go func() { f.Run(ctx); done <- struct{}{} }()
+		}
+		check := func(want map[string]string) {
+			t.Helper()
+			time.Sleep(3 * time.Second)
+			synctest.Wait()
+			if diff := cmp.Diff(want, state); diff != "" {
+				t.Errorf("rows (-want +got):\n%s", diff)
+			}
+		}
+		check(map[string]string{"a": "1"})
+		if fed.Direct() {
+			t.Error("the follower asks the store although the reader answers")
+		}
+		put(t, store, "b", "2")
+		check(map[string]string{"a": "1", "b": "2"})
+		failing = true
+		if _, err := store.Commit(t.Context(), Txn{Deletes: []Key{{Table: "t", Part: "p", Name: "a"}}}); err != nil {
+			t.Fatal(err)
+		}
+		check(map[string]string{"b": "2"})
+		if !fed.Direct() || ended[len(ended)-1] == nil {
+			t.Error("the follower did not turn to the store")
+		}
+		failing = false
+		put(t, store, "c", "3")
+		check(map[string]string{"b": "2", "c": "3"})
+		put(t, store, "d", "4")
+		check(map[string]string{"b": "2", "c": "3", "d": "4"})
+		cancel()
+		<-done
+		<-done
+	})
+}
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -31,6 +31,8 @@
 	// Pause, if set, returns the time from changed rows to the next call, in which
 	// further changes gather: each change costs every reader a call.
 	Pause func() time.Duration
+	// Feed, if set, is given all rows.
+	Feed *Feed
 	// Lost is called when a call fails after one that succeeded, Found when a
 	// call succeeds again.
 	Lost  func(error)
@@ -38,6 +40,10 @@
 
 	versions map[Key]int64
 	lost     bool
+	// rows are those that Feed has not got yet.
+	rows []Row
+	// changed tells that the last watch returned rows.
+	changed bool
 }
 
 // Run follows the table until ctx ends.
@@ -53,6 +59,7 @@
 		} else {
 			version, err = f.read(ctx)
 		}
+		f.feed(version, err)
 		if errors.Is(err, ErrHistoryGone) {
 			read = false
 			continue
@@ -64,6 +71,7 @@
 		if err == nil {
 			read = true
 			failures = 0
+			f.gather(ctx)
 			continue
 		}
 		pause(ctx, shortestRetry+backoff.Pause(failures))
@@ -71,6 +79,19 @@
 	}
 }
 
+// feed opens the feed after a call that succeeded and closes it after one that
+// failed.
+func (f *Follower) feed(version int64, err error) {
+	switch {
+	case f.Feed == nil:
+	case err != nil:
+		f.Feed.close()
+	default:
+		f.Feed.open(version, f.rows)
+		f.rows = nil
+	}
+}
+
 func (f *Follower) report(err error) {
 	switch {
 	case err != nil && !f.lost:
@@ -126,10 +147,16 @@
 	for _, r := range rows {
 		f.apply(r)
 	}
-	if len(rows) > 0 && f.Pause != nil {
+	f.changed = len(rows) > 0
+	return max(version, after), nil
+}
+
+// gather pauses after changed rows.
+func (f *Follower) gather(ctx context.Context) {
+	if f.changed && f.Pause != nil {
 		pause(ctx, f.Pause())
 	}
-	return max(version, after), nil
+	f.changed = false
 }
 
 // apply hands a row on unless a newer version of it was seen.
@@ -142,6 +169,9 @@
 		delete(f.versions, r.Key)
 	}
 	f.Changed(r)
+	if f.Feed != nil {
+		f.rows = append(f.rows, r)
+	}
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -30,6 +30,8 @@
 		"A row of the store cannot be read; what it replaced stays in force.", "Look who wrote the row.")
 	eventMember = event.Define(1814, log.InfoLevel, "member changed",
 		"Another host was added, changed or removed.", "none")
+	eventReaderLost = event.Define(1815, log.InfoLevel, "reader of the zone lost",
+		"The host that reads the fleet for this zone did not answer, or does not read the store itself; this host reads the store.", "none")
 	eventUpstream = event.Define(1820, log.InfoLevel, "upstream changed",
 		"The local upstream announced itself, changed, or gave notice that it leaves.", "none")
 	eventStaleReport = event.Define(1821, log.WarnLevel, "heartbeat ignored",
--- /dev/null
+++ b/router/sidecar/feed.go
@@ -0,0 +1,55 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/rowstore"
+)
+
+const (
+	// gatherPerReader is the time per host that reads the fleet from the store
+	// for which changes gather before the next reading. It keeps the readings of
+	// many changes, which grow with the square of the readers, within the
+	// store's rate.
+	gatherPerReader = 30 * time.Millisecond
+	// shortestGather lets the steps of one move of keys arrive together.
+	shortestGather = 100 * time.Millisecond
+	longestGather  = 2 * time.Second
+	// lostReaderPause is the time for which a reader that did not answer is not
+	// asked; busyReaderPause that for one that does not read the store itself.
+	lostReaderPause = 10 * time.Second
+	busyReaderPause = time.Second
+)
+
+// gatherTime is the pause between two readings of the fleet. Hosts that follow
+// another host need none: their readings cost the store nothing.
+func (s *Sidecar) gatherTime() time.Duration {
+	if !s.fed.Direct() {
+		return 0
+	}
+	return min(max(time.Duration(s.fleet.Zones())*gatherPerReader, shortestGather), longestGather)
+}
+
+// feedSource returns the way to the host of this zone that reads the fleet for
+// the others, or nil when this host reads it itself.
+func (s *Sidecar) feedSource() (rowstore.WatchFunc, func(error)) {
+	reader := s.fleet.Reader(time.Now(), s.settings.Host.Name)
+	if reader == nil {
+		return nil, nil
+	}
+	remote := &remoteStore{client: reader.Client}
+	return remote.watchFeed, func(err error) {
+		if err == nil || errors.Is(err, context.Canceled) {
+			return
+		}
+		pause := lostReaderPause
+		if errors.Is(err, rowstore.ErrNotFed) {
+			pause = busyReaderPause
+		}
+		reader.AvoidAsReader(time.Now().Add(pause))
+		s.log.Log(eventReaderLost, event.F("host", reader.Member().Host), event.F("error", err.Error()))
+	}
+}
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -147,6 +147,8 @@
 	headers Headers
 	// store is this host's own way to the store.
 	store rowstore.Store
+	// feed holds the rows of the fleet for other hosts.
+	feed *rowstore.Feed
 }
 
 // serve passes a call on to the local upstream or to the store.
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -29,6 +29,10 @@
 	// Service is the service of the upstream on this host. Requests that start
 	// on the host are counted for it.
 	Service string `ini:"service"`
+	// LinkMbps is the bandwidth of the host's link in Mbit/s. In each zone the
+	// host with the widest link reads the fleet for the others. Default 0:
+	// unknown.
+	LinkMbps float64 `ini:"link_mbps"`
 }
 
 // ListenSettings are the addresses to listen on, each an IP number and a port.
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -51,6 +51,8 @@
 	log      *event.Logger
 
 	store     rowstore.Store
+	fed       *rowstore.Fed
+	feed      *rowstore.Feed
 	routes    atomic.Pointer[vhost.Table]
 	fleet     *fleet.Directory
 	index     *keyIndex
@@ -79,6 +81,8 @@
 		local:    &localUpstream{host: st.Host.Name},
 	}
 	s.store = &rowstore.Relayed{Primary: opts.Store, Through: s.storesThrough, Now: time.Now}
+	s.fed = &rowstore.Fed{Store: s.store, Source: s.feedSource}
+	s.feed = rowstore.NewFeed(s.fed.Direct)
 	s.keys = &keyDriver{
 		host: st.Host.Name, store: s.store, local: s.local, index: s.index, fleet: s.fleet, log: s.log,
 		maxHold:      min(holdTime, millis(st.Terms.HoldMaxMs)),
@@ -128,7 +132,8 @@
 		Host: s.settings.Host.Name, Instance: u.holder.Instance, Started: u.holder.Started,
 		Service: u.service, Zone: s.settings.Host.Zone, Region: s.settings.Host.Region,
 		Address: s.settings.Listen.HopAdvertised, Slots: u.slots,
-		State: u.publishedState(s.stopping.Load()),
+		State:    u.publishedState(s.stopping.Load()),
+		LinkMbps: int(s.settings.Host.LinkMbps),
 	}, true
 }
 
@@ -198,35 +203,23 @@
 	return nil
 }
 
-// follow keeps up with a table until ctx ends.
-func (s *Sidecar) follow(ctx context.Context, table string, changed func(rowstore.Row), pause func() time.Duration) {
-	f := &rowstore.Follower{
-		Store: s.store, Table: table, Changed: changed, Pause: pause,
-		Lost:  func(err error) { s.log.Log(eventStoreLost, event.F("table", table), event.F("error", err.Error())) },
-		Found: func() { s.log.Log(eventStoreFound, event.F("table", table)) },
-	}
-	f.Run(ctx)
+// followConfig keeps up with the configuration until ctx ends. Each host asks the
+// store itself, so that no other host can delay a change of the routes.
+func (s *Sidecar) followConfig(ctx context.Context) {
+	s.follow(ctx, &rowstore.Follower{Store: s.store, Table: s.opts.Config.Key.Table, Changed: s.configRow})
 }
 
-const (
-	// holderGather and otherGather are the times per host for which changes of
-	// the fleet gather before a host reads them. They keep the readings of many
-	// changes, which grow with the square of the number of hosts, within the
-	// store's rate. Hosts of keyed services wait less, because their upstreams
-	// wait for keys; the others learn of a moved key from the refusing host.
-	holderGather = 10 * time.Millisecond
-	otherGather  = 24 * time.Millisecond
-	// shortestGather lets the steps of one move of keys arrive together.
-	shortestGather = 100 * time.Millisecond
-	longestGather  = 2 * time.Second
-)
+// followFleet keeps up with the members and the key maps until ctx ends.
+func (s *Sidecar) followFleet(ctx context.Context) {
+	s.follow(ctx, &rowstore.Follower{Store: s.fed, Table: tableFleet, Changed: s.fleetRow, Pause: s.gatherTime, Feed: s.feed})
+}
 
-func (s *Sidecar) gatherTime() time.Duration {
-	perHost := otherGather
-	if s.keyed(s.local.get().service) {
-		perHost = holderGather
+func (s *Sidecar) follow(ctx context.Context, f *rowstore.Follower) {
+	f.Lost = func(err error) {
+		s.log.Log(eventStoreLost, event.F("table", f.Table), event.F("error", err.Error()))
 	}
-	return min(max(time.Duration(s.fleet.Hosts())*perHost, shortestGather), longestGather)
+	f.Found = func() { s.log.Log(eventStoreFound, event.F("table", f.Table)) }
+	f.Run(ctx)
 }
 
 // Run serves until ctx ends, then finishes the requests that are under way.
@@ -240,8 +233,8 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, task := range []func(context.Context){
-		func(ctx context.Context) { s.follow(ctx, s.opts.Config.Key.Table, s.configRow, nil) },
-		func(ctx context.Context) { s.follow(ctx, tableFleet, s.fleetRow, s.gatherTime) },
+		s.followConfig,
+		s.followFleet,
 		s.keys.run,
 		s.publisher.run,
 	} {
@@ -272,7 +265,7 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.opts.Store}
+	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.opts.Store, feed: s.feed}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
 	for _, e := range []struct {
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -21,6 +21,8 @@
 	storeList   = "list"
 	storeWatch  = "watch"
 	storeCommit = "commit"
+	// storeFeed is a watch of what the other router has read already.
+	storeFeed = "feed"
 )
 
 // maxStoreBody bounds the result of a relayed call.
@@ -41,10 +43,11 @@
 	Parts   []string
 	Rows    []rowstore.Row
 	Version int64
-	// Conflict and HistoryGone stand for the errors of that name; Error is the
-	// text of any other.
+	// Conflict, HistoryGone and NotFed stand for the errors of that name; Error is
+	// the text of any other.
 	Conflict    bool
 	HistoryGone bool
+	NotFed      bool
 	Error       string
 }
 
@@ -88,6 +91,8 @@
 		return result, &rowstore.ConflictError{Rows: result.Rows}
 	case result.HistoryGone:
 		return result, rowstore.ErrHistoryGone
+	case result.NotFed:
+		return result, rowstore.ErrNotFed
 	case result.Error != "":
 		return result, fmt.Errorf("store through %s: %s", r.client.Address(), result.Error)
 	}
@@ -108,11 +113,21 @@
 
 // Watch implements rowstore.Store.
 func (r *remoteStore) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
+	return r.watch(ctx, storeCall{Call: storeWatch, Table: table, After: after, Wait: wait})
+}
+
+// watchFeed is Watch on the rows that the other router has read.
+func (r *remoteStore) watchFeed(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
+	return r.watch(ctx, storeCall{Call: storeFeed, Table: table, After: after, Wait: wait})
+}
+
+func (r *remoteStore) watch(ctx context.Context, call storeCall) ([]rowstore.Row, int64, error) {
 	// A short watch returns to the direct way soon after it works again. A host
 	// that is lost while this one waits is noticed by the time alone.
 	ctx, cancel := context.WithTimeout(ctx, relayedCallTimeout)
 	defer cancel()
-	result, err := r.do(ctx, storeCall{Call: storeWatch, Table: table, After: after, Wait: min(wait, relayedWatch)})
+	call.Wait = min(call.Wait, relayedWatch)
+	result, err := r.do(ctx, call)
 	return result.Rows, result.Version, err
 }
 
@@ -136,7 +151,7 @@
 	if err := cbor.Unmarshal(req.Body, &call); err != nil {
 		return &hop.Response{ResponseHead: hop.ResponseHead{Kind: string(errkind.BadRequest), Detail: err.Error()}}
 	}
-	body, err := cbor.Marshal(callStore(ctx, h.store, call))
+	body, err := cbor.Marshal(callStore(ctx, h.store, h.feed, call))
 	if err != nil {
 		return &hop.Response{ResponseHead: hop.ResponseHead{Kind: string(errkind.Internal), Detail: err.Error()}}
 	}
@@ -144,7 +159,7 @@
 }
 
 // callStore makes a call and turns its errors into fields.
-func callStore(ctx context.Context, s rowstore.Store, call storeCall) storeResult {
+func callStore(ctx context.Context, s rowstore.Store, feed *rowstore.Feed, call storeCall) storeResult {
 	var result storeResult
 	var err error
 	switch call.Call {
@@ -154,6 +169,12 @@
 		result.Rows, result.Version, err = s.List(ctx, call.Table, call.Part)
 	case storeWatch:
 		result.Rows, result.Version, err = s.Watch(ctx, call.Table, call.After, call.Wait)
+	case storeFeed:
+		if call.Table != tableFleet {
+			err = fmt.Errorf("table %q is not fed", call.Table)
+			break
+		}
+		result.Rows, result.Version, err = feed.Watch(ctx, call.After, call.Wait)
 	case storeCommit:
 		result.Version, err = s.Commit(ctx, call.Txn)
 	default:
@@ -165,6 +186,8 @@
 		result.Conflict, result.Rows = true, conflict.Rows
 	case errors.Is(err, rowstore.ErrHistoryGone):
 		result.HistoryGone = true
+	case errors.Is(err, rowstore.ErrNotFed):
+		result.NotFed = true
 	case err != nil:
 		result.Error = err.Error()
 	}
