Serve late requests last; keep the slots of an upstream that refuses some

Change: a gate serves those requests of a rank first that can still meet their goal; late ones wait for a short time only and are refused when no slot can come in time. Service times are kept for each rank, because short calls of running requests were refused on account of long ones. In a full queue a more urgent request displaces the last one. The limit of an upstream that gets all its requests from this gate does not fall below half of its slots.

Ruled out: last in, first out (late requests would still be served while others wait); no limit on refusals at all (an upstream may be wrong about its slots).

--- a/router/admit/limit.go
+++ b/router/admit/limit.go
@@ -13,6 +13,9 @@
 	// decreasePause separates two decreases: refusals of requests that were
 	// sent under the old limit say nothing of the new one.
 	decreasePause = 100 * time.Millisecond
+	// fullFloorShare is the part of the slots that an upstream keeps that serves
+	// with all of them.
+	fullFloorShare = 0.5
 	// minLimit keeps a trickle of requests that can find a recovered upstream.
 	minLimit = 1.0
 )
@@ -21,23 +24,28 @@
 // grows by one per round of answers while it is used up, and falls by a factor
 // when the upstream sheds load. It never exceeds the announced slots.
 type Limit struct {
-	slots        int
-	value        float64
+	slots int
+	value float64
+	// floor is the value below which refusals do not bring the limit.
+	floor        float64
 	lastDecrease time.Time
 }
 
 // NewLimit returns the limit for a cold upstream with the announced slots.
 func NewLimit(slots int) Limit {
-	l := Limit{slots: max(slots, 0)}
+	l := Limit{slots: max(slots, 0), floor: minLimit}
 	l.value = max(minLimit, math.Floor(float64(l.slots)*startShare))
 	return l
 }
 
 // NewFullLimit returns the limit for an upstream that serves with all its slots
-// from the start.
+// from the start, and that gets no requests but those admitted here. Its
+// refusals come from a fault rather than from its load, which stays within its
+// slots; they lower the limit to a part of the slots only.
 func NewFullLimit(slots int) Limit {
 	l := Limit{slots: max(slots, 0)}
 	l.value = float64(l.slots)
+	l.floor = max(minLimit, l.value*fullFloorShare)
 	return l
 }
 
@@ -61,6 +69,6 @@
 			return
 		}
 		l.lastDecrease = now
-		l.value = max(minLimit, l.value*decreaseFactor)
+		l.value = max(l.floor, l.value*decreaseFactor)
 	}
 }
--- a/router/admit/ranked.go
+++ b/router/admit/ranked.go
@@ -13,8 +13,21 @@
 // hold requests that are refused in the end.
 const waitingPerSlot = 4
 
+// goalMargin is the factor on the mean service time with which an answer is
+// expected to meet its goal: half of the requests take longer than the mean.
+const goalMargin = 1.3
+
+// lateWait is how many mean service times a late request may wait, and
+// lateWaitLast how many when no other host is left.
+const (
+	lateWait     = 1
+	lateWaitLast = 2
+)
+
 // RankedLimiter admits requests up to a limit and serves waiting requests by
-// rank, and in order of arrival within a rank.
+// rank. Within a rank it serves those first whose answer can still meet its
+// goal, in order of arrival: after a burst the late ones would make all others
+// late as well.
 type RankedLimiter struct {
 	now func() time.Time
 
@@ -23,8 +36,10 @@
 	inFlight int
 	waiting  rankedHeap
 	arrivals uint64
-	// service is the mean time that a request holds a slot.
+	// service is the mean time that a request holds a slot, byRank that of the
+	// requests of a rank.
 	service time.Duration
+	byRank  map[int]time.Duration
 }
 
 // NewRankedLimiter returns a limiter without slots. A nil now means time.Now.
@@ -32,16 +47,30 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &RankedLimiter{now: now}
+	return &RankedLimiter{now: now, byRank: map[int]time.Duration{}}
 }
 
 type rankedItem struct {
-	rank    int
+	rank int
+	// late tells that the answer is expected to miss its goal.
+	late    bool
 	arrival uint64
+	bounds  Wait
 	index   int
 	verdict chan error
 }
 
+// before reports whether the item is served before another one.
+func (it *rankedItem) before(other *rankedItem) bool {
+	if it.rank != other.rank {
+		return it.rank < other.rank
+	}
+	if it.late != other.late {
+		return other.late
+	}
+	return it.arrival < other.arrival
+}
+
 // Patience says how long a request may wait for a slot.
 type Patience int
 
@@ -50,11 +79,10 @@
 	// NoWait refuses a request when no slot is free.
 	NoWait Patience = iota
 	// UntilGoal lets a request wait while its answer is expected to meet the
-	// goal. One that has missed its goal may wait for one mean service time: a
-	// queue of late requests would make all others late as well.
+	// goal, and a late one for a short time.
 	UntilGoal
-	// UntilDeadline lets a request wait while its answer is expected before the
-	// deadline.
+	// UntilDeadline also lets a request wait whose answer will miss the goal, in
+	// spare capacity.
 	UntilDeadline
 )
 
@@ -79,68 +107,121 @@
 	if l.inFlight < l.limit.Allowed() && len(l.waiting) == 0 {
 		l.inFlight++
 		l.mu.Unlock()
-		return l.releaser(now), nil
+		return l.releaser(rank, now), nil
 	}
-	if err := l.refusal(now, rank, bounds); err != nil {
+	it := &rankedItem{rank: rank, arrival: l.arrivals, bounds: bounds, verdict: make(chan error, 1)}
+	it.late = l.late(now, it)
+	if err := l.enqueue(now, it); err != nil {
 		l.mu.Unlock()
 		return nil, err
 	}
-	it := &rankedItem{rank: rank, arrival: l.arrivals, verdict: make(chan error, 1)}
-	l.arrivals++
-	heap.Push(&l.waiting, it)
+	lastStart := bounds.Deadline.Add(-l.serviceOf(rank))
 	l.mu.Unlock()
-	return l.await(ctx, it, bounds.Deadline)
+	return l.await(ctx, it, lastStart)
 }
 
-// refusal decides whether a request may wait.
-func (l *RankedLimiter) refusal(now time.Time, rank int, bounds Wait) error {
+// enqueue lets a request wait, unless it would wait too long. In a full queue
+// it takes the place of the last one if it is served before that.
+func (l *RankedLimiter) enqueue(now time.Time, it *rankedItem) error {
+	wait := l.expectedWait(it)
 	slots := max(l.limit.Allowed(), 1)
-	ahead := 0
-	for _, w := range l.waiting {
-		if w.rank <= rank {
-			ahead++
-		}
-	}
-	wait := time.Duration(ahead+1) * l.service / time.Duration(slots)
-	switch {
-	case bounds.Patience == NoWait:
+	if it.bounds.Patience == NoWait {
 		return overloaded(wait, "%d of %d slots are used", l.inFlight, slots)
-	case len(l.waiting) >= slots*waitingPerSlot:
-		return overloaded(wait, "%d requests wait already", len(l.waiting))
-	case wait > l.longestWait(now, bounds):
+	}
+	if it.bounds.Patience == UntilDeadline && it.bounds.Goal.Sub(now)-wait < l.inTime(it) {
+		it.late = true
+		wait = l.expectedWait(it)
+	}
+	if wait > l.longestWait(now, it) {
 		return overloaded(wait, "the expected wait of %v is too long", wait)
 	}
+	if len(l.waiting) >= slots*waitingPerSlot {
+		last := l.waiting.last()
+		if !it.before(last) {
+			return overloaded(wait, "%d requests wait already", len(l.waiting))
+		}
+		heap.Remove(&l.waiting, last.index)
+		last.verdict <- overloaded(wait, "more urgent requests fill the queue of %d", len(l.waiting)+1)
+	}
+	l.arrivals++
+	heap.Push(&l.waiting, it)
 	return nil
 }
 
-// longestWait is how long a request may wait. The caller holds the lock.
-func (l *RankedLimiter) longestWait(now time.Time, bounds Wait) time.Duration {
-	toDeadline := bounds.Deadline.Sub(now) - l.service
-	if bounds.Patience == UntilDeadline {
-		return toDeadline
+// ServiceTime is the mean time for which a request of the rank holds a slot; 0
+// while no request has ended.
+func (l *RankedLimiter) ServiceTime(rank int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.serviceOf(rank)
+}
+
+// serviceOf is the mean service time of a rank, or of all requests while none of
+// the rank has ended.
+func (l *RankedLimiter) serviceOf(rank int) time.Duration {
+	if d, ok := l.byRank[rank]; ok {
+		return d
 	}
-	toGoal := bounds.Goal.Sub(now) - l.service
-	if toGoal < 0 {
-		return min(l.service, toDeadline)
+	return l.service
+}
+
+// expectedWait is the time until a slot is free for the request: that of the
+// requests before it and of the next one that ends.
+func (l *RankedLimiter) expectedWait(it *rankedItem) time.Duration {
+	before := l.service
+	for _, w := range l.waiting {
+		if w.before(it) {
+			before += l.serviceOf(w.rank)
+		}
+	}
+	return before / time.Duration(max(l.limit.Allowed(), 1))
+}
+
+// late reports whether the answer is expected to miss its goal if the request
+// gets a slot now.
+func (l *RankedLimiter) late(now time.Time, it *rankedItem) bool {
+	return it.bounds.Goal.Sub(now) < l.inTime(it)
+}
+
+// inTime is the time before the goal at which a request must get a slot.
+func (l *RankedLimiter) inTime(it *rankedItem) time.Duration {
+	return time.Duration(goalMargin * float64(l.serviceOf(it.rank)))
+}
+
+// longestWait is how long a request may wait. Late requests wait for a few
+// service times only: while there are requests in time they get no slot, and
+// their callers had better come back later. The caller holds the lock.
+func (l *RankedLimiter) longestWait(now time.Time, it *rankedItem) time.Duration {
+	service := l.serviceOf(it.rank)
+	toDeadline := it.bounds.Deadline.Sub(now) - service
+	switch {
+	case it.late && it.bounds.Patience == UntilDeadline:
+		return min(lateWaitLast*service, toDeadline)
+	case it.late:
+		return min(lateWait*service, toDeadline)
+	case it.bounds.Patience == UntilDeadline:
+		return toDeadline
 	}
-	return min(toGoal, toDeadline)
+	return min(it.bounds.Goal.Sub(now)-l.inTime(it), toDeadline)
 }
 
-func (l *RankedLimiter) await(ctx context.Context, it *rankedItem, deadline time.Time) (func(Result), error) {
-	timer := time.NewTimer(deadline.Sub(l.now()))
+// await waits for the verdict on an item, at the longest until a slot would come
+// too late.
+func (l *RankedLimiter) await(ctx context.Context, it *rankedItem, lastStart time.Time) (func(Result), error) {
+	timer := time.NewTimer(lastStart.Sub(l.now()))
 	defer timer.Stop()
 	select {
 	case err := <-it.verdict:
 		if err != nil {
 			return nil, err
 		}
-		return l.releaser(l.now()), nil
+		return l.releaser(it.rank, l.now()), nil
 	case <-ctx.Done():
 		l.abandon(it)
 		return nil, contextError(ctx.Err())
 	case <-timer.C:
 		l.abandon(it)
-		return nil, errkind.New(errkind.DeadlinePassed, "the deadline passed while the request waited for a slot")
+		return nil, overloaded(0, "no slot was free in time for the deadline")
 	}
 }
 
@@ -159,7 +240,13 @@
 	}
 }
 
-func (l *RankedLimiter) releaser(start time.Time) func(Result) {
+// observe takes the time for which a request held a slot.
+func (l *RankedLimiter) observe(rank int, took time.Duration) {
+	l.service = average(l.service, took)
+	l.byRank[rank] = average(l.byRank[rank], took)
+}
+
+func (l *RankedLimiter) releaser(rank int, start time.Time) func(Result) {
 	return func(r Result) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -167,17 +254,29 @@
 		l.limit.Observe(now, r, l.inFlight)
 		l.inFlight--
 		if r == Completed {
-			l.service = average(l.service, now.Sub(start))
+			l.observe(rank, now.Sub(start))
 		}
 		l.dispatch()
 	}
 }
 
+// dispatch gives free slots to waiting requests. One that can no longer meet its
+// goal goes back behind the others of its rank, and one that cannot end before
+// its deadline is refused.
 func (l *RankedLimiter) dispatch() {
+	now := l.now()
 	for l.inFlight < l.limit.Allowed() && len(l.waiting) > 0 {
 		it := heap.Pop(&l.waiting).(*rankedItem)
-		l.inFlight++
-		it.verdict <- nil
+		switch {
+		case it.bounds.Deadline.Sub(now) < l.serviceOf(it.rank):
+			it.verdict <- overloaded(0, "no slot was free in time for the deadline")
+		case !it.late && l.late(now, it):
+			it.late = true
+			heap.Push(&l.waiting, it)
+		default:
+			l.inFlight++
+			it.verdict <- nil
+		}
 	}
 }
 
@@ -205,16 +304,22 @@
 	return l.limit.Allowed(), l.inFlight, len(l.waiting)
 }
 
-// rankedHeap orders waiting requests by rank and arrival.
+// rankedHeap orders waiting requests as they are served.
 type rankedHeap []*rankedItem
 
 func (h rankedHeap) Len() int { return len(h) }
 
-func (h rankedHeap) Less(i, j int) bool {
-	if h[i].rank != h[j].rank {
-		return h[i].rank < h[j].rank
+func (h rankedHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+
+// last returns the item that is served after all others.
+func (h rankedHeap) last() *rankedItem {
+	last := h[0]
+	for _, it := range h {
+		if last.before(it) {
+			last = it
+		}
 	}
-	return h[i].arrival < h[j].arrival
+	return last
 }
 
 func (h rankedHeap) Swap(i, j int) {
--- a/router/admit/ranked_test.go
+++ b/router/admit/ranked_test.go
@@ -115,3 +115,137 @@
 		}
 	})
 }
+
+// settle waits until the admitted requests have ended.
+func settle() {
+	time.Sleep(time.Hour)
+	synctest.Wait()
+}
+
+// enqueue lets a request wait and sends its name when it is admitted, or the
+// name with a minus when it is refused. An admitted request runs for took.
+func enqueue(ctx context.Context, l *RankedLimiter, name string, rank int, b Wait, took time.Duration, order chan<- string) {
+	go func() {
+		free, err := l.Acquire(ctx, rank, b)
+		if err != nil {
+			order <- "-" + name
+			return
+		}
+		order <- name
+		time.Sleep(took)
+		free(Completed)
+	}()
+	synctest.Wait()
+}
+
+// Pattern: a burst that leaves late requests in the queue. Guards against a
+// queue in which late requests make all later ones late as well.
+func TestRankedLimiterServesLateRequestsLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		l := NewRankedLimiter(nil)
+		l.SetSlots(1)
+		const took = 100 * time.Millisecond
+		warm(t, l, took)
+		order := make(chan string, 8)
+		enqueue(t.Context(), l, "first", 1, bounds(NoWait, time.Second, time.Second), took, order)
+		enqueue(t.Context(), l, "late", 1, bounds(UntilDeadline, -time.Millisecond, time.Minute), took, order)
+		enqueue(t.Context(), l, "in time", 1, bounds(UntilGoal, time.Second, time.Minute), took, order)
+		enqueue(t.Context(), l, "in time too", 1, bounds(UntilGoal, time.Second, time.Minute), took, order)
+		for _, want := range []string{"first", "in time", "in time too", "late"} {
+			if got := <-order; got != want {
+				t.Errorf("%q ran, want %q", got, want)
+			}
+		}
+	})
+}
+
+// Guards against slots that are given to requests whose answer nobody would
+// wait for.
+func TestRankedLimiterRefusesWhatCannotEndInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		l := NewRankedLimiter(nil)
+		l.SetSlots(1)
+		const took = 100 * time.Millisecond
+		warm(t, l, took)
+		order := make(chan string, 8)
+		enqueue(t.Context(), l, "first", 1, bounds(NoWait, time.Second, time.Second), 4*took, order)
+		enqueue(t.Context(), l, "hopeless", 1, bounds(UntilDeadline, 4*took, 4*took+took/2), took, order)
+		enqueue(t.Context(), l, "later", 1, bounds(UntilDeadline, time.Second, time.Minute), took, order)
+		for _, want := range []string{"first", "-hopeless", "later"} {
+			if got := <-order; got != want {
+				t.Errorf("%q ended, want %q", got, want)
+			}
+		}
+	})
+}
+
+// Pattern: a queue full of less urgent work. Guards against urgent requests that
+// are refused because others wait.
+func TestRankedLimiterDisplacesLessUrgentRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		l := NewRankedLimiter(nil)
+		l.SetSlots(1)
+		order := make(chan string, 8)
+		enqueue(t.Context(), l, "first", 2, bounds(NoWait, time.Second, time.Second), time.Second, order)
+		for range waitingPerSlot {
+			enqueue(t.Context(), l, "listing", 2, bounds(UntilDeadline, time.Minute, time.Minute), time.Second, order)
+		}
+		enqueue(t.Context(), l, "listing too many", 2, bounds(UntilDeadline, time.Minute, time.Minute), time.Second, order)
+		enqueue(t.Context(), l, "payment", 1, bounds(UntilDeadline, time.Minute, time.Minute), time.Second, order)
+		for _, want := range []string{"first", "-listing too many", "-listing", "payment", "listing"} {
+			if got := <-order; got != want {
+				t.Errorf("%q ended, want %q", got, want)
+			}
+		}
+	})
+}
+
+// Pattern: short calls that running requests depend on, beside long requests.
+// Guards against refusals of short calls because other ranks take long.
+func TestRankedLimiterExpectsTheTimesOfEachRank(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		l := NewRankedLimiter(nil)
+		l.SetSlots(4)
+		order := make(chan string, 64)
+		for range 8 {
+			enqueue(t.Context(), l, "long", 2, bounds(NoWait, time.Second, time.Second), 600*time.Millisecond, order)
+			<-order
+			time.Sleep(600 * time.Millisecond)
+			enqueue(t.Context(), l, "short", 1, bounds(NoWait, time.Second, time.Second), 50*time.Millisecond, order)
+			<-order
+			time.Sleep(50 * time.Millisecond)
+		}
+		for range 4 {
+			enqueue(t.Context(), l, "long", 2, bounds(NoWait, time.Second, time.Second), 100*time.Millisecond, order)
+			<-order
+		}
+		enqueue(t.Context(), l, "short", 1, bounds(UntilGoal, 250*time.Millisecond, 800*time.Millisecond), 50*time.Millisecond, order)
+		if got := <-order; got != "short" {
+			t.Errorf("%q: the call was refused although a slot is free in time", got)
+		}
+	})
+}
+
+// Pattern: an upstream that refuses a part of its requests whatever its load.
+// Guards against a limit that falls to one request and stays there.
+func TestRankedLimiterKeepsSlotsOfAnUpstreamThatRefusesSome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewRankedLimiter(nil)
+		l.SetSlots(18)
+		for range 60 {
+			free, err := l.Acquire(t.Context(), 0, bounds(NoWait, time.Second, time.Second))
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(decreasePause)
+			free(Shed)
+		}
+		if allowed, _, _ := l.Stats(); allowed < 9 {
+			t.Errorf("%d slots are used of 18, want at least half", allowed)
+		}
+	})
+}
