Move keys by demand, in one step, from smaller first ranges

Cause: an overloaded host saw only the load that it served, 18 slots of the 100 that a hot range asked for, and moved six ranges every 2.5 s; hot keys change after 5 s.

Change: a host measures the demand for each key, refused requests included, over 0.6 s, and moves as many ranges as others have room for, at most once a second. The first division has more and smaller ranges (24 a host up to 35 hosts), whose neighbours belong to different hosts. Answers to heartbeats are bounded to 90 ranges, because upstreams ignore those above 4 KiB; free neighbours are joined when hosts are lost. The mean latency of a host starts with its first sample: hosts with few answers were taken for silent.

Ruled out: moving the hottest key itself to any other host. A log of the hot hosts shows that what stays overloaded is one key (65045, ten times the slots of one upstream by its demand), which no division helps.

--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -154,6 +154,9 @@
 	}
 	h.errors += sampleWeight * (failed - h.errors)
 	if r.Took > 0 && r.Objective > 0 {
+		if h.latency == 0 {
+			h.latency = r.Took
+		}
 		h.latency += time.Duration(sampleWeight * float64(r.Took-h.latency))
 		h.slowness += sampleWeight * (float64(r.Took)/float64(r.Objective) - h.slowness)
 	}
--- a/router/keyown/balance.go
+++ b/router/keyown/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -26,14 +27,17 @@
 	// keys are not served for up to a second.
 	reliefGap = 0.3
 	// maxRelief bounds the ranges that move at once.
-	maxRelief = 6
+	maxRelief = 64
 	// splitParts is the number of parts of a host's slots: a range with more load
 	// than one part is divided, so that it can be spread over hosts.
 	splitParts = 10
 	// maxPieces bounds the pieces of one range at a time.
-	maxPieces = 8
+	maxPieces = 32
 	// maxRangesPerMember bounds the ranges of a map, which every host reads.
 	maxRangesPerMember = 40
+	// maxRangesPerHost bounds the ranges that are moved to one host or divided
+	// there.
+	maxRangesPerHost = 72
 	// smallestRate is the load, in slots, below which moving a range is no
 	// relief.
 	smallestRate = 0.2
@@ -65,11 +69,26 @@
 	return moves
 }
 
+// Demand returns the load of the ranges that the host holds and that stay there,
+// in slots.
+func (m *Map) Demand(host string, loads Loads) float64 {
+	demand := 0.0
+	for i := range m.Ranges {
+		if r := &m.Ranges[i]; r.Holder.Host == host && r.Next == "" {
+			demand += loads.Of(r.From, r.To)
+		}
+	}
+	return demand
+}
+
 // Relieve returns moves of ranges from an overloaded host to members with less
-// load. own is the used share of the host's slots. A range with more load than
-// the host has too much stays: the others move away from it.
+// load. own is the demand for the host's ranges as a share of its slots. A range
+// with more load than the host has too much stays: the others move away from it.
 func (m *Map) Relieve(host string, own float64, slots int, loads Loads, members []Member) []Transfer {
-	others := slices.DeleteFunc(slices.Clone(members), func(x Member) bool { return x.Host == host })
+	counts := m.Counts()
+	others := slices.DeleteFunc(slices.Clone(members), func(x Member) bool {
+		return x.Host == host || counts[x.Host] >= maxRangesPerHost
+	})
 	if own < overloaded || len(others) == 0 || slots <= 0 {
 		return nil
 	}
@@ -92,6 +111,10 @@
 		moves = append(moves, Transfer{Range: i, To: to.Host})
 		excess -= load
 		to.Load += load / float64(slots)
+		counts[to.Host]++
+		if counts[to.Host] >= maxRangesPerHost {
+			to.Load = math.Inf(1)
+		}
 	}
 	return moves
 }
@@ -127,7 +150,7 @@
 // It reports whether the map changed.
 func (m *Map) Split(host string, slots int, loads Loads, members int) bool {
 	limit := max(float64(slots)/splitParts, smallestRate)
-	room := members*maxRangesPerMember - len(m.Ranges)
+	room := min(members*maxRangesPerMember-len(m.Ranges), maxRangesPerHost-m.Counts()[host])
 	var ranges []Range
 	changed := false
 	for _, r := range m.Ranges {
--- a/router/keyown/grants.go
+++ b/router/keyown/grants.go
@@ -126,7 +126,7 @@
 	clear(g.active)
 	grants := []Grant{}
 	for _, r := range m.Ranges {
-		if r.Holder != h || r.Next != "" || leaving {
+		if r.Holder != h || r.Next != "" || leaving || len(grants) == MaxGrants {
 			continue
 		}
 		s := span{r.From, r.To, r.Generation}
@@ -140,6 +140,10 @@
 	return grants, hold
 }
 
+// MaxGrants bounds the ranges of one answer to a heartbeat: upstreams ignore
+// answers of more than 4 KiB, and a range with its handover takes 42 bytes.
+const MaxGrants = 90
+
 // shortestHold is the shortest hold worth granting; a renewal takes a heartbeat.
 const shortestHold = 200 * time.Millisecond
 
--- a/router/keyown/map.go
+++ b/router/keyown/map.go
@@ -173,6 +173,22 @@
 	return slices.ContainsFunc(m.Ranges, func(r Range) bool { return r.Held() && r.Holder.Host == host })
 }
 
+// MergeFree joins neighbouring ranges that nobody holds. It keeps the ranges of
+// the remaining hosts few when many hosts are lost.
+func (m *Map) MergeFree() {
+	merged := m.Ranges[:0:0]
+	for _, r := range m.Ranges {
+		last := len(merged) - 1
+		if last >= 0 && !r.Held() && !merged[last].Held() && r.Handover == "" && merged[last].Handover == "" {
+			merged[last].To = r.To
+			merged[last].Generation = max(merged[last].Generation, r.Generation)
+			continue
+		}
+		merged = append(merged, r)
+	}
+	m.Ranges = merged
+}
+
 // TakeFrom frees the ranges of a host whose lease has lapsed.
 func (m *Map) TakeFrom(host string) {
 	for i := range m.Ranges {
--- a/router/keyown/rates.go
+++ b/router/keyown/rates.go
@@ -12,20 +12,21 @@
 const (
 	// rateWindow is the time over which the load of a key is averaged. Hot keys
 	// change within seconds.
-	rateWindow = time.Second
+	rateWindow = 600 * time.Millisecond
 	// forgottenRate is the load, in slots, below which a key is forgotten.
 	forgottenRate = 0.002
 )
 
-// Rates follows how many slots each key keeps busy. The zero value has seen
-// nothing.
+// Rates follows how many slots the requests for each key need, whether they get
+// them or not: the load that an overloaded upstream serves does not tell how
+// much has to go elsewhere. The zero value has seen nothing.
 type Rates struct {
 	began steady.Time
 	busy  map[uint16]time.Duration
 	mean  map[uint16]float64
 }
 
-// Add counts the time that a request for a key held a slot.
+// Add counts a request for a key with the time for which it needs a slot.
 func (r *Rates) Add(now steady.Time, key uint16, took time.Duration) {
 	r.roll(now)
 	r.busy[key] += took
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -68,6 +68,9 @@
 	if err := g.check(time.Now(), c); err != nil {
 		return g.withLoad(&Result{Err: err, Down: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
 	}
+	if c.Keyed {
+		g.keys.asked(c.Key, g.limiter.ServiceTime(c.Priority))
+	}
 	release, err := g.limiter.Acquire(ctx, c.Priority, admit.Wait{Patience: c.Patience, Goal: c.Goal, Deadline: c.Deadline})
 	if err != nil {
 		return g.withLoad(&Result{Err: asKind(err)})
@@ -77,13 +80,7 @@
 		return g.withLoad(&Result{Err: err})
 	}
 	start := time.Now()
-	done := func(r admit.Result) {
-		release(r)
-		if c.Keyed {
-			g.keys.used(c.Key, time.Since(start))
-		}
-	}
-	r := g.send(ctx, c, done)
+	r := g.send(ctx, c, release)
 	if r.Err != nil {
 		g.log.Log(eventUpstreamFailed, event.F("request", c.RequestID), event.F("caller", c.Caller), event.F("kind", string(r.Err.Kind)),
 			event.F("instance", g.local.get().holder.Instance), event.F("arrived", r.Arrived), event.F("took_ms", time.Since(start).Milliseconds()), event.F("detail", r.Err.Detail))
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -33,10 +33,11 @@
 	// are divided for the first time.
 	settleTime = 1500 * time.Millisecond
 	// firstRanges is the number of ranges of the first division, within the
-	// bounds for each member. Busy ranges are divided later.
-	firstRanges      = 192
-	mostRangesEach   = 16
-	fewestRangesEach = 4
+	// bounds for each member. Neighbours go to different members, so that busy
+	// keys, which lie close to one another, are spread from the start.
+	firstRanges      = 840
+	mostRangesEach   = 24
+	fewestRangesEach = 6
 	// watchers is the number of hosts that read the leases often, in the order of
 	// their names. The others stand in for them.
 	watchers = 3
@@ -98,7 +99,6 @@
 	settled      keyown.Delay
 	membersSeen  []string
 	lastMove     steady.Time
-	meanUsed     float64
 }
 
 // holds reports whether the local upstream holds a key.
@@ -388,6 +388,7 @@
 		next.TakeFrom(host)
 		lapsed[host] = d.watch.Version(host)
 	}
+	next.MergeFree()
 	return next.AssignFree(members) || len(hosts) > 0
 }
 
@@ -474,28 +475,28 @@
 	d.wake()
 }
 
-// used counts the time that a request for a key held a slot.
-func (d *keyDriver) used(key uint16, took time.Duration) {
+// asked counts a request for a key that needs a slot for the time.
+func (d *keyDriver) asked(key uint16, needs time.Duration) {
 	d.mu.Lock()
-	d.rates.Add(steady.Now(), key, took)
+	d.rates.Add(steady.Now(), key, needs)
 	d.mu.Unlock()
 }
 
 // rebalance divides busy ranges and moves ranges to members with fewer of them or
 // less load.
 func (d *keyDriver) rebalance(now steady.Time, next *keyown.Map, s upstreamState, members []keyown.Member) bool {
-	load := d.load()
-	d.meanUsed += loadWeight * (load.Used() - d.meanUsed)
-	if !s.leaving.IsZero() || now.Sub(d.lastMove) < moveInterval {
+	slots := d.load().Slots
+	if slots == 0 || !s.leaving.IsZero() || now.Sub(d.lastMove) < moveInterval {
 		return false
 	}
 	d.mu.Lock()
 	loads := d.rates.Snapshot(now)
 	d.mu.Unlock()
-	changed := next.Split(d.host, load.Slots, loads, len(members))
-	moves := next.Surplus(d.host, d.meanUsed, members)
+	demand := next.Demand(d.host, loads) / float64(slots)
+	changed := demand >= splitFrom && next.Split(d.host, slots, loads, len(members))
+	moves := next.Surplus(d.host, demand, members)
 	if len(moves) == 0 {
-		moves = next.Relieve(d.host, d.meanUsed, load.Slots, loads, members)
+		moves = next.Relieve(d.host, demand, slots, loads, members)
 	}
 	if len(moves) > 0 {
 		d.lastMove = now
@@ -508,9 +509,9 @@
 
 const (
 	// moveInterval is the shortest time between moves that even out load: a move
-	// takes up to two heartbeats, and its effect shows a second later.
-	moveInterval = 2500 * time.Millisecond
-	// loadWeight is the weight of a new sample in the mean load of this host; a
-	// sample is taken each keyTick.
-	loadWeight = 0.1
+	// takes up to two heartbeats.
+	moveInterval = time.Second
+	// splitFrom is the demand, as a share of the slots, from which busy ranges are
+	// divided. Each division costs all hosts a reading of the map.
+	splitFrom = 0.6
 )
