Do not read callers' requests that a stop will not answer

Cause: at the end of a stop the server closes connections without a request.

Change: the stop closes the listeners, ends the reading of connections without a request, waits 0.3 s for those that were read before, and only then closes. Callers send again what was not read.

Ruled out: keeping all connections to the end of the grace period, which moves the same race there.

--- a/router/keyown/grants_test.go
+++ b/router/keyown/grants_test.go
@@ -181,3 +181,19 @@
 		t.Errorf("%.2f slots 4 s after the last request", got)
 	}
 }
+
+// Guards against an answer that is too long for the upstream, which would then
+// lose all its keys.
+func TestGrantsAreBounded(t *testing.T) {
+	m := New(members(1), MaxGrants+10)
+	g := NewGrants(0, time.Second)
+	h := member(0).Holder
+	g.Reset(h)
+	grants, _ := g.Renew(second, m, h, false, 10*second, 3*time.Second)
+	if len(grants) != MaxGrants {
+		t.Errorf("%d ranges granted, want %d", len(grants), MaxGrants)
+	}
+	if r := &m.Ranges[MaxGrants]; g.Holds(second, r) {
+		t.Errorf("range %+v was not granted and counts as held", r)
+	}
+}
--- a/router/keyown/map_test.go
+++ b/router/keyown/map_test.go
@@ -258,3 +258,62 @@
 		t.Errorf("moves to a member with few ranges and high load: %+v", moves)
 	}
 }
+
+// Pattern: a hot range with several times the load that one upstream can serve.
+// Guards against relief in small steps, while the keys stay overloaded for
+// seconds.
+func TestRelieveSpreadsAHotRangeAtOnce(t *testing.T) {
+	all := members(12)
+	m := New(all, 4)
+	r := Rates{mean: map[uint16]float64{}, busy: map[uint16]time.Duration{}}
+	hot := m.Ranges[0]
+	for key := hot.From; key < hot.From+200; key++ {
+		r.mean[key] = 0.3
+	}
+	loads := r.Snapshot(0)
+	const slots = 18
+	for i := range all {
+		all[i].Load = 0.3
+	}
+	m.Split("h0", slots, loads, len(all))
+	own := m.Demand("h0", loads) / slots
+	for _, mv := range m.Relieve("h0", own, slots, loads, all) {
+		m.Move(mv.Range, mv.To)
+	}
+	if left := m.Demand("h0", loads) / slots; left > 0.9 {
+		t.Errorf("a demand of %.2f of the slots stays of %.2f", left, own)
+	}
+	received := map[string]float64{}
+	for _, r := range m.Ranges {
+		received[r.Next] += loads.Of(r.From, r.To) / slots
+	}
+	for host, load := range received {
+		if host != "" && 0.3+load > 0.9 {
+			t.Errorf("host %s gets a demand of %.2f of its slots", host, load)
+		}
+	}
+}
+
+// Guards against hosts with more ranges than an answer to a heartbeat can carry
+// when most hosts are lost at once.
+func TestMergeFreeKeepsTheRangesFew(t *testing.T) {
+	all := members(35)
+	m := New(all, 24)
+	for _, x := range all[8:] {
+		m.TakeFrom(x.Host)
+	}
+	m.MergeFree()
+	m.AssignFree(all[:8])
+	next := 0
+	for _, r := range m.Ranges {
+		if int(r.From) != next || !r.Held() {
+			t.Fatalf("range %+v: want a holder and first key %d", r, next)
+		}
+		next = int(r.To) + 1
+	}
+	for host, n := range m.Counts() {
+		if n > MaxGrants {
+			t.Errorf("host %s has %d ranges", host, n)
+		}
+	}
+}
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -61,6 +61,8 @@
 	gate      *gate
 	entry     *entry
 	publisher *publisher
+	callers   *callerConns
+	listeners []net.Listener
 	stopping  atomic.Bool
 	stopBegan atomic.Int64 // steady.Time of the start of the stop
 	inFlight  atomic.Int64
@@ -78,6 +80,7 @@
 		log:      opts.Log,
 		fleet:    fleet.NewDirectory(st.Host.Zone, st.Host.Region, newHopClient),
 		index:    newKeyIndex(),
+		callers:  newCallerConns(),
 		local:    &localUpstream{host: st.Host.Name},
 	}
 	s.store = &rowstore.Relayed{Primary: opts.Store, Through: s.storesThrough, Now: time.Now}
@@ -268,11 +271,13 @@
 	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.opts.Store, feed: s.feed}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
+	callers := httpServer(s.counted(s.entry))
+	callers.ConnState = s.callers.changed
 	for _, e := range []struct {
 		name, address string
 		server        server
 	}{
-		{"caller", l.Caller, httpServer(s.counted(s.entry))},
+		{"caller", l.Caller, callers},
 		{"hop", l.Hop, hop.NewServer(hops.serve)},
 		{"control", l.Control, httpServer(s.opts.Control(s))},
 		{"ready", l.Ready, httpServer(s.opts.Ready(s))},
@@ -282,14 +287,19 @@
 		if err != nil {
 			return nil, fmt.Errorf("listening for %s: %w", e.name, err)
 		}
+		if e.server == callers {
+			listener = callerListener{Listener: listener, conns: s.callers}
+		}
 		servers = append(servers, e.server)
+		s.listeners = append(s.listeners, listener)
 		go s.serve(e.server, e.name, listener)
 	}
 	return servers, nil
 }
 
 func (s *Sidecar) serve(sv server, name string, l net.Listener) {
-	if err := sv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	err := sv.Serve(l)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !s.stopping.Load() {
 		s.log.Log(eventListenerFailed, event.F("listener", name), event.F("error", err.Error()))
 	}
 }
--- a/router/sidecar/stop.go
+++ b/router/sidecar/stop.go
@@ -17,6 +17,9 @@
 	// otherNoticeTime is that time for requests of other routers that can go to
 	// another upstream; they learn of the stop from the member row.
 	otherNoticeTime = time.Second
+	// lastReadTime is the time in which a request that was read last reaches its
+	// handler, also on a host with little processor time.
+	lastReadTime = 300 * time.Millisecond
 	// killMargin is the time before the platform kills the process.
 	killMargin = 400 * time.Millisecond
 	stopTick   = 50 * time.Millisecond
@@ -38,9 +41,10 @@
 	} else {
 		s.publisher.wake()
 	}
-	for steady.Now() < end && !s.quiet(steady.Now(), began) {
+	for steady.Now() < end.Add(-lastReadTime) && !s.quiet(steady.Now(), began) {
 		time.Sleep(stopTick)
 	}
+	s.closeEntry(end)
 	ctx, cancel := context.WithTimeout(context.Background(), max(end.Sub(steady.Now()), stopTick))
 	defer cancel()
 	for _, sv := range servers {
@@ -50,6 +54,19 @@
 	}
 }
 
+// closeEntry ends the reading of callers' requests, and answers those that were
+// read before.
+func (s *Sidecar) closeEntry(end steady.Time) {
+	for _, l := range s.listeners {
+		_ = l.Close() // it fails when it is closed already
+	}
+	s.callers.stopReading()
+	answered := min(steady.Now().Add(lastReadTime), end)
+	for steady.Now() < answered || (s.inFlight.Load() > 0 && steady.Now() < end) {
+		time.Sleep(stopTick)
+	}
+}
+
 // quiet reports whether callers have stopped sending and all their requests, and
 // those of other routers, have ended.
 func (s *Sidecar) quiet(now, began steady.Time) bool {
