Log each rebalancing of keys with the demand and the hottest key

Change: event 1835 tells the demand of the host, the number of moves and the key with the highest demand, so that a key that no upstream can serve is told from ranges that could be spread.

--- a/router/keyown/rates.go
+++ b/router/keyown/rates.go
@@ -87,6 +87,18 @@
 	return i, j
 }
 
+// Hottest returns the key of the range with the highest load, and that load; 0
+// for a range without load.
+func (l Loads) Hottest(from, to uint16) (key uint16, load float64) {
+	i, j := l.span(from, to)
+	for ; i < j; i++ {
+		if own := l.sums[i+1] - l.sums[i]; own > load {
+			key, load = l.keys[i], own
+		}
+	}
+	return key, load
+}
+
 // Cuts divides a range into at most n parts of about the same load. It returns
 // the last key of each part but the last one.
 func (l Loads) Cuts(from, to uint16, n int) []uint16 {
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -501,6 +501,11 @@
 	if len(moves) > 0 {
 		d.lastMove = now
 	}
+	if changed || len(moves) > 0 {
+		key, hottest := loads.Hottest(0, keyown.MaxKey)
+		d.log.Log(eventRebalance, event.F("demand", demand), event.F("slots", slots), event.F("divided", changed), event.F("moves", len(moves)),
+			event.F("hottest_key", key), event.F("hottest_demand", hottest/float64(slots)))
+	}
 	for _, mv := range moves {
 		next.Move(mv.Range, mv.To)
 	}
