Fewer calls to the store: conflicts, readings of leases, closed feeds

Busy ranges were divided in each tick without any move. A reader that lost the history closed its feed, and its whole zone read the table again.

Change: a conflict brings a reading of the leases only when the change relied on them; ranges are divided only when something moves; released ranges gather for 0.2 s; a series of configurations gathers for 0.4 s; a feed stays open while its reader reads the table again, and a closed feed is asked again for a second before the store is. Late requests wait for a quarter of a service time, and no request starts that is unlikely to end before its deadline.

Ruled out: renewals without a condition on the map's version, which would no longer prove that the holder knows the newest map.

--- a/router/admit/ranked.go
+++ b/router/admit/ranked.go
@@ -17,11 +17,11 @@
 // expected to meet its goal: half of the requests take longer than the mean.
 const goalMargin = 1.3
 
-// lateWait is how many mean service times a late request may wait, and
-// lateWaitLast how many when no other host is left.
+// A late request may wait for one lateWaitShare of a mean service time, or for
+// lateWaitLast service times when no other host is left.
 const (
-	lateWait     = 1
-	lateWaitLast = 2
+	lateWaitShare = 4
+	lateWaitLast  = 2
 )
 
 // RankedLimiter admits requests up to a limit and serves waiting requests by
@@ -53,7 +53,9 @@
 type rankedItem struct {
 	rank int
 	// late tells that the answer is expected to miss its goal.
-	late    bool
+	late bool
+	// expires is the time at which the item is refused if it has no slot.
+	expires time.Time
 	arrival uint64
 	bounds  Wait
 	index   int
@@ -115,9 +117,8 @@
 		l.mu.Unlock()
 		return nil, err
 	}
-	lastStart := bounds.Deadline.Add(-l.serviceOf(rank))
 	l.mu.Unlock()
-	return l.await(ctx, it, lastStart)
+	return l.await(ctx, it)
 }
 
 // enqueue lets a request wait, unless it would wait too long. In a full queue
@@ -132,9 +133,11 @@
 		it.late = true
 		wait = l.expectedWait(it)
 	}
-	if wait > l.longestWait(now, it) {
+	longest := l.longestWait(now, it)
+	if wait > longest {
 		return overloaded(wait, "the expected wait of %v is too long", wait)
 	}
+	it.expires = now.Add(longest + l.serviceOf(it.rank)/2)
 	if len(l.waiting) >= slots*waitingPerSlot {
 		last := l.waiting.last()
 		if !it.before(last) {
@@ -188,27 +191,26 @@
 	return time.Duration(goalMargin * float64(l.serviceOf(it.rank)))
 }
 
-// longestWait is how long a request may wait. Late requests wait for a few
-// service times only: while there are requests in time they get no slot, and
-// their callers had better come back later. The caller holds the lock.
+// longestWait is how long a request may wait. Late requests wait for a short
+// time only: while there are requests in time they get no slot, and their
+// callers had better come back later. The caller holds the lock.
 func (l *RankedLimiter) longestWait(now time.Time, it *rankedItem) time.Duration {
 	service := l.serviceOf(it.rank)
-	toDeadline := it.bounds.Deadline.Sub(now) - service
+	toDeadline := it.bounds.Deadline.Sub(now) - l.inTime(it)
 	switch {
 	case it.late && it.bounds.Patience == UntilDeadline:
 		return min(lateWaitLast*service, toDeadline)
 	case it.late:
-		return min(lateWait*service, toDeadline)
+		return min(service/lateWaitShare, toDeadline)
 	case it.bounds.Patience == UntilDeadline:
 		return toDeadline
 	}
 	return min(it.bounds.Goal.Sub(now)-l.inTime(it), toDeadline)
 }
 
-// await waits for the verdict on an item, at the longest until a slot would come
-// too late.
-func (l *RankedLimiter) await(ctx context.Context, it *rankedItem, lastStart time.Time) (func(Result), error) {
-	timer := time.NewTimer(lastStart.Sub(l.now()))
+// await waits for the verdict on an item until it expires.
+func (l *RankedLimiter) await(ctx context.Context, it *rankedItem) (func(Result), error) {
+	timer := time.NewTimer(it.expires.Sub(l.now()))
 	defer timer.Stop()
 	select {
 	case err := <-it.verdict:
@@ -221,7 +223,7 @@
 		return nil, contextError(ctx.Err())
 	case <-timer.C:
 		l.abandon(it)
-		return nil, overloaded(0, "no slot was free in time for the deadline")
+		return nil, overloaded(0, "no slot was free in time")
 	}
 }
 
@@ -268,8 +270,8 @@
 	for l.inFlight < l.limit.Allowed() && len(l.waiting) > 0 {
 		it := heap.Pop(&l.waiting).(*rankedItem)
 		switch {
-		case it.bounds.Deadline.Sub(now) < l.serviceOf(it.rank):
-			it.verdict <- overloaded(0, "no slot was free in time for the deadline")
+		case it.bounds.Deadline.Sub(now) < l.inTime(it):
+			it.verdict <- overloaded(0, "no slot was free in time")
 		case !it.late && l.late(now, it):
 			it.late = true
 			heap.Push(&l.waiting, it)
--- a/router/rowstore/feed.go
+++ b/router/rowstore/feed.go
@@ -112,25 +112,60 @@
 
 	mu     sync.Mutex
 	direct bool
+	// closed counts the closed feeds that were met in a row.
+	closed int
 }
 
+const (
+	// closedPause is the pause before a closed feed is asked again: its host has
+	// just started, or reads the table anew.
+	closedPause = 200 * time.Millisecond
+	// mostClosed is the number of such pauses before the store itself is asked.
+	mostClosed = 5
+)
+
 // WatchFunc is the Watch of a Store.
 type WatchFunc func(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error)
 
 // Watch implements Store.
 func (s *Fed) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
-	if watch, done := s.Source(); watch != nil {
-		s.setDirect(false)
-		rows, version, err := watch(ctx, table, after, wait)
-		done(err)
-		if err == nil || ctx.Err() != nil {
-			return rows, version, err
-		}
+	watch, done := s.Source()
+	if watch == nil {
+		return s.watchStore(ctx, table, after, wait)
 	}
+	s.setDirect(false)
+	rows, version, err := watch(ctx, table, after, wait)
+	if errors.Is(err, ErrNotFed) && s.askAgain() {
+		pause(ctx, closedPause)
+		return nil, after, nil
+	}
+	done(err)
+	if err != nil && ctx.Err() == nil {
+		return s.watchStore(ctx, table, after, wait)
+	}
+	s.mu.Lock()
+	s.closed = 0
+	s.mu.Unlock()
+	return rows, version, err
+}
+
+func (s *Fed) watchStore(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
 	s.setDirect(true)
 	return s.Store.Watch(ctx, table, after, wait)
 }
 
+// askAgain reports whether a closed feed is asked again.
+func (s *Fed) askAgain() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed++
+	if s.closed <= mostClosed {
+		return true
+	}
+	s.closed = 0
+	return false
+}
+
 func (s *Fed) setDirect(direct bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -59,11 +59,12 @@
 		} else {
 			version, err = f.read(ctx)
 		}
-		f.feed(version, err)
 		if errors.Is(err, ErrHistoryGone) {
+			// What the feed holds is still right; the reading follows at once.
 			read = false
 			continue
 		}
+		f.feed(version, err)
 		if ctx.Err() != nil {
 			return
 		}
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -49,7 +49,7 @@
 	eventLeasesUnread = event.Define(1834, log.WarnLevel, "leases not read",
 		"The leases of the service's hosts cannot be read; no lease is taken for lapsed meanwhile.", "See event 1810.")
 	eventRebalance = event.Define(1835, log.InfoLevel, "keys rebalanced",
-		"This host divides busy ranges of keys or moves some to other hosts. Demands are shares of the upstream's slots.", "A hottest_demand above 1 is a key that one upstream cannot serve: make its requests cheaper or fewer.")
+		"This host moves ranges of keys to other hosts. demand is a share of the upstream's slots, hottest_demand that of one key in slots.", "A hottest_demand above the slots of an upstream is a key that no upstream can serve: make its requests cheaper or fewer.")
 	eventRefused = event.Define(1840, log.InfoLevel, "request refused",
 		"A request of a caller got an answer of the router's own.", "The fields kind and detail name the cause; see docs/ERRORS.md.")
 	eventUpstreamFailed = event.Define(1842, log.InfoLevel, "upstream gave no usable answer",
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -46,6 +46,9 @@
 	actPause = 400 * time.Millisecond
 	// standInPause is added for the hosts that read the leases seldom.
 	standInPause = 2500 * time.Millisecond
+	// releaseGather is the time for which released ranges gather: an upstream
+	// gives ranges up one by one, as the work on them ends.
+	releaseGather = 200 * time.Millisecond
 	// keyTick is the time between checks of whether there is something to do.
 	keyTick = 100 * time.Millisecond
 	// readInterval is the time between readings of the leases by the first hosts,
@@ -200,6 +203,9 @@
 	if p.next == nil && !due {
 		return
 	}
+	if p.gather && !due && steady.Now().Sub(d.lastRenewal) < releaseGather {
+		return
+	}
 	d.commit(ctx, s.service, version, p)
 }
 
@@ -248,6 +254,8 @@
 	// versions of these leases.
 	lapsed map[string]int64
 	why    string
+	// gather tells that the change may wait for others that are likely to follow.
+	gather bool
 }
 
 // plan decides on the next change of the key map.
@@ -266,6 +274,7 @@
 	}
 	others := slices.DeleteFunc(slices.Clone(members), func(x keyown.Member) bool { return x.Host == d.host })
 	note(d.takeReleased(next, s, others), "released")
+	c.gather = changed
 	note(d.releaseEnded(now, next, s, others), "hold ended")
 	if s.leaving.IsZero() {
 		note(next.Renew(s.holder), "new run of the upstream")
@@ -433,6 +442,9 @@
 	switch {
 	case errors.As(err, &conflict):
 		d.adopt(service, mapKey, leaseKey, conflict.Rows)
+		if len(c.lapsed) > 0 {
+			d.lastRead = 0 // one of the lapsed leases may have been renewed
+		}
 	case err != nil:
 		d.log.Log(eventRenewalFailed, event.F("service", service), event.F("error", err.Error()))
 	default:
@@ -471,7 +483,6 @@
 		}
 	}
 	d.lastRenewal = 0
-	d.lastRead = 0
 	d.wake()
 }
 
@@ -482,8 +493,10 @@
 	d.mu.Unlock()
 }
 
-// rebalance divides busy ranges and moves ranges to members with fewer of them or
-// less load.
+// rebalance moves ranges to members with fewer of them or less load. It divides
+// busy ranges first, so that their parts can go to different members; when
+// nothing moves, nothing is divided, because each change of the map costs all
+// hosts a reading and a renewal.
 func (d *keyDriver) rebalance(now steady.Time, next *keyown.Map, s upstreamState, members []keyown.Member) bool {
 	slots := d.load().Slots
 	if slots == 0 || !s.leaving.IsZero() || now.Sub(d.lastMove) < moveInterval {
@@ -493,30 +506,32 @@
 	loads := d.rates.Snapshot(now)
 	d.mu.Unlock()
 	demand := next.Demand(d.host, loads) / float64(slots)
-	changed := demand >= splitFrom && next.Split(d.host, slots, loads, len(members))
-	moves := next.Surplus(d.host, demand, members)
-	if len(moves) == 0 {
-		moves = next.Relieve(d.host, demand, slots, loads, members)
-	}
-	if len(moves) > 0 {
+	if moves := next.Surplus(d.host, demand, members); len(moves) > 0 {
 		d.lastMove = now
+		d.move(next, moves, demand, loads)
+		return true
 	}
-	if changed || len(moves) > 0 {
-		key, hottest := loads.Hottest(0, keyown.MaxKey)
-		d.log.Log(eventRebalance, event.F("demand", demand), event.F("slots", slots), event.F("divided", changed), event.F("moves", len(moves)),
-			event.F("hottest_key", key), event.F("hottest_demand", hottest/float64(slots)))
+	divided := next.Clone()
+	divided.Split(d.host, slots, loads, len(members))
+	moves := divided.Relieve(d.host, demand, slots, loads, members)
+	if len(moves) == 0 {
+		return false
 	}
+	d.lastMove = now
+	*next = *divided
+	d.move(next, moves, demand, loads)
+	return true
+}
+
+// move notes the next hosts of ranges in the map.
+func (d *keyDriver) move(next *keyown.Map, moves []keyown.Transfer, demand float64, loads keyown.Loads) {
 	for _, mv := range moves {
 		next.Move(mv.Range, mv.To)
 	}
-	return changed || len(moves) > 0
+	key, hottest := loads.Hottest(0, keyown.MaxKey)
+	d.log.Log(eventRebalance, event.F("demand", demand), event.F("moves", len(moves)), event.F("hottest_key", key), event.F("hottest_demand", hottest))
 }
 
-const (
-	// moveInterval is the shortest time between moves that even out load: a move
-	// takes up to two heartbeats.
-	moveInterval = time.Second
-	// splitFrom is the demand, as a share of the slots, from which busy ranges are
-	// divided. Each division costs all hosts a reading of the map.
-	splitFrom = 0.6
-)
+// moveInterval is the shortest time between moves that even out load: a move
+// takes up to two heartbeats.
+const moveInterval = time.Second
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -209,9 +209,17 @@
 // followConfig keeps up with the configuration until ctx ends. Each host asks the
 // store itself, so that no other host can delay a change of the routes.
 func (s *Sidecar) followConfig(ctx context.Context) {
-	s.follow(ctx, &rowstore.Follower{Store: s.store, Table: s.opts.Config.Key.Table, Changed: s.configRow})
+	s.follow(ctx, &rowstore.Follower{
+		Store: s.store, Table: s.opts.Config.Key.Table, Changed: s.configRow,
+		Pause: func() time.Duration { return configGather },
+	})
 }
 
+// configGather is the time for which further configurations gather after one:
+// each of a quick series would cost every host a call. A configuration must be
+// in force within 2 s.
+const configGather = 400 * time.Millisecond
+
 // followFleet keeps up with the members and the key maps until ctx ends.
 func (s *Sidecar) followFleet(ctx context.Context) {
 	s.follow(ctx, &rowstore.Follower{Store: s.fed, Table: tableFleet, Changed: s.fleetRow, Pause: s.gatherTime, Feed: s.feed})
