Count the calls to the store by kind and outcome

Change: burdock_entry_store_calls, with conflicts and lost histories apart, so that operators see what a host costs the store and whether key maps change faster than hosts learn of it.

Ruled out, with a trial: compressing answers on hops.

--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -50,7 +50,8 @@
 	settings Settings
 	log      *event.Logger
 
-	store     rowstore.Store
+	direct    rowstore.Store // this host's own way to the store
+	store     rowstore.Store // that way, or one through another host
 	fed       *rowstore.Fed
 	feed      *rowstore.Feed
 	routes    atomic.Pointer[vhost.Table]
@@ -83,7 +84,8 @@
 		callers:  newCallerConns(),
 		local:    &localUpstream{host: st.Host.Name},
 	}
-	s.store = &rowstore.Relayed{Primary: opts.Store, Through: s.storesThrough, Now: time.Now}
+	s.direct = &countedStore{store: opts.Store, scope: opts.Metrics.SubScope("entry")}
+	s.store = &rowstore.Relayed{Primary: s.direct, Through: s.storesThrough, Now: time.Now}
 	s.fed = &rowstore.Fed{Store: s.store, Source: s.feedSource}
 	s.feed = rowstore.NewFeed(s.fed.Direct)
 	s.keys = &keyDriver{
@@ -276,7 +278,7 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.opts.Store, feed: s.feed}
+	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.direct, feed: s.feed}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
 	callers := httpServer(s.counted(s.entry))
