Let heartbeats wait for keys on their way; refuse at once when a key's holder is full

Cause: a moved key was unserved until the next heartbeat of its new holder, 0.44 s on average after its release; the same after each restart of an upstream.

Change: the answer to a heartbeat waits up to 0.55 s while the map shows ranges on their way to the upstream. A later heartbeat ends the wait of an earlier one, which then grants nothing, because its answer could give back what the later one takes away. An overloaded holder is not asked again, and a key on its way is waited for during a quarter of the objective.

Ruled out: holding every heartbeat, which would delay the notice that ranges have to be given up.

--- a/router/keyown/map.go
+++ b/router/keyown/map.go
@@ -173,6 +173,23 @@
 	return slices.ContainsFunc(m.Ranges, func(r Range) bool { return r.Held() && r.Holder.Host == host })
 }
 
+// Expects reports whether ranges are on their way to the upstream: from another
+// host, or from an earlier run of the same upstream. It is false while the
+// upstream has ranges to give up, which it must learn at once.
+func (m *Map) Expects(h Holder) bool {
+	expects := false
+	for i := range m.Ranges {
+		r := &m.Ranges[i]
+		switch {
+		case r.Holder == h && r.Next != "":
+			return false
+		case r.Next == h.Host, r.Held() && r.Holder.Host == h.Host && r.Holder != h:
+			expects = true
+		}
+	}
+	return expects
+}
+
 // MergeFree joins neighbouring ranges that nobody holds. It keeps the ranges of
 // the remaining hosts few when many hosts are lost.
 func (m *Map) MergeFree() {
--- a/router/keyown/map_test.go
+++ b/router/keyown/map_test.go
@@ -317,3 +317,25 @@
 		}
 	}
 }
+
+// Guards against answers that wait for keys while the upstream should learn that
+// it has to give some up.
+func TestExpects(t *testing.T) {
+	a, b := member(0).Holder, member(1).Holder
+	restarted := a
+	restarted.Started += 5
+	for _, c := range []struct {
+		name   string
+		ranges []Range
+		want   bool
+	}{
+		{"nothing on its way", []Range{{Holder: a}, {Holder: b}}, false},
+		{"from another host", []Range{{Holder: a}, {Holder: b, Next: a.Host}}, true},
+		{"from an earlier run", []Range{{Holder: Holder{Host: a.Host, Instance: "old", Started: 1}}}, true},
+		{"with a range to give up", []Range{{Holder: b, Next: a.Host}, {Holder: a, Next: b.Host}}, false},
+	} {
+		if got := (&Map{Ranges: c.ranges}).Expects(a); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -225,9 +225,9 @@
 	return h, nil
 }
 
-// moveWaitShare is the part of the remaining time for which a request waits for
-// a key that is being moved.
-const moveWaitShare = 2
+// moveWaitShare is the part of the latency objective for which a request waits
+// for a key that is being moved.
+const moveWaitShare = 4
 
 // patience says how long a call may wait at the next host. The first host is not
 // waited for when others may have a free slot, and the last one until the
@@ -281,6 +281,9 @@
 	if c.Stream != nil && r.Arrived {
 		return false // the body cannot be sent again
 	}
+	if c.Keyed && r.notRun() && r.Err.Kind == errkind.Overloaded {
+		return false // no other host may serve the key
+	}
 	if !r.Arrived && r.notRun() {
 		return errkind.AnswerOf(r.Err.Kind).Retryable
 	}
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -29,6 +29,9 @@
 	// holdTime is how long an upstream holds keys after one heartbeat. It covers
 	// the loss of one heartbeat; keys of a silent upstream wait for its end.
 	holdTime = 2500 * time.Millisecond
+	// longestAnswer bounds the time until a heartbeat is answered. The upstream
+	// gives up after a second.
+	longestAnswer = 550 * time.Millisecond
 	// settleTime is how long the set of members must be unchanged before keys
 	// are divided for the first time.
 	settleTime = 1500 * time.Millisecond
@@ -92,6 +95,8 @@
 	rates    keyown.Rates
 	leaseEnd steady.Time
 	kick     chan struct{}
+	// overtaken ends the wait of the last heartbeat.
+	overtaken chan struct{}
 
 	// The fields below belong to run.
 	leaseVersion int64
@@ -117,13 +122,38 @@
 }
 
 // heartbeat takes what the upstream says of its keys and returns what it is to
-// hold.
+// hold. While keys are on their way to the upstream, the answer waits for them:
+// otherwise nobody would serve them until the next heartbeat.
 func (d *keyDriver) heartbeat(s upstreamState, r Report) Reply {
 	if !d.keyed(s.service) {
 		return Reply{}
 	}
+	arrived := steady.Now()
+	d.takeReport(s, r)
+	overtaken := d.newHeartbeat()
+	if len(r.Released) == 0 && s.leaving.IsZero() && !d.await(s, overtaken) {
+		return Reply{}
+	}
+	if now := d.local.get(); now.holder == s.holder {
+		s = now // the upstream may have given notice meanwhile
+	} else {
+		return Reply{}
+	}
 	m, version := d.index.get(s.service)
-	now := steady.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	grants, hold := d.grants.Renew(arrived, m, s.holder, !s.leaving.IsZero(), d.leaseEnd, d.maxHold)
+	if hold == 0 {
+		return Reply{}
+	}
+	d.log.Log(eventGrant, event.F("instance", s.holder.Instance), event.F("beat", r.Sequence), event.F("ranges", len(grants)),
+		event.F("hold_ms", hold.Milliseconds()), event.F("map_version", version), event.F("holds", len(r.Holds)), event.F("released", len(r.Released)))
+	return Reply{Renew: true, Grants: grants, HoldFor: hold}
+}
+
+// takeReport notes the ranges that the upstream has given up.
+func (d *keyDriver) takeReport(s upstreamState, r Report) {
+	m, _ := d.index.get(s.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.grants.Reset(s.holder)
@@ -132,13 +162,39 @@
 			d.wake()
 		}
 	}
-	grants, hold := d.grants.Renew(now, m, s.holder, !s.leaving.IsZero(), d.leaseEnd, d.maxHold)
-	if hold == 0 {
-		return Reply{}
+}
+
+// newHeartbeat ends the wait of earlier heartbeats. The returned channel is
+// closed when a later one arrives.
+func (d *keyDriver) newHeartbeat() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.overtaken != nil {
+		close(d.overtaken)
+	}
+	d.overtaken = make(chan struct{})
+	return d.overtaken
+}
+
+// await waits until no keys are on their way to the upstream, for longestAnswer
+// at most. It returns false when a later heartbeat has arrived: its answer may
+// take keys away that this one would give.
+func (d *keyDriver) await(s upstreamState, overtaken <-chan struct{}) bool {
+	timer := time.NewTimer(longestAnswer)
+	defer timer.Stop()
+	for {
+		im := d.index.current(s.service)
+		if im == nil || !im.keys.Expects(s.holder) {
+			return true
+		}
+		select {
+		case <-im.changed:
+		case <-timer.C:
+			return true
+		case <-overtaken:
+			return false
+		}
 	}
-	d.log.Log(eventGrant, event.F("instance", s.holder.Instance), event.F("beat", r.Sequence), event.F("ranges", len(grants)),
-		event.F("hold_ms", hold.Milliseconds()), event.F("map_version", version), event.F("holds", len(r.Holds)), event.F("released", len(r.Released)))
-	return Reply{Renew: true, Grants: grants, HoldFor: hold}
 }
 
 func (d *keyDriver) wake() {
