Let leases last 9 s

Change: leases last 9 s and are renewed every 1.5 s, or 2 s in large services, which also costs fewer calls. Keys of a host that is lost in silence wait 4 s longer; keys of an upstream that ended beside a living router do not.

Ruled out: going on past the lease while the store is away. A host cannot tell an outage for all from its own, and others may take its keys.

--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -18,13 +18,14 @@
 
 const (
 	// leaseTime is how long a host's lease lasts after the sending of a renewal
-	// that the store acknowledged. It covers outages of the store of about 4 s;
-	// keys of a lost host wait for its end.
-	leaseTime = 5 * time.Second
+	// that the store acknowledged. It covers outages of the store of about 7 s, in
+	// which all keys would go unserved; keys of a host that is lost in silence
+	// wait for its end.
+	leaseTime = 9 * time.Second
 	// renewInterval is the time between renewals, in small services and in those
 	// of more than largeService hosts.
-	renewInterval      = time.Second
-	largeRenewInterval = 1500 * time.Millisecond
+	renewInterval      = 1500 * time.Millisecond
+	largeRenewInterval = 2 * time.Second
 	largeService       = 12
 	// holdTime is how long an upstream holds keys after one heartbeat. It covers
 	// the loss of one heartbeat; keys of a silent upstream wait for its end.
@@ -56,8 +57,8 @@
 	keyTick = 100 * time.Millisecond
 	// readInterval is the time between readings of the leases by the first hosts,
 	// standInInterval by the others.
-	readInterval    = 800 * time.Millisecond
-	standInInterval = 4 * time.Second
+	readInterval    = 1200 * time.Millisecond
+	standInInterval = 6 * time.Second
 	// storeCallTimeout bounds one call to the store.
 	storeCallTimeout = 1500 * time.Millisecond
 )
