--- a/router/sidecar/keydriver_test.go
+++ b/router/sidecar/keydriver_test.go
@@ -52,7 +52,7 @@
 // those of the others.
 func lapse(d *keyDriver, now steady.Time, host string) steady.Time {
 	versions := map[string]int64{"h0": 1, "h1": 1, "h2": 1}
-	for range 10 {
+	for range int(leaseTime/time.Second) + 4 {
 		now = now.Add(time.Second)
 		for other := range versions {
 			if other != host {
