Remove the member rows of hosts that are gone for good

Cause: nobody removed the row of a host that was replaced.

A living host that finds its row removed writes it again.

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -122,6 +122,19 @@
 	return hosts[:min(n, len(hosts))]
 }
 
+// InZone returns the known hosts of a zone, ordered by name.
+func (d *Directory) InZone(zone string) []*Host {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var hosts []*Host
+	for _, name := range slices.Sorted(maps.Keys(d.hosts)) {
+		if h := d.hosts[name]; h.Member().Zone == zone {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
 // Zones is the number of zones with known hosts.
 func (d *Directory) Zones() int {
 	d.mu.RLock()
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -32,6 +32,8 @@
 		"Another host was added, changed or removed.", "none")
 	eventReaderLost = event.Define(1815, log.InfoLevel, "reader of the zone lost",
 		"The host that reads the fleet for this zone did not answer, or does not read the store itself; this host reads the store.", "none")
+	eventMemberGone = event.Define(1816, log.InfoLevel, "host gone",
+		"A host of this zone did not answer several probes in a row; its member row is removed. It writes the row again if it lives.", "none; if the host lives, look for a partition between it and this host.")
 	eventUpstream = event.Define(1820, log.InfoLevel, "upstream changed",
 		"The local upstream announced itself, changed, or gave notice that it leaves.", "none")
 	eventStaleReport = event.Define(1821, log.WarnLevel, "heartbeat ignored",
--- a/router/sidecar/members.go
+++ b/router/sidecar/members.go
@@ -63,7 +63,7 @@
 	return m != p.written
 }
 
-func (p *publisher) key(host string) rowstore.Key {
+func memberKey(host string) rowstore.Key {
 	return rowstore.Key{Table: tableFleet, Part: partMembers, Name: host}
 }
 
@@ -78,7 +78,7 @@
 	defer p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	key := p.key(m.Host)
+	key := memberKey(m.Host)
 	version, err := p.store.Commit(ctx, rowstore.Txn{
 		Conditions: []rowstore.Condition{{Key: key, Version: p.version}},
 		Writes:     []rowstore.Write{{Key: key, Value: value}},
@@ -98,20 +98,33 @@
 	return nil
 }
 
-// remove deletes the row of a host whose upstream has left for good.
+// remove deletes this host's row, whose upstream has left for good.
 func (p *publisher) remove(ctx context.Context, host string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return removeMember(ctx, p.store, host, p.version)
+}
+
+// removeMember deletes the row of a host unless it has changed since the version.
+func removeMember(ctx context.Context, store rowstore.Store, host string, version int64) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	key := p.key(host)
-	_, err := p.store.Commit(ctx, rowstore.Txn{
-		Conditions: []rowstore.Condition{{Key: key, Version: p.version}},
+	key := memberKey(host)
+	_, err := store.Commit(ctx, rowstore.Txn{
+		Conditions: []rowstore.Condition{{Key: key, Version: version}},
 		Deletes:    []rowstore.Key{key},
 	})
 	return err
 }
 
+// removed notes that another host took this host's row for that of a lost host.
+func (p *publisher) removed() {
+	p.mu.Lock()
+	p.version, p.written = 0, fleet.Member{}
+	p.mu.Unlock()
+	p.wake()
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -127,6 +140,11 @@
 func (s *Sidecar) fleetRow(r rowstore.Row) {
 	switch {
 	case r.Part == partMembers && r.Deleted:
+		s.memberVersions.Delete(r.Name)
+		if r.Name == s.settings.Host.Name && !s.stopping.Load() {
+			s.publisher.removed()
+			return
+		}
 		s.fleet.Remove(r.Name)
 		s.log.Log(eventMember, event.F("host", r.Name), event.F("state", "removed"), event.F("version", r.Version))
 	case r.Part == partMembers:
@@ -135,6 +153,7 @@
 			s.log.Log(eventRowInvalid, event.F("row", r.Name), event.F("error", errorText(err)))
 			return
 		}
+		s.memberVersions.Store(m.Host, r.Version)
 		s.fleet.Put(m)
 		s.log.Log(eventMember, event.F("host", m.Host), event.F("service", m.Service), event.F("instance", m.Instance),
 			event.F("state", string(m.State)), event.F("address", m.Address), event.F("version", r.Version))
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -62,11 +62,15 @@
 	gate      *gate
 	entry     *entry
 	publisher *publisher
-	callers   *callerConns
-	listeners []net.Listener
-	stopping  atomic.Bool
-	stopBegan atomic.Int64 // steady.Time of the start of the stop
-	inFlight  atomic.Int64
+	sweeper   *sweeper
+	// memberVersions holds the versions of the member rows as last read, int64 by
+	// host.
+	memberVersions sync.Map
+	callers        *callerConns
+	listeners      []net.Listener
+	stopping       atomic.Bool
+	stopBegan      atomic.Int64 // steady.Time of the start of the stop
+	inFlight       atomic.Int64
 }
 
 // New builds a sidecar; Run starts it.
@@ -114,9 +118,24 @@
 		metrics: newEntryMetrics(opts.Metrics.SubScope("entry")),
 	}
 	s.publisher = &publisher{store: s.store, log: s.log, member: s.member, kick: make(chan struct{}, 1)}
+	s.sweeper = &sweeper{
+		host: st.Host.Name, zone: st.Host.Zone, fleet: s.fleet, log: s.log,
+		reads:  s.fed.Direct,
+		probe:  func(ctx context.Context, h *fleet.Host) error { return h.Client.Probe(ctx) },
+		remove: s.removeLost,
+	}
 	return s
 }
 
+// removeLost deletes the member row of another host as it was last read.
+func (s *Sidecar) removeLost(ctx context.Context, host string) error {
+	version, ok := s.memberVersions.Load(host)
+	if !ok {
+		return fmt.Errorf("the row of %s was not read", host)
+	}
+	return removeMember(ctx, s.store, host, version.(int64))
+}
+
 // keyed reports whether a service divides its keys among its upstreams.
 func (s *Sidecar) keyed(service string) bool {
 	t := s.routes.Load()
@@ -250,6 +269,7 @@
 		s.followFleet,
 		s.keys.run,
 		s.publisher.run,
+		s.sweeper.run,
 	} {
 		wg.Go(func() { task(background) })
 	}
--- a/router/sidecar/stop.go
+++ b/router/sidecar/stop.go
@@ -37,7 +37,7 @@
 		s.fleet.Put(m)
 	}
 	if s.local.get().withdrawn {
-		s.removeMember()
+		s.removeOwnRow()
 	} else {
 		s.publisher.wake()
 	}
@@ -82,7 +82,7 @@
 	return steady.Now().Sub(steady.Time(s.stopBegan.Load()))
 }
 
-func (s *Sidecar) removeMember() {
+func (s *Sidecar) removeOwnRow() {
 	if err := s.publisher.remove(context.Background(), s.settings.Host.Name); err != nil {
 		s.log.Log(eventPublishFailed, event.F("error", err.Error()))
 	}
--- /dev/null
+++ b/router/sidecar/sweeper_test.go
@@ -0,0 +1,66 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+
+	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/rowstore"
+)
+
+// Guards against member rows that pile up as hosts are replaced, and against the
+// removal of a host that answers now and then or lies in another zone.
+func TestSweeperRemovesLostHostsOfItsZone(t *testing.T) {
+	d := fleet.NewDirectory("z1", "r1", newHopClient)
+	for host, zone := range map[string]string{"self": "z1", "lost": "z1", "alive": "z1", "shaky": "z1", "far": "z2"} {
+		d.Put(fleet.Member{Host: host, Zone: zone, Service: "s", Address: host + ":1", State: fleet.Ready})
+	}
+	round := 0
+	var removed []string
+	s := &sweeper{
+		host: "self", zone: "z1", fleet: d,
+		probe: func(_ context.Context, h *fleet.Host) error {
+			name := h.Member().Host
+			if name == "alive" || (name == "shaky" && round == 2) {
+				return nil
+			}
+			return errors.New("no answer")
+		},
+		remove: func(_ context.Context, host string) error {
+			removed = append(removed, host)
+			return nil
+		},
+	}
+	for ; round < lostProbes; round++ {
+		s.sweep(t.Context())
+	}
+	if !slices.Equal(removed, []string{"lost"}) {
+		t.Errorf("removed %v, want the lost host alone", removed)
+	}
+}
+
+// Guards against a living host that others no longer find after its row was
+// removed.
+func TestRemovedHostComesBack(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "plain")
+	c.ready()
+	// The row of h1 as the store has it.
+	rows, _, err := c.store.List(t.Context(), tableFleet, partMembers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	i := slices.IndexFunc(rows, func(r rowstore.Row) bool { return r.Name == "h1" })
+	if i < 0 {
+		t.Fatal("h1 has no row")
+	}
+	if err := removeMember(t.Context(), c.store, "h1", rows[i].Version); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually("h1 has written its row again", func() bool {
+		rows, _, err := c.store.List(t.Context(), tableFleet, partMembers)
+		return err == nil && slices.ContainsFunc(rows, func(r rowstore.Row) bool { return r.Name == "h1" })
+	})
+}
