Ignore refusals of an upstream whose slots are not used up

Cause: with half of the slots left after refusals that do not come from load, requests went to other regions although the upstream had room.

Change: a refusal lowers the limit of an upstream that gets all its requests from one gate only when nearly all of its limit was used.

--- a/router/admit/limit.go
+++ b/router/admit/limit.go
@@ -16,6 +16,9 @@
 	// fullFloorShare is the part of the slots that an upstream keeps that serves
 	// with all of them.
 	fullFloorShare = 0.5
+	// nearlyFull is the part of the limit from which a refusal of such an upstream
+	// can come from its load.
+	nearlyFull = 0.8
 	// minLimit keeps a trickle of requests that can find a recovered upstream.
 	minLimit = 1.0
 )
@@ -65,7 +68,8 @@
 			l.value = min(l.value+1/l.value, max(float64(l.slots), minLimit))
 		}
 	case Shed:
-		if now.Sub(l.lastDecrease) < decreasePause {
+		full := l.floor > minLimit
+		if now.Sub(l.lastDecrease) < decreasePause || (full && float64(inFlight) < nearlyFull*l.value) {
 			return
 		}
 		l.lastDecrease = now
--- a/router/admit/ranked_test.go
+++ b/router/admit/ranked_test.go
@@ -243,8 +243,25 @@
 			time.Sleep(decreasePause)
 			free(Shed)
 		}
-		if allowed, _, _ := l.Stats(); allowed < 9 {
-			t.Errorf("%d slots are used of 18, want at least half", allowed)
+		if allowed, _, _ := l.Stats(); allowed != 18 {
+			t.Errorf("%d slots are used of 18 after refusals of single requests, want all", allowed)
+		}
+		for range 60 {
+			var running []func(Result)
+			for {
+				free, err := l.Acquire(t.Context(), 0, bounds(NoWait, time.Second, time.Second))
+				if err != nil {
+					break
+				}
+				running = append(running, free)
+			}
+			time.Sleep(decreasePause)
+			for _, free := range running {
+				free(Shed)
+			}
+		}
+		if allowed, _, _ := l.Stats(); allowed != 9 {
+			t.Errorf("%d slots are used of 18 after refusals under full load, want half", allowed)
 		}
 	})
 }
