Serve near goals first; expect the times of each kind of work

Cause: calls that a running request waits for have the rank of payments on one service (both 1). Their expected wait was reckoned with the mean time of both, 200 ms against a goal of 300 ms, and they queued behind payments of 420 ms.

Change: within a rank, waiting requests are served in the order of their goals. Service times are kept by rank and by whether the work may be repeated, which tells calls from payments without a further field on hops.

Ruled out: a rank of their own for such calls, which nothing in a request tells from those of callers.

TestRankedLimiterServesNearGoalsFirst fails when arrival decides.

--- a/router/admit/ranked.go
+++ b/router/admit/ranked.go
@@ -26,7 +26,8 @@
 
 // RankedLimiter admits requests up to a limit and serves waiting requests by
 // rank. Within a rank it serves those first whose answer can still meet its
-// goal, in order of arrival: after a burst the late ones would make all others
+// goal, the earliest goal first: short calls that running requests wait for
+// have near goals. Late ones come last: after a burst they would make all others
 // late as well.
 type RankedLimiter struct {
 	now func() time.Time
@@ -36,10 +37,21 @@
 	inFlight int
 	waiting  rankedHeap
 	arrivals uint64
-	// service is the mean time that a request holds a slot, byRank that of the
-	// requests of a rank.
+	// service is the mean time that a request holds a slot, byWork that of one
+	// kind of work.
 	service time.Duration
-	byRank  map[int]time.Duration
+	byWork  map[Work]time.Duration
+}
+
+// Work is a kind of request. Requests of one kind are expected to hold their
+// slots for about the same time.
+type Work struct {
+	// Rank says which requests are served first; 0 is the highest.
+	Rank int
+	// Repeatable work may run more than once. The calls that running requests
+	// depend on are repeatable and short, also where they have the rank of long
+	// requests.
+	Repeatable bool
 }
 
 // NewRankedLimiter returns a limiter without slots. A nil now means time.Now.
@@ -47,11 +59,11 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &RankedLimiter{now: now, byRank: map[int]time.Duration{}}
+	return &RankedLimiter{now: now, byWork: map[Work]time.Duration{}}
 }
 
 type rankedItem struct {
-	rank int
+	work Work
 	// late tells that the answer is expected to miss its goal.
 	late bool
 	// expires is the time at which the item is refused if it has no slot.
@@ -64,12 +76,15 @@
 
 // before reports whether the item is served before another one.
 func (it *rankedItem) before(other *rankedItem) bool {
-	if it.rank != other.rank {
-		return it.rank < other.rank
+	if it.work.Rank != other.work.Rank {
+		return it.work.Rank < other.work.Rank
 	}
 	if it.late != other.late {
 		return other.late
 	}
+	if !it.late && !it.bounds.Goal.Equal(other.bounds.Goal) {
+		return it.bounds.Goal.Before(other.bounds.Goal)
+	}
 	return it.arrival < other.arrival
 }
 
@@ -98,8 +113,8 @@
 // Acquire waits for a slot within the bounds. The returned function gives the
 // slot back and must be called once. A request whose expected wait exceeds the
 // bounds is refused at once with errkind.Overloaded, so that its caller can turn
-// elsewhere in time. Rank 0 is served first.
-func (l *RankedLimiter) Acquire(ctx context.Context, rank int, bounds Wait) (func(Result), error) {
+// elsewhere in time.
+func (l *RankedLimiter) Acquire(ctx context.Context, work Work, bounds Wait) (func(Result), error) {
 	l.mu.Lock()
 	now := l.now()
 	if l.limit.Allowed() == 0 {
@@ -109,9 +124,9 @@
 	if l.inFlight < l.limit.Allowed() && len(l.waiting) == 0 {
 		l.inFlight++
 		l.mu.Unlock()
-		return l.releaser(rank, now), nil
+		return l.releaser(work, now), nil
 	}
-	it := &rankedItem{rank: rank, arrival: l.arrivals, bounds: bounds, verdict: make(chan error, 1)}
+	it := &rankedItem{work: work, arrival: l.arrivals, bounds: bounds, verdict: make(chan error, 1)}
 	it.late = l.late(now, it)
 	if err := l.enqueue(now, it); err != nil {
 		l.mu.Unlock()
@@ -137,7 +152,7 @@
 	if wait > longest {
 		return overloaded(wait, "the expected wait of %v is too long", wait)
 	}
-	it.expires = now.Add(longest + l.serviceOf(it.rank)/2)
+	it.expires = now.Add(longest + l.serviceOf(it.work)/2)
 	if len(l.waiting) >= slots*waitingPerSlot {
 		last := l.waiting.last()
 		if !it.before(last) {
@@ -151,18 +166,18 @@
 	return nil
 }
 
-// ServiceTime is the mean time for which a request of the rank holds a slot; 0
+// ServiceTime is the mean time for which a request of the kind holds a slot; 0
 // while no request has ended.
-func (l *RankedLimiter) ServiceTime(rank int) time.Duration {
+func (l *RankedLimiter) ServiceTime(work Work) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.serviceOf(rank)
+	return l.serviceOf(work)
 }
 
-// serviceOf is the mean service time of a rank, or of all requests while none of
-// the rank has ended.
-func (l *RankedLimiter) serviceOf(rank int) time.Duration {
-	if d, ok := l.byRank[rank]; ok {
+// serviceOf is the mean service time of a kind of work, or of all requests while
+// none of the kind has ended.
+func (l *RankedLimiter) serviceOf(work Work) time.Duration {
+	if d, ok := l.byWork[work]; ok {
 		return d
 	}
 	return l.service
@@ -174,7 +189,7 @@
 	before := l.service
 	for _, w := range l.waiting {
 		if w.before(it) {
-			before += l.serviceOf(w.rank)
+			before += l.serviceOf(w.work)
 		}
 	}
 	return before / time.Duration(max(l.limit.Allowed(), 1))
@@ -188,14 +203,14 @@
 
 // inTime is the time before the goal at which a request must get a slot.
 func (l *RankedLimiter) inTime(it *rankedItem) time.Duration {
-	return time.Duration(goalMargin * float64(l.serviceOf(it.rank)))
+	return time.Duration(goalMargin * float64(l.serviceOf(it.work)))
 }
 
 // longestWait is how long a request may wait. Late requests wait for a short
 // time only: while there are requests in time they get no slot, and their
 // callers had better come back later. The caller holds the lock.
 func (l *RankedLimiter) longestWait(now time.Time, it *rankedItem) time.Duration {
-	service := l.serviceOf(it.rank)
+	service := l.serviceOf(it.work)
 	toDeadline := it.bounds.Deadline.Sub(now) - l.inTime(it)
 	switch {
 	case it.late && it.bounds.Patience == UntilDeadline:
@@ -217,7 +232,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return l.releaser(it.rank, l.now()), nil
+		return l.releaser(it.work, l.now()), nil
 	case <-ctx.Done():
 		l.abandon(it)
 		return nil, contextError(ctx.Err())
@@ -243,12 +258,12 @@
 }
 
 // observe takes the time for which a request held a slot.
-func (l *RankedLimiter) observe(rank int, took time.Duration) {
+func (l *RankedLimiter) observe(work Work, took time.Duration) {
 	l.service = average(l.service, took)
-	l.byRank[rank] = average(l.byRank[rank], took)
+	l.byWork[work] = average(l.byWork[work], took)
 }
 
-func (l *RankedLimiter) releaser(rank int, start time.Time) func(Result) {
+func (l *RankedLimiter) releaser(work Work, start time.Time) func(Result) {
 	return func(r Result) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -256,7 +271,7 @@
 		l.limit.Observe(now, r, l.inFlight)
 		l.inFlight--
 		if r == Completed {
-			l.observe(rank, now.Sub(start))
+			l.observe(work, now.Sub(start))
 		}
 		l.dispatch()
 	}
--- a/router/admit/ranked_test.go
+++ b/router/admit/ranked_test.go
@@ -18,7 +18,7 @@
 // take.
 func warm(t *testing.T, l *RankedLimiter, took time.Duration) {
 	t.Helper()
-	release, err := l.Acquire(t.Context(), 0, bounds(NoWait, time.Second, time.Second))
+	release, err := l.Acquire(t.Context(), Work{Rank: 0}, bounds(NoWait, time.Second, time.Second))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -31,14 +31,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := NewRankedLimiter(nil)
 		l.SetSlots(1)
-		release, err := l.Acquire(t.Context(), 0, bounds(NoWait, time.Second, time.Second))
+		release, err := l.Acquire(t.Context(), Work{Rank: 0}, bounds(NoWait, time.Second, time.Second))
 		if err != nil {
 			t.Fatal(err)
 		}
 		order := make(chan int, 3)
 		for _, rank := range []int{2, 1, 0} {
 			go func() {
-				free, err := l.Acquire(t.Context(), rank, bounds(UntilDeadline, time.Second, time.Minute))
+				free, err := l.Acquire(t.Context(), Work{Rank: rank}, bounds(UntilDeadline, time.Second, time.Minute))
 				if err != nil {
 					t.Error(err)
 					return
@@ -64,7 +64,7 @@
 		l := NewRankedLimiter(nil)
 		l.SetSlots(1)
 		warm(t, l, 100*time.Millisecond)
-		release, err := l.Acquire(t.Context(), 0, bounds(NoWait, time.Second, time.Second))
+		release, err := l.Acquire(t.Context(), Work{Rank: 0}, bounds(NoWait, time.Second, time.Second))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -72,10 +72,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		for range 2 {
-			go func() { _, _ = l.Acquire(ctx, 1, bounds(UntilGoal, 300*time.Millisecond, time.Minute)) }()
+			go func() { _, _ = l.Acquire(ctx, Work{Rank: 1}, bounds(UntilGoal, 300*time.Millisecond, time.Minute)) }()
 			synctest.Wait()
 		}
-		_, err = l.Acquire(ctx, 1, bounds(UntilGoal, 300*time.Millisecond, time.Minute))
+		_, err = l.Acquire(ctx, Work{Rank: 1}, bounds(UntilGoal, 300*time.Millisecond, time.Minute))
 		if !errkind.Is(err, errkind.Overloaded) {
 			t.Errorf("got %v, want a refusal at once", err)
 		}
@@ -94,13 +94,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := NewRankedLimiter(nil)
 		l.SetSlots(1)
-		release, err := l.Acquire(t.Context(), 0, bounds(NoWait, time.Second, time.Second))
+		release, err := l.Acquire(t.Context(), Work{Rank: 0}, bounds(NoWait, time.Second, time.Second))
 		if err != nil {
 			t.Fatal(err)
 		}
 		refused := make(chan error, 1)
 		go func() {
-			_, err := l.Acquire(t.Context(), 0, bounds(UntilDeadline, time.Second, time.Second))
+			_, err := l.Acquire(t.Context(), Work{Rank: 0}, bounds(UntilDeadline, time.Second, time.Second))
 			refused <- err
 		}()
 		synctest.Wait()
@@ -110,7 +110,7 @@
 		}
 		release(Completed)
 		l.SetSlots(1)
-		if _, err := l.Acquire(t.Context(), 0, bounds(NoWait, time.Second, time.Second)); err != nil {
+		if _, err := l.Acquire(t.Context(), Work{Rank: 0}, bounds(NoWait, time.Second, time.Second)); err != nil {
 			t.Errorf("no slot after the upstream's return: %v", err)
 		}
 	})
@@ -126,7 +126,7 @@
 // name with a minus when it is refused. An admitted request runs for took.
 func enqueue(ctx context.Context, l *RankedLimiter, name string, rank int, b Wait, took time.Duration, order chan<- string) {
 	go func() {
-		free, err := l.Acquire(ctx, rank, b)
+		free, err := l.Acquire(ctx, Work{Rank: rank}, b)
 		if err != nil {
 			order <- "-" + name
 			return
@@ -229,6 +229,50 @@
 	})
 }
 
+// Pattern: calls that running requests wait for, beside payments of the same
+// rank. Guards against calls that come too late behind long requests, or are
+// refused on account of these: the work of the waiting requests is lost then.
+func TestRankedLimiterServesNearGoalsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		l := NewRankedLimiter(nil)
+		l.SetSlots(2)
+		payment, call := Work{Rank: 1}, Work{Rank: 1, Repeatable: true}
+		for work, took := range map[Work]time.Duration{payment: 400 * time.Millisecond, call: 80 * time.Millisecond} {
+			free, err := l.Acquire(t.Context(), work, bounds(NoWait, time.Second, time.Second))
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(took)
+			free(Completed)
+		}
+		start := time.Now()
+		run := func(work Work, goal, took time.Duration) <-chan time.Duration {
+			ended := make(chan time.Duration, 1)
+			go func() {
+				free, err := l.Acquire(t.Context(), work, bounds(UntilGoal, goal, time.Minute))
+				if err != nil {
+					t.Errorf("%+v: %v", work, err)
+					ended <- 0
+					return
+				}
+				time.Sleep(took)
+				free(Completed)
+				ended <- time.Since(start)
+			}()
+			synctest.Wait()
+			return ended
+		}
+		run(payment, 2*time.Second, 100*time.Millisecond)
+		run(payment, 2*time.Second, 100*time.Millisecond)
+		run(payment, 2*time.Second, 400*time.Millisecond)
+		run(payment, 2*time.Second, 400*time.Millisecond)
+		if took := <-run(call, 350*time.Millisecond, 80*time.Millisecond); took > 350*time.Millisecond {
+			t.Errorf("the call ended after %v", took)
+		}
+	})
+}
+
 // Pattern: an upstream that refuses a part of its requests whatever its load.
 // Guards against a limit that falls to one request and stays there.
 func TestRankedLimiterKeepsSlotsOfAnUpstreamThatRefusesSome(t *testing.T) {
@@ -236,7 +280,7 @@
 		l := NewRankedLimiter(nil)
 		l.SetSlots(18)
 		for range 60 {
-			free, err := l.Acquire(t.Context(), 0, bounds(NoWait, time.Second, time.Second))
+			free, err := l.Acquire(t.Context(), Work{Rank: 0}, bounds(NoWait, time.Second, time.Second))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -249,7 +293,7 @@
 		for range 60 {
 			var running []func(Result)
 			for {
-				free, err := l.Acquire(t.Context(), 0, bounds(NoWait, time.Second, time.Second))
+				free, err := l.Acquire(t.Context(), Work{Rank: 0}, bounds(NoWait, time.Second, time.Second))
 				if err != nil {
 					break
 				}
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -68,10 +68,11 @@
 	if err := g.check(time.Now(), c); err != nil {
 		return g.withLoad(&Result{Err: err, Down: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
 	}
+	work := admit.Work{Rank: c.Priority, Repeatable: c.Repeatable}
 	if c.Keyed {
-		g.keys.asked(c.Key, g.limiter.ServiceTime(c.Priority))
+		g.keys.asked(c.Key, g.limiter.ServiceTime(work))
 	}
-	release, err := g.limiter.Acquire(ctx, c.Priority, admit.Wait{Patience: c.Patience, Goal: c.Goal, Deadline: c.Deadline})
+	release, err := g.limiter.Acquire(ctx, work, admit.Wait{Patience: c.Patience, Goal: c.Goal, Deadline: c.Deadline})
 	if err != nil {
 		return g.withLoad(&Result{Err: asKind(err)})
 	}
