--- a/router/admit/ranked_test.go
+++ b/router/admit/ranked_test.go
@@ -138,6 +138,16 @@
 	synctest.Wait()
 }
 
+// wantOrder checks the names that enqueue sends.
+func wantOrder(t *testing.T, order <-chan string, names ...string) {
+	t.Helper()
+	for _, want := range names {
+		if got := <-order; got != want {
+			t.Errorf("%q ended, want %q", got, want)
+		}
+	}
+}
+
 // Pattern: a burst that leaves late requests in the queue. Guards against a
 // queue in which late requests make all later ones late as well.
 func TestRankedLimiterServesLateRequestsLast(t *testing.T) {
@@ -151,11 +161,7 @@
 		enqueue(t.Context(), l, "first", 1, bounds(NoWait, time.Second, time.Second), took, order)
 		enqueue(t.Context(), l, "late", 1, bounds(UntilDeadline, -time.Millisecond, time.Minute), took, order)
 		enqueue(t.Context(), l, "in time", 1, bounds(UntilGoal, time.Second, time.Minute), took, order)
-		for _, want := range []string{"first", "in time", "late"} {
-			if got := <-order; got != want {
-				t.Errorf("%q ran, want %q", got, want)
-			}
-		}
+		wantOrder(t, order, "first", "in time", "late")
 	})
 }
 
@@ -172,11 +178,7 @@
 		enqueue(t.Context(), l, "first", 1, bounds(NoWait, time.Second, time.Second), 4*took, order)
 		enqueue(t.Context(), l, "hopeless", 1, bounds(UntilDeadline, 4*took, 4*took+took/2), took, order)
 		enqueue(t.Context(), l, "later", 1, bounds(UntilDeadline, time.Second, time.Minute), took, order)
-		for _, want := range []string{"first", "-hopeless", "later"} {
-			if got := <-order; got != want {
-				t.Errorf("%q ended, want %q", got, want)
-			}
-		}
+		wantOrder(t, order, "first", "-hopeless", "later")
 	})
 }
 
@@ -194,11 +196,7 @@
 		}
 		enqueue(t.Context(), l, "listing too many", 2, bounds(UntilDeadline, time.Minute, time.Minute), time.Second, order)
 		enqueue(t.Context(), l, "payment", 1, bounds(UntilDeadline, time.Minute, time.Minute), time.Second, order)
-		for _, want := range []string{"first", "-listing too many", "-listing", "payment", "listing"} {
-			if got := <-order; got != want {
-				t.Errorf("%q ended, want %q", got, want)
-			}
-		}
+		wantOrder(t, order, "first", "-listing too many", "-listing", "payment", "listing")
 	})
 }
 
--- /dev/null
+++ b/router/sidecar/keyplan.go
@@ -0,0 +1,220 @@
+package sidecar
+
+import (
+	"slices"
+	"time"
+
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/keyown"
+	"burdockglade.dev/router/steady"
+)
+
+// change is the next change of the key map.
+type change struct {
+	// next is nil when nothing changes.
+	next *keyown.Map
+	// lapsed are the hosts whose leases the change takes for lapsed, with the
+	// versions of these leases.
+	lapsed map[string]int64
+	why    string
+	// gather tells that the change may wait for others that are likely to follow.
+	gather bool
+}
+
+// plan decides on the next change of the key map.
+func (d *keyDriver) plan(now steady.Time, s upstreamState, m *keyown.Map) change {
+	members := d.members(s.service, now)
+	if len(m.Ranges) == 0 {
+		return d.planFirst(now, members)
+	}
+	next := m.Clone()
+	c := change{lapsed: map[string]int64{}}
+	changed := false
+	note := func(did bool, why string) {
+		if did {
+			changed, c.why = true, why
+		}
+	}
+	others := slices.DeleteFunc(slices.Clone(members), func(x keyown.Member) bool { return x.Host == d.host })
+	note(d.takeReleased(next, s, others), "released")
+	c.gather = changed
+	note(d.releaseEnded(now, next, s, others), "hold ended")
+	if s.leaving.IsZero() {
+		note(next.Renew(s.holder), "new run of the upstream")
+		note(next.CancelMoves(d.host, others), "next holder is gone")
+	} else {
+		note(next.Evacuate(d.host, others), "upstream leaves")
+	}
+	note(d.takeLapsed(now, next, members, c.lapsed), "lease lapsed")
+	if !changed {
+		if moved := d.rebalance(now, next, s, members); moved {
+			changed, c.why = true, "load"
+		}
+	}
+	if changed {
+		c.next = next
+	}
+	return c
+}
+
+// planFirst divides the keys when the members have settled.
+func (d *keyDriver) planFirst(now steady.Time, members []keyown.Member) change {
+	names := hostNames(members)
+	if !slices.Equal(names, d.membersSeen) {
+		d.membersSeen = names
+		d.settled.Reset()
+	}
+	rank := slices.Index(names, d.host)
+	if rank < 0 || !d.settled.Passed(now, settleTime+time.Duration(rank)*actPause) {
+		return change{}
+	}
+	return change{next: keyown.New(members, rangesEach(len(members))), why: "first division"}
+}
+
+// rangesEach is the number of ranges that each of n members gets at first.
+func rangesEach(n int) int {
+	return min(max(firstRanges/n, fewestRangesEach), mostRangesEach)
+}
+
+func hostNames(members []keyown.Member) []string {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Host)
+	}
+	return names
+}
+
+// members are the upstreams that may be given keys: ready, with a lease that is
+// not seen to lapse.
+func (d *keyDriver) members(service string, now steady.Time) []keyown.Member {
+	var members []keyown.Member
+	for _, m := range d.fleet.Members(service) {
+		if m.State != fleet.Ready || d.watch.Lapsed(now, m.Host, leaseTime) {
+			continue
+		}
+		member := keyown.Member{Holder: keyown.Holder{Host: m.Host, Instance: m.Instance, Started: m.Started}}
+		if h := d.fleet.Host(m.Host); h != nil {
+			member.Load = h.MeanUsed()
+		}
+		members = append(members, member)
+	}
+	return members
+}
+
+// takeReleased ends the holds that the local upstream gave up.
+func (d *keyDriver) takeReleased(next *keyown.Map, s upstreamState, others []keyown.Member) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	for _, i := range next.Of(s.holder) {
+		if token, ok := d.grants.GivenUp(&next.Ranges[i]); ok {
+			next.Release(i, token, others)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// releaseEnded ends holds that have lapsed at an upstream that is to give up
+// its keys or that has ended.
+func (d *keyDriver) releaseEnded(now steady.Time, next *keyown.Map, s upstreamState, others []keyown.Member) bool {
+	gone := d.local.gone(time.Now(), d.beatInterval)
+	silent := d.local.silentFor(time.Now()) > d.maxHold
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if gone {
+		d.grants.EndAll()
+	}
+	changed := false
+	for _, i := range next.Of(s.holder) {
+		r := &next.Ranges[i]
+		if (gone || silent || r.Next != "") && d.grants.Ended(now, r) {
+			d.grants.Surrender(r)
+			next.Release(i, "", others)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// takeLapsed frees the ranges of hosts whose leases have lapsed and gives ranges
+// without a holder to members. Hosts act one after another; before its turn a
+// host changes nothing, because other changes of the same map are committed
+// without the conditions on the lapsed leases.
+func (d *keyDriver) takeLapsed(now steady.Time, next *keyown.Map, members []keyown.Member, lapsed map[string]int64) bool {
+	var hosts []string
+	for host := range next.Counts() {
+		if host != d.host && d.watch.Lapsed(now, host, leaseTime) && next.HeldBy(host) {
+			hosts = append(hosts, host)
+		}
+	}
+	free := slices.ContainsFunc(next.Ranges, func(r keyown.Range) bool { return !r.Held() })
+	if len(hosts) == 0 && !free {
+		d.waiting.Reset()
+		return false
+	}
+	if !d.waiting.Passed(now, turn(slices.Index(hostNames(members), d.host))) {
+		return false
+	}
+	for _, host := range hosts {
+		next.TakeFrom(host)
+		lapsed[host] = d.watch.Version(host)
+	}
+	next.MergeFree()
+	return next.AssignFree(members) || len(hosts) > 0
+}
+
+// turn is the time after which the host with the rank acts on a finding. The
+// stand-ins leave the others time to act, and lapsed hosts time to renew: what
+// they have read may be old.
+func turn(rank int) time.Duration {
+	wait := time.Duration(max(rank, 0)) * actPause
+	if rank >= watchers {
+		wait += standInPause
+	}
+	return wait
+}
+
+// rebalance moves ranges to members with fewer of them or less load. It divides
+// busy ranges first, so that their parts can go to different members; when
+// nothing moves, nothing is divided, because each change of the map costs all
+// hosts a reading and a renewal.
+func (d *keyDriver) rebalance(now steady.Time, next *keyown.Map, s upstreamState, members []keyown.Member) bool {
+	slots := d.load().Slots
+	if slots == 0 || !s.leaving.IsZero() || now.Sub(d.lastMove) < moveInterval {
+		return false
+	}
+	d.mu.Lock()
+	loads := d.rates.Snapshot(now)
+	d.mu.Unlock()
+	demand := next.Demand(d.host, loads) / float64(slots)
+	if moves := next.Surplus(d.host, demand, members); len(moves) > 0 {
+		d.lastMove = now
+		d.move(next, moves, demand, loads)
+		return true
+	}
+	divided := next.Clone()
+	divided.Split(d.host, slots, loads, len(members))
+	moves := divided.Relieve(d.host, demand, slots, loads, members)
+	if len(moves) == 0 {
+		return false
+	}
+	d.lastMove = now
+	*next = *divided
+	d.move(next, moves, demand, loads)
+	return true
+}
+
+// move notes the next hosts of ranges in the map.
+func (d *keyDriver) move(next *keyown.Map, moves []keyown.Transfer, demand float64, loads keyown.Loads) {
+	for _, mv := range moves {
+		next.Move(mv.Range, mv.To)
+	}
+	key, hottest := loads.Hottest(0, keyown.MaxKey)
+	d.log.Log(eventRebalance, event.F("demand", demand), event.F("moves", len(moves)), event.F("hottest_key", key), event.F("hottest_demand", hottest))
+}
+
+// moveInterval is the shortest time between moves that even out load: a move
+// takes up to two heartbeats.
+const moveInterval = time.Second
