Bound what an upstream may send before the end of an answer's head

Cause: the HTTP client read heads, interim answers and skipped answers without a bound.

Change: a connection counts what may still be read. 128 KiB up to the end of the head, interim answers included, and 1 MiB for each skipped answer; beyond, the connection is closed with an error, and the other requests go on.

Ruled out: a larger read buffer with Peek, which does not bound field counts.

--- a/router/connpool/pool.go
+++ b/router/connpool/pool.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -24,6 +26,10 @@
 // nothing listens at the address.
 var ErrRefused = errors.New("the connection was refused")
 
+// ErrTooLong marks errors of connections on which more arrived than the
+// exchange allows.
+var ErrTooLong = errors.New("the other side sent more than is allowed")
+
 // Options configure a Pool.
 type Options struct {
 	// Address is an IP number and a port.
@@ -68,8 +74,9 @@
 	// State belongs to the protocol that is spoken on the connection.
 	State any
 
-	pool  *Pool
-	since time.Time // end of the last use
+	allowance *allowance
+	pool      *Pool
+	since     time.Time // end of the last use
 }
 
 // Take returns a connection that was unused for at most maxIdle, or a new one.
@@ -177,7 +184,36 @@
 		}
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return &Conn{Conn: nc, pool: p, Reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	cn := &Conn{Conn: nc, pool: p, allowance: &allowance{src: nc, left: math.MaxInt64}}
+	cn.Reader = bufio.NewReaderSize(cn.allowance, readBufferBytes)
+	return cn, nil
+}
+
+// allowance bounds what is read from a connection.
+type allowance struct {
+	src  io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (a *allowance) Read(p []byte) (int, error) {
+	if a.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := a.src.Read(p[:min(int64(len(p)), a.left)])
+	a.left -= int64(n)
+	return n, err
+}
+
+// Allow bounds the bytes that Reader takes from the connection from now on;
+// reading beyond them fails with ErrTooLong.
+func (cn *Conn) Allow(bytes int64) {
+	cn.allowance.left = bytes
+}
+
+// AllowAll ends the bound of Allow.
+func (cn *Conn) AllowAll() {
+	cn.allowance.left = math.MaxInt64
 }
 
 func setUserTimeout(raw syscall.RawConn, limit time.Duration) error {
--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -22,6 +22,14 @@
 // on a connection before it is given up.
 const maxEarlierAnswers = 3
 
+const (
+	// maxHeadBytes bounds what arrives before the body of the answer: its header,
+	// and interim answers.
+	maxHeadBytes = 128 << 10
+	// maxSkippedBytes bounds one answer to another request.
+	maxSkippedBytes = 1 << 20
+)
+
 // Client sends requests to one address over reused connections.
 type Client struct {
 	*connpool.Pool
@@ -94,7 +102,9 @@
 	if r.Stream != nil {
 		upload = startUpload(cn, r)
 	}
+	defer cn.AllowAll()
 	for range maxEarlierAnswers {
+		cn.Allow(maxHeadBytes)
 		hr, err := readHead(cn.Reader, r.Method)
 		if err != nil {
 			return nil, true, err
@@ -106,6 +116,7 @@
 		if hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 {
 			return nil, true, errors.New("an answer to another request without a length")
 		}
+		cn.Allow(maxSkippedBytes)
 		if _, err := io.Copy(io.Discard, hr.Body); err != nil {
 			return nil, true, fmt.Errorf("reading an answer to another request: %w", err)
 		}
