Grant keys by calls to the upstream

Cause: the further deployments grant keys by calls (grant, renewal, release with handover); the router granted them in answers to heartbeats only, so no key was ever held there.

Change: keyown.Orders decides which calls are due and what their results mean; the key map, its lease and generations are the same for both ways. A grant without an answer may be carried out later: its keys move only after it has certainly lapsed. A refused grant (a higher generation was seen) takes a new generation.

--- a/router/connpool/pool.go
+++ b/router/connpool/pool.go
@@ -10,6 +10,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -41,6 +42,8 @@
 	// UserTimeout ends a connection whose data is not acknowledged; 0 means the
 	// system's default.
 	UserTimeout time.Duration
+	// MayDial, if set, tells whether a new connection may be opened.
+	MayDial func() bool
 	// KeepAlive is the idle time before keep-alive probes; 0 turns them off.
 	KeepAlive time.Duration
 }
@@ -92,6 +95,9 @@
 		}
 		_ = cn.Close()
 	}
+	if p.opts.MayDial != nil && !p.opts.MayDial() {
+		return nil, false, fmt.Errorf("%w: no connection may be opened now", ErrNotSent)
+	}
 	cn, err = p.dial(ctx)
 	return cn, false, err
 }
@@ -149,6 +155,13 @@
 	cn.pool.mu.Unlock()
 }
 
+// HasIdle reports whether an unused connection is open.
+func (p *Pool) HasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle, (*Conn).usable)
+}
+
 // CloseIdle closes the unused connections.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
--- a/router/keyown/grants.go
+++ b/router/keyown/grants.go
@@ -35,15 +35,20 @@
 // has no clock of its own.
 type Grants struct {
 	holder Holder
-	until  map[span]steady.Time
-	// active are the ranges of the latest grant.
-	active map[span]bool
+	// until holds the time at which each grant has certainly ended.
+	until map[span]steady.Time
+	// active holds the time up to which the upstream holds each range that it was
+	// granted and that is not to be given up.
+	active map[span]steady.Time
+	// late holds the ends of grants without an answer, which the upstream may take
+	// after newer calls.
+	late map[span]steady.Time
 	// given are ranges that the upstream gave up, with what it left. They are not
 	// granted again with the same generation, because they may go elsewhere.
 	given map[span]string
 	// unknownUntil is the end of grants that an earlier process of this router
-	// may have given.
-	unknownUntil steady.Time
+	// may have given, lateUnknown that of those which may be without an answer.
+	unknownUntil, lateUnknown steady.Time
 }
 
 // NewGrants returns the state of a router that has just started. Grants of its
@@ -51,7 +56,8 @@
 func NewGrants(now steady.Time, maxHold time.Duration) *Grants {
 	return &Grants{
 		until:        map[span]steady.Time{},
-		active:       map[span]bool{},
+		active:       map[span]steady.Time{},
+		late:         map[span]steady.Time{},
 		given:        map[span]string{},
 		unknownUntil: now.Add(withDrift(maxHold)),
 	}
@@ -62,18 +68,25 @@
 }
 
 // Reset forgets the grants of an earlier run of the upstream, which ended with
-// it.
-func (g *Grants) Reset(h Holder) {
+// it. It reports whether h is a new run.
+func (g *Grants) Reset(h Holder) bool {
 	if g.holder == h {
-		return
+		return false
 	}
 	if g.holder != (Holder{}) {
-		g.unknownUntil = 0
+		g.unknownUntil, g.lateUnknown = 0, 0
 	}
 	g.holder = h
 	clear(g.until)
 	clear(g.active)
+	clear(g.late)
 	clear(g.given)
+	return true
+}
+
+// Holder is the run of the upstream whose grants are followed.
+func (g *Grants) Holder() Holder {
+	return g.holder
 }
 
 // GiveUp notes that the upstream gave up some keys. It reports whether they
@@ -107,10 +120,12 @@
 	delete(g.active, s)
 }
 
-// GivenUp returns the handover of a range that the upstream gave up.
-func (g *Grants) GivenUp(r *Range) (token string, ok bool) {
-	token, ok = g.given[span{r.From, r.To, r.Generation}]
-	return token, ok
+// GivenUp returns the handover of a range that the upstream gave up and that no
+// earlier grant can give back to it.
+func (g *Grants) GivenUp(now steady.Time, r *Range) (token string, ok bool) {
+	s := span{r.From, r.To, r.Generation}
+	token, ok = g.given[s]
+	return token, ok && now >= g.lateGrant(s)
 }
 
 // Renew returns the grants for a heartbeat that arrived at now: the ranges that
@@ -134,8 +149,8 @@
 			continue
 		}
 		grants = append(grants, Grant{From: r.From, To: r.To, Generation: r.Generation, Handover: r.Handover})
-		g.active[s] = true
 		g.until[s] = max(g.until[s], now.Add(withDrift(hold)))
+		g.active[s] = g.until[s]
 	}
 	return grants, hold
 }
@@ -151,18 +166,10 @@
 // range that was divided since its grant is held by that grant.
 func (g *Grants) Holds(now steady.Time, r *Range) bool {
 	s := span{r.From, r.To, r.Generation}
-	if g.active[s] {
-		return now < g.until[s]
-	}
 	if _, given := g.given[s]; given {
 		return false
 	}
-	for granted := range g.active {
-		if granted.covers(s) {
-			return now < g.until[granted]
-		}
-	}
-	return false
+	return now < g.expires(s)
 }
 
 // covers reports whether t is a part of s.
@@ -174,7 +181,7 @@
 func (g *Grants) Ended(now steady.Time, r *Range) bool {
 	s := span{r.From, r.To, r.Generation}
 	if _, given := g.given[s]; given {
-		return true
+		return now >= g.lateGrant(s)
 	}
 	known := false
 	for granted, until := range g.until {
@@ -191,8 +198,9 @@
 // EndAll ends all grants, because the upstream's process has ended.
 func (g *Grants) EndAll() {
 	clear(g.active)
+	clear(g.late)
 	for s := range g.until {
 		g.until[s] = 0
 	}
-	g.unknownUntil = 0
+	g.unknownUntil, g.lateUnknown = 0, 0
 }
--- a/router/keyown/map.go
+++ b/router/keyown/map.go
@@ -232,6 +232,11 @@
 	return changed
 }
 
+// Regenerate gives a range to its holder with a new generation.
+func (m *Map) Regenerate(i int) {
+	m.assign(i, m.Ranges[i].Holder)
+}
+
 // Evacuate chooses next hosts for all ranges of a host. It reports whether the
 // map changed.
 func (m *Map) Evacuate(host string, members []Member) bool {
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -52,6 +52,10 @@
 		"The leases of the service's hosts cannot be read; no lease is taken for lapsed meanwhile.", "See event 1810.")
 	eventRebalance = event.Define(1835, log.InfoLevel, "keys rebalanced",
 		"This host moves ranges of keys to other hosts. demand is a share of the upstream's slots, hottest_demand that of one key in slots.", "A hottest_demand above the slots of an upstream is a key that no upstream can serve: make its requests cheaper or fewer.")
+	eventOrdered = event.Define(1836, log.DebugLevel, "keys ordered",
+		"The upstream took a call that grants it keys, or gave keys up as it was told.", "none")
+	eventOrderFailed = event.Define(1837, log.InfoLevel, "order to the upstream failed",
+		"A call that grants keys to the upstream or takes them back was refused (result 1), had no answer (2) or was not taken (3). It is repeated; keys whose grant had no answer move only after it has certainly lapsed.", "If it repeats, look at the upstream's log.")
 	eventRefused = event.Define(1840, log.InfoLevel, "request refused",
 		"A request of a caller got an answer of the router's own.", "The fields kind and detail name the cause; see docs/ERRORS.md.")
 	eventUpstreamFailed = event.Define(1842, log.InfoLevel, "upstream gave no usable answer",
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -209,6 +209,9 @@
 // answer checks the upstream's answer.
 func (g *gate) answer(c *Call, resp *h1.Response, release func(admit.Result)) *Result {
 	if err := g.refusal(resp); err != nil {
+		if c.Keyed && err.Kind == errkind.WrongOwner {
+			g.keys.doubted(c.Key)
+		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, keptAnswerBytes))
 		_ = resp.Body.Close()
 		release(admit.Shed)
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -74,16 +74,20 @@
 // keyDriver keeps the lease of this host, grants keys to the local upstream and
 // changes the key map of its service.
 type keyDriver struct {
-	host    string
-	store   rowstore.Store
-	local   *localUpstream
-	index   *keyIndex
-	fleet   *fleet.Directory
-	log     *event.Logger
-	maxHold time.Duration
+	host  string
+	store rowstore.Store
+	local *localUpstream
+	index *keyIndex
+	fleet *fleet.Directory
+	log   *event.Logger
+	// maxHold is the longest hold after a heartbeat, longestHold that which the
+	// deployment allows.
+	maxHold, longestHold time.Duration
 	// beatInterval is the time between heartbeats of the local upstream.
 	beatInterval time.Duration
 	keyed        func(service string) bool
+	// ordered reports whether a service's keys are granted by calls.
+	ordered func(service string) bool
 	// load is that of the local upstream.
 	load func() fleet.Load
 	// connect makes and closes a connection to the local upstream.
@@ -95,6 +99,10 @@
 	rates    keyown.Rates
 	leaseEnd steady.Time
 	kick     chan struct{}
+	// orders, used with mu, decides on the calls to an upstream that is granted
+	// keys by calls. wakeOrders is called when some may be due.
+	orders     *keyown.Orders
+	wakeOrders func()
 	// overtaken ends the wait of the last heartbeat.
 	overtaken chan struct{}
 
--- a/router/sidecar/keydriver_test.go
+++ b/router/sidecar/keydriver_test.go
@@ -22,11 +22,13 @@
 		maxHold:      time.Second,
 		beatInterval: 100 * time.Millisecond,
 		keyed:        func(string) bool { return true },
+		ordered:      func(string) bool { return false },
 		load:         func() fleet.Load { return fleet.Load{Slots: 4} },
 		connect:      func(context.Context) error { return nil },
 		kick:         make(chan struct{}, 1),
 		grants:       keyown.NewGrants(steady.Now(), time.Second),
 	}
+	d.orders, d.wakeOrders = keyown.NewOrders(d.grants), func() {}
 	var members []keyown.Member
 	for i := range 3 {
 		host := fmt.Sprintf("h%d", i)
--- a/router/sidecar/keygrants.go
+++ b/router/sidecar/keygrants.go
@@ -28,6 +28,10 @@
 	}
 	arrived := steady.Now()
 	d.takeReport(s, r)
+	if d.ordered(s.service) {
+		d.wakeOrders()
+		return Reply{}
+	}
 	overtaken := d.newHeartbeat()
 	if len(r.Released) == 0 && s.leaving.IsZero() && !d.await(s, overtaken) {
 		return Reply{}
@@ -54,7 +58,7 @@
 	m, _ := d.index.get(s.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.grants.Reset(s.holder)
+	d.reset(s)
 	for _, h := range r.Released {
 		if d.grants.GiveUp(m, h) {
 			d.wake()
@@ -62,6 +66,13 @@
 	}
 }
 
+// reset forgets what an earlier run of the upstream held. d.mu is held.
+func (d *keyDriver) reset(s upstreamState) {
+	if d.grants.Reset(s.holder) {
+		d.orders.Reset()
+	}
+}
+
 // newHeartbeat ends the wait of earlier heartbeats. The returned channel is
 // closed when a later one arrives.
 func (d *keyDriver) newHeartbeat() <-chan struct{} {
--- a/router/sidecar/keyindex.go
+++ b/router/sidecar/keyindex.go
@@ -12,6 +12,8 @@
 type keyIndex struct {
 	mu       sync.Mutex
 	services map[string]*indexedMap
+	// changed is called after each change.
+	changed func()
 }
 
 // indexedMap is a key map with its row version. changed is closed when a newer
@@ -23,7 +25,12 @@
 }
 
 func newKeyIndex() *keyIndex {
-	return &keyIndex{services: map[string]*indexedMap{}}
+	return &keyIndex{services: map[string]*indexedMap{}, changed: func() {}}
+}
+
+// notify sets what is called after each change. It is set before the first one.
+func (x *keyIndex) notify(changed func()) {
+	x.changed = changed
 }
 
 // foundHolder is the host that holds a key; Host is empty when none does.
@@ -35,15 +42,17 @@
 // put takes a map if it is newer than the known one.
 func (x *keyIndex) put(service string, version int64, m *keyown.Map) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	old := x.services[service]
 	if old != nil && old.version >= version {
+		x.mu.Unlock()
 		return
 	}
 	x.services[service] = &indexedMap{version: version, keys: m, changed: make(chan struct{})}
 	if old != nil {
 		close(old.changed)
 	}
+	x.mu.Unlock()
+	x.changed()
 }
 
 // get returns the newest known map of a service, or nil and version 0.
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -37,12 +37,13 @@
 		}
 	}
 	others := slices.DeleteFunc(slices.Clone(members), func(x keyown.Member) bool { return x.Host == d.host })
-	note(d.takeReleased(next, s, others), "released")
+	note(d.takeReleased(now, next, s, others), "released")
 	c.gather = changed
 	note(d.releaseEnded(now, next, s, others), "hold ended")
 	if s.leaving.IsZero() {
 		note(next.Renew(s.holder), "new run of the upstream")
 		note(next.CancelMoves(d.host, others), "next holder is gone")
+		note(d.renewRefused(next, s), "the upstream has seen a higher generation")
 	} else {
 		note(next.Evacuate(d.host, others), "upstream leaves")
 	}
@@ -103,12 +104,12 @@
 }
 
 // takeReleased ends the holds that the local upstream gave up.
-func (d *keyDriver) takeReleased(next *keyown.Map, s upstreamState, others []keyown.Member) bool {
+func (d *keyDriver) takeReleased(now steady.Time, next *keyown.Map, s upstreamState, others []keyown.Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
 	for _, i := range next.Of(s.holder) {
-		if token, ok := d.grants.GivenUp(&next.Ranges[i]); ok {
+		if token, ok := d.grants.GivenUp(now, &next.Ranges[i]); ok {
 			next.Release(i, token, others)
 			changed = true
 		}
@@ -116,6 +117,20 @@
 	return changed
 }
 
+// renewRefused takes new generations for ranges whose grant the upstream refused.
+func (d *keyDriver) renewRefused(next *keyown.Map, s upstreamState) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := false
+	for _, i := range next.Of(s.holder) {
+		if r := &next.Ranges[i]; r.Next == "" && d.orders.Refused(r) {
+			next.Regenerate(i)
+			changed = true
+		}
+	}
+	return changed
+}
+
 // releaseEnded ends holds that have lapsed at an upstream that is to give up
 // its keys or that has ended.
 func (d *keyDriver) releaseEnded(now steady.Time, next *keyown.Map, s upstreamState, others []keyown.Member) bool {
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -34,6 +34,10 @@
 	Store    rowstore.Store
 	Headers  Headers
 	Config   ConfigSource
+	// Orders makes the client that orders the local upstream at the address to hold
+	// keys. It opens connections only when mayDial says so. Nil: the deployment has
+	// no service whose keys are granted by calls.
+	Orders func(address string, mayDial func() bool) UpstreamOrders
 	// Control and Ready make the handlers for the upstream's heartbeats and for
 	// the question whether the router is ready.
 	Control func(*Sidecar) http.Handler
@@ -59,6 +63,7 @@
 	index     *keyIndex
 	local     *localUpstream
 	keys      *keyDriver
+	orders    *orderSender
 	gate      *gate
 	entry     *entry
 	publisher *publisher
@@ -95,13 +100,18 @@
 	s.keys = &keyDriver{
 		host: st.Host.Name, store: s.store, local: s.local, index: s.index, fleet: s.fleet, log: s.log,
 		maxHold:      min(holdTime, millis(st.Terms.HoldMaxMs)),
+		longestHold:  millis(st.Terms.HoldMaxMs),
 		beatInterval: millis(st.Upstream.HeartbeatMs),
 		keyed:        s.keyed,
 		load:         func() fleet.Load { return s.gate.load() },
 		connect:      func(ctx context.Context) error { return s.gate.client.Probe(ctx) },
 		kick:         make(chan struct{}, 1),
 	}
-	s.keys.grants = keyown.NewGrants(steady.Now(), s.keys.maxHold)
+	s.keys.grants = keyown.NewGrants(steady.Now(), min(max(holdTime, orderedHold), s.keys.longestHold))
+	s.keys.ordered = func(service string) bool {
+		return s.serviceIs(service, func(v *vhost.Service) bool { return v.OrderedKeys })
+	}
+	s.orders = newOrderSender(s.keys, opts)
 	s.gate = &gate{
 		host: st.Host.Name, headers: opts.Headers, local: s.local, keys: s.keys,
 		limiter:    admit.NewRankedLimiter(nil),
@@ -138,12 +148,17 @@
 
 // keyed reports whether a service divides its keys among its upstreams.
 func (s *Sidecar) keyed(service string) bool {
+	return s.serviceIs(service, func(v *vhost.Service) bool { return v.Keyed })
+}
+
+// serviceIs reports whether the configuration has the service and it is as asked.
+func (s *Sidecar) serviceIs(service string, is func(*vhost.Service) bool) bool {
 	t := s.routes.Load()
 	if t == nil {
 		return false
 	}
 	sv := t.Service(service)
-	return sv != nil && sv.Keyed
+	return sv != nil && is(sv)
 }
 
 // member is what this host tells the others.
@@ -268,6 +283,7 @@
 		s.followConfig,
 		s.followFleet,
 		s.keys.run,
+		s.orders.run,
 		s.publisher.run,
 		s.sweeper.run,
 	} {
--- a/router/vhost/vhost.go
+++ b/router/vhost/vhost.go
@@ -44,6 +44,9 @@
 	MaxConnections int
 	// Keyed services run a request only at the upstream that holds its key.
 	Keyed bool
+	// OrderedKeys tells that an upstream of a keyed service is granted its keys by
+	// calls to it, and not in the answers to its heartbeats.
+	OrderedKeys bool
 }
 
 // Limits bound what a caller may send. Zero means no limit.
