--- a/ctl/soak/soak_test.go
+++ b/ctl/soak/soak_test.go
@@ -85,7 +85,7 @@
 
 // soak plays one seed.
 func soak(t *testing.T, seed uint64) {
-	w := newWorld(t, *hostCount)
+	w := newWorld(t, *hostCount, seed%2 == 1)
 	w.awaitService("before the faults")
 	stopCallers := w.startCallers(seed)
 	w.playFaults(rand.New(rand.NewPCG(seed, 1)), *duration)
--- a/ctl/soak/world_test.go
+++ b/ctl/soak/world_test.go
@@ -24,10 +24,16 @@
 	keyedService = "keyed"
 )
 
+// lateOrders is the share of the orders to upstreams that get no answer and are
+// carried out late.
+const lateOrders = 0.1
+
 // world is a deployment on the loopback interface.
 type world struct {
-	t       *testing.T
-	dir     string
+	t   *testing.T
+	dir string
+	// ordered tells that the keyed upstreams are granted keys by calls.
+	ordered bool
 	store   *standin.Store
 	version uint64
 	hosts   []*host
@@ -42,7 +48,7 @@
 type server struct {
 	*standin.Server
 	instance string
-	stop     context.CancelFunc
+	stop     func()
 }
 
 // host is a router process with its server and the relays in front of its store
@@ -63,7 +69,6 @@
 	exited  chan struct{}
 	runs    int
 	server  *server
-	handler http.Handler
 }
 
 func must(t *testing.T, err error) {
@@ -108,8 +113,8 @@
 	return addresses
 }
 
-func newWorld(t *testing.T, n int) *world {
-	w := &world{t: t, dir: t.TempDir(), store: standin.NewStore(), ledger: &standin.Ledger{}, callers: &callers{}}
+func newWorld(t *testing.T, n int, ordered bool) *world {
+	w := &world{t: t, ordered: ordered, dir: t.TempDir(), store: standin.NewStore(), ledger: &standin.Ledger{}, callers: &callers{}}
 	if *keepLogs != "" {
 		w.dir = filepath.Join(*keepLogs, filepath.Base(t.Name()))
 		must(t, os.MkdirAll(w.dir, 0o755))
@@ -139,7 +144,7 @@
 	}
 	must(w.t, standin.Publish(context.Background(), w.store, vhost.Config{
 		Version:  w.version,
-		Services: []vhost.Service{{Name: plainService, HealthPath: "/healthz"}, {Name: keyedService, HealthPath: "/healthz", Keyed: true}},
+		Services: []vhost.Service{{Name: plainService, HealthPath: "/healthz"}, {Name: keyedService, HealthPath: "/healthz", Keyed: true, OrderedKeys: w.ordered}},
 		Routes: []vhost.Route{
 			route("look", plainService, true), route("pay", plainService, false),
 			route("keys", keyedService, true), route("order", keyedService, false),
@@ -160,7 +165,7 @@
 	must(w.t, err)
 	w.t.Cleanup(h.storeRelay.Close)
 	w.t.Cleanup(h.hopRelay.Close)
-	h.app = listen(w.t, h)
+	h.app = ports[5]
 	h.settings = filepath.Join(w.dir, h.name+".ini")
 	text := fmt.Sprintf("[host]\nname = %s\nzone = z%d\nregion = r1\nservice = %s\n[listen]\ncaller = %s\nhop = %s\nhop_advertised = %s\nready = %s\ncontrol = %s\nmetrics = %s\n[upstream]\naddress = %s\nheartbeat_ms = 300\n[store]\naddress = %s\n",
 		h.name, i%3, h.service, ports[0], ports[1], h.hopRelay.Address(), ports[2], ports[3], ports[4], h.app, h.storeRelay.Address())
@@ -170,15 +175,8 @@
 	w.hosts = append(w.hosts, h)
 }
 
-// ServeHTTP passes a request on to the server's present run.
-func (h *host) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	h.mu.Lock()
-	handler := h.handler
-	h.mu.Unlock()
-	handler.ServeHTTP(rw, r)
-}
-
-// startServer replaces the server by a new run.
+// startServer replaces the server by a new run. The connections of the earlier one
+// end with it.
 func (h *host) startServer() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -187,13 +185,23 @@
 	s := standin.NewServer(standin.ServerOptions{
 		Instance: instance, Service: h.service, Slots: 8, Control: h.control,
 		Beat: 300 * time.Millisecond, Work: 40 * time.Millisecond, Keyed: h.service == keyedService, Ledger: h.w.ledger,
+		Ordered: h.service == keyedService && h.w.ordered, LateOrders: lateOrders,
 	})
-	ctx, stop := context.WithCancel(context.Background())
 	if h.server != nil {
 		h.server.stop()
 	}
-	h.server = &server{Server: s, instance: instance, stop: stop}
-	h.handler = s
+	l, err := net.Listen("tcp4", h.app)
+	if err != nil {
+		h.w.t.Error(err)
+		return
+	}
+	web := &http.Server{Handler: s}
+	go func() { _ = web.Serve(l) }() // ends with Close
+	ctx, cancel := context.WithCancel(context.Background())
+	h.server = &server{Server: s, instance: instance, stop: func() {
+		cancel()
+		_ = web.Close()
+	}}
 	go s.Run(ctx)
 }
 
