Ask hosts at once, and the host that shows a newer configuration, when the store is silent

Nothing told it that others had a newer configuration.

Change: readings go through both other hosts at the same time and the first answer wins; transactions go one by one, because a second way would meet the first one's effect as a conflict. Versions never go back. The configuration in force has a file and a type of its own.

Ruled out: fetching at once (each change would send up to 270 KB between hosts).

--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -85,6 +85,9 @@
 	Waiting int
 	Slots   int
 
+	// Config is the version of the configuration in force at the answering router.
+	Config uint64
+
 	Status    int
 	Signature string
 	Same      bool
--- a/router/rowstore/relay.go
+++ b/router/rowstore/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,6 +18,8 @@
 	relayPause = 700 * time.Millisecond
 	// relayTries is the number of other hosts that one call is sent through.
 	relayTries = 2
+	// oneByOne keeps a transaction from meeting its own effect as a conflict.
+	oneByOne = 1
 )
 
 // ErrUnavailable means that the store cannot be reached by this host and by the
@@ -42,29 +45,39 @@
 
 // Parts implements Store.
 func (r *Relayed) Parts(ctx context.Context, table string) (parts []string, version int64, err error) {
-	err = r.do(ctx, func(ctx context.Context, s Store) error {
-		parts, version, err = s.Parts(ctx, table)
-		return err
+	type answer struct {
+		parts   []string
+		version int64
+	}
+	a, err := relayed(ctx, r, relayTries, func(ctx context.Context, s Store) (answer, error) {
+		parts, version, err := s.Parts(ctx, table)
+		return answer{parts, version}, err
 	})
-	return parts, version, err
+	return a.parts, a.version, err
 }
 
 // List implements Store.
 func (r *Relayed) List(ctx context.Context, table, part string) (rows []Row, version int64, err error) {
-	err = r.do(ctx, func(ctx context.Context, s Store) error {
-		rows, version, err = s.List(ctx, table, part)
-		return err
+	a, err := relayed(ctx, r, relayTries, func(ctx context.Context, s Store) (readRows, error) {
+		rows, version, err := s.List(ctx, table, part)
+		return readRows{rows, version}, err
 	})
-	return rows, version, err
+	return a.rows, a.version, err
+}
+
+// readRows is the answer of a reading.
+type readRows struct {
+	rows    []Row
+	version int64
 }
 
 // Watch implements Store.
 func (r *Relayed) Watch(ctx context.Context, table string, after int64, wait time.Duration) (rows []Row, version int64, err error) {
-	err = r.do(ctx, func(ctx context.Context, s Store) error {
-		rows, version, err = s.Watch(ctx, table, after, wait)
-		return err
+	a, err := relayed(ctx, r, relayTries, func(ctx context.Context, s Store) (readRows, error) {
+		rows, version, err := s.Watch(ctx, table, after, wait)
+		return readRows{rows, version}, err
 	})
-	return rows, version, err
+	return a.rows, a.version, err
 }
 
 // Commit implements Store.
@@ -72,11 +85,7 @@
 	if len(txn.Conditions) == 0 {
 		return 0, errors.New("a transaction that may be sent twice needs a condition")
 	}
-	err = r.do(ctx, func(ctx context.Context, s Store) error {
-		version, err = s.Commit(ctx, txn)
-		return err
-	})
-	return version, err
+	return relayed(ctx, r, oneByOne, func(ctx context.Context, s Store) (int64, error) { return s.Commit(ctx, txn) })
 }
 
 // answered reports whether the store itself answered the call.
@@ -85,32 +94,65 @@
 	return err == nil || errors.Is(err, ErrHistoryGone) || errors.As(err, &conflict)
 }
 
-// do makes a call on the primary way, and through other hosts when that fails.
-func (r *Relayed) do(ctx context.Context, call func(context.Context, Store) error) error {
+// relayed makes a call on the primary way, and through other hosts when that fails.
+// Up to atOnce of these are asked at the same time, and the first answer of the
+// store wins.
+func relayed[T any](ctx context.Context, r *Relayed, atOnce int, call func(context.Context, Store) (T, error)) (T, error) {
+	var none T
 	avoid, down := r.state()
 	if down {
-		return ErrUnavailable
+		return none, ErrUnavailable
 	}
-	var err error
+	var failed error
 	if !avoid {
-		if err = r.primary(ctx, call); answered(err) || ctx.Err() != nil {
-			return err
+		result, err := primary(ctx, r, call)
+		if answered(err) || ctx.Err() != nil {
+			return result, err
 		}
+		failed = err
 	}
-	for _, s := range r.Through(relayTries) {
-		relayed := call(ctx, s)
-		if answered(relayed) || ctx.Err() != nil {
-			return relayed
+	for ways := range slices.Chunk(r.Through(relayTries), atOnce) {
+		result, err := first(ctx, ways, call)
+		if answered(err) || ctx.Err() != nil {
+			return result, err
 		}
-		err = errors.Join(err, relayed)
+		failed = errors.Join(failed, err)
 	}
 	r.mark(false)
-	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	return none, fmt.Errorf("%w: %w", ErrUnavailable, failed)
+}
+
+// first makes a call on several ways at the same time and returns the first answer
+// of the store.
+func first[T any](ctx context.Context, ways []Store, call func(context.Context, Store) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type outcome struct {
+		result T
+		err    error
+	}
+	outcomes := make(chan outcome, len(ways))
+	for _, way := range ways {
+		go func() {
+			result, err := call(ctx, way)
+			outcomes <- outcome{result, err}
+		}()
+	}
+	var failed error
+	for range ways {
+		o := <-outcomes
+		if answered(o.err) || ctx.Err() != nil {
+			return o.result, o.err
+		}
+		failed = errors.Join(failed, o.err)
+	}
+	var none T
+	return none, failed
 }
 
 // primary makes a call on the primary way. It leaves half of the time of a short
 // call for other ways.
-func (r *Relayed) primary(ctx context.Context, call func(context.Context, Store) error) error {
+func primary[T any](ctx context.Context, r *Relayed, call func(context.Context, Store) (T, error)) (T, error) {
 	limited := ctx
 	if deadline, ok := ctx.Deadline(); ok {
 		if left := deadline.Sub(r.Now()); left < shortCall {
@@ -119,11 +161,11 @@
 			defer cancel()
 		}
 	}
-	err := call(limited, r.Primary)
+	result, err := call(limited, r.Primary)
 	if !answered(err) && ctx.Err() == nil {
 		r.mark(true)
 	}
-	return err
+	return result, err
 }
 
 // shortCall is the time below which a call is no watch.
--- a/router/rowstore/relay_test.go
+++ b/router/rowstore/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -80,3 +81,38 @@
 		t.Error("no error")
 	}
 }
+
+// silent is a store that does not answer.
+type silent struct{ *Memory }
+
+func (silent) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) ([]Row, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Guards against a configuration that comes late because the first of the hosts
+// that are asked instead of the store is silent.
+func TestSilentRelayDelaysNoReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := NewMemory()
+		version, err := store.Commit(t.Context(), conditional(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.Commit(t.Context(), conditional(version)); err != nil {
+			t.Fatal(err)
+		}
+		r := &Relayed{Primary: &broken{Memory: store}, Through: func(int) []Store { return []Store{silent{}, store} }, Now: time.Now}
+		r.mark(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		began := time.Now()
+		rows, _, err := r.Watch(ctx, "t", version, time.Second)
+		if err != nil || len(rows) != 1 {
+			t.Fatalf("got %v, %v", rows, err)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("the change came after %v", took)
+		}
+	})
+}
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -91,6 +91,10 @@
 	Load    fleet.Load
 	HasLoad bool
 
+	// Config is the version of the configuration in force at another host; 0 when
+	// it is not known.
+	Config uint64
+
 	Status int
 	Header http.Header
 	// Body must be closed when it is not nil. Length is -1 when unknown.
--- /dev/null
+++ b/router/sidecar/config.go
@@ -0,0 +1,98 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/rowstore"
+	"burdockglade.dev/router/vhost"
+)
+
+// ConfigSource says where the configuration lies and how to read it.
+type ConfigSource struct {
+	Key    rowstore.Key
+	Decode func([]byte) (vhost.Config, error)
+}
+
+// currentConfig is the configuration in force. Its version never goes back.
+type currentConfig struct {
+	source ConfigSource
+	log    *event.Logger
+	// changed is called after each change.
+	changed func()
+
+	mu    sync.Mutex // serialises changes
+	table atomic.Pointer[vhost.Table]
+	// row is the row that table was read from.
+	row atomic.Pointer[rowstore.Row]
+}
+
+// version is that of the configuration in force, or 0.
+func (c *currentConfig) version() uint64 {
+	if t := c.table.Load(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
+// take takes a row of the configuration's table.
+func (c *currentConfig) take(r rowstore.Row) {
+	if r.Key != c.source.Key || r.Deleted {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.row.Load(); old != nil && old.Version >= r.Version {
+		return
+	}
+	config, err := c.source.Decode(r.Value)
+	if err == nil {
+		err = c.apply(config, r)
+	}
+	if err != nil {
+		c.log.Log(eventRowInvalid, event.F("row", "configuration"), event.F("version", r.Version), event.F("error", err.Error()))
+	}
+}
+
+// apply puts a configuration in force unless a newer one is.
+func (c *currentConfig) apply(config vhost.Config, r rowstore.Row) error {
+	if c.table.Load() != nil && c.version() >= config.Version {
+		return nil
+	}
+	t, err := vhost.NewTable(config)
+	if err != nil {
+		return err
+	}
+	c.row.Store(&r)
+	c.table.Store(t)
+	c.log.Log(eventConfig, event.F("version", config.Version), event.F("routes", len(config.Routes)), event.F("services", len(config.Services)))
+	c.changed()
+	return nil
+}
+
+// service reports whether the configuration has the service and it is as asked.
+func (c *currentConfig) service(name string, is func(*vhost.Service) bool) bool {
+	t := c.table.Load()
+	if t == nil {
+		return false
+	}
+	s := t.Service(name)
+	return s != nil && is(s)
+}
+
+// configGather is the time for which further configurations gather after one:
+// each of a quick series would cost every host a call. A configuration must be
+// in force within 2 s.
+const configGather = 700 * time.Millisecond
+
+// followConfig keeps up with the configuration until ctx ends. Each host asks the
+// store itself, so that no other host can delay a change of the routes.
+func (s *Sidecar) followConfig(ctx context.Context) {
+	s.follow(ctx, &rowstore.Follower{
+		Store: s.store, Table: s.opts.Config.Key.Table, Changed: s.config.take,
+		Pause: func() time.Duration { return configGather },
+	})
+}
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"burdockglade.dev/router/admit"
@@ -38,7 +37,8 @@
 	host    string
 	service func() string
 	headers Headers
-	routes  *atomic.Pointer[vhost.Table]
+	config  *currentConfig
+	catchUp *configCatchUp
 	fleet   *fleet.Directory
 	keys    *keyIndex
 	gate    *gate
@@ -51,7 +51,7 @@
 // ServeHTTP answers one request of a caller.
 func (e *entry) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	start := time.Now()
-	table := e.routes.Load()
+	table := e.config.table.Load()
 	if table == nil {
 		e.refuse(w, req, nil, start.Add(longestPause), errkind.New(errkind.NotReady, "no configuration yet"))
 		return
@@ -253,6 +253,7 @@
 		r = e.gate.serve(ctx, c)
 	} else {
 		r = sendHop(ctx, h.Client, e.headers, c)
+		e.catchUp.seen(r.Config, h.Client)
 	}
 	r.Host = h.Member().Host
 	now := time.Now()
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -34,6 +34,10 @@
 		"The host that reads the fleet for this zone did not answer, or does not read the store itself; this host reads the store.", "none")
 	eventMemberGone = event.Define(1816, log.InfoLevel, "host gone",
 		"A host of this zone did not answer several probes in a row; its member row is removed. It writes the row again if it lives.", "none; if the host lives, look for a partition between it and this host.")
+	eventCaughtUp = event.Define(1817, log.InfoLevel, "configuration of another host in force",
+		"Another host showed a newer configuration than the store had brought to this one, and gave it.", "Look why this host did not get it from the store: events 1810 and 1811.")
+	eventCatchUpFailed = event.Define(1818, log.WarnLevel, "configuration of another host not read",
+		"Another host showed a newer configuration and did not give it. The next answer with a newer version starts another attempt.", "See event 1810.")
 	eventUpstream = event.Define(1820, log.InfoLevel, "upstream changed",
 		"The local upstream announced itself, changed, or gave notice that it leaves.", "none")
 	eventStaleReport = event.Define(1821, log.WarnLevel, "heartbeat ignored",
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -124,6 +124,7 @@
 		Down:    resp.Flags&hop.Down != 0,
 		Load:    fleet.Load{Busy: resp.Busy, Waiting: resp.Waiting, Slots: resp.Slots},
 		HasLoad: true,
+		Config:  resp.Config,
 	}
 	if resp.Kind != "" {
 		_ = resp.Body.Close()
@@ -149,6 +150,8 @@
 	store rowstore.Store
 	// feed holds the rows of the fleet for other hosts.
 	feed *rowstore.Feed
+	// config is the configuration in force.
+	config *currentConfig
 }
 
 // serve passes a call on to the local upstream or to the store.
@@ -205,7 +208,7 @@
 }
 
 func (h *hopHandler) responseHead(r *Result) hop.ResponseHead {
-	head := hop.ResponseHead{Busy: r.Load.Busy, Waiting: r.Load.Waiting, Slots: r.Load.Slots}
+	head := hop.ResponseHead{Busy: r.Load.Busy, Waiting: r.Load.Waiting, Slots: r.Load.Slots, Config: h.config.version()}
 	if r.Arrived {
 		head.Flags |= hop.Arrived
 	}
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -22,12 +22,6 @@
 	"burdockglade.dev/router/vhost"
 )
 
-// ConfigSource says where the configuration lies and how to read it.
-type ConfigSource struct {
-	Key    rowstore.Key
-	Decode func([]byte) (vhost.Config, error)
-}
-
 // Options configure a Sidecar. All but Log and Metrics are required.
 type Options struct {
 	Settings Settings
@@ -58,7 +52,8 @@
 	store     rowstore.Store // that way, or one through another host
 	fed       *rowstore.Fed
 	feed      *rowstore.Feed
-	routes    atomic.Pointer[vhost.Table]
+	config    *currentConfig
+	catchUp   *configCatchUp
 	fleet     *fleet.Directory
 	index     *keyIndex
 	local     *localUpstream
@@ -93,6 +88,8 @@
 		callers:  newCallerConns(),
 		local:    &localUpstream{host: st.Host.Name},
 	}
+	s.config = &currentConfig{source: opts.Config, log: s.log, changed: func() { s.keys.wake() }}
+	s.catchUp = &configCatchUp{log: s.log, version: s.config.version, fetch: fetchConfig, apply: s.config.take}
 	s.direct = &countedStore{store: opts.Store, scope: opts.Metrics.SubScope("entry")}
 	s.store = &rowstore.Relayed{Primary: s.direct, Through: s.storesThrough, Now: time.Now}
 	s.fed = &rowstore.Fed{Store: s.store, Source: s.feedSource}
@@ -103,14 +100,12 @@
 		longestHold:  millis(st.Terms.HoldMaxMs),
 		beatInterval: millis(st.Upstream.HeartbeatMs),
 		keyed:        s.keyed,
+		ordered:      s.ordered,
 		load:         func() fleet.Load { return s.gate.load() },
 		connect:      func(ctx context.Context) error { return s.gate.client.Probe(ctx) },
 		kick:         make(chan struct{}, 1),
 	}
 	s.keys.grants = keyown.NewGrants(steady.Now(), min(max(holdTime, orderedHold), s.keys.longestHold))
-	s.keys.ordered = func(service string) bool {
-		return s.serviceIs(service, func(v *vhost.Service) bool { return v.OrderedKeys })
-	}
 	s.orders = newOrderSender(s.keys, opts)
 	s.gate = &gate{
 		host: st.Host.Name, headers: opts.Headers, local: s.local, keys: s.keys,
@@ -121,7 +116,7 @@
 		stopping:   s.stoppingFor,
 	}
 	s.entry = &entry{
-		host: st.Host.Name, headers: opts.Headers, routes: &s.routes, fleet: s.fleet, keys: s.index, gate: s.gate,
+		host: st.Host.Name, headers: opts.Headers, config: s.config, catchUp: s.catchUp, fleet: s.fleet, keys: s.index, gate: s.gate,
 		service: func() string { return st.Host.Service },
 		budgets: newBudgets(BudgetTerms{Ratio: st.Terms.RetryRatio, Slack: st.Terms.RetrySlack, Window: millis(st.Terms.RetryWindowMs)}, s.fleet.Hosts),
 		log:     s.log,
@@ -148,17 +143,12 @@
 
 // keyed reports whether a service divides its keys among its upstreams.
 func (s *Sidecar) keyed(service string) bool {
-	return s.serviceIs(service, func(v *vhost.Service) bool { return v.Keyed })
+	return s.config.service(service, func(v *vhost.Service) bool { return v.Keyed })
 }
 
-// serviceIs reports whether the configuration has the service and it is as asked.
-func (s *Sidecar) serviceIs(service string, is func(*vhost.Service) bool) bool {
-	t := s.routes.Load()
-	if t == nil {
-		return false
-	}
-	sv := t.Service(service)
-	return sv != nil && is(sv)
+// ordered reports whether a service's keys are granted by calls.
+func (s *Sidecar) ordered(service string) bool {
+	return s.config.service(service, func(v *vhost.Service) bool { return v.OrderedKeys })
 }
 
 // member is what this host tells the others.
@@ -209,53 +199,9 @@
 
 // Ready reports whether callers may send requests.
 func (s *Sidecar) Ready() bool {
-	return s.routes.Load() != nil && !s.stopping.Load()
-}
-
-// configRow takes a row of the configuration's table.
-func (s *Sidecar) configRow(r rowstore.Row) {
-	if r.Key != s.opts.Config.Key || r.Deleted {
-		return
-	}
-	c, err := s.opts.Config.Decode(r.Value)
-	if err == nil {
-		err = s.applyConfig(c)
-	}
-	if err != nil {
-		s.log.Log(eventRowInvalid, event.F("row", "configuration"), event.F("version", r.Version), event.F("error", err.Error()))
-	}
-}
-
-// applyConfig puts a configuration in force unless a newer one is.
-func (s *Sidecar) applyConfig(c vhost.Config) error {
-	old := s.routes.Load()
-	if old != nil && old.Version() >= c.Version {
-		return nil
-	}
-	t, err := vhost.NewTable(c)
-	if err != nil {
-		return err
-	}
-	s.routes.Store(t)
-	s.log.Log(eventConfig, event.F("version", c.Version), event.F("routes", len(c.Routes)), event.F("services", len(c.Services)))
-	s.keys.wake()
-	return nil
+	return s.config.table.Load() != nil && !s.stopping.Load()
 }
 
-// followConfig keeps up with the configuration until ctx ends. Each host asks the
-// store itself, so that no other host can delay a change of the routes.
-func (s *Sidecar) followConfig(ctx context.Context) {
-	s.follow(ctx, &rowstore.Follower{
-		Store: s.store, Table: s.opts.Config.Key.Table, Changed: s.configRow,
-		Pause: func() time.Duration { return configGather },
-	})
-}
-
-// configGather is the time for which further configurations gather after one:
-// each of a quick series would cost every host a call. A configuration must be
-// in force within 2 s.
-const configGather = 700 * time.Millisecond
-
 // followFleet keeps up with the members and the key maps until ctx ends.
 func (s *Sidecar) followFleet(ctx context.Context) {
 	s.follow(ctx, &rowstore.Follower{Store: s.fed, Table: tableFleet, Changed: s.fleetRow, Pause: s.gatherTime, Feed: s.feed})
@@ -314,7 +260,7 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.direct, feed: s.feed}
+	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.direct, feed: s.feed, config: s.config}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
 	callers := httpServer(s.counted(s.entry))
--- a/router/sidecar/sidecar_test.go
+++ b/router/sidecar/sidecar_test.go
@@ -208,7 +208,7 @@
 	c.publish("1")
 	c.publish("not a version")
 	c.publish("3")
-	c.eventually("version 3", func() bool { return c.hosts[1].routes.Load().Version() == 3 })
+	c.eventually("version 3", func() bool { return c.hosts[1].config.version() == 3 })
 	if got := c.hosts[1].request(t, "GET", "/new/1", "c", ""); got.status != 200 {
 		t.Errorf("after: got %d", got.status)
 	}
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -23,6 +23,8 @@
 	storeCommit = "commit"
 	// storeFeed is a watch of what the other router has read already.
 	storeFeed = "feed"
+	// storeConfig asks for the row of the configuration in force at the other router.
+	storeConfig = "config"
 )
 
 // maxStoreBody bounds the result of a relayed call.
@@ -151,7 +153,7 @@
 	if err := cbor.Unmarshal(req.Body, &call); err != nil {
 		return &hop.Response{ResponseHead: hop.ResponseHead{Kind: string(errkind.BadRequest), Detail: err.Error()}}
 	}
-	body, err := cbor.Marshal(callStore(ctx, h.store, h.feed, call))
+	body, err := cbor.Marshal(h.callStore(ctx, call))
 	if err != nil {
 		return &hop.Response{ResponseHead: hop.ResponseHead{Kind: string(errkind.Internal), Detail: err.Error()}}
 	}
@@ -159,9 +161,10 @@
 }
 
 // callStore makes a call and turns its errors into fields.
-func callStore(ctx context.Context, s rowstore.Store, feed *rowstore.Feed, call storeCall) storeResult {
+func (h *hopHandler) callStore(ctx context.Context, call storeCall) storeResult {
 	var result storeResult
 	var err error
+	s := h.store
 	switch call.Call {
 	case storeParts:
 		result.Parts, result.Version, err = s.Parts(ctx, call.Table)
@@ -174,7 +177,11 @@
 			err = fmt.Errorf("table %q is not fed", call.Table)
 			break
 		}
-		result.Rows, result.Version, err = feed.Watch(ctx, call.After, call.Wait)
+		result.Rows, result.Version, err = h.feed.Watch(ctx, call.After, call.Wait)
+	case storeConfig:
+		if row := h.config.row.Load(); row != nil {
+			result.Rows = []rowstore.Row{*row}
+		}
 	case storeCommit:
 		result.Version, err = s.Commit(ctx, call.Txn)
 	default:
--- a/router/sidecar/storerelay_test.go
+++ b/router/sidecar/storerelay_test.go
@@ -36,20 +36,21 @@
 		Conditions: []rowstore.Condition{{Key: key}},
 		Writes:     []rowstore.Write{{Key: key, Value: []byte("v")}},
 	}}
-	if r := callStore(t.Context(), store, nil, write); r.Version != 1 || r.Conflict || r.Error != "" {
+	h := &hopHandler{store: store, config: &currentConfig{}}
+	if r := h.callStore(t.Context(), write); r.Version != 1 || r.Conflict || r.Error != "" {
 		t.Errorf("first write: %+v", r)
 	}
-	if r := callStore(t.Context(), store, nil, write); !r.Conflict || len(r.Rows) != 1 {
+	if r := h.callStore(t.Context(), write); !r.Conflict || len(r.Rows) != 1 {
 		t.Errorf("second write: %+v, want a conflict with the row", r)
 	}
-	if r := callStore(t.Context(), store, nil, storeCall{Call: storeList, Table: "t", Part: "p"}); len(r.Rows) != 1 {
+	if r := h.callStore(t.Context(), storeCall{Call: storeList, Table: "t", Part: "p"}); len(r.Rows) != 1 {
 		t.Errorf("list: %+v", r)
 	}
 	store.ForgetHistory()
-	if r := callStore(t.Context(), store, nil, storeCall{Call: storeWatch, Table: "t", After: 0}); !r.HistoryGone {
+	if r := h.callStore(t.Context(), storeCall{Call: storeWatch, Table: "t", After: 0}); !r.HistoryGone {
 		t.Errorf("watch: %+v, want that the history is gone", r)
 	}
-	if r := callStore(t.Context(), store, nil, storeCall{Call: "drop"}); r.Error == "" {
+	if r := h.callStore(t.Context(), storeCall{Call: "drop"}); r.Error == "" {
 		t.Error("an unknown call gave no error")
 	}
 }
