Take hosts whose address another host has for gone

Change: a host whose address stands in a later row of another host gets no requests, its row is removed by the sweeper, and its keys are freed when its lease was not renewed for 4 s, under the same condition on the lease row.

Ruled out: comparing the upstreams' starts (clocks jump).

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -36,6 +37,8 @@
 	mu        sync.RWMutex
 	hosts     map[string]*Host
 	byService map[string][]*Host
+	// replaced are the hosts whose address has gone to another host.
+	replaced map[string]bool
 }
 
 // NewDirectory returns an empty directory for a host in the zone and region.
@@ -44,8 +47,14 @@
 	return &Directory{zone: zone, region: region, dial: dial, hosts: map[string]*Host{}, byService: map[string][]*Host{}}
 }
 
-// Put adds a host or replaces what is known of it.
+// Put adds a host that is known to be there, such as this one, or replaces what is
+// known of it.
 func (d *Directory) Put(m Member) {
+	d.PutRow(m, math.MaxInt64)
+}
+
+// PutRow is Put for a member that was read from the row with the version.
+func (d *Directory) PutRow(m Member, row int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h := d.hosts[m.Host]
@@ -58,6 +67,7 @@
 		h.slowness, h.errors = 0, 0
 	}
 	h.member = m
+	h.row = max(h.row, row)
 	h.mu.Unlock()
 	d.index()
 }
@@ -73,10 +83,21 @@
 	}
 }
 
+// index lists the hosts of each service, without those whose address has gone to
+// another host.
 func (d *Directory) index() {
 	d.byService = map[string][]*Host{}
+	latest := map[string]int64{}
+	for _, h := range d.hosts {
+		latest[h.Member().Address] = max(latest[h.Member().Address], h.row)
+	}
+	d.replaced = map[string]bool{}
 	for _, name := range slices.Sorted(maps.Keys(d.hosts)) {
 		h := d.hosts[name]
+		if h.row < latest[h.Member().Address] {
+			d.replaced[name] = true
+			continue
+		}
 		service := h.Member().Service
 		d.byService[service] = append(d.byService[service], h)
 	}
@@ -89,6 +110,14 @@
 	return d.hosts[name]
 }
 
+// Replaced reports whether another host has the address of a host, by a later
+// row. An address is given to another host only after the earlier one has ended.
+func (d *Directory) Replaced(host string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.replaced[host]
+}
+
 // Hosts is the number of known hosts.
 func (d *Directory) Hosts() int {
 	d.mu.RLock()
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -181,3 +181,25 @@
 	}
 	return ""
 }
+
+// Guards against requests to a host that is gone and whose address another host
+// has: that host refuses them, and a probe of the address succeeds.
+func TestReplacedHostGetsNoRequests(t *testing.T) {
+	d := NewDirectory("z1", "r1", func(address string) *hop.Client { return hop.NewClient(connpool.Options{Address: address}) })
+	d.PutRow(Member{Host: "old", Service: "s", Address: "10.0.0.1:1", State: Ready}, 5)
+	d.PutRow(Member{Host: "other", Service: "s", Address: "10.0.0.2:1", State: Ready}, 6)
+	if d.Replaced("old") {
+		t.Fatal("replaced by nobody")
+	}
+	d.PutRow(Member{Host: "new", Service: "t", Address: "10.0.0.1:1", State: Ready}, 9)
+	if !d.Replaced("old") || d.Replaced("new") || d.Replaced("other") {
+		t.Error("want the earlier host of the address alone to be replaced")
+	}
+	if members := d.Members("s"); len(members) != 1 || members[0].Host != "other" {
+		t.Errorf("members %+v, want the other host alone", members)
+	}
+	d.Remove("new")
+	if d.Replaced("old") {
+		t.Error("still replaced after the other host's row was removed")
+	}
+}
--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -51,8 +51,11 @@
 type Host struct {
 	Client *hop.Client
 
-	mu      sync.Mutex
-	member  Member
+	mu     sync.Mutex
+	member Member
+	// row is the version of the row that member was read from, or MaxInt64 when the
+	// host is known to be there without one.
+	row     int64
 	sending int
 	load    Load
 	loadAt  time.Time
--- a/router/sidecar/keydriver_test.go
+++ b/router/sidecar/keydriver_test.go
@@ -106,3 +106,42 @@
 		t.Errorf("conditions %v, want version 1 of the lease of h2", c.lapsed)
 	}
 }
+
+// Guards against keys that nobody serves for the rest of a lease although the
+// address of their holder has gone to another host, and against taking them from a
+// host that still renews.
+func TestReplacedHostLosesItsRangesSooner(t *testing.T) {
+	d, s := newTestDriver(t, rowstore.NewMemory())
+	old := d.fleet.Host("h2").Member()
+	d.fleet.Remove("h2")
+	d.fleet.PutRow(old, 98)
+	d.fleet.PutRow(fleet.Member{Host: "h9", Instance: "i", Service: "other", Address: "h2:1", State: fleet.Ready}, 99)
+	versions := map[string]int64{"h0": 1, "h1": 1, "h2": 1}
+	now := steady.Now()
+	observe := func(renews ...string) {
+		now = now.Add(time.Second)
+		for _, host := range renews {
+			versions[host]++
+		}
+		d.watch.Observe(now, versions, time.Second)
+	}
+	m, _ := d.index.get("s")
+	for range 8 {
+		observe("h0", "h1", "h2")
+	}
+	d.plan(now, s, m)
+	if c := d.plan(now.Add(turn(1)), s, m); c.next != nil && !c.next.HeldBy("h2") {
+		t.Fatal("taken from a host that renews its lease")
+	}
+	for range 5 {
+		observe("h0", "h1")
+	}
+	d.plan(now, s, m)
+	c := d.plan(now.Add(turn(1)), s, m)
+	if c.next == nil || c.next.HeldBy("h2") {
+		t.Fatal("the ranges were not taken")
+	}
+	if _, ok := c.lapsed["h2"]; !ok {
+		t.Error("no condition on the lease of the replaced host")
+	}
+}
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -91,7 +91,7 @@
 func (d *keyDriver) members(service string, now steady.Time) []keyown.Member {
 	var members []keyown.Member
 	for _, m := range d.fleet.Members(service) {
-		if m.State != fleet.Ready || d.watch.Lapsed(now, m.Host, leaseTime) {
+		if m.State != fleet.Ready || d.lost(now, m.Host) {
 			continue
 		}
 		member := keyown.Member{Holder: keyown.Holder{Host: m.Host, Instance: m.Instance, Started: m.Started}}
@@ -160,7 +160,7 @@
 func (d *keyDriver) takeLapsed(now steady.Time, next *keyown.Map, members []keyown.Member, lapsed map[string]int64) bool {
 	var hosts []string
 	for host := range next.Counts() {
-		if host != d.host && d.watch.Lapsed(now, host, leaseTime) && next.HeldBy(host) {
+		if host != d.host && d.lost(now, host) && next.HeldBy(host) {
 			hosts = append(hosts, host)
 		}
 	}
@@ -180,6 +180,18 @@
 	return next.AssignFree(members) || len(hosts) > 0
 }
 
+// lost reports whether the ranges of a host may be freed: its lease has lapsed, or
+// its address has gone to another host and nobody renews the lease any more.
+func (d *keyDriver) lost(now steady.Time, host string) bool {
+	if d.watch.Lapsed(now, host, leaseTime) {
+		return true
+	}
+	return d.fleet.Replaced(host) && d.watch.Lapsed(now, host, replacedLease)
+}
+
+// replacedLease is longer than the pause between two renewals.
+const replacedLease = 2 * largeRenewInterval
+
 // turn is the time after which the host with the rank acts on a finding. The
 // stand-ins leave the others time to act, and lapsed hosts time to renew: what
 // they have read may be old.
--- a/router/sidecar/members.go
+++ b/router/sidecar/members.go
@@ -154,7 +154,7 @@
 			return
 		}
 		s.memberVersions.Store(m.Host, r.Version)
-		s.fleet.Put(m)
+		s.fleet.PutRow(m, r.Version)
 		s.log.Log(eventMember, event.F("host", m.Host), event.F("service", m.Service), event.F("instance", m.Instance),
 			event.F("state", string(m.State)), event.F("address", m.Address), event.F("version", r.Version))
 	case r.Name == partKeys && !r.Deleted:
--- a/router/sidecar/sweeper.go
+++ b/router/sidecar/sweeper.go
@@ -51,11 +51,12 @@
 	failures := map[string]int{}
 	for _, h := range s.fleet.InZone(s.zone) {
 		name := h.Member().Host
-		if name == s.host || s.probe(ctx, h) == nil {
+		replaced := s.fleet.Replaced(name)
+		if name == s.host || (!replaced && s.probe(ctx, h) == nil) {
 			continue
 		}
 		failures[name] = s.failures[name] + 1
-		if failures[name] < lostProbes {
+		if failures[name] < lostProbes && !replaced {
 			continue
 		}
 		err := s.remove(ctx, name)
