Let lease rows tell their end; hand keys over at stops; move no keys to lost hosts

A lease counted as lapsed only after it was seen unchanged for 9.6 s, so hosts that had just started left the keys of lost hosts unserved for that time. 2. Lost hosts have no load and few ranges; until their lease lapsed, hosts moved keys to them, and each move waited for the next lapse. 3. A stopping router left its keys with its upstream; nobody could use them until the next process had started. 4. A router that has just started moved keys that it could not give up yet, because orders of the earlier process might still be carried out.

Change: a renewal writes the end of the lease on the store's clock, from the last answer that named it, so any reading shows whether it has ended; after a failed reading hosts get 2.5 s to renew. Keys move only to hosts that answered last, and not while late orders are possible. A stop hands the keys over, for 3.5 s at most.

Ruled out: shorter leases (outages of the store would stop all keys sooner); promises of other hosts in place of the store (needs a quorum).

--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -198,6 +198,14 @@
 	return true
 }
 
+// Reached reports whether the last request to the host reached it, and it is not
+// silent. A host that was not asked counts as reached.
+func (h *Host) Reached(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failures == 0 && !h.silent(now)
+}
+
 // view is a snapshot for the choice of a host.
 type view struct {
 	host     *Host
--- a/router/keyown/late.go
+++ b/router/keyown/late.go
@@ -74,6 +74,12 @@
 	return until
 }
 
+// Movable reports whether ranges that are given up now can move at once: no grant
+// of an earlier process of this router may still be carried out.
+func (g *Grants) Movable(now steady.Time) bool {
+	return now >= g.lateUnknown
+}
+
 // forget drops grants that have ended of ranges that are not known any more.
 func (g *Grants) forget(now steady.Time, known map[span]bool) {
 	for s, until := range g.until {
--- a/router/keyown/lease.go
+++ b/router/keyown/lease.go
@@ -1,6 +1,8 @@
 package keyown
 
 import (
+	"encoding/json"
+	"fmt"
 	"time"
 
 	"burdockglade.dev/router/steady"
@@ -17,8 +19,60 @@
 	lapseMargin = 300 * time.Millisecond
 )
 
-// LeaseWatch tells from repeated observations of the leases' row versions which
-// leases have lapsed. The zero value has seen nothing.
+// Lease is a lease as its row tells.
+type Lease struct {
+	// Version is that of the row; each renewal changes it.
+	Version int64
+	// End is the time on the store's clock at which the lease has certainly ended;
+	// 0 when the row does not tell. ReadAt is the time of the reading on that clock.
+	End, ReadAt time.Duration
+}
+
+// leaseValue is the content of a lease's row.
+type leaseValue struct {
+	EndMs int64 `json:"end_ms,omitempty"`
+}
+
+// EncodeLeaseEnd returns the content of a lease's row; an end of 0 is not known.
+func EncodeLeaseEnd(end time.Duration) ([]byte, error) {
+	return json.Marshal(leaseValue{EndMs: end.Milliseconds()})
+}
+
+// DecodeLeaseEnd reads the content of a lease's row.
+func DecodeLeaseEnd(data []byte) (time.Duration, error) {
+	var v leaseValue
+	if err := json.Unmarshal(data, &v); err != nil {
+		return 0, fmt.Errorf("lease: %w", err)
+	}
+	return time.Duration(v.EndMs) * time.Millisecond, nil
+}
+
+// StoreClock relates this host's steady clock to that of the store. The zero value
+// knows nothing.
+type StoreClock struct {
+	local steady.Time
+	store time.Duration
+}
+
+// Note takes a time on the store's clock that an answer named to a call that was
+// sent at a local time. The store's clock had not passed it when the call was sent.
+func (c *StoreClock) Note(sent steady.Time, store time.Duration) {
+	if store > 0 {
+		c.local, c.store = sent, store
+	}
+}
+
+// Latest returns the latest time that the store's clock can show at a local time
+// after the last Note, or 0 when nothing is known.
+func (c *StoreClock) Latest(at steady.Time) time.Duration {
+	if c.store == 0 {
+		return 0
+	}
+	return c.store + withDrift(at.Sub(c.local))
+}
+
+// LeaseWatch tells from repeated observations of the leases' rows which leases have
+// lapsed. The zero value has seen nothing.
 type LeaseWatch struct {
 	seen map[string]observation
 	// last is the time of the last observation, resumed that of the first one
@@ -27,58 +81,105 @@
 	// gap is the longest time between two observations that count as
 	// uninterrupted.
 	gap time.Duration
+	// interrupted tells that a reading has failed since the last observation.
+	interrupted bool
 }
 
 type observation struct {
-	version int64
-	since   steady.Time
+	Lease
+	// since is the time of the first observation of the version.
+	since steady.Time
 }
 
-// Observe takes the versions of all leases by host. The next observation is due
-// after the interval.
-func (w *LeaseWatch) Observe(now steady.Time, versions map[string]int64, interval time.Duration) {
+// Observe takes all leases by host. The next observation is due after the
+// interval.
+func (w *LeaseWatch) Observe(now steady.Time, leases map[string]Lease, interval time.Duration) {
 	if w.seen == nil {
 		w.seen = map[string]observation{}
 	}
 	w.gap = missedObservations * interval
-	if w.last == 0 || now.Sub(w.last) > w.gap {
+	if w.last == 0 || w.interrupted || now.Sub(w.last) > w.gap {
 		w.resumed = now
 	}
-	w.last = now
-	for host, version := range versions {
-		if w.seen[host].version != version {
-			w.seen[host] = observation{version: version, since: now}
+	w.last, w.interrupted = now, false
+	for host, lease := range leases {
+		o := w.seen[host]
+		if o.Version != lease.Version {
+			o.since = now
 		}
+		w.seen[host] = observation{Lease: lease, since: o.since}
 	}
 	for host, o := range w.seen {
-		if _, ok := versions[host]; !ok && o.version != 0 {
+		if _, ok := leases[host]; !ok && o.Version != 0 {
 			w.seen[host] = observation{since: now}
 		}
 	}
 }
 
+// Interrupt notes that the leases could not be read: hosts may have been unable to
+// renew them.
+func (w *LeaseWatch) Interrupt() {
+	w.interrupted = true
+}
+
 // Version is the version of the host's lease as last seen; 0 means none.
 func (w *LeaseWatch) Version(host string) int64 {
-	return w.seen[host].version
+	return w.seen[host].Version
 }
 
-// Lapsed reports whether the lease of a host has lapsed: its row was unchanged
-// for longer than the lease lasts, and observations are not interrupted. A host
-// that is asked for and was never seen counts as seen without a lease from then
-// on.
+// Lapsed reports whether the lease of a host has lapsed: it ended before its last
+// reading, or its row was unchanged for longer than the lease lasts; and
+// observations are not interrupted. A host that is asked for and was never seen
+// counts as seen without a lease from then on.
 func (w *LeaseWatch) Lapsed(now steady.Time, host string, lease time.Duration) bool {
+	if !w.steady(now) {
+		w.note(now, host)
+		return false
+	}
+	o := w.note(now, host)
+	if o.End > 0 && o.ReadAt >= o.End {
+		return true
+	}
+	return now.Sub(o.since) > lease+lease/clockDrift+lapseMargin
+}
+
+// Unrenewed reports whether a lease was not renewed for the time, although
+// observations are not interrupted.
+func (w *LeaseWatch) Unrenewed(now steady.Time, host string, lease time.Duration) bool {
+	o := w.note(now, host)
+	return w.steady(now) && now.Sub(o.since) > lease
+}
+
+// steady reports whether observations are not interrupted.
+func (w *LeaseWatch) steady(now steady.Time) bool {
+	return w.last != 0 && !w.interrupted && now.Sub(w.last) <= w.gap && now.Sub(w.resumed) >= graceAfterGap
+}
+
+// note returns the observation of a host; one that was never seen counts as seen
+// without a lease from now on.
+func (w *LeaseWatch) note(now steady.Time, host string) observation {
 	if w.seen == nil {
 		w.seen = map[string]observation{}
 	}
 	o, ok := w.seen[host]
 	if !ok {
-		w.seen[host] = observation{since: now}
-		return false
+		o = observation{since: now}
+		w.seen[host] = o
 	}
-	if now.Sub(w.last) > w.gap || now.Sub(w.resumed) < graceAfterGap {
-		return false
+	return o
+}
+
+// NextEnd returns the time until the first lease ends that was not renewed since
+// its last reading's predecessor, or the longest time if there is none.
+func (w *LeaseWatch) NextEnd(now steady.Time, suspectAfter, longest time.Duration) time.Duration {
+	next := longest
+	for _, o := range w.seen {
+		if o.End == 0 || o.ReadAt >= o.End || now.Sub(o.since) < suspectAfter {
+			continue
+		}
+		next = min(next, o.End-o.ReadAt-now.Sub(w.last))
 	}
-	return now.Sub(o.since) > lease+lease/clockDrift+lapseMargin
+	return max(next, 0)
 }
 
 // Delay measures how long a condition has held.
--- a/router/rowstore/memory.go
+++ b/router/rowstore/memory.go
@@ -17,11 +17,12 @@
 	// oldest is the version after which the history is complete.
 	oldest  int64
 	changed chan struct{}
+	started time.Time
 }
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{rows: map[Key]Row{}, changed: make(chan struct{})}
+	return &Memory{rows: map[Key]Row{}, changed: make(chan struct{}), started: time.Now()}
 }
 
 // Parts implements Store.
@@ -45,6 +46,7 @@
 	var rows []Row
 	for key, r := range m.rows {
 		if key.Table == table && key.Part == part {
+			r.ReadAt = max(time.Since(m.started), 1)
 			rows = append(rows, r)
 		}
 	}
--- a/router/rowstore/rowstore.go
+++ b/router/rowstore/rowstore.go
@@ -24,6 +24,9 @@
 	Version int64
 	// Deleted marks a dropped row in the result of Watch.
 	Deleted bool
+	// ReadAt is the time on the store's steady clock at which List read the row; 0
+	// when the store does not tell.
+	ReadAt time.Duration
 }
 
 // Condition holds when the row has the version; 0 means that the row is absent.
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,7 +39,9 @@
 	runs    map[string]int
 	headers []http.Header
 	holds   []keyown.Grant
-	beat    int64
+	// released are the ranges that the last answer took away.
+	released []keyown.Handover
+	beat     int64
 }
 
 func newTestUpstream(t *testing.T, id string) *testUpstream {
@@ -205,11 +208,12 @@
 		close(h.done)
 	}()
 	c.hosts = append(c.hosts, h)
-	go h.beats(ctx, service)
+	go h.beats(c.t.Context(), service)
 	return h
 }
 
-// beats sends heartbeats as an upstream does, until ctx ends.
+// beats sends heartbeats as an upstream does, also while its router stops, until ctx
+// ends.
 func (h *testHost) beats(ctx context.Context, service string) {
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
@@ -227,7 +231,7 @@
 func (u *testUpstream) report(s *Sidecar, service string) {
 	u.mu.Lock()
 	u.beat++
-	r := Report{Instance: u.id, Started: 1, Sequence: u.beat, Service: service, Slots: 4, Holds: u.holds}
+	r := Report{Instance: u.id, Started: 1, Sequence: u.beat, Service: service, Slots: 4, Holds: u.holds, Released: u.released}
 	u.mu.Unlock()
 	reply := s.Heartbeat(r)
 	if !reply.Renew {
@@ -235,6 +239,12 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.released = nil
+	for _, h := range u.holds {
+		if !slices.ContainsFunc(reply.Grants, func(g keyown.Grant) bool { return g.From <= h.From && h.To <= g.To }) {
+			u.released = append(u.released, keyown.Handover{From: h.From, To: h.To, Token: "left"})
+		}
+	}
 	u.holds = reply.Grants
 }
 
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -58,6 +58,9 @@
 	// standInInterval by the others.
 	readInterval    = 1200 * time.Millisecond
 	standInInterval = 6 * time.Second
+	// suspectAfter is the time without a renewal after which a lease is read again
+	// as soon as it ends.
+	suspectAfter = 2 * largeRenewInterval
 	// storeCallTimeout bounds one call to the store.
 	storeCallTimeout = 1500 * time.Millisecond
 )
@@ -93,6 +96,8 @@
 	// connect makes and closes a connection to the local upstream.
 	connect func(context.Context) error
 	probing atomic.Bool
+	// stopping is the time since this router began to stop, or 0.
+	stopping func() time.Duration
 
 	mu       sync.Mutex
 	grants   *keyown.Grants
@@ -111,6 +116,7 @@
 	lastRenewal  steady.Time
 	lastRead     steady.Time
 	watch        keyown.LeaseWatch
+	storeClock   keyown.StoreClock
 	waiting      keyown.Delay
 	settled      keyown.Delay
 	membersSeen  []string
@@ -166,7 +172,7 @@
 // step reads the leases and commits the next change, if any is due.
 func (d *keyDriver) step(ctx context.Context, s upstreamState) {
 	now := steady.Now()
-	if now.Sub(d.lastRead) >= d.readPause(s.service) {
+	if now.Sub(d.lastRead) >= d.watch.NextEnd(now, suspectAfter, d.readPause(s.service)) {
 		d.lastRead = now
 		d.readLeases(ctx, s.service)
 	}
@@ -210,16 +216,23 @@
 func (d *keyDriver) readLeases(ctx context.Context, service string) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
+	sent := steady.Now()
 	rows, _, err := d.store.List(ctx, tableLease, service)
 	if err != nil {
+		d.watch.Interrupt()
 		d.log.Log(eventLeasesUnread, event.F("service", service), event.F("error", err.Error()))
 		return
 	}
-	versions := make(map[string]int64, len(rows))
+	leases := make(map[string]keyown.Lease, len(rows))
 	for _, r := range rows {
-		versions[r.Name] = r.Version
+		end, err := keyown.DecodeLeaseEnd(r.Value)
+		if err != nil {
+			d.log.Log(eventRowInvalid, event.F("row", "lease of "+r.Name), event.F("error", err.Error()))
+		}
+		leases[r.Name] = keyown.Lease{Version: r.Version, End: end, ReadAt: r.ReadAt}
+		d.storeClock.Note(sent, r.ReadAt)
 	}
-	d.watch.Observe(steady.Now(), versions, d.readPause(service))
+	d.watch.Observe(steady.Now(), leases, d.readPause(service))
 }
 
 // commit renews the lease and applies the change in one transaction. The lease
@@ -227,9 +240,15 @@
 func (d *keyDriver) commit(ctx context.Context, service string, mapVersion int64, c change) {
 	mapKey := rowstore.Key{Table: tableFleet, Part: service, Name: partKeys}
 	leaseKey := rowstore.Key{Table: tableLease, Part: service, Name: d.host}
+	sent := steady.Now()
+	lease, err := keyown.EncodeLeaseEnd(d.storeClock.Latest(sent.Add(leaseTime)))
+	if err != nil {
+		d.log.Log(eventMapFailed, event.F("error", err.Error()))
+		return
+	}
 	txn := rowstore.Txn{
 		Conditions: []rowstore.Condition{{Key: mapKey, Version: mapVersion}, {Key: leaseKey, Version: d.leaseVersion}},
-		Writes:     []rowstore.Write{{Key: leaseKey, Value: []byte("{}")}},
+		Writes:     []rowstore.Write{{Key: leaseKey, Value: lease}},
 	}
 	if c.next != nil {
 		value, err := c.next.Encode()
@@ -243,7 +262,6 @@
 		key := rowstore.Key{Table: tableLease, Part: service, Name: host}
 		txn.Conditions = append(txn.Conditions, rowstore.Condition{Key: key, Version: version})
 	}
-	sent := steady.Now()
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	version, err := d.store.Commit(ctx, txn)
--- a/router/sidecar/keydriver_test.go
+++ b/router/sidecar/keydriver_test.go
@@ -23,6 +23,7 @@
 		beatInterval: 100 * time.Millisecond,
 		keyed:        func(string) bool { return true },
 		ordered:      func(string) bool { return false },
+		stopping:     func() time.Duration { return 0 },
 		load:         func() fleet.Load { return fleet.Load{Slots: 4} },
 		connect:      func(context.Context) error { return nil },
 		kick:         make(chan struct{}, 1),
@@ -53,15 +54,16 @@
 // lapse makes the driver see that the lease of a host has lapsed, and renews
 // those of the others.
 func lapse(d *keyDriver, now steady.Time, host string) steady.Time {
-	versions := map[string]int64{"h0": 1, "h1": 1, "h2": 1}
+	leases := map[string]keyown.Lease{"h0": {Version: 1}, "h1": {Version: 1}, "h2": {Version: 1}}
 	for range int(leaseTime/time.Second) + 4 {
 		now = now.Add(time.Second)
-		for other := range versions {
+		for other, lease := range leases {
 			if other != host {
-				versions[other]++
+				lease.Version++
+				leases[other] = lease
 			}
 		}
-		d.watch.Observe(now, versions, time.Second)
+		d.watch.Observe(now, leases, time.Second)
 	}
 	return now
 }
@@ -116,14 +118,14 @@
 	d.fleet.Remove("h2")
 	d.fleet.PutRow(old, 98)
 	d.fleet.PutRow(fleet.Member{Host: "h9", Instance: "i", Service: "other", Address: "h2:1", State: fleet.Ready}, 99)
-	versions := map[string]int64{"h0": 1, "h1": 1, "h2": 1}
+	leases := map[string]keyown.Lease{"h0": {Version: 1}, "h1": {Version: 1}, "h2": {Version: 1}}
 	now := steady.Now()
 	observe := func(renews ...string) {
 		now = now.Add(time.Second)
 		for _, host := range renews {
-			versions[host]++
+			leases[host] = keyown.Lease{Version: leases[host].Version + 1}
 		}
-		d.watch.Observe(now, versions, time.Second)
+		d.watch.Observe(now, leases, time.Second)
 	}
 	m, _ := d.index.get("s")
 	for range 8 {
--- a/router/sidecar/keygrants.go
+++ b/router/sidecar/keygrants.go
@@ -19,6 +19,12 @@
 	return r != nil && d.grants.Holds(steady.Now(), r)
 }
 
+// holdsKeys reports whether the key map names this host as a holder.
+func (d *keyDriver) holdsKeys() bool {
+	m, _ := d.index.get(d.local.get().service)
+	return m != nil && m.HeldBy(d.host)
+}
+
 // heartbeat takes what the upstream says of its keys and returns what it is to
 // hold. While keys are on their way to the upstream, the answer waits for them:
 // otherwise nobody would serve them until the next heartbeat.
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -40,12 +40,15 @@
 	note(d.takeReleased(now, next, s, others), "released")
 	c.gather = changed
 	note(d.releaseEnded(now, next, s, others), "hold ended")
-	if s.leaving.IsZero() {
+	switch {
+	case d.stopping() > 0:
+		note(next.Evacuate(d.host, d.reachable(others)), "router stops")
+	case s.leaving.IsZero():
 		note(next.Renew(s.holder), "new run of the upstream")
 		note(next.CancelMoves(d.host, others), "next holder is gone")
 		note(d.renewRefused(next, s), "the upstream has seen a higher generation")
-	} else {
-		note(next.Evacuate(d.host, others), "upstream leaves")
+	default:
+		note(next.Evacuate(d.host, d.reachable(others)), "upstream leaves")
 	}
 	note(d.takeLapsed(now, next, members, c.lapsed), "lease lapsed")
 	if !changed {
@@ -186,7 +189,7 @@
 	if d.watch.Lapsed(now, host, leaseTime) {
 		return true
 	}
-	return d.fleet.Replaced(host) && d.watch.Lapsed(now, host, replacedLease)
+	return d.fleet.Replaced(host) && d.watch.Unrenewed(now, host, replacedLease)
 }
 
 // replacedLease is longer than the pause between two renewals.
@@ -209,12 +212,16 @@
 // hosts a reading and a renewal.
 func (d *keyDriver) rebalance(now steady.Time, next *keyown.Map, s upstreamState, members []keyown.Member) bool {
 	slots := d.load().Slots
-	if slots == 0 || !s.leaving.IsZero() || now.Sub(d.lastMove) < moveInterval {
+	if slots == 0 || d.stopping() > 0 || !s.leaving.IsZero() || now.Sub(d.lastMove) < moveInterval {
 		return false
 	}
+	members = d.reachable(members)
 	d.mu.Lock()
-	loads := d.rates.Snapshot(now)
+	loads, movable := d.rates.Snapshot(now), d.grants.Movable(now)
 	d.mu.Unlock()
+	if !movable {
+		return false
+	}
 	demand := next.Demand(d.host, loads) / float64(slots)
 	if moves := next.Surplus(d.host, demand, members); len(moves) > 0 {
 		d.lastMove = now
@@ -233,6 +240,19 @@
 	return true
 }
 
+// reachable returns the members but the other hosts that did not answer last. A lost
+// host has no load and few ranges, and would be chosen first until its lease lapses.
+func (d *keyDriver) reachable(members []keyown.Member) []keyown.Member {
+	var reachable []keyown.Member
+	now := time.Now()
+	for _, m := range members {
+		if h := d.fleet.Host(m.Host); m.Host == d.host || (h != nil && h.Reached(now)) {
+			reachable = append(reachable, m)
+		}
+	}
+	return reachable
+}
+
 // move notes the next hosts of ranges in the map.
 func (d *keyDriver) move(next *keyown.Map, moves []keyown.Transfer, demand float64, loads keyown.Loads) {
 	for _, mv := range moves {
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -101,6 +101,7 @@
 		beatInterval: millis(st.Upstream.HeartbeatMs),
 		keyed:        s.keyed,
 		ordered:      s.ordered,
+		stopping:     s.stoppingFor,
 		load:         func() fleet.Load { return s.gate.load() },
 		connect:      func(ctx context.Context) error { return s.gate.client.Probe(ctx) },
 		kick:         make(chan struct{}, 1),
--- a/router/sidecar/sidecar_test.go
+++ b/router/sidecar/sidecar_test.go
@@ -133,6 +133,32 @@
 	}
 }
 
+// Guards against keys that nobody serves while a router is stopped and started again
+// beside an upstream that goes on running.
+func TestStoppingRouterHandsKeysOver(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "keyed", "keyed", "keyed")
+	c.ready()
+	held := func() int {
+		n := 0
+		for _, h := range c.hosts {
+			n += len(h.upstream.held())
+		}
+		return n
+	}
+	c.eventually("all keys are held", func() bool { return held() == 3*mostRangesEach })
+	first := c.hosts[0]
+	first.cancel()
+	<-first.done
+	m, _ := c.hosts[1].index.get("keyed")
+	if m.HeldBy("h0") {
+		t.Error("the stopped host still holds keys")
+	}
+	if len(first.upstream.held()) != 0 || held() != 3*mostRangesEach {
+		t.Errorf("the upstream of the stopped host holds %d ranges, all together %d", len(first.upstream.held()), held())
+	}
+}
+
 // Guards against keys that stay with an upstream that has given notice.
 func TestKeysLeaveWithNotice(t *testing.T) {
 	t.Parallel()
--- a/router/sidecar/stop.go
+++ b/router/sidecar/stop.go
@@ -17,6 +17,9 @@
 	// otherNoticeTime is that time for requests of other routers that can go to
 	// another upstream; they learn of the stop from the member row.
 	otherNoticeTime = time.Second
+	// handOverTime is how long a stop waits for the keys of the upstream to move to
+	// other hosts. Nobody could use them until the router is back.
+	handOverTime = 3500 * time.Millisecond
 	// lastReadTime is the time in which a request that was read last reaches its
 	// handler, also on a host with little processor time.
 	lastReadTime = 300 * time.Millisecond
@@ -71,7 +74,8 @@
 // those of other routers, have ended.
 func (s *Sidecar) quiet(now, began steady.Time) bool {
 	_, busy, waiting := s.gate.limiter.Stats()
-	return now.Sub(began) >= noticeTime && s.inFlight.Load() == 0 && busy+waiting == 0
+	handedOver := !s.keys.holdsKeys() || now.Sub(began) >= handOverTime
+	return now.Sub(began) >= noticeTime && handedOver && s.inFlight.Load() == 0 && busy+waiting == 0
 }
 
 // stoppingFor is the time since the stop began, or 0.
