Serve short calls of running requests before their rank

An invoice holds a slot for 260 ms, a lookup for 55 ms.

Change: work that takes at most half of the longest kind's time is served with the highest rank while such work holds at most half of the slots, and may wait past its goal for two service times.

Ruled out: telling calls of upstreams from callers' requests (they come from the same address, with the same fields).

--- a/router/admit/ranked.go
+++ b/router/admit/ranked.go
@@ -24,6 +24,16 @@
 	lateWaitLast  = 2
 )
 
+// Work is short when it takes at most the shortShare-th part of the time of the
+// longest kind of work. Short work of a low rank is served with the highest rank while it holds at
+// most the shortSlots-th part of the slots: it is mostly calls that running requests
+// wait for. Each of them that is refused loses a run elsewhere, and serving it costs
+// urgent long work little.
+const (
+	shortShare = 2
+	shortSlots = 2
+)
+
 // RankedLimiter admits requests up to a limit and serves waiting requests by
 // rank. Within a rank it serves those first whose answer can still meet its
 // goal, the earliest goal first: short calls that running requests wait for
@@ -35,6 +45,8 @@
 	mu       sync.Mutex
 	limit    Limit
 	inFlight int
+	// promoted counts the requests in flight that were served before their rank.
+	promoted int
 	waiting  rankedHeap
 	arrivals uint64
 	// service is the mean time that a request holds a slot, byWork that of one
@@ -64,6 +76,8 @@
 
 type rankedItem struct {
 	work Work
+	// promoted tells that the item is served before its rank.
+	promoted bool
 	// late tells that the answer is expected to miss its goal.
 	late bool
 	// expires is the time at which the item is refused if it has no slot.
@@ -76,8 +90,8 @@
 
 // before reports whether the item is served before another one.
 func (it *rankedItem) before(other *rankedItem) bool {
-	if it.work.Rank != other.work.Rank {
-		return it.work.Rank < other.work.Rank
+	if it.rank() != other.rank() {
+		return it.rank() < other.rank()
 	}
 	if it.late != other.late {
 		return other.late
@@ -88,6 +102,14 @@
 	return it.arrival < other.arrival
 }
 
+// rank is that with which the item is served.
+func (it *rankedItem) rank() int {
+	if it.promoted {
+		return 0
+	}
+	return it.work.Rank
+}
+
 // Patience says how long a request may wait for a slot.
 type Patience int
 
@@ -121,12 +143,13 @@
 		l.mu.Unlock()
 		return nil, errkind.New(errkind.UpstreamDown, "no upstream is announced")
 	}
+	it := &rankedItem{work: work, arrival: l.arrivals, bounds: bounds, verdict: make(chan error, 1)}
 	if l.inFlight < l.limit.Allowed() && len(l.waiting) == 0 {
-		l.inFlight++
+		l.begin(it)
 		l.mu.Unlock()
-		return l.releaser(work, now), nil
+		return l.releaser(it, now), nil
 	}
-	it := &rankedItem{work: work, arrival: l.arrivals, bounds: bounds, verdict: make(chan error, 1)}
+	it.promoted = l.short(work) && l.promoted < l.limit.Allowed()/shortSlots
 	it.late = l.late(now, it)
 	if err := l.enqueue(now, it); err != nil {
 		l.mu.Unlock()
@@ -215,6 +238,8 @@
 	switch {
 	case it.late && it.bounds.Patience == UntilDeadline:
 		return min(lateWaitLast*service, toDeadline)
+	case it.late && it.promoted:
+		return min(lateWaitLast*service, toDeadline)
 	case it.late:
 		return min(service/lateWaitShare, toDeadline)
 	case it.bounds.Patience == UntilDeadline:
@@ -232,7 +257,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return l.releaser(it.work, l.now()), nil
+		return l.releaser(it, l.now()), nil
 	case <-ctx.Done():
 		l.abandon(it)
 		return nil, contextError(ctx.Err())
@@ -252,26 +277,55 @@
 		return
 	}
 	if err := <-it.verdict; err == nil {
-		l.inFlight--
+		l.end(it)
 		l.dispatch()
 	}
 }
 
+// begin gives a slot to a request, end takes it back.
+func (l *RankedLimiter) begin(it *rankedItem) {
+	l.inFlight++
+	if it.promoted {
+		l.promoted++
+	}
+}
+
+func (l *RankedLimiter) end(it *rankedItem) {
+	l.inFlight--
+	if it.promoted {
+		l.promoted--
+	}
+}
+
+// short reports whether work of the kind is short.
+func (l *RankedLimiter) short(work Work) bool {
+	own, known := l.byWork[work]
+	if !known {
+		return false
+	}
+	for _, other := range l.byWork {
+		if own*shortShare <= other {
+			return true
+		}
+	}
+	return false
+}
+
 // observe takes the time for which a request held a slot.
 func (l *RankedLimiter) observe(work Work, took time.Duration) {
 	l.service = average(l.service, took)
 	l.byWork[work] = average(l.byWork[work], took)
 }
 
-func (l *RankedLimiter) releaser(work Work, start time.Time) func(Result) {
+func (l *RankedLimiter) releaser(it *rankedItem, start time.Time) func(Result) {
 	return func(r Result) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		now := l.now()
 		l.limit.Observe(now, r, l.inFlight)
-		l.inFlight--
+		l.end(it)
 		if r == Completed {
-			l.observe(work, now.Sub(start))
+			l.observe(it.work, now.Sub(start))
 		}
 		l.dispatch()
 	}
@@ -291,7 +345,7 @@
 			it.late = true
 			heap.Push(&l.waiting, it)
 		default:
-			l.inFlight++
+			l.begin(it)
 			it.verdict <- nil
 		}
 	}
--- a/router/admit/ranked_test.go
+++ b/router/admit/ranked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -307,3 +308,93 @@
 		}
 	})
 }
+
+// Pattern: urgent long requests saturate an upstream that also answers the short
+// calls of requests that run elsewhere. Guards against runs that fail, after they
+// have used a slot for long, because their short calls are refused.
+func TestRankedLimiterServesShortCallsOfRunningRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			long      = 260 * time.Millisecond
+			short     = 50 * time.Millisecond
+			longEach  = 24 * time.Millisecond // 1.08 times 10 slots
+			shortEach = 20 * time.Millisecond // 0.25 times 10 slots
+			length    = 20 * time.Second
+		)
+		l := NewRankedLimiter(nil)
+		l.SetSlots(10)
+		var mu sync.Mutex
+		served, asked := map[Work]int{}, map[Work]int{}
+		var wg sync.WaitGroup
+		play := func(work Work, each, takes, goal, deadline time.Duration) {
+			for at := time.Duration(0); at < length; at += each {
+				wg.Go(func() {
+					time.Sleep(at)
+					release, err := l.Acquire(t.Context(), work, bounds(UntilGoal, goal, deadline))
+					mu.Lock()
+					asked[work]++
+					if err == nil {
+						served[work]++
+					}
+					mu.Unlock()
+					if err == nil {
+						time.Sleep(takes)
+						release(Completed)
+					}
+				})
+			}
+		}
+		urgent, call := Work{Rank: 0}, Work{Rank: 1, Repeatable: true}
+		play(urgent, longEach, long, 500*time.Millisecond, 1000*time.Millisecond)
+		play(call, shortEach, short, 200*time.Millisecond, 600*time.Millisecond)
+		wg.Wait()
+		for work, least := range map[Work]float64{urgent: 0.6, call: 0.95} {
+			if share := float64(served[work]) / float64(asked[work]); share < least {
+				t.Errorf("%+v: %.2f of %d served, want %.2f", work, share, asked[work], least)
+			}
+		}
+	})
+}
+
+// Pattern: a storm of short requests of a low rank. Guards against urgent work that
+// is starved by them.
+func TestShortRequestsDoNotStarveUrgentWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewRankedLimiter(nil)
+		l.SetSlots(10)
+		var mu sync.Mutex
+		served, asked := 0, 0
+		var wg sync.WaitGroup
+		for at := time.Duration(0); at < 10*time.Second; at += 2 * time.Millisecond {
+			wg.Go(func() {
+				time.Sleep(at)
+				release, err := l.Acquire(t.Context(), Work{Rank: 1, Repeatable: true}, bounds(UntilGoal, 200*time.Millisecond, 600*time.Millisecond))
+				if err == nil {
+					time.Sleep(50 * time.Millisecond)
+					release(Completed)
+				}
+			})
+		}
+		for at := time.Duration(0); at < 10*time.Second; at += 65 * time.Millisecond { // 4 of 10 slots
+			wg.Go(func() {
+				time.Sleep(at)
+				release, err := l.Acquire(t.Context(), Work{Rank: 0}, bounds(UntilGoal, 500*time.Millisecond, time.Second))
+				mu.Lock()
+				defer mu.Unlock()
+				asked++
+				if err != nil {
+					return
+				}
+				served++
+				wg.Go(func() {
+					time.Sleep(260 * time.Millisecond)
+					release(Completed)
+				})
+			})
+		}
+		wg.Wait()
+		if share := float64(served) / float64(asked); share < 0.9 {
+			t.Errorf("%.2f of %d urgent requests served", share, asked)
+		}
+	})
+}
