Fewer calls to the store in large services; tell new holders at once

Change: after a conflict over the map a host goes on renewing without it, because an unchanged lease row shows that nobody took its ranges, and its next move for load waits for a random time of up to 2 s. Leases of services of more than 60 hosts are renewed each 3 s. Stand-ins read leases when a holder has not answered for 2 s. Changes of the fleet gather for 60 ms a reader (30 before); hosts that hold more by a change are sent the new map by the host that wrote it.

Ruled out: a second row for each part of the keys.

--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -60,6 +60,8 @@
 		"The upstream took a call that grants it keys, or gave keys up as it was told.", "none")
 	eventOrderFailed = event.Define(1837, log.InfoLevel, "order to the upstream failed",
 		"A call that grants keys to the upstream or takes them back was refused (result 1), had no answer (2) or was not taken (3). It is repeated; keys whose grant had no answer move only after it has certainly lapsed.", "If it repeats, look at the upstream's log.")
+	eventNoticeFailed = event.Define(1838, log.InfoLevel, "new holder not told",
+		"A host that holds more keys by a change of this host did not take the notice. It learns of them from the store.", "none; if it repeats, look for a partition between the hosts.")
 	eventRefused = event.Define(1840, log.InfoLevel, "request refused",
 		"A request of a caller got an answer of the router's own.", "The fields kind and detail name the cause; see docs/ERRORS.md.")
 	eventUpstreamFailed = event.Define(1842, log.InfoLevel, "upstream gave no usable answer",
--- a/router/sidecar/feed.go
+++ b/router/sidecar/feed.go
@@ -14,7 +14,7 @@
 	// for which changes gather before the next reading. It keeps the readings of
 	// many changes, which grow with the square of the readers, within the
 	// store's rate.
-	gatherPerReader = 30 * time.Millisecond
+	gatherPerReader = 60 * time.Millisecond
 	// shortestGather lets the steps of one move of keys arrive together.
 	shortestGather = 100 * time.Millisecond
 	longestGather  = 2 * time.Second
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -152,6 +152,8 @@
 	feed *rowstore.Feed
 	// config is the configuration in force.
 	config *currentConfig
+	// keyMap takes the row of a key map that another host has written.
+	keyMap func(rowstore.Row)
 }
 
 // serve passes a call on to the local upstream or to the store.
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,11 +22,13 @@
 	// which all keys would go unserved; keys of a host that is lost in silence
 	// wait for its end.
 	leaseTime = 9 * time.Second
-	// renewInterval is the time between renewals, in small services and in those
-	// of more than largeService hosts.
+	// renewInterval is the time between renewals, in small services, in those of more
+	// than largeService hosts and in those of more than hugeService hosts.
 	renewInterval      = 1500 * time.Millisecond
 	largeRenewInterval = 2 * time.Second
 	largeService       = 12
+	hugeRenewInterval  = 3 * time.Second
+	hugeService        = 60
 	// holdTime is how long an upstream holds keys after one heartbeat. It covers
 	// the loss of one heartbeat; keys of a silent upstream wait for its end.
 	holdTime = 2500 * time.Millisecond
@@ -59,10 +62,11 @@
 	// idleInterval when all do.
 	readInterval    = 1200 * time.Millisecond
 	standInInterval = 3 * time.Second
+	suspicionTime   = 2 * time.Second
 	idleInterval    = 30 * time.Second
 	// suspectAfter is the time without a renewal after which a lease is read again
 	// as soon as it ends.
-	suspectAfter = 2 * largeRenewInterval
+	suspectAfter = 2 * hugeRenewInterval
 	// storeCallTimeout bounds one call to the store.
 	storeCallTimeout = 1500 * time.Millisecond
 )
@@ -124,6 +128,8 @@
 	storeClock  keyown.StoreClock
 	waiting     keyown.Delay
 	settled     keyown.Delay
+	// suspicion measures how long a holder of keys has not answered.
+	suspicion   keyown.Delay
 	membersSeen []string
 	lastMove    steady.Time
 }
@@ -206,10 +212,14 @@
 			return readInterval
 		}
 	}
-	if d.holderLost(service) {
-		return standInInterval
+	if !d.holderLost(service) {
+		d.suspicion.Reset()
+		return idleInterval
 	}
-	return idleInterval
+	if !d.suspicion.Passed(steady.Now(), suspicionTime) {
+		return idleInterval
+	}
+	return standInInterval
 }
 
 // holderLost reports whether a range has no holder, or a holder that did not answer
@@ -238,7 +248,10 @@
 
 // renewPause is the time between renewals of the lease.
 func (d *keyDriver) renewPause(service string) time.Duration {
-	if len(d.fleet.Members(service)) > largeService {
+	switch n := len(d.fleet.Members(service)); {
+	case n > hugeService:
+		return hugeRenewInterval
+	case n > largeService:
 		return largeRenewInterval
 	}
 	return renewInterval
@@ -273,38 +286,12 @@
 // that only this host changes its ranges, but for hosts that take them because the
 // lease has lapsed, and these delete the row of the lease.
 func (d *keyDriver) commit(ctx context.Context, service string, mapVersion int64, c change) {
-	mapKey := rowstore.Key{Table: tableFleet, Part: service, Name: partKeys}
-	leaseKey := rowstore.Key{Table: tableLease, Part: service, Name: d.host}
 	sent := steady.Now()
-	lease, err := keyown.EncodeLeaseEnd(d.storeClock.Latest(sent.Add(leaseTime)))
+	txn, err := d.transaction(service, mapVersion, sent, &c)
 	if err != nil {
-		d.log.Log(eventMapFailed, event.F("error", err.Error()))
+		d.log.Log(eventMapFailed, event.F("why", c.why), event.F("error", err.Error()))
 		return
 	}
-	txn := rowstore.Txn{
-		Conditions: []rowstore.Condition{{Key: leaseKey, Version: d.leaseVersion}},
-		Writes:     []rowstore.Write{{Key: leaseKey, Value: lease}},
-	}
-	if c.next != nil {
-		value, err := c.next.Encode()
-		if err != nil {
-			// The lease is renewed all the same: what is held stays served.
-			d.log.Log(eventMapFailed, event.F("why", c.why), event.F("error", err.Error()))
-			c = change{}
-		} else {
-			txn.Writes = append(txn.Writes, rowstore.Write{Key: mapKey, Value: value})
-		}
-	}
-	if c.next != nil || !d.knowsMap {
-		txn.Conditions = append(txn.Conditions, rowstore.Condition{Key: mapKey, Version: mapVersion})
-	}
-	for host, version := range c.lapsed {
-		key := rowstore.Key{Table: tableLease, Part: service, Name: host}
-		txn.Conditions = append(txn.Conditions, rowstore.Condition{Key: key, Version: version})
-		if version != 0 {
-			txn.Deletes = append(txn.Deletes, key)
-		}
-	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	version, err := d.store.Commit(ctx, txn)
@@ -312,10 +299,13 @@
 	var conflict *rowstore.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		d.adopt(service, mapKey, leaseKey, conflict.Rows)
+		d.adopt(service, conflict.Rows)
 		if len(c.lapsed) > 0 {
 			d.lastRead = 0 // one of the lapsed leases may have been renewed
 		}
+		if c.next != nil {
+			d.postponeMoves()
+		}
 	case err != nil:
 		d.log.Log(eventRenewalFailed, event.F("service", service), event.F("error", err.Error()))
 	default:
@@ -323,6 +313,55 @@
 	}
 }
 
+func mapKey(service string) rowstore.Key {
+	return rowstore.Key{Table: tableFleet, Part: service, Name: partKeys}
+}
+
+func leaseKey(service, host string) rowstore.Key {
+	return rowstore.Key{Table: tableLease, Part: service, Name: host}
+}
+
+// transaction returns the renewal of the lease together with the change. A change
+// whose map does not fit into a row is dropped from c: what is held stays served.
+func (d *keyDriver) transaction(service string, mapVersion int64, sent steady.Time, c *change) (rowstore.Txn, error) {
+	lease, err := keyown.EncodeLeaseEnd(d.storeClock.Latest(sent.Add(leaseTime)))
+	if err != nil {
+		return rowstore.Txn{}, err
+	}
+	own := leaseKey(service, d.host)
+	txn := rowstore.Txn{
+		Conditions: []rowstore.Condition{{Key: own, Version: d.leaseVersion}},
+		Writes:     []rowstore.Write{{Key: own, Value: lease}},
+	}
+	if c.next != nil {
+		if c.encoded, err = c.next.Encode(); err != nil {
+			d.log.Log(eventMapFailed, event.F("why", c.why), event.F("error", err.Error()))
+			*c = change{}
+		}
+	}
+	if c.next != nil || !d.knowsMap {
+		txn.Conditions = append(txn.Conditions, rowstore.Condition{Key: mapKey(service), Version: mapVersion})
+	}
+	if c.next == nil {
+		return txn, nil
+	}
+	txn.Writes = append(txn.Writes, rowstore.Write{Key: mapKey(service), Value: c.encoded})
+	for host, version := range c.lapsed {
+		key := leaseKey(service, host)
+		txn.Conditions = append(txn.Conditions, rowstore.Condition{Key: key, Version: version})
+		if version != 0 {
+			txn.Deletes = append(txn.Deletes, key)
+		}
+	}
+	return txn, nil
+}
+
+// postponeMoves puts the next move for load off by a random time: of hosts that all
+// move keys at once only one can commit, and the others pay for each attempt.
+func (d *keyDriver) postponeMoves() {
+	d.lastMove = steady.Now().Add(time.Duration(rand.Int64N(int64(2 * moveInterval))))
+}
+
 func (d *keyDriver) committed(service string, version int64, sent steady.Time, c change) {
 	d.leaseVersion, d.knowsMap = version, true
 	d.mu.Lock()
@@ -332,19 +371,21 @@
 		return
 	}
 	d.index.put(service, version, c.next)
+	d.noticeNewHolders(rowstore.Row{Key: mapKey(service), Value: c.encoded, Version: version}, c)
 	d.log.Log(eventMapChanged, event.F("service", service), event.F("version", version), event.F("why", c.why),
 		event.F("generation", c.next.Generation), event.F("lapsed", len(c.lapsed)))
 }
 
 // adopt takes the rows that a conflict showed and lets the next step try again
 // at once.
-func (d *keyDriver) adopt(service string, mapKey, leaseKey rowstore.Key, rows []rowstore.Row) {
-	d.leaseVersion, d.knowsMap = 0, false
+func (d *keyDriver) adopt(service string, rows []rowstore.Row) {
+	before := d.leaseVersion
+	d.leaseVersion = 0
 	for _, r := range rows {
 		switch r.Key {
-		case leaseKey:
+		case leaseKey(service, d.host):
 			d.leaseVersion = r.Version
-		case mapKey:
+		case mapKey(service):
 			m, err := keyown.Decode(r.Value)
 			if err != nil {
 				d.log.Log(eventRowInvalid, event.F("row", "key map"), event.F("error", err.Error()))
@@ -353,6 +394,8 @@
 			d.index.put(service, r.Version, m)
 		}
 	}
+	// An unchanged lease shows that nobody has taken ranges of this host.
+	d.knowsMap = d.knowsMap && d.leaseVersion == before
 	d.lastRenewal = 0
 	d.wake()
 }
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -12,8 +12,10 @@
 
 // change is the next change of the key map.
 type change struct {
-	// next is nil when nothing changes.
-	next *keyown.Map
+	// next is nil when nothing changes. before is what it changes, encoded its stored
+	// form.
+	next, before *keyown.Map
+	encoded      []byte
 	// lapsed are the hosts whose leases the change takes for lapsed, with the
 	// versions of these leases.
 	lapsed map[string]int64
@@ -50,14 +52,14 @@
 	default:
 		note(next.Evacuate(d.host, d.reachable(others)), "upstream leaves")
 	}
-	note(d.takeLapsed(now, next, members, c.lapsed), "lease lapsed")
+	note(d.takeLapsed(now, s.service, next, members, c.lapsed), "lease lapsed")
 	if !changed {
 		if moved := d.rebalance(now, next, s, members); moved {
 			changed, c.why = true, "load"
 		}
 	}
 	if changed {
-		c.next = next
+		c.next, c.before = next, m
 	}
 	return c
 }
@@ -73,7 +75,7 @@
 	if rank < 0 || !d.settled.Passed(now, settleTime+time.Duration(rank)*actPause) {
 		return change{}
 	}
-	return change{next: keyown.New(members, rangesEach(len(members))), why: "first division"}
+	return change{next: keyown.New(members, rangesEach(len(members))), before: &keyown.Map{}, why: "first division"}
 }
 
 // rangesEach is the number of ranges that each of n members gets at first.
@@ -94,7 +96,7 @@
 func (d *keyDriver) members(service string, now steady.Time) []keyown.Member {
 	var members []keyown.Member
 	for _, m := range d.fleet.Members(service) {
-		if m.State != fleet.Ready || d.lost(now, m.Host) {
+		if m.State != fleet.Ready || d.lost(now, service, m.Host) {
 			continue
 		}
 		member := keyown.Member{Holder: keyown.Holder{Host: m.Host, Instance: m.Instance, Started: m.Started}}
@@ -160,10 +162,10 @@
 // without a holder to members. Hosts act one after another; before its turn a
 // host changes nothing, because other changes of the same map are committed
 // without the conditions on the lapsed leases.
-func (d *keyDriver) takeLapsed(now steady.Time, next *keyown.Map, members []keyown.Member, lapsed map[string]int64) bool {
+func (d *keyDriver) takeLapsed(now steady.Time, service string, next *keyown.Map, members []keyown.Member, lapsed map[string]int64) bool {
 	var hosts []string
 	for host := range next.Counts() {
-		if host != d.host && d.lost(now, host) && next.HeldBy(host) {
+		if host != d.host && d.lost(now, service, host) && next.HeldBy(host) {
 			hosts = append(hosts, host)
 		}
 	}
@@ -188,15 +190,16 @@
 
 // lost reports whether the ranges of a host may be freed: its lease has lapsed, or
 // its address has gone to another host and nobody renews the lease any more.
-func (d *keyDriver) lost(now steady.Time, host string) bool {
+func (d *keyDriver) lost(now steady.Time, service, host string) bool {
 	if d.watch.Lapsed(now, host, leaseTime) {
 		return true
 	}
-	return d.fleet.Replaced(host) && d.watch.Unrenewed(now, host, replacedLease)
+	return d.fleet.Replaced(host) && d.watch.Unrenewed(now, host, missedRenewals*d.renewPause(service))
 }
 
-// replacedLease is longer than the pause between two renewals.
-const replacedLease = 2 * largeRenewInterval
+// missedRenewals is the number of pauses between renewals after which a host whose
+// address has gone to another one counts as lost.
+const missedRenewals = 2
 
 // turn is the time after which the host with the rank acts on a finding. The
 // stand-ins leave the others time to act, and lapsed hosts time to renew: what
--- /dev/null
+++ b/router/sidecar/mapnotice.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/keyown"
+	"burdockglade.dev/router/rowstore"
+)
+
+// noticeTimeout bounds the notice of a new key map to one host.
+const noticeTimeout = 400 * time.Millisecond
+
+// noticeNewHolders sends a key map that this host has written to the other hosts
+// that hold more by it. Nobody serves these keys until they know; the store tells
+// them only when the changes of some time have gathered.
+// After the first division all hosts read the map anyway.
+func (d *keyDriver) noticeNewHolders(row rowstore.Row, c change) {
+	if len(c.before.Ranges) == 0 {
+		return
+	}
+	for host := range newHolders(c.before, c.next) {
+		h := d.fleet.Host(host)
+		if host == d.host || h == nil {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+			defer cancel()
+			_, err := (&remoteStore{client: h.Client}).do(ctx, storeCall{Call: storeKeyMap, Row: row})
+			if err != nil {
+				d.log.Log(eventNoticeFailed, event.F("host", host), event.F("service", row.Part), event.F("version", row.Version), event.F("error", err.Error()))
+			}
+		}()
+	}
+}
+
+// newHolders returns the hosts that hold a range with a generation above all of the
+// map before.
+func newHolders(before, after *keyown.Map) map[string]bool {
+	hosts := map[string]bool{}
+	for i := range after.Ranges {
+		if r := &after.Ranges[i]; r.Held() && r.Generation > before.Generation {
+			hosts[r.Holder.Host] = true
+		}
+	}
+	return hosts
+}
+
+// takeKeyMap takes the key map that another host has written.
+func (h *hopHandler) takeKeyMap(row rowstore.Row) error {
+	if row.Table != tableFleet || row.Name != partKeys || row.Deleted {
+		return fmt.Errorf("row %v is no key map", row.Key)
+	}
+	h.keyMap(row)
+	return nil
+}
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -261,7 +261,7 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.direct, feed: s.feed, config: s.config}
+	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.direct, feed: s.feed, config: s.config, keyMap: s.fleetRow}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
 	callers := httpServer(s.counted(s.entry))
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -25,6 +25,8 @@
 	storeFeed = "feed"
 	// storeConfig asks for the row of the configuration in force at the other router.
 	storeConfig = "config"
+	// storeKeyMap brings a key map that the asking router has just written.
+	storeKeyMap = "key map"
 )
 
 // maxStoreBody bounds the result of a relayed call.
@@ -38,6 +40,8 @@
 	After int64
 	Wait  time.Duration
 	Txn   rowstore.Txn
+	// Row is the row of storeKeyMap.
+	Row rowstore.Row
 }
 
 // storeResult is what the store answered.
@@ -182,6 +186,8 @@
 		if row := h.config.row.Load(); row != nil {
 			result.Rows = []rowstore.Row{*row}
 		}
+	case storeKeyMap:
+		err = h.takeKeyMap(call.Row)
 	case storeCommit:
 		result.Version, err = s.Commit(ctx, call.Txn)
 	default:
