Look at keys each 0.25 s, and each second where there are none

Change: one loop for the key map and the orders, 0.25 s with keys and 1 s without. Changes of the map, heartbeats and answers still cause a look at once.

--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -55,8 +55,11 @@
 	// releaseGather is the time for which released ranges gather: an upstream
 	// gives ranges up one by one, as the work on them ends.
 	releaseGather = 200 * time.Millisecond
-	// keyTick is the time between checks of whether there is something to do.
-	keyTick = 100 * time.Millisecond
+	// keyTick is the time between checks of whether something is due. Changes of the
+	// map, heartbeats and answers of the upstream are looked at when they arrive.
+	// idleTick is that time beside an upstream without keys.
+	keyTick  = 250 * time.Millisecond
+	idleTick = time.Second
 	// readInterval is the time between readings of the leases by the first hosts,
 	// standInInterval by the others when a holder of keys does not answer them, and
 	// idleInterval when all do.
@@ -143,21 +146,33 @@
 
 // run drives the lease and the key map until ctx ends.
 func (d *keyDriver) run(ctx context.Context) {
-	tick := time.NewTicker(keyTick)
-	defer tick.Stop()
+	d.every(ctx, d.kick, d.keyed, func(s upstreamState) {
+		if d.local.silentFor(time.Now()) > d.beatInterval*3/2 {
+			d.probe(ctx)
+		}
+		d.step(ctx, s)
+	})
+}
+
+// every calls do for an upstream whose service is as asked, at each tick and each
+// kick, until ctx ends.
+func (d *keyDriver) every(ctx context.Context, kick <-chan struct{}, asked func(service string) bool, do func(upstreamState)) {
+	pause := idleTick
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
-		case <-d.kick:
+		case <-timer.C:
+		case <-kick:
 		}
-		if s := d.local.get(); s.known && d.keyed(s.service) {
-			if d.local.silentFor(time.Now()) > d.beatInterval*3/2 {
-				d.probe(ctx)
-			}
-			d.step(ctx, s)
+		pause = idleTick
+		if s := d.local.get(); s.known && asked(s.service) {
+			pause = keyTick
+			do(s)
 		}
+		timer.Reset(pause)
 	}
 }
 
--- a/router/sidecar/orders.go
+++ b/router/sidecar/orders.go
@@ -67,19 +67,7 @@
 	if o.upstream == nil {
 		return
 	}
-	tick := time.NewTicker(keyTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		case <-o.kick:
-		}
-		if s := o.keys.local.get(); s.known && o.keys.keyed(s.service) && o.keys.ordered(s.service) {
-			o.step(ctx, s)
-		}
-	}
+	o.keys.every(ctx, o.kick, o.keys.ordered, func(s upstreamState) { o.step(ctx, s) })
 }
 
 // step sends the orders that are due, as far as lanes are free.
