--- a/router/keyown/late.go
+++ b/router/keyown/callgrants.go
@@ -1,8 +1,10 @@
 package keyown
 
-import (
-	"burdockglade.dev/router/steady"
-)
+import "burdockglade.dev/router/steady"
+
+// What Grants knows of a range that is granted by calls: how long the upstream
+// certainly holds it, and until when a call without an answer may still give it to
+// the upstream.
 
 // overlaps reports whether the two have a key in common.
 func (s span) overlaps(t span) bool {
