Fewer readings at the start of large fleets; lease ends from the first readings

And reading: stand-ins that read no lease row at first wrote lease rows without an end for 30 s.

Change: in fleets of more than 100 hosts changes gather for 1.2 s in the first 5 s of a process. A host that does not know the store's clock reads the leases again after 1.2 s. Closing a caller's connection also ends a reading ahead that waits for room.

--- a/router/sidecar/feed.go
+++ b/router/sidecar/feed.go
@@ -7,6 +7,7 @@
 
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/rowstore"
+	"burdockglade.dev/router/steady"
 )
 
 const (
@@ -18,6 +19,11 @@
 	// shortestGather lets the steps of one move of keys arrive together.
 	shortestGather = 100 * time.Millisecond
 	longestGather  = 2 * time.Second
+	// startGather is the shortest such time in the startTime after a start in a large
+	// fleet: when all hosts start, each reads the rows of the others itself until it
+	// finds the reader of its zone.
+	startGather = 1200 * time.Millisecond
+	startTime   = 5 * time.Second
 	// lostReaderPause is the time for which a reader that did not answer is not
 	// asked; busyReaderPause that for one that does not read the store itself.
 	lostReaderPause = 10 * time.Second
@@ -30,7 +36,11 @@
 	if !s.fed.Direct() {
 		return 0
 	}
-	return min(max(time.Duration(s.fleet.Zones())*gatherPerReader, shortestGather), longestGather)
+	gather := min(max(time.Duration(s.fleet.Zones())*gatherPerReader, shortestGather), longestGather)
+	if steady.Now().Sub(s.created) < startTime && s.fleet.Hosts() > smallFleet {
+		gather = max(gather, startGather)
+	}
+	return gather
 }
 
 // feedSource returns the way to the host of this zone that reads the fleet for
--- a/router/sidecar/keylease.go
+++ b/router/sidecar/keylease.go
@@ -22,6 +22,9 @@
 			return readInterval
 		}
 	}
+	if d.lastRead != 0 && d.storeClock.Latest(steady.Now()) == 0 {
+		return readInterval // without the store's clock the own lease row tells no end
+	}
 	if !d.holderLost(service) {
 		d.suspicion.Reset()
 		return idleInterval
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -299,9 +299,13 @@
 	return len(a.early) > 0
 }
 
-// close ends the work of requests whose answers nobody waits for.
+// close ends the work of requests whose answers nobody waits for, and the reading.
 func (a *readAhead) close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.err == nil {
+		a.err = net.ErrClosed
+	}
 	a.dropEarly()
+	a.changed.Broadcast()
 }
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -70,6 +70,7 @@
 	memberVersions sync.Map
 	callers        *callerConns
 	listeners      []net.Listener
+	created        steady.Time
 	stopping       atomic.Bool
 	stopBegan      atomic.Int64 // steady.Time of the start of the stop
 	inFlight       atomic.Int64
@@ -88,6 +89,7 @@
 		fleet:    fleet.NewDirectory(st.Host.Zone, st.Host.Region, newHopClient),
 		index:    newKeyIndex(),
 		callers:  newCallerConns(),
+		created:  steady.Now(),
 		local:    &localUpstream{host: st.Host.Name},
 	}
 	s.config = &currentConfig{source: opts.Config, log: s.log, changed: func() { s.keys.wake() }}
