A malformed hop message or a fault in one call no longer ends the process

Cause (reading for the users' account of one malformed message that took a process down): a hop message with a body length below -1 panicked in the server's goroutine, and so did any fault in a hop call or in a request that runs before its turn; net/http keeps faults to one request only for its own handlers.

Change: lengths below -1 end the connection; faults are logged (1843) and answered as of unknown outcome. Notifications of new holders and the reading ahead got plainer names.

Ruled out: treating such a fault as not run; nothing shows that.

TestFaultEndsOneHopCallOnly cannot pass without the change.

--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -118,6 +118,9 @@
 	if r.Length == 0 {
 		return r, nil
 	}
+	if r.Length < unknownLength {
+		return nil, fmt.Errorf("a body of %d bytes", r.Length)
+	}
 	body := bodyReader(c.br, r.Length)
 	if r.Length == unknownLength || r.Length > keptBodyBytes {
 		r.Stream = body
--- a/router/sidecar/callers.go
+++ b/router/sidecar/callers.go
@@ -48,7 +48,7 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	if n, err, running := c.ahead.take(p); running {
+	if n, err, running := c.ahead.next(p); running {
 		return n, err
 	}
 	if c.conns.refuses(c) {
@@ -56,7 +56,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.ahead.taken(p[:n])
+		c.ahead.observe(p[:n])
 	}
 	return n, err
 }
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -126,6 +126,12 @@
 	early := &earlyRequest{request: req, done: done, cancel: cancel}
 	go func() {
 		defer close(done)
+		defer func() {
+			if v := recover(); v != nil {
+				logFault(e.log, c.RequestID, v)
+				early.result = &Result{Arrived: true, Err: errkind.New(errkind.OutcomeUnknown, "a fault in the router of %s", e.host)}
+			}
+		}()
 		early.result = e.attempts(ctx, c, route)
 	}()
 	early.answer = func(w http.ResponseWriter, req *http.Request) {
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -60,12 +60,14 @@
 		"The upstream took a call that grants it keys, or gave keys up as it was told.", "none")
 	eventOrderFailed = event.Define(1837, log.InfoLevel, "order to the upstream failed",
 		"A call that grants keys to the upstream or takes them back was refused (result 1), had no answer (2) or was not taken (3). It is repeated; keys whose grant had no answer move only after it has certainly lapsed.", "If it repeats, look at the upstream's log.")
-	eventNoticeFailed = event.Define(1838, log.InfoLevel, "new holder not told",
-		"A host that holds more keys by a change of this host did not take the notice. It learns of them from the store.", "none; if it repeats, look for a partition between the hosts.")
+	eventNotifyFailed = event.Define(1838, log.InfoLevel, "new holder not notified",
+		"A host that holds more keys by a change of this host could not be notified. It learns of them from the store.", "none; if it repeats, look for a partition between the hosts.")
 	eventRefused = event.Define(1840, log.InfoLevel, "request refused",
 		"A request of a caller got an answer of the router's own.", "The fields kind and detail name the cause; see docs/ERRORS.md.")
 	eventUpstreamFailed = event.Define(1842, log.InfoLevel, "upstream gave no usable answer",
 		"The gate sent a request to the local upstream, or tried to, and got no answer that may be passed on.", "The field arrived tells whether the upstream got the request; look at the upstream's own log for its id.")
+	eventFault = event.Define(1843, log.ErrorLevel, "fault in the router",
+		"An unexpected fault ended one request; the others go on.", "Report it with the log.")
 	eventRetry = event.Define(1841, log.InfoLevel, "request offered again",
 		"An attempt failed; the field decision says whether another one follows (0 means yes).", "If many have the decision 4, the retry budget is spent.")
 )
--- /dev/null
+++ b/router/sidecar/fault_test.go
@@ -0,0 +1,18 @@
+package sidecar
+
+import (
+	"testing"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/hop"
+)
+
+// Guards against an unexpected fault in one call of another router that takes the
+// whole process down.
+func TestFaultEndsOneHopCallOnly(t *testing.T) {
+	h := &hopHandler{gate: &gate{host: "h1"}} // without a limiter, a call cannot be served
+	resp := h.serve(t.Context(), &hop.Request{RequestHead: hop.RequestHead{RequestID: "r", LeftMs: 1000}})
+	if resp.Kind != string(errkind.OutcomeUnknown) || resp.Flags&hop.Arrived == 0 {
+		t.Errorf("got kind %q and flags %b; want an unknown outcome", resp.Kind, resp.Flags)
+	}
+}
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +14,7 @@
 	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/connpool"
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/hop"
 	"burdockglade.dev/router/rowstore"
@@ -156,8 +159,25 @@
 	keyMap func(rowstore.Row)
 }
 
-// serve passes a call on to the local upstream or to the store.
-func (h *hopHandler) serve(ctx context.Context, req *hop.Request) *hop.Response {
+// serve passes a call on to the local upstream or to the store. A fault in it ends
+// this call alone; the call may have run.
+func (h *hopHandler) serve(ctx context.Context, req *hop.Request) (resp *hop.Response) {
+	defer func() {
+		if v := recover(); v != nil {
+			logFault(h.gate.log, req.RequestID, v)
+			resp = &hop.Response{ResponseHead: hop.ResponseHead{
+				Kind: string(errkind.OutcomeUnknown), Flags: hop.Arrived, Detail: "a fault in the router of " + h.gate.host}}
+		}
+	}()
+	return h.dispatch(ctx, req)
+}
+
+// logFault logs an unexpected fault with the place where it arose.
+func logFault(log *event.Logger, request string, v any) {
+	log.Log(eventFault, event.F("request", request), event.F("panic", fmt.Sprint(v)), event.F("stack", string(debug.Stack())))
+}
+
+func (h *hopHandler) dispatch(ctx context.Context, req *hop.Request) *hop.Response {
 	if req.Flags&hop.StoreCall != 0 {
 		return h.serveStore(ctx, req)
 	}
--- a/router/sidecar/keylease.go
+++ b/router/sidecar/keylease.go
@@ -184,7 +184,7 @@
 		return
 	}
 	d.index.put(service, version, c.next)
-	d.noticeNewHolders(rowstore.Row{Key: mapKey(service), Value: c.encoded, Version: version}, c)
+	d.notifyNewHolders(rowstore.Row{Key: mapKey(service), Value: c.encoded, Version: version}, c)
 	d.log.Log(eventMapChanged, event.F("service", service), event.F("version", version), event.F("why", c.why),
 		event.F("generation", c.next.Generation), event.F("lapsed", len(c.lapsed)))
 }
--- a/router/sidecar/mapnotice.go
+++ b/router/sidecar/keynotify.go
@@ -10,14 +10,14 @@
 	"burdockglade.dev/router/rowstore"
 )
 
-// noticeTimeout bounds the notice of a new key map to one host.
-const noticeTimeout = 400 * time.Millisecond
+// notifyTimeout bounds the notification of one host.
+const notifyTimeout = 400 * time.Millisecond
 
-// noticeNewHolders sends a key map that this host has written to the other hosts
+// notifyNewHolders sends a key map that this host has written to the other hosts
 // that hold more by it. Nobody serves these keys until they know; the store tells
 // them only when the changes of some time have gathered.
 // After the first division all hosts read the map anyway.
-func (d *keyDriver) noticeNewHolders(row rowstore.Row, c change) {
+func (d *keyDriver) notifyNewHolders(row rowstore.Row, c change) {
 	if len(c.before.Ranges) == 0 {
 		return
 	}
@@ -27,11 +27,11 @@
 			continue
 		}
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 			defer cancel()
 			_, err := (&remoteStore{client: h.Client}).do(ctx, storeCall{Call: storeKeyMap, Row: row})
 			if err != nil {
-				d.log.Log(eventNoticeFailed, event.F("host", host), event.F("service", row.Part), event.F("version", row.Version), event.F("error", err.Error()))
+				d.log.Log(eventNotifyFailed, event.F("host", host), event.F("service", row.Part), event.F("version", row.Version), event.F("error", err.Error()))
 			}
 		}()
 	}
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -91,9 +91,9 @@
 	return a
 }
 
-// taken looks at bytes that the server has read itself. When they go beyond the
+// observe looks at bytes that the server has read itself. When they go beyond the
 // request under way, the rest of the connection is read ahead.
-func (a *readAhead) taken(data []byte) {
+func (a *readAhead) observe(data []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.opaque || a.running {
@@ -227,9 +227,9 @@
 	a.unparsed = nil
 }
 
-// take fills p with what was read ahead. It reports false while the server reads
+// next fills p with what was read ahead. It reports false while the server reads
 // the connection itself.
-func (a *readAhead) take(p []byte) (n int, err error, running bool) {
+func (a *readAhead) next(p []byte) (n int, err error, running bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.running {
