--- a/router/sidecar/keydriver_test.go
+++ b/router/sidecar/keydriver_test.go
@@ -249,3 +249,22 @@
 		t.Error("want the old map and a renewed lease")
 	}
 }
+
+// Guards against keys that move to a lost host: it has no load and few ranges, and
+// its lease lapses only later.
+func TestKeysMoveOnlyToHostsThatAnswer(t *testing.T) {
+	d, s := newTestDriver(t, rowstore.NewMemory())
+	lost := d.fleet.Host("h2")
+	lost.Begin()
+	lost.End(time.Now(), fleet.Result{})
+	for _, m := range d.reachable(d.members(s.service, steady.Now())) {
+		if m.Host == "h2" {
+			t.Error("the host that did not answer may be given keys")
+		}
+	}
+	lost.Begin()
+	lost.End(time.Now(), fleet.Result{Reached: true})
+	if n := len(d.reachable(d.members(s.service, steady.Now()))); n != 3 {
+		t.Errorf("%d hosts may be given keys, want all 3 when all answer", n)
+	}
+}
