Find silent connections to the store within 2 s

What callers saw: old configurations in force for more than 3 s after all connections went silent without a reset. Change: one unanswered probe ends a connection. Test: TestSilentConnectionIsFoundInTime failed before (3 s) and passes. Ruled out: shorter intervals, because the system counts keep-alive in whole seconds; shorter watches, because each one is a call to the store.

--- a/router/connpool/pool.go
+++ b/router/connpool/pool.go
@@ -44,10 +44,20 @@
 	UserTimeout time.Duration
 	// MayDial, if set, tells whether a new connection may be opened.
 	MayDial func() bool
-	// KeepAlive is the idle time before keep-alive probes; 0 turns them off.
+	// KeepAlive is the idle time before a keep-alive probe, in whole seconds; 0 turns
+	// probes off. A connection that does not answer one ends keepAliveAnswer later.
 	KeepAlive time.Duration
 }
 
+const (
+	// keepAliveAnswer is the time in which a keep-alive probe must be answered: the
+	// shortest one that the system knows.
+	keepAliveAnswer = time.Second
+	// unansweredProbes is the number of such probes that end a connection. What waits
+	// on a silent connection is late already, and a new connection costs little.
+	unansweredProbes = 1
+)
+
 // Pool holds the connections to one address. It is safe for concurrent use.
 type Pool struct {
 	opts Options
@@ -185,7 +195,7 @@
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
 	d := net.Dialer{Timeout: p.opts.DialTimeout, KeepAlive: -1}
 	if p.opts.KeepAlive > 0 {
-		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: p.opts.KeepAlive, Interval: time.Second, Count: 2}
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: p.opts.KeepAlive, Interval: keepAliveAnswer, Count: unansweredProbes}
 	}
 	if p.opts.UserTimeout > 0 {
 		d.Control = func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, p.opts.UserTimeout) }
