Try a call on a new connection when its connection was lost

What callers saw: requests refused with 404, or handled as an older configuration says, for up to 4 s on hosts whose way to the store worked. Cause: rowstore.Relayed took each failed call for a lost store. After one reset connection the host left its own way for 2 s and depended on two others, chosen at random; when these were cut off or silent, nobody was asked for a further 0.7 s. Change: the store's client marks calls whose connection ended before the answer (rowstore.ErrConnectionLost); such a call is made once more on a new connection. A transaction may be sent twice this way, as before through another host: its conditions keep it from being applied twice. Ruled out: asking more hosts at once; with a third of the hosts cut off all of them can still be silent.

--- a/router/connpool/pool.go
+++ b/router/connpool/pool.go
@@ -269,11 +269,13 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
-	return nil, &Error{Sent: sent, Err: err}
+	return nil, &Error{Connected: true, Sent: sent, Err: err}
 }
 
 // Error is a failure of an exchange before the head of the answer.
 type Error struct {
+	// Connected tells whether there was a connection.
+	Connected bool
 	// Sent tells whether a part of the request may have been sent.
 	Sent bool
 	Err  error
--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -296,7 +296,7 @@
 		return nil, err
 	}
 	if n > limit {
-		return nil, fmt.Errorf("a body of more than %d bytes", limit)
+		return nil, fmt.Errorf("%w: a body of more than %d bytes", connpool.ErrTooLong, limit)
 	}
 	return b.Bytes(), nil
 }
--- a/router/rowstore/relay.go
+++ b/router/rowstore/relay.go
@@ -150,8 +150,9 @@
 	return none, failed
 }
 
-// primary makes a call on the primary way. It leaves half of the time of a short
-// call for other ways.
+// primary makes a call on the primary way, and once more when its connection was
+// lost: that tells nothing of the store. It leaves half of the time of a short call
+// for other ways.
 func primary[T any](ctx context.Context, r *Relayed, call func(context.Context, Store) (T, error)) (T, error) {
 	limited := ctx
 	if deadline, ok := ctx.Deadline(); ok {
@@ -162,6 +163,9 @@
 		}
 	}
 	result, err := call(limited, r.Primary)
+	if errors.Is(err, ErrConnectionLost) && limited.Err() == nil {
+		result, err = call(limited, r.Primary)
+	}
 	if !answered(err) && ctx.Err() == nil {
 		r.mark(true)
 	}
--- a/router/rowstore/relay_test.go
+++ b/router/rowstore/relay_test.go
@@ -116,3 +116,35 @@
 		}
 	})
 }
+
+// oneLost is a store on which the first call loses its connection.
+type oneLost struct {
+	*Memory
+	calls int
+}
+
+func (o *oneLost) List(ctx context.Context, table, part string) ([]Row, int64, error) {
+	o.calls++
+	if o.calls == 1 {
+		return nil, 0, ErrConnectionLost
+	}
+	return o.Memory.List(ctx, table, part)
+}
+
+// Guards against a host that leaves its own way to the store for others because one
+// connection was lost.
+func TestLostConnectionIsNotALostStore(t *testing.T) {
+	store := &oneLost{Memory: NewMemory()}
+	r := &Relayed{Primary: store, Now: time.Now, Through: func(int) []Store {
+		t.Error("other hosts were asked")
+		return nil
+	}}
+	for range 2 {
+		if _, _, err := r.List(t.Context(), "t", ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if store.calls != 3 {
+		t.Errorf("%d calls, want 3", store.calls)
+	}
+}
--- a/router/rowstore/rowstore.go
+++ b/router/rowstore/rowstore.go
@@ -53,6 +53,10 @@
 // read; the reader has to read the rows again.
 var ErrHistoryGone = errors.New("the store no longer has the history")
 
+// ErrConnectionLost marks the failure of a call whose connection ended, or fell
+// silent, before the whole answer had come. The store may answer on a new one.
+var ErrConnectionLost = errors.New("the connection was lost")
+
 // ConflictError means that a condition did not hold and nothing was written.
 type ConflictError struct {
 	// Rows are the present rows of the conditions; absent rows are left out.
--- a/router/sidecar/configfollow_test.go
+++ b/router/sidecar/configfollow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -18,7 +19,7 @@
 )
 
 // errReset is a call that ended with its connection.
-var errReset = errors.New("connection reset by peer")
+var errReset = fmt.Errorf("%w: connection reset by peer", rowstore.ErrConnectionLost)
 
 // configStore is the store as one host reaches it. Calls behave as set.
 type configStore struct {
