Follow the configuration on a way of its own to the store

What callers saw: an old configuration for up to 5.6 s on hosts whose way to the store worked again or had never failed. Cause: rowstore.Relayed keeps one state for all calls of a host. A lease renewal or a reading of the fleet that failed sent the next reading of the configuration through other hosts, for 3.5 s when these were silent, or kept it from asking anybody for 0.7 s. Each bound lies below 2 s, their sum does not. Change: the configuration is followed on the host's own way alone; what that way does not bring comes from other hosts by configExchange. The repetition after a lost connection moves from Relayed to Reconnected, so that both ways and calls for other hosts have it. Ruled out: a second Relayed with a state of its own; it would still depend on two hosts chosen at random, and cost their calls.

--- a/router/rowstore/relay.go
+++ b/router/rowstore/relay.go
@@ -45,13 +45,9 @@
 
 // Parts implements Store.
 func (r *Relayed) Parts(ctx context.Context, table string) (parts []string, version int64, err error) {
-	type answer struct {
-		parts   []string
-		version int64
-	}
-	a, err := relayed(ctx, r, relayTries, func(ctx context.Context, s Store) (answer, error) {
+	a, err := relayed(ctx, r, relayTries, func(ctx context.Context, s Store) (readParts, error) {
 		parts, version, err := s.Parts(ctx, table)
-		return answer{parts, version}, err
+		return readParts{parts, version}, err
 	})
 	return a.parts, a.version, err
 }
@@ -65,6 +61,12 @@
 	return a.rows, a.version, err
 }
 
+// readParts is the answer of Parts.
+type readParts struct {
+	parts   []string
+	version int64
+}
+
 // readRows is the answer of a reading.
 type readRows struct {
 	rows    []Row
@@ -83,11 +85,14 @@
 // Commit implements Store.
 func (r *Relayed) Commit(ctx context.Context, txn Txn) (version int64, err error) {
 	if len(txn.Conditions) == 0 {
-		return 0, errors.New("a transaction that may be sent twice needs a condition")
+		return 0, errUnconditional
 	}
 	return relayed(ctx, r, oneByOne, func(ctx context.Context, s Store) (int64, error) { return s.Commit(ctx, txn) })
 }
 
+// errUnconditional refuses a transaction that would be applied twice.
+var errUnconditional = errors.New("a transaction that may be sent twice needs a condition")
+
 // answered reports whether the store itself answered the call.
 func answered(err error) bool {
 	var conflict *ConflictError
@@ -150,9 +155,8 @@
 	return none, failed
 }
 
-// primary makes a call on the primary way, and once more when its connection was
-// lost: that tells nothing of the store. It leaves half of the time of a short call
-// for other ways.
+// primary makes a call on the primary way. It leaves half of the time of a short
+// call for other ways.
 func primary[T any](ctx context.Context, r *Relayed, call func(context.Context, Store) (T, error)) (T, error) {
 	limited := ctx
 	if deadline, ok := ctx.Deadline(); ok {
@@ -163,9 +167,6 @@
 		}
 	}
 	result, err := call(limited, r.Primary)
-	if errors.Is(err, ErrConnectionLost) && limited.Err() == nil {
-		result, err = call(limited, r.Primary)
-	}
 	if !answered(err) && ctx.Err() == nil {
 		r.mark(true)
 	}
--- a/router/rowstore/relay_test.go
+++ b/router/rowstore/relay_test.go
@@ -135,7 +135,7 @@
 // connection was lost.
 func TestLostConnectionIsNotALostStore(t *testing.T) {
 	store := &oneLost{Memory: NewMemory()}
-	r := &Relayed{Primary: store, Now: time.Now, Through: func(int) []Store {
+	r := &Relayed{Primary: &Reconnected{Store: store}, Now: time.Now, Through: func(int) []Store {
 		t.Error("other hosts were asked")
 		return nil
 	}}
--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -103,7 +103,8 @@
 const smallFleet = 100
 
 // followConfig keeps up with the configuration until ctx ends: through the host that
-// reads for the zone in large fleets, and otherwise directly.
+// reads for the zone in large fleets, and otherwise directly. It has its own way to the
+// store, so that failures of other calls delay no change.
 func (s *Sidecar) followConfig(ctx context.Context) {
 	s.follow(ctx, &rowstore.Follower{
 		Store: s.configFed, Table: s.opts.Config.Key.Table, Changed: s.config.take,
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -99,10 +99,10 @@
 		log: s.log, scope: opts.Metrics.SubScope("entry"), version: s.config.version, storeUntil: s.storeBringsUntil,
 		fetch: fetchConfig, apply: s.config.take, other: s.otherHost, kick: make(chan struct{}, 1),
 	}
-	s.direct = &countedStore{store: opts.Store, scope: opts.Metrics.SubScope("entry")}
+	s.direct = &rowstore.Reconnected{Store: &countedStore{store: opts.Store, scope: opts.Metrics.SubScope("entry")}}
 	s.store = &rowstore.Relayed{Primary: s.direct, Through: s.storesThrough, Now: time.Now}
 	s.fed = &rowstore.Fed{Store: s.store, Source: s.feedSource}
-	s.configFed = &rowstore.Fed{Store: s.store, Source: s.configSource}
+	s.configFed = &rowstore.Fed{Store: s.direct, Source: s.configSource}
 	s.feeds = map[string]*rowstore.Feed{
 		tableFleet:            rowstore.NewFeed(s.fed.Direct),
 		opts.Config.Key.Table: rowstore.NewFeed(s.configFed.Direct),
