Soak: change the configuration among the faults and judge when it is in force

Cause that tests and soak missed late configurations: the soak published one before the faults and one after them, with 20 s to come into force. Change: publications are faults like the others; each host is asked for the route that only the newest version has, and judged late after 2 s unless the host or the store met a fault in the last 3 s; a process must not go back to an older version.

--- a/ctl/soak/faults_test.go
+++ b/ctl/soak/faults_test.go
@@ -129,51 +129,55 @@
 	h := w.hosts[rng.IntN(len(w.hosts))]
 	lasts := between(rng, 300*time.Millisecond, 6*time.Second)
 	short := between(rng, 100*time.Millisecond, 1500*time.Millisecond)
+	on := func(fault func()) func() { return func() { w.configs.disturb(h.name, fault) } }
+	onAll := func(fault func()) func() { return func() { w.configs.disturb(everyHost, fault) } }
 	direction := []relay.Direction{relay.ToTarget, relay.FromTarget, relay.BothWays}[rng.IntN(3)]
 	r := h.storeRelay
 	if rng.IntN(2) == 0 {
 		r = h.hopRelay
 	}
-	switch rng.IntN(12) {
+	switch rng.IntN(15) {
 	case 0:
-		return func() { h.restart(syscall.SIGKILL, short) }
+		return on(func() { h.restart(syscall.SIGKILL, short) })
 	case 1:
-		return func() { h.restart(syscall.SIGTERM, short) }
+		return on(func() { h.restart(syscall.SIGTERM, short) })
 	case 2:
-		return func() {
+		return on(func() {
 			h.signal(syscall.SIGSTOP)
 			time.Sleep(lasts)
 			h.signal(syscall.SIGCONT)
-		}
+		})
 	case 3, 4:
-		return func() {
+		return on(func() {
 			r.Cut(direction)
 			time.Sleep(lasts)
 			r.Cut(0)
-		}
+		})
 	case 5:
-		return r.Silence
+		return on(r.Silence)
 	case 6:
-		return r.Reset
+		return on(r.Reset)
 	case 7:
-		return func() {
+		return on(func() {
 			r.Delay(short / 4)
 			time.Sleep(lasts)
 			r.Delay(0)
-		}
+		})
 	case 8:
 		faults := []standin.Faults{{Down: true}, {Delay: short / 2}, {LoseAnswers: 0.4}}[rng.IntN(3)]
-		return func() {
+		return onAll(func() {
 			w.store.SetFaults(faults)
 			time.Sleep(lasts)
 			w.store.SetFaults(standin.Faults{})
-		}
+		})
 	case 9:
-		return w.store.ForgetHistory
+		return onAll(w.store.ForgetHistory)
 	case 10:
 		return func() { h.signal(syscall.SIGHUP) }
-	default:
+	case 11:
 		return func() { h.replaceServer(short) }
+	default:
+		return w.publish
 	}
 }
 
--- a/ctl/soak/soak_test.go
+++ b/ctl/soak/soak_test.go
@@ -60,8 +60,9 @@
 }{}
 
 // Guards against doubled work, untrue refusals, mixed answers, two holders of a
-// key, work for upstreams that leave, and routers that do not recover, under
-// random faults of processes, connections and the store.
+// key, work for upstreams that leave, configurations that are late or come back, and
+// routers that do not recover, under random faults of processes, connections and the
+// store.
 func TestSoak(t *testing.T) {
 	first := *firstSeed
 	if first == 0 {
@@ -88,12 +89,14 @@
 	w := newWorld(t, *hostCount, seed%2 == 1)
 	w.awaitService("before the faults")
 	stopCallers := w.startCallers(seed)
+	stopLooks := w.startLooks()
 	w.playFaults(rand.New(rand.NewPCG(seed, 1)), *duration)
 	w.heal()
 	w.awaitService("after the faults")
 	stopCallers()
+	stopLooks()
 	w.settle()
-	for _, err := range judge(w.ledger.Runs(), w.callers.results(), w.drains()) {
+	for _, err := range append(judge(w.ledger.Runs(), w.callers.results(), w.drains()), w.configs.judge()...) {
 		t.Error(err)
 	}
 	if t.Failed() {
--- a/ctl/soak/world_test.go
+++ b/ctl/soak/world_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"burdockglade.dev/platform/standin"
-	"burdockglade.dev/router/vhost"
 	relay "burdockglade.dev/stores/standin"
 )
 
@@ -35,7 +34,7 @@
 	// ordered tells that the keyed upstreams are granted keys by calls.
 	ordered bool
 	store   *standin.Store
-	version uint64
+	configs configs
 	hosts   []*host
 	ledger  *standin.Ledger
 	callers *callers
@@ -67,8 +66,10 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
-	runs    int
-	server  *server
+	// processes counts the starts of the process, runs those of the server.
+	processes int
+	runs      int
+	server    *server
 }
 
 func must(t *testing.T, err error) {
@@ -114,7 +115,8 @@
 }
 
 func newWorld(t *testing.T, n int, ordered bool) *world {
-	w := &world{t: t, ordered: ordered, dir: t.TempDir(), store: standin.NewStore(), ledger: &standin.Ledger{}, callers: &callers{}}
+	w := &world{t: t, ordered: ordered, dir: t.TempDir(), store: standin.NewStore(), ledger: &standin.Ledger{}, callers: &callers{},
+		configs: configs{confirmed: map[uint64]time.Time{}}}
 	if *keepLogs != "" {
 		w.dir = filepath.Join(*keepLogs, filepath.Base(t.Name()))
 		must(t, os.MkdirAll(w.dir, 0o755))
@@ -134,25 +136,6 @@
 	return w
 }
 
-// publish writes the next configuration. Each has a route of its own, so that
-// callers can tell which one is in force.
-func (w *world) publish() {
-	w.version++
-	route := func(name, service string, repeatable bool) vhost.Route {
-		return vhost.Route{Name: name, Host: "soak", Prefix: "/" + name + "/", Repeatable: repeatable, MaxAttempts: 2,
-			Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond, Clusters: []vhost.Cluster{{Service: service, Weight: 1}}}
-	}
-	must(w.t, standin.Publish(context.Background(), w.store, vhost.Config{
-		Version:  w.version,
-		Services: []vhost.Service{{Name: plainService, HealthPath: "/healthz"}, {Name: keyedService, HealthPath: "/healthz", Keyed: true, OrderedKeys: w.ordered}},
-		Routes: []vhost.Route{
-			route("look", plainService, true), route("pay", plainService, false),
-			route("keys", keyedService, true), route("order", keyedService, false),
-			route(fmt.Sprintf("version-%d", w.version), plainService, true),
-		},
-	}))
-}
-
 func (w *world) addHost(i int, storeAddress string, ports []string) {
 	h := &host{w: w, name: fmt.Sprintf("h%d", i), service: plainService, caller: ports[0], control: ports[3]}
 	if i%2 == 1 {
@@ -225,6 +208,7 @@
 	}
 	exited := make(chan struct{})
 	h.process, h.exited = cmd, exited
+	h.processes++
 	go func() {
 		_ = cmd.Wait() // a killed process is no error
 		_ = log.Close()
@@ -235,6 +219,13 @@
 	}()
 }
 
+// processRun is the number of starts of the process.
+func (h *host) processRun() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.processes
+}
+
 // signal sends a signal to the process, if it runs.
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
@@ -274,7 +265,7 @@
 func (w *world) awaitService(when string) {
 	w.t.Helper()
 	deadline := time.Now().Add(20 * time.Second)
-	paths := []string{"/look/", "/pay/", "/keys/", "/order/", fmt.Sprintf("/version-%d/", w.version)}
+	paths := []string{"/look/", "/pay/", "/keys/", "/order/", fmt.Sprintf("/version-%d/", w.configs.newestVersion())}
 	for _, h := range w.hosts {
 		for _, path := range paths {
 			for key := 0; key <= 65535; key += 13107 {
