Pause before the history is found gone again

Found while looking for the same class of fault elsewhere: a reader whose watch finds the history gone reads the table and watches again without a pause. A store that keeps no history for a while would be called without end by all hosts, which takes its rate from the readings that matter. Change: from the second such end in a row on, the reader pauses as after a failed call. Test: TestFollowerPausesWithoutHistory failed before (1000 watches, the fake's limit, within no time).

--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -51,7 +51,8 @@
 	f.versions = map[Key]int64{}
 	backoff := retry.Backoff{Base: firstRetry, Cap: lastRetry}
 	failures := 0
-	version, read := int64(0), false
+	// gone tells that the history was gone at the last watch.
+	version, read, gone := int64(0), false, false
 	for ctx.Err() == nil {
 		var err error
 		if read {
@@ -60,10 +61,16 @@
 			version, err = f.read(ctx)
 		}
 		if errors.Is(err, ErrHistoryGone) {
-			// What the feed holds is still right; the reading follows at once.
-			read = false
+			// What the feed holds is still right; the reading follows at once, unless the
+			// one before it came to the same end.
+			if gone {
+				pause(ctx, shortestRetry+backoff.Pause(failures))
+				failures++
+			}
+			read, gone = false, true
 			continue
 		}
+		gone = gone && !read
 		f.feed(version, err)
 		if ctx.Err() != nil {
 			return
--- a/router/rowstore/follow_test.go
+++ b/router/rowstore/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,3 +136,35 @@
 		<-done
 	})
 }
+
+// noHistory is a store that keeps no history. It counts the watches, of which only the
+// first mostWatches return.
+type noHistory struct {
+	*Memory
+	watches atomic.Int32
+}
+
+const mostWatches = 1000
+
+func (n *noHistory) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) ([]Row, int64, error) {
+	if n.watches.Add(1) >= mostWatches {
+		<-ctx.Done()
+	}
+	return nil, 0, ErrHistoryGone
+}
+
+// Guards against a reader that calls the store without a pause while the store drops
+// its history again and again.
+func TestFollowerPausesWithoutHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const length = 10 * time.Second
+		store := &noHistory{Memory: NewMemory()}
+		ctx, cancel := context.WithTimeout(t.Context(), length)
+		defer cancel()
+		f := &Follower{Store: store, Table: "t", Changed: func(Row) {}, Lost: func(error) {}, Found: func() {}}
+		f.Run(ctx)
+		if most := int32(length/shortestRetry) + 1; store.watches.Load() > most {
+			t.Errorf("%d watches in %v, want %d at most", store.watches.Load(), length, most)
+		}
+	})
+}
