Pause between questions for a configuration that bring nothing

Found by reading the new exchange: a host that showed a version and lost it (it was replaced, or started again without the store) answered without it, and was asked again at once, without end. A host that shows the version is asked at once. A failed question is a warning only where another host has shown a newer version. Test: TestQuestionsThatBringNothingPause; it needs the new signature, so it was not run on the code before.

--- a/router/sidecar/configexchange.go
+++ b/router/sidecar/configexchange.go
@@ -28,7 +28,8 @@
 	feedCatchUpWait = 800 * time.Millisecond
 	// catchUpTimeout bounds one question to another host.
 	catchUpTimeout = 400 * time.Millisecond
-	// catchUpPause is the pause after a question that failed.
+	// catchUpPause is the pause after a question that brought nothing. It doubles with
+	// each further one, up to exchangeInterval.
 	catchUpPause = 100 * time.Millisecond
 )
 
@@ -43,9 +44,10 @@
 	storeUntil time.Time
 	// heardAt is the time of the last version that any other host has shown.
 	heardAt time.Time
-	// askedAt is the time of the last question, and failed tells that it had no answer.
+	// askedAt is the time of the last question. misses counts the last questions in a row
+	// that had no answer, or did not bring newest.
 	askedAt time.Time
-	failed  bool
+	misses  int
 	// storeLost tells that the store does not bring changes to this host.
 	storeLost bool
 }
@@ -58,7 +60,9 @@
 	if version <= inForce || version < p.newest {
 		return false
 	}
-	p.from = from
+	if p.from != from {
+		p.from, p.misses = from, 0
+	}
 	if version == p.newest {
 		return false
 	}
@@ -91,7 +95,7 @@
 	var at time.Time
 	switch {
 	case p.newest > inForce:
-		q.from, q.other, q.take = p.from, p.failed, true
+		q.from, q.other, q.take = p.from, p.misses > 0, true
 		if !p.storeLost {
 			at = p.storeUntil
 		}
@@ -101,17 +105,24 @@
 	default:
 		at = p.heardAt.Add(exchangeInterval)
 	}
-	if p.failed {
-		at = later(at, p.askedAt.Add(catchUpPause))
+	if p.misses > 0 {
+		pause := min(catchUpPause<<min(p.misses-1, 8), exchangeInterval)
+		at = later(at, p.askedAt.Add(pause))
 	}
 	q.wait = at.Sub(now)
 	q.due = q.wait <= 0
 	return q
 }
 
-// asked notes a question and whether it failed.
-func (p *peerVersions) asked(now time.Time, err error) {
-	p.askedAt, p.failed = now, err != nil
+// asked notes the end of a question, whether it was answered, and the version in force
+// after it.
+func (p *peerVersions) asked(now time.Time, answered bool, inForce uint64) {
+	p.askedAt = now
+	if answered && p.newest <= inForce {
+		p.misses = 0
+		return
+	}
+	p.misses++
 }
 
 func later(a, b time.Time) time.Time {
@@ -192,7 +203,7 @@
 			c.sleep(ctx, exchangeInterval)
 			continue
 		}
-		c.ask(ctx, host, q.take)
+		c.ask(ctx, host, q)
 	}
 }
 
@@ -228,39 +239,37 @@
 
 // ask asks a host for its version, and for its configuration if that is to be taken
 // and newer than the one in force here.
-func (c *configExchange) ask(ctx context.Context, from *hop.Client, take bool) {
+func (c *configExchange) ask(ctx context.Context, host *hop.Client, q question) {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	inForce := c.version()
 	above := uint64(noVersion)
-	if take {
-		above = inForce
+	if q.take {
+		above = c.version()
 	}
-	answer, err := c.fetch(ctx, from, above)
-	c.mu.Lock()
-	c.peers.asked(time.Now(), err)
-	behind := c.peers.newest > inForce
-	c.mu.Unlock()
+	answer, err := c.fetch(ctx, host, above)
 	switch {
 	case err != nil:
-		c.failed(from, behind, err)
+		c.failed(host, q.from != nil, err)
 	case answer.Row != nil:
 		c.apply(*answer.Row)
 		c.count("newer")
-		c.log.Log(eventCaughtUp, event.F("host", from.Address()), event.F("version", c.version()))
+		c.log.Log(eventCaughtUp, event.F("host", host.Address()), event.F("version", c.version()))
 	default:
 		c.count("same")
 	}
-	c.seen(answer.Version, from)
+	c.mu.Lock()
+	c.peers.asked(time.Now(), err == nil, c.version())
+	c.mu.Unlock()
+	c.seen(answer.Version, host)
 }
 
-func (c *configExchange) failed(from *hop.Client, behind bool, err error) {
+func (c *configExchange) failed(host *hop.Client, behind bool, err error) {
 	c.count("failed")
 	e := eventNotCompared
 	if behind {
 		e = eventCatchUpFailed
 	}
-	c.log.Log(e, event.F("host", from.Address()), event.F("version", c.version()), event.F("error", err.Error()))
+	c.log.Log(e, event.F("host", host.Address()), event.F("version", c.version()), event.F("error", err.Error()))
 }
 
 func (c *configExchange) count(outcome string) {
--- a/router/sidecar/configexchange_test.go
+++ b/router/sidecar/configexchange_test.go
@@ -135,11 +135,15 @@
 			want:  question{wait: exchangeInterval, other: true, take: true},
 		},
 		"the host that showed it did not answer": {
-			peers: peerVersions{newest: 6, from: from, heardAt: ago(0), askedAt: ago(catchUpPause), failed: true},
+			peers: peerVersions{newest: 6, from: from, heardAt: ago(0), askedAt: ago(catchUpPause), misses: 1},
 			want:  question{due: true, from: from, other: true, take: true},
 		},
+		"many questions did not bring it": {
+			peers: peerVersions{newest: 6, from: from, heardAt: ago(0), askedAt: ago(0), misses: 100},
+			want:  question{wait: exchangeInterval, from: from, other: true, take: true},
+		},
 		"a question has just failed": {
-			peers: peerVersions{newest: 6, from: from, heardAt: ago(0), askedAt: ago(0), failed: true},
+			peers: peerVersions{newest: 6, from: from, heardAt: ago(0), askedAt: ago(0), misses: 1},
 			want:  question{wait: catchUpPause, from: from, other: true, take: true},
 		},
 	} {
@@ -166,6 +170,35 @@
 	}
 }
 
+// Guards against questions without a pause for a version that nobody has any more,
+// such as that of a host which was lost, and against a host that is not asked although
+// it shows the version.
+func TestQuestionsThatBringNothingPause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	lost, other := newHopClient("127.0.0.1:1"), newHopClient("127.0.0.1:2")
+	var p peerVersions
+	p.shown(now, now, 6, 5, lost)
+	for _, answered := range []bool{true, false, true} {
+		if q := p.next(now, 5); !q.due {
+			t.Fatalf("the question is due in %v", q.wait)
+		}
+		p.asked(now, answered, 5)
+		q := p.next(now, 5)
+		if q.wait < catchUpPause || !q.other {
+			t.Errorf("the next question: %+v", q)
+		}
+		now = now.Add(q.wait)
+	}
+	p.shown(now, now, 6, 5, other)
+	if q := p.next(now, 5); !q.due || q.other || q.from != other {
+		t.Errorf("after another host showed the version: %+v", q)
+	}
+	p.asked(now, true, 6)
+	if q := p.next(now, 6); q.due || q.wait != exchangeInterval {
+		t.Errorf("with the version in force: %+v", q)
+	}
+}
+
 // silentConfig is a store that does not answer watches of the operator's table.
 type silentConfig struct{ rowstore.Store }
 
