--- a/router/vhost/vhost.go
+++ b/router/vhost/vhost.go
@@ -3,6 +3,7 @@
 package vhost
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -79,22 +80,49 @@
 		s := &c.Services[i]
 		t.services[s.Name] = s
 	}
+	places := map[place]string{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		if len(r.Clusters) == 0 {
-			return nil, fmt.Errorf("route %q: no service", r.Name)
-		}
-		for _, cl := range r.Clusters {
-			if t.services[cl.Service] == nil {
-				return nil, fmt.Errorf("route %q: unknown service %q", r.Name, cl.Service)
-			}
+		if err := t.checkRoute(r); err != nil {
+			return nil, fmt.Errorf("route %q: %w", r.Name, err)
 		}
 		host := strings.ToLower(r.Host)
+		if other, taken := places[place{host, r.Prefix}]; taken {
+			return nil, fmt.Errorf("route %q: route %q has the same host and prefix", r.Name, other)
+		}
+		places[place{host, r.Prefix}] = r.Name
 		t.byHost[host] = append(t.byHost[host], r)
 	}
 	return t, nil
 }
 
+// place is what selects a route.
+type place struct{ host, prefix string }
+
+// checkRoute returns what is wrong with a route by itself.
+func (t *Table) checkRoute(r *Route) error {
+	if len(r.Clusters) == 0 {
+		return errors.New("no service")
+	}
+	var sum float64
+	for _, cl := range r.Clusters {
+		if t.services[cl.Service] == nil {
+			return fmt.Errorf("unknown service %q", cl.Service)
+		}
+		if cl.Weight < 0 {
+			return fmt.Errorf("weight %v of service %q is below 0", cl.Weight, cl.Service)
+		}
+		sum += cl.Weight
+	}
+	if sum <= 0 {
+		return errors.New("no service has a weight above 0")
+	}
+	if r.Timeout < 0 || r.TargetLatency < 0 || r.MaxAttempts < 0 {
+		return fmt.Errorf("timeout %v, target latency %v, %d attempts: want 0 or more", r.Timeout, r.TargetLatency, r.MaxAttempts)
+	}
+	return nil
+}
+
 // Version is the version of the configuration.
 func (t *Table) Version() uint64 {
 	return t.config.Version
--- a/router/vhost/vhost_test.go
+++ b/router/vhost/vhost_test.go
@@ -56,14 +56,28 @@
 	}
 }
 
-// Guards against a configuration that names services which do not exist.
+// Guards against an invalid configuration that replaces the one in force.
 func TestNewTableRefuses(t *testing.T) {
-	for name, r := range map[string]Route{
-		"no service":      {Name: "r"},
-		"unknown service": {Name: "r", Clusters: []Cluster{{Service: "x", Weight: 1}}},
+	valid := func(change func(*Route)) []Route {
+		r := Route{Name: "r", Host: "a", Prefix: "/", Clusters: []Cluster{{Service: "s", Weight: 1}, {Service: "s", Weight: 0}}}
+		change(&r)
+		return []Route{r}
+	}
+	for name, routes := range map[string][]Route{
+		"no service":          {{Name: "r"}},
+		"unknown service":     {{Name: "r", Clusters: []Cluster{{Service: "x", Weight: 1}}}},
+		"weight below 0":      valid(func(r *Route) { r.Clusters[0].Weight = -1 }),
+		"no weight":           valid(func(r *Route) { r.Clusters[0].Weight = 0 }),
+		"timeout below 0":     valid(func(r *Route) { r.Timeout = -1 }),
+		"latency below 0":     valid(func(r *Route) { r.TargetLatency = -1 }),
+		"attempts below 0":    valid(func(r *Route) { r.MaxAttempts = -1 }),
+		"same host and place": append(valid(func(*Route) {}), valid(func(r *Route) { r.Host = "A" })...),
 	} {
-		if _, err := NewTable(Config{Routes: []Route{r}}); err == nil {
+		if _, err := NewTable(Config{Services: []Service{{Name: "s"}}, Routes: routes}); err == nil {
 			t.Errorf("%s: no error", name)
 		}
 	}
+	if _, err := NewTable(Config{Services: []Service{{Name: "s"}}, Routes: append(valid(func(*Route) {}), valid(func(r *Route) { r.Prefix = "/b/" })...)}); err != nil {
+		t.Errorf("a valid configuration: %v", err)
+	}
 }
