--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -129,14 +129,15 @@
 
 // otherHost returns some other host that can be reached, or nil.
 func (s *Sidecar) otherHost() *hop.Client {
-	for _, h := range s.fleet.Sample(1, s.settings.Host.Name, time.Now()) {
-		return h.Client
+	hosts := s.fleet.Sample(1, s.settings.Host.Name, time.Now())
+	if len(hosts) == 0 {
+		return nil
 	}
-	return nil
+	return hosts[0].Client
 }
 
-// configPause begins the pause after a configuration and returns its length; hosts that follow another one need
-// none.
+// configPause begins the pause after a configuration and returns its length. Hosts that
+// follow another one need none.
 func (s *Sidecar) configPause() time.Duration {
 	if !s.configFed.Direct() {
 		return 0
