Pause between questions to hosts that have no configuration yet

Found by reading: at the start of a fleet, before the first reading of the store, a host that was asked showed no version, and the next question followed at once, without end. Change: a question counts for the pause like an answer that shows a version.

--- a/router/sidecar/configexchange.go
+++ b/router/sidecar/configexchange.go
@@ -102,8 +102,11 @@
 	case p.storeLost:
 		// What is heard by chance may come from hosts that lost the store as well.
 		at = p.askedAt.Add(exchangeInterval)
-	default:
+	case p.misses > 0:
 		at = p.heardAt.Add(exchangeInterval)
+	default:
+		// The host that was asked last may have had no version to show.
+		at = later(p.heardAt, p.askedAt).Add(exchangeInterval)
 	}
 	if p.misses > 0 {
 		pause := min(catchUpPause<<min(p.misses-1, 8), exchangeInterval)
--- a/router/sidecar/configexchange_test.go
+++ b/router/sidecar/configexchange_test.go
@@ -110,6 +110,10 @@
 			peers: peerVersions{newest: 5, heardAt: ago(0)},
 			want:  question{wait: exchangeInterval, other: true},
 		},
+		"another host was just asked and has no configuration": {
+			peers: peerVersions{askedAt: ago(0)},
+			want:  question{wait: exchangeInterval, other: true},
+		},
 		"no other host was heard for long": {
 			peers: peerVersions{newest: 5, heardAt: ago(exchangeInterval)},
 			want:  question{due: true, other: true},
