Log which configuration decided on a request, and how old it is

The hypotheses cannot be told apart without both.

Change: the follower reports up to which moment it has reported all changes; the configuration keeps that time. Event 1844 names the service, the version and that age for requests (50 lines in 10 s at most, the others are counted); refusals for want of a route carry the same fields; event 1812 carries the version of the row.

A parked watch vouches for nothing after its start. go test ./router/sidecar ./router/rowstore ./router/internal/catalogue passes.

--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -32,10 +32,13 @@
 	BatchDelay func() time.Duration
 	// Feed, if set, receives all rows.
 	Feed *Feed
-	// Disconnected is called when a call fails after one that succeeded, Found when a
-	// call succeeds again.
+	// Disconnected is called when a call fails after one that succeeded, Reconnected
+	// when a call succeeds again.
 	Disconnected func(error)
 	Reconnected  func()
+	// UpToDate, if set, is called after each successful call: all changes that were
+	// made before asOf, the start of the call, have been reported.
+	UpToDate func(asOf time.Time)
 
 	versions     map[Key]int64
 	disconnected bool
@@ -54,6 +57,7 @@
 	version, read, historyGone := int64(0), false, false
 	for ctx.Err() == nil {
 		var err error
+		start := time.Now()
 		if read {
 			version, err = f.watch(ctx, version)
 		} else {
@@ -76,6 +80,7 @@
 		}
 		f.reportConnection(err)
 		if err == nil {
+			f.reportUpToDate(start)
 			read = true
 			failures = 0
 			f.delayAfterChange(ctx)
@@ -112,6 +117,12 @@
 	}
 }
 
+func (f *Follower) reportUpToDate(asOf time.Time) {
+	if f.UpToDate != nil {
+		f.UpToDate(asOf)
+	}
+}
+
 // read reads the whole table, part by part, and returns the version at which the
 // parts were listed. The watch continues from that version, because it is the only
 // call that reports parts created since.
--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -30,6 +30,34 @@
 	table atomic.Pointer[vhost.Table]
 	// row is the row that table was read from.
 	row atomic.Pointer[rowstore.Row]
+	// confirmedAt is the last time at which table is known to have been the newest
+	// configuration in the store.
+	confirmedAt atomic.Pointer[time.Time]
+}
+
+// confirm records that no configuration newer than that in force was in the store at the
+// given time.
+func (c *currentConfig) confirm(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.lastConfirmed()) {
+		c.confirmedAt.Store(&at)
+	}
+}
+
+// lastConfirmed returns the time of the last confirmation, or the zero time.
+func (c *currentConfig) lastConfirmed() time.Time {
+	if at := c.confirmedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// fields describes the table that decided on a request, for log lines: its version, and
+// the time in milliseconds since the configuration in force was last confirmed.
+func (c *currentConfig) fields(t *vhost.Table) []event.Field {
+	age := time.Since(c.lastConfirmed())
+	return []event.Field{event.F("config", t.Version()), event.F("config_age_ms", age.Milliseconds())}
 }
 
 // version returns the version of the configuration in force, or 0 if there is none.
@@ -79,7 +107,7 @@
 	}
 	c.row.Store(&r)
 	c.table.Store(t)
-	c.log.Log(eventConfig, event.F("version", config.Version), event.F("routes", len(config.Routes)), event.F("services", len(config.Services)))
+	c.log.Log(eventConfig, event.F("version", config.Version), event.F("row_version", r.Version), event.F("routes", len(config.Routes)), event.F("services", len(config.Services)))
 	c.changed()
 	return nil
 }
@@ -111,12 +139,20 @@
 func (s *Sidecar) followConfig(ctx context.Context) {
 	s.follow(ctx, &rowstore.Follower{
 		Store: s.configFed, Table: s.opts.Config.Key.Table, Changed: s.config.applyRow,
-		BatchDelay: s.configPollDelay, Feed: s.feeds[s.opts.Config.Key.Table],
+		BatchDelay: s.configPollDelay, Feed: s.feeds[s.opts.Config.Key.Table], UpToDate: s.confirmConfig,
 		Disconnected: func(error) { s.exchange.setStoreDisconnected(true) },
 		Reconnected:  func() { s.exchange.setStoreDisconnected(false) },
 	})
 }
 
+// confirmConfig records that the follower had reported all changes of the configuration
+// that were made before asOf. A host that reads for the zone may itself be behind.
+func (s *Sidecar) confirmConfig(asOf time.Time) {
+	if s.configFed.Direct() {
+		s.config.confirm(asOf)
+	}
+}
+
 // storeDeliveryDeadline returns the time until which the store may deliver a
 // configuration that another host reports at now. It allows for the batch delay of this
 // host.
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -65,7 +65,7 @@
 	}
 	route := table.Route(req.Host, req.URL.Path)
 	if route == nil {
-		e.writeError(w, req, nil, start, errkind.New(errkind.NotFound, "no route for host %q and path %q in configuration %d", req.Host, req.URL.Path, table.Version()))
+		e.writeError(w, req, nil, start, errkind.New(errkind.NotFound, "no route for host %q and path %q in configuration %d", req.Host, req.URL.Path, table.Version()), e.config.fields(table)...)
 		return
 	}
 	if limit := table.Limits().MaxBodyBytes; limit > 0 {
@@ -87,10 +87,17 @@
 	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline)
 	defer cancel()
 	e.budgets.forService(c.Service).Request(start)
+	e.logRouted(c, table, route)
 	r := e.tryHosts(ctx, c, route)
 	e.respond(w, req, table, route, c, r, start)
 }
 
+// logRouted logs which service was chosen for a request, and by which configuration.
+func (e *entry) logRouted(c *Call, table *vhost.Table, route *vhost.Route) {
+	fields := []event.Field{event.F("request", c.RequestID), event.F("route", route.Name), event.F("service", c.Service)}
+	e.log.Log(eventRouted, append(fields, e.config.fields(table)...)...)
+}
+
 // respond passes the result of a request on to the caller.
 func (e *entry) respond(w http.ResponseWriter, req *http.Request, table *vhost.Table, route *vhost.Route, c *Call, r *Result, start time.Time) {
 	defer r.close()
@@ -121,6 +128,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
 	e.budgets.forService(c.Service).Request(start)
+	e.logRouted(c, table, route)
 	done := make(chan struct{})
 	pipelined := &pipelinedRequest{request: req, done: done, cancel: cancel}
 	go func() {
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -70,6 +70,8 @@
 		"The gate sent a request to the local upstream, or tried to, and got no response that may be passed on.", "The field arrived says whether the upstream got the request; search the upstream's own log for its id.")
 	eventPanic = event.Define(1843, log.ErrorLevel, "panic in the router",
 		"A panic ended one request; the others continue.", "Report it with the log.")
+	eventRouted = event.Define(1844, log.InfoLevel, "request routed",
+		"A service was chosen for a request of a caller. config is the version in force, config_age_ms the time since it was last known to be the newest in the store. Only some requests are logged: dropped_before counts the others.", "If config_age_ms is above 2000, find out why the store's answers are missing: events 1810 and 1812.")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 )
