--- a/router/rowstore/follow_test.go
+++ b/router/rowstore/follow_test.go
@@ -168,3 +168,45 @@
 		}
 	})
 }
+
+// losing is a store that loses the next watch: it gets no response, and the store does
+// not know of it.
+type losing struct {
+	*Memory
+	lose bool
+}
+
+func (l *losing) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
+	if l.lose {
+		l.lose = false
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return l.Memory.Watch(ctx, table, after, wait)
+}
+
+// contactLimit is the platform's time without faults after which a host must be up to date
+// again.
+const contactLimit = 3 * time.Second
+
+// Guards against a follower that learns of no change for as long as a watch may take
+// because the store has lost its watch.
+func TestFollowerReplacesLostWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &losing{Memory: NewMemory(), lose: true}
+		reported := make(chan Row, 1)
+		f := &Follower{Store: store, Table: "t", Changed: func(r Row) { reported <- r }, Disconnected: func(error) {}, Reconnected: func() {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { f.Run(ctx); close(done) }()
+		synctest.Wait()
+		put(t, store.Memory, "a", "1")
+		began := time.Now()
+		<-reported
+		if took := time.Since(began); took > contactLimit {
+			t.Errorf("the change was reported after %v, want %v at most", took, contactLimit)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/router/sidecar/configfollow_test.go
+++ b/router/sidecar/configfollow_test.go
@@ -32,6 +32,8 @@
 	resumed chan struct{}
 	// refusing makes calls fail at once.
 	refusing bool
+	// silent makes calls get no response, also after the store responds again to others.
+	silent bool
 	// reset, when closed, ends the watches in progress.
 	reset chan struct{}
 }
@@ -58,6 +60,13 @@
 	c.refusing = refusing
 }
 
+// setSilent begins or ends a period in which the store loses all calls.
+func (c *configStore) setSilent(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = silent
+}
+
 // resetWatches ends the watches in progress.
 func (c *configStore) resetWatches() {
 	c.mu.Lock()
@@ -69,8 +78,12 @@
 // beforeCall waits or fails as the store is set.
 func (c *configStore) beforeCall(ctx context.Context) error {
 	c.mu.Lock()
-	resumed, refusing := c.resumed, c.refusing
+	resumed, refusing, silent := c.resumed, c.refusing, c.silent
 	c.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if refusing {
 		return errors.New("status 503")
 	}
@@ -237,6 +250,15 @@
 
 // publish stores a version as the operator does, and gives it to the other hosts.
 func (h *configHost) publish(version string) {
+	h.t.Helper()
+	row := h.publishUnseen(version)
+	h.peer.Lock()
+	h.peer.row = row
+	h.peer.Unlock()
+}
+
+// publishUnseen stores a version as the operator does. The other hosts do not get it.
+func (h *configHost) publishUnseen(version string) rowstore.Row {
 	h.t.Helper()
 	rows, _, err := h.store.Memory.List(h.t.Context(), configKey.Table, configKey.Part)
 	if err != nil {
@@ -253,9 +275,7 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	h.peer.Lock()
-	h.peer.row = rowstore.Row{Key: configKey, Value: []byte(version), Version: written}
-	h.peer.Unlock()
+	return rowstore.Row{Key: configKey, Value: []byte(version), Version: written}
 }
 
 // inForceWithin fails the test if the version is not in force within limit.
@@ -401,3 +421,25 @@
 		}
 	})
 }
+
+// Guards against hosts that all keep an old configuration because the store has lost the
+// watches that they sent after a change. The connections stay open, and no other host has
+// a newer configuration.
+func TestLostWatchesOfAllHostsDoNotDelayChange(t *testing.T) {
+	for _, silence := range []time.Duration{500 * time.Millisecond, 3 * time.Second} {
+		t.Run(silence.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := startConfigHost(t)
+				h.publish("2")
+				h.inForceWithin(2, configInForce)
+				time.Sleep(configBatchDelay / 2)
+				h.store.setSilent(true)
+				time.Sleep(silence)
+				h.store.setSilent(false)
+				time.Sleep(3 * time.Second)
+				h.publishUnseen("3")
+				h.inForceWithin(3, configInForce)
+			})
+		})
+	}
+}
