Check that watches of the store have missed nothing

Callers saw: requests run by the service of an older configuration, at all hosts at once, for up to 27 s; routes that had been added were refused with 404.

Cause: a watch that the store has lost looks like one without news. The connection stays alive, so only the watch's own timeout of 27 s ended it. A change makes all hosts send their next watch at the same moment, 0.7 s later; a store that is silent then loses all of them, and the comparison with other hosts finds nothing newer. The class: the age of what a host knows was kept nowhere, so nothing could bound it.

Change: the configuration has an age, the time since it was known to be the newest in the store. Followers check at intervals with a watch that does not wait whether changes were missed, report them, and replace the watch in progress. Hosts pass the age on with the version, so that the check of one host serves all. The fleet's table is checked every 2 s by those who read it from the store: the same cause kept members and keys old. Rows up to the position that was reported are ignored, because watches and checks receive the same rows.

Tests of the follower itself run without checks, so that watches alone must deliver; test stores became safe for concurrent calls.

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -202,6 +202,18 @@
 	return best
 }
 
+// IsFirst reports whether self is the first by name of the hosts that are known to run.
+func (d *Directory) IsFirst(now time.Time, self string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for name, h := range d.hosts {
+		if name < self && h.readable(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // Choose returns the host with the lowest cost among the hosts of the service that
 // accept new requests and are not in exclude, or nil if there is none.
 func (d *Directory) Choose(now time.Time, service string, exclude []*Host) *Host {
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -206,3 +206,20 @@
 		t.Error("still reassigned after the other host was removed")
 	}
 }
+
+// Guards against a fleet in which no host, or each of them, is the one that checks the
+// configuration for the others.
+func TestFirstHostIsOneThatRuns(t *testing.T) {
+	now := time.Now()
+	d := NewDirectory("z1", "r", func(address string) *hop.Client { return hop.NewClient(connpool.Options{Address: address}) })
+	d.Put(Member{Host: "a", Zone: "z2", Address: "10.0.0.1:1", State: Stopping})
+	d.Put(Member{Host: "b", Zone: "z2", Address: "10.0.0.2:1", State: Ready})
+	d.Put(Member{Host: "c", Zone: "z1", Address: "10.0.0.3:1", State: Ready})
+	if !d.IsFirst(now, "b") || d.IsFirst(now, "c") {
+		t.Error("b is not the only first host")
+	}
+	d.Host("b").AvoidAsReader(now.Add(time.Second))
+	if !d.IsFirst(now, "c") {
+		t.Error("c is not the first host while b is avoided")
+	}
+}
--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -100,7 +101,7 @@
 	Length     int64
 }
 
-// ResponseFlags are properties of a response.
+// ResponseFlags are properties of a response, and the age of its Config.
 type ResponseFlags uint8
 
 // Flags of a response.
@@ -111,6 +112,36 @@
 	Unreachable
 )
 
+// The bits above the flags hold the age of the configuration in steps, plus one; 0 means
+// that it is not known. Routers of earlier versions ignore these bits, whereas they
+// reject a head with another number of fields.
+const (
+	configAgeShift = 2
+	configAgeStep  = 50 * time.Millisecond
+	maxConfigAge   = (1<<(8-configAgeShift) - 2) * configAgeStep
+)
+
+// WithConfigAge returns the flags with the age, rounded up. Ages above 3.1 s are not
+// transmitted.
+func (f ResponseFlags) WithConfigAge(age time.Duration) ResponseFlags {
+	f &= 1<<configAgeShift - 1
+	if age < 0 || age > maxConfigAge {
+		return f
+	}
+	steps := (age + configAgeStep - 1) / configAgeStep
+	return f | ResponseFlags(steps+1)<<configAgeShift
+}
+
+// ConfigAge returns the time that had passed at the responding router since its
+// configuration was known to be the newest in the store, or false if that is not known.
+func (f ResponseFlags) ConfigAge() (age time.Duration, known bool) {
+	steps := f >> configAgeShift
+	if steps == 0 {
+		return 0, false
+	}
+	return time.Duration(steps-1) * configAgeStep, true
+}
+
 // appendHead appends the length of the encoded head and the encoded head to b.
 func appendHead(b []byte, head any) ([]byte, error) {
 	data, err := cbor.Marshal(head)
--- a/router/rowstore/feed_test.go
+++ b/router/rowstore/feed_test.go
@@ -69,8 +69,8 @@
 		}}
 		ctx, cancel := context.WithCancel(t.Context())
 		state := map[string]string{}
-		reader := &Follower{Store: store, Table: "t", Changed: func(Row) {}, Feed: source, Disconnected: func(error) {}, Reconnected: func() {}}
-		follower := &Follower{Store: fed, Table: "t", Disconnected: func(error) {}, Reconnected: func() {}, Changed: func(r Row) {
+		reader := &Follower{CheckDelay: noChecks, Store: store, Table: "t", Changed: func(Row) {}, Feed: source, Disconnected: func(error) {}, Reconnected: func() {}}
+		follower := &Follower{CheckDelay: noChecks, Store: fed, Table: "t", Disconnected: func(error) {}, Reconnected: func() {}, Changed: func(r Row) {
 			if r.Deleted {
 				delete(state, r.Name)
 				return
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"burdockglade.dev/router/retry"
 )
 
 const (
-	// watchWait is how long a watch waits for a change. Keep-alive probes detect
-	// broken connections, so a long wait delays nothing.
+	// watchWait is how long a watch waits for a change. Keep-alive probes detect broken
+	// connections, and checks a watch that the store has lost.
 	watchWait = 25 * time.Second
 	// readTimeout is the timeout of one read of the table.
 	readTimeout = 2 * time.Second
@@ -22,10 +23,13 @@
 )
 
 // Follower reads a table, watches it, and reports all changes.
+//
+// A watch without news looks like one that the store has lost. A Follower therefore checks
+// at intervals whether the store has changes that its watch did not deliver.
 type Follower struct {
 	Store Store
 	Table string
-	// Changed is called with each new, changed or deleted row.
+	// Changed is called with each new, changed or deleted row, one call at a time.
 	Changed func(Row)
 	// BatchDelay, if set, returns the delay from a watch that returned rows to the
 	// next one. It batches changes: each change costs every reader a call.
@@ -39,29 +43,58 @@
 	// UpToDate, if set, is called after each successful call: all changes that were
 	// made before asOf, the start of the call, have been reported.
 	UpToDate func(asOf time.Time)
+	// CheckStore, if set, is the store that checks call instead of Store.
+	CheckStore Store
+	// CheckDelay, if set, returns the time until the next check is due, which is then
+	// made unless CheckDelay returns another time. It must return a delay after a check
+	// that failed. Nil means every checkInterval.
+	CheckDelay func() time.Duration
+	// Checked, if set, is called after each check with the number of rows that the
+	// watch had not delivered.
+	Checked func(undelivered int, err error)
 
-	versions     map[Key]int64
-	disconnected bool
+	mu       sync.Mutex
+	versions map[Key]int64
+	// position is the version up to which all changes have been reported.
+	position int64
+	// following is true if the last call of Run succeeded: there is nothing to check
+	// otherwise.
+	following bool
+	// endWatch ends the watch in progress. It is nil if there is none.
+	endWatch context.CancelFunc
 	// rows are those not yet added to Feed.
 	rows []Row
+
+	disconnected bool
 	// changed is true if the last watch returned rows.
 	changed bool
 }
 
+// errWatchReplaced ends a watch because a check has found changes that it did not deliver.
+var errWatchReplaced = errors.New("watch replaced")
+
 // Run follows the table until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
+	f.mu.Lock()
 	f.versions = map[Key]int64{}
+	f.mu.Unlock()
+	var checks sync.WaitGroup
+	checks.Go(func() { f.runChecks(ctx) })
+	defer checks.Wait()
 	backoff := retry.Backoff{Base: backoffBase, Cap: backoffCap}
 	failures := 0
 	// historyGone is true if the last watch returned ErrHistoryGone.
-	version, read, historyGone := int64(0), false, false
+	read, historyGone := false, false
 	for ctx.Err() == nil {
 		var err error
 		start := time.Now()
 		if read {
-			version, err = f.watch(ctx, version)
+			err = f.watch(ctx)
 		} else {
-			version, err = f.read(ctx)
+			err = f.read(ctx)
+		}
+		if errors.Is(err, errWatchReplaced) {
+			continue
 		}
 		if errors.Is(err, ErrHistoryGone) {
 			// The content of the feed is still valid, so it stays open. The table is read
@@ -74,7 +107,7 @@
 			continue
 		}
 		historyGone = historyGone && !read
-		f.updateFeed(version, err)
+		f.setFollowing(err == nil)
 		if ctx.Err() != nil {
 			return
 		}
@@ -91,17 +124,25 @@
 	}
 }
 
-// updateFeed opens the feed after a successful call and closes it after a failed
-// one.
-func (f *Follower) updateFeed(version int64, err error) {
-	switch {
-	case f.Feed == nil:
-	case err != nil:
-		f.Feed.close()
-	default:
-		f.Feed.open(version, f.rows)
-		f.rows = nil
+// setFollowing records whether the last call succeeded, and opens or closes the feed.
+func (f *Follower) setFollowing(following bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.following = following
+	if f.Feed == nil {
+		return
+	}
+	if following {
+		f.openFeed()
+		return
 	}
+	f.Feed.close()
+}
+
+// openFeed adds the new rows to the feed. f.mu must be held.
+func (f *Follower) openFeed() {
+	f.Feed.open(f.position, f.rows)
+	f.rows = nil
 }
 
 // reportConnection calls Disconnected or Reconnected if the result of a call differs
@@ -123,33 +164,38 @@
 	}
 }
 
-// read reads the whole table, part by part, and returns the version at which the
-// parts were listed. The watch continues from that version, because it is the only
-// call that reports parts created since.
-func (f *Follower) read(ctx context.Context) (int64, error) {
+// read reads the whole table, part by part, and continues from the version at which the
+// parts were listed, because a watch from there is the only call that reports parts
+// created since.
+func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	parts, listedAt, err := f.Store.Parts(ctx, f.Table)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	present := map[Key]bool{}
 	for _, part := range parts {
 		rows, _, err := f.Store.List(ctx, f.Table, part)
 		if err != nil {
-			return 0, err
+			return err
 		}
 		for _, r := range rows {
 			present[r.Key] = true
-			f.apply(r)
 		}
+		f.applyListed(rows)
 	}
 	f.reportDeleted(present, listedAt)
-	return listedAt, nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.position = listedAt
+	return nil
 }
 
 // reportDeleted reports rows that were deleted while the table was not watched.
 func (f *Follower) reportDeleted(present map[Key]bool, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for key := range f.versions {
 		if !present[key] {
 			f.apply(Row{Key: key, Version: version, Deleted: true})
@@ -157,18 +203,46 @@
 	}
 }
 
-func (f *Follower) watch(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
+func (f *Follower) watch(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
 	defer cancel()
-	rows, version, err := f.Store.Watch(ctx, f.Table, after, watchWait)
+	f.mu.Lock()
+	f.endWatch = cancel
+	position := f.position
+	f.mu.Unlock()
+	rows, version, err := f.Store.Watch(limited, f.Table, position, watchWait)
+	f.mu.Lock()
+	replaced := f.endWatch == nil
+	f.endWatch = nil
+	f.mu.Unlock()
+	if replaced && err != nil {
+		return errWatchReplaced
+	}
 	if err != nil {
-		return after, err
+		return err
 	}
+	f.report(rows, version)
+	f.changed = len(rows) > 0
+	return nil
+}
+
+// report reports the rows of a watch that brought all changes up to the version. It
+// returns the number of rows that had not been reported before. Rows up to the position
+// are skipped: watches and checks receive the same rows, and a late copy of one that was
+// deleted meanwhile must not bring it back.
+func (f *Follower) report(rows []Row, version int64) (unreported int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, r := range rows {
-		f.apply(r)
+		if r.Version > f.position && f.apply(r) {
+			unreported++
+		}
 	}
-	f.changed = len(rows) > 0
-	return max(version, after), nil
+	f.position = max(f.position, version)
+	if f.Feed != nil && f.following {
+		f.openFeed()
+	}
+	return unreported
 }
 
 // delayAfterChange waits for BatchDelay if the last watch returned rows.
@@ -179,10 +253,20 @@
 	f.changed = false
 }
 
-// apply reports a row unless the same or a newer version of it was reported.
-func (f *Follower) apply(r Row) {
+// applyListed reports the rows of a part that was read.
+func (f *Follower) applyListed(rows []Row) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range rows {
+		f.apply(r)
+	}
+}
+
+// apply reports a row unless the same or a newer version of it was reported. f.mu must be
+// held, so that rows are reported in the order of their versions.
+func (f *Follower) apply(r Row) bool {
 	if reported, ok := f.versions[r.Key]; ok && r.Version <= reported {
-		return
+		return false
 	}
 	f.versions[r.Key] = r.Version
 	if r.Deleted {
@@ -192,6 +276,7 @@
 	if f.Feed != nil {
 		f.rows = append(f.rows, r)
 	}
+	return true
 }
 
 // sleep waits for d or until ctx is done.
--- a/router/rowstore/follow_test.go
+++ b/router/rowstore/follow_test.go
@@ -42,6 +42,10 @@
 	}
 }
 
+// noChecks leaves the watches of a follower unchecked, so that they alone must deliver all
+// changes.
+func noChecks() time.Duration { return time.Hour }
+
 // Guards against changes that a follower misses when the history is discarded or
 // the store is unavailable, and against rows that it keeps after their deletion.
 func TestFollowerReceivesAllChanges(t *testing.T) {
@@ -51,7 +55,8 @@
 		state := map[string]string{}
 		var events []string
 		f := &Follower{
-			Store: store, Table: "t",
+			CheckDelay: noChecks,
+			Store:      store, Table: "t",
 			Changed: func(r Row) {
 				if r.Deleted {
 					delete(state, r.Name)
@@ -118,7 +123,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		seen := make(chan string, 1)
 		f := &Follower{
-			Store: &lateParts{Memory: NewMemory()}, Table: "t",
+			CheckDelay: noChecks,
+			Store:      &lateParts{Memory: NewMemory()}, Table: "t",
 			Changed:      func(r Row) { seen <- r.Name },
 			Disconnected: func(error) {}, Reconnected: func() {},
 		}
@@ -161,7 +167,7 @@
 		store := &noHistory{Memory: NewMemory()}
 		ctx, cancel := context.WithTimeout(t.Context(), length)
 		defer cancel()
-		f := &Follower{Store: store, Table: "t", Changed: func(Row) {}, Disconnected: func(error) {}, Reconnected: func() {}}
+		f := &Follower{CheckDelay: noChecks, Store: store, Table: "t", Changed: func(Row) {}, Disconnected: func(error) {}, Reconnected: func() {}}
 		f.Run(ctx)
 		if limit := int32(length/minRetryDelay) + 1; store.watches.Load() > limit {
 			t.Errorf("%d watches in %v, want at most %d", store.watches.Load(), length, limit)
@@ -173,12 +179,11 @@
 // not know of it.
 type losing struct {
 	*Memory
-	lose bool
+	lose atomic.Bool
 }
 
 func (l *losing) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
-	if l.lose {
-		l.lose = false
+	if l.lose.CompareAndSwap(true, false) {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
@@ -193,7 +198,8 @@
 // because the store has lost its watch.
 func TestFollowerReplacesLostWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &losing{Memory: NewMemory(), lose: true}
+		store := &losing{Memory: NewMemory()}
+		store.lose.Store(true)
 		reported := make(chan Row, 1)
 		f := &Follower{Store: store, Table: "t", Changed: func(r Row) { reported <- r }, Disconnected: func(error) {}, Reconnected: func() {}}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -210,3 +216,15 @@
 		<-done
 	})
 }
+
+// Guards against a deleted row that comes back because a watch and a check receive the
+// same changes in different order.
+func TestLateCopyOfDeletedRowIsIgnored(t *testing.T) {
+	key := Key{Table: "t", Part: "p", Name: "a"}
+	present := map[Key]bool{}
+	f := &Follower{versions: map[Key]int64{}, Changed: func(r Row) { present[r.Key] = !r.Deleted }}
+	f.report([]Row{{Key: key, Version: 5}, {Key: key, Version: 6, Deleted: true}}, 6)
+	if n := f.report([]Row{{Key: key, Version: 5}}, 5); n != 0 || present[key] {
+		t.Errorf("%d rows reported, present %v", n, present[key])
+	}
+}
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -117,7 +117,7 @@
 		r = e.gate.serve(ctx, c)
 	} else {
 		r = sendHop(ctx, h.Client, e.headers, c)
-		e.exchange.observeVersion(r.Config, h.Client)
+		e.exchange.observe(r.Config, start, h.Client)
 	}
 	r.Host = h.Member().Host
 	now := time.Now()
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/boottime"
 	"burdockglade.dev/router/fleet"
@@ -14,8 +12,8 @@
 )
 
 // buildStore creates the connections to the store.
-func (s *Sidecar) buildStore(scope tally.Scope) {
-	s.directStore = &rowstore.ReconnectingStore{Store: &countedStore{store: s.opts.Store, scope: scope}}
+func (s *Sidecar) buildStore() {
+	s.directStore = &rowstore.ReconnectingStore{Store: &countedStore{store: s.opts.Store, scope: s.scope}}
 	s.store = &rowstore.RelayedStore{Primary: s.directStore, Relays: s.relayStores, Now: time.Now}
 	s.fleetFed = &rowstore.FeedStore{Store: s.store, Source: s.feedSource}
 	s.configFed = &rowstore.FeedStore{Store: s.directStore, Source: s.configFeedSource}
@@ -26,12 +24,13 @@
 }
 
 // buildConfig creates the components that follow the configuration.
-func (s *Sidecar) buildConfig(scope tally.Scope) {
+func (s *Sidecar) buildConfig() {
 	s.config = &currentConfig{source: s.opts.Config, log: s.log, changed: func() { s.keys.wake() }}
 	s.exchange = &configExchange{
-		log: s.log, scope: scope, version: s.config.version, storeDeadline: s.storeDeliveryDeadline,
+		log: s.log, scope: s.scope, version: s.config.version, confirm: s.config.confirm, storeDeadline: s.storeDeliveryDeadline,
 		fetch: fetchConfig, apply: s.config.applyRow, randomPeer: s.randomPeer, wakeCh: make(chan struct{}, 1),
 	}
+	s.configFollower = s.newConfigFollower()
 }
 
 // buildKeys creates the components that hold and grant keys.
@@ -54,7 +53,7 @@
 }
 
 // buildRequests creates the gate and the entry.
-func (s *Sidecar) buildRequests(scope tally.Scope) {
+func (s *Sidecar) buildRequests() {
 	host, terms := s.settings.Host, s.settings.Terms
 	s.gate = &gate{
 		host: host.Name, headers: s.opts.Headers, local: s.local, keys: s.keys,
@@ -70,13 +69,17 @@
 		service: func() string { return host.Service },
 		budgets: newBudgets(budget, s.fleet.HostCount),
 		log:     s.log,
-		metrics: newEntryMetrics(scope),
+		metrics: newEntryMetrics(s.scope),
 	}
 }
 
 // buildMembers creates the components that publish this host and remove hosts that have
 // failed.
 func (s *Sidecar) buildMembers() {
+	s.fleetFollower = &rowstore.Follower{
+		Store: s.fleetFed, Table: tableFleet, Changed: s.applyFleetRow, BatchDelay: s.fleetReadDelay, Feed: s.feeds[tableFleet],
+		CheckStore: s.directStore, CheckDelay: s.fleetCheckDelay, Checked: s.fleetChecked,
+	}
 	s.publisher = &publisher{store: s.store, log: s.log, member: s.memberRow, wakeCh: make(chan struct{}, 1)}
 	s.sweeper = &sweeper{
 		host: s.settings.Host.Name, zone: s.settings.Host.Zone, fleet: s.fleet, log: s.log,
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -92,9 +92,9 @@
 	Load    fleet.Load
 	HasLoad bool
 
-	// Config is the version of the configuration in force at the other host, or 0 if
+	// Config is the configuration in force at the other host. Its version is 0 if
 	// unknown.
-	Config uint64
+	Config peerConfig
 
 	Status int
 	Header http.Header
--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -35,12 +35,12 @@
 	confirmedAt atomic.Pointer[time.Time]
 }
 
-// confirm records that no configuration newer than that in force was in the store at the
-// given time.
-func (c *currentConfig) confirm(at time.Time) {
+// confirm records that the store had no configuration above the version at the given
+// time. It is ignored unless the version in force is at least that one.
+func (c *currentConfig) confirm(version uint64, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at.After(c.lastConfirmed()) {
+	if version <= c.version() && at.After(c.lastConfirmed()) {
 		c.confirmedAt.Store(&at)
 	}
 }
@@ -53,6 +53,13 @@
 	return time.Time{}
 }
 
+// confirmed returns the version in force and the time since it was last confirmed. The
+// version may have been put in force after the time was read: that only makes it newer.
+func (c *currentConfig) confirmed(now time.Time) (version uint64, age time.Duration) {
+	age = now.Sub(c.lastConfirmed())
+	return c.version(), age
+}
+
 // fields describes the table that decided on a request, for log lines: its version, and
 // the time in milliseconds since the configuration in force was last confirmed.
 func (c *currentConfig) fields(t *vhost.Table) []event.Field {
@@ -133,23 +140,29 @@
 // per host.
 const smallFleetHosts = 100
 
-// followConfig follows the configuration until ctx ends: in large fleets through the host
-// that reads for the zone, and otherwise directly. It uses its own connection to the
-// store, so that failures of other calls do not delay a change.
-func (s *Sidecar) followConfig(ctx context.Context) {
-	s.follow(ctx, &rowstore.Follower{
+// newConfigFollower returns the follower of the configuration. In large fleets it reads
+// through the host that reads for the zone, and otherwise directly. It uses its own
+// connection to the store, so that failures of other calls do not delay a change.
+func (s *Sidecar) newConfigFollower() *rowstore.Follower {
+	return &rowstore.Follower{
 		Store: s.configFed, Table: s.opts.Config.Key.Table, Changed: s.config.applyRow,
-		BatchDelay: s.configPollDelay, Feed: s.feeds[s.opts.Config.Key.Table], UpToDate: s.confirmConfig,
+		BatchDelay: s.configPollDelay, Feed: s.feeds[s.opts.Config.Key.Table],
+		UpToDate: s.confirmConfig, CheckStore: s.directStore, CheckDelay: s.configCheckDelay, Checked: s.configChecked,
 		Disconnected: func(error) { s.exchange.setStoreDisconnected(true) },
 		Reconnected:  func() { s.exchange.setStoreDisconnected(false) },
-	})
+	}
+}
+
+// followConfig follows the configuration until ctx ends.
+func (s *Sidecar) followConfig(ctx context.Context) {
+	s.follow(ctx, s.configFollower)
 }
 
 // confirmConfig records that the follower had reported all changes of the configuration
 // that were made before asOf. A host that reads for the zone may itself be behind.
 func (s *Sidecar) confirmConfig(asOf time.Time) {
 	if s.configFed.Direct() {
-		s.config.confirm(asOf)
+		s.config.confirm(s.config.version(), asOf)
 	}
 }
 
--- /dev/null
+++ b/router/sidecar/configcheck.go
@@ -0,0 +1,111 @@
+package sidecar
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/rowstore"
+)
+
+// Hosts keep the age of their configuration, which is the time since it was known to be
+// the newest in the store, and check with the store when the age gets too high. They tell
+// each other the age together with the version, so that in a fleet with requests the check
+// of one host serves all. If no other host responds, a change is in force after
+// maxCheckAge and one call.
+const (
+	// firstHostCheckAge is the age at which the first host of the fleet checks.
+	firstHostCheckAge = 500 * time.Millisecond
+	// minCheckAge and maxCheckAge bound the age at which any other host checks. The
+	// age is random, because all hosts reach it together when the first one fails.
+	minCheckAge = 800 * time.Millisecond
+	maxCheckAge = 1100 * time.Millisecond
+	// minCheckBackoff is the delay after a check that failed. It doubles up to
+	// maxCheckBackoff.
+	minCheckBackoff = 100 * time.Millisecond
+	maxCheckBackoff = 800 * time.Millisecond
+	// fleetCheckInterval is the interval at which the hosts that read the fleet from the
+	// store check it.
+	fleetCheckInterval = 2 * time.Second
+)
+
+// checkSchedule decides when a host checks that its configuration is the newest.
+type checkSchedule struct {
+	mu sync.Mutex
+	// age is the age at which the next check is due.
+	age time.Duration
+	// notBefore is the end of the backoff after failed checks.
+	notBefore time.Time
+	failures  int
+}
+
+// delay returns the time until the next check is due if nothing confirms the
+// configuration meanwhile.
+func (s *checkSchedule) delay(now, confirmedAt time.Time, firstHost bool) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	age := firstHostCheckAge
+	if !firstHost {
+		if s.age == 0 {
+			s.age = minCheckAge + rand.N(maxCheckAge-minCheckAge)
+		}
+		age = s.age
+	}
+	return later(confirmedAt.Add(age), s.notBefore).Sub(now)
+}
+
+// record records the end of a check.
+func (s *checkSchedule) record(now time.Time, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.age = 0
+	if !failed {
+		s.failures = 0
+		return
+	}
+	s.notBefore = now.Add(min(minCheckBackoff<<min(s.failures, 8), maxCheckBackoff))
+	s.failures++
+}
+
+// configCheckDelay returns the time until the configuration is to be checked.
+func (s *Sidecar) configCheckDelay() time.Duration {
+	now := time.Now()
+	return s.configChecks.delay(now, s.config.lastConfirmed(), s.fleet.IsFirst(now, s.settings.Host.Name))
+}
+
+// configChecked records a check of the configuration.
+func (s *Sidecar) configChecked(undelivered int, err error) {
+	s.configChecks.record(time.Now(), err != nil)
+	s.logCheck(s.configFollower, undelivered, err)
+}
+
+// fleetCheckDelay returns the time until the fleet is to be checked. Hosts that read it
+// through another one need no check, because such watches are short.
+func (s *Sidecar) fleetCheckDelay() time.Duration {
+	if !s.fleetFed.Direct() {
+		return fleetCheckInterval
+	}
+	return time.Until(s.fleetCheckedAt.Add(fleetCheckInterval))
+}
+
+// fleetChecked records a check of the fleet.
+func (s *Sidecar) fleetChecked(undelivered int, err error) {
+	s.fleetCheckedAt = time.Now()
+	s.logCheck(s.fleetFollower, undelivered, err)
+}
+
+func (s *Sidecar) logCheck(f *rowstore.Follower, undelivered int, err error) {
+	outcome := "unchanged"
+	switch {
+	case errors.Is(err, rowstore.ErrNotFollowing):
+		outcome = "not_following"
+	case err != nil:
+		outcome = "failed"
+	case undelivered > 0:
+		outcome = "changed"
+		s.log.Log(eventWatchReplaced, event.F("table", f.Table), event.F("rows", undelivered))
+	}
+	s.scope.Tagged(map[string]string{"table": f.Table, "outcome": outcome}).Counter("watch_checks").Inc(1)
+}
--- a/router/sidecar/configexchange.go
+++ b/router/sidecar/configexchange.go
@@ -139,6 +139,10 @@
 // peerConfig is the configuration of another host.
 type peerConfig struct {
 	Version uint64
+	// Age is the time since Version was known to be the newest in the store. It is valid
+	// if AgeKnown is true.
+	Age      time.Duration
+	AgeKnown bool
 	// Row is its row if the version is above the one that the request named, or nil.
 	Row *rowstore.Row
 }
@@ -148,8 +152,10 @@
 type configExchange struct {
 	log   *event.Logger
 	scope tally.Scope
-	// version returns the version of the configuration in force on this host.
+	// version returns the version of the configuration in force on this host. confirm
+	// records that the store had no configuration above the version at the given time.
 	version func() uint64
+	confirm func(version uint64, at time.Time)
 	// storeDeadline returns the time until which the store may deliver a version that
 	// another host reports at now.
 	storeDeadline func(now time.Time) time.Time
@@ -165,15 +171,19 @@
 	peers peerVersions
 }
 
-// observeVersion records the version in a response of another host; 0 means that it has
-// none.
-func (c *configExchange) observeVersion(version uint64, from *hop.Client) {
-	if version == 0 {
+// observe records what a response of another host, requested at the given time, says of
+// its configuration. Version 0 means that it has none.
+func (c *configExchange) observe(peer peerConfig, requestedAt time.Time, from *hop.Client) {
+	if peer.Version == 0 {
 		return
 	}
+	if peer.AgeKnown {
+		// The host determined the age after the request was sent.
+		c.confirm(peer.Version, requestedAt.Add(-peer.Age))
+	}
 	now := time.Now()
 	c.mu.Lock()
-	changed := c.peers.observe(now, c.storeDeadline(now), version, c.version(), from)
+	changed := c.peers.observe(now, c.storeDeadline(now), peer.Version, c.version(), from)
 	c.mu.Unlock()
 	if changed {
 		c.wake()
@@ -251,6 +261,7 @@
 	if q.fetch {
 		above = c.version()
 	}
+	requestedAt := time.Now()
 	peer, err := c.fetch(ctx, host, above)
 	switch {
 	case err != nil:
@@ -265,7 +276,7 @@
 	c.mu.Lock()
 	c.peers.recordPoll(time.Now(), err == nil, c.version())
 	c.mu.Unlock()
-	c.observeVersion(peer.Version, host)
+	c.observe(peer, requestedAt, host)
 }
 
 func (c *configExchange) pollFailed(host *hop.Client, behind bool, err error) {
@@ -289,7 +300,7 @@
 		from.CloseIdle()
 		return peerConfig{}, err
 	}
-	peer := peerConfig{Version: result.Config}
+	peer := peerConfig{Version: result.Config, Age: result.ConfigAge, AgeKnown: result.ConfigAge > 0}
 	switch len(result.Rows) {
 	case 0:
 	case 1:
--- a/router/sidecar/configexchange_test.go
+++ b/router/sidecar/configexchange_test.go
@@ -66,12 +66,12 @@
 		o.hanging.Store(true)
 		c := o.startExchange(t)
 		other := newHopClient("127.0.0.1:1")
-		c.observeVersion(5, other)
+		c.observe(peerConfig{Version: 5}, time.Now(), other)
 		time.Sleep(time.Second)
 		if o.polls.Load() != 0 {
 			t.Error("polled for a version that is already in force")
 		}
-		c.observeVersion(6, other)
+		c.observe(peerConfig{Version: 6}, time.Now(), other)
 		time.Sleep(storeDeliveryWait + pollTimeout)
 		synctest.Wait()
 		if o.polls.Load() != 1 || o.version.Load() != 5 {
@@ -80,13 +80,13 @@
 		o.hanging.Store(false)
 		began := time.Now()
 		for o.version.Load() != 6 && time.Since(began) < time.Minute {
-			c.observeVersion(6, other)
+			c.observe(peerConfig{Version: 6}, time.Now(), other)
 			time.Sleep(10 * time.Millisecond)
 		}
 		if took := time.Since(began); took > configInForce {
 			t.Errorf("in force after %v", took)
 		}
-		c.observeVersion(5, other)
+		c.observe(peerConfig{Version: 5}, time.Now(), other)
 		time.Sleep(time.Minute)
 		if o.polls.Load() != 2 {
 			t.Errorf("%d polls, want one after the failure", o.polls.Load())
--- a/router/sidecar/configfollow_test.go
+++ b/router/sidecar/configfollow_test.go
@@ -192,6 +192,12 @@
 // startConfigHost returns a host with version 1 in force. Store calls through other hosts
 // get no response.
 func startConfigHost(t *testing.T) *configHost {
+	t.Helper()
+	return startConfigHostWith(t, func(*rowstore.Follower) {})
+}
+
+// startConfigHostWith is startConfigHost with a change to the follower before it starts.
+func startConfigHostWith(t *testing.T, change func(*rowstore.Follower)) *configHost {
 	t.Helper()
 	h := &configHost{t: t, store: newConfigStore()}
 	settings := DefaultSettings()
@@ -205,6 +211,7 @@
 	})
 	h.Sidecar.store.(*rowstore.RelayedStore).Relays = func(int) []rowstore.Store { return []rowstore.Store{hangingHost{}, hangingHost{}} }
 	h.exchange.fetch = h.fetch
+	change(h.configFollower)
 	for _, name := range []string{"h1", "h2"} {
 		h.fleet.Put(fleet.Member{Host: name, Zone: "z1", Region: "r1", Service: "plain", Address: "127.0.0.1:1", State: fleet.Ready})
 	}
@@ -410,7 +417,7 @@
 		other := newHopClient("127.0.0.1:1")
 		for version := uint64(2); version < 8; version++ {
 			h.publish(strconv.FormatUint(version, 10))
-			h.exchange.observeVersion(version, other)
+			h.exchange.observe(peerConfig{Version: version}, time.Now(), other)
 			time.Sleep(330 * time.Millisecond)
 		}
 		time.Sleep(time.Minute)
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -40,6 +40,8 @@
 		"Another host reported a newer configuration, which could not be fetched. Other hosts are polled until this one has it.", "See event 1810.")
 	eventPeerPollFailed = event.Define(1819, log.DebugLevel, "configuration not compared",
 		"Another host was polled for the version of its configuration and did not respond. Another one is polled after a short delay.", "none")
+	eventWatchReplaced = event.Define(1824, log.WarnLevel, "watch replaced",
+		"The store has changes that the watch of a table did not deliver. They are applied, and the watch is replaced: the store may have lost it.", "none; if it repeats, look for a store that does not answer watches.")
 	eventUpstream = event.Define(1820, log.InfoLevel, "upstream changed",
 		"The local upstream announced itself, changed, or announced that it leaves.", "none")
 	eventStaleHeartbeat = event.Define(1821, log.WarnLevel, "heartbeat ignored",
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -127,8 +127,9 @@
 		Unreachable: resp.Flags&hop.Unreachable != 0,
 		Load:        fleet.Load{Busy: resp.Busy, Waiting: resp.Waiting, Slots: resp.Slots},
 		HasLoad:     true,
-		Config:      resp.Config,
 	}
+	r.Config.Version = resp.Config
+	r.Config.Age, r.Config.AgeKnown = resp.Flags.ConfigAge()
 	if resp.Kind != "" {
 		_ = resp.Body.Close()
 		r.Err = errkind.New(errkind.Kind(resp.Kind), "%s", resp.Detail)
@@ -232,7 +233,9 @@
 }
 
 func (h *hopHandler) responseHead(r *Result) hop.ResponseHead {
-	head := hop.ResponseHead{Busy: r.Load.Busy, Waiting: r.Load.Waiting, Slots: r.Load.Slots, Config: h.config.version()}
+	version, age := h.config.confirmed(time.Now())
+	head := hop.ResponseHead{Busy: r.Load.Busy, Waiting: r.Load.Waiting, Slots: r.Load.Slots, Config: version}
+	head.Flags = head.Flags.WithConfigAge(age)
 	if r.Arrived {
 		head.Flags |= hop.Arrived
 	}
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"burdockglade.dev/router/boottime"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
@@ -53,18 +55,25 @@
 	// batchUntil is the end of the batch delay after the last configuration, a time.Time.
 	batchUntil atomic.Value
 	// feeds hold, by table, the rows that this host reads for others.
-	feeds     map[string]*rowstore.Feed
-	config    *currentConfig
-	exchange  *configExchange
-	fleet     *fleet.Directory
-	index     *keyIndex
-	local     *localUpstream
-	keys      *keyDriver
-	commands  *commandSender
-	gate      *gate
-	entry     *entry
-	publisher *publisher
-	sweeper   *sweeper
+	feeds    map[string]*rowstore.Feed
+	config   *currentConfig
+	exchange *configExchange
+	// configFollower and fleetFollower follow the tables of the configuration and of the
+	// fleet.
+	configFollower *rowstore.Follower
+	fleetFollower  *rowstore.Follower
+	configChecks   checkSchedule
+	fleetCheckedAt time.Time
+	scope          tally.Scope
+	fleet          *fleet.Directory
+	index          *keyIndex
+	local          *localUpstream
+	keys           *keyDriver
+	commands       *commandSender
+	gate           *gate
+	entry          *entry
+	publisher      *publisher
+	sweeper        *sweeper
 	// memberVersions maps the names of hosts to the versions (int64) of their member rows
 	// as last read.
 	memberVersions sync.Map
@@ -92,11 +101,11 @@
 		createdAt: boottime.Now(),
 		local:     &localUpstream{host: host.Name},
 	}
-	scope := opts.Metrics.SubScope("entry")
-	s.buildStore(scope)
-	s.buildConfig(scope)
+	s.scope = opts.Metrics.SubScope("entry")
+	s.buildStore()
+	s.buildConfig()
 	s.buildKeys()
-	s.buildRequests(scope)
+	s.buildRequests()
 	s.buildMembers()
 	return s
 }
@@ -175,7 +184,7 @@
 
 // followFleet follows the members and the key maps until ctx ends.
 func (s *Sidecar) followFleet(ctx context.Context) {
-	s.follow(ctx, &rowstore.Follower{Store: s.fleetFed, Table: tableFleet, Changed: s.applyFleetRow, BatchDelay: s.fleetReadDelay, Feed: s.feeds[tableFleet]})
+	s.follow(ctx, s.fleetFollower)
 }
 
 // follow runs the follower and logs when it is disconnected from the store and
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -55,8 +55,11 @@
 	Parts   []string
 	Rows    []rowstore.Row
 	Version int64
-	// Config is the version in force at the router that responds to a storeConfig call.
-	Config uint64
+	// Config is the version in force at the router that responds to a storeConfig call,
+	// and ConfigAge the time since it was known to be the newest in the store; 0 means
+	// that this is not known.
+	Config    uint64
+	ConfigAge time.Duration
 	// Conflict stands for rowstore.ConflictError, HistoryGone for rowstore.ErrHistoryGone
 	// and NotFed for rowstore.ErrFeedClosed; Error is the text of any other error.
 	Conflict    bool
@@ -193,6 +196,8 @@
 		}
 		result.Rows, result.Version, err = feed.Watch(ctx, call.After, call.Wait)
 	case storeConfig:
+		_, age := h.config.confirmed(time.Now())
+		result.ConfigAge = max(age, 1)
 		result.Config, result.Rows = h.config.newerThan(call.Config)
 	case storeKeyMap:
 		err = h.applyKeyMap(call.Row)
