Accept every valid form of a version of the configuration

Callers of a host would have been served by the version before, whole, until the next one: the decoder refused a version because of the form of a single value, although the store takes only valid versions.

Cause: integers were decoded into Go's int, so 2.0, 6e2 or a number beyond the range refused the version; encoding/json matches names without regard to case, so a new column "host" or a new member "version" took the place of the known one; the names of columns were quoted as Go text, so a new column with a control character made every row invalid; a route without a type, or with an unreadable time-out, name or priority, refused all routes. The conversion of a time beyond the range of an int64 is not defined: on x86-64 it is below 0, which refused the version there only.

Change: names are compared exactly, integers are read as any JSON number within bounds, times are bounded to a year. Fields that do not decide where requests go are optional: what cannot be read is left out, logged (event 1823), and a route without a readable type is not repeated. Host, prefix, services, weights and whether a service is keyed stay strict, and so do values below 0, two routes at one place, unknown services and routes without weight. The version in force is a gauge.

Tests: the entries "route type" and "values of one type" of TestDecodeConfigRejectsInvalidRows demanded that a version is lost because of one such field. They are replaced by TestUnreadableFieldsAreLeftOut, which demands that exactly that field is left out and named, that the route is not repeated, and that all else is as written.

--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -27,7 +27,10 @@
 
 // buildConfig creates the components that follow the configuration.
 func (s *Sidecar) buildConfig(scope tally.Scope) {
-	s.config = &currentConfig{source: s.opts.Config, log: s.log, changed: func() { s.keys.wake() }}
+	s.config = &currentConfig{source: logUnreadable(s.opts.Config, s.log), log: s.log, changed: func() {
+		s.config.reportVersion(scope)
+		s.keys.wake()
+	}}
 	s.exchange = &configExchange{
 		log: s.log, scope: scope, version: s.config.version, storeDeadline: s.storeDeliveryDeadline,
 		fetch: fetchConfig, apply: s.config.applyRow, randomPeer: s.randomPeer, wakeCh: make(chan struct{}, 1),
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -46,6 +46,8 @@
 		"A heartbeat of an earlier incarnation of the upstream arrived, or one that is older than the last.", "none")
 	eventPublishFailed = event.Define(1822, log.WarnLevel, "member row not written",
 		"The store did not accept this host's own row; the write is retried.", "See event 1810.")
+	eventRouteUnreadable = event.Define(1823, log.WarnLevel, "fields of a route left out",
+		"Fields of a route cannot be decoded and are left out; the rest of the configuration comes into force. Without a readable type, requests of the route are not repeated.", "Correct the fields in the configuration.")
 	eventGrant = event.Define(1830, log.DebugLevel, "keys granted",
 		"The response to a heartbeat of the upstream granted it keys.", "none")
 	eventMapChanged = event.Define(1831, log.InfoLevel, "key map changed",
--- a/router/vhost/vhost.go
+++ b/router/vhost/vhost.go
@@ -33,6 +33,9 @@
 	// Priority is the priority of the route's requests; 0 is the highest.
 	Priority int
 	Clusters []Cluster
+	// Unreadable names the fields that could not be decoded and were left out. They do
+	// not decide where requests go.
+	Unreadable []string
 }
 
 // Service is a set of interchangeable upstreams, or, if Keyed, of upstreams among
