Choose a request's service after its body has arrived

A caller that sends its body slowly was served by the configuration that was in force when its head arrived: a route that had moved or been dropped more than 2 s before the last byte was still used.

Cause: the entry chose route and service from the head and then waited for the body, up to 64 KB, without looking again.

Change: the body is read first, then the configuration in force is looked up. Longer bodies, which are passed on while they arrive, still go by their head.

Ruled out, by the other cases of the same test: a request that waits behind another one on its connection, is read ahead, must not be repeated, or whose head comes in two parts goes by the configuration in force at its last byte. What waits later (for a key, a slot, another attempt) was sent before its service was chosen.

Seen to fail before (go test -run 'TestServiceIsChosen|TestRouteDropped' ./sidecar in router): the cases with a slow body of known length and in chunks, and the dropped route, which got 503 instead of 404; the seven other cases passed.

Measured: go test -race ./sidecar passes (17.5 s).

--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -58,14 +57,9 @@
 			return
 		}
 	}
-	table := e.config.table.Load()
-	if table == nil {
-		e.writeError(w, req, nil, start.Add(maxRetryAfter), errkind.New(errkind.NotReady, "no configuration yet"))
-		return
-	}
-	route := table.Route(req.Host, req.URL.Path)
-	if route == nil {
-		e.writeError(w, req, nil, start, errkind.New(errkind.NotFound, "no route for host %q and path %q in configuration %d", req.Host, req.URL.Path, table.Version()))
+	table, route, err := e.lookup(req)
+	if err != nil {
+		e.writeError(w, req, nil, start.Add(maxRetryAfter), err)
 		return
 	}
 	if limit := table.Limits().MaxBodyBytes; limit > 0 {
@@ -75,11 +69,34 @@
 		}
 		req.Body = http.MaxBytesReader(w, req.Body, limit)
 	}
-	e.serveRoute(w, req, table, route, start)
+	body, err := readBody(req)
+	if err != nil {
+		e.writeError(w, req, route, start, err)
+		return
+	}
+	// A newer configuration may have come into force while the body arrived.
+	if table, route, err = e.lookup(req); err != nil {
+		e.writeError(w, req, nil, start.Add(maxRetryAfter), err)
+		return
+	}
+	e.serveRoute(w, req, body, table, route, start)
+}
+
+// lookup returns the configuration in force and its route for the request.
+func (e *entry) lookup(req *http.Request) (*vhost.Table, *vhost.Route, *errkind.Error) {
+	table := e.config.table.Load()
+	if table == nil {
+		return nil, nil, errkind.New(errkind.NotReady, "no configuration yet")
+	}
+	route := table.Route(req.Host, req.URL.Path)
+	if route == nil {
+		return nil, nil, errkind.New(errkind.NotFound, "no route for host %q and path %q in configuration %d", req.Host, req.URL.Path, table.Version())
+	}
+	return table, route, nil
 }
 
-func (e *entry) serveRoute(w http.ResponseWriter, req *http.Request, table *vhost.Table, route *vhost.Route, start time.Time) {
-	c, err := e.newCall(req, table, route, start)
+func (e *entry) serveRoute(w http.ResponseWriter, req *http.Request, body requestBody, table *vhost.Table, route *vhost.Route, start time.Time) {
+	c, err := e.newCall(req, body, table, route, start)
 	if err != nil {
 		e.writeError(w, req, route, start, err)
 		return
@@ -107,15 +124,11 @@
 // run only once, and those that will be refused.
 func (e *entry) beginPipelined(req *http.Request) *pipelinedRequest {
 	start := time.Now()
-	table := e.config.table.Load()
-	if table == nil {
+	table, route, err := e.lookup(req)
+	if err != nil || !route.Repeatable {
 		return nil
 	}
-	route := table.Route(req.Host, req.URL.Path)
-	if route == nil || !route.Repeatable {
-		return nil
-	}
-	c, err := e.newCall(req, table, route, start)
+	c, err := e.newCall(req, requestBody{}, table, route, start)
 	if err != nil {
 		return nil
 	}
@@ -149,10 +162,11 @@
 	pipelined.respond(w, req)
 }
 
-// newCall returns the call for a request. It selects the service and reads the body.
-func (e *entry) newCall(req *http.Request, table *vhost.Table, route *vhost.Route, start time.Time) (*Call, *errkind.Error) {
+// newCall returns the call for a request. It selects the service.
+func (e *entry) newCall(req *http.Request, body requestBody, table *vhost.Table, route *vhost.Route, start time.Time) (*Call, *errkind.Error) {
 	c := &Call{
 		Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header,
+		Body: body.data, Stream: body.stream, Length: body.length,
 		RequestID:  req.Header.Get(e.headers.RequestID),
 		Service:    route.PickService(),
 		Caller:     e.service(),
@@ -170,13 +184,6 @@
 		}
 		c.Keyed, c.Key = true, uint16(key)
 	}
-	if err := readBody(req, c); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", tooLarge.Limit)
-		}
-		return nil, errkind.New(errkind.CallerLeft, "%w", err)
-	}
 	return c, nil
 }
 
--- a/router/sidecar/response.go
+++ b/router/sidecar/response.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
-	"fmt"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 
+	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/upstream"
 )
 
@@ -36,26 +37,34 @@
 	}
 }
 
+// requestBody is the body of a request: data, or stream if it is too long to be kept.
+type requestBody struct {
+	data   []byte
+	stream io.Reader
+	// length is the length of stream in bytes, or -1 if unknown.
+	length int64
+}
+
 // readBody reads a body of up to maxBufferedBody bytes completely, so that it can be sent
 // again; a longer one becomes a stream.
-func readBody(req *http.Request, c *Call) error {
+func readBody(req *http.Request) (requestBody, *errkind.Error) {
 	if req.ContentLength == 0 || req.Body == nil {
-		return nil
+		return requestBody{}, nil
 	}
 	if req.ContentLength > maxBufferedBody {
-		c.Stream, c.Length = req.Body, req.ContentLength
-		return nil
+		return requestBody{stream: req.Body, length: req.ContentLength}, nil
 	}
 	head, err := io.ReadAll(io.LimitReader(req.Body, maxBufferedBody+1))
-	if err != nil {
-		return fmt.Errorf("reading the body: %w", err)
-	}
-	if len(head) <= maxBufferedBody {
-		c.Body = head
-		return nil
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return requestBody{}, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	case err != nil:
+		return requestBody{}, errkind.New(errkind.CallerLeft, "reading the body: %w", err)
+	case len(head) <= maxBufferedBody:
+		return requestBody{data: head}, nil
 	}
-	c.Stream, c.Length = io.MultiReader(bytes.NewReader(head), req.Body), -1
-	return nil
+	return requestBody{stream: io.MultiReader(bytes.NewReader(head), req.Body), length: -1}, nil
 }
 
 func formatKey(key uint16) string {
