Survive a notice of changed settings during the start

A SIGHUP that arrived while the process was starting ended it, and its host had no router until the restart.

Cause: the signal was requested only after the settings were read and the sidecar was built; until then its default action applies.

Change: it is requested first. A notice during the start has no further effect than one that comes later.

Remaining: the time from the start of the process to main is not covered.

--- a/router/cmd/burdockglade/sidecar.go
+++ b/router/cmd/burdockglade/sidecar.go
@@ -21,6 +21,9 @@
 
 // Run runs the router beside an upstream.
 func (c *sidecarCommand) Run() error {
+	// Until it is requested, SIGHUP ends the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	path := c.Settings
 	if path == "" {
 		path = platform.SettingsPath()
@@ -39,8 +42,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	s := sidecar.New(platform.Options(settings, logger, scope))
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	go func() {
 		for range reload {
 			s.Reload(path)
