Send no request to a service without weight

A request could go to the last service of a route although the configuration gives it the weight 0, with a probability of the order of the rounding of a float: the sum of 0.1 and 0.7 is above what is left after both are subtracted.

Change: services without weight are passed over; what rounding leaves goes to the last one with weight.

--- a/router/vhost/vhost.go
+++ b/router/vhost/vhost.go
@@ -174,12 +174,20 @@
 	for _, c := range r.Clusters {
 		sum += c.Weight
 	}
-	x := rand.Float64() * sum
+	return r.serviceAt(rand.Float64() * sum)
+}
+
+// serviceAt returns the service at x on the line of the services' weights.
+func (r *Route) serviceAt(x float64) string {
+	service := ""
 	for _, c := range r.Clusters {
-		if x < c.Weight {
-			return c.Service
+		if c.Weight <= 0 {
+			continue
+		}
+		if service = c.Service; x < c.Weight {
+			break
 		}
 		x -= c.Weight
 	}
-	return r.Clusters[len(r.Clusters)-1].Service
+	return service
 }
--- a/router/vhost/vhost_test.go
+++ b/router/vhost/vhost_test.go
@@ -1,6 +1,7 @@
 package vhost
 
 import (
+	"math"
 	"testing"
 )
 
@@ -81,3 +82,13 @@
 		t.Errorf("a valid configuration: %v", err)
 	}
 }
+
+// Guards against a request that goes to a service without weight because of rounding.
+func TestServiceWithoutWeightGetsNoRequests(t *testing.T) {
+	r := &Route{Clusters: []Cluster{{Service: "off"}, {Service: "a", Weight: 0.1}, {Service: "b", Weight: 0.7}, {Service: "off"}}}
+	for _, x := range []float64{0, 0.05, 0.1, math.Nextafter(0.8, 0), 0.8, 1} {
+		if got := r.serviceAt(x); got == "off" {
+			t.Errorf("at %v: service without weight", x)
+		}
+	}
+}
