Serve routes without a timeout

Requests of a route without a timeout whose caller names no deadline were refused at once, as if their deadline had passed; a deadline beyond the range of a duration became one below 0, also on routes with a timeout.

Cause: the missing timeout counted as 0, and the milliseconds were multiplied before they were compared.

Change: routes without a timeout have one of a minute, and the comparison comes first.

Seen to fail before (go test -run TestRemainingTime ./sidecar): four of nine cases. go test ./sidecar passes (13.6 s).

--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -22,6 +22,8 @@
 	// asked to retry.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Second
+	// defaultTimeout is the timeout of routes that have none.
+	defaultTimeout = time.Minute
 	// retryAfterDivisor is the divisor of the remaining time that gives the longest such
 	// delay; callers ignore longer ones.
 	retryAfterDivisor = 3
@@ -209,15 +211,14 @@
 // timeout of the route.
 func (e *entry) remainingTime(req *http.Request, route *vhost.Route) time.Duration {
 	limit := route.Timeout
-	ms, err := strconv.ParseInt(req.Header.Get(e.headers.DeadlineMs), 10, 64)
-	if err != nil || ms < 0 {
-		return limit // the caller names no deadline
+	if limit <= 0 {
+		limit = defaultTimeout
 	}
-	requested := time.Duration(ms) * time.Millisecond
-	if limit <= 0 || requested < limit {
-		return requested
+	ms, err := strconv.ParseInt(req.Header.Get(e.headers.DeadlineMs), 10, 64)
+	if err != nil || ms < 0 || ms > limit.Milliseconds() {
+		return limit // the caller names no deadline, or a later one
 	}
-	return limit
+	return min(time.Duration(ms)*time.Millisecond, limit)
 }
 
 // writeError responds with an error and logs it together with fields, which describe what
--- a/router/sidecar/entry_test.go
+++ b/router/sidecar/entry_test.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/vhost"
@@ -28,3 +30,30 @@
 		}
 	}
 }
+
+// Guards against requests that are refused at once because neither the caller nor the
+// route limits their time.
+func TestRemainingTime(t *testing.T) {
+	e := &entry{headers: testHeaders}
+	for _, c := range []struct {
+		requested string
+		timeout   time.Duration
+		want      time.Duration
+	}{
+		{"", 0, defaultTimeout},
+		{"soon", 0, defaultTimeout},
+		{"-1", 0, defaultTimeout},
+		{"", time.Second, time.Second},
+		{"500", 0, 500 * time.Millisecond},
+		{"500", time.Second, 500 * time.Millisecond},
+		{"1500", time.Second, time.Second},
+		{"0", time.Second, 0},
+		{"9223372036854775807", 0, defaultTimeout},
+	} {
+		req := &http.Request{Header: http.Header{}}
+		req.Header.Set(testHeaders.DeadlineMs, c.requested)
+		if got := e.remainingTime(req, &vhost.Route{Timeout: c.timeout}); got != c.want {
+			t.Errorf("requested %q, timeout %v: %v, want %v", c.requested, c.timeout, got, c.want)
+		}
+	}
+}
