Follow the store to the address in changed settings

A host whose settings name another address of the store stayed at the old one until its restart: no configuration, no member and no key reached it from the store. If all hosts are told of it together, no host has a newer configuration for the others either.

Cause: SIGHUP only wrote a line "settings reloaded", and a change without a notice was not seen at all. The platform's pages announce both kinds, and do not say which settings may change.

Change: the file is read after each notice and once a second; a change without a notice counts when the file has been the same for a second, because a file that is just being written may be valid. The client of the store changes its address and ends the calls in progress as if their connection had been lost, also watches that would wait for 25 s more. The other settings still need a restart; event 1803 says so.

--- a/router/cmd/burdockglade/sidecar.go
+++ b/router/cmd/burdockglade/sidecar.go
@@ -42,10 +42,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	s := sidecar.New(platform.Options(settings, logger, scope))
-	go func() {
-		for range reload {
-			s.Reload(path)
-		}
-	}()
+	go s.FollowSettings(ctx, path, reload)
 	return s.Run(ctx)
 }
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -15,9 +15,9 @@
 	eventStopped = event.Define(1802, log.InfoLevel, "sidecar stopped",
 		"All requests have finished, or the grace period has ended.", "If requests were cut off, compare the grace period with the routes' timeouts.")
 	eventReloaded = event.Define(1803, log.InfoLevel, "settings reloaded",
-		"The process received SIGHUP.", "none")
+		"The process received SIGHUP, or the settings file changed. The store is used at the address that the file names.", "If restart_needed is true, restart the process: the other changes have no effect before.")
 	eventReloadFailed = event.Define(1804, log.ErrorLevel, "settings not reloaded",
-		"The settings file is unreadable or not valid; the earlier settings stay in force.", "Correct the file and send SIGHUP.")
+		"The settings file is unreadable or not valid; the earlier settings stay in force.", "Correct the file.")
 	eventListenerFailed = event.Define(1805, log.ErrorLevel, "listener failed",
 		"A listener ended while the process was running.", "Restart the process; check for a lack of file descriptors.")
 	eventStoreDisconnected = event.Define(1810, log.WarnLevel, "store disconnected",
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -20,12 +20,14 @@
 	"burdockglade.dev/router/vhost"
 )
 
-// Options configure a Sidecar. Commands, Log and Listen may be nil.
+// Options configure a Sidecar. SetStoreAddress, Commands, Log and Listen may be nil.
 type Options struct {
 	Settings Settings
 	Store    rowstore.Store
-	Headers  Headers
-	Config   ConfigSource
+	// SetStoreAddress makes Store use another address.
+	SetStoreAddress func(address string)
+	Headers         Headers
+	Config          ConfigSource
 	// Commands returns the client that sends key commands to the local upstream at the
 	// address. It opens connections only while mayDial returns true. Nil if the
 	// deployment has no service whose keys are granted by commands.
