--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -61,7 +61,7 @@
 	}
 	table, route, err := e.lookup(req)
 	if err != nil {
-		e.writeError(w, req, nil, start.Add(maxRetryAfter), err)
+		e.refuseWithoutRoute(w, req, table, err)
 		return
 	}
 	if limit := table.Limits().MaxBodyBytes; limit > 0 {
@@ -78,13 +78,13 @@
 	}
 	// A newer configuration may have come into force while the body arrived.
 	if table, route, err = e.lookup(req); err != nil {
-		e.writeError(w, req, nil, start.Add(maxRetryAfter), err)
+		e.refuseWithoutRoute(w, req, table, err)
 		return
 	}
 	e.serveRoute(w, req, body, table, route, start)
 }
 
-// lookup returns the configuration in force and its route for the request.
+// lookup returns the configuration in force, or nil, and its route for the request.
 func (e *entry) lookup(req *http.Request) (*vhost.Table, *vhost.Route, *errkind.Error) {
 	table := e.config.table.Load()
 	if table == nil {
@@ -92,11 +92,20 @@
 	}
 	route := table.Route(req.Host, req.URL.Path)
 	if route == nil {
-		return nil, nil, errkind.New(errkind.NotFound, "no route for host %q and path %q in configuration %d", req.Host, req.URL.Path, table.Version())
+		return table, nil, errkind.New(errkind.NotFound, "no route for host %q and path %q in configuration %d", req.Host, req.URL.Path, table.Version())
 	}
 	return table, route, nil
 }
 
+// refuseWithoutRoute responds to a request for which lookup found no route.
+func (e *entry) refuseWithoutRoute(w http.ResponseWriter, req *http.Request, table *vhost.Table, err *errkind.Error) {
+	var fields []event.Field
+	if table != nil {
+		fields = e.config.fields(table)
+	}
+	e.writeError(w, req, nil, time.Now().Add(maxRetryAfter), err, fields...)
+}
+
 func (e *entry) serveRoute(w http.ResponseWriter, req *http.Request, body requestBody, table *vhost.Table, route *vhost.Route, start time.Time) {
 	c, err := e.newCall(req, body, table, route, start)
 	if err != nil {
@@ -106,10 +115,17 @@
 	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline)
 	defer cancel()
 	e.budgets.forService(c.Service).Request(start)
+	e.logRouted(c, table, route)
 	r := e.tryHosts(ctx, c, route)
 	e.respond(w, req, table, route, c, r, start)
 }
 
+// logRouted logs which service was chosen for a request, and by which configuration.
+func (e *entry) logRouted(c *Call, table *vhost.Table, route *vhost.Route) {
+	fields := []event.Field{event.F("request", c.RequestID), event.F("route", route.Name), event.F("service", c.Service)}
+	e.log.Log(eventRouted, append(fields, e.config.fields(table)...)...)
+}
+
 // respond passes the result of a request on to the caller.
 func (e *entry) respond(w http.ResponseWriter, req *http.Request, table *vhost.Table, route *vhost.Route, c *Call, r *Result, start time.Time) {
 	defer r.close()
@@ -136,6 +152,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
 	e.budgets.forService(c.Service).Request(start)
+	e.logRouted(c, table, route)
 	done := make(chan struct{})
 	pipelined := &pipelinedRequest{request: req, done: done, cancel: cancel}
 	go func() {
