--- a/router/vhost/vhost_test.go
+++ b/router/vhost/vhost_test.go
@@ -92,3 +92,42 @@
 		}
 	}
 }
+
+// Guards against requests that miss their route because of the form of a host name or of a
+// path.
+func TestRouteForms(t *testing.T) {
+	to := []Cluster{{Service: "s", Weight: 1}}
+	tb, err := NewTable(Config{Services: []Service{{Name: "s"}}, Routes: []Route{
+		{Name: "ab", Host: "X.Example", Prefix: "/ab/", Clusters: to},
+		{Name: "ab-cd", Host: "x.example", Prefix: "/ab/cd/", Clusters: to},
+		{Name: "upper", Host: "x.example", Prefix: "/AB/", Clusters: to},
+		{Name: "port", Host: "x.example:81", Prefix: "/ab/", Clusters: to},
+		{Name: "dot", Host: "y.example.", Prefix: "/ab/", Clusters: to},
+		{Name: "plain", Host: "y.example", Prefix: "/ab/", Clusters: to},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ host, path, want string }{
+		{"x.example", "/ab/", "ab"},
+		{"x.EXAMPLE", "/ab/c", "ab"},
+		{"x.example", "/ab/cd", "ab"},
+		{"x.example", "/ab/cd/", "ab-cd"},
+		{"x.example", "/ab//cd/", "ab"},
+		{"x.example", "/AB/cd/", "upper"},
+		{"x.example", "/ab", ""},
+		{"x.example", "//ab/", ""},
+		{"x.example:80", "/ab/cd/e", "ab-cd"},
+		{"x.example:81", "/ab/cd/e", "port"},
+		{"y.example.", "/ab/", "dot"},
+		{"y.example", "/ab/", "plain"},
+	} {
+		got := ""
+		if r := tb.Route(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
