--- a/router/rowstore/check.go
+++ b/router/rowstore/check.go
@@ -25,10 +25,11 @@
 			sleep(ctx, delay)
 			continue
 		}
+		start := time.Now()
 		undelivered, err := f.check(ctx)
 		checkedAt = time.Now()
 		if f.Checked != nil && ctx.Err() == nil {
-			f.Checked(undelivered, err)
+			f.Checked(start, undelivered, err)
 		}
 	}
 }
@@ -51,7 +52,6 @@
 	if !following {
 		return 0, ErrNotFollowing
 	}
-	start := time.Now()
 	rows, version, err := f.checkStore().Watch(ctx, f.Table, position, 0)
 	if errors.Is(err, ErrHistoryGone) {
 		f.replaceWatch() // Run reads the table again
@@ -62,7 +62,6 @@
 	if undelivered = f.report(rows, version); undelivered > 0 {
 		f.replaceWatch()
 	}
-	f.reportUpToDate(start)
 	return undelivered, nil
 }
 
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -40,8 +40,8 @@
 	// when a call succeeds again.
 	Disconnected func(error)
 	Reconnected  func()
-	// UpToDate, if set, is called after each successful call: all changes that were
-	// made before asOf, the start of the call, have been reported.
+	// UpToDate, if set, is called after each successful read or watch: all changes that
+	// were in Store before asOf, the start of the call, have been reported.
 	UpToDate func(asOf time.Time)
 	// CheckStore, if set, is the store that checks call instead of Store.
 	CheckStore Store
@@ -50,8 +50,9 @@
 	// that failed. Nil means every checkInterval.
 	CheckDelay func() time.Duration
 	// Checked, if set, is called after each check with the number of rows that the
-	// watch had not delivered.
-	Checked func(undelivered int, err error)
+	// watch had not delivered. If err is nil, all changes that were in CheckStore before
+	// asOf, the start of the check, have been reported.
+	Checked func(asOf time.Time, undelivered int, err error)
 
 	mu       sync.Mutex
 	versions map[Key]int64
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -25,7 +25,10 @@
 
 // buildConfig creates the components that follow the configuration.
 func (s *Sidecar) buildConfig() {
-	s.config = &currentConfig{source: s.opts.Config, log: s.log, changed: func() { s.keys.wake() }}
+	s.config = &currentConfig{source: logUnreadable(s.opts.Config, s.log), log: s.log, changed: func() {
+		s.config.reportVersion(s.scope)
+		s.keys.wake()
+	}}
 	s.exchange = &configExchange{
 		log: s.log, scope: s.scope, version: s.config.version, confirm: s.config.confirm, storeDeadline: s.storeDeliveryDeadline,
 		fetch: fetchConfig, apply: s.config.applyRow, randomPeer: s.randomPeer, wakeCh: make(chan struct{}, 1),
--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -22,8 +22,8 @@
 	// age is random, because all hosts reach it together when the first one fails.
 	minCheckAge = 800 * time.Millisecond
 	maxCheckAge = 1100 * time.Millisecond
-	// minCheckBackoff is the delay after a check that failed. It doubles up to
-	// maxCheckBackoff.
+	// minCheckBackoff is the shortest delay after a check. After checks that failed it
+	// doubles up to maxCheckBackoff.
 	minCheckBackoff = 100 * time.Millisecond
 	maxCheckBackoff = 800 * time.Millisecond
 	// fleetCheckInterval is the interval at which the hosts that read the fleet from the
@@ -36,7 +36,7 @@
 	mu sync.Mutex
 	// age is the age at which the next check is due.
 	age time.Duration
-	// notBefore is the end of the backoff after failed checks.
+	// notBefore is the time before which no check is made.
 	notBefore time.Time
 	failures  int
 }
@@ -63,6 +63,7 @@
 	s.age = 0
 	if !failed {
 		s.failures = 0
+		s.notBefore = now.Add(minCheckBackoff)
 		return
 	}
 	s.notBefore = now.Add(min(minCheckBackoff<<min(s.failures, 8), maxCheckBackoff))
@@ -76,7 +77,10 @@
 }
 
 // configChecked records a check of the configuration.
-func (s *Sidecar) configChecked(undelivered int, err error) {
+func (s *Sidecar) configChecked(asOf time.Time, undelivered int, err error) {
+	if err == nil {
+		s.config.confirm(s.config.version(), asOf)
+	}
 	s.configChecks.record(time.Now(), err != nil)
 	s.logCheck(s.configFollower, undelivered, err)
 }
@@ -91,7 +95,7 @@
 }
 
 // fleetChecked records a check of the fleet.
-func (s *Sidecar) fleetChecked(undelivered int, err error) {
+func (s *Sidecar) fleetChecked(_ time.Time, undelivered int, err error) {
 	s.fleetCheckedAt = time.Now()
 	s.logCheck(s.fleetFollower, undelivered, err)
 }
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -15,9 +15,9 @@
 	eventStopped = event.Define(1802, log.InfoLevel, "sidecar stopped",
 		"All requests have finished, or the grace period has ended.", "If requests were cut off, compare the grace period with the routes' timeouts.")
 	eventReloaded = event.Define(1803, log.InfoLevel, "settings reloaded",
-		"The process received SIGHUP.", "none")
+		"The process received SIGHUP, or the settings file changed. The store is used at the address that the file names.", "If restart_needed is true, restart the process: the other changes have no effect before.")
 	eventReloadFailed = event.Define(1804, log.ErrorLevel, "settings not reloaded",
-		"The settings file is unreadable or not valid; the earlier settings stay in force.", "Correct the file and send SIGHUP.")
+		"The settings file is unreadable or not valid; the earlier settings stay in force.", "Correct the file.")
 	eventListenerFailed = event.Define(1805, log.ErrorLevel, "listener failed",
 		"A listener ended while the process was running.", "Restart the process; check for a lack of file descriptors.")
 	eventStoreDisconnected = event.Define(1810, log.WarnLevel, "store disconnected",
@@ -48,6 +48,8 @@
 		"A heartbeat of an earlier incarnation of the upstream arrived, or one that is older than the last.", "none")
 	eventPublishFailed = event.Define(1822, log.WarnLevel, "member row not written",
 		"The store did not accept this host's own row; the write is retried.", "See event 1810.")
+	eventRouteUnreadable = event.Define(1823, log.WarnLevel, "fields of a route left out",
+		"Fields of a route cannot be decoded and are left out; the rest of the configuration comes into force. Without a readable type, requests of the route are not repeated.", "Correct the fields in the configuration.")
 	eventGrant = event.Define(1830, log.DebugLevel, "keys granted",
 		"The response to a heartbeat of the upstream granted it keys.", "none")
 	eventMapChanged = event.Define(1831, log.InfoLevel, "key map changed",
--- a/router/vhost/vhost.go
+++ b/router/vhost/vhost.go
@@ -33,6 +33,9 @@
 	// Priority is the priority of the route's requests; 0 is the highest.
 	Priority int
 	Clusters []Cluster
+	// Unreadable names the fields that could not be decoded and were left out. They do
+	// not decide where requests go.
+	Unreadable []string
 }
 
 // Service is a set of interchangeable upstreams, or, if Keyed, of upstreams among
@@ -171,12 +174,20 @@
 	for _, c := range r.Clusters {
 		sum += c.Weight
 	}
-	x := rand.Float64() * sum
+	return r.serviceAt(rand.Float64() * sum)
+}
+
+// serviceAt returns the service at x on the line of the services' weights.
+func (r *Route) serviceAt(x float64) string {
+	service := ""
 	for _, c := range r.Clusters {
-		if x < c.Weight {
-			return c.Service
+		if c.Weight <= 0 {
+			continue
+		}
+		if service = c.Service; x < c.Weight {
+			break
 		}
 		x -= c.Weight
 	}
-	return r.Clusters[len(r.Clusters)-1].Service
+	return service
 }
