Count refused configurations, and let the configuration's version decide

Cause: a configuration that a host refuses as a whole left one log line without its version, no counter, and counted as confirmed, so that the age said "newest" in just that case. A row with a higher row version and a lower configuration version kept the right one out.

Change: counter config_refusals, the versions in event 1813, no confirmation while a newer row is refused; the configuration's version decides. Checks are spaced by the last check as well as by the last confirmation: a refused version would otherwise have all hosts check without a pause.

--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -28,7 +28,7 @@
 	s.config = &currentConfig{source: logUnreadable(s.opts.Config, s.log), log: s.log, changed: func() {
 		s.config.reportVersion(s.scope)
 		s.keys.wake()
-	}}
+	}, refused: func() { s.scope.Counter("config_refusals").Inc(1) }}
 	s.exchange = &configExchange{
 		log: s.log, scope: s.scope, version: s.config.version, confirm: s.config.confirm, storeDeadline: s.storeDeliveryDeadline,
 		fetch: fetchConfig, apply: s.config.applyRow, randomPeer: s.randomPeer, wakeCh: make(chan struct{}, 1),
--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -23,13 +23,16 @@
 type currentConfig struct {
 	source ConfigSource
 	log    *event.Logger
-	// changed is called after each change.
-	changed func()
+	// changed is called after each change, refused after a row that is no valid
+	// configuration; refused may be nil.
+	changed, refused func()
 
 	mu    sync.Mutex // serializes changes
 	table atomic.Pointer[vhost.Table]
 	// row is the row that table was read from.
 	row atomic.Pointer[rowstore.Row]
+	// refusedRow is the highest row version that was refused.
+	refusedRow int64
 	// confirmedAt is the last time at which table is known to have been the newest
 	// configuration in the store.
 	confirmedAt atomic.Pointer[time.Time]
@@ -40,6 +43,9 @@
 func (c *currentConfig) confirm(version uint64, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if old := c.row.Load(); old != nil && c.refusedRow > old.Version {
+		return // the store has a newer one, which was refused
+	}
 	if version <= c.version() && at.After(c.lastConfirmed()) {
 		c.confirmedAt.Store(&at)
 	}
@@ -91,7 +97,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old := c.row.Load(); old != nil && old.Version >= r.Version {
+	if old := c.row.Load(); old != nil && old.Version == r.Version {
 		return
 	}
 	config, err := c.source.Decode(r.Value)
@@ -99,7 +105,18 @@
 		err = c.apply(config, r)
 	}
 	if err != nil {
-		c.log.Log(eventRowInvalid, event.F("row", "configuration"), event.F("version", r.Version), event.F("error", err.Error()))
+		c.refuse(r, config.Version, err)
+	}
+}
+
+// refuse records a row that is no valid configuration. The version is 0 if the row cannot
+// be decoded.
+func (c *currentConfig) refuse(r rowstore.Row, version uint64, err error) {
+	c.refusedRow = max(c.refusedRow, r.Version)
+	c.log.Log(eventRowInvalid, event.F("row", "configuration"), event.F("version", r.Version), event.F("config", version),
+		event.F("in_force", c.version()), event.F("error", err.Error()))
+	if c.refused != nil {
+		c.refused()
 	}
 }
 
--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -22,8 +22,8 @@
 	// age is random, because all hosts reach it together when the first one fails.
 	minCheckAge = 800 * time.Millisecond
 	maxCheckAge = 1100 * time.Millisecond
-	// minCheckBackoff is the shortest delay after a check. After checks that failed it
-	// doubles up to maxCheckBackoff.
+	// minCheckBackoff is the delay after a check that failed. It doubles up to
+	// maxCheckBackoff.
 	minCheckBackoff = 100 * time.Millisecond
 	maxCheckBackoff = 800 * time.Millisecond
 	// fleetCheckInterval is the interval at which the hosts that read the fleet from the
@@ -36,7 +36,10 @@
 	mu sync.Mutex
 	// age is the age at which the next check is due.
 	age time.Duration
-	// notBefore is the time before which no check is made.
+	// checkedAt is the time of the last check that succeeded. It does not confirm the
+	// configuration in force if the store has one that this host refuses.
+	checkedAt time.Time
+	// notBefore is the end of the backoff after failed checks.
 	notBefore time.Time
 	failures  int
 }
@@ -53,7 +56,7 @@
 		}
 		age = s.age
 	}
-	return later(confirmedAt.Add(age), s.notBefore).Sub(now)
+	return later(later(confirmedAt, s.checkedAt).Add(age), s.notBefore).Sub(now)
 }
 
 // record records the end of a check.
@@ -62,8 +65,7 @@
 	defer s.mu.Unlock()
 	s.age = 0
 	if !failed {
-		s.failures = 0
-		s.notBefore = now.Add(minCheckBackoff)
+		s.failures, s.checkedAt = 0, now
 		return
 	}
 	s.notBefore = now.Add(min(minCheckBackoff<<min(s.failures, 8), maxCheckBackoff))
--- a/router/sidecar/configcheck_test.go
+++ b/router/sidecar/configcheck_test.go
@@ -88,6 +88,9 @@
 		now = now.Add(delay)
 	}
 	s.record(now, false)
+	if delay := s.delay(now, confirmedAt, true); delay != firstHostCheckAge {
+		t.Errorf("the next check of a configuration that none confirms is after %v", delay)
+	}
 	if delay := s.delay(now, now, true); delay != firstHostCheckAge {
 		t.Errorf("the first host checks after %v, want %v", delay, firstHostCheckAge)
 	}
--- a/router/sidecar/configorder_test.go
+++ b/router/sidecar/configorder_test.go
@@ -18,8 +18,9 @@
 	newest uint64
 }
 
-// drawHistory draws a history in which the versions of the configuration increase.
-func drawHistory(t *rapid.T) configHistory {
+// drawHistory draws a history. step draws by how much the version of the configuration
+// changes from one to the next.
+func drawHistory(t *rapid.T, step *rapid.Generator[int]) configHistory {
 	var h configHistory
 	version, row := 1, int64(0)
 	for i := range rapid.IntRange(1, 12).Draw(t, "rows") {
@@ -39,7 +40,7 @@
 		case "other":
 			r.Key.Name, r.Value = "another", []byte("1000")
 		default:
-			version = version + rapid.IntRange(1, 3).Draw(t, "version step")
+			version = max(version+step.Draw(t, "version step"), 1)
 			r.Value = fmt.Append(nil, version)
 			h.newest = max(h.newest, uint64(version))
 		}
@@ -91,5 +92,11 @@
 // one, because its row came by another way or in another order, or after rows that are no
 // configuration.
 func TestNewestConfigurationIsInForceInAnyOrder(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { checkOrders(t, drawHistory(t)) })
+	rapid.Check(t, func(t *rapid.T) { checkOrders(t, drawHistory(t, rapid.IntRange(1, 3))) })
+}
+
+// Guards against row versions that decide which configuration is newer: after a loss of
+// the store's history, lower configurations may have higher row versions.
+func TestConfigurationVersionDecidesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkOrders(t, drawHistory(t, rapid.IntRange(-2, 3))) })
 }
--- a/router/sidecar/configstatus_test.go
+++ b/router/sidecar/configstatus_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
@@ -14,7 +15,7 @@
 )
 
 // Guards against a field of a route that is left out without a trace, and against a
-// version that nobody can read off a host.
+// version in force, or a refused one, that nobody can read off a host.
 func TestVersionAndUnreadableFieldsAreReported(t *testing.T) {
 	var lines bytes.Buffer
 	scope := tally.NewTestScope("", nil)
@@ -22,6 +23,9 @@
 	c.changed = func() { c.reportVersion(scope) }
 	c.source = logUnreadable(ConfigSource{Key: configKey, Decode: func(data []byte) (vhost.Config, error) {
 		config, err := decodeTestConfig(data)
+		if err != nil {
+			return config, err
+		}
 		config.Routes[0].Unreadable = []string{"the objective", "the priority"}
 		return config, err
 	}}, c.log)
@@ -29,7 +33,20 @@
 	if got := scope.Snapshot().Gauges()["config_version+"]; got == nil || got.Value() != 17 {
 		t.Errorf("gauge %v, want 17", got)
 	}
-	for _, want := range []string{`"event":1823`, `"route":"look"`, "the objective, the priority", `"event":1812`} {
+	began := time.Now()
+	c.refused = func() { scope.Counter("config_refusals").Inc(1) }
+	c.applyRow(rowstore.Row{Key: configKey, Value: []byte("18 cut"), Version: 4})
+	if got := scope.Snapshot().Counters()["config_refusals+"]; got == nil || got.Value() != 1 {
+		t.Errorf("counter %v, want 1", got)
+	}
+	if c.confirm(c.version(), began); !c.lastConfirmed().IsZero() {
+		t.Error("the configuration counts as the newest although a newer one was refused")
+	}
+	c.applyRow(rowstore.Row{Key: configKey, Value: []byte("19"), Version: 5})
+	if c.confirm(c.version(), began); c.lastConfirmed().IsZero() {
+		t.Error("the newest configuration does not count as such")
+	}
+	for _, want := range []string{`"in_force":17`, `"event":1823`, `"route":"look"`, "the objective, the priority", `"event":1812`} {
 		if !strings.Contains(lines.String(), want) {
 			t.Errorf("no %s in\n%s", want, &lines)
 		}
