Refuse a response of HTTP/1.0 without a length

Cause: net/http does not decode the chunks of a response of HTTP/1.0 and hides its Transfer-Encoding. Such a response seemed to have a body that ends with the connection: one that broke off was passed on as a 200 that looks whole, with the marks of the chunks in its body.

Change: the outcome of a request that gets a response of HTTP/1.0 without a length is unknown. Responses with a length, and all of HTTP/1.1, are as before.

Tests: TestBrokenResponseIsNotPassedOnAsWhole writes 79 responses that break off or contradict themselves (heads, lengths, chunks, trailers, interim responses, FIN and reset, bodies of 100 bytes, 64 KiB and 192 KiB) and reads the caller's socket, at the upstream's own host and behind a hop, with a second request behind each on the same connection.

Ruled out by planted faults, each found by these tests: a gate that ignores a body that breaks off; an entry that checks only the length; a hop client that takes the end of the connection for the end of chunks, of a chunk or of a body of known length; a hop server that ends the chunks of a body that broke off; a store client that ignores what it cannot decode. A store client that ignores a cut body is not found, because what is left cannot be decoded.

Conclusion: a response without a length that ends with FIN still counts as whole, as the protocol says; a head that breaks off is never taken for one.

--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -115,6 +115,9 @@
 		if err != nil {
 			return nil, true, err
 		}
+		if err := checkFraming(hr); err != nil {
+			return nil, true, err
+		}
 		belongs, err := history.attribute(r, hr)
 		if err != nil {
 			return nil, true, err
@@ -123,7 +126,7 @@
 			return newResponse(cn, hr, upload), true, nil
 		}
 		// A response to an earlier request. Without a length its end is unknown.
-		if hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 {
+		if unframed(hr) {
 			return nil, true, errors.New("received a response to another request without a length")
 		}
 		cn.SetReadLimit(maxSkippedBytes)
@@ -150,16 +153,30 @@
 	}
 }
 
+// unframed reports whether the body of a response ends with its connection.
+func unframed(hr *http.Response) bool {
+	return hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
+}
+
+// checkFraming returns an error if the end of the body is not certain. net/http does not
+// decode chunks in a response of HTTP/1.0 and hides that there are any, so that they would
+// seem to be the body.
+func checkFraming(hr *http.Response) error {
+	if unframed(hr) && !hr.ProtoAtLeast(1, 1) && hr.Request.Method != http.MethodHead {
+		return errors.New("received a response of HTTP/1.0 without a length")
+	}
+	return nil
+}
+
 // newResponse returns the response whose head is hr. A response without a length ends
 // with its connection, which is then not reused.
 func newResponse(cn *connpool.Conn, hr *http.Response, up *upload) *Response {
-	unframed := hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
 	cn.PeerIdleTimeout = peerIdleTimeout(hr.Header.Get("Keep-Alive"))
 	return &Response{
 		Status: hr.StatusCode,
 		Header: hr.Header,
 		Length: hr.ContentLength,
-		Body:   &body{conn: cn, src: hr.Body, upload: up, reusable: !hr.Close && !unframed && !historyOf(cn).closing},
+		Body:   &body{conn: cn, src: hr.Body, upload: up, reusable: !hr.Close && !unframed(hr) && !historyOf(cn).closing},
 	}
 }
 
