Pass on the response to a HEAD request that names a length

Cause: the gate kept the Content-Length of a response to HEAD as the length of its body, which is not sent. The entry took the response for one that broke off and closed the connection without an answer; behind a hop the caller got 502 although the request had run.

Change: the length of such a body is unknown. The field is not passed on.

Test: TestWholeResponseIsPassedOn sends complete responses of 29 shapes through both hosts. Before: "h0: head, 0 bytes: got 0 with 0 bytes, unexpected EOF" and "h1: head, 0 bytes: got 502 with 0 bytes" for every HEAD with a length.

Ruled out: passing the length on.

Conclusion: HEAD is answered. No deployment has shown the fault, since its requests are GET and POST.

--- a/router/sidecar/brokenresponse_test.go
+++ b/router/sidecar/brokenresponse_test.go
@@ -209,3 +209,43 @@
 		}
 	}
 }
+
+// Guards against complete responses that are refused or altered.
+func TestWholeResponseIsPassedOn(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "keyed")
+	c.waitReady()
+	var cases []brokenResponse
+	var bodies []string
+	add := func(name, method, body string, text func(id string) string) {
+		cases = append(cases, brokenResponse{name: name, method: method, text: text})
+		bodies = append(bodies, body)
+	}
+	for _, size := range append([]int{0}, bodySizes...) {
+		body := strings.Repeat("b", size)
+		length := fmt.Sprintf("Content-Length: %d\r\n", size)
+		add("length", "POST", body, head("1.1", length+"\r\n", body))
+		add("length twice", "POST", body, head("1.1", length+length+"\r\n", body))
+		add("1.0", "POST", body, head("1.0", length+"\r\n", body))
+		add("no length", "POST", body, head("1.1", "\r\n", body))
+		last := "0\r\nA: b\r\n\r\n"
+		if size > 0 {
+			last = chunk(body) + last
+		}
+		add("chunked", "POST", body, head("1.1", "Transfer-Encoding: chunked\r\n\r\n", last))
+		add("head", "HEAD", "", head("1.1", length+"\r\n", ""))
+		add("interim first", "POST", body, func(id string) string {
+			return "HTTP/1.1 100 Continue\r\n\r\n" + head("1.1", length+"\r\n", body)(id)
+		})
+	}
+	add("head without length", "HEAD", "", head("1.1", "\r\n", ""))
+	c.hosts[0].upstream.serveBroken(cases)
+	for _, entry := range c.hosts {
+		for n, b := range cases {
+			got, err := exchangeBroken(t, entry, b.method, n)
+			if err != nil || got.status != http.StatusOK || got.body != bodies[n] {
+				t.Errorf("%s: %s, %d bytes: got %d with %d bytes, %v", entry.settings.Host.Name, b.name, len(bodies[n]), got.status, len(got.body), err)
+			}
+		}
+	}
+}
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -228,8 +228,9 @@
 	if len(head) < maxBufferedResponse {
 		_ = resp.Body.Close()
 		release(admit.Completed)
-		if c.Method != http.MethodHead {
-			r.Length = int64(len(head))
+		r.Length = int64(len(head))
+		if c.Method == http.MethodHead {
+			r.Length = -1 // the length of a body that is not sent
 		}
 		r.Body = io.NopCloser(bytes.NewReader(head))
 		return r
