Refuse a head that is continued by an earlier response

Cause: a faulty server that stops in the middle of a head and then writes an earlier response once more produces one valid head out of two. With an earlier refusal, the response to a request that ran was taken for "not run" (503 to the caller); with an earlier success, the caller got a 200 with the body of another request.

Change: a head with more than one id belongs to no request. A success has exactly one signature. Only a response of status 4xx or 503 can say that the request did not run: a 200 or 500 that says so contradicts itself, and its outcome is unknown.

Test: five cases more in TestBrokenResponseIsNotPassedOnAsWhole (refusal or success, with and without an id, behind a cut 200 or 500).

Conclusion: what is left are two heads whose fields together look like one sound response, that is, an earlier response without id and signature.

--- a/router/h1/history.go
+++ b/router/h1/history.go
@@ -16,6 +16,9 @@
 // errUnidentified means that a response has no id although others may have been due.
 var errUnidentified = errors.New("received a response without the id of its request")
 
+// errTwoIDs means that a head has several ids: it broke off, and another one follows it.
+var errTwoIDs = errors.New("received a response with several ids")
+
 // history is what a connection has carried. It decides to which request a response
 // belongs: a faulty server may send an earlier response once more.
 type history struct {
@@ -59,6 +62,9 @@
 	if r.IDHeader == "" {
 		return true, nil
 	}
+	if len(resp.Header.Values(r.IDHeader)) > 1 {
+		return false, errTwoIDs
+	}
 	switch id := resp.Header.Get(r.IDHeader); {
 	case id == "" && !first:
 		return false, errUnidentified
--- a/router/sidecar/brokenresponse_test.go
+++ b/router/sidecar/brokenresponse_test.go
@@ -74,6 +74,22 @@
 	for _, size := range bodySizes {
 		cases = append(cases, brokenBodies(size)...)
 	}
+	return append(cases, mergedHeads()...)
+}
+
+// mergedHeads returns heads that break off and are continued by an earlier response.
+func mergedHeads() []brokenResponse {
+	cases := []brokenResponse{{name: "cut head of a failure and an earlier refusal", text: func(id string) string {
+		return "HTTP/1.1 500 Internal Server Error\r\n" + idLine(id) + "Signature: s\r\nLoad: 1," + rawRefusal("")
+	}}}
+	for _, id := range []string{"", idLine("earlier")} {
+		for name, earlier := range map[string]string{
+			"refusal":  rawRefusal(id),
+			"response": rawResponse("200 OK", id+"Signature: s\r\n", "early"),
+		} {
+			cases = append(cases, brokenResponse{name: "cut head and an earlier " + name + " " + id, text: head("1.1", "Load: 1,", earlier)})
+		}
+	}
 	return cases
 }
 
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -241,7 +241,8 @@
 
 // refusalError returns an error if the response says that the request did not run.
 func (g *gate) refusalError(resp *h1.Response) *errkind.Error {
-	if resp.Header.Get(g.headers.NotRun) == "" && resp.Status != http.StatusMisdirectedRequest {
+	marked := resp.Header.Get(g.headers.NotRun) != "" && mayRefuse(resp.Status)
+	if !marked && resp.Status != http.StatusMisdirectedRequest {
 		return nil
 	}
 	kind := errkind.UpstreamRefused
@@ -259,8 +260,10 @@
 	switch {
 	case impliesNotRun(resp.Status):
 		return errkind.New(errkind.OutcomeUnknown, "the upstream responded with status %d without saying that the request did not run", resp.Status)
-	case success && resp.Header.Get(g.headers.Signature) == "":
-		return errkind.New(errkind.OutcomeUnknown, "the upstream's response is not signed")
+	case resp.Header.Get(g.headers.NotRun) != "":
+		return errkind.New(errkind.OutcomeUnknown, "the upstream's response of status %d says that the request did not run", resp.Status)
+	case success && !isSigned(resp.Header.Values(g.headers.Signature)):
+		return errkind.New(errkind.OutcomeUnknown, "the upstream's response does not have exactly one signature")
 	case success && resp.Header.Get(g.headers.RequestID) != c.RequestID:
 		return errkind.New(errkind.OutcomeUnknown, "the upstream's response does not carry the id of the request")
 	case resp.Header.Get("Content-Encoding") != "":
@@ -269,6 +272,19 @@
 	return nil
 }
 
+// mayRefuse reports whether a response with the status may say that the request did not
+// run. Other statuses report the result of a run, so that such a response contradicts
+// itself.
+func mayRefuse(status int) bool {
+	return status/100 == 4 || status == http.StatusServiceUnavailable
+}
+
+// isSigned reports whether a response has exactly one signature. A second one belongs to
+// another response.
+func isSigned(signatures []string) bool {
+	return len(signatures) == 1 && signatures[0] != ""
+}
+
 // impliesNotRun reports whether callers conclude from a status that the request did not
 // run.
 func impliesNotRun(status int) bool {
