Reset the connection of an HTTP/1.0 caller when a response breaks off

Cause: a response of unknown length to a request of HTTP/1.0 is sent without chunks and ends with the connection. When an upstream broke off behind the first 64 KiB, the entry closed the connection with a FIN, so that the caller got a 200 that looks whole.

Change: such a connection is closed with a reset. Other connections are closed as before: their length or chunks show the end, and a reset could drop earlier responses on them that are still on their way.

Test: TestBrokenResponseOfUnknownLengthEndsWithReset, at the upstream's host and behind a hop. Before: "got 200 with 196608 bytes, <nil>; want whole: false" at both.

Conclusion: callers of HTTP/1.0 see that a response is not complete.

--- a/router/sidecar/brokenresponse_test.go
+++ b/router/sidecar/brokenresponse_test.go
@@ -265,3 +265,33 @@
 		}
 	}
 }
+
+// Guards against callers of HTTP/1.0 that take a response which broke off for a complete
+// one: only the way in which the connection ends tells them apart.
+func TestBrokenResponseOfUnknownLengthEndsWithReset(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "keyed")
+	c.waitReady()
+	body := strings.Repeat("b", 3*maxBufferedResponse)
+	chunked := "Transfer-Encoding: chunked\r\n\r\n" + chunk(body)
+	c.hosts[0].upstream.serveBroken([]brokenResponse{
+		{text: head("1.1", chunked+"0\r\n\r\n", "")},
+		{text: head("1.1", chunked+"5\r\nab", "")},
+	})
+	for _, entry := range c.hosts {
+		for n, whole := range []bool{true, false} {
+			conn, err := net.Dial("tcp4", entry.settings.Listen.Caller)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := fmt.Fprintf(conn, "GET /pay/%d HTTP/1.0\r\nHost: test\r\nRequest-Id: r\r\nDeadline: 4000\r\n\r\n", n); err != nil {
+				t.Fatal(err)
+			}
+			got, err := readWhole(bufio.NewReader(conn), "GET")
+			_ = conn.Close()
+			if (err == nil) != whole || (whole && got.body != body) {
+				t.Errorf("%s: got %d with %d bytes, %v; want whole: %v", entry.settings.Host.Name, got.status, len(got.body), err, whole)
+			}
+		}
+	}
+}
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -99,7 +99,7 @@
 		e.writeError(w, req, route, c.Deadline, r.Err, event.F("host", r.Host), event.F("service", c.Service), event.F("config", table.Version()))
 		return
 	}
-	writeResponse(w, r)
+	writeResponse(w, req, r)
 }
 
 // beginPipelined starts to process a request whose connection still waits for earlier
--- a/router/sidecar/response.go
+++ b/router/sidecar/response.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -12,7 +13,7 @@
 
 // writeResponse passes a response of an upstream on. If the body breaks off, it closes
 // the caller's connection, so that the caller cannot take the response for complete.
-func writeResponse(w http.ResponseWriter, r *Result) {
+func writeResponse(w http.ResponseWriter, req *http.Request, r *Result) {
 	header := w.Header()
 	for name, values := range upstream.EndToEndHeader(r.Header) {
 		header[name] = values
@@ -32,10 +33,22 @@
 	}
 	n, err := io.Copy(w, r.Body)
 	if err != nil || (r.Length >= 0 && n < r.Length) {
-		panic(http.ErrAbortHandler)
+		abortResponse(req, r)
 	}
 }
 
+// abortResponse closes the caller's connection in the middle of a response. A response of
+// unknown length to a request of HTTP/1.0 ends with its connection, so that only a reset
+// shows that it is not complete.
+func abortResponse(req *http.Request, r *Result) {
+	if conn := connOf(req); conn != nil && r.Length < 0 && !req.ProtoAtLeast(1, 1) {
+		if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only if the connection is closed already
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // readBody reads a body of up to maxBufferedBody bytes completely, so that it can be sent
 // again; a longer one becomes a stream.
 func readBody(req *http.Request, c *Call) error {
