Tell copies of responses to key commands from the due ones

A response that a faulty server wrote once more on the kept connection was taken for the one to the next command. The copy of a grant's 200 said that a release was done while the work on the keys could go on, and another host was granted them; the copy of a 409 or 421 said that a grant was not carried out that was.

Change: h1 says whether a response is the first one on its connection, which cannot be a copy.

Ruled out: a new connection for each release, or the end of the connection after each: connections may be opened only within 0.3 s of a heartbeat, so that the next command could wait for 0.6 s.

Conclusion: a copied grant on a kept connection can still be taken for the response to the next grant; the upstream then refuses requests for the keys, and they are granted again.

--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -69,7 +69,10 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
-	Body   io.ReadCloser
+	// First is true if this is the first response on its connection, which therefore
+	// cannot be a copy of an earlier one.
+	First bool
+	Body  io.ReadCloser
 }
 
 // Do sends the request once and returns the head of its response. When ctx ends, the
@@ -172,11 +175,13 @@
 // with its connection, which is then not reused.
 func newResponse(cn *connpool.Conn, hr *http.Response, up *upload) *Response {
 	cn.PeerIdleTimeout = peerIdleTimeout(hr.Header.Get("Keep-Alive"))
+	history := historyOf(cn)
 	return &Response{
 		Status: hr.StatusCode,
 		Header: hr.Header,
 		Length: hr.ContentLength,
-		Body:   &body{conn: cn, src: hr.Body, upload: up, reusable: !hr.Close && !unframed(hr) && !historyOf(cn).closing},
+		First:  history.responses == 1,
+		Body:   &body{conn: cn, src: hr.Body, upload: up, reusable: !hr.Close && !unframed(hr) && !history.closing},
 	}
 }
 
--- a/router/h1/history.go
+++ b/router/h1/history.go
@@ -22,8 +22,8 @@
 // history is what a connection has carried. It decides to which request a response
 // belongs: a faulty server may send an earlier response once more.
 type history struct {
-	// received is true if a response has been received.
-	received bool
+	// responses counts the responses received.
+	responses int
 	// failed are the hashes of the ids of requests that got an error response. Such a
 	// request may be sent again under the same id, which then would not tell a copy of
 	// the first response from the second one.
@@ -57,8 +57,7 @@
 // earlier one. A response without an id can be attributed only if it is the first one on
 // its connection.
 func (h *history) attribute(r *Request, resp *http.Response) (belongs bool, err error) {
-	first := !h.received
-	h.received = true
+	h.responses++
 	if r.IDHeader == "" {
 		return true, nil
 	}
@@ -66,7 +65,7 @@
 		return false, errTwoIDs
 	}
 	switch id := resp.Header.Get(r.IDHeader); {
-	case id == "" && !first:
+	case id == "" && h.responses > 1:
 		return false, errUnidentified
 	case id != "" && id != r.ID:
 		h.closing = true
