Log pipelined requests that get no response, and callers that leave

Cause: the end of a connection left no trace, neither when requests that were read ahead were dropped with it nor when the request in progress was ended because its caller had left. Change: event 1850 names each pipelined request that is dropped and the side that closed the connection; event 1851 each request whose caller left.

--- a/router/sidecar/callers.go
+++ b/router/sidecar/callers.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"burdockglade.dev/router/event"
 )
 
 // callerConns tracks the connections of callers that have no request in progress. At the
@@ -29,6 +31,7 @@
 	// beginPipelined starts to process a request that was read before its turn. It
 	// returns nil if the request has to wait.
 	beginPipelined func(*http.Request) *pipelinedRequest
+	log            *event.Logger
 }
 
 // Accept implements net.Listener.
@@ -37,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, conns: l.conns, ahead: newReadAhead(conn, l.beginPipelined)}, nil
+	return &callerConn{Conn: conn, conns: l.conns, ahead: newReadAhead(conn, l.beginPipelined, l.log)}, nil
 }
 
 type callerConn struct {
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -122,7 +122,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
 	e.budgets.forService(c.Service).Request(start)
 	done := make(chan struct{})
-	pipelined := &pipelinedRequest{request: req, done: done, cancel: cancel}
+	pipelined := &pipelinedRequest{id: c.RequestID, request: req, done: done, cancel: cancel}
 	go func() {
 		defer close(done)
 		defer func() {
@@ -218,6 +218,7 @@
 func (e *entry) writeError(w http.ResponseWriter, req *http.Request, route *vhost.Route, deadline time.Time, err *errkind.Error, fields ...event.Field) {
 	id := req.Header.Get(e.headers.RequestID)
 	if err.Kind == errkind.CallerLeft {
+		e.log.Log(eventCallerLeft, event.F("request", id), event.F("left_ms", time.Until(deadline).Milliseconds()), event.F("detail", err.Detail))
 		panic(http.ErrAbortHandler) // the caller no longer reads the response
 	}
 	response := errkind.ResponseOf(err.Kind)
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -70,6 +70,10 @@
 		"The gate sent a request to the local upstream, or tried to, and got no response that may be passed on.", "The field arrived says whether the upstream got the request; search the upstream's own log for its id.")
 	eventPanic = event.Define(1843, log.ErrorLevel, "panic in the router",
 		"A panic ended one request; the others continue.", "Report it with the log.")
+	eventPipelinedDropped = event.Define(1850, log.InfoLevel, "pipelined request dropped",
+		"A connection of a caller ended before a request that it had sent without waiting for earlier responses got its response. The field reason names the side that closed the connection.", "none if the caller closed it; otherwise look for what ended the request before, with the same time.")
+	eventCallerLeft = event.Define(1851, log.InfoLevel, "caller left",
+		"A caller closed its connection before it got the response; its request is cancelled.", "none; if it repeats, compare the deadlines of the callers with the field left_ms.")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 )
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -11,6 +11,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"burdockglade.dev/router/event"
 )
 
 const (
@@ -28,6 +30,7 @@
 // pipelinedRequest is a request that was read while the server handles an earlier one of
 // the same connection. It is already being processed; its response waits for its turn.
 type pipelinedRequest struct {
+	id      string
 	request *http.Request
 	done    <-chan struct{}
 	// result is valid once done is closed.
@@ -59,6 +62,7 @@
 type readAhead struct {
 	conn         net.Conn
 	startRequest func(*http.Request) *pipelinedRequest
+	log          *event.Logger
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -84,11 +88,11 @@
 	timer         *time.Timer
 }
 
-func newReadAhead(conn net.Conn, startRequest func(*http.Request) *pipelinedRequest) *readAhead {
+func newReadAhead(conn net.Conn, startRequest func(*http.Request) *pipelinedRequest, log *event.Logger) *readAhead {
 	if startRequest == nil {
 		startRequest = func(*http.Request) *pipelinedRequest { return nil }
 	}
-	a := &readAhead{conn: conn, startRequest: startRequest}
+	a := &readAhead{conn: conn, startRequest: startRequest, log: log}
 	a.changed = sync.NewCond(&a.mu)
 	return a
 }
@@ -179,15 +183,16 @@
 		if a.cancelCurrent != nil {
 			a.cancelCurrent()
 		}
-		a.dropPipelined()
+		a.dropPipelined("the caller closed the connection: " + err.Error())
 	}
 	a.changed.Broadcast()
 }
 
 // dropPipelined cancels the pipelined requests that the server does not handle yet. The
 // caller holds a.mu.
-func (a *readAhead) dropPipelined() {
+func (a *readAhead) dropPipelined(reason string) {
 	for _, e := range a.pipelined {
+		a.log.Log(eventPipelinedDropped, event.F("request", e.id), event.F("reason", reason))
 		e.drop()
 	}
 	a.pipelined = nil
@@ -309,6 +314,6 @@
 	if a.err == nil {
 		a.err = net.ErrClosed
 	}
-	a.dropPipelined()
+	a.dropPipelined("the router closed the connection")
 	a.changed.Broadcast()
 }
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -264,7 +264,7 @@
 			return nil, fmt.Errorf("listening for %s: %w", e.name, err)
 		}
 		if e.server == callers {
-			listener = callerListener{Listener: listener, conns: s.callers, beginPipelined: s.beginPipelined}
+			listener = callerListener{Listener: listener, conns: s.callers, beginPipelined: s.beginPipelined, log: s.log}
 		}
 		servers = append(servers, e.server)
 		s.listeners = append(s.listeners, listener)
