Read short responses of other hosts completely before passing them on

Cause: the entry wrote the head of a response to its caller as soon as it had the head from the other host. If the body broke off, as at the deadline, whose end closes the connection between the hosts, it could only close the caller's connection. A pipelined request behind it, which had been sent on already, got no response. Change: a response of another host of known length up to 64 KB is read completely first, as the gate reads that of its own upstream. One that breaks off becomes an error (answer_incomplete, 502, or 504 at the deadline) and leaves the connection open. Conclusion: the path is shown by the test.

--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -105,6 +105,9 @@
 	t     *testing.T
 	store *rowstore.Memory
 	hosts []*testHost
+	// wrapHop replaces the listeners for other routers of hosts that are added later; nil
+	// leaves them.
+	wrapHop func(net.Listener) net.Listener
 }
 
 // ports are listeners by address. They are opened when the address is chosen, so that no
@@ -198,6 +201,9 @@
 	settings.Host = HostSettings{Name: name, Zone: "z1", Region: "r1", Service: service}
 	settings.Listen = ListenSettings{Caller: p.address(c.t), Hop: p.address(c.t), Ready: p.address(c.t), Control: p.address(c.t), Metrics: p.address(c.t)}
 	settings.Listen.HopAdvertised = settings.Listen.Hop
+	if c.wrapHop != nil {
+		p[settings.Listen.Hop] = c.wrapHop(p[settings.Listen.Hop])
+	}
 	settings.Upstream = UpstreamSettings{Address: u.address(), HeartbeatMs: 100}
 	settings.Terms.GraceMs = 3000
 	notFound := func(*Sidecar) http.Handler { return http.NotFoundHandler() }
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -142,6 +143,22 @@
 	if resp.Signature != "" {
 		r.Header.Set(names.Signature, resp.Signature)
 	}
+	if r.Length >= 0 && r.Length <= maxBufferedResponse {
+		return bufferBody(r)
+	}
+	return r
+}
+
+// bufferBody reads the body of a response completely. If it breaks off, the caller gets an
+// error in place of a part of the response, and its connection stays open.
+func bufferBody(r *Result) *Result {
+	body, err := io.ReadAll(r.Body)
+	_ = r.Body.Close()
+	if err != nil {
+		return &Result{Arrived: true, Load: r.Load, HasLoad: r.HasLoad, Config: r.Config,
+			Err: errkind.New(errkind.AnswerIncomplete, "the response of the other host was cut: %w", err)}
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	return r
 }
 
--- a/router/sidecar/readahead_test.go
+++ b/router/sidecar/readahead_test.go
@@ -42,6 +42,26 @@
 
 // expect reads the next response, which must be the one to the request.
 func (p *pipeline) expect(status int, id, path string) {
+	p.t.Helper()
+	resp := p.next()
+	if resp.status != status || resp.header.Get("Request-Id") != id || (status == 200 && !strings.Contains(resp.body, path)) {
+		p.t.Fatalf("response %d to %q: %q, want %d to %q for %s", resp.status, resp.header.Get("Request-Id"), resp.body, status, id, path)
+	}
+}
+
+// expectUnknownOutcome reads the next response, which must be one to the request that
+// says nothing about its outcome.
+func (p *pipeline) expectUnknownOutcome(id string) {
+	p.t.Helper()
+	resp := p.next()
+	unknown := resp.status == http.StatusBadGateway || resp.status == http.StatusGatewayTimeout
+	if !unknown || resp.header.Get("Request-Id") != id {
+		p.t.Fatalf("response %d to %q: %q, want 502 or 504 to %q", resp.status, resp.header.Get("Request-Id"), resp.body, id)
+	}
+}
+
+// next reads the next response.
+func (p *pipeline) next() response {
 	p.t.Helper()
 	resp, err := http.ReadResponse(p.responses, nil)
 	if err != nil {
@@ -52,9 +72,28 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	if resp.StatusCode != status || resp.Header.Get("Request-Id") != id || (status == 200 && !strings.Contains(string(body), path)) {
-		p.t.Fatalf("response %d to %q: %q, want %d to %q for %s", resp.StatusCode, resp.Header.Get("Request-Id"), body, status, id, path)
-	}
+	return response{status: resp.StatusCode, header: resp.Header, body: string(body)}
+}
+
+// holdRequest makes the upstream hold the request with the id until the returned function
+// is called. Other requests are served.
+func holdRequest(h *testHost, id string) (arrived <-chan string, release func()) {
+	reached, released := make(chan string, 1), make(chan struct{})
+	h.upstream.setHandler(func(_ http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get(testHeaders.RequestID) == id {
+			reached <- id
+			select {
+			case <-released:
+			case <-r.Context().Done():
+			}
+		}
+		return false
+	})
+	return reached, func() { close(released) }
+}
+
+func postRequest(path, id, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: test\r\nRequest-Id: %s\r\nDeadline: 4000\r\nContent-Length: %d\r\n\r\n%s", path, id, len(body), body)
 }
 
 // holdUntilArrived makes the upstream respond only once n requests have arrived. The
@@ -196,3 +235,66 @@
 		}
 	}
 }
+
+// cuttingListener accepts connections on which the end of a long message is never sent.
+type cuttingListener struct{ net.Listener }
+
+func (l cuttingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return cuttingConn{conn}, nil
+}
+
+type cuttingConn struct{ net.Conn }
+
+// cutFrom is the length from which a message counts as long.
+const cutFrom = 10 << 10
+
+func (c cuttingConn) Write(p []byte) (int, error) {
+	if len(p) < cutFrom {
+		return c.Conn.Write(p)
+	}
+	_, err := c.Conn.Write(p[:len(p)-1])
+	return len(p), err
+}
+
+// Guards against a pipelined request that gets no response because the one before it on
+// its connection reached its deadline while the body of its response was on its way.
+func TestPipelinedRequestSurvivesCutResponseBeforeIt(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "keyed")
+	c.wrapHop = func(l net.Listener) net.Listener { return cuttingListener{l} }
+	c.add("h1", "plain")
+	c.waitReady()
+	c.hosts[1].upstream.setHandler(func(w http.ResponseWriter, r *http.Request) bool {
+		w.Header().Set(testHeaders.Signature, "s")
+		if r.Header.Get(testHeaders.RequestID) == "a" {
+			_, _ = io.WriteString(w, strings.Repeat("x", cutFrom))
+			return true
+		}
+		return false
+	})
+	p := newPipeline(t, c.hosts[0])
+	p.send(strings.Replace(getRequest("/look/1", "a"), "Deadline: 4000", "Deadline: 500", 1) + getRequest("/look/2", "b"))
+	p.expectUnknownOutcome("a")
+	p.expect(200, "b", "/look/2")
+}
+
+// Guards against a pipelined request that gets no response because the one before it on
+// its connection got none before its deadline.
+func TestPipelinedRequestSurvivesTimeoutBeforeIt(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "keyed")
+	c.waitReady()
+	for _, second := range []string{getRequest("/look/2", "b"), postRequest("/look/2", "b", "1")} {
+		arrived, release := holdRequest(c.hosts[0], "a")
+		p := newPipeline(t, c.hosts[1])
+		p.send(strings.Replace(getRequest("/look/1", "a"), "Deadline: 4000", "Deadline: 300", 1) + second)
+		<-arrived
+		p.expectUnknownOutcome("a")
+		p.expect(200, "b", "/look/2")
+		release()
+	}
+}
