Answer requests that were read ahead when a stop closes their connection

Cause: two faults of pipelined requests in a stop. A request that had been sent on before its turn was refused ("not run") when its turn came more than 2.2 s into the stop, although it had run. And a response during a stop closed the connection unless a later request was being processed: one that had been read and waited for its turn, as those do that may run only once, got no response. Besides, a stopped read-ahead gave the server an error while it handled a request that was read just before; net/http cancels the request then. Change: the entry refuses late requests only after it has looked for their result. It decides at the time of the response whether the connection closes: only if nothing behind the request was read, and nothing more is read then. Requests that are handled when the reading stops are not cancelled. Ruled out: requests whose head comes in several reads or whose body is chunked; what is read behind them is not parsed, so that a request behind them in the same read can still be dropped. Open, and narrow: it must be sent before the response to the one before it, while the router stops.

--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -67,10 +67,11 @@
 	budget := BudgetLimits{Ratio: terms.RetryRatio, Slack: terms.RetrySlack, Window: millis(terms.RetryWindowMs)}
 	s.entry = &entry{
 		host: host.Name, headers: s.opts.Headers, config: s.config, exchange: s.exchange, fleet: s.fleet, keys: s.index, gate: s.gate,
-		service: func() string { return host.Service },
-		budgets: newBudgets(budget, s.fleet.HostCount),
-		log:     s.log,
-		metrics: newEntryMetrics(scope),
+		service:     func() string { return host.Service },
+		budgets:     newBudgets(budget, s.fleet.HostCount),
+		log:         s.log,
+		metrics:     newEntryMetrics(scope),
+		stoppingFor: s.stoppingFor,
 	}
 }
 
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -42,6 +42,8 @@
 	maxTimes maxRequestTimes
 	log      *event.Logger
 	metrics  *entryMetrics
+	// stoppingFor returns the time since this router began to stop, or 0.
+	stoppingFor func() time.Duration
 }
 
 // ServeHTTP serves one request of a caller.
@@ -58,6 +60,10 @@
 			return
 		}
 	}
+	if err := e.checkStopping(); err != nil {
+		e.writeError(w, req, nil, start.Add(maxRetryAfter), err)
+		return
+	}
 	table := e.config.table.Load()
 	if table == nil {
 		e.writeError(w, req, nil, start.Add(maxRetryAfter), errkind.New(errkind.NotReady, "no configuration yet"))
@@ -91,6 +97,25 @@
 	e.respond(w, req, table, route, c, r, start)
 }
 
+// checkStopping returns an error if the router stops and takes no further requests.
+func (e *entry) checkStopping() *errkind.Error {
+	if e.stoppingFor() > drainNoticeTime {
+		return errkind.New(errkind.Draining, "the router of this host is stopping")
+	}
+	return nil
+}
+
+// closeIfStopping lets the connection of a request end after its response if the router
+// stops, unless further requests were read from it.
+func (e *entry) closeIfStopping(w http.ResponseWriter, req *http.Request) {
+	if e.stoppingFor() == 0 {
+		return
+	}
+	if conn := connOf(req); conn == nil || conn.ahead.stopBehindCurrent() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // respond passes the result of a request on to the caller.
 func (e *entry) respond(w http.ResponseWriter, req *http.Request, table *vhost.Table, route *vhost.Route, c *Call, r *Result, start time.Time) {
 	defer r.close()
@@ -99,6 +124,7 @@
 		e.writeError(w, req, route, c.Deadline, r.Err, event.F("host", r.Host), event.F("service", c.Service), event.F("config", table.Version()))
 		return
 	}
+	e.closeIfStopping(w, req)
 	writeResponse(w, r)
 }
 
@@ -243,6 +269,7 @@
 	if id != "" {
 		w.Header().Set(e.headers.RequestID, id)
 	}
+	e.closeIfStopping(w, req)
 	w.Header()["Date"] = nil
 	w.Header().Set("Content-Type", errkind.ProblemType)
 	w.WriteHeader(status)
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -75,6 +75,9 @@
 	// inRequest is true if the server has read the head of a request and not yet
 	// responded to it.
 	inRequest bool
+	// queued is the number of requests whose heads were read and that the server does not
+	// handle yet.
+	queued int
 	// framingLost is true once the boundaries of requests are no longer known.
 	framingLost bool
 	// stopped is true once the connection must not be read any more.
@@ -133,6 +136,7 @@
 		return nil
 	}
 	a.inRequest, a.bodyLeft = true, req.ContentLength
+	a.queued++
 	return a.skipBody(data[end:])
 }
 
@@ -151,7 +155,7 @@
 func (a *readAhead) run() {
 	chunk := make([]byte, readAheadChunk)
 	for {
-		n, err := a.conn.Read(chunk)
+		n, err := a.readChunk(chunk)
 		a.mu.Lock()
 		if os.IsTimeout(err) && !a.stopped {
 			// The server set this deadline for its own reads.
@@ -175,6 +179,17 @@
 	}
 }
 
+// readChunk reads the connection unless the reading was stopped.
+func (a *readAhead) readChunk(chunk []byte) (int, error) {
+	a.mu.Lock()
+	stopped := a.stopped
+	a.mu.Unlock()
+	if stopped {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return a.conn.Read(chunk)
+}
+
 // end records that nothing more arrives. If the caller has left, its requests are
 // cancelled.
 func (a *readAhead) end(err error) {
@@ -207,6 +222,23 @@
 	_ = a.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// stopBehindCurrent ends the reading behind the request that the server handles, so that
+// the connection can be closed after its response. It returns false if more has been read
+// already.
+func (a *readAhead) stopBehindCurrent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.running && (a.queued > 0 || a.bodyLeft > 0 || len(a.pending) > 0) {
+		return false
+	}
+	a.stopped = true
+	if a.running {
+		// An error means that the connection is already closed.
+		_ = a.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return true
+}
+
 // parse starts to process complete requests without a body that the server will handle
 // later. The caller holds a.mu.
 func (a *readAhead) parse() {
@@ -225,6 +257,7 @@
 			return
 		}
 		a.bodyLeft = req.ContentLength
+		a.queued++
 		if a.bodyLeft > 0 || len(a.pipelined) >= readAheadRequests {
 			continue
 		}
@@ -245,7 +278,7 @@
 	}
 	for len(a.pending) == 0 {
 		switch {
-		case a.err != nil:
+		case a.err != nil && !a.waitsForStop():
 			return 0, a.err, true
 		case !a.deadline.IsZero() && !time.Now().Before(a.deadline):
 			return 0, os.ErrDeadlineExceeded, true
@@ -258,6 +291,13 @@
 	return n, nil, true
 }
 
+// waitsForStop reports whether nothing more is read because of a stop, while requests that
+// were read before are handled. The server must not get an error then: it would cancel
+// them. The caller holds a.mu.
+func (a *readAhead) waitsForStop() bool {
+	return a.stopped && os.IsTimeout(a.err) && (a.inRequest || a.queued > 0)
+}
+
 // setDeadline sets the deadline of the server's reads. It returns false while the server
 // must set it on the connection itself.
 func (a *readAhead) setDeadline(t time.Time) bool {
@@ -280,7 +320,8 @@
 func (a *readAhead) begin(req *http.Request, cancelCurrent context.CancelFunc) *pipelinedRequest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.cancelCurrent = cancelCurrent
+	a.cancelCurrent, a.inRequest = cancelCurrent, true
+	a.queued = max(a.queued-1, 0)
 	if a.err != nil && !os.IsTimeout(a.err) && len(a.pending) == 0 {
 		cancelCurrent()
 	}
@@ -299,19 +340,11 @@
 	a.cancelCurrent, a.inRequest = nil, false
 }
 
-// hasPipelined reports whether later requests are being processed. The connection must
-// not be closed before they have got their responses.
-func (a *readAhead) hasPipelined() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.pipelined) > 0
-}
-
 // close cancels the requests that are being processed and ends the reading.
 func (a *readAhead) close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.err == nil {
+	if a.err == nil || os.IsTimeout(a.err) {
 		a.err = net.ErrClosed
 	}
 	a.dropPipelined("the router closed the connection")
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"burdockglade.dev/router/boottime"
-	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/hop"
@@ -289,7 +288,7 @@
 const maxHeaderBytes = 64 << 10
 
 // beginPipelined starts to process a request that was read before its turn. While the
-// router stops it returns nil, because the request may then be left unread.
+// router stops it returns nil: the request then waits for its turn.
 func (s *Sidecar) beginPipelined(req *http.Request) *pipelinedRequest {
 	if s.stopping.Load() {
 		return nil
@@ -297,20 +296,11 @@
 	return s.entry.beginPipelined(req)
 }
 
-// countInFlight counts the requests of callers in progress. While the router stops, it
-// asks callers to close their connections.
+// countInFlight counts the requests of callers in progress.
 func (s *Sidecar) countInFlight(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
-		conn := connOf(req)
-		if s.stopping.Load() && (conn == nil || !conn.ahead.hasPipelined()) {
-			w.Header().Set("Connection", "close")
-		}
-		if s.stoppingFor() > drainNoticeTime {
-			s.entry.writeError(w, req, nil, time.Now().Add(maxRetryAfter), errkind.New(errkind.Draining, "the router of this host is stopping"))
-			return
-		}
 		next.ServeHTTP(w, req)
 	})
 }
