Refuse requests whose body ends late in a stop

Cause: a request was taken by the moment at which its head had been read. Change: the entry checks the time once more when it has read the body. The refusal (503 with Retry-After) is true, because nothing was sent on. Ruled out: bodies above 64 KB are passed on while they arrive, so that only their first 64 KB count here.

--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -90,6 +90,10 @@
 		e.writeError(w, req, route, start, err)
 		return
 	}
+	if err := e.checkStopping(); err != nil { // the body may have ended late
+		e.writeError(w, req, route, c.Deadline, err)
+		return
+	}
 	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline)
 	defer cancel()
 	e.budgets.forService(c.Service).Request(start)
--- a/router/sidecar/stop_test.go
+++ b/router/sidecar/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 )
 
@@ -56,3 +57,23 @@
 		t.Errorf("after the last response: %v, want the end of the connection", err)
 	}
 }
+
+// Guards against a request whose body ends late in a stop and that is passed on although
+// it may not end within the grace period.
+func TestStopRefusesRequestWithLateBody(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "keyed")
+	c.waitReady()
+	p := newPipeline(t, c.hosts[1])
+	body := strings.Repeat("p", 100)
+	whole := postRequest("/pay/1", "a", body)
+	p.send(whole[:len(whole)-50])
+	c.eventually("the request is being read", func() bool { return c.hosts[1].inFlight.Load() == 1 })
+	c.stopWithGrace(c.hosts[1], 6000)
+	c.waitDrainNotice(c.hosts[1])
+	p.send(whole[len(whole)-50:])
+	p.expect(503, "a", "")
+	if n := c.hosts[0].upstream.runCount("a"); n != 0 {
+		t.Errorf("the refused request ran %d times", n)
+	}
+}
