Hold back the end of reading only while a request is handled

Cause: made the reads of a stopped connection wait while a request is handled, and took "handled" from the entry. Where the entry does not see a request, they waited for ever. Change: the connection's state as net/http reports it decides, and a body that is not complete is no longer waited for. Measured: on a tree with, TestIdleConnectionsAreNotReadAfterStop, whose handler is not the entry, hung once in 3 runs with the other tests of stops (-race; 10 minutes, ended by SIGQUIT; the stack shows readAhead.read). With this change it passed 300 times with -race in a row, and the tests of stops and pipelining passed 4 times.

--- a/router/sidecar/callers.go
+++ b/router/sidecar/callers.go
@@ -102,9 +102,13 @@
 
 // stateChanged records the state of a connection. It is the ConnState hook of the server.
 func (c *callerConns) stateChanged(conn net.Conn, state http.ConnState) {
+	idle := state == http.StateNew || state == http.StateIdle
+	if own, ok := conn.(*callerConn); ok {
+		own.ahead.setIdle(idle)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == http.StateNew || state == http.StateIdle {
+	if idle {
 		c.idle[conn] = true
 		return
 	}
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -75,6 +75,8 @@
 	// inRequest is true if the server has read the head of a request and not yet
 	// responded to it.
 	inRequest bool
+	// idle is true while the server handles no request.
+	idle bool
 	// queued is the number of requests whose heads were read and that the server does not
 	// handle yet.
 	queued int
@@ -291,11 +293,19 @@
 	return n, nil, true
 }
 
-// waitsForStop reports whether nothing more is read because of a stop, while requests that
-// were read before are handled. The server must not get an error then: it would cancel
-// them. The caller holds a.mu.
+// waitsForStop reports whether nothing more is read because of a stop while the server
+// handles a request that was read completely. The server must not get an error then: it
+// would cancel that request. The caller holds a.mu.
 func (a *readAhead) waitsForStop() bool {
-	return a.stopped && os.IsTimeout(a.err) && (a.inRequest || a.queued > 0)
+	return a.stopped && os.IsTimeout(a.err) && !a.idle && a.bodyLeft == 0
+}
+
+// setIdle records whether the server handles no request of the connection.
+func (a *readAhead) setIdle(idle bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.idle = idle
+	a.changed.Broadcast()
 }
 
 // setDeadline sets the deadline of the server's reads. It returns false while the server
@@ -320,7 +330,7 @@
 func (a *readAhead) begin(req *http.Request, cancelCurrent context.CancelFunc) *pipelinedRequest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.cancelCurrent, a.inRequest = cancelCurrent, true
+	a.cancelCurrent = cancelCurrent
 	a.queued = max(a.queued-1, 0)
 	if a.err != nil && !os.IsTimeout(a.err) && len(a.pending) == 0 {
 		cancelCurrent()
