Answer the requests that a stop breaks off

Cause: what was still in progress at the end of the grace period was closed without a response. The caller could not tell a request that was never sent on from one that was running, and learnt of neither before the end of its connection. Change: 0.4 s before the process is killed the requests in progress are cancelled, with a cause of its own. One that was sent on ends with 502 (its outcome is unknown), one that was still waiting for a host, a key or a slot with 503 and Retry-After (it has not run). They have 150 ms to be written; then the connections close as before. Ruled out: the responses to other routers still break off; their entries answer 502 or try another host. A response of more than 64 KB on its way to the caller breaks off as well, because nothing else may follow its first part.

--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -177,7 +177,12 @@
 	if last.Err == nil {
 		return last
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case errors.Is(context.Cause(ctx), errGraceOver) && mayHaveRun:
+		return errorResult(errkind.OutcomeUnknown, "the router of this host ends; the request was still running")
+	case errors.Is(context.Cause(ctx), errGraceOver):
+		return errorResult(errkind.Draining, "the router of this host ends; the request was still waiting")
+	case errors.Is(ctx.Err(), context.Canceled):
 		return errorResult(errkind.CallerLeft, "the caller left")
 	}
 	if mayHaveRun && last.notRun() {
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -149,12 +149,14 @@
 	if err != nil {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
+	parent, cancel := context.WithCancelCause(context.Background())
+	ctx, stopTimer := context.WithDeadline(parent, c.Deadline)
 	e.budgets.forService(c.Service).Request(start)
 	done := make(chan struct{})
 	pipelined := &pipelinedRequest{id: c.RequestID, request: req, done: done, cancel: cancel}
 	go func() {
 		defer close(done)
+		defer stopTimer()
 		defer func() {
 			if v := recover(); v != nil {
 				logPanic(e.log, c.RequestID, v)
@@ -172,8 +174,9 @@
 // servePipelined waits for the result of a pipelined request and passes it on. Processing
 // ends at its deadline at the latest, or when the caller leaves.
 func (e *entry) servePipelined(w http.ResponseWriter, req *http.Request, pipelined *pipelinedRequest) {
-	defer pipelined.cancel()
-	stop := context.AfterFunc(req.Context(), pipelined.cancel)
+	ctx := req.Context()
+	defer pipelined.cancel(context.Canceled)
+	stop := context.AfterFunc(ctx, func() { pipelined.cancel(context.Cause(ctx)) })
 	defer stop()
 	<-pipelined.done
 	pipelined.respond(w, req)
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -35,14 +35,14 @@
 	done    <-chan struct{}
 	// result is valid once done is closed.
 	result *Result
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// respond writes the response once the server handles the request.
 	respond func(http.ResponseWriter, *http.Request)
 }
 
 // drop cancels a request whose response will not be sent.
 func (p *pipelinedRequest) drop() {
-	p.cancel()
+	p.cancel(context.Canceled)
 	go func() {
 		<-p.done
 		p.result.close()
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -73,6 +73,8 @@
 	stopping       atomic.Bool
 	stopStartedAt  atomic.Int64 // boottime.Time at which the stop began
 	inFlight       atomic.Int64
+	// cancelRequests cancels all requests of callers.
+	cancelRequests context.CancelCauseFunc
 }
 
 // New returns a sidecar. Run starts it.
@@ -248,6 +250,9 @@
 	callers := httpServer(s.countInFlight(s.entry))
 	callers.ConnState = s.callers.stateChanged
 	callers.ConnContext = withConn
+	requests, cancel := context.WithCancelCause(context.Background())
+	callers.BaseContext = func(net.Listener) context.Context { return requests }
+	s.cancelRequests = cancel
 	for _, e := range []struct {
 		name, address string
 		server        server
--- a/router/sidecar/stop.go
+++ b/router/sidecar/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"burdockglade.dev/router/boottime"
@@ -22,11 +23,18 @@
 	// lastRequestTime is the time within which a request that was read last reaches its
 	// handler, even on a host with little CPU time.
 	lastRequestTime = 300 * time.Millisecond
+	// lastResponseTime is the time in which the requests that are broken off at the end get
+	// their responses.
+	lastResponseTime = 150 * time.Millisecond
 	// killMargin is the time that is left before the platform kills the process.
 	killMargin       = 400 * time.Millisecond
 	stopPollInterval = 50 * time.Millisecond
 )
 
+// errGraceOver is the cause with which the requests of callers are cancelled that are still
+// in progress at the end of a stop.
+var errGraceOver = errors.New("the grace period is over")
+
 // stop finishes the requests in progress within the grace period. The listeners stay open
 // until callers and other routers have stopped sending.
 func (s *Sidecar) stop(servers []server) {
@@ -57,7 +65,7 @@
 }
 
 // closeEntry ends the reading of callers' requests and waits for the responses to those
-// that were read.
+// that were read. At the end it cancels the others, whose callers then get an error.
 func (s *Sidecar) closeEntry(end boottime.Time) {
 	for _, l := range s.listeners {
 		_ = l.Close() // an error means that it is already closed
@@ -67,6 +75,11 @@
 	for boottime.Now() < handlersStarted || (s.inFlight.Load() > 0 && boottime.Now() < end) {
 		time.Sleep(stopPollInterval)
 	}
+	s.cancelRequests(errGraceOver)
+	responded := boottime.Now().Add(lastResponseTime)
+	for boottime.Now() < responded && s.inFlight.Load() > 0 {
+		time.Sleep(stopPollInterval)
+	}
 }
 
 // drained reports whether callers have stopped sending, all requests of callers and other
--- a/router/sidecar/stop_test.go
+++ b/router/sidecar/stop_test.go
@@ -77,3 +77,23 @@
 		t.Errorf("the refused request ran %d times", n)
 	}
 }
+
+// Guards against a request that is still running at the end of the grace period and whose
+// connection is closed without a response.
+func TestRequestCutAtTheEndOfTheGraceGetsAResponse(t *testing.T) {
+	t.Parallel()
+	for _, request := range []string{postRequest("/pay/1", "a", "1"), getRequest("/look/0", "z") + getRequest("/look/1", "a")} {
+		c := newCluster(t, "plain", "keyed")
+		c.waitReady()
+		arrived, release := holdRequest(c.hosts[0], "a")
+		defer release()
+		p := newPipeline(t, c.hosts[1])
+		p.send(request)
+		<-arrived
+		if strings.HasPrefix(request, "GET") {
+			p.expect(200, "z", "/look/0")
+		}
+		c.stopWithGrace(c.hosts[1], 3000)
+		p.expectUnknownOutcome("a")
+	}
+}
