Refuse requests in a stop that are known not to end before it

Cause: a stopping router sent on what it had taken within the notice time, also if the usual time of such requests reached beyond its end. They ran and were cut. That holds for the requests of its own callers, for those of other routers at its upstream, and for further attempts after a wait for a key or a refusal elsewhere. Change: the gate refuses a call whose mean service time is longer than what is left of the stop, unless its deadline comes sooner; the entry does so before each attempt, by the latency that it knows of the host. The refusals are true: nothing was sent. Another router then offers the call to another host. Ruled out: routes or hosts without a known time are sent on as before. Measured: with the two conditions disabled, TestStopRefusesRequestWithLateResponse got 200 in place of 503 and TestGateRefusesRequestsThatOutlastTheStop no error in place of draining; both passed 2 times with -race with the others of stops.

--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -175,6 +175,14 @@
 	}
 }
 
+// ExpectedLatency returns the latency to expect of a request with the latency objective,
+// or 0 if none is known.
+func (h *Host) ExpectedLatency(objective time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Duration(h.slowness * float64(objective))
+}
+
 // RequestCancelled records that a request ended without a result because its
 // caller disconnected.
 func (h *Host) RequestCancelled() {
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -23,6 +23,9 @@
 	var last *Result
 	for range maxHosts {
 		h, r := e.chooseHost(ctx, c, tried, last)
+		if r == nil {
+			r = e.checkTimeLeft(h, c)
+		}
 		if r != nil {
 			if last == nil {
 				last = r
@@ -46,6 +49,16 @@
 	return e.finalResult(ctx, c, last, mayHaveRun)
 }
 
+// checkTimeLeft returns an error result if the router stops and the response of the host is
+// expected after its end.
+func (e *entry) checkTimeLeft(h *fleet.Host, c *Call) *Result {
+	expected := min(h.ExpectedLatency(c.Objective), time.Until(c.Deadline))
+	if expected <= e.graceLeft() {
+		return nil
+	}
+	return errorResult(errkind.Draining, "the response of host %s would come after the end of this router", h.Member().Host)
+}
+
 // chooseHost returns the host for the next attempt, or an error result.
 func (e *entry) chooseHost(ctx context.Context, c *Call, tried []*fleet.Host, last *Result) (*fleet.Host, *Result) {
 	if c.Keyed {
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -63,6 +63,7 @@
 		client:      newUpstreamClient(s.settings.Upstream.Address),
 		drainLimit:  millis(terms.DrainMs) / 2,
 		stoppingFor: s.stoppingFor,
+		graceLeft:   s.graceLeft,
 	}
 	budget := BudgetLimits{Ratio: terms.RetryRatio, Slack: terms.RetrySlack, Window: millis(terms.RetryWindowMs)}
 	s.entry = &entry{
@@ -72,6 +73,7 @@
 		log:         s.log,
 		metrics:     newEntryMetrics(scope),
 		stoppingFor: s.stoppingFor,
+		graceLeft:   s.graceLeft,
 	}
 }
 
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -73,6 +73,11 @@
 	Goal      time.Time
 }
 
+// workClass returns the class of the call by which the limiter admits it.
+func (c *Call) workClass() admit.WorkClass {
+	return admit.WorkClass{Priority: c.Priority, Repeatable: c.Repeatable}
+}
+
 // Result is the result of a call: a response of the upstream, or an error.
 type Result struct {
 	// Err is nil if the upstream responded. Its kind says whether the request may have
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -44,6 +44,8 @@
 	metrics  *entryMetrics
 	// stoppingFor returns the time since this router began to stop, or 0.
 	stoppingFor func() time.Duration
+	// graceLeft returns the time until this router ends.
+	graceLeft func() time.Duration
 }
 
 // ServeHTTP serves one request of a caller.
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -51,6 +51,8 @@
 	drainLimit time.Duration
 	// stoppingFor returns the time since this router began to stop, or 0.
 	stoppingFor func() time.Duration
+	// graceLeft returns the time until this router ends.
+	graceLeft func() time.Duration
 }
 
 // newUpstreamClient returns the client for the upstream. It needs no bound on
@@ -69,7 +71,7 @@
 	if err := g.check(time.Now(), c); err != nil {
 		return g.withLoad(&Result{Err: err, Unreachable: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
 	}
-	work := admit.WorkClass{Priority: c.Priority, Repeatable: c.Repeatable}
+	work := c.workClass()
 	if c.Keyed {
 		g.keys.countRequest(c.Key, g.limiter.MeanServiceTime(work))
 	}
@@ -138,6 +140,8 @@
 		return errkind.New(errkind.Draining, "the upstream of %s is leaving", g.host)
 	case g.stoppingFor() > unkeyedNoticeTime && !c.Keyed, g.stoppingFor() > drainNoticeTime:
 		return errkind.New(errkind.Draining, "the router of %s is stopping", g.host)
+	case min(g.limiter.MeanServiceTime(c.workClass()), c.Deadline.Sub(now)) > g.graceLeft():
+		return errkind.New(errkind.Draining, "the request would not end before the router of %s", g.host)
 	case c.Keyed && !g.keys.holds(c.Key):
 		return errkind.New(errkind.NoOwner, "the upstream of %s does not hold key %d", g.host, c.Key)
 	}
--- a/router/sidecar/stop.go
+++ b/router/sidecar/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"burdockglade.dev/router/boottime"
@@ -98,6 +99,15 @@
 	return boottime.Now().Sub(boottime.Time(s.stopStartedAt.Load()))
 }
 
+// graceLeft returns the time until the requests in progress are cancelled, which is
+// unlimited while the router does not stop.
+func (s *Sidecar) graceLeft() time.Duration {
+	if !s.stopping.Load() {
+		return math.MaxInt64
+	}
+	return millis(s.settings.Terms.GraceMs) - killMargin - s.stoppingFor()
+}
+
 func (s *Sidecar) removeOwnRow() {
 	if err := s.publisher.remove(context.Background(), s.settings.Host.Name); err != nil {
 		s.log.Log(eventPublishFailed, event.F("error", err.Error()))
--- a/router/sidecar/stop_test.go
+++ b/router/sidecar/stop_test.go
@@ -4,6 +4,12 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdockglade.dev/router/admit"
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/fleet"
 )
 
 // stopWithGrace begins the stop of a host with the grace period.
@@ -97,3 +103,57 @@
 		p.expectUnknownOutcome("a")
 	}
 }
+
+// Guards against requests that a stopping router sends to another host although their
+// responses are known to come after its end.
+func TestStopRefusesRequestWithLateResponse(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "keyed")
+	c.waitReady()
+	plain := c.hosts[1].fleet.Host("h0")
+	for range 100 {
+		plain.RequestStarted()
+		plain.RequestDone(time.Now(), fleet.Result{Reached: true, Latency: 10 * time.Second, Objective: time.Second})
+	}
+	c.stopWithGrace(c.hosts[1], 3000)
+	got := c.hosts[1].request(t, "POST", "/pay/1", "late", "1")
+	if got.status != 503 || got.header.Get("Retry-After") == "" || c.hosts[0].upstream.runCount("late") != 0 {
+		t.Errorf("got %d, Retry-After %q; want 503 with a delay", got.status, got.header.Get("Retry-After"))
+	}
+	// This one ends in time: its deadline is before the end of the stop.
+	if got := c.hosts[1].request(t, "POST", "/pay/1", "short", "1", testHeaders.DeadlineMs, "1000"); got.status != 200 {
+		t.Errorf("got %d, want 200", got.status)
+	}
+}
+
+// Guards against requests that a stopping router sends to its upstream although they are
+// known not to end before it does.
+func TestGateRefusesRequestsThatOutlastTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &gate{host: "h0", local: &localUpstream{host: "h0"}, limiter: admit.NewPriorityLimiter(nil), drainLimit: time.Hour,
+			stoppingFor: func() time.Duration { return unkeyedNoticeTime / 2 }}
+		g.local.recordHeartbeat(time.Now(), Heartbeat{Instance: "i", Started: 1, Sequence: 1, Service: "plain", Slots: 1})
+		g.limiter.SetSlots(1)
+		call := &Call{Service: "plain", Deadline: time.Now().Add(time.Hour)}
+		release, err := g.limiter.Acquire(t.Context(), call.workClass(), admit.WaitBounds{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(4 * time.Second)
+		release(admit.Completed)
+		for _, c := range []struct {
+			graceLeft, deadline time.Duration
+			refused             bool
+		}{
+			{3 * time.Second, time.Hour, true},
+			{3 * time.Second, 2 * time.Second, false},
+			{5 * time.Second, time.Hour, false},
+		} {
+			g.graceLeft = func() time.Duration { return c.graceLeft }
+			call.Deadline = time.Now().Add(c.deadline)
+			if err := g.check(time.Now(), call); (err != nil) != c.refused || (err != nil && err.Kind != errkind.Draining) {
+				t.Errorf("%v left, deadline in %v: %v, want refused %v", c.graceLeft, c.deadline, err, c.refused)
+			}
+		}
+	})
+}
