--- a/router/sidecar/readahead_test.go
+++ b/router/sidecar/readahead_test.go
@@ -282,6 +282,35 @@
 	p.expect(200, "b", "/look/2")
 }
 
+// Guards against a response that breaks off, with its connection and the requests behind
+// it, because its deadline passes while it waits for its turn.
+func TestPipelinedResponseOutlastsItsDeadline(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "keyed")
+	c.waitReady()
+	release := make(chan struct{})
+	c.hosts[0].upstream.setHandler(func(w http.ResponseWriter, r *http.Request) bool {
+		switch r.Header.Get(testHeaders.RequestID) {
+		case "a":
+			<-release
+		case "b":
+			w.Header().Set(testHeaders.Signature, "s")
+			_, _ = io.WriteString(w, strings.Repeat("/look/2 ", cutFrom/4))
+			return true
+		}
+		return false
+	})
+	p := newPipeline(t, c.hosts[1])
+	second := strings.Replace(getRequest("/look/2", "b"), "Deadline: 4000", "Deadline: 300", 1)
+	deadline := time.Now().Add(500 * time.Millisecond)
+	p.send(getRequest("/look/1", "a") + second + getRequest("/look/3", "c"))
+	c.eventually("the deadline of the second one", func() bool { return time.Now().After(deadline) })
+	close(release)
+	p.expect(200, "a", "/look/1")
+	p.expect(200, "b", "/look/2")
+	p.expect(200, "c", "/look/3")
+}
+
 // Guards against a pipelined request that gets no response because the one before it on
 // its connection got none before its deadline.
 func TestPipelinedRequestSurvivesTimeoutBeforeIt(t *testing.T) {
