--- a/router/sidecar/stop_test.go
+++ b/router/sidecar/stop_test.go
@@ -157,3 +157,26 @@
 		}
 	})
 }
+
+// Guards against callers on other hosts that get no response, a false one or a second run
+// when the host that runs their request ends.
+func TestStopOfTheHostThatRunsARequest(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "keyed")
+	c.waitReady()
+	upstream := c.hosts[0].upstream
+	arrived, release := holdRequest(c.hosts[0], "a")
+	defer release()
+	p := newPipeline(t, c.hosts[1])
+	p.send(postRequest("/pay/1", "a", "1"))
+	<-arrived
+	c.stopWithGrace(c.hosts[0], 3000)
+	c.eventually("the end of the notice time for other routers", func() bool { return c.hosts[0].stoppingFor() > unkeyedNoticeTime })
+	if got := c.hosts[1].request(t, "POST", "/pay/2", "late", "1"); got.status != 503 || upstream.runCount("late") != 0 {
+		t.Errorf("late request: %d after %d runs, want 503 after none", got.status, upstream.runCount("late"))
+	}
+	p.expectUnknownOutcome("a")
+	if n := upstream.runCount("a"); n != 1 {
+		t.Errorf("the request that was cut ran %d times", n)
+	}
+}
