--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -23,6 +23,9 @@
 	var last *Result
 	for range maxHosts {
 		h, r := e.chooseHost(ctx, c, tried, last)
+		if r == nil {
+			r = e.checkTimeLeft(h, c)
+		}
 		if r != nil {
 			if last == nil {
 				last = r
@@ -46,6 +49,16 @@
 	return e.finalResult(ctx, c, last, mayHaveRun)
 }
 
+// checkTimeLeft returns an error result if the router stops and the response of the host is
+// expected after its end.
+func (e *entry) checkTimeLeft(h *fleet.Host, c *Call) *Result {
+	expected := min(h.ExpectedLatency(c.Objective), time.Until(c.Deadline))
+	if expected <= e.graceLeft() {
+		return nil
+	}
+	return errorResult(errkind.Draining, "the response of host %s would come after the end of this router", h.Member().Host)
+}
+
 // chooseHost returns the host for the next attempt, or an error result.
 func (e *entry) chooseHost(ctx context.Context, c *Call, tried []*fleet.Host, last *Result) (*fleet.Host, *Result) {
 	if c.Keyed {
@@ -177,7 +190,12 @@
 	if last.Err == nil {
 		return last
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case errors.Is(context.Cause(ctx), errGraceOver) && mayHaveRun:
+		return errorResult(errkind.OutcomeUnknown, "the router of this host ends; the request was still running")
+	case errors.Is(context.Cause(ctx), errGraceOver):
+		return errorResult(errkind.Draining, "the router of this host ends; the request was still waiting")
+	case errors.Is(ctx.Err(), context.Canceled):
 		return errorResult(errkind.CallerLeft, "the caller left")
 	}
 	if mayHaveRun && last.notRun() {
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -43,6 +43,10 @@
 	maxTimes maxRequestTimes
 	log      *event.Logger
 	metrics  *entryMetrics
+	// stoppingFor returns the time since this router began to stop, or 0.
+	stoppingFor func() time.Duration
+	// graceLeft returns the time until this router ends.
+	graceLeft func() time.Duration
 }
 
 // ServeHTTP serves one request of a caller.
@@ -59,6 +63,10 @@
 			return
 		}
 	}
+	if err := e.checkStopping(); err != nil {
+		e.writeError(w, req, nil, start.Add(maxRetryAfter), err)
+		return
+	}
 	table, route, err := e.lookup(req)
 	if err != nil {
 		e.refuseWithoutRoute(w, req, table, err)
@@ -112,6 +120,10 @@
 		e.writeError(w, req, route, start, err)
 		return
 	}
+	if err := e.checkStopping(); err != nil { // the body may have ended late
+		e.writeError(w, req, route, c.Deadline, err)
+		return
+	}
 	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline)
 	defer cancel()
 	e.budgets.forService(c.Service).Request(start)
@@ -126,6 +138,25 @@
 	e.log.Log(eventRouted, append(fields, e.config.fields(table)...)...)
 }
 
+// checkStopping returns an error if the router stops and takes no further requests.
+func (e *entry) checkStopping() *errkind.Error {
+	if e.stoppingFor() > drainNoticeTime {
+		return errkind.New(errkind.Draining, "the router of this host is stopping")
+	}
+	return nil
+}
+
+// closeIfStopping lets the connection of a request end after its response if the router
+// stops, unless further requests were read from it.
+func (e *entry) closeIfStopping(w http.ResponseWriter, req *http.Request) {
+	if e.stoppingFor() == 0 {
+		return
+	}
+	if conn := connOf(req); conn == nil || conn.ahead.stopBehindCurrent() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // respond passes the result of a request on to the caller.
 func (e *entry) respond(w http.ResponseWriter, req *http.Request, table *vhost.Table, route *vhost.Route, c *Call, r *Result, start time.Time) {
 	defer r.close()
@@ -134,6 +165,7 @@
 		e.writeError(w, req, route, c.Deadline, r.Err, event.F("host", r.Host), event.F("service", c.Service), event.F("config", table.Version()))
 		return
 	}
+	e.closeIfStopping(w, req)
 	writeResponse(w, req, r)
 }
 
@@ -150,13 +182,15 @@
 	if err != nil {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
+	parent, cancel := context.WithCancelCause(context.Background())
+	ctx, stopTimer := context.WithDeadline(parent, c.Deadline)
 	e.budgets.forService(c.Service).Request(start)
 	e.logRouted(c, table, route)
 	done := make(chan struct{})
-	pipelined := &pipelinedRequest{request: req, done: done, cancel: cancel}
+	pipelined := &pipelinedRequest{id: c.RequestID, request: req, done: done, cancel: cancel}
 	go func() {
 		defer close(done)
+		defer stopTimer()
 		defer func() {
 			if v := recover(); v != nil {
 				logPanic(e.log, c.RequestID, v)
@@ -174,8 +208,9 @@
 // servePipelined waits for the result of a pipelined request and passes it on. Processing
 // ends at its deadline at the latest, or when the caller leaves.
 func (e *entry) servePipelined(w http.ResponseWriter, req *http.Request, pipelined *pipelinedRequest) {
-	defer pipelined.cancel()
-	stop := context.AfterFunc(req.Context(), pipelined.cancel)
+	ctx := req.Context()
+	defer pipelined.cancel(context.Canceled)
+	stop := context.AfterFunc(ctx, func() { pipelined.cancel(context.Cause(ctx)) })
 	defer stop()
 	<-pipelined.done
 	pipelined.respond(w, req)
@@ -243,6 +278,7 @@
 func (e *entry) writeError(w http.ResponseWriter, req *http.Request, route *vhost.Route, deadline time.Time, err *errkind.Error, fields ...event.Field) {
 	id := req.Header.Get(e.headers.RequestID)
 	if err.Kind == errkind.CallerLeft {
+		e.log.Log(eventCallerLeft, event.F("request", id), event.F("left_ms", time.Until(deadline).Milliseconds()), event.F("detail", err.Detail))
 		panic(http.ErrAbortHandler) // the caller no longer reads the response
 	}
 	response := errkind.ResponseOf(err.Kind)
@@ -267,6 +303,7 @@
 	if id != "" {
 		w.Header().Set(e.headers.RequestID, id)
 	}
+	e.closeIfStopping(w, req)
 	w.Header()["Date"] = nil
 	w.Header().Set("Content-Type", errkind.ProblemType)
 	w.WriteHeader(status)
