Judge on real processes which version requests are run by

The soak of real processes cannot see that: each version only adds a route, so a router that keeps dropped routes or the old service of a moved route passes.

Change: TestConfigSoak publishes versions in uneven steps and bursts that add, drop, move and split routes, several on one host name and some below others, and change timeouts. Two probers per host request all routes and those changed last. A judge takes what the upstreams ran (the ledger) and the 404s: versions from the newest one confirmed 2 s before a request was sent up to the newest one sent before its response must allow the outcome, on hosts without a fault in the last 3 s; and per life of a process no step back by more than 250 ms. Faults begin around a confirmation: restarts of one host and of all, with further versions meanwhile, and the store slow, down, losing responses, without its history, or silent. Silent is a new fault of the stand-in store: calls that arrive while it lasts are accepted and never answered. -binary runs another program, -config-faults chooses the kinds, -busy keeps processors busy.

Changes to existing tests: newDeployment takes an options struct, a fault period has a kind, exchange takes the host name, and ids come from a method. The checks and the draws of TestSoak are as they were.

--- a/ctl/soak/config_test.go
+++ b/ctl/soak/config_test.go
@@ -27,7 +27,9 @@
 
 // faultPeriod is a period in which a host or, with everyHost, the store had a fault.
 type faultPeriod struct {
-	host     string
+	host string
+	// kind is a short name of the fault for reports.
+	kind     string
 	from, to time.Time
 }
 
@@ -62,7 +64,7 @@
 	}
 	must(d.t, standin.Publish(context.Background(), d.store, vhost.Config{
 		Version:  version,
-		Services: []vhost.Service{{Name: plainService, HealthPath: "/healthz"}, {Name: keyedService, HealthPath: "/healthz", Keyed: true, KeysByCommand: d.keysByCommand}},
+		Services: []vhost.Service{{Name: plainService, HealthPath: "/healthz"}, {Name: keyedService, HealthPath: "/healthz", Keyed: true, KeysByCommand: d.opts.keysByCommand}},
 		Routes: []vhost.Route{
 			route("look", plainService, true), route("pay", plainService, false),
 			route("keys", keyedService, true), route("order", keyedService, false),
@@ -80,11 +82,11 @@
 }
 
 // duringFault runs a fault of a host and records its period.
-func (c *configs) duringFault(host string, fault func()) {
+func (c *configs) duringFault(host, kind string, fault func()) {
 	c.mu.Lock()
 	i := len(c.faultPeriods)
 	// The end is set when the fault has ended.
-	c.faultPeriods = append(c.faultPeriods, faultPeriod{host: host, from: time.Now(), to: time.Now().Add(time.Hour)})
+	c.faultPeriods = append(c.faultPeriods, faultPeriod{host: host, kind: kind, from: time.Now(), to: time.Now().Add(time.Hour)})
 	c.mu.Unlock()
 	fault()
 	c.mu.Lock()
--- /dev/null
+++ b/ctl/soak/configsoak_test.go
@@ -0,0 +1,463 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os/exec"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"burdockglade.dev/platform/standin"
+	"burdockglade.dev/router/vhost"
+)
+
+var (
+	configFaults = flag.String("config-faults", strings.Join(configFaultKinds, ","), "kinds of faults of TestConfigSoak; empty for none")
+	busy         = flag.Int("busy", 0, "number of processes that keep a processor busy during TestConfigSoak")
+)
+
+// Kinds of faults around a confirmation.
+const (
+	storeSilent  = "store-silent"
+	storeDown    = "store-down"
+	storeSlow    = "store-slow"
+	storeLost    = "store-lost"
+	storeHistory = "store-history"
+	killOne      = "kill-one"
+	termOne      = "term-one"
+	killAll      = "kill-all"
+	termAll      = "term-all"
+)
+
+var configFaultKinds = []string{storeSilent, storeDown, storeSlow, storeLost, storeHistory, killOne, termOne, killAll, termAll}
+
+const (
+	// configProbeInterval is the pause between two requests of one prober.
+	configProbeInterval = 30 * time.Millisecond
+	// maxReported bounds the violations that are reported in full.
+	maxReported = 10
+)
+
+// configServices are the services between which routes move.
+var configServices = []string{"red", "green", "blue", "grey"}
+
+// routeSlot is a host name and path prefix that has a route in some versions.
+type routeSlot struct{ hostName, prefix string }
+
+// path returns a path that is requested to see the slot's route. If it has none, the
+// route of a shorter prefix applies.
+func (s routeSlot) path() string { return s.prefix + "x" }
+
+// routeSlots returns all slots: several on each host name, some below others.
+func routeSlots() []routeSlot {
+	var slots []routeSlot
+	for _, hostName := range []string{"shop.example", "bank.example"} {
+		for _, prefix := range []string{"/a/", "/a/b/", "/a/b/c/", "/d/", "/d/e/", "/f/", "/g/"} {
+			slots = append(slots, routeSlot{hostName, prefix})
+		}
+	}
+	return slots
+}
+
+// configOperator publishes versions of the configuration, each of which changes some
+// slots.
+type configOperator struct {
+	t     *testing.T
+	store *standin.Store
+	rng   *rand.Rand
+	slots []routeSlot
+
+	mu           sync.Mutex
+	routes       map[routeSlot]vhost.Route
+	publications []publication
+	// changed are the slots that the newest version has changed.
+	changed []routeSlot
+}
+
+func newConfigOperator(t *testing.T, seed uint64) *configOperator {
+	return &configOperator{t: t, rng: rand.New(rand.NewPCG(seed, 2)), slots: routeSlots(), routes: map[routeSlot]vhost.Route{}}
+}
+
+// publish publishes the next version.
+func (o *configOperator) publish() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.changed = nil
+	for range 1 + o.rng.IntN(3) {
+		s := o.slots[o.rng.IntN(len(o.slots))]
+		o.changeRoute(s)
+		o.changed = append(o.changed, s)
+	}
+	c := vhost.Config{Version: uint64(len(o.publications) + 1)}
+	for _, name := range configServices {
+		c.Services = append(c.Services, vhost.Service{Name: name, HealthPath: "/healthz"})
+	}
+	for _, s := range o.slots {
+		if r, ok := o.routes[s]; ok {
+			c.Routes = append(c.Routes, r)
+		}
+	}
+	table, err := vhost.NewTable(c)
+	must(o.t, err)
+	p := publication{table: table, sent: time.Now()}
+	must(o.t, standin.Publish(context.Background(), o.store, c))
+	p.confirmed = time.Now()
+	o.publications = append(o.publications, p)
+}
+
+// changeRoute adds the slot's route, or drops it, moves it to another service, splits it
+// between two, or changes its timeout.
+func (o *configOperator) changeRoute(s routeSlot) {
+	r, ok := o.routes[s]
+	first := o.rng.IntN(len(configServices))
+	second := (first + 1 + o.rng.IntN(len(configServices)-1)) % len(configServices)
+	timeout := time.Duration(2000+o.rng.IntN(1000)) * time.Millisecond
+	action := o.rng.IntN(8)
+	switch {
+	case !ok:
+		r = vhost.Route{Name: s.hostName + s.prefix, Host: s.hostName, Prefix: s.prefix, Repeatable: true, MaxAttempts: 2,
+			Timeout: timeout, TargetLatency: 500 * time.Millisecond, Clusters: []vhost.Cluster{{Service: configServices[first], Weight: 1}}}
+	case action < 2:
+		delete(o.routes, s)
+		return
+	case action < 5:
+		if configServices[first] == r.Clusters[0].Service {
+			first = second
+		}
+		r.Clusters = []vhost.Cluster{{Service: configServices[first], Weight: 1}}
+	case action < 7:
+		r.Clusters = []vhost.Cluster{{Service: configServices[first], Weight: 1}, {Service: configServices[second], Weight: 2}}
+	default:
+		r.Timeout = timeout
+	}
+	o.routes[s] = r
+}
+
+// published returns a copy of the publications.
+func (o *configOperator) published() []publication {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.publications)
+}
+
+// changedSlots returns the slots that the newest version has changed.
+func (o *configOperator) changedSlots() []routeSlot {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.changed
+}
+
+// configSoak is one run of changes, faults and probes.
+type configSoak struct {
+	*deployment
+	operator *configOperator
+	rng      *rand.Rand
+
+	requestsMu sync.Mutex
+	requests   []configRequest
+}
+
+func newConfigSoak(t *testing.T, seed uint64) *configSoak {
+	s := &configSoak{operator: newConfigOperator(t, seed), rng: rand.New(rand.NewPCG(seed, 3))}
+	s.deployment = newDeployment(t, deploymentOptions{
+		hosts: *hostCount, services: configServices, workTime: 4 * time.Millisecond,
+		publishFirst: func(d *deployment) {
+			s.operator.store = d.store
+			for range 5 {
+				s.operator.publish()
+			}
+		},
+	})
+	s.awaitNewest("before the faults")
+	return s
+}
+
+// awaitNewest waits until every host serves each slot as the newest version says. It
+// reports hosts that do not within 20 s.
+func (s *configSoak) awaitNewest(when string) {
+	published := s.operator.published()
+	newest := published[len(published)-1]
+	deadline := time.Now().Add(20 * time.Second)
+	for _, h := range s.hosts {
+		for _, slot := range s.operator.slots {
+			want := 200
+			if newest.table.Route(slot.hostName, slot.path()) == nil {
+				want = 404
+			}
+			for r := s.request(h, slot); r.status != want; r = s.request(h, slot) {
+				if time.Now().After(deadline) {
+					s.t.Errorf("%s: %s answers %s%s with %d, want %d", when, h.name, slot.hostName, slot.path(), r.status, want)
+					break
+				}
+				time.Sleep(configProbeInterval)
+			}
+		}
+	}
+}
+
+// request sends a request for the slot and records it unless the process was restarted
+// meanwhile.
+func (s *configSoak) request(h *host, slot routeSlot) configRequest {
+	id := s.callers.newID()
+	r := configRequest{id: id, process: process{h.name, h.processStarts()}, slot: slot, sent: time.Now()}
+	r.status, _ = exchange(h.caller, slot.hostName, slot.path(), 0, result{id: id})
+	r.answered = time.Now()
+	if h.processStarts() == r.process.starts {
+		s.requestsMu.Lock()
+		s.requests = append(s.requests, r)
+		s.requestsMu.Unlock()
+	}
+	return r
+}
+
+// startProbers starts two probers per host: one requests all slots, the other those that
+// the newest version has changed. They run until the returned function is called.
+func (s *configSoak) startProbers(seed uint64) func() {
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i, h := range s.hosts {
+		for j, slots := range []func() []routeSlot{routeSlots, s.operator.changedSlots} {
+			rng := rand.New(rand.NewPCG(seed, uint64(100+2*i+j)))
+			wg.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(configProbeInterval):
+					}
+					choice := slots()
+					s.request(h, choice[rng.IntN(len(choice))])
+				}
+			})
+		}
+	}
+	return func() {
+		close(stop)
+		wg.Wait()
+	}
+}
+
+// change publishes n versions in uneven steps or in a burst.
+func (s *configSoak) change(n int) {
+	longest := []time.Duration{300 * time.Millisecond, 2500 * time.Millisecond, 2500 * time.Millisecond}[s.rng.IntN(3)]
+	for range n {
+		time.Sleep(between(s.rng, 100*time.Millisecond, longest))
+		s.operator.publish()
+	}
+}
+
+// round runs changes, a fault of the kind around the last confirmation, and further
+// changes once the hosts have been without faults long enough for the time limits.
+func (s *configSoak) round(kind string) {
+	s.change(1 + s.rng.IntN(4))
+	if kind != "" {
+		s.faultAroundConfirmation(kind)
+		time.Sleep(between(s.rng, faultFreeTime, faultFreeTime+time.Second))
+	}
+	s.change(1 + s.rng.IntN(3))
+	time.Sleep(configLimit + 1500*time.Millisecond)
+}
+
+// faultAroundConfirmation publishes a version and runs a fault that begins shortly before
+// or after the confirmation. Further versions follow while hosts restart.
+func (s *configSoak) faultAroundConfirmation(kind string) {
+	offset := between(s.rng, -300*time.Millisecond, 700*time.Millisecond)
+	if kind == storeSilent {
+		offset = between(s.rng, 0, 700*time.Millisecond)
+	}
+	host, fault := s.drawConfigFault(kind)
+	var wg sync.WaitGroup
+	begin := func() { wg.Go(func() { s.configs.duringFault(host, kind, fault) }) }
+	if offset > 0 {
+		s.operator.publish()
+		time.Sleep(offset)
+		begin()
+	} else {
+		begin()
+		time.Sleep(-offset)
+		s.operator.publish()
+	}
+	if kind == killOne || kind == termOne || kind == killAll || kind == termAll {
+		s.change(s.rng.IntN(3))
+	}
+	wg.Wait()
+}
+
+// drawConfigFault returns a fault of the kind and the host that it affects.
+func (s *configSoak) drawConfigFault(kind string) (host string, fault func()) {
+	h := s.hosts[s.rng.IntN(len(s.hosts))]
+	faultTime := between(s.rng, 500*time.Millisecond, 4*time.Second)
+	delay := between(s.rng, 50*time.Millisecond, 1500*time.Millisecond)
+	store := func(f standin.Faults) func() {
+		return func() {
+			s.store.SetFaults(f)
+			time.Sleep(faultTime)
+			s.store.SetFaults(standin.Faults{})
+		}
+	}
+	all := func(signal syscall.Signal) func() {
+		return func() {
+			var wg sync.WaitGroup
+			for _, h := range s.hosts {
+				wg.Go(func() { h.restart(signal, delay) })
+			}
+			wg.Wait()
+		}
+	}
+	switch kind {
+	case storeSilent:
+		return everyHost, store(standin.Faults{Silent: true})
+	case storeDown:
+		return everyHost, store(standin.Faults{Down: true})
+	case storeSlow:
+		return everyHost, store(standin.Faults{Delay: delay})
+	case storeLost:
+		return everyHost, store(standin.Faults{LoseResponses: 0.4})
+	case storeHistory:
+		return everyHost, s.store.DiscardHistory
+	case killOne:
+		return h.name, func() { h.restart(syscall.SIGKILL, delay) }
+	case termOne:
+		return h.name, func() { h.restart(syscall.SIGTERM, delay) }
+	case killAll:
+		return everyHost, all(syscall.SIGKILL)
+	case termAll:
+		return everyHost, all(syscall.SIGTERM)
+	}
+	s.t.Fatalf("unknown kind of fault %q", kind)
+	return "", nil
+}
+
+// serviceOf returns the service of an instance.
+func (s *configSoak) serviceOf(instance string) string {
+	for _, h := range s.hosts {
+		if strings.HasPrefix(instance, "i-"+h.name+"-") {
+			return h.service
+		}
+	}
+	return instance
+}
+
+// judge reports the violations and logs what was judged.
+func (s *configSoak) judge() {
+	outcomes := outcomesOf(s.requests, s.ledger.Executions(), s.serviceOf)
+	j := newConfigJudge(s.operator.published(), &s.configs)
+	violations := j.check(outcomes)
+	times := j.inForceTimes(s.operator.slots, configServices)
+	s.t.Logf("faults: %s", s.configs.describeFaults())
+	s.t.Logf("%d versions, %d outcomes judged; in force after a confirmation, on hosts without faults: %s", len(j.publications), len(outcomes), describeTimes(times))
+	type group struct {
+		rule        configRule
+		after, host string
+	}
+	counts, latest := map[group]int{}, map[group]time.Duration{}
+	for i, v := range violations {
+		if i < maxReported {
+			s.t.Error(v)
+		}
+		g := group{v.rule, v.after, v.process.host}
+		counts[g]++
+		latest[g] = max(latest[g], v.late)
+	}
+	for _, g := range slices.SortedFunc(maps.Keys(counts), func(a, b group) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) }) {
+		s.t.Errorf("%d requests to %s handled %s, up to %v; last fault: %s", counts[g], g.host, g.rule, latest[g].Round(time.Millisecond), g.after)
+	}
+}
+
+// describeFaults returns the kinds of the faults in their order.
+func (c *configs) describeFaults() string {
+	var kinds []string
+	for _, p := range c.faultPeriods {
+		kinds = append(kinds, strings.TrimSuffix(p.kind+" "+p.host, " "))
+	}
+	return strings.Join(kinds, ", ")
+}
+
+// describeTimes returns the quantiles of sorted times.
+func describeTimes(times []time.Duration) string {
+	if len(times) == 0 {
+		return "none"
+	}
+	quantile := func(q float64) time.Duration {
+		return times[int(q*float64(len(times)-1))].Round(time.Millisecond)
+	}
+	return fmt.Sprintf("n=%d p50=%v p90=%v p99=%v max=%v", len(times), quantile(0.5), quantile(0.9), quantile(0.99), quantile(1))
+}
+
+// occupyProcessors runs n processes that each keep a processor busy until the test ends.
+func occupyProcessors(t *testing.T, n int) {
+	for range n {
+		cmd := exec.Command("sh", "-c", "while :; do :; done")
+		must(t, cmd.Start())
+		t.Cleanup(func() {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait() // the exit status of a killed process is not an error
+		})
+	}
+}
+
+// Guards against requests that a host runs as only an older version of the configuration
+// allows, later than the platform's limit after a newer one was confirmed or after it has
+// shown a newer one, with faults of the store and restarts around confirmations.
+func TestConfigSoak(t *testing.T) {
+	first := *firstSeed
+	if first == 0 {
+		first = uint64(time.Now().UnixNano())
+	}
+	for i := range *seeds {
+		seed := first + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runConfigSeed(t, seed) })
+	}
+}
+
+// runConfigSeed runs rounds, with calm stretches between some of them, until the duration
+// has passed.
+func runConfigSeed(t *testing.T, seed uint64) {
+	s := newConfigSoak(t, seed)
+	occupyProcessors(t, *busy)
+	stopProbers := s.startProbers(seed)
+	kinds := strings.Split(*configFaults, ",")
+	end := time.Now().Add(*duration)
+	for time.Now().Before(end) {
+		s.round(kinds[s.rng.IntN(len(kinds))])
+		if calm := between(s.rng, 10*time.Second, 30*time.Second); s.rng.IntN(3) == 0 {
+			time.Sleep(min(calm, max(0, time.Until(end))))
+		}
+	}
+	s.operator.publish()
+	s.awaitNewest("after the faults")
+	stopProbers()
+	s.awaitWorkDone()
+	s.judge()
+	if t.Failed() {
+		t.Logf("to reproduce: go test ./soak -run TestConfigSoak -seed %d -duration %v -hosts %d -config-faults %s", seed, *duration, *hostCount, *configFaults)
+	}
+}
+
+// Guards against a configuration that no host has in force in time because the store has
+// swallowed the calls with which the hosts watch for changes: it was silent shortly after
+// the version before.
+func TestConfigAfterSilentStore(t *testing.T) {
+	s := newConfigSoak(t, 1)
+	stopProbers := s.startProbers(1)
+	s.operator.publish()
+	time.Sleep(300 * time.Millisecond)
+	s.configs.duringFault(everyHost, storeSilent, func() {
+		s.store.SetFaults(standin.Faults{Silent: true})
+		time.Sleep(2 * time.Second)
+		s.store.SetFaults(standin.Faults{})
+	})
+	time.Sleep(faultFreeTime)
+	s.operator.publish()
+	time.Sleep(configLimit + time.Second)
+	stopProbers()
+	s.awaitWorkDone()
+	s.judge()
+}
--- a/ctl/soak/deployment_test.go
+++ b/ctl/soak/deployment_test.go
@@ -27,17 +27,29 @@
 // and are executed late.
 const lateCommandShare = 0.1
 
-// deployment is a set of hosts and a store on the loopback interface.
-type deployment struct {
-	t   *testing.T
-	dir string
+// deploymentOptions configure a deployment. All but keysByCommand are required.
+type deploymentOptions struct {
+	hosts int
 	// keysByCommand is true if keys are granted to the keyed upstreams by commands.
 	keysByCommand bool
-	store         *standin.Store
-	configs       configs
-	hosts         []*host
-	ledger        *standin.Ledger
-	callers       *callers
+	// services are the services of the upstreams, in turn.
+	services []string
+	// workTime is the mean duration of an execution.
+	workTime time.Duration
+	// publishFirst publishes the first configuration.
+	publishFirst func(*deployment)
+}
+
+// deployment is a set of hosts and a store on the loopback interface.
+type deployment struct {
+	t       *testing.T
+	dir     string
+	opts    deploymentOptions
+	store   *standin.Store
+	configs configs
+	hosts   []*host
+	ledger  *standin.Ledger
+	callers *callers
 
 	mu      sync.Mutex
 	drained []*server
@@ -114,17 +126,17 @@
 	return addresses
 }
 
-func newDeployment(t *testing.T, n int, keysByCommand bool) *deployment {
-	d := &deployment{t: t, keysByCommand: keysByCommand, dir: t.TempDir(), store: standin.NewStore(), ledger: &standin.Ledger{}, callers: &callers{},
+func newDeployment(t *testing.T, opts deploymentOptions) *deployment {
+	d := &deployment{t: t, opts: opts, dir: t.TempDir(), store: standin.NewStore(), ledger: &standin.Ledger{}, callers: &callers{},
 		configs: configs{confirmed: map[uint64]time.Time{}}}
 	if *logDir != "" {
 		d.dir = filepath.Join(*logDir, filepath.Base(t.Name()))
 		must(t, os.MkdirAll(d.dir, 0o755))
 	}
 	storeAddress := listen(t, d.store)
-	d.publish()
-	ports := freePorts(t, 6*n)
-	for i := range n {
+	opts.publishFirst(d)
+	ports := freePorts(t, 6*opts.hosts)
+	for i := range opts.hosts {
 		d.addHost(i, storeAddress, ports[6*i:6*i+6])
 	}
 	t.Cleanup(func() {
@@ -137,10 +149,7 @@
 }
 
 func (d *deployment) addHost(i int, storeAddress string, ports []string) {
-	h := &host{deployment: d, name: fmt.Sprintf("h%d", i), service: plainService, caller: ports[0], control: ports[3]}
-	if i%2 == 1 {
-		h.service = keyedService
-	}
+	h := &host{deployment: d, name: fmt.Sprintf("h%d", i), service: d.opts.services[i%len(d.opts.services)], caller: ports[0], control: ports[3]}
 	var err error
 	h.storeRelay, err = relay.StartRelay(relay.RelayOptions{Target: storeAddress})
 	must(d.t, err)
@@ -167,8 +176,8 @@
 	instance := fmt.Sprintf("i-%s-%d", h.name, h.incarnations)
 	s := standin.NewServer(standin.ServerOptions{
 		Instance: instance, Service: h.service, Slots: 8, Control: h.control,
-		HeartbeatInterval: 300 * time.Millisecond, WorkTime: 40 * time.Millisecond, Keyed: h.service == keyedService, Ledger: h.deployment.ledger,
-		KeysByCommand: h.service == keyedService && h.deployment.keysByCommand, LateCommands: lateCommandShare,
+		HeartbeatInterval: 300 * time.Millisecond, WorkTime: h.deployment.opts.workTime, Keyed: h.service == keyedService, Ledger: h.deployment.ledger,
+		KeysByCommand: h.service == keyedService && h.deployment.opts.keysByCommand, LateCommands: lateCommandShare,
 	})
 	if h.server != nil {
 		h.server.stop()
--- a/ctl/soak/faults_test.go
+++ b/ctl/soak/faults_test.go
@@ -37,13 +37,18 @@
 
 var client = &http.Client{Timeout: 4 * time.Second}
 
-// send sends one request and records its result.
-func (c *callers) send(address, path string, key int) result {
+// newID returns the id of the next request.
+func (c *callers) newID() string {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.next++
-	r := result{id: fmt.Sprintf("r%d", c.next), once: strings.HasPrefix(path, "/pay") || strings.HasPrefix(path, "/order"), newRoute: strings.HasPrefix(path, "/version")}
-	c.mu.Unlock()
-	r.status, r.body = exchange(address, path, key, r)
+	return fmt.Sprintf("r%d", c.next)
+}
+
+// send sends one request and records its result.
+func (c *callers) send(address, path string, key int) result {
+	r := result{id: c.newID(), once: strings.HasPrefix(path, "/pay") || strings.HasPrefix(path, "/order"), newRoute: strings.HasPrefix(path, "/version")}
+	r.status, r.body = exchange(address, "soak", path+"x", key, r)
 	c.mu.Lock()
 	c.all = append(c.all, r)
 	c.mu.Unlock()
@@ -52,17 +57,17 @@
 
 // exchange sends the request of r and returns the status and body of the response,
 // or 0 and the error.
-func exchange(address, path string, key int, r result) (int, string) {
+func exchange(address, hostName, path string, key int, r result) (int, string) {
 	method := http.MethodGet
 	if r.once {
 		method = http.MethodPost
 	}
-	req, err := http.NewRequest(method, "http://"+address+path+"x", nil)
+	req, err := http.NewRequest(method, "http://"+address+path, nil)
 	if err != nil {
 		return 0, err.Error()
 	}
 	names := platform.Headers()
-	req.Host = "soak"
+	req.Host = hostName
 	req.Header.Set(names.RequestID, r.id)
 	req.Header.Set(names.DeadlineMs, "2500")
 	req.Header.Set(names.Key, strconv.Itoa(key))
@@ -134,8 +139,8 @@
 	h := d.hosts[rng.IntN(len(d.hosts))]
 	faultTime := between(rng, 300*time.Millisecond, 6*time.Second)
 	delay := between(rng, 100*time.Millisecond, 1500*time.Millisecond)
-	on := func(fault func()) func() { return func() { d.configs.duringFault(h.name, fault) } }
-	onAll := func(fault func()) func() { return func() { d.configs.duringFault(everyHost, fault) } }
+	on := func(fault func()) func() { return func() { d.configs.duringFault(h.name, "", fault) } }
+	onAll := func(fault func()) func() { return func() { d.configs.duringFault(everyHost, "", fault) } }
 	direction := []relay.Direction{relay.ToTarget, relay.FromTarget, relay.BothDirections}[rng.IntN(3)]
 	r := h.storeRelay
 	if rng.IntN(2) == 0 {
--- a/ctl/soak/soak_test.go
+++ b/ctl/soak/soak_test.go
@@ -3,6 +3,7 @@
 // manually:
 //
 //	go test ./soak -run TestSoak -seeds 50 -duration 20s
+//	go test ./soak -run TestConfigSoak -seeds 20 -duration 60s -hosts 18 -busy 4
 package soak
 
 import (
@@ -25,6 +26,7 @@
 	duration  = flag.Duration("duration", 10*time.Second, "time for which faults are injected, per seed")
 	hostCount = flag.Int("hosts", 6, "number of hosts")
 	logDir    = flag.String("logs", "", "directory in which the logs of the processes are kept")
+	otherBin  = flag.String("binary", "", "program under test; empty builds it from the workspace")
 )
 
 // binary is the path of the program under test.
@@ -46,6 +48,10 @@
 		return 0, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
+	if *otherBin != "" {
+		binary = *otherBin
+		return m.Run(), nil
+	}
 	binary = filepath.Join(dir, "burdockglade")
 	build := exec.Command("go", "build", "-o", binary, "burdockglade.dev/router/cmd/burdockglade")
 	if out, err := build.CombinedOutput(); err != nil {
@@ -88,7 +94,10 @@
 // runSeed runs callers and probes under the faults of one seed and checks the
 // results.
 func runSeed(t *testing.T, seed uint64) {
-	d := newDeployment(t, *hostCount, seed%2 == 1)
+	d := newDeployment(t, deploymentOptions{
+		hosts: *hostCount, keysByCommand: seed%2 == 1, services: []string{plainService, keyedService},
+		workTime: 40 * time.Millisecond, publishFirst: (*deployment).publish,
+	})
 	d.awaitService("before the faults")
 	stopCallers := d.startCallers(seed)
 	stopProbes := d.startProbes()
