Add faults of connections to the store and of single hosts to TestConfigSoak

Change: frozen hosts, a host cut from the store, and connections to the store that are reset or carry nothing any more (blackhole), of one host or of all. In a quarter of the rounds a second fault overlaps the first. -config-faults chooses the kinds as before.

--- a/ctl/soak/configjudge_test.go
+++ b/ctl/soak/configjudge_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -286,15 +287,23 @@
 }
 
 // lastKind returns the kind of the fault of the host or the store that began last before
-// the time.
+// the time, and the kinds of those that overlap it.
 func (c *configs) lastKind(host string, at time.Time) string {
-	last := faultPeriod{kind: "none"}
+	var last faultPeriod
+	var kinds []string
 	for _, p := range c.faultPeriods {
-		if (p.host == host || p.host == everyHost) && p.from.Before(at) && !p.from.Before(last.from) {
-			last = p
+		if (p.host != host && p.host != everyHost) || !p.from.Before(at) {
+			continue
+		}
+		if p.from.After(last.to) {
+			kinds = nil
 		}
+		last, kinds = p, append(kinds, p.kind)
+	}
+	if len(kinds) == 0 {
+		return "none"
 	}
-	return last.kind
+	return strings.Join(kinds, "+")
 }
 
 // Guards against a check that accepts requests that were run as only an older version
--- a/ctl/soak/configsoak_test.go
+++ b/ctl/soak/configsoak_test.go
@@ -16,6 +16,7 @@
 
 	"burdockglade.dev/platform/standin"
 	"burdockglade.dev/router/vhost"
+	relay "burdockglade.dev/stores/standin"
 )
 
 var (
@@ -34,9 +35,19 @@
 	termOne      = "term-one"
 	killAll      = "kill-all"
 	termAll      = "term-all"
+	freezeOne    = "freeze-one"
+	cutOne       = "cut-one"
+	// The connections to the store that are open then carry nothing any more.
+	blackholeOne = "blackhole-one"
+	blackholeAll = "blackhole-all"
+	resetOne     = "reset-one"
+	resetAll     = "reset-all"
 )
 
-var configFaultKinds = []string{storeSilent, storeDown, storeSlow, storeLost, storeHistory, killOne, termOne, killAll, termAll}
+var configFaultKinds = []string{
+	storeSilent, storeDown, storeSlow, storeLost, storeHistory,
+	killOne, termOne, killAll, termAll, freezeOne, cutOne, blackholeOne, blackholeAll, resetOne, resetAll,
+}
 
 const (
 	// configProbeInterval is the pause between two requests of one prober.
@@ -253,12 +264,12 @@
 	}
 }
 
-// round runs changes, a fault of the kind around the last confirmation, and further
-// changes once the hosts have been without faults long enough for the time limits.
-func (s *configSoak) round(kind string) {
+// round runs changes, a fault of one of the kinds around the last confirmation, and
+// further changes once the hosts have been without faults long enough for the time limits.
+func (s *configSoak) round(kinds []string) {
 	s.change(1 + s.rng.IntN(4))
-	if kind != "" {
-		s.faultAroundConfirmation(kind)
+	if len(kinds) > 0 {
+		s.faultAroundConfirmation(kinds)
 		time.Sleep(between(s.rng, faultFreeTime, faultFreeTime+time.Second))
 	}
 	s.change(1 + s.rng.IntN(3))
@@ -266,15 +277,24 @@
 }
 
 // faultAroundConfirmation publishes a version and runs a fault that begins shortly before
-// or after the confirmation. Further versions follow while hosts restart.
-func (s *configSoak) faultAroundConfirmation(kind string) {
+// or after the confirmation, in some rounds with a second one that overlaps it. Further
+// versions follow while hosts restart.
+func (s *configSoak) faultAroundConfirmation(kinds []string) {
+	kind := kinds[s.rng.IntN(len(kinds))]
 	offset := between(s.rng, -300*time.Millisecond, 700*time.Millisecond)
 	if kind == storeSilent {
 		offset = between(s.rng, 0, 700*time.Millisecond)
 	}
-	host, fault := s.drawConfigFault(kind)
 	var wg sync.WaitGroup
-	begin := func() { wg.Go(func() { s.configs.duringFault(host, kind, fault) }) }
+	begin := s.drawConfigFault(kind, &wg)
+	if s.rng.IntN(4) == 0 {
+		second := s.drawConfigFault(kinds[s.rng.IntN(len(kinds))], &wg)
+		first := begin
+		begin = func() {
+			first()
+			second()
+		}
+	}
 	if offset > 0 {
 		s.operator.publish()
 		time.Sleep(offset)
@@ -290,49 +310,93 @@
 	wg.Wait()
 }
 
-// drawConfigFault returns a fault of the kind and the host that it affects.
-func (s *configSoak) drawConfigFault(kind string) (host string, fault func()) {
+// drawConfigFault returns a function that starts a fault of the kind, which wg waits for.
+func (s *configSoak) drawConfigFault(kind string, wg *sync.WaitGroup) func() {
+	host, fault := s.configFault(kind)
+	return func() {
+		wg.Go(func() { s.configs.duringFault(host, kind, fault) })
+	}
+}
+
+// configFault returns a fault of the kind and the host that it affects.
+func (s *configSoak) configFault(kind string) (host string, fault func()) {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
 	faultTime := between(s.rng, 500*time.Millisecond, 4*time.Second)
 	delay := between(s.rng, 50*time.Millisecond, 1500*time.Millisecond)
-	store := func(f standin.Faults) func() {
-		return func() {
-			s.store.SetFaults(f)
-			time.Sleep(faultTime)
-			s.store.SetFaults(standin.Faults{})
-		}
+	if fault := s.storeFault(kind, faultTime, delay); fault != nil {
+		return everyHost, fault
 	}
-	all := func(signal syscall.Signal) func() {
-		return func() {
-			var wg sync.WaitGroup
-			for _, h := range s.hosts {
-				wg.Go(func() { h.restart(signal, delay) })
-			}
-			wg.Wait()
+	if fault := s.faultOfAll(kind, delay); fault != nil {
+		return everyHost, fault
+	}
+	if fault := h.fault(kind, faultTime, delay); fault != nil {
+		return h.name, fault
+	}
+	s.t.Fatalf("unknown kind of fault %q", kind)
+	return "", nil
+}
+
+// storeFault returns a fault of the store, or nil if the kind is another one.
+func (s *configSoak) storeFault(kind string, faultTime, delay time.Duration) func() {
+	if kind == storeHistory {
+		return s.store.DiscardHistory
+	}
+	faults, ok := map[string]standin.Faults{
+		storeSilent: {Silent: true},
+		storeDown:   {Down: true},
+		storeSlow:   {Delay: delay},
+		storeLost:   {LoseResponses: 0.4},
+	}[kind]
+	if !ok {
+		return nil
+	}
+	return func() {
+		s.store.SetFaults(faults)
+		time.Sleep(faultTime)
+		s.store.SetFaults(standin.Faults{})
+	}
+}
+
+// faultOfAll returns a fault of all hosts, or nil if the kind is another one.
+func (s *configSoak) faultOfAll(kind string, delay time.Duration) func() {
+	ofOne := map[string]string{killAll: killOne, termAll: termOne, blackholeAll: blackholeOne, resetAll: resetOne}[kind]
+	if ofOne == "" {
+		return nil
+	}
+	return func() {
+		var wg sync.WaitGroup
+		for _, h := range s.hosts {
+			wg.Go(h.fault(ofOne, 0, delay))
 		}
+		wg.Wait()
 	}
+}
+
+// fault returns a fault of the host, or nil if the kind is another one.
+func (h *host) fault(kind string, faultTime, delay time.Duration) func() {
 	switch kind {
-	case storeSilent:
-		return everyHost, store(standin.Faults{Silent: true})
-	case storeDown:
-		return everyHost, store(standin.Faults{Down: true})
-	case storeSlow:
-		return everyHost, store(standin.Faults{Delay: delay})
-	case storeLost:
-		return everyHost, store(standin.Faults{LoseResponses: 0.4})
-	case storeHistory:
-		return everyHost, s.store.DiscardHistory
 	case killOne:
-		return h.name, func() { h.restart(syscall.SIGKILL, delay) }
+		return func() { h.restart(syscall.SIGKILL, delay) }
 	case termOne:
-		return h.name, func() { h.restart(syscall.SIGTERM, delay) }
-	case killAll:
-		return everyHost, all(syscall.SIGKILL)
-	case termAll:
-		return everyHost, all(syscall.SIGTERM)
+		return func() { h.restart(syscall.SIGTERM, delay) }
+	case freezeOne:
+		return func() {
+			h.signal(syscall.SIGSTOP)
+			time.Sleep(faultTime)
+			h.signal(syscall.SIGCONT)
+		}
+	case cutOne:
+		return func() {
+			h.storeRelay.Partition(relay.BothDirections)
+			time.Sleep(faultTime)
+			h.storeRelay.Partition(0)
+		}
+	case blackholeOne:
+		return h.storeRelay.Blackhole
+	case resetOne:
+		return h.storeRelay.Reset
 	}
-	s.t.Fatalf("unknown kind of fault %q", kind)
-	return "", nil
+	return nil
 }
 
 // serviceOf returns the service of an instance.
@@ -423,10 +487,13 @@
 	s := newConfigSoak(t, seed)
 	occupyProcessors(t, *busy)
 	stopProbers := s.startProbers(seed)
-	kinds := strings.Split(*configFaults, ",")
+	var kinds []string
+	if *configFaults != "" {
+		kinds = strings.Split(*configFaults, ",")
+	}
 	end := time.Now().Add(*duration)
 	for time.Now().Before(end) {
-		s.round(kinds[s.rng.IntN(len(kinds))])
+		s.round(kinds)
 		if calm := between(s.rng, 10*time.Second, 30*time.Second); s.rng.IntN(3) == 0 {
 			time.Sleep(min(calm, max(0, time.Until(end))))
 		}
