Let TestConfigSoak publish further routes

Change: -routes N adds N routes that no request uses to each version, so that reading and indexing a configuration takes processor time.

--- a/ctl/soak/configsoak_test.go
+++ b/ctl/soak/configsoak_test.go
@@ -21,6 +21,7 @@
 
 var (
 	configFaults = flag.String("config-faults", strings.Join(configFaultKinds, ","), "kinds of faults of TestConfigSoak; empty for none")
+	moreRoutes   = flag.Int("routes", 0, "number of further routes, which no request uses, of TestConfigSoak")
 	busy         = flag.Int("busy", 0, "number of processes that keep a processor busy during TestConfigSoak")
 )
 
@@ -115,6 +116,9 @@
 			c.Routes = append(c.Routes, r)
 		}
 	}
+	for i := range *moreRoutes {
+		c.Routes = append(c.Routes, newRoute(routeSlot{"more.example", fmt.Sprintf("/%d/", i)}, configServices[0]))
+	}
 	table, err := vhost.NewTable(c)
 	must(o.t, err)
 	p := publication{table: table, sent: time.Now()}
@@ -129,12 +133,10 @@
 	r, ok := o.routes[s]
 	first := o.rng.IntN(len(configServices))
 	second := (first + 1 + o.rng.IntN(len(configServices)-1)) % len(configServices)
-	timeout := time.Duration(2000+o.rng.IntN(1000)) * time.Millisecond
 	action := o.rng.IntN(8)
 	switch {
 	case !ok:
-		r = vhost.Route{Name: s.hostName + s.prefix, Host: s.hostName, Prefix: s.prefix, Repeatable: true, MaxAttempts: 2,
-			Timeout: timeout, TargetLatency: 500 * time.Millisecond, Clusters: []vhost.Cluster{{Service: configServices[first], Weight: 1}}}
+		r = newRoute(s, configServices[first])
 	case action < 2:
 		delete(o.routes, s)
 		return
@@ -146,11 +148,17 @@
 	case action < 7:
 		r.Clusters = []vhost.Cluster{{Service: configServices[first], Weight: 1}, {Service: configServices[second], Weight: 2}}
 	default:
-		r.Timeout = timeout
+		r.Timeout = between(o.rng, time.Second, 3*time.Second)
 	}
 	o.routes[s] = r
 }
 
+// newRoute returns a route of the slot to the service.
+func newRoute(s routeSlot, service string) vhost.Route {
+	return vhost.Route{Name: s.hostName + s.prefix, Host: s.hostName, Prefix: s.prefix, Repeatable: true, MaxAttempts: 2,
+		Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond, Clusters: []vhost.Cluster{{Service: service, Weight: 1}}}
+}
+
 // published returns a copy of the publications.
 func (o *configOperator) published() []publication {
 	o.mu.Lock()
