--- a/ctl/soak/configjudge_test.go
+++ b/ctl/soak/configjudge_test.go
@@ -235,23 +235,33 @@
 	}
 }
 
-// inForceTimes returns the times from the confirmation of each version until its effect
-// was seen on each host that had no fault meanwhile, in ascending order. Versions that
-// allow all that the version before them allows are left out, because their effect may
-// not be visible.
-func (j *configJudge) inForceTimes(slots []routeSlot, services []string) []time.Duration {
-	var times []time.Duration
+// inForceTime is the time from the confirmation of a version until its effect was seen on
+// a host.
+type inForceTime struct {
+	time    time.Duration
+	version int
+	host    string
+	// after is the kind of the latest fault before the confirmation.
+	after string
+}
+
+// inForceTimes returns the times of all versions and hosts that had no fault meanwhile, in
+// ascending order. Versions that share an outcome of each slot with the version before
+// them are left out, because their effect may not be visible.
+func (j *configJudge) inForceTimes(slots []routeSlot, services []string) []inForceTime {
+	var times []inForceTime
 	for i := 1; i < len(j.publications); i++ {
 		if !j.changesOutcome(i, slots, services) {
 			continue
 		}
+		confirmed := j.publications[i].confirmed
 		for p, effects := range j.effects {
-			if at, ok := firstEffect(effects, i+1); ok && j.aliveSince(p, i) && j.faults.faultFree(p.host, j.publications[i].confirmed) && j.faults.faultFree(p.host, at) {
-				times = append(times, at.Sub(j.publications[i].confirmed))
+			if at, ok := firstEffect(effects, i+1); ok && j.aliveSince(p, i) && j.faults.faultFree(p.host, confirmed) && j.faults.faultFree(p.host, at) {
+				times = append(times, inForceTime{time: at.Sub(confirmed), version: i + 1, host: p.host, after: j.faults.lastKind(p.host, confirmed)})
 			}
 		}
 	}
-	slices.SortFunc(times, cmp.Compare[time.Duration])
+	slices.SortFunc(times, func(a, b inForceTime) int { return cmp.Compare(a.time, b.time) })
 	return times
 }
 
--- a/ctl/soak/configsoak_test.go
+++ b/ctl/soak/configsoak_test.go
@@ -452,15 +452,17 @@
 	return strings.Join(kinds, ", ")
 }
 
-// describeTimes returns the quantiles of sorted times.
-func describeTimes(times []time.Duration) string {
+// describeTimes returns the quantiles of sorted times, and where the longest occurred.
+func describeTimes(times []inForceTime) string {
 	if len(times) == 0 {
 		return "none"
 	}
 	quantile := func(q float64) time.Duration {
-		return times[int(q*float64(len(times)-1))].Round(time.Millisecond)
+		return times[int(q*float64(len(times)-1))].time.Round(time.Millisecond)
 	}
-	return fmt.Sprintf("n=%d p50=%v p90=%v p99=%v max=%v", len(times), quantile(0.5), quantile(0.9), quantile(0.99), quantile(1))
+	slowest := times[len(times)-1]
+	return fmt.Sprintf("n=%d p50=%v p90=%v p99=%v max=%v (version %d on %s, last fault: %s)",
+		len(times), quantile(0.5), quantile(0.9), quantile(0.99), quantile(1), slowest.version, slowest.host, slowest.after)
 }
 
 // occupyProcessors runs n processes that each keep a processor busy until the test ends.
