--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -30,6 +30,41 @@
 	table atomic.Pointer[vhost.Table]
 	// row is the row that table was read from.
 	row atomic.Pointer[rowstore.Row]
+	// confirmedAt is the last time at which table is known to have been the newest
+	// configuration in the store.
+	confirmedAt atomic.Pointer[time.Time]
+}
+
+// confirm records that the store had no configuration above the version at the given
+// time. It is ignored unless the version in force is at least that one.
+func (c *currentConfig) confirm(version uint64, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version <= c.version() && at.After(c.lastConfirmed()) {
+		c.confirmedAt.Store(&at)
+	}
+}
+
+// lastConfirmed returns the time of the last confirmation, or the zero time.
+func (c *currentConfig) lastConfirmed() time.Time {
+	if at := c.confirmedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// confirmed returns the version in force and the time since it was last confirmed. The
+// version may have been put in force after the time was read: that only makes it newer.
+func (c *currentConfig) confirmed(now time.Time) (version uint64, age time.Duration) {
+	age = now.Sub(c.lastConfirmed())
+	return c.version(), age
+}
+
+// fields describes the table that decided on a request, for log lines: its version, and
+// the time in milliseconds since the configuration in force was last confirmed.
+func (c *currentConfig) fields(t *vhost.Table) []event.Field {
+	age := time.Since(c.lastConfirmed())
+	return []event.Field{event.F("config", t.Version()), event.F("config_age_ms", age.Milliseconds())}
 }
 
 // version returns the version of the configuration in force, or 0 if there is none.
@@ -79,7 +114,7 @@
 	}
 	c.row.Store(&r)
 	c.table.Store(t)
-	c.log.Log(eventConfig, event.F("version", config.Version), event.F("routes", len(config.Routes)), event.F("services", len(config.Services)))
+	c.log.Log(eventConfig, event.F("version", config.Version), event.F("row_version", r.Version), event.F("routes", len(config.Routes)), event.F("services", len(config.Services)))
 	c.changed()
 	return nil
 }
@@ -105,16 +140,30 @@
 // per host.
 const smallFleetHosts = 100
 
-// followConfig follows the configuration until ctx ends: in large fleets through the host
-// that reads for the zone, and otherwise directly. It uses its own connection to the
-// store, so that failures of other calls do not delay a change.
-func (s *Sidecar) followConfig(ctx context.Context) {
-	s.follow(ctx, &rowstore.Follower{
+// newConfigFollower returns the follower of the configuration. In large fleets it reads
+// through the host that reads for the zone, and otherwise directly. It uses its own
+// connection to the store, so that failures of other calls do not delay a change.
+func (s *Sidecar) newConfigFollower() *rowstore.Follower {
+	return &rowstore.Follower{
 		Store: s.configFed, Table: s.opts.Config.Key.Table, Changed: s.config.applyRow,
 		BatchDelay: s.configPollDelay, Feed: s.feeds[s.opts.Config.Key.Table],
+		UpToDate: s.confirmConfig, CheckStore: s.directStore, CheckDelay: s.configCheckDelay, Checked: s.configChecked,
 		Disconnected: func(error) { s.exchange.setStoreDisconnected(true) },
 		Reconnected:  func() { s.exchange.setStoreDisconnected(false) },
-	})
+	}
+}
+
+// followConfig follows the configuration until ctx ends.
+func (s *Sidecar) followConfig(ctx context.Context) {
+	s.follow(ctx, s.configFollower)
+}
+
+// confirmConfig records that the follower had reported all changes of the configuration
+// that were made before asOf. A host that reads for the zone may itself be behind.
+func (s *Sidecar) confirmConfig(asOf time.Time) {
+	if s.configFed.Direct() {
+		s.config.confirm(s.config.version(), asOf)
+	}
 }
 
 // storeDeliveryDeadline returns the time until which the store may deliver a
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -40,6 +40,8 @@
 		"Another host reported a newer configuration, which could not be fetched. Other hosts are polled until this one has it.", "See event 1810.")
 	eventPeerPollFailed = event.Define(1819, log.DebugLevel, "configuration not compared",
 		"Another host was polled for the version of its configuration and did not respond. Another one is polled after a short delay.", "none")
+	eventWatchReplaced = event.Define(1824, log.WarnLevel, "watch replaced",
+		"The store has changes that the watch of a table did not deliver. They are applied, and the watch is replaced: the store may have lost it.", "none; if it repeats, look for a store that does not answer watches.")
 	eventUpstream = event.Define(1820, log.InfoLevel, "upstream changed",
 		"The local upstream announced itself, changed, or announced that it leaves.", "none")
 	eventStaleHeartbeat = event.Define(1821, log.WarnLevel, "heartbeat ignored",
@@ -70,6 +72,8 @@
 		"The gate sent a request to the local upstream, or tried to, and got no response that may be passed on.", "The field arrived says whether the upstream got the request; search the upstream's own log for its id.")
 	eventPanic = event.Define(1843, log.ErrorLevel, "panic in the router",
 		"A panic ended one request; the others continue.", "Report it with the log.")
+	eventRouted = event.Define(1844, log.InfoLevel, "request routed",
+		"A service was chosen for a request of a caller. config is the version in force, config_age_ms the time since it was last known to be the newest in the store. Only some requests are logged: dropped_before counts the others.", "If config_age_ms is above 2000, find out why the store's answers are missing: events 1810 and 1812.")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 )
