Allow for the rounding of the store's clock in its upper bound

Cause: times of the store's clock are whole milliseconds, rounded down, and so are the nanoseconds of the test's model. Two readings may differ by one step more than the time between them. The bound added drift only.

Change: the bound adds one step of the clock.

--- a/router/keyrange/lease.go
+++ b/router/keyrange/lease.go
@@ -66,13 +66,16 @@
 	}
 }
 
+// storeClockStep is the resolution of the store's clock, whose times are rounded down.
+const storeClockStep = time.Millisecond
+
 // UpperBound returns the latest time that the store's clock can show at a local
 // time after the last observation, or 0 if there was none.
 func (c *StoreClock) UpperBound(at boottime.Time) time.Duration {
 	if c.store == 0 {
 		return 0
 	}
-	return c.store + withDrift(at.Sub(c.local))
+	return c.store + withDrift(at.Sub(c.local)) + storeClockStep
 }
 
 // LeaseWatch determines from repeated observations of the leases' rows which
--- a/router/keyrange/lease_test.go
+++ b/router/keyrange/lease_test.go
@@ -110,3 +110,16 @@
 		}
 	})
 }
+
+// Guards against an upper bound that the store's clock exceeds because its times are whole
+// milliseconds.
+func TestStoreClockUpperBoundAllowsForRounding(t *testing.T) {
+	shown := func(local boottime.Time) time.Duration { return time.Duration(local).Truncate(time.Millisecond) }
+	const sent = boottime.Time(5*time.Millisecond + 900*time.Microsecond)
+	var c StoreClock
+	c.Observe(sent, shown(sent))
+	at := sent.Add(200 * time.Microsecond)
+	if got := c.UpperBound(at); got < shown(at) {
+		t.Errorf("upper bound %v, but the store's clock shows %v", got, shown(at))
+	}
+}
