Test a head with two ids by itself

Cause: a planted client that accepts two ids was not found, because each head of that kind in the tests of the sidecar also has two signatures or contradicts itself.

Change: one more case in TestRepeatedRefusalIsNotBelieved, "behind a head that broke off". It fails with the planted fault (status 200 for a head that two responses make up) and passes without it.

Conclusion: no code outside tests is changed.

--- a/router/h1/repeated_test.go
+++ b/router/h1/repeated_test.go
@@ -108,6 +108,7 @@
 		"without an id, in parts":      {[]string{refusal("")}, []string{refusal("")[:9], refusal("")[9:]}, 0},
 		"with an empty id":             {[]string{refusal("a")}, []string{strings.Replace(refusal("a"), "Request: a", "Request: ", 1)}, 0},
 		"without an id, misdirected":   {[]string{refusal("a")}, []string{"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"}, 0},
+		"behind a head that broke off": {[]string{refusal("a")}, []string{"HTTP/1.1 200 OK\r\nRequest: b\r\nA: ", refusal("a")}, 0},
 		"without an id, behind a copy": {[]string{refusal("a")}, []string{refusal("a"), refusal("")}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
