Confirm the configuration without waiting for a change in progress

Change: the time of the confirmation is set without that lock. The version in force never decreases, so it may be read before.

Measured: go test -race ./sidecar passes.

--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -32,25 +32,33 @@
 	// row is the row that table was read from.
 	row atomic.Pointer[rowstore.Row]
 	// refusedRow is the highest row version that was refused.
-	refusedRow int64
+	refusedRow atomic.Int64
 	// confirmedAt is the last time at which table is known to have been the newest
 	// configuration in the store.
 	confirmedAt atomic.Pointer[time.Time]
 }
 
 // confirm records that the store had no configuration above the version at the given
-// time. It is ignored unless the version in force is at least that one.
+// time. It is ignored unless the version in force is at least that one. It does not wait
+// for a change in progress, because it is called for each response of another host.
 func (c *currentConfig) confirm(version uint64, at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if old := c.row.Load(); old != nil && c.refusedRow > old.Version {
-		return // the store has a newer one, which was refused
+	if version > c.version() || c.newerRefused() {
+		return
 	}
-	if version <= c.version() && at.After(c.lastConfirmed()) {
-		c.confirmedAt.Store(&at)
+	for {
+		old := c.confirmedAt.Load()
+		if (old != nil && !at.After(*old)) || c.confirmedAt.CompareAndSwap(old, &at) {
+			return
+		}
 	}
 }
 
+// newerRefused reports whether the store has a newer row that was refused.
+func (c *currentConfig) newerRefused() bool {
+	row := c.row.Load()
+	return row != nil && c.refusedRow.Load() > row.Version
+}
+
 // lastConfirmed returns the time of the last confirmation, or the zero time.
 func (c *currentConfig) lastConfirmed() time.Time {
 	if at := c.confirmedAt.Load(); at != nil {
@@ -112,7 +120,7 @@
 // refuse records a row that is no valid configuration. The version is 0 if the row cannot
 // be decoded.
 func (c *currentConfig) refuse(r rowstore.Row, version uint64, err error) {
-	c.refusedRow = max(c.refusedRow, r.Version)
+	c.refusedRow.Store(max(c.refusedRow.Load(), r.Version))
 	c.log.Log(eventRowInvalid, event.F("row", "configuration"), event.F("version", r.Version), event.F("config", version),
 		event.F("in_force", c.version()), event.F("error", err.Error()))
 	if c.refused != nil {
