Check a watch that began after a failure

Callers: requests run by an older configuration for up to 27 s, on all hosts, when the store fails a watch and then loses the next one, as it does when it comes back from an outage in steps.

Cause: a check needed the last call of a Follower to have succeeded. After a failed watch the next one counts as a failure until it returns. If the store loses it, no check is made for as long as a watch may take.

Change: a watch in progress is reason enough for a check. During the backoff after a failure there is still none, so that an outage costs no further calls.

Measured: go test ./rowstore -run TestFollowerReplacesWatchLostAfterFailure; before the change "the change was reported after 26.220693505s, want 3s at most".

--- a/router/rowstore/check.go
+++ b/router/rowstore/check.go
@@ -14,7 +14,7 @@
 )
 
 // ErrNotFollowing means that there is nothing to check, because the table has not been
-// read or the last call of Run failed.
+// read, or the last call of Run failed and the next one has not begun.
 var ErrNotFollowing = errors.New("the table is not being followed")
 
 // runChecks makes the checks until ctx is done.
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	f.mu.Lock()
-	following, position := f.following, f.position
+	following, position := f.following || f.endWatch != nil, f.position
 	f.mu.Unlock()
 	if !following {
 		return 0, ErrNotFollowing
--- /dev/null
+++ b/router/rowstore/check_test.go
@@ -0,0 +1,52 @@
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// failThenLose is a store of which the next watch fails, and the one after it is lost.
+type failThenLose struct {
+	*Memory
+	watches int
+}
+
+func (f *failThenLose) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
+	if wait == 0 {
+		return f.Memory.Watch(ctx, table, after, wait)
+	}
+	f.watches++
+	switch f.watches {
+	case 1:
+		return nil, 0, errors.New("status 503")
+	case 2:
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return f.Memory.Watch(ctx, table, after, wait)
+}
+
+// Guards against a follower that makes no checks after a failed watch, although the store
+// has lost the next one: it would learn of no change for as long as a watch may take.
+func TestFollowerReplacesWatchLostAfterFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &failThenLose{Memory: NewMemory()}
+		reported := make(chan Row, 1)
+		f := &Follower{Store: store, Table: "t", Changed: func(r Row) { reported <- r }, Disconnected: func(error) {}, Reconnected: func() {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { f.Run(ctx); close(done) }()
+		time.Sleep(time.Second)
+		put(t, store.Memory, "a", "1")
+		began := time.Now()
+		<-reported
+		if took := time.Since(began); took > contactLimit {
+			t.Errorf("the change was reported after %v, want %v at most", took, contactLimit)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -58,8 +58,7 @@
 	versions map[Key]int64
 	// position is the version up to which all changes have been reported.
 	position int64
-	// following is true if the last call of Run succeeded: there is nothing to check
-	// otherwise.
+	// following is true if the last call of Run succeeded.
 	following bool
 	// endWatch ends the watch in progress. It is nil if there is none.
 	endWatch context.CancelFunc
