Read a table again when only a check learns that its history is gone

Cause: the check ended the watch in progress and relied on the next watch to learn the same. If the store loses that one as well, each check ends one lost watch after the other, and the table is never read.

Change: the check hands its result to the watch that it ends, unless the position has moved meanwhile.

Measured: go test ./rowstore -run TestFollowerReadsAgainWhenCheckFindsNoHistory; before the change "the change was reported after 1m0s, want 3s at most" (the test gives up after a minute).

--- a/router/rowstore/check.go
+++ b/router/rowstore/check.go
@@ -54,13 +54,13 @@
 	}
 	rows, version, err := f.checkStore().Watch(ctx, f.Table, position, 0)
 	if errors.Is(err, ErrHistoryGone) {
-		f.replaceWatch() // Run reads the table again
+		f.replaceWatch(position, ErrHistoryGone) // Run reads the table again
 	}
 	if err != nil {
 		return 0, err
 	}
 	if undelivered = f.report(rows, version); undelivered > 0 {
-		f.replaceWatch()
+		f.replaceWatch(anyPosition, errWatchReplaced)
 	}
 	return undelivered, nil
 }
@@ -72,12 +72,17 @@
 	return f.Store
 }
 
-// replaceWatch ends the watch in progress, if there is one.
-func (f *Follower) replaceWatch() {
+// anyPosition stands for all positions.
+const anyPosition = -1
+
+// replaceWatch ends the watch in progress with the result, if there is one and the
+// position is still the given one.
+func (f *Follower) replaceWatch(position int64, result error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.endWatch != nil {
-		f.endWatch()
-		f.endWatch = nil
+	if f.endWatch == nil || position != anyPosition && position != f.position {
+		return
 	}
+	f.endWatch(result)
+	f.endWatch = nil
 }
--- a/router/rowstore/check_test.go
+++ b/router/rowstore/check_test.go
@@ -50,3 +50,42 @@
 		<-done
 	})
 }
+
+// eatsWatches is a store that loses all watches that wait, and answers the others.
+type eatsWatches struct{ *Memory }
+
+func (e eatsWatches) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
+	if wait == 0 {
+		return e.Memory.Watch(ctx, table, after, wait)
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Guards against a follower that never reads the table again because only its checks
+// learn that the history was discarded.
+func TestFollowerReadsAgainWhenCheckFindsNoHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := eatsWatches{NewMemory()}
+		put(t, store.Memory, "z", "1")
+		reported := make(chan Row, 2)
+		f := &Follower{Store: store, Table: "t", Changed: func(r Row) { reported <- r }, Disconnected: func(error) {}, Reconnected: func() {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { f.Run(ctx); close(done) }()
+		<-reported
+		time.Sleep(time.Second)
+		put(t, store.Memory, "a", "1")
+		store.DiscardHistory()
+		began := time.Now()
+		select {
+		case <-reported:
+		case <-time.After(time.Minute):
+		}
+		if took := time.Since(began); took > contactLimit {
+			t.Errorf("the change was reported after %v, want %v at most", took, contactLimit)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -60,8 +60,9 @@
 	position int64
 	// following is true if the last call of Run succeeded.
 	following bool
-	// endWatch ends the watch in progress. It is nil if there is none.
-	endWatch context.CancelFunc
+	// endWatch ends the watch in progress with the given result. It is nil if there is
+	// none.
+	endWatch context.CancelCauseFunc
 	// rows are those not yet added to Feed.
 	rows []Row
 
@@ -204,10 +205,12 @@
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
+	replaceable, replace := context.WithCancelCause(ctx)
+	defer replace(nil)
+	limited, cancel := context.WithTimeout(replaceable, watchWait+readTimeout)
 	defer cancel()
 	f.mu.Lock()
-	f.endWatch = cancel
+	f.endWatch = replace
 	position := f.position
 	f.mu.Unlock()
 	rows, version, err := f.Store.Watch(limited, f.Table, position, watchWait)
@@ -216,7 +219,7 @@
 	f.endWatch = nil
 	f.mu.Unlock()
 	if replaced && err != nil {
-		return errWatchReplaced
+		return context.Cause(replaceable)
 	}
 	if err != nil {
 		return err
