End a read of a table in one step, and test interleavings

Cause: a read reported the deleted rows and set the position in two steps. A check whose response was sent before the history was discarded could report a row in between that has been deleted since; it would stay.

Change: one step.

--- a/router/rowstore/check_test.go
+++ b/router/rowstore/check_test.go
@@ -89,3 +89,16 @@
 		<-done
 	})
 }
+
+// Guards against a deleted row that a late response brings back: checks and watches receive
+// the same rows.
+func TestLateResponseDoesNotBringBackDeletedRow(t *testing.T) {
+	var present bool
+	f := &Follower{Changed: func(r Row) { present = !r.Deleted }, versions: map[Key]int64{}}
+	added := Row{Key: Key{Table: "t", Name: "a"}, Version: 1}
+	f.report([]Row{added}, 1)
+	f.report([]Row{{Key: added.Key, Version: 2, Deleted: true}}, 2)
+	if unreported := f.report([]Row{added}, 1); unreported != 0 || present {
+		t.Errorf("%d rows reported, row present: %v", unreported, present)
+	}
+}
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -186,15 +186,14 @@
 		}
 		f.applyListed(rows)
 	}
-	f.reportDeleted(present, listedAt)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.position = listedAt
+	f.finishRead(present, listedAt)
 	return nil
 }
 
-// reportDeleted reports rows that were deleted while the table was not watched.
-func (f *Follower) reportDeleted(present map[Key]bool, version int64) {
+// finishRead reports rows that were deleted while the table was not watched, and
+// continues from the version. Both are one step: a check that received such a row earlier
+// must not report it in between.
+func (f *Follower) finishRead(present map[Key]bool, version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for key := range f.versions {
@@ -202,6 +201,7 @@
 			f.apply(Row{Key: key, Version: version, Deleted: true})
 		}
 	}
+	f.position = version
 }
 
 func (f *Follower) watch(ctx context.Context) error {
