Count the interval of checks from their starts

Cause: the next check was due 1.1 s after the end of the last one at the latest. A check that reads the store just before a change and gets its response 0.49 s later delays the next one by as much: 0.49 + 1.1 + 0.49 s is above the 2 s within which a configuration must be in force.

Change: the interval begins with the start of the check, as the age does.

Measured: go test ./sidecar -run TestSlowChecks; before the change "version 2 is in force after 2.01s, want 2s at most" within 20 random ages. TestFailedChecksBackOff passes the start as well, which is the same moment there.

--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -36,7 +36,7 @@
 	mu sync.Mutex
 	// age is the age at which the next check is due.
 	age time.Duration
-	// checkedAt is the time of the last check that succeeded. It does not confirm the
+	// checkedAt is the start of the last check that succeeded. It does not confirm the
 	// configuration in force if the store has one that this host refuses.
 	checkedAt time.Time
 	// notBefore is the end of the backoff after failed checks.
@@ -59,13 +59,13 @@
 	return later(later(confirmedAt, s.checkedAt).Add(age), s.notBefore).Sub(now)
 }
 
-// record records the end of a check.
-func (s *checkSchedule) record(now time.Time, failed bool) {
+// record records the start and the end of a check.
+func (s *checkSchedule) record(start, now time.Time, failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.age = 0
 	if !failed {
-		s.failures, s.checkedAt = 0, now
+		s.failures, s.checkedAt = 0, start
 		return
 	}
 	s.notBefore = now.Add(min(minCheckBackoff<<min(s.failures, 8), maxCheckBackoff))
@@ -83,7 +83,7 @@
 	if err == nil {
 		s.config.confirm(s.config.version(), asOf)
 	}
-	s.configChecks.record(time.Now(), err != nil)
+	s.configChecks.record(asOf, time.Now(), err != nil)
 	s.logCheck(s.configFollower, undelivered, err)
 }
 
--- a/router/sidecar/configcheck_test.go
+++ b/router/sidecar/configcheck_test.go
@@ -80,14 +80,14 @@
 	now := time.Now()
 	confirmedAt := now.Add(-time.Hour)
 	for range 20 {
-		s.record(now, true)
+		s.record(now, now, true)
 		delay := s.delay(now, confirmedAt, false)
 		if delay < minCheckBackoff || delay > maxCheckBackoff {
 			t.Fatalf("delay of %v after a failed check", delay)
 		}
 		now = now.Add(delay)
 	}
-	s.record(now, false)
+	s.record(now, now, false)
 	if delay := s.delay(now, confirmedAt, true); delay != firstHostCheckAge {
 		t.Errorf("the next check of a configuration that none confirms is after %v", delay)
 	}
@@ -98,3 +98,48 @@
 		t.Errorf("another host checks after %v", delay)
 	}
 }
+
+// slowChecks is a store that loses all watches that wait and answers the others late.
+type slowChecks struct {
+	rowstore.Store
+	delay time.Duration
+	// checked receives a value when the response to a check has been determined.
+	checked chan struct{}
+}
+
+func (s slowChecks) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
+	if wait > 0 {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	rows, version, err := s.Store.Watch(ctx, table, after, 0)
+	select {
+	case s.checked <- struct{}{}:
+	default:
+	}
+	time.Sleep(s.delay)
+	return rows, version, err
+}
+
+// Guards against an interval between checks that begins when a slow check ends: a change
+// just after its start would be in force too late.
+func TestSlowChecksDoNotDelayChange(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			checks := slowChecks{delay: checkTimeoutTested, checked: make(chan struct{})}
+			h := startConfigHostWith(t, func(f *rowstore.Follower) {
+				checks.Store = f.CheckStore
+				f.Store, f.CheckStore = checks, checks
+			})
+			h.hangPeers()
+			h.fleet.Put(fleet.Member{Host: "a0", Zone: "z1", Region: "r1", Service: "plain", Address: "127.0.0.1:1", State: fleet.Ready})
+			time.Sleep(10 * time.Second)
+			<-checks.checked
+			h.publishUnseen("2")
+			h.inForceWithin(2, configInForce)
+		})
+	}
+}
+
+// checkTimeoutTested is a little less than the time after which a check fails.
+const checkTimeoutTested = 490 * time.Millisecond
