Test changes in fleets whose watches are all lost

Hosts without any working watch, which pass on the ages of their configurations with responses and comparison calls: 2, 18 and 100 of them, with and without requests, with the first host by name well, frozen, or cut off from the store. Each must have a change within 2 s, and none may take its configuration for the newest as of a time after the next one was confirmed.

Not covered: a restart of the first host, more than 100 hosts, which read through the reader of their zone.

--- /dev/null
+++ b/router/sidecar/configfleet_test.go
@@ -0,0 +1,213 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/hop"
+	"burdockglade.dev/router/metrics"
+	"burdockglade.dev/router/rowstore"
+)
+
+// forgetful is the store as one host reaches it: it answers checks and loses all watches
+// that wait.
+type forgetful struct {
+	*rowstore.Memory
+	fleet *configFleet
+	host  int
+}
+
+func (f forgetful) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
+	if wait > 0 || f.fleet.trouble(f.host) != "" {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	f.fleet.checks.Add(1)
+	time.Sleep(simulatedDelay())
+	rows, version, err := f.Memory.Watch(ctx, table, after, 0)
+	time.Sleep(simulatedDelay())
+	return rows, version, err
+}
+
+// simulatedDelay is the time that a message takes.
+func simulatedDelay() time.Duration { return rand.N(10 * time.Millisecond) }
+
+// configFleet is a fleet of hosts whose watches are all lost.
+type configFleet struct {
+	memory  *rowstore.Memory
+	hosts   []*Sidecar
+	clients []*hop.Client
+	index   map[*hop.Client]int
+	checks  atomic.Int64
+	// firstHost is what is wrong with the first host: "", "frozen" or "cut off" from the
+	// store.
+	firstHost atomic.Value
+}
+
+func (f *configFleet) first() string {
+	s, _ := f.firstHost.Load().(string)
+	return s
+}
+
+func (f *configFleet) trouble(host int) string {
+	if host == 0 {
+		return f.first()
+	}
+	return ""
+}
+
+func (f *configFleet) publish(t *testing.T, version int) {
+	t.Helper()
+	if _, err := f.memory.Commit(t.Context(), rowstore.Txn{Writes: []rowstore.Write{{Key: configKey, Value: fmt.Append(nil, version)}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// start starts n hosts with version 1.
+func (f *configFleet) start(t *testing.T, n int) {
+	f.memory, f.index = rowstore.NewMemory(), map[*hop.Client]int{}
+	f.publish(t, 1)
+	for i := range n {
+		settings := DefaultSettings()
+		settings.Host = HostSettings{Name: fmt.Sprintf("h%03d", i), Zone: "z1", Region: "r1", Service: "plain"}
+		settings.Upstream.Address = "127.0.0.1:1"
+		notFound := func(*Sidecar) http.Handler { return http.NotFoundHandler() }
+		s := New(Options{
+			Settings: settings, Store: forgetful{f.memory, f, i}, Headers: testHeaders,
+			Config:  ConfigSource{Key: configKey, Decode: decodeTestConfig},
+			Control: notFound, Ready: notFound, Metrics: &metrics.Scope{Scope: tally.NoopScope},
+		})
+		for j := range n {
+			s.fleet.Put(fleet.Member{Host: fmt.Sprintf("h%03d", j), Zone: "z1", Region: "r1", Service: "plain", Address: "127.0.0.1:1", State: fleet.Ready})
+		}
+		s.exchange.randomPeer = func() *hop.Client { return f.clients[f.otherThan(i)] }
+		s.exchange.fetch = func(ctx context.Context, from *hop.Client, version uint64) (peerConfig, error) {
+			return f.fetch(ctx, i, f.index[from], version)
+		}
+		f.hosts, f.clients = append(f.hosts, s), append(f.clients, newHopClient("127.0.0.1:1"))
+		f.index[f.clients[i]] = i
+	}
+}
+
+func (f *configFleet) otherThan(host int) int {
+	return (host + 1 + rand.N(len(f.hosts)-1)) % len(f.hosts)
+}
+
+// fetch is a comparison call from one host to another.
+func (f *configFleet) fetch(ctx context.Context, from, to int, version uint64) (peerConfig, error) {
+	if f.first() == "frozen" && (from == 0 || to == 0) {
+		<-ctx.Done()
+		return peerConfig{}, ctx.Err()
+	}
+	time.Sleep(simulatedDelay())
+	result := (&hopHandler{config: f.hosts[to].config}).callStore(ctx, storeCall{Call: storeConfig, Config: version})
+	time.Sleep(simulatedDelay())
+	if result.Error != "" {
+		return peerConfig{}, errors.New(result.Error)
+	}
+	peer := peerConfig{Version: result.Config, Age: result.ConfigAge, AgeKnown: result.ConfigAge > 0}
+	for _, r := range result.Rows {
+		peer.Row = &r
+	}
+	return peer, nil
+}
+
+// request is a request from one host to another.
+func (f *configFleet) request(from, to int) {
+	if f.first() == "frozen" && (from == 0 || to == 0) {
+		return
+	}
+	requestedAt := time.Now()
+	time.Sleep(simulatedDelay())
+	head := (&hopHandler{config: f.hosts[to].config}).responseHead(&Result{})
+	time.Sleep(simulatedDelay())
+	peer := peerConfig{Version: head.Config}
+	peer.Age, peer.AgeKnown = head.Flags.ConfigAge()
+	f.hosts[from].exchange.observe(peer, requestedAt, f.clients[to])
+}
+
+// run runs the hosts until ctx ends.
+func (f *configFleet) run(ctx context.Context, requests bool) {
+	var tasks sync.WaitGroup
+	for i, s := range f.hosts {
+		tasks.Go(func() { s.followConfig(ctx) })
+		tasks.Go(func() { s.exchange.run(ctx) })
+		if requests {
+			tasks.Go(func() {
+				for ctx.Err() == nil {
+					f.request(i, f.otherThan(i))
+					time.Sleep(rand.N(60 * time.Millisecond))
+				}
+			})
+		}
+	}
+	tasks.Wait()
+}
+
+// checkChange publishes a version and checks when the hosts have it, and that none of
+// the others takes its configuration for the newest at a later time.
+func (f *configFleet) checkChange(t *testing.T, version int) (slowest time.Duration) {
+	t.Helper()
+	f.publish(t, version)
+	published := time.Now()
+	for waiting := true; waiting; {
+		time.Sleep(10 * time.Millisecond)
+		waiting = false
+		for i, s := range f.hosts {
+			if f.first() == "frozen" && i == 0 || s.config.version() >= uint64(version) {
+				continue
+			}
+			waiting = time.Since(published) < time.Minute
+			if late := s.config.lastConfirmed().Sub(published); late > 0 && s.config.version() < uint64(version) {
+				t.Errorf("host %d takes version %d for the newest %v after version %d", i, s.config.version(), late, version)
+			}
+		}
+	}
+	return time.Since(published)
+}
+
+// Guards against hosts that confirm an old configuration to each other, and against a
+// change that is delayed because the first host, which checks most often, does not.
+func TestChangeReachesFleetWithoutWatches(t *testing.T) {
+	for _, n := range []int{2, 18, 100} {
+		for _, firstHost := range []string{"", "frozen", "cut off"} {
+			for _, requests := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d hosts, first %q, requests %v", n, firstHost, requests), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						f := &configFleet{}
+						f.start(t, n)
+						ctx, cancel := context.WithCancel(t.Context())
+						done := make(chan struct{})
+						go func() { f.run(ctx, requests); close(done) }()
+						time.Sleep(3 * time.Second)
+						f.firstHost.Store(firstHost)
+						time.Sleep(3 * time.Second)
+						began, before := time.Now(), f.checks.Load()
+						var slowest time.Duration
+						for version := 2; version < 3+30/n; version++ {
+							time.Sleep(rand.N(2 * time.Second))
+							slowest = max(slowest, f.checkChange(t, version))
+						}
+						if slowest > configInForce {
+							t.Errorf("a version was in force after %v, want %v at most", slowest, configInForce)
+						}
+						t.Logf("slowest %v, %.1f checks a second", slowest, float64(f.checks.Load()-before)/time.Since(began).Seconds())
+						cancel()
+						<-done
+					})
+				})
+			}
+		}
+	}
+}
