Count a watch as lost only if it was in progress

Operators: warning 1824 "watch replaced" after changes in quick succession, although no watch was lost.

Cause: a check during the batch delay finds the next change before the next watch is sent. It reported the change as one that the watch did not deliver. It could also end a watch that had begun after the check.

Change: a check ends, and reports, only a watch that was in progress from its start to its end. Watches are numbered for that; the comparison of positions for a discarded history is no longer needed.

Not covered: the response to the watch may be on its way when the check returns.

--- a/router/rowstore/check.go
+++ b/router/rowstore/check.go
@@ -42,27 +42,29 @@
 }
 
 // check asks the store for changes that were not reported, and reports them. If there are
-// any, the watch in progress is replaced.
+// any, a watch that has been in progress all the time is replaced; undelivered is the
+// number of rows that it missed.
 func (f *Follower) check(ctx context.Context) (undelivered int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	f.mu.Lock()
-	following, position := f.following || f.endWatch != nil, f.position
+	following, position, watch := f.following || f.endWatch != nil, f.position, f.watchInProgress()
 	f.mu.Unlock()
 	if !following {
 		return 0, ErrNotFollowing
 	}
 	rows, version, err := f.checkStore().Watch(ctx, f.Table, position, 0)
 	if errors.Is(err, ErrHistoryGone) {
-		f.replaceWatch(position, ErrHistoryGone) // Run reads the table again
+		f.replaceWatch(watch, ErrHistoryGone) // Run reads the table again
 	}
 	if err != nil {
 		return 0, err
 	}
-	if undelivered = f.report(rows, version); undelivered > 0 {
-		f.replaceWatch(anyPosition, errWatchReplaced)
+	unreported := f.report(rows, version)
+	if unreported > 0 && f.replaceWatch(watch, errWatchReplaced) {
+		return unreported, nil
 	}
-	return undelivered, nil
+	return 0, nil // there was no watch that could have delivered them
 }
 
 func (f *Follower) checkStore() Store {
@@ -72,17 +74,27 @@
 	return f.Store
 }
 
-// anyPosition stands for all positions.
-const anyPosition = -1
+// noWatch is never the number of a watch.
+const noWatch = 0
 
-// replaceWatch ends the watch in progress with the result, if there is one and the
-// position is still the given one.
-func (f *Follower) replaceWatch(position int64, result error) {
+// watchInProgress returns the number of the watch in progress, or noWatch. f.mu must be
+// held.
+func (f *Follower) watchInProgress() int64 {
+	if f.endWatch == nil {
+		return noWatch
+	}
+	return f.watches
+}
+
+// replaceWatch ends the given watch with the result and reports whether it was still in
+// progress.
+func (f *Follower) replaceWatch(watch int64, result error) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.endWatch == nil || position != anyPosition && position != f.position {
-		return
+	if watch == noWatch || watch != f.watchInProgress() {
+		return false
 	}
 	f.endWatch(result)
 	f.endWatch = nil
+	return true
 }
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -49,8 +49,8 @@
 	// made unless CheckDelay returns another time. It must return a delay after a check
 	// that failed. Nil means every checkInterval.
 	CheckDelay func() time.Duration
-	// Checked, if set, is called after each check with the number of rows that the
-	// watch had not delivered. If err is nil, all changes that were in CheckStore before
+	// Checked, if set, is called after each check with the number of rows that the watch
+	// in progress had not delivered. If err is nil, all changes that were in CheckStore before
 	// asOf, the start of the check, have been reported.
 	Checked func(asOf time.Time, undelivered int, err error)
 
@@ -63,6 +63,8 @@
 	// endWatch ends the watch in progress with the given result. It is nil if there is
 	// none.
 	endWatch context.CancelCauseFunc
+	// watches is the number of watches that have begun.
+	watches int64
 	// rows are those not yet added to Feed.
 	rows []Row
 
@@ -211,6 +213,7 @@
 	defer cancel()
 	f.mu.Lock()
 	f.endWatch = replace
+	f.watches++
 	position := f.position
 	f.mu.Unlock()
 	rows, version, err := f.Store.Watch(limited, f.Table, position, watchWait)
--- a/router/sidecar/configcheck_test.go
+++ b/router/sidecar/configcheck_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -141,5 +143,27 @@
 	}
 }
 
+// Guards against warnings of lost watches that are due to the batch delay: a check may
+// find a change before the next watch is sent.
+func TestChangesInBatchDelayAreNoLostWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lost atomic.Int64
+		h := startConfigHostWith(t, func(f *rowstore.Follower) {
+			checked := f.Checked
+			f.Checked = func(asOf time.Time, undelivered int, err error) {
+				lost.Add(int64(undelivered))
+				checked(asOf, undelivered, err)
+			}
+		})
+		for version := 2; version <= 101; version++ {
+			h.publish(strconv.Itoa(version))
+			time.Sleep(rand.N(2 * configBatchDelay))
+		}
+		if lost.Load() != 0 {
+			t.Errorf("%d changes count as lost by a watch, none was", lost.Load())
+		}
+	})
+}
+
 // checkTimeoutTested is a little less than the time after which a check fails.
 const checkTimeoutTested = 490 * time.Millisecond
