End a refusal when a later row is valid

Cause: a refused row kept the configuration in force from being confirmed until a newer version came into force. When the operator answers a refused version by publishing the one in force again, nothing newer comes: the age in the log lines grew for ever and no other host was told that the configuration is the newest.

Change: a valid row with a higher row version ends the refusal.

Measured: go test ./sidecar -run TestValidRowEndsRefusal; a trial of the same steps before the change: "confirmed after republication: false".

--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -31,7 +31,8 @@
 	table atomic.Pointer[vhost.Table]
 	// row is the row that table was read from.
 	row atomic.Pointer[rowstore.Row]
-	// refusedRow is the highest row version that was refused.
+	// refusedRow is the highest row version that was refused, or 0 if a later row was
+	// valid.
 	refusedRow int64
 	// confirmedAt is the last time at which table is known to have been the newest
 	// configuration in the store.
@@ -104,8 +105,11 @@
 	if err == nil {
 		err = c.apply(config, r)
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		c.refuse(r, config.Version, err)
+	case r.Version > c.refusedRow:
+		c.refusedRow = 0 // the store no longer has it
 	}
 }
 
--- a/router/sidecar/configstatus_test.go
+++ b/router/sidecar/configstatus_test.go
@@ -52,3 +52,16 @@
 		}
 	}
 }
+
+// Guards against an age that grows for ever after the operator has answered a refused
+// version by publishing the one in force again.
+func TestValidRowEndsRefusal(t *testing.T) {
+	c := &currentConfig{source: ConfigSource{Key: configKey, Decode: decodeTestConfig}, changed: func() {}}
+	for row, value := range []string{"3", "4 cut", "3"} {
+		c.applyRow(rowstore.Row{Key: configKey, Value: []byte(value), Version: int64(row + 1)})
+	}
+	now := time.Now()
+	if c.confirm(3, now); !c.lastConfirmed().Equal(now) {
+		t.Error("the newest configuration in the store does not count as such")
+	}
+}
