--- a/router/sidecar/configfollow_test.go
+++ b/router/sidecar/configfollow_test.go
@@ -450,3 +450,21 @@
 		})
 	}
 }
+
+// Guards against hosts that all keep an old configuration because the store first fails
+// their watches and then loses the next ones.
+func TestWatchLostAfterFailureDoesNotDelayChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := startConfigHost(t)
+		h.store.setRefusing(true)
+		h.store.resetWatches()
+		time.Sleep(time.Second)
+		h.store.setRefusing(false)
+		h.store.setSilent(true)
+		time.Sleep(1500 * time.Millisecond)
+		h.store.setSilent(false)
+		time.Sleep(3 * time.Second)
+		h.publishUnseen("2")
+		h.inForceWithin(2, configInForce)
+	})
+}
