--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -56,9 +56,11 @@
 	// MaxIdle is the maximum time for which a reused connection may have been idle;
 	// 0 means the IdleTimeout of the client.
 	MaxIdle time.Duration
-	// Matches reports whether a response with the given header belongs to the
-	// request. Other responses are skipped. Nil accepts every response.
-	Matches func(http.Header) bool
+	// IDHeader is the field in which the server returns the id of a request, and ID the
+	// id of this one. They tell its response from those to earlier requests on the
+	// connection. An empty IDHeader accepts every response.
+	IDHeader string
+	ID       string
 }
 
 // Response is the head of a response with its body. Body must be closed.
@@ -67,7 +69,10 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
-	Body   io.ReadCloser
+	// First is true if this is the first response on its connection, which therefore
+	// cannot be a copy of an earlier one.
+	First bool
+	Body  io.ReadCloser
 }
 
 // Do sends the request once and returns the head of its response. When ctx ends, the
@@ -75,7 +80,8 @@
 // *connpool.Error.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	var resp *Response
-	stop, err := c.Exchange(ctx, r.MaxIdle, func(cn *connpool.Conn) (sent bool, err error) {
+	reuse := connpool.Reuse{MaxIdle: r.MaxIdle, Suits: r.mayUse}
+	stop, err := c.Exchange(ctx, reuse, func(cn *connpool.Conn) (sent bool, err error) {
 		resp, sent, err = exchange(cn, r)
 		return sent, err
 	})
@@ -105,17 +111,25 @@
 		upload = startUpload(cn, r)
 	}
 	defer cn.ClearReadLimit()
+	history := historyOf(cn)
 	for range maxResponsesPerRequest {
 		cn.SetReadLimit(maxHeadBytes)
 		hr, err := readHead(cn.Reader, r.Method)
 		if err != nil {
 			return nil, true, err
 		}
-		if r.Matches == nil || r.Matches(hr.Header) {
+		if err := checkFraming(hr); err != nil {
+			return nil, true, err
+		}
+		belongs, err := history.attribute(r, hr)
+		if err != nil {
+			return nil, true, err
+		}
+		if belongs {
 			return newResponse(cn, hr, upload), true, nil
 		}
 		// A response to an earlier request. Without a length its end is unknown.
-		if hr.ContentLength < 0 && len(hr.TransferEncoding) == 0 {
+		if unframed(hr) {
 			return nil, true, errors.New("received a response to another request without a length")
 		}
 		cn.SetReadLimit(maxSkippedBytes)
@@ -142,16 +156,32 @@
 	}
 }
 
+// unframed reports whether the body of a response ends with its connection.
+func unframed(hr *http.Response) bool {
+	return hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
+}
+
+// checkFraming returns an error if the end of the body is not certain. net/http does not
+// decode chunks in a response of HTTP/1.0 and hides that there are any, so that they would
+// seem to be the body.
+func checkFraming(hr *http.Response) error {
+	if unframed(hr) && !hr.ProtoAtLeast(1, 1) && hr.Request.Method != http.MethodHead {
+		return errors.New("received a response of HTTP/1.0 without a length")
+	}
+	return nil
+}
+
 // newResponse returns the response whose head is hr. A response without a length ends
 // with its connection, which is then not reused.
 func newResponse(cn *connpool.Conn, hr *http.Response, up *upload) *Response {
-	unframed := hr.ContentLength < 0 && len(hr.TransferEncoding) == 0
 	cn.PeerIdleTimeout = peerIdleTimeout(hr.Header.Get("Keep-Alive"))
+	history := historyOf(cn)
 	return &Response{
 		Status: hr.StatusCode,
 		Header: hr.Header,
 		Length: hr.ContentLength,
-		Body:   &body{conn: cn, src: hr.Body, upload: up, reusable: !hr.Close && !unframed},
+		First:  history.responses == 1,
+		Body:   &body{conn: cn, src: hr.Body, upload: up, reusable: !hr.Close && !unframed(hr) && !history.closing},
 	}
 }
 
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -65,14 +65,17 @@
 		client:      newUpstreamClient(s.settings.Upstream.Address),
 		drainLimit:  millis(terms.DrainMs) / 2,
 		stoppingFor: s.stoppingFor,
+		graceLeft:   s.graceLeft,
 	}
 	budget := BudgetLimits{Ratio: terms.RetryRatio, Slack: terms.RetrySlack, Window: millis(terms.RetryWindowMs)}
 	s.entry = &entry{
 		host: host.Name, headers: s.opts.Headers, config: s.config, exchange: s.exchange, fleet: s.fleet, keys: s.index, gate: s.gate,
-		service: func() string { return host.Service },
-		budgets: newBudgets(budget, s.fleet.HostCount),
-		log:     s.log,
-		metrics: newEntryMetrics(s.scope),
+		service:     func() string { return host.Service },
+		budgets:     newBudgets(budget, s.fleet.HostCount),
+		log:         s.log,
+		metrics:     newEntryMetrics(s.scope),
+		stoppingFor: s.stoppingFor,
+		graceLeft:   s.graceLeft,
 	}
 }
 
--- a/router/sidecar/entryconfig_test.go
+++ b/router/sidecar/entryconfig_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -39,9 +40,11 @@
 	config.applyRow(rowstore.Row{Key: configKey, Value: []byte(version), Version: 1})
 	return &entry{
 		headers: testHeaders, config: config, fleet: fleet.NewDirectory("z1", "r1", newHopClient), keys: newKeyIndex(),
-		service: func() string { return "plain" },
-		budgets: newBudgets(BudgetLimits{}, func() int { return 1 }),
-		metrics: newEntryMetrics(tally.NoopScope),
+		service:     func() string { return "plain" },
+		budgets:     newBudgets(BudgetLimits{}, func() int { return 1 }),
+		metrics:     newEntryMetrics(tally.NoopScope),
+		stoppingFor: func() time.Duration { return 0 },
+		graceLeft:   func() time.Duration { return time.Hour },
 	}
 }
 
