--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -25,7 +25,10 @@
 
 // buildConfig creates the components that follow the configuration.
 func (s *Sidecar) buildConfig() {
-	s.config = &currentConfig{source: s.opts.Config, log: s.log, changed: func() { s.keys.wake() }}
+	s.config = &currentConfig{source: logUnreadable(s.opts.Config, s.log), log: s.log, changed: func() {
+		s.config.reportVersion(s.scope)
+		s.keys.wake()
+	}, refused: func() { s.scope.Counter("config_refusals").Inc(1) }}
 	s.exchange = &configExchange{
 		log: s.log, scope: s.scope, version: s.config.version, confirm: s.config.confirm, storeDeadline: s.storeDeliveryDeadline,
 		fetch: fetchConfig, apply: s.config.applyRow, randomPeer: s.randomPeer, wakeCh: make(chan struct{}, 1),
@@ -62,14 +65,17 @@
 		client:      newUpstreamClient(s.settings.Upstream.Address),
 		drainLimit:  millis(terms.DrainMs) / 2,
 		stoppingFor: s.stoppingFor,
+		graceLeft:   s.graceLeft,
 	}
 	budget := BudgetLimits{Ratio: terms.RetryRatio, Slack: terms.RetrySlack, Window: millis(terms.RetryWindowMs)}
 	s.entry = &entry{
 		host: host.Name, headers: s.opts.Headers, config: s.config, exchange: s.exchange, fleet: s.fleet, keys: s.index, gate: s.gate,
-		service: func() string { return host.Service },
-		budgets: newBudgets(budget, s.fleet.HostCount),
-		log:     s.log,
-		metrics: newEntryMetrics(s.scope),
+		service:     func() string { return host.Service },
+		budgets:     newBudgets(budget, s.fleet.HostCount),
+		log:         s.log,
+		metrics:     newEntryMetrics(s.scope),
+		stoppingFor: s.stoppingFor,
+		graceLeft:   s.graceLeft,
 	}
 }
 
--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -36,6 +36,9 @@
 	mu sync.Mutex
 	// age is the age at which the next check is due.
 	age time.Duration
+	// checkedAt is the time of the last check that succeeded. It does not confirm the
+	// configuration in force if the store has one that this host refuses.
+	checkedAt time.Time
 	// notBefore is the end of the backoff after failed checks.
 	notBefore time.Time
 	failures  int
@@ -53,7 +56,7 @@
 		}
 		age = s.age
 	}
-	return later(confirmedAt.Add(age), s.notBefore).Sub(now)
+	return later(later(confirmedAt, s.checkedAt).Add(age), s.notBefore).Sub(now)
 }
 
 // record records the end of a check.
@@ -62,7 +65,7 @@
 	defer s.mu.Unlock()
 	s.age = 0
 	if !failed {
-		s.failures = 0
+		s.failures, s.checkedAt = 0, now
 		return
 	}
 	s.notBefore = now.Add(min(minCheckBackoff<<min(s.failures, 8), maxCheckBackoff))
@@ -76,7 +79,10 @@
 }
 
 // configChecked records a check of the configuration.
-func (s *Sidecar) configChecked(undelivered int, err error) {
+func (s *Sidecar) configChecked(asOf time.Time, undelivered int, err error) {
+	if err == nil {
+		s.config.confirm(s.config.version(), asOf)
+	}
 	s.configChecks.record(time.Now(), err != nil)
 	s.logCheck(s.configFollower, undelivered, err)
 }
@@ -91,7 +97,7 @@
 }
 
 // fleetChecked records a check of the fleet.
-func (s *Sidecar) fleetChecked(undelivered int, err error) {
+func (s *Sidecar) fleetChecked(_ time.Time, undelivered int, err error) {
 	s.fleetCheckedAt = time.Now()
 	s.logCheck(s.fleetFollower, undelivered, err)
 }
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -23,6 +22,8 @@
 	// asked to retry.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Second
+	// defaultTimeout is the timeout of routes that have none.
+	defaultTimeout = time.Minute
 	// retryAfterDivisor is the divisor of the remaining time that gives the longest such
 	// delay; callers ignore longer ones.
 	retryAfterDivisor = 3
@@ -42,6 +43,10 @@
 	maxTimes maxRequestTimes
 	log      *event.Logger
 	metrics  *entryMetrics
+	// stoppingFor returns the time since this router began to stop, or 0.
+	stoppingFor func() time.Duration
+	// graceLeft returns the time until this router ends.
+	graceLeft func() time.Duration
 }
 
 // ServeHTTP serves one request of a caller.
@@ -58,14 +63,13 @@
 			return
 		}
 	}
-	table := e.config.table.Load()
-	if table == nil {
-		e.writeError(w, req, nil, start.Add(maxRetryAfter), errkind.New(errkind.NotReady, "no configuration yet"))
+	if err := e.checkStopping(); err != nil {
+		e.writeError(w, req, nil, start.Add(maxRetryAfter), err)
 		return
 	}
-	route := table.Route(req.Host, req.URL.Path)
-	if route == nil {
-		e.writeError(w, req, nil, start, errkind.New(errkind.NotFound, "no route for host %q and path %q in configuration %d", req.Host, req.URL.Path, table.Version()), e.config.fields(table)...)
+	table, route, err := e.lookup(req)
+	if err != nil {
+		e.refuseWithoutRoute(w, req, table, err)
 		return
 	}
 	if limit := table.Limits().MaxBodyBytes; limit > 0 {
@@ -75,15 +79,51 @@
 		}
 		req.Body = http.MaxBytesReader(w, req.Body, limit)
 	}
-	e.serveRoute(w, req, table, route, start)
+	body, err := readBody(req)
+	if err != nil {
+		e.writeError(w, req, route, start, err)
+		return
+	}
+	// A newer configuration may have come into force while the body arrived.
+	if table, route, err = e.lookup(req); err != nil {
+		e.refuseWithoutRoute(w, req, table, err)
+		return
+	}
+	e.serveRoute(w, req, body, table, route, start)
 }
 
-func (e *entry) serveRoute(w http.ResponseWriter, req *http.Request, table *vhost.Table, route *vhost.Route, start time.Time) {
-	c, err := e.newCall(req, table, route, start)
+// lookup returns the configuration in force, or nil, and its route for the request.
+func (e *entry) lookup(req *http.Request) (*vhost.Table, *vhost.Route, *errkind.Error) {
+	table := e.config.table.Load()
+	if table == nil {
+		return nil, nil, errkind.New(errkind.NotReady, "no configuration yet")
+	}
+	route := table.Route(req.Host, req.URL.Path)
+	if route == nil {
+		return table, nil, errkind.New(errkind.NotFound, "no route for host %q and path %q in configuration %d", req.Host, req.URL.Path, table.Version())
+	}
+	return table, route, nil
+}
+
+// refuseWithoutRoute responds to a request for which lookup found no route.
+func (e *entry) refuseWithoutRoute(w http.ResponseWriter, req *http.Request, table *vhost.Table, err *errkind.Error) {
+	var fields []event.Field
+	if table != nil {
+		fields = e.config.fields(table)
+	}
+	e.writeError(w, req, nil, time.Now().Add(maxRetryAfter), err, fields...)
+}
+
+func (e *entry) serveRoute(w http.ResponseWriter, req *http.Request, body requestBody, table *vhost.Table, route *vhost.Route, start time.Time) {
+	c, err := e.newCall(req, body, table, route, start)
 	if err != nil {
 		e.writeError(w, req, route, start, err)
 		return
 	}
+	if err := e.checkStopping(); err != nil { // the body may have ended late
+		e.writeError(w, req, route, c.Deadline, err)
+		return
+	}
 	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline)
 	defer cancel()
 	e.budgets.forService(c.Service).Request(start)
@@ -98,6 +138,25 @@
 	e.log.Log(eventRouted, append(fields, e.config.fields(table)...)...)
 }
 
+// checkStopping returns an error if the router stops and takes no further requests.
+func (e *entry) checkStopping() *errkind.Error {
+	if e.stoppingFor() > drainNoticeTime {
+		return errkind.New(errkind.Draining, "the router of this host is stopping")
+	}
+	return nil
+}
+
+// closeIfStopping lets the connection of a request end after its response if the router
+// stops, unless further requests were read from it.
+func (e *entry) closeIfStopping(w http.ResponseWriter, req *http.Request) {
+	if e.stoppingFor() == 0 {
+		return
+	}
+	if conn := connOf(req); conn == nil || conn.ahead.stopBehindCurrent() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // respond passes the result of a request on to the caller.
 func (e *entry) respond(w http.ResponseWriter, req *http.Request, table *vhost.Table, route *vhost.Route, c *Call, r *Result, start time.Time) {
 	defer r.close()
@@ -106,7 +165,8 @@
 		e.writeError(w, req, route, c.Deadline, r.Err, event.F("host", r.Host), event.F("service", c.Service), event.F("config", table.Version()))
 		return
 	}
-	writeResponse(w, r)
+	e.closeIfStopping(w, req)
+	writeResponse(w, req, r)
 }
 
 // beginPipelined starts to process a request whose connection still waits for earlier
@@ -114,25 +174,23 @@
 // run only once, and those that will be refused.
 func (e *entry) beginPipelined(req *http.Request) *pipelinedRequest {
 	start := time.Now()
-	table := e.config.table.Load()
-	if table == nil {
-		return nil
-	}
-	route := table.Route(req.Host, req.URL.Path)
-	if route == nil || !route.Repeatable {
+	table, route, err := e.lookup(req)
+	if err != nil || !route.Repeatable {
 		return nil
 	}
-	c, err := e.newCall(req, table, route, start)
+	c, err := e.newCall(req, requestBody{}, table, route, start)
 	if err != nil {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
+	parent, cancel := context.WithCancelCause(context.Background())
+	ctx, stopTimer := context.WithDeadline(parent, c.Deadline)
 	e.budgets.forService(c.Service).Request(start)
 	e.logRouted(c, table, route)
 	done := make(chan struct{})
-	pipelined := &pipelinedRequest{request: req, done: done, cancel: cancel}
+	pipelined := &pipelinedRequest{id: c.RequestID, request: req, done: done, cancel: cancel}
 	go func() {
 		defer close(done)
+		defer stopTimer()
 		defer func() {
 			if v := recover(); v != nil {
 				logPanic(e.log, c.RequestID, v)
@@ -150,17 +208,19 @@
 // servePipelined waits for the result of a pipelined request and passes it on. Processing
 // ends at its deadline at the latest, or when the caller leaves.
 func (e *entry) servePipelined(w http.ResponseWriter, req *http.Request, pipelined *pipelinedRequest) {
-	defer pipelined.cancel()
-	stop := context.AfterFunc(req.Context(), pipelined.cancel)
+	ctx := req.Context()
+	defer pipelined.cancel(context.Canceled)
+	stop := context.AfterFunc(ctx, func() { pipelined.cancel(context.Cause(ctx)) })
 	defer stop()
 	<-pipelined.done
 	pipelined.respond(w, req)
 }
 
-// newCall returns the call for a request. It selects the service and reads the body.
-func (e *entry) newCall(req *http.Request, table *vhost.Table, route *vhost.Route, start time.Time) (*Call, *errkind.Error) {
+// newCall returns the call for a request. It selects the service.
+func (e *entry) newCall(req *http.Request, body requestBody, table *vhost.Table, route *vhost.Route, start time.Time) (*Call, *errkind.Error) {
 	c := &Call{
 		Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header,
+		Body: body.data, Stream: body.stream, Length: body.length,
 		RequestID:  req.Header.Get(e.headers.RequestID),
 		Service:    route.PickService(),
 		Caller:     e.service(),
@@ -178,13 +238,6 @@
 		}
 		c.Keyed, c.Key = true, uint16(key)
 	}
-	if err := readBody(req, c); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", tooLarge.Limit)
-		}
-		return nil, errkind.New(errkind.CallerLeft, "%w", err)
-	}
 	return c, nil
 }
 
@@ -210,15 +263,14 @@
 // timeout of the route.
 func (e *entry) remainingTime(req *http.Request, route *vhost.Route) time.Duration {
 	limit := route.Timeout
-	ms, err := strconv.ParseInt(req.Header.Get(e.headers.DeadlineMs), 10, 64)
-	if err != nil || ms < 0 {
-		return limit // the caller names no deadline
+	if limit <= 0 {
+		limit = defaultTimeout
 	}
-	requested := time.Duration(ms) * time.Millisecond
-	if limit <= 0 || requested < limit {
-		return requested
+	ms, err := strconv.ParseInt(req.Header.Get(e.headers.DeadlineMs), 10, 64)
+	if err != nil || ms < 0 || ms > limit.Milliseconds() {
+		return limit // the caller names no deadline, or a later one
 	}
-	return limit
+	return min(time.Duration(ms)*time.Millisecond, limit)
 }
 
 // writeError responds with an error and logs it together with fields, which describe what
@@ -226,6 +278,7 @@
 func (e *entry) writeError(w http.ResponseWriter, req *http.Request, route *vhost.Route, deadline time.Time, err *errkind.Error, fields ...event.Field) {
 	id := req.Header.Get(e.headers.RequestID)
 	if err.Kind == errkind.CallerLeft {
+		e.log.Log(eventCallerLeft, event.F("request", id), event.F("left_ms", time.Until(deadline).Milliseconds()), event.F("detail", err.Detail))
 		panic(http.ErrAbortHandler) // the caller no longer reads the response
 	}
 	response := errkind.ResponseOf(err.Kind)
@@ -250,6 +303,7 @@
 	if id != "" {
 		w.Header().Set(e.headers.RequestID, id)
 	}
+	e.closeIfStopping(w, req)
 	w.Header()["Date"] = nil
 	w.Header().Set("Content-Type", errkind.ProblemType)
 	w.WriteHeader(status)
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -15,9 +15,9 @@
 	eventStopped = event.Define(1802, log.InfoLevel, "sidecar stopped",
 		"All requests have finished, or the grace period has ended.", "If requests were cut off, compare the grace period with the routes' timeouts.")
 	eventReloaded = event.Define(1803, log.InfoLevel, "settings reloaded",
-		"The process received SIGHUP.", "none")
+		"The process received SIGHUP, or the settings file changed. The store is used at the address that the file names.", "If restart_needed is true, restart the process: the other changes have no effect before.")
 	eventReloadFailed = event.Define(1804, log.ErrorLevel, "settings not reloaded",
-		"The settings file is unreadable or not valid; the earlier settings stay in force.", "Correct the file and send SIGHUP.")
+		"The settings file is unreadable or not valid; the earlier settings stay in force.", "Correct the file.")
 	eventListenerFailed = event.Define(1805, log.ErrorLevel, "listener failed",
 		"A listener ended while the process was running.", "Restart the process; check for a lack of file descriptors.")
 	eventStoreDisconnected = event.Define(1810, log.WarnLevel, "store disconnected",
@@ -48,6 +48,8 @@
 		"A heartbeat of an earlier incarnation of the upstream arrived, or one that is older than the last.", "none")
 	eventPublishFailed = event.Define(1822, log.WarnLevel, "member row not written",
 		"The store did not accept this host's own row; the write is retried.", "See event 1810.")
+	eventRouteUnreadable = event.Define(1823, log.WarnLevel, "fields of a route left out",
+		"Fields of a route cannot be decoded and are left out; the rest of the configuration comes into force. Without a readable type, requests of the route are not repeated.", "Correct the fields in the configuration.")
 	eventGrant = event.Define(1830, log.DebugLevel, "keys granted",
 		"The response to a heartbeat of the upstream granted it keys.", "none")
 	eventMapChanged = event.Define(1831, log.InfoLevel, "key map changed",
@@ -74,6 +76,10 @@
 		"A panic ended one request; the others continue.", "Report it with the log.")
 	eventRouted = event.Define(1844, log.InfoLevel, "request routed",
 		"A service was chosen for a request of a caller. config is the version in force, config_age_ms the time since it was last known to be the newest in the store. Only some requests are logged: dropped_before counts the others.", "If config_age_ms is above 2000, find out why the store's answers are missing: events 1810 and 1812.")
+	eventPipelinedDropped = event.Define(1850, log.InfoLevel, "pipelined request dropped",
+		"A connection of a caller ended before a request that it had sent without waiting for earlier responses got its response. The field reason names the side that closed the connection.", "none if the caller closed it; otherwise look for what ended the request before, with the same time.")
+	eventCallerLeft = event.Define(1851, log.InfoLevel, "caller left",
+		"A caller closed its connection before it got the response; its request is cancelled.", "none; if it repeats, compare the deadlines of the callers with the field left_ms.")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -51,6 +51,8 @@
 	drainLimit time.Duration
 	// stoppingFor returns the time since this router began to stop, or 0.
 	stoppingFor func() time.Duration
+	// graceLeft returns the time until this router ends.
+	graceLeft func() time.Duration
 }
 
 // newUpstreamClient returns the client for the upstream. It needs no bound on
@@ -69,7 +71,7 @@
 	if err := g.check(time.Now(), c); err != nil {
 		return g.withLoad(&Result{Err: err, Unreachable: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
 	}
-	work := admit.WorkClass{Priority: c.Priority, Repeatable: c.Repeatable}
+	work := c.workClass()
 	if c.Keyed {
 		g.keys.countRequest(c.Key, g.limiter.MeanServiceTime(work))
 	}
@@ -138,6 +140,8 @@
 		return errkind.New(errkind.Draining, "the upstream of %s is leaving", g.host)
 	case g.stoppingFor() > unkeyedNoticeTime && !c.Keyed, g.stoppingFor() > drainNoticeTime:
 		return errkind.New(errkind.Draining, "the router of %s is stopping", g.host)
+	case min(g.limiter.MeanServiceTime(c.workClass()), c.Deadline.Sub(now)) > g.graceLeft():
+		return errkind.New(errkind.Draining, "the request would not end before the router of %s", g.host)
 	case c.Keyed && !g.keys.holds(c.Key):
 		return errkind.New(errkind.NoOwner, "the upstream of %s does not hold key %d", g.host, c.Key)
 	}
@@ -171,7 +175,7 @@
 	req := &h1.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header,
 		Body: c.Body, Stream: c.Stream, Length: c.Length,
-		Matches: g.responseMatcher(c.RequestID),
+		IDHeader: g.headers.RequestID, ID: c.RequestID,
 	}
 	if !c.Repeatable {
 		req.MaxIdle = nonRepeatableIdleTimeout
@@ -179,15 +183,6 @@
 	return req
 }
 
-// responseMatcher returns a function that distinguishes responses to the request from
-// responses to earlier ones.
-func (g *gate) responseMatcher(id string) func(http.Header) bool {
-	return func(h http.Header) bool {
-		got := h.Get(g.headers.RequestID)
-		return got == "" || got == id
-	}
-}
-
 // sendFailed returns the result of a request that got no response.
 func (g *gate) sendFailed(ctx context.Context, err error) *Result {
 	var failure *connpool.Error
@@ -237,8 +232,9 @@
 	if len(head) < maxBufferedResponse {
 		_ = resp.Body.Close()
 		release(admit.Completed)
-		if c.Method != http.MethodHead {
-			r.Length = int64(len(head))
+		r.Length = int64(len(head))
+		if c.Method == http.MethodHead {
+			r.Length = -1 // the length of a body that is not sent
 		}
 		r.Body = io.NopCloser(bytes.NewReader(head))
 		return r
@@ -249,7 +245,8 @@
 
 // refusalError returns an error if the response says that the request did not run.
 func (g *gate) refusalError(resp *h1.Response) *errkind.Error {
-	if resp.Header.Get(g.headers.NotRun) == "" && resp.Status != http.StatusMisdirectedRequest {
+	marked := resp.Header.Get(g.headers.NotRun) != "" && mayRefuse(resp.Status)
+	if !marked && resp.Status != http.StatusMisdirectedRequest {
 		return nil
 	}
 	kind := errkind.UpstreamRefused
@@ -267,8 +264,10 @@
 	switch {
 	case impliesNotRun(resp.Status):
 		return errkind.New(errkind.OutcomeUnknown, "the upstream responded with status %d without saying that the request did not run", resp.Status)
-	case success && resp.Header.Get(g.headers.Signature) == "":
-		return errkind.New(errkind.OutcomeUnknown, "the upstream's response is not signed")
+	case resp.Header.Get(g.headers.NotRun) != "":
+		return errkind.New(errkind.OutcomeUnknown, "the upstream's response of status %d says that the request did not run", resp.Status)
+	case success && !isSigned(resp.Header.Values(g.headers.Signature)):
+		return errkind.New(errkind.OutcomeUnknown, "the upstream's response does not have exactly one signature")
 	case success && resp.Header.Get(g.headers.RequestID) != c.RequestID:
 		return errkind.New(errkind.OutcomeUnknown, "the upstream's response does not carry the id of the request")
 	case resp.Header.Get("Content-Encoding") != "":
@@ -277,6 +276,19 @@
 	return nil
 }
 
+// mayRefuse reports whether a response with the status may say that the request did not
+// run. Other statuses report the result of a run, so that such a response contradicts
+// itself.
+func mayRefuse(status int) bool {
+	return status/100 == 4 || status == http.StatusServiceUnavailable
+}
+
+// isSigned reports whether a response has exactly one signature. A second one belongs to
+// another response.
+func isSigned(signatures []string) bool {
+	return len(signatures) == 1 && signatures[0] != ""
+}
+
 // impliesNotRun reports whether callers conclude from a status that the request did not
 // run.
 func impliesNotRun(status int) bool {
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -11,6 +11,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"burdockglade.dev/router/event"
 )
 
 const (
@@ -28,18 +30,19 @@
 // pipelinedRequest is a request that was read while the server handles an earlier one of
 // the same connection. It is already being processed; its response waits for its turn.
 type pipelinedRequest struct {
+	id      string
 	request *http.Request
 	done    <-chan struct{}
 	// result is valid once done is closed.
 	result *Result
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// respond writes the response once the server handles the request.
 	respond func(http.ResponseWriter, *http.Request)
 }
 
 // drop cancels a request whose response will not be sent.
 func (p *pipelinedRequest) drop() {
-	p.cancel()
+	p.cancel(context.Canceled)
 	go func() {
 		<-p.done
 		p.result.close()
@@ -59,6 +62,7 @@
 type readAhead struct {
 	conn         net.Conn
 	startRequest func(*http.Request) *pipelinedRequest
+	log          *event.Logger
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -71,6 +75,11 @@
 	// inRequest is true if the server has read the head of a request and not yet
 	// responded to it.
 	inRequest bool
+	// idle is true while the server handles no request.
+	idle bool
+	// queued is the number of requests whose heads were read and that the server does not
+	// handle yet.
+	queued int
 	// framingLost is true once the boundaries of requests are no longer known.
 	framingLost bool
 	// stopped is true once the connection must not be read any more.
@@ -84,11 +93,11 @@
 	timer         *time.Timer
 }
 
-func newReadAhead(conn net.Conn, startRequest func(*http.Request) *pipelinedRequest) *readAhead {
+func newReadAhead(conn net.Conn, startRequest func(*http.Request) *pipelinedRequest, log *event.Logger) *readAhead {
 	if startRequest == nil {
 		startRequest = func(*http.Request) *pipelinedRequest { return nil }
 	}
-	a := &readAhead{conn: conn, startRequest: startRequest}
+	a := &readAhead{conn: conn, startRequest: startRequest, log: log}
 	a.changed = sync.NewCond(&a.mu)
 	return a
 }
@@ -129,6 +138,7 @@
 		return nil
 	}
 	a.inRequest, a.bodyLeft = true, req.ContentLength
+	a.queued++
 	return a.skipBody(data[end:])
 }
 
@@ -147,7 +157,7 @@
 func (a *readAhead) run() {
 	chunk := make([]byte, readAheadChunk)
 	for {
-		n, err := a.conn.Read(chunk)
+		n, err := a.readChunk(chunk)
 		a.mu.Lock()
 		if os.IsTimeout(err) && !a.stopped {
 			// The server set this deadline for its own reads.
@@ -171,6 +181,17 @@
 	}
 }
 
+// readChunk reads the connection unless the reading was stopped.
+func (a *readAhead) readChunk(chunk []byte) (int, error) {
+	a.mu.Lock()
+	stopped := a.stopped
+	a.mu.Unlock()
+	if stopped {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return a.conn.Read(chunk)
+}
+
 // end records that nothing more arrives. If the caller has left, its requests are
 // cancelled.
 func (a *readAhead) end(err error) {
@@ -179,15 +200,16 @@
 		if a.cancelCurrent != nil {
 			a.cancelCurrent()
 		}
-		a.dropPipelined()
+		a.dropPipelined("the caller closed the connection: " + err.Error())
 	}
 	a.changed.Broadcast()
 }
 
 // dropPipelined cancels the pipelined requests that the server does not handle yet. The
 // caller holds a.mu.
-func (a *readAhead) dropPipelined() {
+func (a *readAhead) dropPipelined(reason string) {
 	for _, e := range a.pipelined {
+		a.log.Log(eventPipelinedDropped, event.F("request", e.id), event.F("reason", reason))
 		e.drop()
 	}
 	a.pipelined = nil
@@ -202,6 +224,23 @@
 	_ = a.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// stopBehindCurrent ends the reading behind the request that the server handles, so that
+// the connection can be closed after its response. It returns false if more has been read
+// already.
+func (a *readAhead) stopBehindCurrent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.running && (a.queued > 0 || a.bodyLeft > 0 || len(a.pending) > 0) {
+		return false
+	}
+	a.stopped = true
+	if a.running {
+		// An error means that the connection is already closed.
+		_ = a.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return true
+}
+
 // parse starts to process complete requests without a body that the server will handle
 // later. The caller holds a.mu.
 func (a *readAhead) parse() {
@@ -220,6 +259,7 @@
 			return
 		}
 		a.bodyLeft = req.ContentLength
+		a.queued++
 		if a.bodyLeft > 0 || len(a.pipelined) >= readAheadRequests {
 			continue
 		}
@@ -240,7 +280,7 @@
 	}
 	for len(a.pending) == 0 {
 		switch {
-		case a.err != nil:
+		case a.err != nil && !a.waitsForStop():
 			return 0, a.err, true
 		case !a.deadline.IsZero() && !time.Now().Before(a.deadline):
 			return 0, os.ErrDeadlineExceeded, true
@@ -253,6 +293,21 @@
 	return n, nil, true
 }
 
+// waitsForStop reports whether nothing more is read because of a stop while the server
+// handles a request that was read completely. The server must not get an error then: it
+// would cancel that request. The caller holds a.mu.
+func (a *readAhead) waitsForStop() bool {
+	return a.stopped && os.IsTimeout(a.err) && !a.idle && a.bodyLeft == 0
+}
+
+// setIdle records whether the server handles no request of the connection.
+func (a *readAhead) setIdle(idle bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.idle = idle
+	a.changed.Broadcast()
+}
+
 // setDeadline sets the deadline of the server's reads. It returns false while the server
 // must set it on the connection itself.
 func (a *readAhead) setDeadline(t time.Time) bool {
@@ -276,6 +331,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cancelCurrent = cancelCurrent
+	a.queued = max(a.queued-1, 0)
 	if a.err != nil && !os.IsTimeout(a.err) && len(a.pending) == 0 {
 		cancelCurrent()
 	}
@@ -294,21 +350,13 @@
 	a.cancelCurrent, a.inRequest = nil, false
 }
 
-// hasPipelined reports whether later requests are being processed. The connection must
-// not be closed before they have got their responses.
-func (a *readAhead) hasPipelined() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.pipelined) > 0
-}
-
 // close cancels the requests that are being processed and ends the reading.
 func (a *readAhead) close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.err == nil {
+	if a.err == nil || os.IsTimeout(a.err) {
 		a.err = net.ErrClosed
 	}
-	a.dropPipelined()
+	a.dropPipelined("the router closed the connection")
 	a.changed.Broadcast()
 }
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -13,7 +13,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"burdockglade.dev/router/boottime"
-	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/hop"
@@ -22,12 +21,14 @@
 	"burdockglade.dev/router/vhost"
 )
 
-// Options configure a Sidecar. Commands, Log and Listen may be nil.
+// Options configure a Sidecar. SetStoreAddress, Commands, Log and Listen may be nil.
 type Options struct {
 	Settings Settings
 	Store    rowstore.Store
-	Headers  Headers
-	Config   ConfigSource
+	// SetStoreAddress makes Store use another address.
+	SetStoreAddress func(address string)
+	Headers         Headers
+	Config          ConfigSource
 	// Commands returns the client that sends key commands to the local upstream at the
 	// address. It opens connections only while mayDial returns true. Nil if the
 	// deployment has no service whose keys are granted by commands.
@@ -83,6 +84,8 @@
 	stopping       atomic.Bool
 	stopStartedAt  atomic.Int64 // boottime.Time at which the stop began
 	inFlight       atomic.Int64
+	// cancelRequests cancels all requests of callers.
+	cancelRequests context.CancelCauseFunc
 }
 
 // New returns a sidecar. Run starts it.
@@ -258,6 +261,9 @@
 	callers := httpServer(s.countInFlight(s.entry))
 	callers.ConnState = s.callers.stateChanged
 	callers.ConnContext = withConn
+	requests, cancel := context.WithCancelCause(context.Background())
+	callers.BaseContext = func(net.Listener) context.Context { return requests }
+	s.cancelRequests = cancel
 	for _, e := range []struct {
 		name, address string
 		server        server
@@ -273,7 +279,7 @@
 			return nil, fmt.Errorf("listening for %s: %w", e.name, err)
 		}
 		if e.server == callers {
-			listener = callerListener{Listener: listener, conns: s.callers, beginPipelined: s.beginPipelined}
+			listener = callerListener{Listener: listener, conns: s.callers, beginPipelined: s.beginPipelined, log: s.log}
 		}
 		servers = append(servers, e.server)
 		s.listeners = append(s.listeners, listener)
@@ -298,7 +304,7 @@
 const maxHeaderBytes = 64 << 10
 
 // beginPipelined starts to process a request that was read before its turn. While the
-// router stops it returns nil, because the request may then be left unread.
+// router stops it returns nil: the request then waits for its turn.
 func (s *Sidecar) beginPipelined(req *http.Request) *pipelinedRequest {
 	if s.stopping.Load() {
 		return nil
@@ -306,20 +312,11 @@
 	return s.entry.beginPipelined(req)
 }
 
-// countInFlight counts the requests of callers in progress. While the router stops, it
-// asks callers to close their connections.
+// countInFlight counts the requests of callers in progress.
 func (s *Sidecar) countInFlight(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		s.inFlight.Add(1)
 		defer s.inFlight.Add(-1)
-		conn := connOf(req)
-		if s.stopping.Load() && (conn == nil || !conn.ahead.hasPipelined()) {
-			w.Header().Set("Connection", "close")
-		}
-		if s.stoppingFor() > drainNoticeTime {
-			s.entry.writeError(w, req, nil, time.Now().Add(maxRetryAfter), errkind.New(errkind.Draining, "the router of this host is stopping"))
-			return
-		}
 		next.ServeHTTP(w, req)
 	})
 }
