--- a/router/h1/repeated_test.go
+++ b/router/h1/repeated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -107,6 +108,7 @@
 		"without an id, in parts":      {[]string{refusal("")}, []string{refusal("")[:9], refusal("")[9:]}, 0},
 		"with an empty id":             {[]string{refusal("a")}, []string{strings.Replace(refusal("a"), "Request: a", "Request: ", 1)}, 0},
 		"without an id, misdirected":   {[]string{refusal("a")}, []string{"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"}, 0},
+		"behind a head that broke off": {[]string{refusal("a")}, []string{"HTTP/1.1 200 OK\r\nRequest: b\r\nA: ", refusal("a")}, 0},
 		"without an id, behind a copy": {[]string{refusal("a")}, []string{refusal("a"), refusal("")}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -199,3 +201,36 @@
 		t.Errorf("%d connections for %d refusals, want %d", n, requests, requests/maxFailedIDs)
 	}
 }
+
+// Guards against a response that arrives after its request was cancelled and is taken for
+// the one to the next request: responses of the store have no id.
+func TestLateResponseIsNotTakenForNext(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	var served atomic.Int32
+	s := startScriptedServer(t, func(*http.Request, int) []string {
+		if served.Add(1) > 1 {
+			return []string{response("", "right")}
+		}
+		close(arrived)
+		<-release
+		return []string{response("", "late")}
+	})
+	request := &Request{Method: "GET", Target: "/", Host: "test", Header: http.Header{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	if _, err := s.client.Do(ctx, request); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got %v, want that the request was cancelled", err)
+	}
+	close(release)
+	resp, err := s.client.Do(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if body, err := ReadAll(resp.Body, 1<<10); err != nil || string(body) != "right" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
