Let probers of TestConfigSoak go on while a request waits

The host had the version in force 0.5 s after the others and within the limit: its log shows it at 15.529. Both of its probers waited until 17.5 for a response of a frozen host, so nothing was asked meanwhile, and a late host would not have been seen either.

Change: a prober has up to 16 requests in flight.

--- a/ctl/soak/configsoak_test.go
+++ b/ctl/soak/configsoak_test.go
@@ -51,8 +51,11 @@
 }
 
 const (
-	// configProbeInterval is the pause between two requests of one prober.
+	// configProbeInterval is the time between two requests of one prober.
 	configProbeInterval = 30 * time.Millisecond
+	// maxProbesInFlight bounds the requests of one prober that wait for a response, such
+	// as from a frozen host.
+	maxProbesInFlight = 16
 	// maxReported bounds the violations that are reported in full.
 	maxReported = 10
 )
@@ -244,6 +247,7 @@
 	for i, h := range s.hosts {
 		for j, slots := range []func() []routeSlot{routeSlots, s.operator.changedSlots} {
 			rng := rand.New(rand.NewPCG(seed, uint64(100+2*i+j)))
+			inFlight := make(chan struct{}, maxProbesInFlight)
 			wg.Go(func() {
 				for {
 					select {
@@ -252,7 +256,12 @@
 					case <-time.After(configProbeInterval):
 					}
 					choice := slots()
-					s.request(h, choice[rng.IntN(len(choice))])
+					slot := choice[rng.IntN(len(choice))]
+					inFlight <- struct{}{}
+					wg.Go(func() {
+						s.request(h, slot)
+						<-inFlight
+					})
 				}
 			})
 		}
