Count in-force times of TestConfigSoak only where the effect shows

Version 8 moved one route and version 9 moved it back before the hosts had read version 8; what they served was what version 7 allows as well, so the effect showed only with version 10.

Change: a time counts if the version, and each one published until the effect was seen, differs visibly from every version that the process may have had before.

--- a/ctl/soak/configjudge_test.go
+++ b/ctl/soak/configjudge_test.go
@@ -246,17 +246,13 @@
 }
 
 // inForceTimes returns the times of all versions and hosts that had no fault meanwhile, in
-// ascending order. Versions that share an outcome of each slot with the version before
-// them are left out, because their effect may not be visible.
+// ascending order. Versions whose effect may not have been visible are left out.
 func (j *configJudge) inForceTimes(slots []routeSlot, services []string) []inForceTime {
 	var times []inForceTime
 	for i := 1; i < len(j.publications); i++ {
-		if !j.changesOutcome(i, slots, services) {
-			continue
-		}
 		confirmed := j.publications[i].confirmed
 		for p, effects := range j.effects {
-			if at, ok := firstEffect(effects, i+1); ok && j.aliveSince(p, i) && j.faults.faultFree(p.host, confirmed) && j.faults.faultFree(p.host, at) {
+			if at, ok := firstEffect(effects, i+1); ok && j.aliveSince(p, i) && j.visibleUntil(at, i, p, slots, services) && j.faults.faultFree(p.host, confirmed) && j.faults.faultFree(p.host, at) {
 				times = append(times, inForceTime{time: at.Sub(confirmed), version: i + 1, host: p.host, after: j.faults.lastKind(p.host, confirmed)})
 			}
 		}
@@ -281,13 +277,27 @@
 	return time.Time{}, false
 }
 
-// changesOutcome reports whether the publication allows, for some slot, none of what the
-// one before allows.
-func (j *configJudge) changesOutcome(i int, slots []routeSlot, services []string) bool {
+// visibleUntil reports whether the publication, and each further one until the time, has
+// an effect that none of those before it can have that the process may have had in force
+// when it was confirmed.
+func (j *configJudge) visibleUntil(at time.Time, publication int, p process, slots []routeSlot, services []string) bool {
+	oldest := max(j.seenBy(p, j.publications[publication].confirmed), 1) - 1
+	for _, newer := range j.publications[publication:] {
+		for _, older := range j.publications[oldest:publication] {
+			if newer.sent.Before(at) && !differ(older, newer, slots, services) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// differ reports whether the publications have no outcome of some slot in common.
+func differ(a, b publication, slots []routeSlot, services []string) bool {
 	for _, s := range slots {
 		shared := false
 		for _, outcome := range append([]string{noRoute}, services...) {
-			shared = shared || j.publications[i].allows(s, outcome) && j.publications[i-1].allows(s, outcome)
+			shared = shared || a.allows(s, outcome) && b.allows(s, outcome)
 		}
 		if !shared {
 			return true
