--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -58,11 +58,11 @@
 	versions map[Key]int64
 	// position is the version up to which all changes have been reported.
 	position int64
-	// following is true if the last call of Run succeeded: there is nothing to check
-	// otherwise.
+	// following is true if the last call of Run succeeded.
 	following bool
-	// endWatch ends the watch in progress. It is nil if there is none.
-	endWatch context.CancelFunc
+	// endWatch ends the watch in progress with the given result. It is nil if there is
+	// none.
+	endWatch context.CancelCauseFunc
 	// rows are those not yet added to Feed.
 	rows []Row
 
@@ -186,15 +186,14 @@
 		}
 		f.applyListed(rows)
 	}
-	f.reportDeleted(present, listedAt)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.position = listedAt
+	f.finishRead(present, listedAt)
 	return nil
 }
 
-// reportDeleted reports rows that were deleted while the table was not watched.
-func (f *Follower) reportDeleted(present map[Key]bool, version int64) {
+// finishRead reports rows that were deleted while the table was not watched, and
+// continues from the version. Both are one step: a check that received such a row earlier
+// must not report it in between.
+func (f *Follower) finishRead(present map[Key]bool, version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for key := range f.versions {
@@ -202,13 +201,16 @@
 			f.apply(Row{Key: key, Version: version, Deleted: true})
 		}
 	}
+	f.position = version
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
+	replaceable, replace := context.WithCancelCause(ctx)
+	defer replace(nil)
+	limited, cancel := context.WithTimeout(replaceable, watchWait+readTimeout)
 	defer cancel()
 	f.mu.Lock()
-	f.endWatch = cancel
+	f.endWatch = replace
 	position := f.position
 	f.mu.Unlock()
 	rows, version, err := f.Store.Watch(limited, f.Table, position, watchWait)
@@ -217,7 +219,7 @@
 	f.endWatch = nil
 	f.mu.Unlock()
 	if replaced && err != nil {
-		return errWatchReplaced
+		return context.Cause(replaceable)
 	}
 	if err != nil {
 		return err
