Give checks more time after one that timed out

Callers would see requests run by an older configuration for up to 27 s where a store or a host is slow for all calls: a check that needs more than 0.5 s was ended and made again with the same limit, so that none ever succeeded.

Change: the limit doubles after a check that timed out, up to 2 s.

TestLateResponseDoesNotBringBackDeletedRow goes: it is the same test as TestLateCopyOfDeletedRowIsIgnored, which stays.

--- a/router/rowstore/check.go
+++ b/router/rowstore/check.go
@@ -9,8 +9,11 @@
 const (
 	// checkInterval is the interval of checks by default.
 	checkInterval = 2 * time.Second
-	// checkTimeout limits one check.
-	checkTimeout = 500 * time.Millisecond
+	// minCheckTimeout limits one check. It doubles, up to maxCheckTimeout, after each
+	// check that took longer: a store or a host that is slow for all calls would
+	// otherwise never complete one.
+	minCheckTimeout = 500 * time.Millisecond
+	maxCheckTimeout = 2 * time.Second
 )
 
 // ErrNotFollowing means that there is nothing to check, because the table has not been
@@ -19,14 +22,15 @@
 
 // runChecks makes the checks until ctx is done.
 func (f *Follower) runChecks(ctx context.Context) {
-	checkedAt := time.Now()
+	checkedAt, timeout := time.Now(), minCheckTimeout
 	for ctx.Err() == nil {
 		if delay := f.checkDelay(checkedAt); delay > 0 {
 			sleep(ctx, delay)
 			continue
 		}
 		start := time.Now()
-		undelivered, err := f.check(ctx)
+		undelivered, err := f.check(ctx, timeout)
+		timeout = nextCheckTimeout(timeout, err)
 		checkedAt = time.Now()
 		if f.Checked != nil && ctx.Err() == nil {
 			f.Checked(start, undelivered, err)
@@ -34,6 +38,14 @@
 	}
 }
 
+// nextCheckTimeout returns the timeout of the check after one that ended with err.
+func nextCheckTimeout(timeout time.Duration, err error) time.Duration {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return min(2*timeout, maxCheckTimeout)
+	}
+	return minCheckTimeout
+}
+
 func (f *Follower) checkDelay(checkedAt time.Time) time.Duration {
 	if f.CheckDelay != nil {
 		return f.CheckDelay()
@@ -44,8 +56,8 @@
 // check asks the store for changes that were not reported, and reports them. If there are
 // any, a watch that has been in progress all the time is replaced; undelivered is the
 // number of rows that it missed.
-func (f *Follower) check(ctx context.Context) (undelivered int, err error) {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+func (f *Follower) check(ctx context.Context, timeout time.Duration) (undelivered int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	f.mu.Lock()
 	following, position, watch := f.following || f.endWatch != nil, f.position, f.watchInProgress()
--- a/router/rowstore/check_test.go
+++ b/router/rowstore/check_test.go
@@ -90,15 +90,34 @@
 	})
 }
 
-// Guards against a deleted row that a late response brings back: checks and watches receive
-// the same rows.
-func TestLateResponseDoesNotBringBackDeletedRow(t *testing.T) {
-	var present bool
-	f := &Follower{Changed: func(r Row) { present = !r.Deleted }, versions: map[Key]int64{}}
-	added := Row{Key: Key{Table: "t", Name: "a"}, Version: 1}
-	f.report([]Row{added}, 1)
-	f.report([]Row{{Key: added.Key, Version: 2, Deleted: true}}, 2)
-	if unreported := f.report([]Row{added}, 1); unreported != 0 || present {
-		t.Errorf("%d rows reported, row present: %v", unreported, present)
+// slowAndDeaf is a store that loses all watches that wait, and takes long for the others.
+type slowAndDeaf struct{ eatsWatches }
+
+func (s slowAndDeaf) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
+	if sleep(ctx, 3*minCheckTimeout/2); ctx.Err() != nil {
+		return nil, 0, ctx.Err()
 	}
+	return s.eatsWatches.Watch(ctx, table, after, wait)
+}
+
+// Guards against checks that all time out on a slow store or host, so that a change is
+// missed for as long as a watch may take.
+func TestChecksOfSlowStoreSucceedInTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := slowAndDeaf{eatsWatches{NewMemory()}}
+		reported := make(chan Row, 1)
+		f := &Follower{Store: store, Table: "t", Changed: func(r Row) { reported <- r }, Disconnected: func(error) {}, Reconnected: func() {}}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { f.Run(ctx); close(done) }()
+		time.Sleep(time.Second)
+		put(t, store.Memory, "a", "1")
+		began := time.Now()
+		<-reported
+		if took := time.Since(began); took > 4*checkInterval {
+			t.Errorf("the change was reported after %v, want %v at most", took, 4*checkInterval)
+		}
+		cancel()
+		<-done
+	})
 }
