Read what upstreams say of themselves in responses, log and count it

Events 1825 and 1826, the gauge rate_limit and the counter rate_limit_unreadable. Nothing is decided yet.

--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -63,6 +63,7 @@
 		limiter:     admit.NewPriorityLimiter(nil),
 		log:         s.log,
 		client:      newUpstreamClient(s.settings.Upstream.Address),
+		notices:     &noticeReader{decode: s.opts.Notice, log: s.log, scope: s.scope, local: s.local},
 		drainLimit:  millis(terms.DrainMs) / 2,
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -50,6 +50,10 @@
 		"The store did not accept this host's own row; the write is retried.", "See event 1810.")
 	eventRouteUnreadable = event.Define(1823, log.WarnLevel, "fields of a route left out",
 		"Fields of a route cannot be decoded and are left out; the rest of the configuration comes into force. Without a readable type, requests of the route are not repeated.", "Correct the fields in the configuration.")
+	eventRateLimit = event.Define(1825, log.InfoLevel, "rate limit of the upstream changed",
+		"The local upstream named, changed or no longer names a limit on the requests per second from all hosts. before is the limit that it named last.", "Find out why the upstream is in need; requests above the limit go to other upstreams or are refused.")
+	eventSaysLeaving = event.Define(1826, log.InfoLevel, "upstream says that it leaves",
+		"A response of the local upstream says that it leaves, whatever its heartbeats say.", "none")
 	eventGrant = event.Define(1830, log.DebugLevel, "keys granted",
 		"The response to a heartbeat of the upstream granted it keys.", "none")
 	eventMapChanged = event.Define(1831, log.InfoLevel, "key map changed",
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -45,6 +45,7 @@
 	keys    *keyDriver
 	limiter *admit.PriorityLimiter
 	client  *h1.Client
+	notices *noticeReader
 	log     *event.Logger
 	// drainLimit is the time, counted from the notice that the upstream leaves, after
 	// which it gets no new request.
@@ -156,14 +157,16 @@
 		release(admit.Failed)
 		return errorResult(errkind.DeadlinePassed, "the deadline passed before the request was sent")
 	}
-	instance := g.local.get().holder.Instance
-	req := g.buildRequest(c, instance, left)
+	holder := g.local.get().holder
+	req := g.buildRequest(c, holder.Instance, left)
+	sent := time.Now()
 	resp, err := g.client.Do(ctx, req)
 	if err != nil {
 		release(admit.Failed)
 		return g.sendFailed(ctx, err)
 	}
 	g.local.connected()
+	g.notices.read(sent, holder, resp)
 	return g.handleResponse(c, resp, release)
 }
 
--- /dev/null
+++ b/router/sidecar/notice.go
@@ -0,0 +1,58 @@
+package sidecar
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/h1"
+	"burdockglade.dev/router/keyrange"
+)
+
+// Notice is what an upstream says of itself in the header of a response.
+type Notice struct {
+	// RateLimit is the number of requests per second that the upstream accepts from all
+	// hosts together. It is valid if RateLimited is true.
+	RateLimit   float64
+	RateLimited bool
+	// RateUnreadable is true if the response names a limit that cannot be read.
+	RateUnreadable bool
+	// Leaving is true if the upstream says that it leaves.
+	Leaving bool
+}
+
+// noticeReader reads the notices in the responses of the local upstream. Every response
+// that belongs to a request passes it.
+type noticeReader struct {
+	// decode returns the notice in the header of a response.
+	decode func(http.Header) Notice
+	log    *event.Logger
+	scope  tally.Scope
+	local  *localUpstream
+}
+
+// read processes the notice in a response to a request that was sent at the given time to
+// the upstream that is the holder.
+func (n *noticeReader) read(sent time.Time, holder keyrange.Holder, resp *h1.Response) {
+	if resp.Status == http.StatusMisdirectedRequest {
+		return // possibly the response of another upstream that has got the address
+	}
+	notice := n.decode(resp.Header)
+	if notice.RateUnreadable {
+		n.scope.Counter("rate_limit_unreadable").Inc(1)
+	}
+	before, current := n.local.recordNotice(holder, notice)
+	if !current {
+		return
+	}
+	if notice.RateLimited != before.RateLimited || notice.RateLimit != before.RateLimit {
+		n.scope.Gauge("rate_limit").Update(notice.RateLimit)
+		n.log.Log(eventRateLimit, event.F("instance", holder.Instance), event.F("limited", notice.RateLimited), event.F("per_second", notice.RateLimit),
+			event.F("before", before.RateLimit), event.F("sent_ms_ago", time.Since(sent).Milliseconds()))
+	}
+	if notice.Leaving && !before.Leaving {
+		n.log.Log(eventSaysLeaving, event.F("instance", holder.Instance), event.F("started", holder.Started))
+	}
+}
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -21,14 +21,18 @@
 	"burdockglade.dev/router/vhost"
 )
 
-// Options configure a Sidecar. SetStoreAddress, Commands, Log and Listen may be nil.
+// Options configure a Sidecar. SetStoreAddress, Notice, Commands, Log and Listen
+// may be nil.
 type Options struct {
 	Settings Settings
 	Store    rowstore.Store
 	// SetStoreAddress makes Store use another address.
 	SetStoreAddress func(address string)
 	Headers         Headers
-	Config          ConfigSource
+	// Notice decodes what an upstream says of itself in the header of a response. Nil if
+	// upstreams say nothing.
+	Notice func(http.Header) Notice
+	Config ConfigSource
 	// Commands returns the client that sends key commands to the local upstream at the
 	// address. It opens connections only while mayDial returns true. Nil if the
 	// deployment has no service whose keys are granted by commands.
@@ -93,6 +97,9 @@
 	if opts.Listen == nil {
 		opts.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
 	}
+	if opts.Notice == nil {
+		opts.Notice = func(http.Header) Notice { return Notice{} }
+	}
 	host := opts.Settings.Host
 	s := &Sidecar{
 		opts:      opts,
--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -48,6 +48,8 @@
 	// withdrawn is true if the upstream will send no more heartbeats.
 	withdrawn     bool
 	lastHeartbeat time.Time
+	// notice is what the upstream said of itself last.
+	notice Notice
 }
 
 // localUpstream tracks the incarnations of the upstream beside this router.
@@ -110,6 +112,19 @@
 	return true
 }
 
+// recordNotice records what the holder said of itself in a response. current is false if
+// the holder is no longer the local upstream; before is what it said last.
+func (u *localUpstream) recordNotice(holder keyrange.Holder, n Notice) (before Notice, current bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.state.known || u.state.holder != holder {
+		return Notice{}, false
+	}
+	before = u.state.notice
+	u.state.notice = n
+	return before, true
+}
+
 // connectionRefused records that nothing listens at the upstream's address.
 func (u *localUpstream) connectionRefused(now time.Time) {
 	u.mu.Lock()
