--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -26,6 +26,16 @@
 	Load: "Load", NotRun: "Not-Run", RetryAfter: "Retry-After", Caller: "Caller", Key: "Key",
 }
 
+// testNotice decodes the fields Rate and Leaving.
+func testNotice(header http.Header) Notice {
+	n := Notice{Leaving: header.Get("Leaving") != ""}
+	if text := header.Get("Rate"); text != "" {
+		rate, err := strconv.ParseFloat(text, 64)
+		n.RateLimit, n.RateLimited, n.RateUnreadable = rate, err == nil, err != nil
+	}
+	return n
+}
+
 var configKey = rowstore.Key{Table: "operator", Name: "config"}
 
 // testUpstream is an upstream that records the requests that it runs.
@@ -36,9 +46,10 @@
 	// true.
 	handler func(w http.ResponseWriter, r *http.Request) bool
 
-	mu      sync.Mutex
-	runs    map[string]int
-	headers []http.Header
+	mu       sync.Mutex
+	runs     map[string]int
+	arrivals []time.Time
+	headers  []http.Header
 	holds   []keyrange.Grant
 	// released are the ranges that the last heartbeat response withdrew.
 	released []keyrange.Handover
@@ -68,6 +79,7 @@
 	}
 	u.mu.Lock()
 	u.runs[id]++
+	u.arrivals = append(u.arrivals, time.Now())
 	u.headers = append(u.headers, r.Header)
 	handler := u.handler
 	u.mu.Unlock()
@@ -208,7 +220,7 @@
 	settings.Terms.GraceMs = 3000
 	notFound := func(*Sidecar) http.Handler { return http.NotFoundHandler() }
 	s := New(Options{
-		Settings: settings, Store: store, Headers: testHeaders,
+		Settings: settings, Store: store, Headers: testHeaders, Notice: testNotice,
 		Config:  ConfigSource{Key: configKey, Decode: decodeTestConfig},
 		Control: notFound, Ready: notFound, Metrics: metrics.New(), Listen: p.open,
 	})
