Keep the rate limit that an upstream names

Cause: nobody read the limit. The class of fault: something said in responses, where no part of the router looked. Change: every request for an upstream passes the gate beside it, so that gate alone keeps the sum over all hosts, without messages between them. A limit ends with a response that names none to a request sent after the last one that did. It also steers: the load that a host reports under a limit is a share of what runs at that rate, so other hosts choose it less and keys move away. A router that has just started sends three requests before it waits for the first response, because only that names the limit.

--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -41,8 +42,12 @@
 	promotedSlotsDivisor = 2
 )
 
-// PriorityLimiter admits requests up to a Limit and serves waiting requests by
-// priority. Within a priority, requests that can still meet their goal come first,
+// firstInFlight bounds the requests in flight until the upstream has responded once. Only
+// its responses name its rate limit, which a router that has just started does not know.
+const firstInFlight = 3
+
+// PriorityLimiter admits requests up to a Limit and a RateLimit and serves waiting
+// requests by priority. Within a priority, requests that can still meet their goal come first,
 // earliest goal first: short calls that running requests wait for have near goals.
 // Late requests come last, because after a burst they would make all others late as
 // well. It is safe for concurrent use.
@@ -52,6 +57,11 @@
 	mu       sync.Mutex
 	limit    Limit
 	inFlight int
+	rate     RateLimit
+	// responded is true once the upstream has responded.
+	responded bool
+	// nextToken dispatches waiting requests when the next token of rate is due.
+	nextToken *time.Timer
 	// promoted is the number of promoted requests in flight.
 	promoted    int
 	waiting     priorityHeap
@@ -161,8 +171,8 @@
 		return nil, errkind.New(errkind.UpstreamDown, "no upstream is announced")
 	}
 	it := &priorityItem{class: class, arrival: l.nextArrival, bounds: bounds, decision: make(chan error, 1)}
-	if l.inFlight < l.limit.Allowed() && len(l.waiting) == 0 {
-		l.takeSlot(it)
+	if len(l.waiting) == 0 && l.mayStart(now) {
+		l.takeSlot(now, it)
 		l.mu.Unlock()
 		return l.releaseFunc(it, now), nil
 	}
@@ -180,14 +190,14 @@
 // full queue it displaces the last item if it precedes that one. The caller holds
 // l.mu.
 func (l *PriorityLimiter) enqueue(now time.Time, it *priorityItem) error {
-	wait := l.expectedWait(it)
+	wait := l.expectedWait(now, it)
 	slots := max(l.limit.Allowed(), 1)
 	if it.bounds.Policy == NoWait {
-		return overloaded(wait, "%d of %d slots are used", l.inFlight, slots)
+		return overloaded(wait, "%d of %d slots are used, and %.0f requests per second are allowed (0: any)", l.inFlight, slots, l.rate.PerSecond())
 	}
 	if it.bounds.Policy == UntilDeadline && it.bounds.Goal.Sub(now)-wait < l.leadTime(it) {
 		it.late = true
-		wait = l.expectedWait(it)
+		wait = l.expectedWait(now, it)
 	}
 	longest := l.maxWait(now, it)
 	if wait > longest {
@@ -204,9 +214,41 @@
 	}
 	l.nextArrival++
 	heap.Push(&l.waiting, it)
+	l.awaitToken(now)
 	return nil
 }
 
+// mayStart reports whether one more request may be sent. The caller holds l.mu.
+func (l *PriorityLimiter) mayStart(now time.Time) bool {
+	return l.inFlight < l.maxInFlight() && l.rate.Wait(now, 1) == 0
+}
+
+// maxInFlight returns the number of requests that may be in flight. The caller holds l.mu.
+func (l *PriorityLimiter) maxInFlight() int {
+	if !l.responded {
+		return min(l.limit.Allowed(), firstInFlight)
+	}
+	return l.limit.Allowed()
+}
+
+// awaitToken has the waiting requests dispatched when the next token is due. The caller
+// holds l.mu.
+func (l *PriorityLimiter) awaitToken(now time.Time) {
+	wait := l.rate.Wait(now, 1)
+	if wait == 0 || len(l.waiting) == 0 {
+		return
+	}
+	if l.nextToken != nil {
+		l.nextToken.Reset(wait)
+		return
+	}
+	l.nextToken = time.AfterFunc(wait, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.dispatch()
+	})
+}
+
 // MeanServiceTime returns the mean time for which a request of the class holds a
 // slot, 0 while no request has completed.
 func (l *PriorityLimiter) MeanServiceTime(class WorkClass) time.Duration {
@@ -225,15 +267,17 @@
 }
 
 // expectedWait returns the expected time until the item gets a slot: the service
-// times of the items before it and of one request in flight, divided by the slots.
-func (l *PriorityLimiter) expectedWait(it *priorityItem) time.Duration {
-	before := l.meanService
+// times of the items before it and of one request in flight, divided by the slots, or
+// the time until the rate limit lets it through if that is longer.
+func (l *PriorityLimiter) expectedWait(now time.Time, it *priorityItem) time.Duration {
+	before, ahead := l.meanService, 0
 	for _, w := range l.waiting {
 		if w.before(it) {
 			before += l.meanServiceOf(w.class)
+			ahead++
 		}
 	}
-	return before / time.Duration(max(l.limit.Allowed(), 1))
+	return max(before/time.Duration(max(l.limit.Allowed(), 1)), l.rate.Wait(now, ahead+1))
 }
 
 // wouldMissGoal reports whether the response is expected to miss its goal if the
@@ -300,15 +344,17 @@
 	}
 }
 
-// takeSlot counts the request as in flight. The caller holds l.mu.
-func (l *PriorityLimiter) takeSlot(it *priorityItem) {
+// takeSlot counts the request as in flight and against the rate limit. The caller holds
+// l.mu.
+func (l *PriorityLimiter) takeSlot(now time.Time, it *priorityItem) {
+	l.rate.Take(now)
 	l.inFlight++
 	if it.promoted {
 		l.promoted++
 	}
 }
 
-// freeSlot undoes takeSlot. The caller holds l.mu.
+// freeSlot frees the slot of the request; its token stays used. The caller holds l.mu.
 func (l *PriorityLimiter) freeSlot(it *priorityItem) {
 	l.inFlight--
 	if it.promoted {
@@ -344,6 +390,7 @@
 		now := l.now()
 		l.limit.Observe(now, r, l.inFlight)
 		l.freeSlot(it)
+		l.responded = l.responded || r != Failed
 		if r == Completed {
 			l.observe(it.class, now.Sub(start))
 		}
@@ -356,7 +403,7 @@
 // end before its deadline is refused. The caller holds l.mu.
 func (l *PriorityLimiter) dispatch() {
 	now := l.now()
-	for l.inFlight < l.limit.Allowed() && len(l.waiting) > 0 {
+	for len(l.waiting) > 0 && l.mayStart(now) {
 		it := heap.Pop(&l.waiting).(*priorityItem)
 		switch {
 		case it.bounds.Deadline.Sub(now) < l.leadTime(it):
@@ -365,10 +412,29 @@
 			it.late = true
 			heap.Push(&l.waiting, it)
 		default:
-			l.takeSlot(it)
+			l.takeSlot(now, it)
 			it.decision <- nil
 		}
 	}
+	l.awaitToken(now)
+}
+
+// Responded records the response to a request that was sent at the given time. The
+// upstream names a limit on the requests per second in it, or names none.
+func (l *PriorityLimiter) Responded(sent time.Time, perSecond float64, limited bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.responded = true
+	l.rate.Observe(l.now(), sent, perSecond, limited)
+	l.dispatch()
+}
+
+// NewUpstream forgets the rate limit of the last upstream. The next one may name another.
+func (l *PriorityLimiter) NewUpstream() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate, l.responded = RateLimit{}, false
+	l.dispatch()
 }
 
 // SetSlots sets the number of slots of the upstream. With 0 slots, all waiting
@@ -395,6 +461,20 @@
 	return l.limit.Allowed(), l.inFlight, len(l.waiting)
 }
 
+// Load returns the load of the upstream as a share of what it can take. Under a rate limit
+// slots is the number of requests that run at that rate, and busy also counts the slots for
+// which the limit allows no further request yet.
+func (l *PriorityLimiter) Load() (slots, busy, waiting int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slots, busy = l.limit.Allowed(), l.inFlight
+	if l.rate.Limited() {
+		slots = min(slots, max(1, int(math.Round(l.rate.PerSecond()*l.meanService.Seconds()))))
+		busy = max(busy, int(math.Round(float64(slots)*l.rate.UsedShare(l.now()))))
+	}
+	return slots, busy, len(l.waiting)
+}
+
 // priorityHeap is a heap of waiting requests in the order in which they are served.
 // It implements heap.Interface.
 type priorityHeap []*priorityItem
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -63,11 +63,13 @@
 		limiter:     admit.NewPriorityLimiter(nil),
 		log:         s.log,
 		client:      newUpstreamClient(s.settings.Upstream.Address),
-		notices:     &noticeReader{decode: s.opts.Notice, log: s.log, scope: s.scope, local: s.local},
 		drainLimit:  millis(terms.DrainMs) / 2,
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
 	}
+	s.gate.notices = &noticeReader{
+		decode: s.opts.Notice, log: s.log, scope: s.scope, local: s.local, limiter: s.gate.limiter,
+	}
 	budget := BudgetLimits{Ratio: terms.RetryRatio, Slack: terms.RetrySlack, Window: millis(terms.RetryWindowMs)}
 	s.entry = &entry{
 		host: host.Name, headers: s.opts.Headers, config: s.config, exchange: s.exchange, fleet: s.fleet, keys: s.index, gate: s.gate,
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -50,7 +50,7 @@
 	runs     map[string]int
 	arrivals []time.Time
 	headers  []http.Header
-	holds   []keyrange.Grant
+	holds    []keyrange.Grant
 	// released are the ranges that the last heartbeat response withdrew.
 	released []keyrange.Handover
 	sequence int64
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -125,8 +125,8 @@
 }
 
 func (g *gate) load() fleet.Load {
-	allowed, busy, waiting := g.limiter.Stats()
-	return fleet.Load{Busy: busy, Waiting: waiting, Slots: allowed}
+	slots, busy, waiting := g.limiter.Load()
+	return fleet.Load{Busy: busy, Waiting: waiting, Slots: slots}
 }
 
 // check returns an error if the local upstream must not get the call.
--- a/router/sidecar/notice.go
+++ b/router/sidecar/notice.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/h1"
 	"burdockglade.dev/router/keyrange"
@@ -23,34 +24,43 @@
 	Leaving bool
 }
 
-// noticeReader reads the notices in the responses of the local upstream. Every response
+// noticeReader acts on the notices in the responses of the local upstream. Every response
 // that belongs to a request passes it.
 type noticeReader struct {
 	// decode returns the notice in the header of a response.
-	decode func(http.Header) Notice
-	log    *event.Logger
-	scope  tally.Scope
-	local  *localUpstream
+	decode  func(http.Header) Notice
+	log     *event.Logger
+	scope   tally.Scope
+	local   *localUpstream
+	limiter *admit.PriorityLimiter
 }
 
 // read processes the notice in a response to a request that was sent at the given time to
 // the upstream that is the holder.
 func (n *noticeReader) read(sent time.Time, holder keyrange.Holder, resp *h1.Response) {
+	now, notice := time.Now(), n.decode(resp.Header)
 	if resp.Status == http.StatusMisdirectedRequest {
-		return // possibly the response of another upstream that has got the address
-	}
-	notice := n.decode(resp.Header)
-	if notice.RateUnreadable {
-		n.scope.Counter("rate_limit_unreadable").Inc(1)
+		// Possibly another upstream that has got the address: what it leaves unsaid or says
+		// of its own end is not about the holder.
+		if !notice.RateLimited {
+			return
+		}
+		notice.Leaving = false
 	}
 	before, current := n.local.recordNotice(holder, notice)
 	if !current {
 		return
 	}
+	if notice.RateUnreadable {
+		n.scope.Counter("rate_limit_unreadable").Inc(1)
+	}
+	if notice.RateLimited || !notice.RateUnreadable {
+		n.limiter.Responded(sent, notice.RateLimit, notice.RateLimited)
+	}
 	if notice.RateLimited != before.RateLimited || notice.RateLimit != before.RateLimit {
 		n.scope.Gauge("rate_limit").Update(notice.RateLimit)
 		n.log.Log(eventRateLimit, event.F("instance", holder.Instance), event.F("limited", notice.RateLimited), event.F("per_second", notice.RateLimit),
-			event.F("before", before.RateLimit), event.F("sent_ms_ago", time.Since(sent).Milliseconds()))
+			event.F("before", before.RateLimit), event.F("sent_ms_ago", now.Sub(sent).Milliseconds()))
 	}
 	if notice.Leaving && !before.Leaving {
 		n.log.Log(eventSaysLeaving, event.F("instance", holder.Instance), event.F("started", holder.Started))
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -158,11 +158,15 @@
 
 // HandleHeartbeat processes a heartbeat of the local upstream.
 func (s *Sidecar) HandleHeartbeat(r Heartbeat) HeartbeatResponse {
+	before := s.local.get().holder
 	state, current, changed := s.local.recordHeartbeat(time.Now(), r)
 	if !current {
 		s.log.Log(eventStaleHeartbeat, event.F("instance", r.Instance), event.F("started", r.Started), event.F("sequence", r.Sequence))
 		return HeartbeatResponse{}
 	}
+	if state.holder != before {
+		s.gate.limiter.NewUpstream()
+	}
 	if changed {
 		s.upstreamChanged(state)
 	}
