Heed responses that say that their upstream leaves

What callers saw: nothing yet; requests went to a server for longer than DrainMs after its answers said that it leaves (DRAIN), as long as heartbeats or the store had not said so. Change: the gate takes such a response for a notice of leaving, as a heartbeat's: the member row says it, keys move away, and after half of DrainMs the gate passes nothing on. Every response between routers carries the notice with the life of the upstream, refusals too, and the host that gets it remembers it by itself (fleet.Directory.MarkLeaving) until that life has ended, whatever rows say, also while the row is gone. Such a host is not chosen, gets no keys, and the one place where requests leave for a host (entry.attempt) refuses after half of DrainMs.

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -41,12 +41,14 @@
 	byService map[string][]*Host
 	// reassigned holds the hosts whose address now belongs to another host.
 	reassigned map[string]bool
+	// leaving holds the notices of upstreams that leave, by host.
+	leaving map[string]leaving
 }
 
 // NewDirectory returns an empty directory for a host in the zone and region.
 // dial returns the client for a host's address.
 func NewDirectory(zone, region string, dial func(address string) *hop.Client) *Directory {
-	return &Directory{zone: zone, region: region, dial: dial, hosts: map[string]*Host{}, byService: map[string][]*Host{}}
+	return &Directory{zone: zone, region: region, dial: dial, hosts: map[string]*Host{}, byService: map[string][]*Host{}, leaving: map[string]leaving{}}
 }
 
 // Put adds or updates a host that is known to exist regardless of its row, such as
@@ -135,7 +137,7 @@
 	defer d.mu.RUnlock()
 	members := make([]Member, 0, len(d.byService[service]))
 	for _, h := range d.byService[service] {
-		members = append(members, h.Member())
+		members = append(members, d.current(h.Member()))
 	}
 	return members
 }
@@ -219,13 +221,13 @@
 func (d *Directory) Choose(now time.Time, service string, exclude []*Host) *Host {
 	d.mu.RLock()
 	hosts := d.byService[service]
-	d.mu.RUnlock()
 	views := make([]view, 0, len(hosts))
 	for _, h := range hosts {
-		if v := h.view(now); v.member.State == Ready && !slices.Contains(exclude, h) {
+		if v := h.view(now); d.current(v.member).State == Ready && !slices.Contains(exclude, h) {
 			views = append(views, v)
 		}
 	}
+	d.mu.RUnlock()
 	return d.cheapest(views)
 }
 
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -123,8 +123,12 @@
 
 // attempt offers the call to one host.
 func (e *entry) attempt(ctx context.Context, h *fleet.Host, c *Call) *Result {
-	h.RequestStarted()
 	start := time.Now()
+	// The host's own gate refuses the call as well, unless it has restarted since.
+	if e.fleet.LeavingFor(start, h.Member().Host) > e.drainLimit {
+		return errorResult(errkind.Draining, "the upstream of %s has said that it leaves", h.Member().Host)
+	}
+	h.RequestStarted()
 	var r *Result
 	if h.Member().Host == e.host {
 		r = e.gate.serve(ctx, c)
@@ -134,6 +138,9 @@
 	}
 	r.Host = h.Member().Host
 	now := time.Now()
+	if r.Leaving != nil {
+		e.fleet.MarkLeaving(now, r.Host, *r.Leaving)
+	}
 	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
 		h.RequestCancelled()
 		return r
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -69,6 +69,7 @@
 	}
 	s.gate.notices = &noticeReader{
 		decode: s.opts.Notice, log: s.log, scope: s.scope, local: s.local, limiter: s.gate.limiter,
+		leaves: func() { s.upstreamChanged(s.local.get()) },
 	}
 	budget := BudgetLimits{Ratio: terms.RetryRatio, Slack: terms.RetrySlack, Window: millis(terms.RetryWindowMs)}
 	s.entry = &entry{
@@ -77,6 +78,7 @@
 		budgets:     newBudgets(budget, s.fleet.HostCount),
 		log:         s.log,
 		metrics:     newEntryMetrics(s.scope),
+		drainLimit:  s.gate.drainLimit,
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
 	}
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -97,6 +97,9 @@
 	Load    fleet.Load
 	HasLoad bool
 
+	// Leaving is the life of the host's upstream if that upstream leaves, otherwise nil.
+	Leaving *fleet.Incarnation
+
 	// Config is the configuration in force at the other host. Its version is 0 if
 	// unknown.
 	Config peerConfig
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -43,6 +43,9 @@
 	maxTimes maxRequestTimes
 	log      *event.Logger
 	metrics  *entryMetrics
+	// drainLimit is the time, counted from the notice that an upstream leaves, after which
+	// it gets no new request from this host.
+	drainLimit time.Duration
 	// stoppingFor returns the time since this router began to stop, or 0.
 	stoppingFor func() time.Duration
 	// graceLeft returns the time until this router ends.
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -118,9 +118,13 @@
 	return errkind.New(errkind.Internal, "%w", err)
 }
 
-// withLoad adds the current load of the upstream to a result.
+// withLoad adds the current load of the upstream to a result, and whether it leaves.
 func (g *gate) withLoad(r *Result) *Result {
 	r.Load, r.HasLoad = g.load(), true
+	if s := g.local.get(); !s.leavingSince.IsZero() {
+		leaving := s.incarnation()
+		r.Leaving = &leaving
+	}
 	return r
 }
 
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -131,6 +132,9 @@
 	}
 	r.Config.Version = resp.Config
 	r.Config.Age, r.Config.AgeKnown = resp.Flags.ConfigAge()
+	header := headerFrom(resp.Fields)
+	r.Leaving = decodeLeaving(header.Get(leavingField))
+	header.Del(leavingField)
 	if resp.Kind != "" {
 		_ = resp.Body.Close()
 		r.Err = errkind.New(errkind.Kind(resp.Kind), "%s", resp.Detail)
@@ -139,7 +143,7 @@
 		return r
 	}
 	r.Status, r.Length, r.Body = resp.Status, resp.Length, resp.Body
-	r.Header = headerFrom(resp.Fields)
+	r.Header = header
 	r.Header.Set(names.RequestID, c.RequestID)
 	if resp.Signature != "" {
 		r.Header.Set(names.Signature, resp.Signature)
@@ -263,10 +267,32 @@
 		head.Kind, head.Detail = string(r.Err.Kind), r.Err.Detail
 		head.RetryMs = int(r.Err.RetryAfter.Milliseconds())
 		head.Holder = r.Holder
-		return head
+	} else {
+		head.Status, head.Length = r.Status, r.Length
+		head.Signature = r.Header.Get(h.headers.Signature)
+		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField)
+	}
+	if r.Leaving != nil {
+		head.Fields = append(head.Fields, hop.Field{Name: leavingField, Value: encodeLeaving(*r.Leaving)})
 	}
-	head.Status, head.Length = r.Status, r.Length
-	head.Signature = r.Header.Get(h.headers.Signature)
-	head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load)
 	return head
 }
+
+// leavingField is the field of a response between routers that names the life of the
+// upstream that leaves. Routers of earlier versions ignore it, whereas they reject a head
+// with another number of members.
+const leavingField = "Burdock-Leaving"
+
+func encodeLeaving(of fleet.Incarnation) string {
+	return strconv.FormatInt(of.Started, 10) + " " + of.Instance
+}
+
+// decodeLeaving returns nil if the value is not one of encodeLeaving.
+func decodeLeaving(value string) *fleet.Incarnation {
+	started, instance, _ := strings.Cut(value, " ")
+	at, err := strconv.ParseInt(started, 10, 64)
+	if err != nil || instance == "" {
+		return nil
+	}
+	return &fleet.Incarnation{Instance: instance, Started: at}
+}
--- a/router/sidecar/notice.go
+++ b/router/sidecar/notice.go
@@ -33,6 +33,8 @@
 	scope   tally.Scope
 	local   *localUpstream
 	limiter *admit.PriorityLimiter
+	// leaves is called when the upstream has said for the first time that it leaves.
+	leaves func()
 }
 
 // read processes the notice in a response to a request that was sent at the given time to
@@ -47,7 +49,7 @@
 		}
 		notice.Leaving = false
 	}
-	before, current := n.local.recordNotice(holder, notice)
+	before, leaves, current := n.local.recordNotice(now, holder, notice)
 	if !current {
 		return
 	}
@@ -62,7 +64,8 @@
 		n.log.Log(eventRateLimit, event.F("instance", holder.Instance), event.F("limited", notice.RateLimited), event.F("per_second", notice.RateLimit),
 			event.F("before", before.RateLimit), event.F("sent_ms_ago", now.Sub(sent).Milliseconds()))
 	}
-	if notice.Leaving && !before.Leaving {
+	if leaves {
 		n.log.Log(eventSaysLeaving, event.F("instance", holder.Instance), event.F("started", holder.Started))
+		n.leaves()
 	}
 }
--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -42,8 +42,8 @@
 	sequence int64
 	service  string
 	slots    int
-	// leavingSince is the time of the first acknowledged notice that the upstream leaves;
-	// zero if there was none.
+	// leavingSince is the time of the first notice that the upstream leaves, in a heartbeat
+	// or a response; zero if there was none.
 	leavingSince time.Time
 	// withdrawn is true if the upstream will send no more heartbeats.
 	withdrawn     bool
@@ -113,16 +113,22 @@
 }
 
 // recordNotice records what the holder said of itself in a response. current is false if
-// the holder is no longer the local upstream; before is what it said last.
-func (u *localUpstream) recordNotice(holder keyrange.Holder, n Notice) (before Notice, current bool) {
+// the holder is no longer the local upstream; before is what it said last, and leaves is true
+// if other hosts must be notified that it leaves.
+func (u *localUpstream) recordNotice(now time.Time, holder keyrange.Holder, n Notice) (before Notice, leaves, current bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.state.known || u.state.holder != holder {
-		return Notice{}, false
+	s := &u.state
+	if !s.known || s.holder != holder {
+		return Notice{}, false, false
+	}
+	before = s.notice
+	s.notice = n
+	if n.Leaving && s.leavingSince.IsZero() {
+		s.leavingSince = now
+		leaves = true
 	}
-	before = u.state.notice
-	u.state.notice = n
-	return before, true
+	return before, leaves, true
 }
 
 // connectionRefused records that nothing listens at the upstream's address.
@@ -167,6 +173,11 @@
 	maxRefusalGap = 600 * time.Millisecond
 )
 
+// incarnation returns the life of the upstream.
+func (s upstreamState) incarnation() fleet.Incarnation {
+	return fleet.Incarnation{Instance: s.holder.Instance, Started: s.holder.Started}
+}
+
 // publishedState returns the state that is published to other hosts.
 func (s upstreamState) publishedState(stopping bool) fleet.State {
 	switch {
