Move keys by the slots of the host that gets them

What callers saw: under named limits of some upstreams, refusals for as long as the limits lasted, also where other upstreams had room. Cause: a move was measured by the slots of the giver, as if all upstreams had as many. A limited upstream has few, so limited hosts handed keys to each other and hosts with room looked full after a few moves. Change: members carry the slots that their host reported last (a rate limit lowers them); the mean utilization is weighted by them and a move counts as a share of the receiver's slots. Hosts with fewer than 4 slots also split and move smaller ranges. Measured: TestOffloadHeedsTheSlotsOfTheReceiver fails without the change of balance.go.

--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -117,6 +117,17 @@
 	return h.meanUtilization
 }
 
+// Slots returns the number of slots that the host reported last, or those of its member
+// row if it has reported none.
+func (h *Host) Slots() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.load.Slots > 0 {
+		return h.load.Slots
+	}
+	return h.member.Slots
+}
+
 // RequestStarted records that a request is being sent to the host.
 func (h *Host) RequestStarted() {
 	h.mu.Lock()
--- a/router/keyrange/balance.go
+++ b/router/keyrange/balance.go
@@ -42,8 +42,9 @@
 	// no offloaded ranges and splits none.
 	maxRangesPerHost = 72
 	// minOffloadLoad is the load, in slots, below which moving a range does not
-	// help an overloaded host.
-	minOffloadLoad = 0.2
+	// help an overloaded host. For hosts with few slots it is a share of these.
+	minOffloadLoad  = 0.2
+	minOffloadShare = 0.05
 )
 
 // MovesToNewMembers returns moves of ranges from the host to members that have
@@ -87,7 +88,7 @@
 }
 
 // Offload returns moves of ranges from an overloaded host to members with less
-// load. hostLoad is the demand for the host's ranges as a share of its slots. A
+// load, as far as their slots allow. hostLoad is the demand for the host's ranges as a share of its slots. A
 // range whose load exceeds the host's excess stays where it is; other ranges are
 // moved away from it.
 func (m *Map) Offload(host string, hostLoad float64, slots int, loads Loads, members []Member) []PlannedMove {
@@ -98,25 +99,31 @@
 	if hostLoad < overloadThreshold || len(others) == 0 || slots <= 0 {
 		return nil
 	}
-	mean := hostLoad
-	for _, x := range others {
-		mean += x.Load
+	demand, capacity := hostLoad*float64(slots), float64(slots)
+	for i := range others {
+		if others[i].Slots <= 0 {
+			others[i].Slots = slots
+		}
+		demand += others[i].Load * float64(others[i].Slots)
+		capacity += float64(others[i].Slots)
 	}
-	mean /= float64(len(others) + 1)
+	mean := demand / capacity
 	excess := (hostLoad - mean) * float64(slots)
+	least := min(minOffloadLoad, minOffloadShare*float64(slots))
 	var moves []PlannedMove
 	for _, i := range m.busiest(host, loads) {
 		load := loads.Sum(m.Ranges[i].From, m.Ranges[i].To)
-		if len(moves) == maxOffloadMoves || load < minOffloadLoad {
+		if len(moves) == maxOffloadMoves || load < least {
 			break
 		}
-		to := leastLoaded(others)
-		if load > excess || to.Load > hostLoad-offloadGap || to.Load+load/float64(slots) > mean+newMemberLoadGap {
+		to := leastLoadedWith(others, load)
+		raised := to.Load + load/float64(to.Slots)
+		if load > excess || to.Load > hostLoad-offloadGap || raised > mean+newMemberLoadGap {
 			continue
 		}
 		moves = append(moves, PlannedMove{Range: i, To: to.Host})
 		excess -= load
-		to.Load += load / float64(slots)
+		to.Load = raised
 		counts[to.Host]++
 		if counts[to.Host] >= maxRangesPerHost {
 			to.Load = math.Inf(1)
@@ -141,10 +148,13 @@
 	return indexes
 }
 
-func leastLoaded(members []Member) *Member {
+// leastLoadedWith returns the member whose utilization is the lowest once it has taken on
+// the load, in slots.
+func leastLoadedWith(members []Member, load float64) *Member {
+	with := func(x *Member) float64 { return x.Load + load/float64(x.Slots) }
 	best := &members[0]
 	for i := range members {
-		if members[i].Load < best.Load {
+		if with(&members[i]) < with(best) {
 			best = &members[i]
 		}
 	}
@@ -156,7 +166,7 @@
 // keep the holder and the generation of the range. Split reports whether the map
 // changed.
 func (m *Map) Split(host string, slots int, loads Loads, members int) bool {
-	limit := max(float64(slots)/splitFraction, minOffloadLoad)
+	limit := max(float64(slots)/splitFraction, min(minOffloadLoad, minOffloadShare*float64(slots)))
 	room := min(members*maxRangesPerMember-len(m.Ranges), maxRangesPerHost-m.CountByHost()[host])
 	var ranges []Range
 	changed := false
--- a/router/keyrange/map.go
+++ b/router/keyrange/map.go
@@ -56,6 +56,9 @@
 	Holder
 	// Load is the utilization of the upstream's slots.
 	Load float64
+	// Slots is the number of requests that the upstream can run at once, 0 if that is not
+	// known. A rate limit that it names lowers the number.
+	Slots int
 }
 
 // Clone returns a deep copy of m.
--- a/router/keyrange/map_test.go
+++ b/router/keyrange/map_test.go
@@ -271,6 +271,33 @@
 	}
 }
 
+// Most upstreams can take only a part of what they took. Guards against moves that are
+// measured by the slots of the giver: limited hosts then hand their keys to each other, and
+// the others get too little.
+func TestOffloadHeedsTheSlotsOfTheReceiver(t *testing.T) {
+	all := members(3)
+	m := NewMap(all, 16)
+	loads := loadsOf(m, func(i int) float64 {
+		if m.Ranges[i].Holder.Host == "h0" {
+			return 0.25
+		}
+		return 0
+	})
+	all[0].Load, all[0].Slots = 2, 2
+	all[1].Load, all[1].Slots = 0.35, 2
+	all[2].Load, all[2].Slots = 0.4, 14
+	moved := 0.0
+	for _, mv := range m.Offload("h0", 2, 2, loads, all) {
+		if mv.To != "h2" {
+			t.Errorf("a range moves to %s, which has few slots", mv.To)
+		}
+		moved += loads.Sum(m.Ranges[mv.Range].From, m.Ranges[mv.Range].To)
+	}
+	if moved < 2 {
+		t.Errorf("%.2f slots of load move away, want 2 of the 4 at least", moved)
+	}
+}
+
 // An upstream joins. Guards against a new member that never receives keys, and
 // against two hosts that move ranges back and forth.
 func TestMovesToNewMembersOnly(t *testing.T) {
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -102,7 +102,7 @@
 		}
 		member := keyrange.Member{Holder: keyrange.Holder{Host: m.Host, Instance: m.Instance, Started: m.Started}}
 		if h := d.fleet.Host(m.Host); h != nil {
-			member.Load = h.MeanUtilization()
+			member.Load, member.Slots = h.MeanUtilization(), h.Slots()
 		}
 		members = append(members, member)
 	}
