--- a/router/keyrange/map_test.go
+++ b/router/keyrange/map_test.go
@@ -284,8 +284,8 @@
 		return 0
 	})
 	all[0].Load, all[0].Slots = 2, 2
-	all[1].Load, all[1].Slots = 0.35, 2
-	all[2].Load, all[2].Slots = 0.4, 14
+	all[1].Load, all[1].Slots = 0.6, 2
+	all[2].Load, all[2].Slots = 0.45, 14
 	moved := 0.0
 	for _, mv := range m.Offload("h0", 2, 2, loads, all) {
 		if mv.To != "h2" {
