--- a/ctl/soak/configsoak_test.go
+++ b/ctl/soak/configsoak_test.go
@@ -111,7 +111,7 @@
 func (s *configSoak) request(h *host, slot routeSlot) configRequest {
 	id := s.callers.newID()
 	r := configRequest{id: id, process: process{h.name, h.processStarts()}, slot: slot, sent: time.Now()}
-	r.status, _ = exchange(h.caller, slot.hostName, slot.path(), 0, result{id: id})
+	r.status = exchange(h.caller, slot.hostName, slot.path(), 0, result{id: id}).status
 	r.answered = time.Now()
 	if h.processStarts() == r.process.starts {
 		s.requestsMu.Lock()
--- a/ctl/soak/deployment_test.go
+++ b/ctl/soak/deployment_test.go
@@ -53,6 +53,8 @@
 
 	mu      sync.Mutex
 	drained []*server
+	// limited holds the servers that have named a limit.
+	limited []*server
 }
 
 // server is one incarnation of a stand-in server.
@@ -82,6 +84,8 @@
 	starts       int
 	incarnations int
 	server       *server
+	// disrupted are the times at which the process was ended, stopped or resumed.
+	disrupted []time.Time
 }
 
 func must(t *testing.T, err error) {
@@ -239,6 +243,9 @@
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if s != syscall.SIGHUP {
+		h.disrupted = append(h.disrupted, time.Now())
+	}
 	if h.process != nil {
 		_ = h.process.Process.Signal(s) // the process may have exited
 	}
--- a/ctl/soak/faults_test.go
+++ b/ctl/soak/faults_test.go
@@ -26,6 +26,13 @@
 	newRoute bool
 	status   int
 	body     string
+	// host is the host that got the request, sent the time of sending.
+	host string
+	sent time.Time
+	// leaving is the instance whose response said that it leaves, or empty.
+	leaving string
+	// answered is the time of the response.
+	answered time.Time
 }
 
 // callers sends requests and records their results.
@@ -47,24 +54,35 @@
 
 // send sends one request and records its result.
 func (c *callers) send(address, path string, key int) result {
-	r := result{id: c.newID(), once: strings.HasPrefix(path, "/pay") || strings.HasPrefix(path, "/order"), newRoute: strings.HasPrefix(path, "/version")}
-	r.status, r.body = exchange(address, "soak", path+"x", key, r)
+	r := result{id: c.newID(), host: address, sent: time.Now(), once: strings.HasPrefix(path, "/pay") || strings.HasPrefix(path, "/order"), newRoute: strings.HasPrefix(path, "/version")}
+	resp := exchange(address, "soak", path+"x", key, r)
+	r.status, r.body, r.answered = resp.status, resp.body, time.Now()
+	if resp.header.Get(leavingField) != "" {
+		r.leaving = instanceOf(resp.header)
+	}
 	c.mu.Lock()
 	c.all = append(c.all, r)
 	c.mu.Unlock()
 	return r
 }
 
-// exchange sends the request of r and returns the status and body of the response,
-// or 0 and the error.
-func exchange(address, hostName, path string, key int, r result) (int, string) {
+// response is a response to a caller. Status 0 means that there was none; body then says
+// why.
+type response struct {
+	status int
+	body   string
+	header http.Header
+}
+
+// exchange sends the request of r and returns the response.
+func exchange(address, hostName, path string, key int, r result) response {
 	method := http.MethodGet
 	if r.once {
 		method = http.MethodPost
 	}
 	req, err := http.NewRequest(method, "http://"+address+path, nil)
 	if err != nil {
-		return 0, err.Error()
+		return response{body: err.Error()}
 	}
 	names := platform.Headers()
 	req.Host = hostName
@@ -73,14 +91,14 @@
 	req.Header.Set(names.Key, strconv.Itoa(key))
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0, err.Error()
+		return response{body: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, err.Error()
+		return response{body: err.Error()}
 	}
-	return resp.StatusCode, string(body)
+	return response{status: resp.StatusCode, body: string(body), header: resp.Header}
 }
 
 func (c *callers) results() []result {
--- a/ctl/soak/soak_test.go
+++ b/ctl/soak/soak_test.go
@@ -68,7 +68,8 @@
 
 // Guards, under random faults of processes, connections and the store, against work
 // that runs twice, false refusals, mixed-up responses, two holders of a key, work
-// for draining upstreams, configurations that are late or reverted, and routers that
+// for upstreams that drain or say that they leave, more requests than an upstream's limit,
+// configurations that are late or reverted, and routers that
 // do not recover.
 func TestSoak(t *testing.T) {
 	first := *firstSeed
@@ -101,13 +102,16 @@
 	d.awaitService("before the faults")
 	stopCallers := d.startCallers(seed)
 	stopProbes := d.startProbes()
+	stopNotices := d.startNotices(seed)
 	d.injectFaults(rand.New(rand.NewPCG(seed, 1)), *duration)
+	stopNotices()
 	d.heal()
 	d.awaitService("after the faults")
 	stopCallers()
 	stopProbes()
 	d.awaitWorkDone()
-	for _, err := range append(check(d.ledger.Executions(), d.callers.results(), d.drains()), d.configs.check()...) {
+	violations := append(check(d.ledger.Executions(), d.callers.results(), d.drains()), d.configs.check()...)
+	for _, err := range append(violations, d.checkNotices()...) {
 		t.Error(err)
 	}
 	if t.Failed() {
