--- a/router/rowstore/memory.go
+++ b/router/rowstore/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -18,6 +19,40 @@
 	oldest  int64
 	changed chan struct{}
 	started time.Time
+	// era counts the times at which the store was put back to a copy. Version numbers are given out again.
+	era int64
+}
+
+// Copy is the content of a Memory at one moment.
+type Copy struct {
+	version int64
+	rows    map[Key]Row
+	history []Row
+}
+
+// Copy returns a copy of the content.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{version: m.version, rows: maps.Clone(m.rows), history: slices.Clone(m.history)}
+}
+
+// Restore puts the store back to a copy. What was written since is lost, its version
+// numbers are given out again, and the era rises by one.
+func (m *Memory) Restore(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version, m.rows, m.history = c.version, maps.Clone(c.rows), slices.Clone(c.history)
+	m.era++
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Era returns the era of the store.
+func (m *Memory) Era() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
 }
 
 // NewMemory returns an empty store.
@@ -60,7 +95,7 @@
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
-		if after < m.oldest {
+		if after < m.oldest || after > m.version {
 			m.mu.Unlock()
 			return nil, 0, ErrHistoryGone
 		}
