Versions of the store consist of its era and its number

What callers saw: a confirmed change of the configuration that never came into force after the store had come back from an older copy (CONFIG). Cause: followers, feeds, the map index and conditions took the number of a version for its age. After a restore newer rows have lower numbers and were skipped. One wrapper (rowstore.EraStore), which all calls of a host pass, also those through other hosts, drops responses of an earlier era than the newest one seen, refuses transactions and conditions of another era, and tells the host when the era rises: it logs event 1827 and writes its member row again. The history of an earlier era counts as gone, so tables are read again.

--- a/router/rowstore/era_test.go
+++ b/router/rowstore/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,3 +48,37 @@
 		<-done
 	})
 }
+
+// Guards against transactions and reads of an earlier era that count in a later one.
+func TestEraStoreRefusesEarlierEras(t *testing.T) {
+	m := NewMemory()
+	a, b := &EraStore{Store: m, Eras: &Eras{}}, &EraStore{Store: m, Eras: &Eras{}}
+	key := Key{Table: "t", Part: "p", Name: "k"}
+	txn := func(version, era int64) Txn {
+		return Txn{Conditions: []Condition{{Key: key, Version: version}}, Writes: []Write{{Key: key, Value: []byte("x")}}, Era: era}
+	}
+	older := m.Copy()
+	version, err := a.Commit(t.Context(), txn(0, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Restore(older)
+	if _, err := b.Commit(t.Context(), txn(0, 1)); err != nil {
+		t.Fatal(err)
+	}
+	// The row has the number again that a knows, with another content.
+	var changed *EraChangedError
+	if _, err := a.Commit(t.Context(), txn(version, 0)); !errors.As(err, &changed) || changed.Era != 1 {
+		t.Errorf("transaction of an earlier era: %v", err)
+	}
+	if a.Eras.Newest() != 1 {
+		t.Errorf("era %d, want 1", a.Eras.Newest())
+	}
+	if _, err := a.Commit(t.Context(), txn(version, 1)); !errors.As(err, &changed) {
+		t.Errorf("condition of an earlier era: %v", err)
+	}
+	a.Eras.Observe(2)
+	if _, _, err := a.List(t.Context(), "t", "p"); !errors.As(err, &changed) {
+		t.Errorf("read of an earlier era: %v", err)
+	}
+}
--- a/router/rowstore/memory.go
+++ b/router/rowstore/memory.go
@@ -19,7 +19,8 @@
 	oldest  int64
 	changed chan struct{}
 	started time.Time
-	// era counts the times at which the store was put back to a copy. Version numbers are given out again.
+	// era counts the times at which the store was put back to a copy. The versions in the
+	// fields above are numbers in it.
 	era int64
 }
 
@@ -55,6 +56,14 @@
 	return m.era
 }
 
+// versioned returns rows with their versions in the era. m.mu must be held.
+func (m *Memory) versioned(rows []Row) []Row {
+	for i := range rows {
+		rows[i].Version = NewVersion(m.era, rows[i].Version)
+	}
+	return rows
+}
+
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
 	return &Memory{rows: map[Key]Row{}, changed: make(chan struct{}), started: time.Now()}
@@ -71,7 +80,7 @@
 		}
 	}
 	slices.Sort(parts)
-	return parts, m.version, nil
+	return parts, NewVersion(m.era, m.version), nil
 }
 
 // List implements Store.
@@ -86,7 +95,7 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Name, b.Name) })
-	return rows, m.version, nil
+	return m.versioned(rows), NewVersion(m.era, m.version), nil
 }
 
 // Watch implements Store.
@@ -95,17 +104,19 @@
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
-		if after < m.oldest || after > m.version {
+		number := NumberOf(after)
+		if number < m.oldest || number > m.version || (after != 0 && EraOf(after) != m.era) {
 			m.mu.Unlock()
 			return nil, 0, ErrHistoryGone
 		}
 		var rows []Row
 		for _, r := range m.history {
-			if r.Version > after && r.Table == table {
+			if r.Version > number && r.Table == table {
 				rows = append(rows, r)
 			}
 		}
-		version, changed := m.version, m.changed
+		rows = m.versioned(rows)
+		version, changed := NewVersion(m.era, m.version), m.changed
 		m.mu.Unlock()
 		if len(rows) > 0 {
 			return rows, version, nil
@@ -125,7 +136,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.holds(txn.Conditions) {
-		return 0, &ConflictError{Rows: m.present(txn.Conditions)}
+		return 0, &ConflictError{Rows: m.versioned(m.present(txn.Conditions)), Era: m.era}
 	}
 	m.version++
 	for _, w := range txn.Writes {
@@ -136,13 +147,14 @@
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
-	return m.version, nil
+	return NewVersion(m.era, m.version), nil
 }
 
-// holds reports whether all conditions hold.
+// holds reports whether all conditions hold. Like the platform's store it compares numbers
+// only, so that a version of an earlier era may seem to hold.
 func (m *Memory) holds(conditions []Condition) bool {
 	for _, c := range conditions {
-		if m.rows[c.Key].Version != c.Version {
+		if m.rows[c.Key].Version != NumberOf(c.Version) {
 			return false
 		}
 	}
--- a/router/rowstore/relay.go
+++ b/router/rowstore/relay.go
@@ -99,7 +99,8 @@
 // isStoreResponse reports whether err is a response of the store itself.
 func isStoreResponse(err error) bool {
 	var conflict *ConflictError
-	return err == nil || errors.Is(err, ErrHistoryGone) || errors.As(err, &conflict)
+	var changed *EraChangedError
+	return err == nil || errors.Is(err, ErrHistoryGone) || errors.As(err, &changed) || errors.As(err, &conflict)
 }
 
 // callRelayed calls Primary, and relays the call through other hosts if that fails.
--- a/router/rowstore/rowstore.go
+++ b/router/rowstore/rowstore.go
@@ -23,7 +23,7 @@
 	Key
 	Value []byte
 	// Version is the version of the transaction that wrote the row; it increases
-	// with each transaction.
+	// with each transaction. See NewVersion.
 	Version int64
 	// Deleted marks a deleted row in the result of Watch.
 	Deleted bool
@@ -50,6 +50,8 @@
 	Conditions []Condition
 	Writes     []Write
 	Deletes    []Key
+	// Era is the era of the store for which the transaction is meant.
+	Era int64
 }
 
 // ErrHistoryGone means that the changes after the given version are no longer
@@ -64,6 +66,8 @@
 type ConflictError struct {
 	// Rows are the current rows of the conditions that exist.
 	Rows []Row
+	// Era is the era of the store.
+	Era int64
 }
 
 // Error implements error.
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -13,8 +13,10 @@
 
 // buildStore creates the connections to the store.
 func (s *Sidecar) buildStore() {
-	s.directStore = &rowstore.ReconnectingStore{Store: &countedStore{store: s.opts.Store, scope: s.scope}}
-	s.store = &rowstore.RelayedStore{Primary: s.directStore, Relays: s.relayStores, Now: time.Now}
+	s.eras = &rowstore.Eras{}
+	s.eras.OnChange(s.storePutBack)
+	s.directStore = &rowstore.EraStore{Eras: s.eras, Store: &rowstore.ReconnectingStore{Store: &countedStore{store: s.opts.Store, scope: s.scope}}}
+	s.store = &rowstore.EraStore{Eras: s.eras, Store: &rowstore.RelayedStore{Primary: s.directStore, Relays: s.relayStores, Now: time.Now}}
 	s.fleetFed = &rowstore.FeedStore{Store: s.store, Source: s.feedSource}
 	s.configFed = &rowstore.FeedStore{Store: s.directStore, Source: s.configFeedSource}
 	s.feeds = map[string]*rowstore.Feed{
@@ -40,7 +42,7 @@
 func (s *Sidecar) buildKeys() {
 	terms := s.settings.Terms
 	s.keys = &keyDriver{
-		host: s.settings.Host.Name, store: s.store, local: s.local, index: s.index, fleet: s.fleet, log: s.log,
+		host: s.settings.Host.Name, store: s.store, eras: s.eras, local: s.local, index: s.index, fleet: s.fleet, log: s.log,
 		maxHeartbeatHold:  min(heartbeatHold, millis(terms.HoldMaxMs)),
 		maxHold:           millis(terms.HoldMaxMs),
 		heartbeatInterval: millis(s.settings.Upstream.HeartbeatMs),
@@ -91,7 +93,7 @@
 		Store: s.fleetFed, Table: tableFleet, Changed: s.applyFleetRow, BatchDelay: s.fleetReadDelay, Feed: s.feeds[tableFleet],
 		CheckStore: s.directStore, CheckDelay: s.fleetCheckDelay, Checked: s.fleetChecked,
 	}
-	s.publisher = &publisher{store: s.store, log: s.log, member: s.memberRow, wakeCh: make(chan struct{}, 1)}
+	s.publisher = &publisher{store: s.store, eras: s.eras, log: s.log, member: s.memberRow, wakeCh: make(chan struct{}, 1)}
 	s.sweeper = &sweeper{
 		host: s.settings.Host.Name, zone: s.settings.Host.Zone, fleet: s.fleet, log: s.log,
 		readsForZone: s.fleetFed.Direct,
--- a/router/sidecar/configfollow_test.go
+++ b/router/sidecar/configfollow_test.go
@@ -209,7 +209,7 @@
 		Config:  ConfigSource{Key: configKey, Decode: decodeTestConfig},
 		Control: notFound, Ready: notFound, Metrics: &metrics.Scope{Scope: tally.NoopScope},
 	})
-	h.Sidecar.store.(*rowstore.RelayedStore).Relays = func(int) []rowstore.Store { return []rowstore.Store{hangingHost{}, hangingHost{}} }
+	h.Sidecar.store.(*rowstore.EraStore).Store.(*rowstore.RelayedStore).Relays = func(int) []rowstore.Store { return []rowstore.Store{hangingHost{}, hangingHost{}} }
 	h.exchange.fetch = h.fetch
 	change(h.configFollower)
 	for _, name := range []string{"h1", "h2"} {
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -54,6 +54,8 @@
 		"The local upstream named, changed or no longer names a limit on the requests per second from all hosts. before is the limit that it named last.", "Find out why the upstream is in need; requests above the limit go to other upstreams or are refused.")
 	eventSaysLeaving = event.Define(1826, log.InfoLevel, "upstream says that it leaves",
 		"A response of the local upstream says that it leaves, whatever its heartbeats say.", "none")
+	eventStorePutBack = event.Define(1827, log.WarnLevel, "store put back",
+		"A response of the store shows that it was put back to an older copy, so that what was written since is lost. This host reads the tables and writes its row again.", "Write again what operators have written since the copy.")
 	eventGrant = event.Define(1830, log.DebugLevel, "keys granted",
 		"The response to a heartbeat of the upstream granted it keys.", "none")
 	eventMapChanged = event.Define(1831, log.InfoLevel, "key map changed",
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -91,6 +91,7 @@
 type keyDriver struct {
 	host  string
 	store rowstore.Store
+	eras  *rowstore.Eras
 	local *localUpstream
 	index *keyIndex
 	fleet *fleet.Directory
--- a/router/sidecar/keydriver_test.go
+++ b/router/sidecar/keydriver_test.go
@@ -17,6 +17,7 @@
 func newTestDriver(t *testing.T, store rowstore.Store) (*keyDriver, upstreamState) {
 	t.Helper()
 	d := &keyDriver{
+		eras: &rowstore.Eras{},
 		host: "h1", store: store, local: &localUpstream{host: "h1"}, index: newKeyIndex(),
 		fleet:             fleet.NewDirectory("z1", "r1", newHopClient),
 		maxHeartbeatHold:  time.Second,
--- a/router/sidecar/keylease.go
+++ b/router/sidecar/keylease.go
@@ -111,6 +111,10 @@
 	defer cancel()
 	version, err := d.store.Commit(ctx, txn)
 	d.lastRenewal = sent
+	var changed *rowstore.EraChangedError
+	if errors.As(err, &changed) {
+		d.leaseVersion, d.mapConfirmed = 0, false
+	}
 	var conflict *rowstore.ConflictError
 	switch {
 	case errors.As(err, &conflict):
@@ -146,6 +150,7 @@
 	}
 	own := leaseKey(service, d.host)
 	txn := rowstore.Txn{
+		Era:        d.eras.Newest(),
 		Conditions: []rowstore.Condition{{Key: own, Version: d.leaseVersion}},
 		Writes:     []rowstore.Write{{Key: own, Value: lease}},
 	}
--- a/router/sidecar/members.go
+++ b/router/sidecar/members.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -18,6 +19,7 @@
 // publisher keeps this host's member row up to date.
 type publisher struct {
 	store rowstore.Store
+	eras  *rowstore.Eras
 	log   *event.Logger
 	// member returns the content of the row, or false while it is not known.
 	member func() (fleet.Member, bool)
@@ -82,12 +84,17 @@
 	version, err := p.store.Commit(ctx, rowstore.Txn{
 		Conditions: []rowstore.Condition{{Key: key, Version: p.version}},
 		Writes:     []rowstore.Write{{Key: key, Value: value}},
+		Era:        p.eras.Newest(),
 	})
 	var conflict *rowstore.ConflictError
 	if errors.As(err, &conflict) {
 		p.version = 0
 		for _, r := range conflict.Rows {
 			p.version = r.Version
+			if bytes.Equal(r.Value, value) {
+				p.written = m
+				return nil
+			}
 		}
 		return err
 	}
@@ -113,13 +120,15 @@
 	_, err := store.Commit(ctx, rowstore.Txn{
 		Conditions: []rowstore.Condition{{Key: key, Version: version}},
 		Deletes:    []rowstore.Key{key},
+		Era:        rowstore.EraOf(version),
 	})
 	return err
 }
 
-// rowRemoved records that another host removed the row of this host because it considered
-// it failed, and has it written again.
-func (p *publisher) rowRemoved() {
+// writeAgain has the row of this host written again: another host removed it because it
+// considered this one failed, or the store was put back to a copy that may have an older
+// row or none.
+func (p *publisher) writeAgain() {
 	p.mu.Lock()
 	p.version, p.written = 0, fleet.Member{}
 	p.mu.Unlock()
@@ -139,11 +148,12 @@
 
 // applyFleetRow applies a row of the fleet table.
 func (s *Sidecar) applyFleetRow(r rowstore.Row) {
+	s.eras.Observe(rowstore.EraOf(r.Version)) // another host may know of a later era
 	switch {
 	case r.Part == partMembers && r.Deleted:
 		s.memberVersions.Delete(r.Name)
 		if r.Name == s.settings.Host.Name && !s.stopping.Load() {
-			s.publisher.rowRemoved()
+			s.publisher.writeAgain()
 			return
 		}
 		s.fleet.Remove(r.Name)
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -53,6 +53,7 @@
 	settings Settings
 	log      *event.Logger
 
+	eras        *rowstore.Eras      // the eras that responses of the store have shown
 	directStore rowstore.Store      // this host's own connection to the store
 	store       rowstore.Store      // that connection, or one through another host
 	fleetFed    *rowstore.FeedStore // the fleet, read directly or through another host
@@ -191,6 +192,16 @@
 	s.keys.wake()
 }
 
+// storePutBack is called when a response shows that the store was put back to an older
+// copy. The followers read their tables again, because the history of the era before is
+// gone; what this host wrote may be lost.
+func (s *Sidecar) storePutBack() {
+	s.log.Log(eventStorePutBack, event.F("era", s.eras.Newest()))
+	s.scope.Gauge("store_era").Update(float64(s.eras.Newest()))
+	go s.publisher.writeAgain() // the response may be one of the publisher's own calls
+	s.keys.wake()
+}
+
 // Ready reports whether callers may send requests.
 func (s *Sidecar) Ready() bool {
 	return s.config.table.Load() != nil && !s.stopping.Load()
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -60,12 +60,15 @@
 	// that this is not known.
 	Config    uint64
 	ConfigAge time.Duration
-	// Conflict stands for rowstore.ConflictError, HistoryGone for rowstore.ErrHistoryGone
-	// and NotFed for rowstore.ErrFeedClosed; Error is the text of any other error.
+	// Conflict stands for rowstore.ConflictError, EraChanged for rowstore.EraChangedError,
+	// HistoryGone for rowstore.ErrHistoryGone and NotFed for rowstore.ErrFeedClosed; Error
+	// is the text of any other error. Era is the era of the first two.
 	Conflict    bool
+	EraChanged  bool
 	HistoryGone bool
 	NotFed      bool
 	Error       string
+	Era         int64
 }
 
 // remoteStore accesses the store through another router.
@@ -106,7 +109,9 @@
 	}
 	switch {
 	case result.Conflict:
-		return result, &rowstore.ConflictError{Rows: result.Rows}
+		return result, &rowstore.ConflictError{Rows: result.Rows, Era: result.Era}
+	case result.EraChanged:
+		return result, &rowstore.EraChangedError{Era: result.Era}
 	case result.HistoryGone:
 		return result, rowstore.ErrHistoryGone
 	case result.NotFed:
@@ -207,9 +212,12 @@
 		err = fmt.Errorf("unknown call %q", call.Call)
 	}
 	var conflict *rowstore.ConflictError
+	var changed *rowstore.EraChangedError
 	switch {
 	case errors.As(err, &conflict):
-		result.Conflict, result.Rows = true, conflict.Rows
+		result.Conflict, result.Rows, result.Era = true, conflict.Rows, conflict.Era
+	case errors.As(err, &changed):
+		result.EraChanged, result.Era = true, changed.Era
 	case errors.Is(err, rowstore.ErrHistoryGone):
 		result.HistoryGone = true
 	case errors.Is(err, rowstore.ErrFeedClosed):
