Make the key map anew from the hosts' claims when the store was put back

Cause: a lost write was taken for done. Versions of leases and of the map were used as conditions that could never hold again, or that a version given out again makes hold; and a host that read the older map acted on it while others went on by the newer one. Change: the rows of the maps and of the leases belong to one era of the store and name it, so what a host writes that knows only an earlier era never meets them. In a new era no map of the store counts. Each host whose lease was valid claims what it holds, in the row of its new lease, as long as there is no map; it goes on granting meanwhile, because nobody can take these keys. Once the claims cover all keys, or every lease of the era before has certainly ended, one host ends the claims by a map without ranges, reads them again and writes the map that they give. Ranges keep holder and generation; new generations are above all that the store can have lost. Keys that nobody claims go to hosts with a lease in the era.

--- a/router/keyrange/lease.go
+++ b/router/keyrange/lease.go
@@ -1,8 +1,6 @@
 package keyrange
 
 import (
-	"encoding/json"
-	"fmt"
 	"time"
 
 	"burdockglade.dev/router/boottime"
@@ -30,26 +28,6 @@
 	End, ReadAt time.Duration
 }
 
-// leaseValue is the value of a lease's row.
-type leaseValue struct {
-	EndMs int64 `json:"end_ms,omitempty"`
-}
-
-// EncodeLeaseEnd returns the value of a lease's row. An end of 0 means unknown.
-func EncodeLeaseEnd(end time.Duration) ([]byte, error) {
-	return json.Marshal(leaseValue{EndMs: end.Milliseconds()})
-}
-
-// DecodeLeaseEnd returns the end of the lease from the value of its row, or 0 if
-// it is unknown.
-func DecodeLeaseEnd(data []byte) (time.Duration, error) {
-	var v leaseValue
-	if err := json.Unmarshal(data, &v); err != nil {
-		return 0, fmt.Errorf("lease: %w", err)
-	}
-	return time.Duration(v.EndMs) * time.Millisecond, nil
-}
-
 // StoreClock converts times of this host's boot-time clock to upper bounds of
 // the store's clock. The zero value has no observation.
 type StoreClock struct {
--- a/router/sidecar/commands.go
+++ b/router/sidecar/commands.go
@@ -111,9 +111,9 @@
 
 // dueCommands returns the commands that are due.
 func (d *keyDriver) dueCommands(s upstreamState) []keyrange.Command {
-	m, _ := d.index.get(s.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	m, _ := d.grantMap(s.service)
 	d.resetIncarnation(s)
 	return d.commands.Due(boottime.Now(), m, s.holder, !s.leavingSince.IsZero(), d.leaseEnd, min(commandHold, d.maxHold))
 }
@@ -127,9 +127,9 @@
 // endCommand records the result of a command to an incarnation of the upstream. Released
 // keys and refused grants need a change of the map.
 func (d *keyDriver) endCommand(s upstreamState, sent boottime.Time, cmd keyrange.Command, result keyrange.CommandResult, token string) {
-	m, _ := d.index.get(s.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	m, _ := d.grantMap(s.service)
 	if d.grants.Holder() != s.holder {
 		return
 	}
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -56,6 +56,8 @@
 		"A response of the local upstream says that it leaves, whatever its heartbeats say.", "none")
 	eventStorePutBack = event.Define(1827, log.WarnLevel, "store put back",
 		"A response of the store shows that it was put back to an older copy, so that what was written since is lost. This host reads the tables and writes its row again.", "Write again what operators have written since the copy.")
+	eventKeysClaimed = event.Define(1828, log.InfoLevel, "keys claimed",
+		"The store was put back to an older copy. This host claims the ranges that it holds by the lease of the era before, so that a new key map can be made.", "If claims is 0, its keys are served again once all earlier leases have ended.")
 	eventGrant = event.Define(1830, log.DebugLevel, "keys granted",
 		"The response to a heartbeat of the upstream granted it keys.", "none")
 	eventMapChanged = event.Define(1831, log.InfoLevel, "key map changed",
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -117,7 +117,9 @@
 	grants   *keyrange.Grants
 	rates    keyrange.LoadMeter
 	leaseEnd boottime.Time
-	wakeCh   chan struct{}
+	// grantSource is guarded by mu.
+	grantSource grantSource
+	wakeCh      chan struct{}
 	// commands, guarded by mu, decides which commands are sent to an upstream that is
 	// granted keys by commands. wakeCommands is called when commands may be due.
 	commands     *keyrange.Commands
@@ -127,6 +129,9 @@
 	superseded chan struct{}
 
 	// The fields below are used only by the goroutine of run.
+	era keyEra
+	// eraEntered is true once era is known.
+	eraEntered   bool
 	leaseVersion int64
 	// mapConfirmed is true if a renewal has proved that this host knows the newest map of
 	// its own ranges.
@@ -205,15 +210,17 @@
 // of the key map if there is one.
 func (d *keyDriver) step(ctx context.Context, s upstreamState) {
 	now := boottime.Now()
+	d.enterNewestEra(s)
 	if now.Sub(d.lastLeaseRead) >= d.leaseWatch.UntilNextEnd(suspectAfter, d.currentReadInterval(s.service)) {
 		d.lastLeaseRead = now
 		d.readLeases(ctx, s.service)
 	}
-	m, version := d.index.get(s.service)
-	if m == nil {
-		m = &keyrange.Map{}
+	if !d.enterNewestEra(s) {
+		d.lastLeaseRead = 0
+		return
 	}
-	p := d.plan(boottime.Now(), s, m)
+	m, version := d.eraMap(s.service)
+	p := d.nextChange(boottime.Now(), s, m, version)
 	due := boottime.Now().Sub(d.lastRenewal) >= d.currentRenewInterval(s.service) && !s.withdrawn
 	if p.next == nil && !due {
 		return
@@ -224,3 +231,11 @@
 	}
 	d.commit(ctx, s.service, version, p)
 }
+
+// nextChange returns the next change of the key map with the version.
+func (d *keyDriver) nextChange(now boottime.Time, s upstreamState, m *keyrange.Map, version int64) mapChange {
+	if d.recovering(s.service) {
+		return d.planRecovery(now, s.service, m, version)
+	}
+	return d.plan(now, s, m)
+}
--- a/router/sidecar/keygrants.go
+++ b/router/sidecar/keygrants.go
@@ -47,9 +47,9 @@
 	} else {
 		return HeartbeatResponse{}
 	}
-	m, version := d.index.get(s.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	m, version := d.grantMap(s.service)
 	grants, hold := d.grants.Renew(arrived, m, s.holder, !s.leavingSince.IsZero(), d.leaseEnd, d.maxHeartbeatHold)
 	if hold == 0 {
 		return HeartbeatResponse{}
@@ -61,9 +61,9 @@
 
 // recordReleases records the ranges that the upstream has released.
 func (d *keyDriver) recordReleases(s upstreamState, r Heartbeat) {
-	m, _ := d.index.get(s.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	m, _ := d.grantMap(s.service)
 	d.resetIncarnation(s)
 	for _, h := range r.Released {
 		if d.grants.RecordRelease(m, h) {
--- a/router/sidecar/keyindex.go
+++ b/router/sidecar/keyindex.go
@@ -2,16 +2,23 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"burdockglade.dev/router/keyrange"
+	"burdockglade.dev/router/rowstore"
 )
 
 // keyIndex holds the newest known key map of each service.
 type keyIndex struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// services holds the newest maps that have ranges.
 	services map[string]*indexedMap
+	// newestMaps holds the newest maps, with or without ranges.
+	newestMaps map[string]indexedMap
+	// leftovers holds the rows of maps of earlier eras that are in the store.
+	leftovers map[string][]leftoverMap
 	// changed is called after each change.
 	changed func()
 }
@@ -24,8 +31,15 @@
 	changed chan struct{}
 }
 
+// leftoverMap is the row of a map of an earlier era.
+type leftoverMap struct {
+	key        rowstore.Key
+	era        int64
+	generation uint64
+}
+
 func newKeyIndex() *keyIndex {
-	return &keyIndex{services: map[string]*indexedMap{}, changed: func() {}}
+	return &keyIndex{services: map[string]*indexedMap{}, newestMaps: map[string]indexedMap{}, leftovers: map[string][]leftoverMap{}, changed: func() {}}
 }
 
 // onChange sets the function that is called after each change. It must be called before
@@ -41,9 +55,17 @@
 	Version int64
 }
 
-// put stores a map if it is newer than the known one.
+// put stores a map if it is newer than the known one. A map without ranges, which begins
+// the recovery of the keys in a new era, does not take the place of one with ranges.
 func (x *keyIndex) put(service string, version int64, m *keyrange.Map) {
 	x.mu.Lock()
+	if version > x.newestMaps[service].version {
+		x.newestMaps[service] = indexedMap{version: version, keys: m}
+	}
+	if len(m.Ranges) == 0 {
+		x.mu.Unlock()
+		return
+	}
 	old := x.services[service]
 	if old != nil && old.version >= version {
 		x.mu.Unlock()
@@ -67,6 +89,30 @@
 	return nil, 0
 }
 
+// newest returns the newest known map of a service, with or without ranges, or nil and
+// version 0.
+func (x *keyIndex) newest(service string) (*keyrange.Map, int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	im := x.newestMaps[service]
+	return im.keys, im.version
+}
+
+// putLeftover records the row of a map of an earlier era.
+func (x *keyIndex) putLeftover(r rowstore.Row, era int64, generation uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	rows := slices.DeleteFunc(x.leftovers[r.Part], func(l leftoverMap) bool { return l.key == r.Key })
+	x.leftovers[r.Part] = append(rows, leftoverMap{key: r.Key, era: era, generation: generation})
+}
+
+// leftoversBefore returns the rows of maps of eras before the given one.
+func (x *keyIndex) leftoversBefore(service string, era int64) []leftoverMap {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(x.leftovers[service]), func(l leftoverMap) bool { return l.era >= era })
+}
+
 func (x *keyIndex) current(service string) *indexedMap {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/router/sidecar/keylease.go
+++ b/router/sidecar/keylease.go
@@ -15,12 +15,16 @@
 // currentReadInterval returns the time between readings of the leases, which depends on
 // the role of this host.
 func (d *keyDriver) currentReadInterval(service string) time.Duration {
+	primaryInterval, idleInterval := leaseReadInterval, idleReadInterval
+	if d.recovering(service) {
+		primaryInterval, idleInterval = recoveryReadInterval, backupReadInterval
+	}
 	for i, m := range d.fleet.Members(service) {
 		if i >= primaryReaders {
 			break
 		}
 		if m.Host == d.host {
-			return leaseReadInterval
+			return primaryInterval
 		}
 	}
 	if d.lastLeaseRead != 0 && d.storeClock.UpperBound(boottime.Now()) == 0 {
@@ -28,10 +32,10 @@
 	}
 	if !d.holderUnreachable(service) {
 		d.suspicion.Reset()
-		return idleReadInterval
+		return idleInterval
 	}
 	if !d.suspicion.Elapsed(boottime.Now(), suspicionDelay) {
-		return idleReadInterval
+		return idleInterval
 	}
 	return backupReadInterval
 }
@@ -77,19 +81,32 @@
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	sent := boottime.Now()
-	rows, _, err := d.store.List(ctx, tableLease, service)
+	rows, version, err := d.store.List(ctx, tableLease, service)
 	if err != nil {
 		d.leaseWatch.ReadFailed()
 		d.log.Log(eventLeaseReadFailed, event.F("service", service), event.F("error", err.Error()))
 		return
 	}
+	if rowstore.EraOf(version) != d.era.number || !d.eraEntered {
+		d.wake()
+		return
+	}
 	leases := make(map[string]keyrange.Lease, len(rows))
+	d.era.claimsOf, d.era.leftover, d.era.claimsReadAt = map[string]keyrange.Claims{}, nil, sent
 	for _, r := range rows {
-		end, err := keyrange.DecodeLeaseEnd(r.Value)
+		host, era := splitEraName(r.Name)
+		if era != d.era.number {
+			d.era.leftover = append(d.era.leftover, r.Key)
+			continue
+		}
+		lease, err := keyrange.DecodeLeaseRow(host, r.Value)
 		if err != nil {
 			d.log.Log(eventRowInvalid, event.F("row", "lease of "+r.Name), event.F("error", err.Error()))
 		}
-		leases[r.Name] = keyrange.Lease{Version: r.Version, End: end, ReadAt: r.ReadAt}
+		if lease.Claims != nil {
+			d.era.claimsOf[host] = *lease.Claims
+		}
+		leases[host] = keyrange.Lease{Version: r.Version, End: lease.End, ReadAt: r.ReadAt}
 		d.storeClock.Observe(sent, r.ReadAt)
 	}
 	d.leaseWatch.Observe(boottime.Now(), leases, d.currentReadInterval(service))
@@ -102,7 +119,8 @@
 // that take them after the lease has lapsed, and those delete the row of the lease.
 func (d *keyDriver) commit(ctx context.Context, service string, mapVersion int64, c mapChange) {
 	sent := boottime.Now()
-	txn, err := d.transaction(service, mapVersion, sent, &c)
+	claims := d.claimsToWrite(service, mapVersion)
+	txn, err := d.transaction(service, mapVersion, sent, claims, &c)
 	if err != nil {
 		d.log.Log(eventMapFailed, event.F("why", c.reason), event.F("error", err.Error()))
 		return
@@ -111,10 +129,6 @@
 	defer cancel()
 	version, err := d.store.Commit(ctx, txn)
 	d.lastRenewal = sent
-	var changed *rowstore.EraChangedError
-	if errors.As(err, &changed) {
-		d.leaseVersion, d.mapConfirmed = 0, false
-	}
 	var conflict *rowstore.ConflictError
 	switch {
 	case errors.As(err, &conflict):
@@ -128,29 +142,21 @@
 	case err != nil:
 		d.log.Log(eventRenewalFailed, event.F("service", service), event.F("error", err.Error()))
 	default:
-		d.commitSucceeded(service, version, sent, c)
+		d.commitSucceeded(service, version, sent, claims, c)
 	}
 }
 
-func mapKey(service string) rowstore.Key {
-	return rowstore.Key{Table: tableFleet, Part: service, Name: partKeys}
-}
-
-func leaseKey(service, host string) rowstore.Key {
-	return rowstore.Key{Table: tableLease, Part: service, Name: host}
-}
-
 // transaction returns the renewal of the lease together with the change. If the new map
 // does not fit into a row, the change is dropped from c, so that the ranges already held
 // stay served.
-func (d *keyDriver) transaction(service string, mapVersion int64, sent boottime.Time, c *mapChange) (rowstore.Txn, error) {
-	lease, err := keyrange.EncodeLeaseEnd(d.storeClock.UpperBound(sent.Add(leaseDuration)))
+func (d *keyDriver) transaction(service string, mapVersion int64, sent boottime.Time, claims *keyrange.Claims, c *mapChange) (rowstore.Txn, error) {
+	lease, err := keyrange.LeaseRow{End: d.storeClock.UpperBound(sent.Add(leaseDuration)), Claims: claims}.Encode()
 	if err != nil {
 		return rowstore.Txn{}, err
 	}
-	own := leaseKey(service, d.host)
+	own, era := leaseKey(service, d.host, d.era.number), d.era.number
 	txn := rowstore.Txn{
-		Era:        d.eras.Newest(),
+		Era:        era,
 		Conditions: []rowstore.Condition{{Key: own, Version: d.leaseVersion}},
 		Writes:     []rowstore.Write{{Key: own, Value: lease}},
 	}
@@ -161,19 +167,22 @@
 		}
 	}
 	if c.next != nil || !d.mapConfirmed {
-		txn.Conditions = append(txn.Conditions, rowstore.Condition{Key: mapKey(service), Version: mapVersion})
+		txn.Conditions = append(txn.Conditions, rowstore.Condition{Key: mapKey(service, era), Version: mapVersion})
 	}
 	if c.next == nil {
 		return txn, nil
 	}
-	txn.Writes = append(txn.Writes, rowstore.Write{Key: mapKey(service), Value: c.encoded})
+	txn.Writes = append(txn.Writes, rowstore.Write{Key: mapKey(service, era), Value: c.encoded})
 	for host, version := range c.lapsed {
-		key := leaseKey(service, host)
+		key := leaseKey(service, host, era)
 		txn.Conditions = append(txn.Conditions, rowstore.Condition{Key: key, Version: version})
 		if version != 0 {
 			txn.Deletes = append(txn.Deletes, key)
 		}
 	}
+	if len(c.before.Ranges) == 0 && len(c.next.Ranges) > 0 {
+		txn.Deletes = append(txn.Deletes, d.leftoverRows(service)...)
+	}
 	return txn, nil
 }
 
@@ -183,16 +192,18 @@
 	d.lastMove = boottime.Now().Add(time.Duration(rand.Int64N(int64(2 * moveInterval))))
 }
 
-func (d *keyDriver) commitSucceeded(service string, version int64, sent boottime.Time, c mapChange) {
+func (d *keyDriver) commitSucceeded(service string, version int64, sent boottime.Time, claims *keyrange.Claims, c mapChange) {
 	d.leaseVersion, d.mapConfirmed = version, true
 	d.mu.Lock()
 	d.leaseEnd = sent.Add(leaseDuration)
+	d.leaseAcknowledged(claims)
 	d.mu.Unlock()
 	if c.next == nil {
 		return
 	}
+	d.era.sealed = d.era.sealed || c.reason == reasonSealed
 	d.index.put(service, version, c.next)
-	d.notifyNewHolders(rowstore.Row{Key: mapKey(service), Value: c.encoded, Version: version}, c)
+	d.notifyNewHolders(rowstore.Row{Key: mapKey(service, d.era.number), Value: c.encoded, Version: version}, c)
 	d.log.Log(eventMapChanged, event.F("service", service), event.F("version", version), event.F("why", c.reason),
 		event.F("generation", c.next.Generation), event.F("lapsed", len(c.lapsed)))
 }
@@ -204,9 +215,9 @@
 	d.leaseVersion = 0
 	for _, r := range rows {
 		switch r.Key {
-		case leaseKey(service, d.host):
+		case leaseKey(service, d.host, d.era.number):
 			d.leaseVersion = r.Version
-		case mapKey(service):
+		case mapKey(service, d.era.number):
 			m, err := keyrange.DecodeMap(r.Value)
 			if err != nil {
 				d.log.Log(eventRowInvalid, event.F("row", "key map"), event.F("error", err.Error()))
--- a/router/sidecar/keynotify.go
+++ b/router/sidecar/keynotify.go
@@ -51,7 +51,7 @@
 
 // applyKeyMap applies the key map that another host has written.
 func (h *hopHandler) applyKeyMap(row rowstore.Row) error {
-	if row.Table != tableFleet || row.Name != partKeys || row.Deleted {
+	if name, _ := splitEraName(row.Name); row.Table != tableFleet || name != partKeys || row.Deleted {
 		return fmt.Errorf("row %v is not a key map", row.Key)
 	}
 	h.applyRow(row)
--- a/router/sidecar/members.go
+++ b/router/sidecar/members.go
@@ -149,6 +149,7 @@
 // applyFleetRow applies a row of the fleet table.
 func (s *Sidecar) applyFleetRow(r rowstore.Row) {
 	s.eras.Observe(rowstore.EraOf(r.Version)) // another host may know of a later era
+	name, era := splitEraName(r.Name)
 	switch {
 	case r.Part == partMembers && r.Deleted:
 		s.memberVersions.Delete(r.Name)
@@ -168,12 +169,16 @@
 		s.fleet.PutRow(m, r.Version)
 		s.log.Log(eventMember, event.F("host", m.Host), event.F("service", m.Service), event.F("instance", m.Instance),
 			event.F("state", string(m.State)), event.F("address", m.Address), event.F("version", r.Version))
-	case r.Name == partKeys && !r.Deleted:
+	case name == partKeys && !r.Deleted:
 		m, err := keyrange.DecodeMap(r.Value)
 		if err != nil {
 			s.log.Log(eventRowInvalid, event.F("row", r.Part), event.F("error", err.Error()))
 			return
 		}
+		if era != rowstore.EraOf(r.Version) {
+			s.index.putLeftover(r, era, m.Generation)
+			return
+		}
 		s.index.put(r.Part, r.Version, m)
 		s.keys.wake()
 	}
