Soak: a store that comes back from an older copy

Cause: no soak showed CONFIG after a restore, or keys that nobody serves. Change: TestSoak puts the store back to copies of 1 to 6 s, beside its other faults and from draws of its own; the operator writes again up to a second later.

--- a/ctl/soak/config_test.go
+++ b/ctl/soak/config_test.go
@@ -55,6 +55,8 @@
 // publish publishes the next configuration. Each version has a unique route, so that
 // a request shows whether the version is in force.
 func (d *deployment) publish() {
+	d.operator.Lock()
+	defer d.operator.Unlock()
 	d.configs.mu.Lock()
 	defer d.configs.mu.Unlock()
 	version := d.configs.newest + 1
--- a/ctl/soak/configsoak_test.go
+++ b/ctl/soak/configsoak_test.go
@@ -240,6 +240,10 @@
 	if kind == storeHistory {
 		return s.store.DiscardHistory
 	}
+	if kind == storePutBack {
+		p := drawPutBack(s.rng)
+		return func() { p.run(s.deployment, &s.operator.mu) }
+	}
 	faults, ok := map[string]standin.Faults{
 		storeSilent: {Silent: true},
 		storeDown:   {Down: true},
--- a/ctl/soak/deployment_test.go
+++ b/ctl/soak/deployment_test.go
@@ -51,6 +51,9 @@
 	ledger  *standin.Ledger
 	callers *callers
 
+	// operator is held during each change of the operator.
+	operator sync.Mutex
+
 	mu      sync.Mutex
 	drained []*server
 	// limited holds the servers that have named a limit.
--- a/ctl/soak/soak_test.go
+++ b/ctl/soak/soak_test.go
@@ -66,7 +66,8 @@
 	cause string
 }{}
 
-// Guards, under random faults of processes, connections and the store, against work
+// Guards, under random faults of processes, connections and the store, which also comes back
+// from older copies, against work
 // that runs twice, false refusals, mixed-up responses, two holders of a key, work
 // for upstreams that drain or say that they leave, more requests than an upstream's limit,
 // configurations that are late or reverted, and routers that
@@ -102,9 +103,10 @@
 	d.awaitService("before the faults")
 	stopCallers := d.startCallers(seed)
 	stopProbes := d.startProbes()
-	stopNotices := d.startNotices(seed)
+	stopNotices, stopPutBacks := d.startNotices(seed), d.startPutBacks(seed)
 	d.injectFaults(rand.New(rand.NewPCG(seed, 1)), *duration)
 	stopNotices()
+	stopPutBacks()
 	d.heal()
 	d.awaitService("after the faults")
 	stopCallers()
