--- a/router/fleet/member.go
+++ b/router/fleet/member.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 )
 
@@ -53,8 +52,8 @@
 	if err := json.Unmarshal(data, &m); err != nil {
 		return Member{}, fmt.Errorf("member: %w", err)
 	}
-	if m.Host == "" || m.Service == "" || m.Address == "" || m.Instance == "" {
-		return Member{}, errors.New("member: host, service, instance and address are required")
+	if err := m.validate(); err != nil {
+		return Member{}, err
 	}
 	return m, nil
 }
--- a/router/keyrange/codec.go
+++ b/router/keyrange/codec.go
@@ -12,6 +12,10 @@
 // to 64 KiB.
 const MaxEncodedBytes = 60 << 10
 
+// maxGeneration is the highest generation of a map. Upstreams get generations as JSON
+// numbers, which are exact up to 2^53; the rest is left for later changes.
+const maxGeneration = 1 << 52
+
 // ErrTooLarge is returned for a map that does not fit into a row of the store.
 var ErrTooLarge = errors.New("key map is too large for a row")
 
@@ -100,10 +104,13 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return nil, fmt.Errorf("key map: %w", err)
 	}
+	if w.Generation > maxGeneration {
+		return nil, fmt.Errorf("key map: generation %d", w.Generation)
+	}
 	m := &Map{Generation: w.Generation, Ranges: make([]Range, 0, len(w.Ranges))}
 	from := 0
 	for i, r := range w.Ranges {
-		if int(r.To) < from || r.Holder > len(w.Holders) || r.Next > len(w.Holders) || r.Holder < 0 || r.Next < 0 {
+		if int(r.To) < from || r.Generation > w.Generation || r.Holder > len(w.Holders) || r.Next > len(w.Holders) || r.Holder < 0 || r.Next < 0 {
 			return nil, fmt.Errorf("key map: range %d is invalid", i)
 		}
 		next := Range{From: uint16(from), To: r.To, Generation: r.Generation, Handover: r.token()}
--- a/router/keyrange/recovery.go
+++ b/router/keyrange/recovery.go
@@ -17,6 +17,9 @@
 // some seconds. The generations of the new map are above all earlier ones by it.
 const lostGenerations = 1_000_000
 
+// maxLeaseEnd bounds the end of a lease on the store's clock.
+const maxLeaseEnd = 100 * 365 * 24 * time.Hour
+
 // Claims are the ranges of a host that it held before the store was put back.
 type Claims struct {
 	// Generation is the highest generation that the host knows.
@@ -72,13 +75,16 @@
 	if err := json.Unmarshal(data, &v); err != nil {
 		return LeaseRow{}, fmt.Errorf("lease: %w", err)
 	}
+	if v.EndMs < 0 || v.EndMs > maxLeaseEnd.Milliseconds() {
+		return LeaseRow{}, fmt.Errorf("lease: end at %d ms", v.EndMs)
+	}
 	l := LeaseRow{End: time.Duration(v.EndMs) * time.Millisecond}
 	if v.Claims == nil {
 		return l, nil
 	}
 	l.Claims = &Claims{Generation: v.Claims.Generation}
 	for _, c := range v.Claims.Ranges {
-		if c.From > c.To || c.Instance == "" {
+		if c.From > c.To || c.Instance == "" || c.Generation > v.Claims.Generation || c.Generation > maxGeneration {
 			return LeaseRow{}, fmt.Errorf("lease: claim of keys %d to %d by instance %q", c.From, c.To, c.Instance)
 		}
 		l.Claims.Ranges = append(l.Claims.Ranges, Range{From: c.From, To: c.To, Generation: c.Generation, Handover: c.Handover,
