Keep commands' state while no key map may be used

Cause: review of the change of eras: between two eras a host may have no map by which it may grant, and the end of a key command then read through a nil map and ended the process. Change: the state of commands is pruned only when there is a map.

--- a/router/sidecar/commands.go
+++ b/router/sidecar/commands.go
@@ -135,7 +135,9 @@
 	}
 	now := boottime.Now()
 	d.commands.Complete(sent, now, cmd, result, token)
-	d.commands.Prune(now, m, s.holder)
+	if m != nil { // no map may be used while the store's era changes
+		d.commands.Prune(now, m, s.holder)
+	}
 	if cmd.Release || result == keyrange.CommandRefused {
 		d.wake()
 	}
