Write the claims of a holder together

Cause: each claim in a lease's row named the incarnation again. Change: the row lists the ranges by holder.

--- a/router/keyrange/recovery.go
+++ b/router/keyrange/recovery.go
@@ -43,15 +43,20 @@
 }
 
 type claimsValue struct {
-	Generation uint64       `json:"generation"`
-	Ranges     []claimValue `json:"ranges,omitempty"`
+	Generation uint64        `json:"generation"`
+	Holders    []holderValue `json:"holders,omitempty"`
+}
+
+// holderValue holds the claimed ranges of one incarnation of the host's upstream.
+type holderValue struct {
+	Instance string       `json:"instance"`
+	Started  int64        `json:"started"`
+	Ranges   []claimValue `json:"ranges"`
 }
 
 type claimValue struct {
 	From       uint16 `json:"from"`
 	To         uint16 `json:"to"`
-	Instance   string `json:"instance"`
-	Started    int64  `json:"started"`
 	Generation uint64 `json:"generation"`
 	Handover   string `json:"handover,omitempty"`
 }
@@ -60,15 +65,27 @@
 func (l LeaseRow) Encode() ([]byte, error) {
 	v := leaseValue{EndMs: l.End.Milliseconds()}
 	if l.Claims != nil {
-		v.Claims = &claimsValue{Generation: l.Claims.Generation}
-		for _, r := range l.Claims.Ranges {
-			v.Claims.Ranges = append(v.Claims.Ranges, claimValue{From: r.From, To: r.To, Instance: r.Holder.Instance,
-				Started: r.Holder.Started, Generation: r.Generation, Handover: r.Handover})
-		}
+		v.Claims = l.Claims.value()
 	}
 	return json.Marshal(v)
 }
 
+// value returns the stored form, in which the claims of each holder stand together.
+func (c *Claims) value() *claimsValue {
+	v := &claimsValue{Generation: c.Generation}
+	index := map[Holder]int{}
+	for _, r := range c.Ranges {
+		i, ok := index[r.Holder]
+		if !ok {
+			i = len(v.Holders)
+			index[r.Holder] = i
+			v.Holders = append(v.Holders, holderValue{Instance: r.Holder.Instance, Started: r.Holder.Started})
+		}
+		v.Holders[i].Ranges = append(v.Holders[i].Ranges, claimValue{From: r.From, To: r.To, Generation: r.Generation, Handover: r.Handover})
+	}
+	return v
+}
+
 // DecodeLeaseRow decodes the value of the row of a host.
 func DecodeLeaseRow(host string, data []byte) (LeaseRow, error) {
 	var v leaseValue
@@ -82,17 +99,29 @@
 	if v.Claims == nil {
 		return l, nil
 	}
-	l.Claims = &Claims{Generation: v.Claims.Generation}
-	for _, c := range v.Claims.Ranges {
-		if c.From > c.To || c.Instance == "" || c.Generation > v.Claims.Generation || c.Generation > maxGeneration {
-			return LeaseRow{}, fmt.Errorf("lease: claim of keys %d to %d by instance %q", c.From, c.To, c.Instance)
-		}
-		l.Claims.Ranges = append(l.Claims.Ranges, Range{From: c.From, To: c.To, Generation: c.Generation, Handover: c.Handover,
-			Holder: Holder{Host: host, Instance: c.Instance, Started: c.Started}})
+	claims, err := v.Claims.decode(host)
+	if err != nil {
+		return LeaseRow{}, err
 	}
+	l.Claims = &claims
 	return l, nil
 }
 
+// decode returns the claims of a host.
+func (v *claimsValue) decode(host string) (Claims, error) {
+	claims := Claims{Generation: v.Generation}
+	for _, h := range v.Holders {
+		holder := Holder{Host: host, Instance: h.Instance, Started: h.Started}
+		for _, c := range h.Ranges {
+			if c.From > c.To || h.Instance == "" || c.Generation > v.Generation || c.Generation > maxGeneration {
+				return Claims{}, fmt.Errorf("lease: claim of keys %d to %d by instance %q with generation %d", c.From, c.To, h.Instance, c.Generation)
+			}
+			claims.Ranges = append(claims.Ranges, Range{From: c.From, To: c.To, Generation: c.Generation, Handover: c.Handover, Holder: holder})
+		}
+	}
+	return claims, nil
+}
+
 // ClaimsOf returns what a host claims by the last map that it knows: the ranges that the map
 // gives to it and that it has not released. What it has released may belong to another host
 // by a change of which this one got no response.
--- a/router/keyrange/recovery_test.go
+++ b/router/keyrange/recovery_test.go
@@ -90,7 +90,8 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("row (-want +got):\n%s", diff)
 	}
-	for _, odd := range []string{"", "[]", `{"end_ms":1e99}`, `{"claims":{"ranges":[{"from":9,"to":3,"instance":"i"}]}}`, `{"claims":{"ranges":[{"from":70000,"to":3}]}}`} {
+	for _, odd := range []string{"", "[]", `{"end_ms":1e99}`, `{"claims":{"holders":[{"instance":"i","ranges":[{"from":9,"to":3}]}]}}`, `{"claims":{"holders":[{"ranges":[{"from":3,"to":9}]}]}}`,
+		`{"claims":{"holders":[{"instance":"i","ranges":[{"from":3,"to":70000}]}]}}`, `{"claims":{"holders":[{"instance":"i","ranges":[{"from":3,"to":9,"generation":5}]}]}}`} {
 		if _, err := DecodeLeaseRow("a", []byte(odd)); err == nil {
 			t.Errorf("%q was accepted", odd)
 		}
