Divide the priority limiter and the recovery of keys

Change: the heap and the part about the rate limit are files of their own; what a host knows of its era is apart from how a map is made. "Sealed" is called what it is: the claims have ended. No logic changes. Measured: the tests of router/admit and of the keys in router/sidecar pass.

--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -42,10 +41,6 @@
 	promotedSlotsDivisor = 2
 )
 
-// firstInFlight bounds the requests in flight until the upstream has responded once. Only
-// its responses name its rate limit, which a router that has just started does not know.
-const firstInFlight = 3
-
 // PriorityLimiter admits requests up to a Limit and a RateLimit and serves waiting
 // requests by priority. Within a priority, requests that can still meet their goal come first,
 // earliest goal first: short calls that running requests wait for have near goals.
@@ -218,37 +213,6 @@
 	return nil
 }
 
-// mayStart reports whether one more request may be sent. The caller holds l.mu.
-func (l *PriorityLimiter) mayStart(now time.Time) bool {
-	return l.inFlight < l.maxInFlight() && l.rate.Wait(now, 1) == 0
-}
-
-// maxInFlight returns the number of requests that may be in flight. The caller holds l.mu.
-func (l *PriorityLimiter) maxInFlight() int {
-	if !l.responded {
-		return min(l.limit.Allowed(), firstInFlight)
-	}
-	return l.limit.Allowed()
-}
-
-// awaitToken has the waiting requests dispatched when the next token is due. The caller
-// holds l.mu.
-func (l *PriorityLimiter) awaitToken(now time.Time) {
-	wait := l.rate.Wait(now, 1)
-	if wait == 0 || len(l.waiting) == 0 {
-		return
-	}
-	if l.nextToken != nil {
-		l.nextToken.Reset(wait)
-		return
-	}
-	l.nextToken = time.AfterFunc(wait, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.dispatch()
-	})
-}
-
 // MeanServiceTime returns the mean time for which a request of the class holds a
 // slot, 0 while no request has completed.
 func (l *PriorityLimiter) MeanServiceTime(class WorkClass) time.Duration {
@@ -419,24 +383,6 @@
 	l.awaitToken(now)
 }
 
-// Responded records the response to a request that was sent at the given time. The
-// upstream names a limit on the requests per second in it, or names none.
-func (l *PriorityLimiter) Responded(sent time.Time, perSecond float64, limited bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.responded = true
-	l.rate.Observe(l.now(), sent, perSecond, limited)
-	l.dispatch()
-}
-
-// NewUpstream forgets the rate limit of the last upstream. The next one may name another.
-func (l *PriorityLimiter) NewUpstream() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.rate, l.responded = RateLimit{}, false
-	l.dispatch()
-}
-
 // SetSlots sets the number of slots of the upstream. With 0 slots, all waiting
 // requests are refused with errkind.UpstreamDown.
 func (l *PriorityLimiter) SetSlots(slots int) {
@@ -460,55 +406,3 @@
 	defer l.mu.Unlock()
 	return l.limit.Allowed(), l.inFlight, len(l.waiting)
 }
-
-// Load returns the load of the upstream as a share of what it can take. Under a rate limit
-// slots is the number of requests that run at that rate, and busy also counts the slots for
-// which the limit allows no further request yet.
-func (l *PriorityLimiter) Load() (slots, busy, waiting int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	slots, busy = l.limit.Allowed(), l.inFlight
-	if l.rate.Limited() {
-		slots = min(slots, max(1, int(math.Round(l.rate.PerSecond()*l.meanService.Seconds()))))
-		busy = max(busy, int(math.Round(float64(slots)*l.rate.UsedShare(l.now()))))
-	}
-	return slots, busy, len(l.waiting)
-}
-
-// priorityHeap is a heap of waiting requests in the order in which they are served.
-// It implements heap.Interface.
-type priorityHeap []*priorityItem
-
-func (h priorityHeap) Len() int { return len(h) }
-
-func (h priorityHeap) Less(i, j int) bool { return h[i].before(h[j]) }
-
-// last returns the item that is served after all others.
-func (h priorityHeap) last() *priorityItem {
-	last := h[0]
-	for _, it := range h {
-		if last.before(it) {
-			last = it
-		}
-	}
-	return last
-}
-
-func (h priorityHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-func (h *priorityHeap) Push(x any) {
-	it := x.(*priorityItem)
-	it.index = len(*h)
-	*h = append(*h, it)
-}
-
-func (h *priorityHeap) Pop() any {
-	old := *h
-	it := old[len(old)-1]
-	*h = old[:len(old)-1]
-	it.index = -1
-	return it
-}
--- a/router/sidecar/keylease.go
+++ b/router/sidecar/keylease.go
@@ -201,7 +201,7 @@
 	if c.next == nil {
 		return
 	}
-	d.era.sealed = d.era.sealed || c.reason == reasonSealed
+	d.era.endedClaims = d.era.endedClaims || c.reason == reasonClaimsEnded
 	d.index.put(service, version, c.next)
 	d.notifyNewHolders(rowstore.Row{Key: mapKey(service, d.era.number), Value: c.encoded, Version: version}, c)
 	d.log.Log(eventMapChanged, event.F("service", service), event.F("version", version), event.F("why", c.reason),
