--- a/router/sidecar/storerelay_test.go
+++ b/router/sidecar/storerelay_test.go
@@ -54,3 +54,20 @@
 		t.Error("an unknown call returned no error")
 	}
 }
+
+// Guards against a host that calls the store through another one and does not learn from it
+// that the store was put back to an older copy.
+func TestCallStoreTellsTheEra(t *testing.T) {
+	store := rowstore.NewMemory()
+	store.Restore(store.Copy())
+	key := rowstore.Key{Table: "t", Part: "p", Name: "a"}
+	txn := rowstore.Txn{Conditions: []rowstore.Condition{{Key: key}}, Writes: []rowstore.Write{{Key: key, Value: []byte("v")}}}
+	h := &hopHandler{store: &rowstore.EraStore{Store: store, Eras: &rowstore.Eras{}}, config: &currentConfig{}}
+	if r := h.callStore(t.Context(), storeCall{Call: storeCommit, Txn: txn}); !r.EraChanged || r.Era != 1 {
+		t.Errorf("transaction of the era before: %+v", r)
+	}
+	txn.Era = 1
+	if r := h.callStore(t.Context(), storeCall{Call: storeCommit, Txn: txn}); !r.Conflict || r.Era != 1 {
+		t.Errorf("conflict: %+v, want one with the era", r)
+	}
+}
