Let generations rise with the era of the store

Cause: review: the new map counts on from what claims and the copy name. If the store is put back twice and all routers are lost in between, nobody remembers the generations of the era between, and upstreams would get keys with lower ones. Change: a map of an era counts on from a million times the era at least. Measured: TestGenerationsRiseWithTheEra; without the change it fails by its own figures (1,000,144 after 1,005,144, calculated). The tests of the recovery pass.

--- a/router/keyrange/recovery.go
+++ b/router/keyrange/recovery.go
@@ -162,13 +162,14 @@
 	return next > MaxKey
 }
 
-// NextEraGeneration returns the generation from which a new map counts on. known is the
-// highest generation in the store's copy.
-func NextEraGeneration(claims []Claims, known uint64) uint64 {
+// NextEraGeneration returns the generation from which the map of an era counts on. known is
+// the highest generation in the store's copy. The number of the era keeps it above the
+// generations of earlier eras also if no host remembers these.
+func NextEraGeneration(era int64, claims []Claims, known uint64) uint64 {
 	for _, c := range claims {
 		known = max(known, c.Generation)
 	}
-	return known + lostGenerations
+	return max(known+lostGenerations, uint64(era)*lostGenerations)
 }
 
 // NewMapFromClaims returns the map in which each host has the ranges that it claims, with
--- a/router/keyrange/recovery_test.go
+++ b/router/keyrange/recovery_test.go
@@ -20,7 +20,7 @@
 	if CoverAllKeys([]Claims{a, b}) {
 		t.Error("keys from 300 on are not claimed")
 	}
-	generation := NextEraGeneration([]Claims{a, b}, 30)
+	generation := NextEraGeneration(1, []Claims{a, b}, 30)
 	if generation <= 40 {
 		t.Errorf("generation %d of the new map is not above all earlier ones", generation)
 	}
@@ -97,3 +97,12 @@
 		}
 	}
 }
+
+// Guards against generations that come again when the store is put back twice and no host
+// remembers those of the era between.
+func TestGenerationsRiseWithTheEra(t *testing.T) {
+	before := NextEraGeneration(2, []Claims{{Generation: 144}}, 0) + 5000
+	if next := NextEraGeneration(3, nil, 144); next <= before {
+		t.Errorf("generation %d in the third era, %d was used in the second", next, before)
+	}
+}
--- a/router/sidecar/keyrecovery.go
+++ b/router/sidecar/keyrecovery.go
@@ -42,7 +42,7 @@
 		if !d.takeoverWait.Elapsed(now, takeoverDelay(rank)) {
 			return mapChange{}
 		}
-		generation := keyrange.NextEraGeneration(claims, d.leftoverGeneration(service))
+		generation := keyrange.NextEraGeneration(d.era.number, claims, d.leftoverGeneration(service))
 		return mapChange{next: &keyrange.Map{Generation: generation}, before: &keyrange.Map{}, reason: reasonClaimsEnded}
 	}
 	if d.era.claimsEndedSeen == 0 {
