--- a/ctl/soak/faults_test.go
+++ b/ctl/soak/faults_test.go
@@ -57,7 +57,7 @@
 	r := result{id: c.newID(), host: address, sent: time.Now(), once: strings.HasPrefix(path, "/pay") || strings.HasPrefix(path, "/order"), newRoute: strings.HasPrefix(path, "/version")}
 	resp := exchange(address, "soak", path+"x", key, r)
 	r.status, r.body, r.answered = resp.status, resp.body, time.Now()
-	if resp.header.Get(leavingField) != "" {
+	if standin.SaysLeaving(resp.header) {
 		r.leaving = instanceOf(resp.header)
 	}
 	c.mu.Lock()
--- a/ctl/soak/notices_test.go
+++ b/ctl/soak/notices_test.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// leavingField is the field in which servers say that they leave.
-	leavingField = "Server-Leaving"
 	// noticeTime is the platform's limit for the time after which a named limit is kept.
 	noticeTime = 3 * time.Second
 	// limitWindow is the time in which requests are counted against a limit.
