--- a/router/rowstore/era_test.go
+++ b/router/rowstore/era_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +17,16 @@
 func TestFollowerAfterStoreIsPutBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := NewMemory()
+		var mu sync.Mutex
 		rows := map[string]string{}
+		reported := func() map[string]string {
+			mu.Lock()
+			defer mu.Unlock()
+			return maps.Clone(rows)
+		}
 		f := &Follower{Store: m, Table: "t", Disconnected: func(error) {}, Reconnected: func() {}, Changed: func(r Row) {
+			mu.Lock()
+			defer mu.Unlock()
 			rows[r.Name] = string(r.Value)
 			if r.Deleted {
 				delete(rows, r.Name)
@@ -35,13 +45,13 @@
 		time.Sleep(time.Second)
 		m.Restore(older)
 		time.Sleep(3 * time.Second)
-		if diff := cmp.Diff(map[string]string{"a": "1"}, rows); diff != "" {
+		if diff := cmp.Diff(map[string]string{"a": "1"}, reported()); diff != "" {
 			t.Errorf("after the store was put back (-want +got):\n%s", diff)
 		}
 		put(t, m, "a", "2")
 		put(t, m, "c", "1")
 		time.Sleep(3 * time.Second)
-		if diff := cmp.Diff(map[string]string{"a": "2", "c": "1"}, rows); diff != "" {
+		if diff := cmp.Diff(map[string]string{"a": "2", "c": "1"}, reported()); diff != "" {
 			t.Errorf("after later changes (-want +got):\n%s", diff)
 		}
 		cancel()
