--- a/router/sidecar/keyera.go
+++ b/router/sidecar/keyera.go
@@ -58,8 +58,8 @@
 	claimsReadAt boottime.Time
 	// leftover are the rows of leases of earlier eras.
 	leftover []rowstore.Key
-	// claimsEndedSeen is the time at which this host saw that no host adds claims any more, 0 if
-	// it has not; endedClaims is true if it was this host that ended them.
+	// claimsEndedSeen is the time at which this host saw that no host adds claims any more,
+	// 0 if it has not; endedClaims is true if it was this host that ended them.
 	claimsEndedSeen boottime.Time
 	endedClaims     bool
 }
@@ -109,6 +109,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	held := d.grantSource.claimed
+	// If the store was put back twice in short order, a host that got no lease in the era
+	// between claims again what it claimed there.
 	confirmed = confirmed || (d.grantSource.era == noEra && claimedBefore)
 	if m != nil && rowstore.EraOf(version) == before && d.grantSource.era == before {
 		held = m
