--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -109,7 +109,7 @@
 
 // nextPort is below the ephemeral ports, so that no connection takes the port of a process
 // that is about to start.
-var nextPort = 10000 + os.Getpid()%1000*20
+var nextPort = 10000 + os.Getpid()%220*100
 
 func freePort() (string, error) {
 	for range 2000 {
--- a/review/standins/explore.go
+++ b/review/standins/explore.go
@@ -173,6 +173,9 @@
 }
 
 func (x *explorer) size() int {
+	if os.Getenv("SMALL") != "" {
+		return rand.Intn(64<<10 - 1)
+	}
 	switch rand.Intn(5) {
 	case 0:
 		return 0
@@ -204,7 +207,7 @@
 	if method != "POST" {
 		n = 0
 		if !noBody && rand.Intn(6) == 0 {
-			n = rand.Intn(90 << 10)
+			n = x.size()
 		}
 	}
 	body := pattern(id+"b", n)
@@ -246,7 +249,7 @@
 	br := bufio.NewReader(c)
 	for i := 0; i < 20 && ctx.Err() == nil; i++ {
 		depth := 1
-		if rand.Intn(4) == 0 {
+		if os.Getenv("DEPTH") == "" && rand.Intn(4) == 0 {
 			depth = 2 + rand.Intn(5)
 		}
 		type item struct {
@@ -401,6 +404,9 @@
 	}
 	statuses := map[string]int{}
 	for id, q := range x.sent {
+		if q.status == 0 && ran[id] > 0 {
+			x.d.record("LOST %s via %s after %v: unsafe %v: %s", id, q.entry, q.endedAt.Sub(q.sentAt), q.unsafe, q.err)
+		}
 		key := fmt.Sprintf("unsafe %v status %d", q.unsafe, q.status)
 		if q.status == 0 {
 			key += " " + q.err
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -69,8 +69,12 @@
 	slots    int
 	keyed    bool
 	work     func(*http.Request) time.Duration
-	http     *http.Server
-	stop     context.CancelFunc
+	// answer returns the body of an answer; nil stands for a short text.
+	answer func(id string) []byte
+	http   *http.Server
+	// keys records which keys the server holds; nil if that is not recorded.
+	keys *keyLog
+	stop context.CancelFunc
 
 	mu       sync.Mutex
 	busy     int
@@ -108,6 +112,10 @@
 func (s *server) crash() {
 	s.stop()
 	_ = s.http.Close()
+	s.mu.Lock()
+	s.holds = nil
+	s.mu.Unlock()
+	s.keys.update(s)
 	s.node.d.record("server %s crashed", s.instance)
 }
 
@@ -160,6 +168,12 @@
 	}
 	w.Header().Set(names["signature"], fmt.Sprintf("sig.%s.%s", s.instance, id))
 	w.Header().Set("Upstream-Load", fmt.Sprintf("%d,0,%d", s.load(), s.slots))
+	if s.answer != nil {
+		out := s.answer(e.id)
+		w.Header().Set("Content-Length", strconv.Itoa(len(out)))
+		_, _ = w.Write(out)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s ran %s with %d bytes %s", s.instance, id, e.bytes, e.body)
 }
 
@@ -334,6 +348,7 @@
 			s.releasing = append(s.releasing, left)
 		}
 	}
+	s.keys.update(s)
 	if len(s.seen) > 4000 {
 		s.seen = append([]grantRow{}, s.seen[2000:]...)
 	}
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -44,6 +45,19 @@
 	// forgotten is the version up to which the history is gone.
 	forgotten int64
 	changed   chan struct{}
+
+	// down makes the store refuse all calls, delay is added to each call; lost is the share of
+	// the transactions that are done without an answer, late that of those done later.
+	down       bool
+	delay      time.Duration
+	lost, late float64
+}
+
+// setFaults sets the faults.
+func (s *store) setFaults(down bool, delay time.Duration, lost, late float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.delay, s.lost, s.late = down, delay, lost, late
 }
 
 func newStore() *store {
@@ -92,7 +106,14 @@
 
 // ServeHTTP serves one call.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(2 * time.Millisecond)
+	s.mu.Lock()
+	down, delay := s.down, s.delay
+	s.mu.Unlock()
+	time.Sleep(2*time.Millisecond + delay)
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case names["tx_path"]:
@@ -237,29 +258,46 @@
 	}
 	time.Sleep(5 * time.Millisecond)
 	s.mu.Lock()
+	lost, late := rand.Float64() < s.lost, rand.Float64() < s.late
+	s.mu.Unlock()
+	if late {
+		time.AfterFunc(time.Second+rand.N(5*time.Second), func() { s.commit(body.Precondition, body.Puts, body.Remove) })
+		panic(http.ErrAbortHandler)
+	}
+	current, ok := s.commit(body.Precondition, body.Puts, body.Remove)
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	if !ok {
+		s.respond(w, http.StatusPreconditionFailed, func(out *result) { out.Rows = append(out.Rows, current...) })
+		return
+	}
+	s.respond(w, http.StatusOK, func(*result) {})
+}
+
+// commit makes a transaction. If a condition does not hold, it returns the current rows.
+func (s *store) commit(conditions, puts, removes []txRow) (current []row, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	failed := false
-	var current []row
-	for _, c := range body.Precondition {
+	for _, c := range conditions {
 		if r, ok := s.rows[c.key()]; ok {
 			current = append(current, r)
 		}
 		failed = failed || s.rows[c.key()].Ver != c.Ver
 	}
 	if failed {
-		s.mu.Unlock()
-		s.respond(w, http.StatusPreconditionFailed, func(out *result) { out.Rows = append(out.Rows, current...) })
-		return
+		return current, false
 	}
 	s.version++
-	for _, p := range body.Puts {
+	for _, p := range puts {
 		s.apply(row{Table: p.Table, Part: p.Part, Key: p.Key, Value: p.Value, Ver: s.version})
 	}
-	for _, p := range body.Remove {
+	for _, p := range removes {
 		s.apply(row{Table: p.Table, Part: p.Part, Key: p.Key, Ver: s.version, Removed: true})
 	}
 	s.signal()
-	s.mu.Unlock()
-	s.respond(w, http.StatusOK, func(*result) {})
+	return nil, true
 }
 
 // route is a route of a manifest.
