Review case 2: show it with consumers that send one request at a time

Added: the script uses ordinary kept connections; TROUBLE=0 uses a new connection for each request. Runs are recorded.

--- a/review/standins/cutanswers.go
+++ b/review/standins/cutanswers.go
@@ -12,26 +12,33 @@
 )
 
 const (
-	listingBytes = 100 << 10
-	// listingsAhead is the number of requests that a consumer sends before it reads the
-	// first answer.
-	listingsAhead  = 3
-	listingRounds  = 30
-	listingTimeout = 6 * time.Second
+	listingBytes   = 90_000
+	listingEntries = 2
+	listingServers = 3
+	// listingConsumers is the number of consumers of each entry. Each has at most one
+	// request at a time, so that the servers have slots for all of them.
+	listingConsumers = 20
+	listingRounds    = 150
+	// listingsPerConn is the number of requests that a consumer sends on one kept connection.
+	listingsPerConn = 10
+	listingTimeout  = 6 * time.Second
 	// allowedCuts is the number of connections that the rule tolerates.
 	allowedCuts = 3
 )
 
-// cutAnswers sends idempotent requests on kept connections, several before the first answer
-// is there, and reads the answers in order. Without the trouble each request waits for the
-// answer to the one before.
+// cutAnswers reads listings of 90,000 bytes on kept connections, one request at a time.
+// Without the trouble each request goes on a new connection.
 func cutAnswers(d *deployment) (broken int, err error) {
 	d.store.publish(1, []route{
 		{name: "list", host: "list.example", prefix: "/list/", kind: "safe", service: "almoxarifado", timeoutMs: 5000, targetMs: 1000, priority: 1, attempts: 2},
 	}, []string{"vitrine", "almoxarifado"}, nil)
 	runs := &ledger{}
 	work := func(*http.Request) time.Duration { return 10 * time.Millisecond }
-	for i, service := range []string{"vitrine", "almoxarifado", "almoxarifado"} {
+	for i := range listingEntries + listingServers {
+		service := "vitrine"
+		if i >= listingEntries {
+			service = "almoxarifado"
+		}
 		n, err := d.addNode(fmt.Sprintf("sidecar-%d", i+1), "pe-caruaru", service)
 		if err != nil {
 			return 0, err
@@ -50,50 +57,54 @@
 	}
 	time.Sleep(5 * time.Second)
 
-	type ending struct {
-		id, how string
-	}
 	var mu sync.Mutex
-	var cut []ending
-	answered := 0
-	ahead := 1
+	cut := map[string]string{}
+	statuses := map[int]int{}
+	perConn := 1
 	if d.trouble {
-		ahead = listingsAhead
+		perConn = listingsPerConn
 	}
 	var wg sync.WaitGroup
-	for consumer := range 4 {
+	for consumer := range listingEntries * listingConsumers {
 		wg.Go(func() {
 			for round := range listingRounds {
-				ids := make([]string, listingsAhead)
-				for i := range ids {
-					ids[i] = fmt.Sprintf("%04x%04x%08x", consumer+1, round, i)
+				var ids []string
+				for i := range listingsPerConn {
+					ids = append(ids, fmt.Sprintf("%04x%04x%08x", consumer+1, round, i))
 				}
-				n, failed := list(d.nodes[0], ids, ahead)
-				mu.Lock()
-				answered += n
-				mu.Unlock()
-				if failed != nil {
-					d.record("consumer %d: %s got no complete answer: %v", consumer, ids[n], failed)
+				for len(ids) > 0 {
+					n := min(perConn, len(ids))
+					answered, failed := list(d.nodes[consumer%listingEntries], ids[:n])
+					d.record("sent %v to %s on one connection; answered %v, end %v", ids[:n], d.nodes[consumer%listingEntries].name, answered, failed)
 					mu.Lock()
-					cut = append(cut, ending{ids[n], failed.Error()})
+					for _, status := range answered {
+						statuses[status]++
+					}
+					if failed != nil {
+						cut[ids[len(answered)]] = failed.Error()
+					}
 					mu.Unlock()
+					ids = ids[n:]
 				}
 			}
 		})
 	}
 	wg.Wait()
-	ran := map[string]bool{}
+	ran := map[string]string{}
 	for _, e := range runs.all() {
-		ran[e.id] = true
+		ran[e.id] = e.instance
+		d.record("%s ran %s", e.instance, e.id)
 	}
-	for _, c := range cut {
-		if ran[c.id] {
-			broken++
-			d.record("passed on and run, and the connection closed without a complete answer: %s: %s", c.id, c.how)
+	for id, how := range cut {
+		if ran[id] == "" {
+			d.record("no answer, and not run: %s: %s", id, how)
+			continue
 		}
+		broken++
+		d.record("passed on to %s and run, and the connection closed without a complete answer: %s: %s", ran[id], id, how)
 	}
-	d.record("%d answered, %d run, %d connections closed without a complete answer to a request that ran", answered, len(ran), broken)
-	if answered == 0 && broken == 0 {
+	d.record("answers by status %v, %d run, %d connections closed without a complete answer to a request that ran", statuses, len(ran), broken)
+	if statuses[http.StatusOK] == 0 {
 		return 0, fmt.Errorf("nothing was answered")
 	}
 	if broken <= allowedCuts {
@@ -102,24 +113,20 @@
 	return broken, nil
 }
 
-// list sends the requests on one connection, up to ahead of them before their answers, and
-// returns the number of complete answers, and why the connection ended early.
-func list(n *node, ids []string, ahead int) (answered int, err error) {
+// list sends the requests on one connection, each after the complete answer to the one
+// before. It returns the statuses of the answers, and why the connection ended early.
+func list(n *node, ids []string) (answered []int, err error) {
 	c, err := net.DialTimeout("tcp4", n.outbound, time.Second)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(listingTimeout))
 	br := bufio.NewReader(c)
-	sent := 0
-	for answered < len(ids) {
-		for sent < len(ids) && sent < answered+ahead {
-			_, err := fmt.Fprintf(c, "GET /list/%s HTTP/1.1\r\nHost: list.example\r\n%s: %s\r\n%s: 5000\r\n\r\n", ids[sent], names["request_id"], ids[sent], names["deadline"])
-			if err != nil {
-				return answered, err
-			}
-			sent++
+	for _, id := range ids {
+		_ = c.SetDeadline(time.Now().Add(listingTimeout))
+		_, err := fmt.Fprintf(c, "GET /list/%s HTTP/1.1\r\nHost: list.example\r\n%s: %s\r\n%s: 5000\r\n\r\n", id, names["request_id"], id, names["deadline"])
+		if err != nil {
+			return answered, err
 		}
 		resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodGet})
 		if err != nil {
@@ -129,11 +136,13 @@
 		if err != nil {
 			return answered, fmt.Errorf("the answer with status %d ends after %d of %d bytes: %w", resp.StatusCode, len(body), listingBytes, err)
 		}
-		if resp.StatusCode == http.StatusOK && !bytes.Equal(body, pattern(ids[answered], listingBytes)) {
+		if resp.StatusCode == http.StatusOK && !bytes.Equal(body, pattern(id, listingBytes)) {
 			return answered, fmt.Errorf("wrong body")
 		}
-		n.d.record("%s answered %d with %d bytes", ids[answered], resp.StatusCode, len(body))
-		answered++
+		answered = append(answered, resp.StatusCode)
+		if resp.Close {
+			return answered, nil
+		}
 	}
 	return answered, nil
 }
--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -45,6 +45,9 @@
 		return nil, err
 	}
 	command, form := tomlText(string(deploy), "run"), tomlText(string(deploy), "template")
+	if other := os.Getenv("ROUTER"); other != "" { // another build of the same program, for trials
+		command = other + " " + strings.Join(strings.Fields(command)[1:], " ")
+	}
 	template, err := os.ReadFile(form)
 	if err != nil {
 		return nil, err
--- a/review/standins/resentbody.go
+++ b/review/standins/resentbody.go
@@ -86,6 +86,7 @@
 	wg.Wait()
 	all := runs.all()
 	for _, e := range all {
+		d.record("%s ran %s with %d bytes %s", e.instance, e.id, e.bytes, e.body)
 		if want := sent[e.id]; want != e.body {
 			broken++
 			d.record("BROKEN: server %s ran %s with another body: %d bytes %s; sent were %d bytes %s", e.instance, e.id, e.bytes, e.body, payoutBytes, want)
