Review case 3: a confirmed leaving is forgotten

Cause: a router that has just been started confirms that its server leaves without keeping the notice, and takes a late status report for that of a new server.

--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -417,3 +417,30 @@
 	}
 	return reply, nil
 }
+
+// reportLate makes a status report now that arrives after the delay.
+func (s *server) reportLate(delay time.Duration) {
+	body := s.reportBody(time.Now())
+	s.node.d.record("server %s sends a status report %v that will arrive %v late", s.instance, body["Status"], delay)
+	time.AfterFunc(delay, func() {
+		_, err := s.call(context.Background(), "instances.heartbeat", body)
+		s.node.d.record("the late status report of %s arrived: %v", s.instance, err)
+	})
+}
+
+// mute ends the server's status reports.
+func (s *server) mute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
+}
+
+// deregister says that the server leaves. It returns the time of the confirmation.
+func (s *server) deregister() (time.Time, error) {
+	s.mute()
+	if _, err := s.call(context.Background(), "instances.deregister", map[string]any{"born": s.born}); err != nil {
+		return time.Time{}, err
+	}
+	s.node.d.record("router %s confirmed that %s leaves", s.node.name, s.instance)
+	return time.Now(), nil
+}
