--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -136,6 +136,10 @@
 	outbound, inbound, ready, ctrl  string
 	appAddress, settings, advertise string
 	server                          *server
+	// descriptors is the number of descriptors of the router process, 0 for no limit.
+	descriptors int
+	// clockAhead is how far the time of day of the machine is ahead.
+	clockAhead time.Duration
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -174,6 +178,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	c := exec.Command(n.d.command[0], n.d.command[1:]...)
+	if n.descriptors > 0 {
+		limited := []string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$@"`, n.descriptors), "sh"}
+		c = exec.Command("/bin/sh", append(limited, n.d.command...)...)
+	}
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BURDOCKGLADE_NODE_FILE=" + n.settings}
 	if dir := os.Getenv("LOGS"); dir != "" {
 		f, err := os.OpenFile(filepath.Join(dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/review/standins/explore.go
+++ b/review/standins/explore.go
@@ -62,7 +62,11 @@
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		idle := 10 * time.Second
+		if os.Getenv("IDLE") != "" {
+			idle = time.Duration(rand.Intn(400)) * time.Millisecond
+		}
+		_ = c.SetReadDeadline(time.Now().Add(idle))
 		r, err := http.ReadRequest(br)
 		if err != nil {
 			return
@@ -117,6 +121,9 @@
 			rest = rest[k:]
 		}
 		text.WriteString("0\r\n\r\n")
+	case f == 2 && os.Getenv("IDLE") != "":
+		fmt.Fprintf(&text, "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", head, n, out)
+		closes = true
 	default:
 		fmt.Fprintf(&text, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, n, out)
 	}
@@ -356,6 +363,9 @@
 		go s.report(context.Background())
 	}
 	time.Sleep(3 * time.Second)
+	if os.Getenv("LATIN") != "" {
+		return 0, x.latin()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -424,3 +434,28 @@
 	}
 	x.d.record("%d sent, %d ids ran", len(x.sent), len(ran))
 }
+
+// latin sends requests that have a byte above 127 in a field that the consumer chose.
+func (x *explorer) latin() error {
+	for i := range 12 {
+		for _, value := range []string{"plain", "caf\xe9"} {
+			n := x.d.nodes[i%2]
+			c, err := net.Dial("tcp4", n.outbound)
+			if err != nil {
+				return err
+			}
+			id := fmt.Sprintf("%016x", time.Now().UnixNano())
+			_, _ = fmt.Fprintf(c, "POST /pay/1 HTTP/1.1\r\nHost: x.example\r\nX-Line: POST /pay/1\r\nX-Name: %s\r\n%s: %s\r\n%s: 2000\r\nContent-Length: 0\r\n\r\n", value, names["request_id"], id, names["deadline"])
+			_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				x.d.record("via %s %q: %v", n.name, value, err)
+			} else {
+				text, _ := io.ReadAll(resp.Body)
+				x.d.record("via %s %q: %d %.150s", n.name, value, resp.StatusCode, text)
+			}
+			_ = c.Close()
+		}
+	}
+	return nil
+}
--- a/review/standins/explorekeys.go
+++ b/review/standins/explorekeys.go
@@ -176,6 +176,28 @@
 				if err := up(n, n.server.instance); err != nil {
 					d.record("start: %v", err)
 				}
+			case "herd":
+				for _, other := range d.nodes {
+					other.kill()
+				}
+				time.Sleep(time.Duration(rand.Intn(1500)) * time.Millisecond)
+				for _, other := range d.nodes {
+					_ = other.start()
+				}
+			case "power":
+				for _, other := range d.nodes {
+					other.kill()
+					other.server.crash()
+				}
+				time.Sleep(time.Duration(rand.Intn(3000)) * time.Millisecond)
+				for _, other := range d.nodes {
+					_ = other.start()
+					if err := up(other, ""); err != nil {
+						d.record("start: %v", err)
+					}
+				}
+			case "compact":
+				d.store.compact()
 			case "down":
 				d.record("store down")
 				d.store.setFaults(true, 0, 0, 0)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,11 +26,13 @@
 
 // cases are the scripted cases by name. A case returns how often the rule was broken.
 var cases = map[string]func(*deployment) (broken int, err error){
-	"resent-body":     resentBody,
-	"forgotten-leave": forgottenLeave,
-	"cut-answers":     cutAnswers,
-	"explore-keys":    exploreKeys,
-	"explore":         explore,
+	"resent-body":      resentBody,
+	"forgotten-leave":  forgottenLeave,
+	"idle-connections": idleConnections,
+	"lower-birth":      lowerBirth,
+	"cut-answers":      cutAnswers,
+	"explore-keys":     exploreKeys,
+	"explore":          explore,
 }
 
 func main() {
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -93,7 +93,7 @@
 
 // startServer starts a server beside the router of the node.
 func (n *node) startServer(instance string, slots int, keyed bool, l *ledger, work func(*http.Request) time.Duration) (*server, error) {
-	s := &server{node: n, ledger: l, instance: instance, born: time.Now().UnixMilli(), slots: slots, keyed: keyed, work: work, working: map[int]int{}}
+	s := &server{node: n, ledger: l, instance: instance, born: time.Now().Add(n.clockAhead).UnixMilli(), slots: slots, keyed: keyed, work: work, working: map[int]int{}}
 	listener, err := net.Listen("tcp4", n.appAddress)
 	if err != nil {
 		return nil, err
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -99,6 +99,14 @@
 	}
 }
 
+// compact drops the history.
+func (s *store) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten, s.history = s.version, nil
+	s.signal()
+}
+
 func (s *store) signal() {
 	close(s.changed)
 	s.changed = make(chan struct{})
