--- a/review/standins/explore.go
+++ b/review/standins/explore.go
@@ -363,6 +363,9 @@
 		go s.report(context.Background())
 	}
 	time.Sleep(3 * time.Second)
+	if os.Getenv("ODD") != "" {
+		return 0, x.odd()
+	}
 	if os.Getenv("LATIN") != "" {
 		return 0, x.latin()
 	}
@@ -372,6 +375,7 @@
 	for i := range 24 {
 		wg.Go(func() { x.consumer(ctx, d.nodes[i%6]) })
 	}
+	version := 1
 	for ctx.Err() == nil && d.trouble {
 		time.Sleep(time.Duration(500+rand.Intn(1500)) * time.Millisecond)
 		n := d.nodes[rand.Intn(6)]
@@ -386,6 +390,14 @@
 			n.signal(syscall.SIGSTOP)
 			time.Sleep(time.Duration(rand.Intn(3000)) * time.Millisecond)
 			n.signal(syscall.SIGCONT)
+		case "config":
+			version++
+			to := []string{"a", "b"}
+			rand.Shuffle(2, func(i, j int) { to[i], to[j] = to[j], to[i] })
+			d.store.publish(version, []route{
+				{name: "pay", host: "x.example", prefix: "/pay/", kind: "unsafe", service: to[0], timeoutMs: 4000, targetMs: 1000, priority: 1, attempts: 2},
+				{name: "safe", host: "x.example", prefix: "/safe/", kind: "safe", service: to[1], timeoutMs: 4000, targetMs: 1000, priority: 2, attempts: 3},
+			}, []string{"a", "b"}, nil)
 		case "hup":
 			n.signal(syscall.SIGHUP)
 		}
@@ -459,3 +471,37 @@
 	}
 	return nil
 }
+
+// odd sends a status report of another writer, which names a service that no manifest
+// names, to the router of the first machine. It shows who serves requests before and after.
+func (x *explorer) odd() error {
+	count := func(when string) {
+		before := len(x.runs.all())
+		for i := range 60 {
+			c, err := net.Dial("tcp4", x.d.nodes[1].outbound)
+			if err != nil {
+				continue
+			}
+			id := fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, i)
+			_, _ = fmt.Fprintf(c, "POST /pay/1 HTTP/1.1\r\nHost: x.example\r\nX-Line: POST /pay/1\r\n%s: %s\r\n%s: 2000\r\nContent-Length: 0\r\n\r\n", names["request_id"], id, names["deadline"])
+			_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+			_, _ = http.ReadResponse(bufio.NewReader(c), nil)
+			_ = c.Close()
+		}
+		by := map[string]int{}
+		for _, e := range x.runs.all()[before:] {
+			by[e.instance]++
+		}
+		x.d.record("%s: run by %v", when, by)
+	}
+	count("before")
+	stranger := &server{node: x.d.nodes[0], instance: "i-stranger"}
+	body := map[string]any{"Address": "10.0.0.9:8080", "born": time.Now().UnixMilli(),
+		"Info":   map[string]any{"Service": "nobody-knows", "Slots": 4},
+		"Status": map[string]any{"State": "ready", "Seq": 1}}
+	reply, err := stranger.call(context.Background(), "instances.heartbeat", body)
+	x.d.record("an odd report was answered %v, %v", reply, err)
+	time.Sleep(10 * time.Second)
+	count("10 s after")
+	return nil
+}
