--- a/review/standins/cutanswers.go
+++ b/review/standins/cutanswers.go
@@ -18,7 +18,8 @@
 	// listingConsumers is the number of consumers of each entry. Each has at most one
 	// request at a time, so that the servers have slots for all of them.
 	listingConsumers = 20
-	listingRounds    = 150
+	// listingTime is how long the consumers go on.
+	listingTime = 30 * time.Second
 	// listingsPerConn is the number of requests that a consumer sends on one kept connection.
 	listingsPerConn = 10
 	listingTimeout  = 6 * time.Second
@@ -65,9 +66,10 @@
 		perConn = listingsPerConn
 	}
 	var wg sync.WaitGroup
+	start := time.Now()
 	for consumer := range listingEntries * listingConsumers {
 		wg.Go(func() {
-			for round := range listingRounds {
+			for round := 0; time.Since(start) < listingTime; round++ {
 				var ids []string
 				for i := range listingsPerConn {
 					ids = append(ids, fmt.Sprintf("%04x%04x%08x", consumer+1, round, i))
--- a/review/standins/explore.go
+++ b/review/standins/explore.go
@@ -102,6 +102,9 @@
 	}
 	time.Sleep(time.Duration(rand.Intn(60)) * time.Millisecond)
 	defer s.end(e)
+	if os.Getenv("ENDLESS") != "" && rand.Intn(3) == 0 {
+		return s.endless(c, id)
+	}
 	n, _ := strconv.Atoi(r.Header.Get("X-Want"))
 	out := pattern(id, n)
 	head := fmt.Sprintf("%s: %s\r\n%s: sig.%s\r\n", names["request_id"], id, names["signature"], id)
@@ -153,6 +156,34 @@
 	return !closes
 }
 
+// endless sends bytes that never become an answer, until the other side closes.
+func (s *rawServer) endless(c net.Conn, id string) bool {
+	head := fmt.Sprintf("%s: %s\r\n%s: sig.%s\r\n", names["request_id"], id, names["signature"], id)
+	first, again := "", ""
+	switch rand.Intn(6) {
+	case 0:
+		first, again = "HTTP/1.1 200 OK\r\nX-Field: ", strings.Repeat("a", 8192)
+	case 1:
+		again = "HTTP/1.1 102 Processing\r\n\r\n"
+	case 2:
+		first, again = "HTTP/1.1 200 OK\r\n"+head+"Transfer-Encoding: chunked\r\n\r\n5;", strings.Repeat("x", 8192)
+	case 3:
+		first, again = "HTTP/1.1 200 OK\r\n"+head+"Transfer-Encoding: chunked\r\n\r\n0\r\nX-T: ", strings.Repeat("t", 8192)
+	case 4:
+		first, again = "HTTP/1.1 200 OK\r\n"+head+"\r\n", strings.Repeat("b", 8192)
+	case 5:
+		first, again = "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 2\r\n\r\nok", strings.Repeat("e", 8192)
+	}
+	if _, err := io.WriteString(c, first); err != nil {
+		return false
+	}
+	for {
+		if _, err := io.WriteString(c, again); err != nil {
+			return false
+		}
+	}
+}
+
 type sentRequest struct {
 	id, body string
 	unsafe   bool
@@ -403,6 +434,14 @@
 		}
 	}
 	wg.Wait()
+	for _, n := range d.nodes {
+		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
+		for line := range strings.Lines(string(status)) {
+			if strings.HasPrefix(line, "VmHWM") {
+				d.record("%s %s", n.name, strings.TrimSpace(line))
+			}
+		}
+	}
 	time.Sleep(2 * time.Second)
 	x.check()
 	return x.broken, nil
--- a/review/standins/idleconnections.go
+++ b/review/standins/idleconnections.go
@@ -12,12 +12,15 @@
 	"sort"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
 const (
 	// maxDescriptors is MaxFds of the settings.
 	maxDescriptors = 4100
+	// ownDescriptors is the number of descriptors that the consumers need.
+	ownDescriptors = 6000
 	// requestsPerSecond is the traffic of the consumers of one machine.
 	requestsPerSecond = 62
 	// pressTime is how long the consumers send, quietTime how long they send nothing after
@@ -42,6 +45,10 @@
 // IdleTimeoutMs, which is 15 s. Without the trouble, the consumers keep and reuse
 // connections.
 func idleConnections(d *deployment) (broken int, err error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < ownDescriptors {
+		return 0, fmt.Errorf("this process may have only %d descriptors, %v; it needs %d for the consumers", limit.Cur, err, ownDescriptors)
+	}
 	d.store.publish(1, []route{
 		{name: "list", host: "list.example", prefix: "/list/", kind: "safe", service: "almoxarifado", timeoutMs: 1200, targetMs: 500, priority: 1, attempts: 2},
 		{name: "show", host: "show.example", prefix: "/show/", kind: "safe", service: "vitrine", timeoutMs: 1200, targetMs: 500, priority: 1, attempts: 2},
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -11,6 +11,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -50,6 +52,13 @@
 		return exitFailed
 	}
 	defer d.close()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-ended
+		d.close()
+		os.Exit(exitFailed)
+	}()
 	time.AfterFunc(maxRunTime, func() {
 		d.record("the run took too long")
 		d.close()
