Keep the notice of leaving of an upstream that is not known yet

Cause: localUpstream.withdraw compared the id with the one incarnation that the process knew. A router that has just started knows none, dropped the notice and confirmed it with 200. A heartbeat sent before the notice and delivered after it then counted as the first one of a new upstream, which is ready.

A notice that tells its start in its body concerns only that incarnation, so that a late one of an earlier incarnation does not withdraw the present one.

Why it works: every acknowledged notice now has a state that is consulted when an incarnation becomes the current one; nothing else makes an incarnation current.

TestNoticeBeforeFirstHeartbeatIsKept fails with the one line removed that keeps the notice ("withdrawn false; want since the notice").

--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -58,6 +58,8 @@
 		"A response of the store shows that it was put back to an older copy, so that what was written since is lost. This host reads the tables and writes its row again.", "Write again what operators have written since the copy.")
 	eventKeysClaimed = event.Define(1828, log.InfoLevel, "keys claimed",
 		"The store was put back to an older copy. This host claims the ranges that it holds by the lease of the era before, so that a new key map can be made.", "If claims is 0, its keys are served again once all earlier leases have ended.")
+	eventWithdrawn = event.Define(1829, log.InfoLevel, "upstream withdrew",
+		"An incarnation of the local upstream gave notice that it leaves; the notice is acknowledged. If current is false, this process has no heartbeat of that incarnation: the notice is kept for its first one. started is 0 if the notice does not tell it.", "none")
 	eventGrant = event.Define(1830, log.DebugLevel, "keys granted",
 		"The response to a heartbeat of the upstream granted it keys.", "none")
 	eventMapChanged = event.Define(1831, log.InfoLevel, "key map changed",
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -174,9 +174,12 @@
 	return s.keys.handleHeartbeat(state, r)
 }
 
-// Withdraw processes the notice that an incarnation of the local upstream leaves.
-func (s *Sidecar) Withdraw(instance string) {
-	if s.local.withdraw(time.Now(), instance) {
+// Withdraw processes the notice that an incarnation of the local upstream leaves. The
+// incarnation gets no new requests afterwards, also if its first heartbeat arrives later.
+func (s *Sidecar) Withdraw(w Withdrawal) {
+	current := s.local.withdraw(time.Now(), w)
+	s.log.Log(eventWithdrawn, event.F("instance", w.Instance), event.F("started", w.Started), event.F("current", current))
+	if current {
 		s.upstreamChanged(s.local.get())
 	}
 }
--- a/router/sidecar/sidecar_test.go
+++ b/router/sidecar/sidecar_test.go
@@ -167,7 +167,7 @@
 		return len(c.hosts[0].upstream.heldGrants())+len(c.hosts[1].upstream.heldGrants()) == 2*maxInitialRangesPerMember
 	})
 	first := c.hosts[0]
-	first.Withdraw(first.upstream.id)
+	first.Withdraw(Withdrawal{Instance: first.upstream.id})
 	c.eventually("the other upstream holds all keys", func() bool {
 		return len(first.upstream.heldGrants()) == 0 && len(c.hosts[1].upstream.heldGrants()) == 2*maxInitialRangesPerMember
 	})
@@ -179,7 +179,7 @@
 	c := newCluster(t, "plain", "plain", "keyed")
 	c.waitReady()
 	first := c.hosts[0]
-	first.Withdraw(first.upstream.id)
+	first.Withdraw(Withdrawal{Instance: first.upstream.id})
 	c.eventually("others know", func() bool {
 		return c.hosts[2].fleet.Host("h0").Member().State != "ready"
 	})
@@ -212,7 +212,7 @@
 			t.Errorf("step %d: current %v, want %v", i, current, s.current)
 		}
 	}
-	if u.withdraw(now, "a") {
+	if u.withdraw(now, Withdrawal{Instance: "a"}) {
 		t.Error("the notice of an earlier incarnation was accepted")
 	}
 }
--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -58,6 +58,9 @@
 
 	mu    sync.Mutex
 	state upstreamState
+	// withdrawals are the notices of incarnations, also of ones that have sent no heartbeat
+	// to this process yet.
+	withdrawals withdrawals
 	// firstRefused and lastRefused are the times of the first and the last of the
 	// consecutive connections that were refused at the upstream's address.
 	firstRefused, lastRefused time.Time
@@ -82,6 +85,7 @@
 	}
 	if !s.known || s.holder != holder {
 		*s = upstreamState{known: true, holder: holder}
+		s.leavingSince, s.withdrawn = u.withdrawals.find(now, s.incarnation())
 		changed = true
 	} else if r.Sequence <= s.sequence {
 		return *s, false, false
@@ -97,12 +101,14 @@
 }
 
 // withdraw records the notice that an incarnation of the upstream leaves. It reports
-// whether that incarnation is the current one.
-func (u *localUpstream) withdraw(now time.Time, instance string) bool {
+// whether that incarnation is the current one. The notice of another one is kept until its
+// first heartbeat.
+func (u *localUpstream) withdraw(now time.Time, w Withdrawal) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.withdrawals.add(now, w)
 	s := &u.state
-	if !s.known || s.holder.Instance != instance {
+	if !s.known || !w.concerns(s.incarnation()) {
 		return false
 	}
 	if s.leavingSince.IsZero() {
--- /dev/null
+++ b/router/sidecar/withdrawal_test.go
@@ -0,0 +1,78 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"burdockglade.dev/router/fleet"
+)
+
+// Guards against requests to an upstream that leaves, because its notice came before the
+// first heartbeat that its restarted router got, and that heartbeat was late.
+func TestNoticeBeforeFirstHeartbeatIsKept(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	started := now.Add(-time.Minute).UnixMilli()
+	for name, w := range map[string]Withdrawal{
+		"id only":   {Instance: "a"},
+		"with life": {Instance: "a", Started: started},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := &localUpstream{host: "h"}
+			u.withdraw(now, w)
+			s, _, _ := u.recordHeartbeat(now.Add(2*time.Second), Heartbeat{Instance: "a", Started: started, Sequence: 7})
+			if !s.leavingSince.Equal(now) || !s.withdrawn {
+				t.Errorf("leaving since %v, withdrawn %v; want since the notice", s.leavingSince, s.withdrawn)
+			}
+		})
+	}
+}
+
+// Guards against a notice that withdraws another incarnation than the one that gave it: a
+// later one under the same id, or the present one when the notice of an earlier one is late.
+func TestNoticeOfOtherIncarnationWithdrawsNothing(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	for name, c := range map[string]struct {
+		notice  Withdrawal
+		current fleet.Incarnation
+	}{
+		"other id":                    {Withdrawal{Instance: "a"}, fleet.Incarnation{Instance: "b", Started: 1}},
+		"other start":                 {Withdrawal{Instance: "a", Started: 1}, fleet.Incarnation{Instance: "a", Started: 2}},
+		"same id, started afterwards": {Withdrawal{Instance: "a"}, fleet.Incarnation{Instance: "a", Started: now.Add(time.Minute).UnixMilli()}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := &localUpstream{host: "h"}
+			u.withdraw(now, c.notice)
+			s, _, _ := u.recordHeartbeat(now.Add(time.Minute), Heartbeat{Instance: c.current.Instance, Started: c.current.Started, Sequence: 1})
+			if !s.leavingSince.IsZero() || s.withdrawn {
+				t.Errorf("the notice %+v withdrew %+v", c.notice, c.current)
+			}
+		})
+	}
+	u := &localUpstream{host: "h"}
+	u.recordHeartbeat(now, Heartbeat{Instance: "a", Started: 5, Sequence: 1})
+	if u.withdraw(now, Withdrawal{Instance: "a", Started: 4}) || u.get().withdrawn {
+		t.Error("a late notice of an earlier incarnation withdrew the present one")
+	}
+}
+
+// Guards against notices that use more and more memory, and against a flood of them that
+// pushes out nothing but the oldest.
+func TestKeptNoticesAreBounded(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	var ws withdrawals
+	for i := range 3 * maxWithdrawals {
+		ws.add(now, Withdrawal{Instance: fmt.Sprint(i)})
+	}
+	ws.add(now.Add(time.Second), Withdrawal{Instance: fmt.Sprint(3*maxWithdrawals - 1)})
+	if len(ws) != maxWithdrawals {
+		t.Errorf("%d notices are kept, want %d", len(ws), maxWithdrawals)
+	}
+	newest := fleet.Incarnation{Instance: fmt.Sprint(3*maxWithdrawals - 1), Started: 1}
+	if at, ok := ws.find(now, newest); !ok || !at.Equal(now) {
+		t.Errorf("the newest notice: %v, %v; want the time of the first copy", at, ok)
+	}
+	if _, ok := ws.find(now.Add(withdrawalMemory+time.Second), newest); ok {
+		t.Error("an old notice is still in force")
+	}
+}
