Believe an upstream whose start is before that of its earlier incarnation

Cause: localUpstream ordered the incarnations of the upstream by their start, a time of day. After the clock had stepped back, the second incarnation looked like the earlier one for good: its heartbeats were dropped and confirmed with 200.

Change: an incarnation replaces the current one if it started after the last heartbeat of that one had arrived here, or if it goes on sending heartbeats while that one is silent. A heartbeat that proves neither is answered 409, so that nothing is acknowledged that is not in force. Replaced incarnations are remembered with their notices. Event 1852 shows the evidence.

Why it works: the arrival of heartbeats is measured by this process; a late heartbeat of an incarnation that has ended cannot go on, and a new incarnation always does.

--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -45,7 +45,9 @@
 	eventUpstream = event.Define(1820, log.InfoLevel, "upstream changed",
 		"The local upstream announced itself, changed, or announced that it leaves.", "none")
 	eventStaleHeartbeat = event.Define(1821, log.WarnLevel, "heartbeat ignored",
-		"A heartbeat of an earlier incarnation of the upstream arrived, or one that is older than the last.", "none")
+		"A heartbeat of the upstream arrived that is not newer than the last one. Only a notice in it that the upstream leaves counts.", "none")
+	eventUnprovenHeartbeat = event.Define(1852, log.WarnLevel, "heartbeat not acknowledged",
+		"A heartbeat of another incarnation than the current one arrived, and nothing shows yet that it is the later one: it started before the last heartbeat of the current one, or the time of day has stepped. It is believed once it goes on sending heartbeats while the current one is silent.", "none; if it repeats for one incarnation, look for two processes at one address.")
 	eventPublishFailed = event.Define(1822, log.WarnLevel, "member row not written",
 		"The store did not accept this host's own row; the write is retried.", "See event 1810.")
 	eventRouteUnreadable = event.Define(1823, log.WarnLevel, "fields of a route left out",
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -110,7 +110,7 @@
 		index:     newKeyIndex(),
 		callers:   newCallerConns(),
 		createdAt: boottime.Now(),
-		local:     &localUpstream{host: host.Name},
+		local:     &localUpstream{host: host.Name, heartbeatInterval: millis(opts.Settings.Upstream.HeartbeatMs)},
 	}
 	s.scope = opts.Metrics.SubScope("entry")
 	s.buildStore()
@@ -157,21 +157,27 @@
 	}, true
 }
 
-// HandleHeartbeat processes a heartbeat of the local upstream.
-func (s *Sidecar) HandleHeartbeat(r Heartbeat) HeartbeatResponse {
+// HandleHeartbeat processes a heartbeat of the local upstream. If it returns false, the
+// heartbeat must not be acknowledged: nothing that it says is in force.
+func (s *Sidecar) HandleHeartbeat(r Heartbeat) (response HeartbeatResponse, acknowledged bool) {
 	before := s.local.get().holder
-	state, current, changed := s.local.recordHeartbeat(time.Now(), r)
-	if !current {
-		s.log.Log(eventStaleHeartbeat, event.F("instance", r.Instance), event.F("started", r.Started), event.F("sequence", r.Sequence))
-		return HeartbeatResponse{}
-	}
+	state, verdict, changed := s.local.recordHeartbeat(time.Now(), r)
 	if state.holder != before {
 		s.gate.limiter.NewUpstream()
 	}
 	if changed {
 		s.upstreamChanged(state)
 	}
-	return s.keys.handleHeartbeat(state, r)
+	switch verdict {
+	case heartbeatOutdated:
+		s.log.Log(eventStaleHeartbeat, event.F("instance", r.Instance), event.F("started", r.Started), event.F("sequence", r.Sequence))
+		return HeartbeatResponse{}, true
+	case heartbeatUnproven:
+		s.log.Log(eventUnprovenHeartbeat, event.F("instance", r.Instance), event.F("started", r.Started), event.F("sequence", r.Sequence), event.F("leaving", r.Draining),
+			event.F("current_instance", state.holder.Instance), event.F("current_started", state.holder.Started), event.F("current_silent_ms", time.Since(state.lastHeartbeat).Milliseconds()))
+		return HeartbeatResponse{}, false
+	}
+	return s.keys.handleHeartbeat(state, r), true
 }
 
 // Withdraw processes the notice that an incarnation of the local upstream leaves. The
--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -56,8 +56,15 @@
 type localUpstream struct {
 	host string
 
+	// heartbeatInterval is the time between heartbeats of an incarnation.
+	heartbeatInterval time.Duration
+
 	mu    sync.Mutex
 	state upstreamState
+	// past are the last incarnations that were current before, oldest first, and challenger
+	// is one that may have replaced the current one.
+	past       []upstreamState
+	challenger challenger
 	// withdrawals are the notices of incarnations, also of ones that have sent no heartbeat
 	// to this process yet.
 	withdrawals withdrawals
@@ -72,32 +79,52 @@
 	return u.state
 }
 
-// recordHeartbeat records a heartbeat. current is false for a heartbeat of an earlier
-// incarnation and for one that arrived after a later one; changed is true if other hosts
-// must be notified.
-func (u *localUpstream) recordHeartbeat(now time.Time, r Heartbeat) (state upstreamState, current, changed bool) {
+// heartbeatVerdict is what a heartbeat was taken for.
+type heartbeatVerdict int
+
+const (
+	// heartbeatCurrent: the newest heartbeat of the current incarnation.
+	heartbeatCurrent heartbeatVerdict = iota
+	// heartbeatOutdated: of the current incarnation, but not newer than the last one.
+	heartbeatOutdated
+	// heartbeatUnproven: of another incarnation, which has not been proved to be the later
+	// one. It changes nothing and must not be acknowledged.
+	heartbeatUnproven
+)
+
+// recordHeartbeat records a heartbeat. changed is true if other hosts must be notified.
+func (u *localUpstream) recordHeartbeat(now time.Time, r Heartbeat) (state upstreamState, verdict heartbeatVerdict, changed bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := &u.state
 	holder := keyrange.Holder{Host: u.host, Instance: r.Instance, Started: r.Started}
-	if s.known && r.Started < s.holder.Started {
-		return *s, false, false
-	}
-	if !s.known || s.holder != holder {
-		*s = upstreamState{known: true, holder: holder}
-		s.leavingSince, s.withdrawn = u.withdrawals.find(now, s.incarnation())
+	switch {
+	case s.known && s.holder == holder && r.Sequence <= s.sequence:
+		changed = r.Draining && s.leave(now)
+		return *s, heartbeatOutdated, changed
+	case s.known && s.holder != holder && !u.succeeds(now, holder, r.Sequence):
+		return *s, heartbeatUnproven, false
+	case !s.known || s.holder != holder:
+		u.adopt(now, holder)
 		changed = true
-	} else if r.Sequence <= s.sequence {
-		return *s, false, false
 	}
 	changed = changed || s.slots != r.Slots || s.service != r.Service
 	s.sequence, s.service, s.slots, s.lastHeartbeat = r.Sequence, r.Service, r.Slots, now
-	if r.Draining && s.leavingSince.IsZero() {
-		s.leavingSince = now
+	if r.Draining && s.leave(now) {
 		changed = true
 	}
+	u.challenger = challenger{}
 	u.firstRefused = time.Time{}
-	return *s, true, changed
+	return *s, heartbeatCurrent, changed
+}
+
+// leave records a notice that the incarnation leaves, and reports whether it is the first.
+func (s *upstreamState) leave(now time.Time) bool {
+	if !s.leavingSince.IsZero() {
+		return false
+	}
+	s.leavingSince = now
+	return true
 }
 
 // withdraw records the notice that an incarnation of the upstream leaves. It reports
@@ -111,9 +138,7 @@
 	if !s.known || !w.concerns(s.incarnation()) {
 		return false
 	}
-	if s.leavingSince.IsZero() {
-		s.leavingSince = now
-	}
+	s.leave(now)
 	s.withdrawn = true
 	return true
 }
@@ -130,11 +155,7 @@
 	}
 	before = s.notice
 	s.notice = n
-	if n.Leaving && s.leavingSince.IsZero() {
-		s.leavingSince = now
-		leaves = true
-	}
-	return before, leaves, true
+	return before, n.Leaving && s.leave(now), true
 }
 
 // connectionRefused records that nothing listens at the upstream's address.
@@ -159,11 +180,16 @@
 func (u *localUpstream) ended(now time.Time, heartbeatInterval time.Duration) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	silent := now.Sub(u.state.lastHeartbeat) > heartbeatInterval*3/2
+	silent := u.state.silent(now, heartbeatInterval)
 	repeated := !u.firstRefused.IsZero() && u.lastRefused.Sub(u.firstRefused) >= endedAfter
 	return u.state.known && silent && repeated && now.Sub(u.lastRefused) <= maxRefusalGap
 }
 
+// silent reports whether a heartbeat of the incarnation is overdue.
+func (s *upstreamState) silent(now time.Time, heartbeatInterval time.Duration) bool {
+	return now.Sub(s.lastHeartbeat) > heartbeatInterval*3/2
+}
+
 // silentFor returns the time since the last heartbeat.
 func (u *localUpstream) silentFor(now time.Time) time.Duration {
 	u.mu.Lock()
