Keep notices of leaving by incarnation on other hosts, not by start

Cause: fleet.Directory kept one notice a host and compared starts. After a step back of the time of day, an upstream with a lower start than its earlier incarnation got no requests from other hosts once that one had left, and its own notice was dropped, so that requests went on.

Measured: TestNoticeOfLeavingDoesNotDependOnTheOrderOfStarts fails with the comparison of starts put back (at "started before the one that has left"); the earlier test of notices passes unchanged.

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -41,14 +41,14 @@
 	byService map[string][]*Host
 	// reassigned holds the hosts whose address now belongs to another host.
 	reassigned map[string]bool
-	// leaving holds the notices of upstreams that leave, by host.
-	leaving map[string]leaving
+	// leaving holds the notices of upstreams that leave, by host, oldest first.
+	leaving map[string][]leaving
 }
 
 // NewDirectory returns an empty directory for a host in the zone and region.
 // dial returns the client for a host's address.
 func NewDirectory(zone, region string, dial func(address string) *hop.Client) *Directory {
-	return &Directory{zone: zone, region: region, dial: dial, hosts: map[string]*Host{}, byService: map[string][]*Host{}, leaving: map[string]leaving{}}
+	return &Directory{zone: zone, region: region, dial: dial, hosts: map[string]*Host{}, byService: map[string][]*Host{}, leaving: map[string][]leaving{}}
 }
 
 // Put adds or updates a host that is known to exist regardless of its row, such as
@@ -68,7 +68,7 @@
 		d.hosts[m.Host] = h
 	}
 	h.mu.Lock()
-	if h.member.Started != m.Started || h.member.Instance != m.Instance {
+	if h.member.incarnation() != m.incarnation() {
 		h.slowness, h.errorRate = 0, 0
 	}
 	h.member = m
@@ -135,9 +135,10 @@
 func (d *Directory) Members(service string) []Member {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
+	now := time.Now()
 	members := make([]Member, 0, len(d.byService[service]))
 	for _, h := range d.byService[service] {
-		members = append(members, d.current(h.Member()))
+		members = append(members, d.current(now, h.Member()))
 	}
 	return members
 }
@@ -223,7 +224,7 @@
 	hosts := d.byService[service]
 	views := make([]view, 0, len(hosts))
 	for _, h := range hosts {
-		if v := h.view(now); d.current(v.member).State == Ready && !slices.Contains(exclude, h) {
+		if v := h.view(now); d.current(now, v.member).State == Ready && !slices.Contains(exclude, h) {
 			views = append(views, v)
 		}
 	}
--- a/router/fleet/member.go
+++ b/router/fleet/member.go
@@ -40,6 +40,11 @@
 	LinkMbps int `json:"link_mbps,omitempty"`
 }
 
+// incarnation returns the incarnation of the upstream that the data is about.
+func (m Member) incarnation() Incarnation {
+	return Incarnation{Instance: m.Instance, Started: m.Started}
+}
+
 // Encode returns the JSON form, the value of the member's row.
 func (m Member) Encode() ([]byte, error) {
 	return json.Marshal(m)
