Do not extend the time to drain when a router restarts

Cause: a restarted router counted the time for which requests may go on from the first heartbeat that it got itself, though an earlier process had acknowledged the notice. If that heartbeat was a late one that says ready, the process also replaced the member row that said draining, and other hosts believed it; a store put back to an older copy had the same effect.

Change: a notice that an earlier process may have acknowledged ends new requests at once: one in the first heartbeat of an incarnation, and one in this host's own member row, read by the follower or found by the first write. The row says so in a field of its own, which a planned stop does not hide; other hosts keep it by incarnation.

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -62,13 +62,16 @@
 func (d *Directory) PutRow(m Member, version int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if m.Leaving {
+		d.markLeaving(time.Now(), m.Host, m.Incarnation())
+	}
 	h := d.hosts[m.Host]
 	if h == nil || h.Client.Address() != m.Address {
 		h = &Host{Client: d.dial(m.Address)}
 		d.hosts[m.Host] = h
 	}
 	h.mu.Lock()
-	if h.member.incarnation() != m.incarnation() {
+	if h.member.Incarnation() != m.Incarnation() {
 		h.slowness, h.errorRate = 0, 0
 	}
 	h.member = m
--- a/router/fleet/leaving.go
+++ b/router/fleet/leaving.go
@@ -36,6 +36,11 @@
 func (d *Directory) MarkLeaving(now time.Time, host string, of Incarnation) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.markLeaving(now, host, of)
+}
+
+// markLeaving is MarkLeaving with d.mu held.
+func (d *Directory) markLeaving(now time.Time, host string, of Incarnation) {
 	notices := d.leaving[host]
 	if slices.ContainsFunc(notices, func(l leaving) bool { return l.incarnation == of }) {
 		return
@@ -88,7 +93,7 @@
 // covers reports whether the member data is about the incarnation that leaves, or about one
 // with an earlier start and may have been written before the notice.
 func (l leaving) covers(now time.Time, m Member) bool {
-	if m.incarnation() == l.incarnation {
+	if m.Incarnation() == l.incarnation {
 		return true
 	}
 	return m.Started < l.incarnation.Started && now.Sub(l.since) < lateRowTime
--- a/router/fleet/member.go
+++ b/router/fleet/member.go
@@ -36,12 +36,20 @@
 	Address string `json:"address"`
 	Slots   int    `json:"slots"`
 	State   State  `json:"state"`
+	// Leaving is true if the upstream has said that it leaves, also while the state is
+	// Stopping. Rows of earlier versions say so by the state Draining alone.
+	Leaving bool `json:"leaving,omitempty"`
 	// LinkMbps is the bandwidth of the host's link in Mbit/s, or 0 if unknown.
 	LinkMbps int `json:"link_mbps,omitempty"`
 }
 
-// incarnation returns the incarnation of the upstream that the data is about.
-func (m Member) incarnation() Incarnation {
+// Leaves reports whether the upstream has said that it leaves.
+func (m Member) Leaves() bool {
+	return m.Leaving || m.State == Draining
+}
+
+// Incarnation returns the incarnation of the upstream that the data is about.
+func (m Member) Incarnation() Incarnation {
 	return Incarnation{Instance: m.Instance, Started: m.Started}
 }
 
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -93,7 +93,7 @@
 		Store: s.fleetFed, Table: tableFleet, Changed: s.applyFleetRow, BatchDelay: s.fleetReadDelay, Feed: s.feeds[tableFleet],
 		CheckStore: s.directStore, CheckDelay: s.fleetCheckDelay, Checked: s.fleetChecked,
 	}
-	s.publisher = &publisher{store: s.store, eras: s.eras, log: s.log, member: s.memberRow, wakeCh: make(chan struct{}, 1)}
+	s.publisher = &publisher{store: s.store, eras: s.eras, log: s.log, member: s.memberRow, foundRow: s.ownRowFound, wakeCh: make(chan struct{}, 1)}
 	s.sweeper = &sweeper{
 		host: s.settings.Host.Name, zone: s.settings.Host.Zone, fleet: s.fleet, log: s.log,
 		readsForZone: s.fleetFed.Direct,
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -141,7 +141,7 @@
 		return errkind.New(errkind.UpstreamDown, "the upstream of %s has not announced itself", g.host)
 	case s.service != c.Service:
 		return errkind.New(errkind.WrongOwner, "the upstream of %s serves %s, not %s", g.host, s.service, c.Service)
-	case !s.leavingSince.IsZero() && now.Sub(s.leavingSince) > g.drainLimit:
+	case !s.mayTakeRequests(now, g.drainLimit):
 		return errkind.New(errkind.Draining, "the upstream of %s is leaving", g.host)
 	case g.stoppingFor() > unkeyedNoticeTime && !c.Keyed, g.stoppingFor() > drainNoticeTime:
 		return errkind.New(errkind.Draining, "the router of %s is stopping", g.host)
--- a/router/sidecar/incarnation.go
+++ b/router/sidecar/incarnation.go
@@ -68,9 +68,6 @@
 		u.past = append(slices.DeleteFunc(u.past, func(s upstreamState) bool { return s.holder == holder }), u.state)
 		u.past = u.past[max(len(u.past)-maxPastIncarnations, 0):]
 	}
-	if at, withdrawn := u.withdrawals.find(now, next.incarnation()); withdrawn {
-		next.leave(at)
-		next.withdrawn = true
-	}
+	u.withdrawals.apply(now, &next)
 	u.state = next
 }
--- a/router/sidecar/members.go
+++ b/router/sidecar/members.go
@@ -23,7 +23,10 @@
 	log   *event.Logger
 	// member returns the content of the row, or false while it is not known.
 	member func() (fleet.Member, bool)
-	wakeCh chan struct{}
+	// foundRow is called with the content of a row that another process has written, such
+	// as an earlier one of this host.
+	foundRow func(fleet.Member)
+	wakeCh   chan struct{}
 
 	mu      sync.Mutex // held during a call to the store
 	written fleet.Member
@@ -95,6 +98,9 @@
 				p.written = m
 				return nil
 			}
+			if found, err := fleet.DecodeMember(r.Value); err == nil { // else the row is replaced
+				p.foundRow(found)
+			}
 		}
 		return err
 	}
@@ -165,6 +171,7 @@
 			s.log.Log(eventRowInvalid, event.F("row", r.Name), event.F("error", rowErrorText(err)))
 			return
 		}
+		s.ownRowFound(m)
 		s.memberVersions.Store(m.Host, r.Version)
 		s.fleet.PutRow(m, r.Version)
 		s.log.Log(eventMember, event.F("host", m.Host), event.F("service", m.Service), event.F("instance", m.Instance),
@@ -184,6 +191,17 @@
 	}
 }
 
+// ownRowFound processes a member row of this host that was read. If it says that the upstream
+// leaves, an earlier process of this router has acknowledged that.
+func (s *Sidecar) ownRowFound(m fleet.Member) {
+	if m.Host != s.settings.Host.Name || !m.Leaves() {
+		return
+	}
+	if s.local.recordOwnRow(time.Now(), m.Incarnation()) {
+		s.upstreamChanged(s.local.get())
+	}
+}
+
 func rowErrorText(err error) string {
 	if err == nil {
 		return "host name in the row's content differs from the row's name"
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -153,6 +153,7 @@
 		Service: state.service, Zone: s.settings.Host.Zone, Region: s.settings.Host.Region,
 		Address: s.settings.Listen.HopAdvertised, Slots: state.slots,
 		State:    state.publishedState(s.stopping.Load()),
+		Leaving:  !state.leavingSince.IsZero(),
 		LinkMbps: int(s.settings.Host.LinkMbps),
 	}, true
 }
--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -45,6 +45,9 @@
 	// leavingSince is the time of the first notice that the upstream leaves, in a heartbeat
 	// or a response; zero if there was none.
 	leavingSince time.Time
+	// leftEarlier is true if an earlier process of this router may have acknowledged the
+	// notice, so that the time since it is not known.
+	leftEarlier bool
 	// withdrawn is true if the upstream will send no more heartbeats.
 	withdrawn     bool
 	lastHeartbeat time.Time
@@ -107,6 +110,9 @@
 	case !s.known || s.holder != holder:
 		u.adopt(now, holder)
 		changed = true
+		if r.Draining {
+			s.leaveEarlier(now)
+		}
 	}
 	changed = changed || s.slots != r.Slots || s.service != r.Service
 	s.sequence, s.service, s.slots, s.lastHeartbeat = r.Sequence, r.Service, r.Slots, now
@@ -127,13 +133,40 @@
 	return true
 }
 
+// leaveEarlier records that the incarnation leaves by a notice that an earlier process of this
+// router may have acknowledged.
+func (s *upstreamState) leaveEarlier(now time.Time) bool {
+	first := s.leave(now)
+	s.leftEarlier = s.leftEarlier || first
+	return first
+}
+
+// mayTakeRequests reports whether the incarnation still takes new requests, drainLimit after
+// its notice that it leaves at the latest.
+func (s *upstreamState) mayTakeRequests(now time.Time, drainLimit time.Duration) bool {
+	return s.leavingSince.IsZero() || (!s.leftEarlier && now.Sub(s.leavingSince) <= drainLimit)
+}
+
+// recordOwnRow records what the member row of this host says of an incarnation that leaves:
+// an earlier process of this router has written it. It reports whether other hosts must be
+// notified.
+func (u *localUpstream) recordOwnRow(now time.Time, of fleet.Incarnation) (changed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.state.known && u.state.incarnation() == of {
+		return u.state.leaveEarlier(now)
+	}
+	u.withdrawals.add(acceptedWithdrawal{Withdrawal: Withdrawal(of), at: now, earlier: true})
+	return false
+}
+
 // withdraw records the notice that an incarnation of the upstream leaves. It reports
 // whether that incarnation is the current one. The notice of another one is kept until its
 // first heartbeat.
 func (u *localUpstream) withdraw(now time.Time, w Withdrawal) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.withdrawals.add(now, w)
+	u.withdrawals.add(acceptedWithdrawal{Withdrawal: w, at: now})
 	s := &u.state
 	if !s.known || !w.concerns(s.incarnation()) {
 		return false
--- a/router/sidecar/withdrawal.go
+++ b/router/sidecar/withdrawal.go
@@ -39,26 +39,36 @@
 type acceptedWithdrawal struct {
 	Withdrawal
 	at time.Time
+	// earlier is true if an earlier process of this router acknowledged the notice. at is
+	// the time then at which this process learned of it, and the upstream may go on sending
+	// heartbeats.
+	earlier bool
 }
 
-// add keeps a notice that arrived at the time now. The first one of an incarnation counts.
-func (ws *withdrawals) add(now time.Time, w Withdrawal) {
-	kept := slices.DeleteFunc(*ws, func(k acceptedWithdrawal) bool { return now.Sub(k.at) > withdrawalMemory })
-	if !slices.ContainsFunc(kept, func(k acceptedWithdrawal) bool { return k.Withdrawal == w }) {
-		kept = append(kept, acceptedWithdrawal{w, now})
+// add keeps a notice. The first one of an incarnation counts.
+func (ws *withdrawals) add(w acceptedWithdrawal) {
+	kept := slices.DeleteFunc(*ws, func(k acceptedWithdrawal) bool { return w.at.Sub(k.at) > withdrawalMemory })
+	if !slices.ContainsFunc(kept, func(k acceptedWithdrawal) bool { return k.Withdrawal == w.Withdrawal && k.earlier == w.earlier }) {
+		kept = append(kept, w)
 	}
 	*ws = kept[max(len(kept)-maxWithdrawals, 0):]
 }
 
-// find returns the time of the notice that the incarnation leaves, and false if there is
-// none. A notice that does not tell the start is about an incarnation that started before
-// it; a later one under the same id is another.
-func (ws withdrawals) find(now time.Time, of fleet.Incarnation) (at time.Time, withdrawn bool) {
+// apply records the notices that the incarnation leaves, if there are any. A notice that does
+// not tell the start is about an incarnation that started before it; a later one under the
+// same id is another.
+func (ws withdrawals) apply(now time.Time, s *upstreamState) {
+	of := s.incarnation()
 	for _, w := range ws {
 		startedBefore := of.Started <= w.at.Add(maxClockStep).UnixMilli()
-		if w.concerns(of) && (w.Started != 0 || startedBefore) && now.Sub(w.at) <= withdrawalMemory {
-			return w.at, true
+		if !w.concerns(of) || (w.Started == 0 && !startedBefore) || now.Sub(w.at) > withdrawalMemory {
+			continue
 		}
+		if w.earlier {
+			s.leaveEarlier(w.at)
+			continue
+		}
+		s.leave(w.at)
+		s.withdrawn = true
 	}
-	return time.Time{}, false
 }
--- a/router/sidecar/withdrawal_test.go
+++ b/router/sidecar/withdrawal_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/keyrange"
 )
 
 // Guards against requests to an upstream that leaves, because its notice came before the
@@ -63,18 +64,24 @@
 func TestKeptNoticesAreBounded(t *testing.T) {
 	now := time.UnixMilli(1_000_000)
 	var ws withdrawals
-	for i := range 3 * maxWithdrawals {
-		ws.add(now, Withdrawal{Instance: fmt.Sprint(i)})
+	add := func(at time.Time, i int) {
+		ws.add(acceptedWithdrawal{Withdrawal: Withdrawal{Instance: fmt.Sprint(i)}, at: at})
 	}
-	ws.add(now.Add(time.Second), Withdrawal{Instance: fmt.Sprint(3*maxWithdrawals - 1)})
+	const last = 3*maxWithdrawals - 1
+	for i := range last + 1 {
+		add(now, i)
+	}
+	add(now.Add(time.Second), last)
 	if len(ws) != maxWithdrawals {
 		t.Errorf("%d notices are kept, want %d", len(ws), maxWithdrawals)
 	}
-	newest := fleet.Incarnation{Instance: fmt.Sprint(3*maxWithdrawals - 1), Started: 1}
-	if at, ok := ws.find(now, newest); !ok || !at.Equal(now) {
-		t.Errorf("the newest notice: %v, %v; want the time of the first copy", at, ok)
+	newest := upstreamState{holder: keyrange.Holder{Instance: fmt.Sprint(last), Started: 1}}
+	applied := newest
+	if ws.apply(now, &applied); !applied.withdrawn || !applied.leavingSince.Equal(now) {
+		t.Errorf("the newest notice: withdrawn %v, since %v; want the time of the first copy", applied.withdrawn, applied.leavingSince)
 	}
-	if _, ok := ws.find(now.Add(withdrawalMemory+time.Second), newest); ok {
+	applied = newest
+	if ws.apply(now.Add(withdrawalMemory+time.Second), &applied); applied.withdrawn {
 		t.Error("an old notice is still in force")
 	}
 }
