Do not offer a request again whose body has been read

Cause: a body above 64 KiB is a stream of the caller's connection. The client of a hop sends all of it before it reads the response, so a host that refused the request had used it up. entry.shouldRetry decided by what that host had said (not arrived, not run) and offered the request to the next one, with what was left of the stream: an empty body, which in chunks looks complete.

Change: the stream itself knows whether an attempt has begun to read it; then no other attempt follows.

Ruled out: the senders (chunks end only after a clean end of the stream) and requests that are read ahead (they have no body). run already keeps this with its body.

--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -163,8 +163,8 @@
 	if r.Err == nil && !failedAtUpstream {
 		return false
 	}
-	if c.Stream != nil && r.Arrived {
-		return false // the body cannot be sent again
+	if !c.bodySendable() {
+		return false
 	}
 	if c.Keyed && r.notRun() && r.Err.Kind == errkind.Overloaded {
 		return false // no other host may serve the key
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -48,9 +48,7 @@
 	Header http.Header
 	// Body is the complete body, unless Stream is set.
 	Body   []byte
-	Stream io.Reader
-	// Length is the length of Stream in bytes, or -1 if unknown.
-	Length int64
+	Stream *bodyStream
 
 	RequestID string
 	Service   string
@@ -73,6 +71,11 @@
 	Goal      time.Time
 }
 
+// bodySendable reports whether the whole body can be sent in another attempt.
+func (c *Call) bodySendable() bool {
+	return c.Stream == nil || !c.Stream.begun.Load()
+}
+
 // workClass returns the class of the call by which the limiter admits it.
 func (c *Call) workClass() admit.WorkClass {
 	return admit.WorkClass{Priority: c.Priority, Repeatable: c.Repeatable}
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -223,7 +223,7 @@
 func (e *entry) newCall(req *http.Request, body requestBody, table *vhost.Table, route *vhost.Route, start time.Time) (*Call, *errkind.Error) {
 	c := &Call{
 		Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header,
-		Body: body.data, Stream: body.stream, Length: body.length,
+		Body: body.data, Stream: body.stream,
 		RequestID:  req.Header.Get(e.headers.RequestID),
 		Service:    route.PickService(),
 		Caller:     e.service(),
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -181,8 +181,10 @@
 	header.Set(g.headers.Caller, c.Caller)
 	req := &h1.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: header,
-		Body: c.Body, Stream: c.Stream, Length: c.Length,
-		IDHeader: g.headers.RequestID, ID: c.RequestID,
+		Body: c.Body, IDHeader: g.headers.RequestID, ID: c.RequestID,
+	}
+	if c.Stream != nil {
+		req.Stream, req.Length = c.Stream, c.Stream.length
 	}
 	if !c.Repeatable {
 		req.MaxIdle = nonRepeatableIdleTimeout
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -77,7 +77,7 @@
 		Length:      int64(len(c.Body)),
 	}
 	if c.Stream != nil {
-		head.Length = c.Length
+		head.Length = c.Stream.length
 	}
 	for flag, set := range map[hop.RequestFlags]bool{hop.Repeatable: c.Repeatable, hop.Keyed: c.Keyed} {
 		if set {
@@ -97,7 +97,11 @@
 	if !c.Deadline.After(now) {
 		return errorResult(errkind.DeadlinePassed, "the deadline passed before the request was sent")
 	}
-	resp, err := client.Do(ctx, &hop.Request{RequestHead: requestHead(names, c, now), Body: c.Body, Stream: c.Stream})
+	req := &hop.Request{RequestHead: requestHead(names, c, now), Body: c.Body}
+	if c.Stream != nil {
+		req.Stream = c.Stream
+	}
+	resp, err := client.Do(ctx, req)
 	if err != nil {
 		return hopError(ctx, client, err)
 	}
@@ -234,7 +238,7 @@
 func (h *hopHandler) decodeCall(req *hop.Request, now time.Time) *Call {
 	c := &Call{
 		Method: req.Method, Target: req.Target, Host: req.Host, Header: headerFrom(req.Fields),
-		Body: req.Body, Stream: req.Stream, Length: req.Length,
+		Body:      req.Body,
 		RequestID: req.RequestID, Service: req.Service, Caller: req.Caller,
 		Deadline:   now.Add(time.Duration(req.RemainingMs) * time.Millisecond),
 		Goal:       now.Add(time.Duration(req.GoalMs) * time.Millisecond),
@@ -244,6 +248,9 @@
 		WaitPolicy: admit.WaitPolicy(req.WaitPolicy),
 		Key:        req.Key,
 	}
+	if req.Stream != nil {
+		c.Stream = &bodyStream{src: req.Stream, length: req.Length}
+	}
 	if c.RequestID != "" {
 		c.Header.Set(h.headers.RequestID, c.RequestID)
 	}
--- a/router/sidecar/response.go
+++ b/router/sidecar/response.go
@@ -1,14 +1,11 @@
 package sidecar
 
 import (
-	"bytes"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 
-	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/upstream"
 )
 
@@ -50,36 +47,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// requestBody is the body of a request: data, or stream if it is too long to be kept.
-type requestBody struct {
-	data   []byte
-	stream io.Reader
-	// length is the length of stream in bytes, or -1 if unknown.
-	length int64
-}
-
-// readBody reads a body of up to maxBufferedBody bytes completely, so that it can be sent
-// again; a longer one becomes a stream.
-func readBody(req *http.Request) (requestBody, *errkind.Error) {
-	if req.ContentLength == 0 || req.Body == nil {
-		return requestBody{}, nil
-	}
-	if req.ContentLength > maxBufferedBody {
-		return requestBody{stream: req.Body, length: req.ContentLength}, nil
-	}
-	head, err := io.ReadAll(io.LimitReader(req.Body, maxBufferedBody+1))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return requestBody{}, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", tooLarge.Limit)
-	case err != nil:
-		return requestBody{}, errkind.New(errkind.CallerLeft, "reading the body: %w", err)
-	case len(head) <= maxBufferedBody:
-		return requestBody{data: head}, nil
-	}
-	return requestBody{stream: io.MultiReader(bytes.NewReader(head), req.Body), length: -1}, nil
-}
-
 func formatKey(key uint16) string {
 	return strconv.Itoa(int(key))
 }
