Refuse a request with a long body before the body is sent to another host

Callers saw, once used bodies were no longer offered again: 503 for a request with a body above 64 KiB whenever the first host refused it (just started, no slot free), because the client of a hop sends the body before it reads the refusal.

Change: the client waits up to 250 ms until the server asks for the stream, and the server asks when the gate reads it first, which is after admission. A refusal before that leaves the stream unread for the next host. Routers of earlier versions ignore the flag. The request for the body and the response are ordered, so that none stands inside the other.

One more round trip for such bodies; shorter ones are sent as before.

--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -1,9 +1,12 @@
 package hop
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"slices"
 	"time"
 
@@ -67,6 +70,9 @@
 	}
 	head := r.RequestHead
 	head.Fields, head.SameFields = cache.elide(&cache.sent, r.Fields)
+	if r.Stream != nil {
+		head.Flags |= AsksForBody
+	}
 	message, err := appendHead(nil, head)
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", connpool.ErrNotSent, err)
@@ -79,12 +85,12 @@
 		return nil, n > 0, err
 	}
 	if r.Stream != nil {
-		if err := writeBody(cn, r.Stream, r.Length); err != nil {
+		if err := sendStream(cn, r); err != nil {
 			return nil, true, fmt.Errorf("sending the request body: %w", err)
 		}
 	}
 	resp = &Response{}
-	if err := readHead(cn.Reader, &resp.ResponseHead); err != nil {
+	if err := readResponseHead(cn.Reader, &resp.ResponseHead); err != nil {
 		return nil, true, fmt.Errorf("reading the response head: %w", err)
 	}
 	resp.Fields = cache.restore(&cache.received, resp.Fields, resp.SameFields)
@@ -93,6 +99,54 @@
 	return resp, true, nil
 }
 
+// bodyWantedTimeout is how long a client waits until it sends a stream unasked: a router of
+// an earlier version does not ask, and one that has a queue asks late.
+const bodyWantedTimeout = 250 * time.Millisecond
+
+// sendStream sends the stream of the request once the server asks for it. If the server
+// responds at once, the stream stays unread, so that it can be sent to another server.
+func sendStream(cn *connpool.Conn, r *Request) error {
+	responded, err := awaitBodyWanted(cn)
+	if err != nil || responded {
+		return err
+	}
+	return writeBody(cn, r.Stream, r.Length)
+}
+
+// awaitBodyWanted waits until the server asks for the stream, responds or does neither in
+// time. responded is true if it has responded.
+func awaitBodyWanted(cn *connpool.Conn) (responded bool, err error) {
+	if err := cn.SetReadDeadline(time.Now().Add(bodyWantedTimeout)); err != nil {
+		return false, err
+	}
+	first, err := cn.Reader.Peek(1)
+	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+		err = nil
+	}
+	if err != nil {
+		return false, err
+	}
+	if err := cn.SetReadDeadline(time.Time{}); err != nil {
+		return false, err
+	}
+	return len(first) > 0 && first[0] != bodyWanted, nil
+}
+
+// readResponseHead reads the head of a response, behind the request for the stream if the
+// server has made one.
+func readResponseHead(r *bufio.Reader, head *ResponseHead) error {
+	first, err := r.Peek(1)
+	if err != nil {
+		return err
+	}
+	if first[0] == bodyWanted {
+		if _, err := r.Discard(1); err != nil {
+			return err
+		}
+	}
+	return readHead(r, head)
+}
+
 // elide returns the fields to send: none, and same=true, if they equal those of
 // the last message.
 func (f *fieldCache) elide(last *[]Field, fields []Field) (short []Field, same bool) {
--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -69,8 +69,15 @@
 	// StoreCall marks a call to the store on behalf of the sending router. Its
 	// parameters are the body.
 	StoreCall
+	// AsksForBody marks a request whose sender waits with a stream until the receiver asks
+	// for it. Routers of earlier versions ignore the flag and do not ask.
+	AsksForBody
 )
 
+// bodyWanted is sent in place of the length of a response head by a receiver that asks for
+// the stream of a request.
+const bodyWanted = 0
+
 // ResponseHead is the head of a response: a refusal if Kind is set, otherwise the
 // upstream's response.
 type ResponseHead struct {
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -43,6 +44,10 @@
 	busy     bool // guarded by Server.mu
 	sent     fieldCache
 	received fieldCache
+	// writeMu orders the request for a stream, which another goroutine may make, before the
+	// response. responding is true once the response to the last request has begun.
+	writeMu    sync.Mutex
+	responding bool
 }
 
 // Serve accepts connections until Shutdown or Close.
@@ -129,6 +134,10 @@
 	body := bodyReader(c.br, r.Length)
 	if r.Length == unknownLength || r.Length > maxBufferedBodyBytes {
 		r.Stream = body
+		if r.Flags&AsksForBody != 0 {
+			c.setResponding(false)
+			r.Stream = &askedStream{Reader: body, conn: c}
+		}
 		return r, nil
 	}
 	r.Body = make([]byte, r.Length)
@@ -138,6 +147,39 @@
 	return r, nil
 }
 
+// askedStream is the stream of a request whose sender waits until it is asked for it, which
+// the first Read does.
+type askedStream struct {
+	io.Reader
+	conn  *serverConn
+	asked bool
+}
+
+// Read implements io.Reader.
+func (s *askedStream) Read(p []byte) (int, error) {
+	if !s.asked {
+		s.asked = true
+		if err := s.conn.askForBody(); err != nil {
+			return 0, err
+		}
+	}
+	return s.Reader.Read(p)
+}
+
+// askForBody asks the sender for the stream of the request. Once the response has begun it
+// returns an error: the sender then sends nothing.
+func (c *serverConn) askForBody() error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if c.responding {
+		return errResponded
+	}
+	_, err := c.Write([]byte{bodyWanted})
+	return err
+}
+
+var errResponded = errors.New("the response has begun before the body was read")
+
 // handle handles a request and writes the response. Meanwhile a goroutine watches
 // the connection and cancels the handler's context if the connection ends.
 // watchResult then yields the error, or nil once the next request arrives. A request
@@ -174,6 +216,7 @@
 	if err != nil {
 		return err
 	}
+	c.setResponding(true)
 	if resp.Length >= 0 && resp.Length <= maxBufferedBodyBytes {
 		b := bytes.NewBuffer(message)
 		if err := writeBody(b, resp.Body, resp.Length); err != nil {
@@ -188,6 +231,12 @@
 	return writeBody(c, resp.Body, resp.Length)
 }
 
+func (c *serverConn) setResponding(responding bool) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.responding = responding
+}
+
 // Shutdown closes the listener and idle connections, and waits until the requests in
 // progress have completed or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/router/sidecar/body_test.go
+++ b/router/sidecar/body_test.go
@@ -115,6 +115,21 @@
 	}
 }
 
+// Guards against avoidable refusals: a host that refuses a request before it asks for the
+// body leaves it to the next one.
+func TestUnreadBodyIsOfferedAgain(t *testing.T) {
+	t.Parallel()
+	for name, withLength := range map[string]bool{"in chunks": false, "with a length": true} {
+		t.Run(name, func(t *testing.T) {
+			s := &scriptedHosts{refusals: 1}
+			resp := sendLongBody(t, entryOfScriptedHosts(t, s), withLength)
+			if resp.StatusCode != http.StatusOK || len(s.bodies) != 1 || s.bodies[0] != longBody {
+				t.Errorf("status %d after %d offers and %d runs, want 200 after one run with the whole body", resp.StatusCode, s.offers, len(s.bodies))
+			}
+		})
+	}
+}
+
 // Guards against a body that has been read and looks like a complete, empty one to whoever
 // reads it next.
 func TestBodyStreamEndsOnce(t *testing.T) {
