Free the slot of a long response that its caller does not read

Callers saw: an upstream that got no more requests. Callers that did not read a response above 64 KiB kept its slot for good: at the deadline the connection to the upstream was closed, but the write to the caller had no deadline.

Change: the write of a response that is passed on while it arrives ends one second behind the caller's deadline. run has such a deadline already. Short responses have been read completely from the upstream and keep no slot; they are written as before.

Measured: TestStalledCallerDoesNotKeepASlot failed before ("the slots are free behind the deadline: not within 30 s") and passes, with the race detector as well.

--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -169,7 +169,7 @@
 		return
 	}
 	e.closeIfStopping(w, req)
-	writeResponse(w, req, r)
+	writeResponse(w, req, c.Deadline, r)
 }
 
 // beginPipelined starts to process a request whose connection still waits for earlier
--- a/router/sidecar/response.go
+++ b/router/sidecar/response.go
@@ -5,13 +5,26 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"burdockglade.dev/router/upstream"
 )
 
+// lateWriteTime is how long behind its deadline a caller may take to read a long response.
+const lateWriteTime = time.Second
+
 // writeResponse passes a response of an upstream on. If the body breaks off, it closes
-// the caller's connection, so that the caller cannot take the response for complete.
-func writeResponse(w http.ResponseWriter, req *http.Request, r *Result) {
+// the caller's connection, so that the caller cannot take the response for complete. A
+// response that was not read completely from the upstream keeps a slot, so that a caller who
+// does not read it is cut off some time behind its deadline.
+func writeResponse(w http.ResponseWriter, req *http.Request, deadline time.Time, r *Result) {
+	if r.Length < 0 || r.Length > maxBufferedResponse {
+		control := http.NewResponseController(w)
+		if control.SetWriteDeadline(deadline.Add(lateWriteTime)) == nil {
+			// The connection may carry further requests.
+			defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+		}
+	}
 	header := w.Header()
 	for name, values := range upstream.EndToEndHeader(r.Header) {
 		header[name] = values
