--- a/ctl/soak/deployment_test.go
+++ b/ctl/soak/deployment_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -27,9 +28,17 @@
 // and are executed late.
 const lateCommandShare = 0.1
 
-// deploymentOptions configure a deployment. All but keysByCommand are required.
+// defaultSlots is the number of slots of a server.
+const defaultSlots = 8
+
+// deploymentOptions configure a deployment. All but keysByCommand, slots and wrapServer are
+// required.
 type deploymentOptions struct {
 	hosts int
+	// slots is the number of slots of each server; 0 means defaultSlots.
+	slots int
+	// wrapServer returns the handler of a server's requests; nil means the server itself.
+	wrapServer func(*standin.Server) http.Handler
 	// keysByCommand is true if keys are granted to the keyed upstreams by commands.
 	keysByCommand bool
 	// services are the services of the upstreams, in turn.
@@ -182,7 +191,7 @@
 	h.incarnations++
 	instance := fmt.Sprintf("i-%s-%d", h.name, h.incarnations)
 	s := standin.NewServer(standin.ServerOptions{
-		Instance: instance, Service: h.service, Slots: 8, Control: h.control,
+		Instance: instance, Service: h.service, Slots: cmp.Or(h.deployment.opts.slots, defaultSlots), Control: h.control,
 		HeartbeatInterval: 300 * time.Millisecond, WorkTime: h.deployment.opts.workTime, Keyed: h.service == keyedService, Ledger: h.deployment.ledger,
 		KeysByCommand: h.service == keyedService && h.deployment.opts.keysByCommand, LateCommands: lateCommandShare,
 	})
@@ -195,6 +204,9 @@
 		return
 	}
 	web := &http.Server{Handler: s}
+	if wrap := h.deployment.opts.wrapServer; wrap != nil {
+		web.Handler = wrap(s)
+	}
 	go func() { _ = web.Serve(l) }() // returns after Close
 	ctx, cancel := context.WithCancel(context.Background())
 	h.server = &server{Server: s, instance: instance, stop: func() {
