Soak: seed 9202 is a regression case now

Its cause is fixed since (a restarted router no longer counts the time to drain anew).

The case in TestRegressions runs with the defaults of the soak (10 s, 6 hosts).

--- a/ctl/soak/soak_test.go
+++ b/ctl/soak/soak_test.go
@@ -64,7 +64,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{9202, "a restarted router counted the time to drain anew, while the store came back from an older copy"},
+}
 
 // Guards, under random faults of processes, connections and the store, which also comes back
 // from older copies, against work
