Let a notice without a start withdraw one incarnation only

Cause: a notice that tells only the id was kept by the id, also when it had withdrawn the current incarnation.

Change: a notice is bound to the incarnation that it first withdraws.

--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -166,9 +166,13 @@
 func (u *localUpstream) withdraw(now time.Time, w Withdrawal) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.withdrawals.add(acceptedWithdrawal{Withdrawal: w, at: now})
 	s := &u.state
-	if !s.known || !w.concerns(s.incarnation()) {
+	current := s.known && w.concerns(s.incarnation())
+	if current {
+		w.Started = s.holder.Started
+	}
+	u.withdrawals.add(acceptedWithdrawal{Withdrawal: w, at: now})
+	if !current {
 		return false
 	}
 	s.leave(now)
--- a/router/sidecar/withdrawal.go
+++ b/router/sidecar/withdrawal.go
@@ -55,15 +55,17 @@
 }
 
 // apply records the notices that the incarnation leaves, if there are any. A notice that does
-// not tell the start is about an incarnation that started before it; a later one under the
-// same id is another.
+// not tell the start is about an incarnation that started before it, and about the first such
+// one only; a later one under the same id is another.
 func (ws withdrawals) apply(now time.Time, s *upstreamState) {
 	of := s.incarnation()
-	for _, w := range ws {
+	for i := range ws {
+		w := &ws[i]
 		startedBefore := of.Started <= w.at.Add(maxClockStep).UnixMilli()
 		if !w.concerns(of) || (w.Started == 0 && !startedBefore) || now.Sub(w.at) > withdrawalMemory {
 			continue
 		}
+		w.Started = of.Started
 		if w.earlier {
 			s.leaveEarlier(w.at)
 			continue
--- a/router/sidecar/withdrawal_test.go
+++ b/router/sidecar/withdrawal_test.go
@@ -59,6 +59,36 @@
 	}
 }
 
+// Guards against an upstream that gets no requests because the incarnation before it, under
+// the same id, gave notice shortly before it started and did not tell its own start.
+func TestNoticeWithdrawsOneIncarnation(t *testing.T) {
+	notice := time.UnixMilli(1_000_000)
+	earlier := Heartbeat{Instance: "a", Started: notice.Add(-time.Minute).UnixMilli(), Sequence: 9}
+	next := Heartbeat{Instance: "a", Started: notice.Add(maxClockStep / 2).UnixMilli(), Sequence: 1}
+	for name, play := range map[string]func(u *localUpstream){
+		"known when it gives notice": func(u *localUpstream) {
+			u.recordHeartbeat(notice, earlier)
+			u.withdraw(notice, Withdrawal{Instance: "a"})
+		},
+		"known afterwards": func(u *localUpstream) {
+			u.withdraw(notice, Withdrawal{Instance: "a"})
+			u.recordHeartbeat(notice, earlier)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := &localUpstream{host: "h", heartbeatInterval: testBeat}
+			play(u)
+			if !u.get().withdrawn {
+				t.Error("the incarnation that gave notice is not withdrawn")
+			}
+			s, verdict, _ := u.recordHeartbeat(notice.Add(maxClockStep), next)
+			if verdict != heartbeatCurrent || s.withdrawn || !s.leavingSince.IsZero() {
+				t.Errorf("the next incarnation was taken for %d, withdrawn %v, leaving since %v", verdict, s.withdrawn, s.leavingSince)
+			}
+		})
+	}
+}
+
 // Guards against notices that use more and more memory, and against a flood of them that
 // pushes out nothing but the oldest.
 func TestKeptNoticesAreBounded(t *testing.T) {
