Tolerate a clock that is slightly ahead when an upstream starts

Cause: an incarnation whose start is in the future by this process's clock needed proof that it is the later one. The upstream reads its start from another clock, so a lag of milliseconds delayed a restarted upstream by one or two heartbeats.

Change: a start up to 1 s ahead counts as now.

Measured: the new step of TestHeartbeatsOfEarlierIncarnationsAreIgnored fails before.

--- a/router/sidecar/incarnation.go
+++ b/router/sidecar/incarnation.go
@@ -7,9 +7,14 @@
 	"burdockglade.dev/router/keyrange"
 )
 
-// maxPastIncarnations bounds the incarnations that are remembered after others have replaced
-// them.
-const maxPastIncarnations = 8
+const (
+	// maxPastIncarnations bounds the incarnations that are remembered after others have
+	// replaced them.
+	maxPastIncarnations = 8
+	// maxClockSkew is how far the clock from which an upstream reads its start may be ahead of
+	// this process's.
+	maxClockSkew = time.Second
+)
 
 // challenger is an incarnation whose heartbeats arrive while another one is current: a later
 // one whose start does not show it, because the time of day has stepped, or an earlier one
@@ -34,7 +39,7 @@
 	if before != nil && sequence <= before.sequence {
 		return false
 	}
-	startedLater := holder.Started > u.state.lastHeartbeat.UnixMilli() && holder.Started <= now.UnixMilli()
+	startedLater := holder.Started > u.state.lastHeartbeat.UnixMilli() && holder.Started <= now.Add(maxClockSkew).UnixMilli()
 	if before == nil && startedLater {
 		return true
 	}
--- a/router/sidecar/incarnation_test.go
+++ b/router/sidecar/incarnation_test.go
@@ -49,6 +49,8 @@
 		{at: 4700, instance: "a", started: 900, sequence: 5, want: heartbeatUnproven},
 		{at: 5600, instance: "b", started: 4500, sequence: 2, want: heartbeatCurrent},
 		{at: 5700, instance: "a", started: 900, sequence: 6, want: heartbeatUnproven},
+		// Its clock is ahead by less than maxClockSkew.
+		{at: 6500, instance: "c", started: 6900, sequence: 1, want: heartbeatCurrent},
 	})
 	if u.withdraw(time.UnixMilli(5800), Withdrawal{Instance: "a"}) {
 		t.Error("the notice of an earlier incarnation was accepted")
