Keep the context of a pipelined request until its response is passed on

Cause: the goroutine that runs a request before its turn released the context of the request as soon as the head of the response was there; the rest of the response is read on a connection that is closed with this context. Now the context ends when the response has been passed on or dropped.

--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -193,7 +193,6 @@
 	pipelined := &pipelinedRequest{id: c.RequestID, request: req, done: done, cancel: cancel}
 	go func() {
 		defer close(done)
-		defer stopTimer()
 		defer func() {
 			if v := recover(); v != nil {
 				logPanic(e.log, c.RequestID, v)
@@ -203,6 +202,7 @@
 		pipelined.result = e.tryHosts(ctx, c, route)
 	}()
 	pipelined.respond = func(w http.ResponseWriter, req *http.Request) {
+		defer stopTimer() // not before: a long response is still being read from its host
 		e.respond(w, req, table, route, c, pipelined.result, start)
 	}
 	return pipelined
