Check the configuration at shares of the time that a change may take

The ages are now shares of [terms] config_ms (default 2000, which gives the ages of before), so that a deployment that allows 3 s checks at 1.2 to 1.65 s. Not measured yet.

--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -14,14 +14,23 @@
 // the newest in the store, and check with the store when the age gets too high. They tell
 // each other the age together with the version, so that in a fleet with requests the check
 // of one host serves all. If no other host responds, a change is in force after
-// maxCheckAge and one call.
+// maxCheckAge and one call. The ages are shares of the time within which a change must be
+// in force, because each check costs a call to the store.
 const (
 	// firstHostCheckAge is the age at which the first host of the fleet checks.
-	firstHostCheckAge = 500 * time.Millisecond
+	firstHostCheckAge = 0.25
 	// minCheckAge and maxCheckAge bound the age at which any other host checks. The
 	// age is random, because all hosts reach it together when the first one fails.
-	minCheckAge = 800 * time.Millisecond
-	maxCheckAge = 1100 * time.Millisecond
+	minCheckAge = 0.4
+	maxCheckAge = 0.55
+)
+
+// shareOf returns the share of the time bound.
+func shareOf(bound time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(bound))
+}
+
+const (
 	// minCheckBackoff is the delay after a check that failed. It doubles up to
 	// maxCheckBackoff.
 	minCheckBackoff = 100 * time.Millisecond
@@ -33,6 +42,9 @@
 
 // checkSchedule decides when a host checks that its configuration is the newest.
 type checkSchedule struct {
+	// bound is the time within which a change must be in force.
+	bound time.Duration
+
 	mu sync.Mutex
 	// age is the age at which the next check is due.
 	age time.Duration
@@ -49,10 +61,10 @@
 func (s *checkSchedule) delay(now, confirmedAt time.Time, firstHost bool) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	age := firstHostCheckAge
+	age := shareOf(s.bound, firstHostCheckAge)
 	if !firstHost {
 		if s.age == 0 {
-			s.age = minCheckAge + rand.N(maxCheckAge-minCheckAge)
+			s.age = shareOf(s.bound, minCheckAge) + rand.N(shareOf(s.bound, maxCheckAge-minCheckAge))
 		}
 		age = s.age
 	}
--- a/router/sidecar/configcheck_test.go
+++ b/router/sidecar/configcheck_test.go
@@ -13,6 +13,9 @@
 	"burdockglade.dev/router/rowstore"
 )
 
+// testConfigBound is the default time within which a change must be in force.
+const testConfigBound = 2 * time.Second
+
 // countingStore counts the checks that a store receives.
 type countingStore struct {
 	rowstore.Store
@@ -36,7 +39,7 @@
 			f.CheckStore = counted
 		})
 		h.fleet.Put(fleet.Member{Host: "a0", Zone: "z1", Region: "r1", Service: "plain", Address: "127.0.0.1:1", State: fleet.Ready})
-		time.Sleep(maxCheckAge)
+		time.Sleep(shareOf(testConfigBound, maxCheckAge))
 		before := counted.checks.Load()
 		for range 100 {
 			h.exchange.observe(peerConfig{Version: 1, Age: 300 * time.Millisecond, AgeKnown: true}, time.Now(), nil)
@@ -78,7 +81,7 @@
 // Guards against checks without a delay while the store does not respond, and against a
 // backoff that outlasts the limit for a change.
 func TestFailedChecksBackOff(t *testing.T) {
-	var s checkSchedule
+	s := checkSchedule{bound: testConfigBound}
 	now := time.Now()
 	confirmedAt := now.Add(-time.Hour)
 	for range 20 {
@@ -90,13 +93,13 @@
 		now = now.Add(delay)
 	}
 	s.record(now, now, false)
-	if delay := s.delay(now, confirmedAt, true); delay != firstHostCheckAge {
+	if delay := s.delay(now, confirmedAt, true); delay != shareOf(testConfigBound, firstHostCheckAge) {
 		t.Errorf("the next check of a configuration that none confirms is after %v", delay)
 	}
-	if delay := s.delay(now, now, true); delay != firstHostCheckAge {
-		t.Errorf("the first host checks after %v, want %v", delay, firstHostCheckAge)
+	if delay := s.delay(now, now, true); delay != shareOf(testConfigBound, firstHostCheckAge) {
+		t.Errorf("the first host checks after %v, want %v", delay, shareOf(testConfigBound, firstHostCheckAge))
 	}
-	if delay := s.delay(now, now, false); delay < minCheckAge || delay >= maxCheckAge {
+	if delay := s.delay(now, now, false); delay < shareOf(testConfigBound, minCheckAge) || delay >= shareOf(testConfigBound, maxCheckAge) {
 		t.Errorf("another host checks after %v", delay)
 	}
 }
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -71,6 +71,9 @@
 	// DrainMs is the time after which an upstream that has announced that it leaves must
 	// not get new requests. Default 2000.
 	DrainMs int `ini:"drain_ms"`
+	// ConfigMs is the time after which a changed configuration must be in force on all
+	// hosts. Default 2000.
+	ConfigMs int `ini:"config_ms"`
 	// GraceMs is the time from SIGTERM until the process is killed. Default
 	// 6000.
 	GraceMs int `ini:"grace_ms"`
@@ -96,7 +99,7 @@
 	return Settings{
 		Upstream: UpstreamSettings{HeartbeatMs: 1000},
 		Terms: TermSettings{
-			DrainMs: 2000, GraceMs: 6000, HoldMaxMs: 10000,
+			DrainMs: 2000, ConfigMs: 2000, GraceMs: 6000, HoldMaxMs: 10000,
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindowMs: 10000,
 		},
 		Log: LogSettings{Level: "info"},
@@ -168,6 +171,7 @@
 	}{
 		{"upstream.heartbeat_ms", s.Upstream.HeartbeatMs},
 		{"terms.drain_ms", s.Terms.DrainMs},
+		{"terms.config_ms", s.Terms.ConfigMs},
 		{"terms.grace_ms", s.Terms.GraceMs},
 		{"terms.hold_max_ms", s.Terms.HoldMaxMs},
 		{"terms.retry_window_ms", s.Terms.RetryWindowMs},
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -103,14 +103,15 @@
 	}
 	host := opts.Settings.Host
 	s := &Sidecar{
-		opts:      opts,
-		settings:  opts.Settings,
-		log:       opts.Log,
-		fleet:     fleet.NewDirectory(host.Zone, host.Region, newHopClient),
-		index:     newKeyIndex(),
-		callers:   newCallerConns(),
-		createdAt: boottime.Now(),
-		local:     &localUpstream{host: host.Name, heartbeatInterval: millis(opts.Settings.Upstream.HeartbeatMs)},
+		opts:         opts,
+		settings:     opts.Settings,
+		log:          opts.Log,
+		fleet:        fleet.NewDirectory(host.Zone, host.Region, newHopClient),
+		index:        newKeyIndex(),
+		callers:      newCallerConns(),
+		createdAt:    boottime.Now(),
+		configChecks: checkSchedule{bound: millis(opts.Settings.Terms.ConfigMs)},
+		local:        &localUpstream{host: host.Name, heartbeatInterval: millis(opts.Settings.Upstream.HeartbeatMs)},
 	}
 	s.scope = opts.Metrics.SubScope("entry")
 	s.buildStore()
