--- a/router/vhost/vhost.go
+++ b/router/vhost/vhost.go
@@ -33,8 +33,14 @@
 	// Priority is the priority of the route's requests; 0 is the highest.
 	Priority int
 	Clusters []Cluster
-	// Unreadable names the fields that could not be decoded and were left out. They do
-	// not decide where requests go.
+	// AllowedRegions are the regions in which requests of the route may run; empty for
+	// any region.
+	AllowedRegions []string
+	// RegionsUnreadable is true if the regions could not be decoded. The requests must
+	// then run nowhere, because the operator meant to restrict them.
+	RegionsUnreadable bool
+	// Unreadable names the fields that could not be decoded and were left out. Apart from
+	// the allowed regions they do not decide where requests go.
 	Unreadable []string
 }
 
@@ -75,6 +81,8 @@
 	config   Config
 	byHost   map[string][]*Route
 	services map[string]*Service
+	// restricted is true if any route has allowed regions.
+	restricted bool
 }
 
 // NewTable validates the configuration and indexes it.
@@ -96,6 +104,7 @@
 		}
 		routeNames[routeKey{host, r.Prefix}] = r.Name
 		t.byHost[host] = append(t.byHost[host], r)
+		t.restricted = t.restricted || r.RegionsUnreadable || len(r.AllowedRegions) > 0
 	}
 	return t, nil
 }
@@ -147,6 +156,16 @@
 	return t.config.Services
 }
 
+// Routes returns all routes.
+func (t *Table) Routes() []Route {
+	return t.config.Routes
+}
+
+// Restricted reports whether any route has allowed regions.
+func (t *Table) Restricted() bool {
+	return t.restricted
+}
+
 // Route returns the route of the host with the longest prefix of path, or nil.
 func (t *Table) Route(host, path string) *Route {
 	host = strings.ToLower(host)
