Keep requests and keys in the allowed regions of their routes

Cause: hosts were chosen by load and distance alone, so that a route could not be confined to regions.

Change: the sender chooses among hosts in the allowed regions only, also for the holders of keys and the holder that a refusing host names. The gate looks the route up in its own configuration and refuses what it does not allow, because the sender may have an older one; the sender then avoids that region for the call. Keys of a service are assigned to hosts in the regions that all its routes allow, and move out of others; without an eligible host there, to any host. The order in which hosts take over free ranges counts all ready hosts, because hosts that may hold no keys would otherwise all act at once. The error kind region_unavailable travels between routers as no_owner with the field Burdock-Kind, because earlier versions take an unknown kind for an unknown outcome.

Deployments without allowed regions take the former path: one pointer and one flag are read for each check.

Ruled out: configuration version in the request head (earlier routers reject it).

Measured: go test ./sidecar ./fleet ./vhost ./residency ./internal/catalogue passes.

--- a/router/errkind/errkind.go
+++ b/router/errkind/errkind.go
@@ -42,6 +42,7 @@
 	NoteInvalid       Kind = "note_invalid"
 	NoteConflict      Kind = "note_conflict"
 	Conflict          Kind = "conflict"
+	RegionUnavailable Kind = "region_unavailable"
 	Internal          Kind = "internal"
 )
 
@@ -106,6 +107,7 @@
 	NoteInvalid:       {http.StatusUnprocessableEntity, NotRun, false, 0, "the release note is not valid"},
 	NoteConflict:      {http.StatusConflict, NotRun, false, 0, "another release note was published first"},
 	Conflict:          {http.StatusConflict, NotRun, true, 0, "the state changed at the same time"},
+	RegionUnavailable: {http.StatusServiceUnavailable, NotRun, true, shortDelay, "no host in an allowed region can take the request"},
 	Internal:          {http.StatusInternalServerError, Unknown, false, 0, "internal error"},
 }
 
--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -223,11 +223,21 @@
 // Choose returns the host with the lowest cost among the hosts of the service that
 // accept new requests and are not in exclude, or nil if there is none.
 func (d *Directory) Choose(now time.Time, service string, exclude []*Host) *Host {
+	return d.ChooseAllowed(now, service, exclude, nil)
+}
+
+// ChooseAllowed is Choose among the hosts for whose member data allowed returns true. A nil
+// allowed stands for all hosts.
+func (d *Directory) ChooseAllowed(now time.Time, service string, exclude []*Host, allowed func(Member) bool) *Host {
 	d.mu.RLock()
 	hosts := d.byService[service]
 	views := make([]view, 0, len(hosts))
 	for _, h := range hosts {
-		if v := h.view(now); d.current(now, v.member).State == Ready && !slices.Contains(exclude, h) {
+		v := h.view(now)
+		if allowed != nil && !allowed(v.member) {
+			continue
+		}
+		if d.current(now, v.member).State == Ready && !slices.Contains(exclude, h) {
 			views = append(views, v)
 		}
 	}
--- a/router/internal/catalogue/catalogue.go
+++ b/router/internal/catalogue/catalogue.go
@@ -84,6 +84,7 @@
 	errkind.CallerLeft:        "Nothing; the caller closed its connection.",
 	errkind.PeerUnreachable:   "Retry after the delay. If it persists, check the network to the host.",
 	errkind.PeerRefused:       "Check that all hosts have the same shared secret and version.",
+	errkind.RegionUnavailable: "Retry after the delay. If it persists, compare the allowed regions of the route with the regions of the service's hosts.",
 	errkind.UpstreamRefused:   "Retry after the delay; if it persists, check the upstream.",
 	errkind.UpstreamDown:      "Retry after the delay; if it persists, check the upstream's process.",
 	errkind.FingerprintDiffer: "Use a new idempotency key for each request.",
--- a/router/residency/residency.go
+++ b/router/residency/residency.go
@@ -61,8 +61,7 @@
 
 // KeyHosts returns the hosts that may be assigned keys: those in the regions, or all if
 // there are none. hosts are the eligible hosts of the service; region returns the region
-// of one. confined is false if the hosts are all hosts although the regions are
-// restricted.
+// of one. confined is false if hosts outside the regions are among the result.
 func KeyHosts[H any](regions Regions, hosts []H, region func(H) string) (eligible []H, confined bool) {
 	if regions.All() {
 		return hosts, true
@@ -74,7 +73,7 @@
 		}
 	}
 	if len(inside) == 0 {
-		return hosts, false
+		return hosts, len(hosts) == 0
 	}
 	return inside, true
 }
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -27,7 +27,7 @@
 			r = e.checkTimeLeft(h, c)
 		}
 		if r != nil {
-			if last == nil {
+			if last == nil || explainsBetter(r, last) {
 				last = r
 			}
 			break
@@ -38,6 +38,7 @@
 		c.WaitPolicy = waitPolicy(c, len(tried))
 		last = e.attempt(ctx, h, c)
 		tried = append(tried, h)
+		c.noteRegionRefusal(h, last)
 		if last.Arrived {
 			arrivals++
 		}
@@ -65,11 +66,14 @@
 		// The refusing host may know a newer key map than this one.
 		if last != nil && last.Holder != "" {
 			if h := e.fleet.Host(last.Holder); h != nil && !slices.Contains(tried, h) {
-				return reachableHolder(h, c)
+				return e.usableHolder(h, c)
 			}
 		}
 		return e.chooseHolder(ctx, c, tried)
 	}
+	if allowed := e.regions.filter(c); allowed != nil {
+		return e.chooseAllowed(c, tried, allowed)
+	}
 	h := e.fleet.Choose(time.Now(), c.Service, tried)
 	if h == nil {
 		return nil, errorResult(errkind.NoOwner, "no upstream of %s accepts requests; %d were tried", c.Service, len(tried))
@@ -89,7 +93,7 @@
 	if h == nil {
 		return nil, errorResult(errkind.NoOwner, "key %d of %s is held by host %s, which is not known", c.Key, c.Service, found.Host)
 	}
-	return reachableHolder(h, c)
+	return e.usableHolder(h, c)
 }
 
 // reachableHolder returns the host, or an error result if the host is known to be
@@ -166,7 +170,7 @@
 	if !c.bodySendable() {
 		return false
 	}
-	if c.Keyed && r.notRun() && r.Err.Kind == errkind.Overloaded {
+	if c.Keyed && r.notRun() && (r.Err.Kind == errkind.Overloaded || (r.Err.Kind == errkind.RegionUnavailable && r.Holder == "")) {
 		return false // no other host may serve the key
 	}
 	if !r.Arrived && r.notRun() {
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -48,6 +48,7 @@
 		heartbeatInterval: millis(s.settings.Upstream.HeartbeatMs),
 		keyed:             s.keyed,
 		keysByCommand:     s.keysByCommand,
+		keyRegions:        s.config.keyRegions,
 		stoppingFor:       s.stoppingFor,
 		load:              func() fleet.Load { return s.gate.load() },
 		connect:           func(ctx context.Context) error { return s.gate.client.Probe(ctx) },
@@ -60,11 +61,13 @@
 // buildRequests creates the gate and the entry.
 func (s *Sidecar) buildRequests() {
 	host, terms := s.settings.Host, s.settings.Terms
+	regions := &regionRules{host: host.Name, region: host.Region, config: s.config, log: s.log, scope: s.scope}
 	s.gate = &gate{
 		host: host.Name, headers: s.opts.Headers, local: s.local, keys: s.keys,
 		limiter:     admit.NewPriorityLimiter(nil),
 		log:         s.log,
 		client:      newUpstreamClient(s.settings.Upstream.Address),
+		regions:     regions,
 		drainLimit:  millis(terms.DrainMs) / 2,
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
@@ -78,6 +81,7 @@
 		host: host.Name, headers: s.opts.Headers, config: s.config, exchange: s.exchange, fleet: s.fleet, keys: s.index, gate: s.gate,
 		service:     func() string { return host.Service },
 		budgets:     newBudgets(budget, s.fleet.HostCount),
+		regions:     regions,
 		log:         s.log,
 		metrics:     newEntryMetrics(s.scope),
 		drainLimit:  s.gate.drainLimit,
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -13,6 +13,7 @@
 	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/vhost"
 )
 
 // Headers are the names of the header fields that callers and upstreams use.
@@ -69,6 +70,12 @@
 	// attempts come with shorter deadlines.
 	Objective time.Duration
 	Goal      time.Time
+
+	// route is the route by which the service was chosen; nil at the gate of another host.
+	route *vhost.Route
+	// refusedRegions are the regions whose hosts refused the call because it is not allowed
+	// to run there.
+	refusedRegions []string
 }
 
 // bodySendable reports whether the whole body can be sent in another attempt.
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"testing"
 	"time"
 
+	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/keyrange"
 	"burdockglade.dev/router/metrics"
 	"burdockglade.dev/router/rowstore"
@@ -120,6 +122,12 @@
 	// wrapHop replaces the listeners for other routers of hosts that are added later; nil
 	// leaves them.
 	wrapHop func(net.Listener) net.Listener
+	// region is the region of hosts that are added later, "r1" if it is empty, and decode
+	// decodes their configurations, decodeTestConfig if it is nil.
+	region string
+	decode func([]byte) (vhost.Config, error)
+	// log is the log of hosts that are added later.
+	log *event.Logger
 }
 
 // ports are listeners by address. They are opened when the address is chosen, so that no
@@ -158,7 +166,8 @@
 	return c
 }
 
-// publish stores a configuration; its row holds only the version.
+// publish stores a configuration; its row holds the version and, for each restricted route,
+// its name and its regions: "2 look=r1,r2".
 func (c *cluster) publish(version string) {
 	c.t.Helper()
 	rows, _, err := c.store.List(c.t.Context(), configKey.Table, configKey.Part)
@@ -180,7 +189,8 @@
 // decodeTestConfig returns a configuration with a route for each kind of request. From
 // version 2 on it has an additional route.
 func decodeTestConfig(data []byte) (vhost.Config, error) {
-	version, err := strconv.ParseUint(string(data), 10, 64)
+	text, restrictions, _ := strings.Cut(string(data), " ")
+	version, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
 		return vhost.Config{}, err
 	}
@@ -196,6 +206,14 @@
 	if version > 1 {
 		c.Routes = append(c.Routes, route("new", "plain", true))
 	}
+	for _, restriction := range strings.Fields(restrictions) {
+		name, regions, _ := strings.Cut(restriction, "=")
+		i := slices.IndexFunc(c.Routes, func(r vhost.Route) bool { return r.Name == name })
+		if i < 0 {
+			return vhost.Config{}, fmt.Errorf("no route %q", name)
+		}
+		c.Routes[i].AllowedRegions = strings.Split(regions, ",")
+	}
 	return c, nil
 }
 
@@ -210,7 +228,7 @@
 	u := newTestUpstream(c.t, "i-"+name)
 	p := ports{}
 	settings := DefaultSettings()
-	settings.Host = HostSettings{Name: name, Zone: "z1", Region: "r1", Service: service}
+	settings.Host = HostSettings{Name: name, Zone: "z1", Region: cmp.Or(c.region, "r1"), Service: service}
 	settings.Listen = ListenSettings{Caller: p.address(c.t), Hop: p.address(c.t), Ready: p.address(c.t), Control: p.address(c.t), Metrics: p.address(c.t)}
 	settings.Listen.HopAdvertised = settings.Listen.Hop
 	if c.wrapHop != nil {
@@ -218,11 +236,15 @@
 	}
 	settings.Upstream = UpstreamSettings{Address: u.address(), HeartbeatMs: 100}
 	settings.Terms.GraceMs = 3000
+	decode := c.decode
+	if decode == nil {
+		decode = decodeTestConfig
+	}
 	notFound := func(*Sidecar) http.Handler { return http.NotFoundHandler() }
 	s := New(Options{
 		Settings: settings, Store: store, Headers: testHeaders, Notice: testNotice,
-		Config:  ConfigSource{Key: configKey, Decode: decodeTestConfig},
-		Control: notFound, Ready: notFound, Metrics: metrics.New(), Listen: p.open,
+		Config:  ConfigSource{Key: configKey, Decode: decode},
+		Control: notFound, Ready: notFound, Metrics: metrics.New(), Listen: p.open, Log: c.log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &testHost{Sidecar: s, upstream: u, cancel: cancel, done: make(chan struct{})}
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -39,6 +39,7 @@
 	fleet    *fleet.Directory
 	keys     *keyIndex
 	gate     *gate
+	regions  *regionRules
 	budgets  *budgets
 	maxTimes maxRequestTimes
 	log      *event.Logger
@@ -231,6 +232,7 @@
 		Priority:   route.Priority,
 		Repeatable: route.Repeatable,
 		Objective:  route.TargetLatency,
+		route:      route,
 	}
 	left := c.Deadline.Sub(start)
 	c.Goal = c.Deadline.Add(route.TargetLatency - e.maxTimes.observe(route.Name, left))
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -51,7 +51,7 @@
 	eventPublishFailed = event.Define(1822, log.WarnLevel, "member row not written",
 		"The store did not accept this host's own row; the write is retried.", "See event 1810.")
 	eventRouteUnreadable = event.Define(1823, log.WarnLevel, "fields of a route left out",
-		"Fields of a route cannot be decoded and are left out; the rest of the configuration comes into force. Without a readable type, requests of the route are not repeated.", "Correct the fields in the configuration.")
+		"Fields of a route cannot be decoded and are left out; the rest of the configuration comes into force. Without a readable type, requests of the route are not repeated; without readable regions, they are refused.", "Correct the fields in the configuration.")
 	eventRateLimit = event.Define(1825, log.InfoLevel, "rate limit of the upstream changed",
 		"The local upstream named, changed or no longer names a limit on the requests per second from all hosts. before is the limit that it named last.", "Find out why the upstream is in need; requests above the limit go to other upstreams or are refused.")
 	eventSaysLeaving = event.Define(1826, log.InfoLevel, "upstream says that it leaves",
@@ -94,4 +94,8 @@
 		"A caller closed its connection before it got the response; its request is cancelled.", "none; if it repeats, compare the deadlines of the callers with the field left_ms.")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
+	eventRegionRefused = event.Define(1870, log.InfoLevel, "request refused because of its region",
+		"Another router, or this one, offered the local upstream a request whose route does not allow this region by the configuration in force here. It did not run.", "none; if it repeats for more than 3 s, find out why the sender's configuration is late: event 1812.")
+	eventKeyRegions = event.Define(1871, log.WarnLevel, "regions of keys changed",
+		"If confined is false, the routes of a keyed service have no region in common with an eligible host, so that its keys may be held anywhere, and requests of restricted routes for keys outside their regions are refused. If it is true, the keys move back into the regions.", "If confined is false, check the hosts in the regions and the allowed regions of the routes.")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -46,6 +46,7 @@
 	limiter *admit.PriorityLimiter
 	client  *h1.Client
 	notices *noticeReader
+	regions *regionRules
 	log     *event.Logger
 	// drainLimit is the time, counted from the notice that the upstream leaves, after
 	// which it gets no new request.
@@ -141,6 +142,8 @@
 		return errkind.New(errkind.UpstreamDown, "the upstream of %s has not announced itself", g.host)
 	case s.service != c.Service:
 		return errkind.New(errkind.WrongOwner, "the upstream of %s serves %s, not %s", g.host, s.service, c.Service)
+	case !g.regions.allowedHere(c):
+		return g.regions.refusal(c)
 	case !s.mayTakeRequests(now, g.drainLimit):
 		return errkind.New(errkind.Draining, "the upstream of %s is leaving", g.host)
 	case g.stoppingFor() > unkeyedNoticeTime && !c.Keyed, g.stoppingFor() > drainNoticeTime:
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -139,9 +139,11 @@
 	header := headerFrom(resp.Fields)
 	r.Leaving = decodeLeaving(header.Get(leavingField))
 	header.Del(leavingField)
+	kind := decodeKind(resp.Kind, header.Get(kindField))
+	header.Del(kindField)
 	if resp.Kind != "" {
 		_ = resp.Body.Close()
-		r.Err = errkind.New(errkind.Kind(resp.Kind), "%s", resp.Detail)
+		r.Err = errkind.New(kind, "%s", resp.Detail)
 		r.Err.RetryAfter = time.Duration(resp.RetryMs) * time.Millisecond
 		r.Holder = resp.Holder
 		return r
@@ -271,13 +273,14 @@
 		head.Flags |= hop.Unreachable
 	}
 	if r.Err != nil {
-		head.Kind, head.Detail = string(r.Err.Kind), r.Err.Detail
+		head.Kind, head.Fields = encodeKind(r.Err.Kind)
+		head.Detail = r.Err.Detail
 		head.RetryMs = int(r.Err.RetryAfter.Milliseconds())
 		head.Holder = r.Holder
 	} else {
 		head.Status, head.Length = r.Status, r.Length
 		head.Signature = r.Header.Get(h.headers.Signature)
-		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField)
+		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField, kindField)
 	}
 	if r.Leaving != nil {
 		head.Fields = append(head.Fields, hop.Field{Name: leavingField, Value: encodeLeaving(*r.Leaving)})
@@ -290,6 +293,32 @@
 // with another number of members.
 const leavingField = "Burdock-Leaving"
 
+// kindField is the field of a response between routers that names an error kind which
+// routers of earlier versions do not know. They take an unknown kind for internal, whose
+// outcome is unknown, so that the head names a known one.
+const kindField = "Burdock-Kind"
+
+// earlierKinds maps kinds that routers of earlier versions do not know to known ones with
+// the same status and outcome.
+var earlierKinds = map[errkind.Kind]errkind.Kind{errkind.RegionUnavailable: errkind.NoOwner}
+
+// encodeKind returns the kind for the head of a response and its further fields.
+func encodeKind(kind errkind.Kind) (inHead string, fields []hop.Field) {
+	if earlier, ok := earlierKinds[kind]; ok {
+		return string(earlier), []hop.Field{{Name: kindField, Value: string(kind)}}
+	}
+	return string(kind), nil
+}
+
+// decodeKind returns the kind of a response with the kind in its head and the value of
+// kindField, which is empty if there is none.
+func decodeKind(inHead, named string) errkind.Kind {
+	if kind := errkind.Kind(named); earlierKinds[kind] != "" {
+		return kind
+	}
+	return errkind.Kind(inHead)
+}
+
 func encodeLeaving(of fleet.Incarnation) string {
 	return strconv.FormatInt(of.Started, 10) + " " + of.Instance
 }
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -12,6 +12,7 @@
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/keyrange"
+	"burdockglade.dev/router/residency"
 	"burdockglade.dev/router/rowstore"
 )
 
@@ -105,6 +106,9 @@
 	keyed func(service string) bool
 	// keysByCommand reports whether the keys of a service are granted by commands.
 	keysByCommand func(service string) bool
+	// keyRegions returns the regions in which the keys of a service belong. Nil stands for
+	// all regions.
+	keyRegions func(service string) residency.Regions
 	// load returns the load of the local upstream.
 	load func() fleet.Load
 	// connect opens and closes a connection to the local upstream.
@@ -145,7 +149,9 @@
 	// suspicion measures how long a holder of keys has been unreachable.
 	suspicion   keyrange.ConditionTimer
 	lastMembers []string
-	lastMove    boottime.Time
+	// outsideRegions is true while no eligible host is in the regions of the keys.
+	outsideRegions bool
+	lastMove       boottime.Time
 }
 
 func (d *keyDriver) wake() {
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -26,7 +26,7 @@
 
 // plan returns the next change of the key map.
 func (d *keyDriver) plan(now boottime.Time, s upstreamState, m *keyrange.Map) mapChange {
-	members := d.eligibleMembers(s.service, now)
+	ready, members := d.placement(s.service, now)
 	if len(m.Ranges) == 0 {
 		return d.planInitial(now, members)
 	}
@@ -48,11 +48,14 @@
 	case s.leavingSince.IsZero():
 		record(next.ReassignIncarnation(s.holder), "new incarnation of the upstream")
 		record(next.CancelMoves(d.host, others), "next holder has left")
+		if !isHostOf(d.host, members) && isHostOf(d.host, ready) {
+			record(next.Evacuate(d.host, d.reachable(others)), "region not allowed")
+		}
 		record(d.regenerateRefused(next, s), "the upstream has seen a higher generation")
 	default:
 		record(next.Evacuate(d.host, d.reachable(others)), "upstream leaves")
 	}
-	record(d.takeOverLapsed(now, s.service, next, members, c.lapsed), "lease lapsed")
+	record(d.takeOverLapsed(now, s.service, next, slices.Index(hostNames(ready), d.host), members, c.lapsed), "lease lapsed")
 	if !changed {
 		if moved := d.rebalance(now, next, s, members); moved {
 			changed, c.reason = true, "load"
@@ -92,9 +95,8 @@
 	return names
 }
 
-// eligibleMembers returns the upstreams that may be assigned keys: those that are ready
-// and whose host has not failed.
-func (d *keyDriver) eligibleMembers(service string, now boottime.Time) []keyrange.Member {
+// readyMembers returns the upstreams that are ready and whose host has not failed.
+func (d *keyDriver) readyMembers(service string, now boottime.Time) []keyrange.Member {
 	var members []keyrange.Member
 	for _, m := range d.fleet.Members(service) {
 		if m.State != fleet.Ready || d.hostFailed(now, service, m.Host) {
@@ -160,10 +162,11 @@
 }
 
 // takeOverLapsed frees the ranges of hosts whose leases have lapsed and assigns ranges
-// without a holder to members. The hosts of the service act one after another. Before its
+// without a holder to members. The ready hosts of the service act one after another in the
+// order of rank, also those that may hold no keys. Before its
 // turn a host must not free ranges, because other changes of the same map are committed
 // without conditions on the lapsed leases.
-func (d *keyDriver) takeOverLapsed(now boottime.Time, service string, next *keyrange.Map, members []keyrange.Member, lapsed map[string]int64) bool {
+func (d *keyDriver) takeOverLapsed(now boottime.Time, service string, next *keyrange.Map, rank int, members []keyrange.Member, lapsed map[string]int64) bool {
 	var hosts []string
 	for host := range next.CountByHost() {
 		if host != d.host && d.hostFailed(now, service, host) && next.HasHolder(host) {
@@ -175,7 +178,7 @@
 		d.takeoverWait.Reset()
 		return false
 	}
-	if !d.takeoverWait.Elapsed(now, takeoverDelay(slices.Index(hostNames(members), d.host))) {
+	if !d.takeoverWait.Elapsed(now, takeoverDelay(rank)) {
 		return false
 	}
 	for _, host := range hosts {
--- a/router/sidecar/keyrecovery.go
+++ b/router/sidecar/keyrecovery.go
@@ -28,7 +28,7 @@
 // ranges ends the claims, once they cover all keys or no lease of the era before can be
 // valid any more; then the map is made from the claims.
 func (d *keyDriver) planRecovery(now boottime.Time, service string, m *keyrange.Map, version int64) mapChange {
-	rank := slices.Index(hostNames(d.eligibleMembers(service, now)), d.host)
+	rank := slices.Index(hostNames(d.readyMembers(service, now)), d.host)
 	if rank < 0 {
 		return mapChange{}
 	}
