Test the probes of a lost region and the sender's check of holders

Two mutations survived the tests: a sender that does not check the region of a key's holder (the gate refused instead), and one that offers each request to a lost region. Tests cover both now.

--- a/router/residency/residency_test.go
+++ b/router/residency/residency_test.go
@@ -35,7 +35,8 @@
 }
 
 // Guards against keys at hosts where a route's requests must not run although another host
-// could hold them, and against keys without a holder when no host is allowed.
+// could hold them, against keys without a holder when no host is allowed, and against a
+// configuration in force that the computation changes.
 func TestKeyHosts(t *testing.T) {
 	unreadable := route("s", 1)
 	unreadable.RegionsUnreadable = true
@@ -54,18 +55,13 @@
 		"route without weight": {[]vhost.Route{route("s", 0, "a")}, hosts, true},
 		"unreadable regions":   {[]vhost.Route{unreadable, route("s", 1, "b")}, []string{"b1"}, true},
 	} {
+		before := slices.Clone(c.routes[0].AllowedRegions)
 		got, confined := KeyHosts(KeyRegions(c.routes, "s"), hosts, func(h string) string { return h[:1] })
 		if !slices.Equal(got, c.want) || confined != c.confined {
 			t.Errorf("%s: hosts %v, confined %v; want %v, %v", name, got, confined, c.want, c.confined)
 		}
-	}
-}
-
-// Guards against a configuration in force that the computation of the regions changes.
-func TestKeyRegionsLeavesRoutesUnchanged(t *testing.T) {
-	routes := []vhost.Route{route("s", 1, "a", "b"), route("s", 1, "b")}
-	KeyRegions(routes, "s")
-	if !slices.Equal(routes[0].AllowedRegions, []string{"a", "b"}) {
-		t.Errorf("regions %v", routes[0].AllowedRegions)
+		if !slices.Equal(before, c.routes[0].AllowedRegions) {
+			t.Errorf("%s: the regions of a route became %v", name, c.routes[0].AllowedRegions)
+		}
 	}
 }
--- a/router/sidecar/regions_test.go
+++ b/router/sidecar/regions_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -119,7 +121,7 @@
 // unheld keys or requests that run when no host is allowed.
 func TestKeysMoveWithAllowedRegions(t *testing.T) {
 	t.Parallel()
-	c, _ := newRegionCluster(t, "keyed r1", "keyed r2")
+	c, refusals := newRegionCluster(t, "keyed r1", "keyed r2")
 	held := func(i int) int { return len(c.hosts[i].upstream.heldGrants()) }
 	c.eventually("all keys are held", func() bool { return held(0) > 0 && held(0)+held(1) == 2*maxInitialRangesPerMember })
 	for version, to := range []int{2: 1, 3: 0} {
@@ -141,6 +143,9 @@
 	if got := c.hosts[1].request(t, "GET", "/keys/x", "again", "", "Key", "7"); got.status != 200 {
 		t.Errorf("region added: got %d %s", got.status, got.body)
 	}
+	if n := refusals.Load(); n != 0 {
+		t.Errorf("%d requests were sent to a holder that must not run them", n)
+	}
 }
 
 // Guards against keys without a holder after the loss of the only region in which they may
@@ -167,6 +172,23 @@
 	}
 }
 
+// Guards against requests that each wait for a time-out after the loss of their only region.
+func TestLostRegionGetsOnlyProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &entry{fleet: fleet.NewDirectory("z1", "r1", newHopClient)}
+		e.fleet.Put(fleet.Member{Host: "lost", Service: "s", Region: "r2", Address: "lost:1", State: fleet.Ready})
+		lost := e.fleet.Host("lost")
+		lost.RequestStarted()
+		lost.RequestDone(time.Now(), fleet.Result{})
+		for i, want := range []*fleet.Host{lost, nil, nil} {
+			h, r := e.chooseAllowed(&Call{Service: "s"}, nil, func(fleet.Member) bool { return true })
+			if h != want || (h == nil && r.Err.Kind != errkind.RegionUnavailable) {
+				t.Errorf("choice %d: %v, %+v", i, h, r)
+			}
+		}
+	})
+}
+
 // Guards against a refusal that routers of earlier versions take for an unknown outcome.
 func TestRegionRefusalIsKnownToEarlierVersions(t *testing.T) {
 	h := &hopHandler{config: &currentConfig{}}
