Divide the keys of a new era for all hosts, also those outside the regions

Cause: the width of the ranges that nobody claims was taken from the hosts that may hold keys. Where these have no lease yet in the new era, the rest of the key space would become one range. Change: all ready hosts with a lease count for the width; only hosts in the regions get the ranges. Without allowed regions nothing changes. No test of its own: not covered is a recovery in which the hosts of the regions lack a lease.

--- a/router/sidecar/keyrecovery.go
+++ b/router/sidecar/keyrecovery.go
@@ -64,10 +64,13 @@
 // hosts that have a lease in this era. A member row of the store's copy may be that of a
 // host that has left since.
 func (d *keyDriver) recoveredMap(now boottime.Time, service string, generation uint64, claims []keyrange.Claims) *keyrange.Map {
-	members := slices.DeleteFunc(d.eligibleMembers(service, now), func(m keyrange.Member) bool { return d.leaseWatch.Version(m.Host) == 0 })
-	width := (keyrange.MaxKey + 1) / max(len(members)*initialRangesPerMember(max(len(members), 1)), 1)
+	ready, eligible := d.placement(service, now)
+	hasNoLease := func(m keyrange.Member) bool { return d.leaseWatch.Version(m.Host) == 0 }
+	// The width counts all hosts: those in the regions of the keys may have no lease yet.
+	n := len(slices.DeleteFunc(slices.Clone(ready), hasNoLease))
+	width := (keyrange.MaxKey + 1) / max(n*initialRangesPerMember(max(n, 1)), 1)
 	next := keyrange.NewMapFromClaims(generation, claims, width)
-	next.AssignFree(members)
+	next.AssignFree(slices.DeleteFunc(slices.Clone(eligible), hasNoLease))
 	return next
 }
 
