Evacuate zones in the sidecar

Senders do not choose hosts of evacuated zones, the gate of such a host refuses, and its keys move to the members with the most spare capacity, busy ranges first. The set comes from the rows of the configuration's table and from the field Burdock-Evacuated of responses and polls; it is merged before a response confirms the configuration, so that checks of the store stay as rare as before. Hosts without the decoder Options.EvacuatedZone are unaffected.

--- a/router/evacuation/set.go
+++ b/router/evacuation/set.go
@@ -216,6 +216,11 @@
 	return v.evacuated
 }
 
+// Empty reports whether no zone is evacuated or was evacuated lately.
+func (v *View) Empty() bool {
+	return len(v.zones) == 0
+}
+
 // Evacuated reports whether the zone is evacuated.
 func (v *View) Evacuated(name string) bool {
 	return v.evacuated > 0 && v.zones[name].evacuated
--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -43,12 +43,20 @@
 	reassigned map[string]bool
 	// leaving holds the notices of upstreams that leave, by host, oldest first.
 	leaving map[string][]leaving
+	// evacuated reports whether a zone is evacuated, so that its hosts get no requests.
+	evacuated func(zone string) bool
 }
 
 // NewDirectory returns an empty directory for a host in the zone and region.
 // dial returns the client for a host's address.
 func NewDirectory(zone, region string, dial func(address string) *hop.Client) *Directory {
-	return &Directory{zone: zone, region: region, dial: dial, hosts: map[string]*Host{}, byService: map[string][]*Host{}, leaving: map[string][]leaving{}}
+	return &Directory{zone: zone, region: region, dial: dial, hosts: map[string]*Host{}, byService: map[string][]*Host{}, leaving: map[string][]leaving{}, evacuated: func(string) bool { return false }}
+}
+
+// SetEvacuated sets the function that reports whether a zone is evacuated. It must be
+// called before the directory is used.
+func (d *Directory) SetEvacuated(evacuated func(zone string) bool) {
+	d.evacuated = evacuated
 }
 
 // Put adds or updates a host that is known to exist regardless of its row, such as
@@ -221,13 +229,14 @@
 }
 
 // Choose returns the host with the lowest cost among the hosts of the service that
-// accept new requests and are not in exclude, or nil if there is none.
+// accept new requests, are in no evacuated zone and are not in exclude, or nil if there is
+// none.
 func (d *Directory) Choose(now time.Time, service string, exclude []*Host) *Host {
 	d.mu.RLock()
 	hosts := d.byService[service]
 	views := make([]view, 0, len(hosts))
 	for _, h := range hosts {
-		if v := h.view(now); d.current(now, v.member).State == Ready && !slices.Contains(exclude, h) {
+		if v := h.view(now); d.current(now, v.member).State == Ready && !slices.Contains(exclude, h) && !d.evacuated(v.member.Zone) {
 			views = append(views, v)
 		}
 	}
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -251,6 +251,13 @@
 	return unreported
 }
 
+// Position returns the version up to which all changes have been reported.
+func (f *Follower) Position() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position
+}
+
 // delayAfterChange waits for BatchDelay if the last watch returned rows.
 func (f *Follower) delayAfterChange(ctx context.Context) {
 	if f.changed && f.BatchDelay != nil {
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -81,6 +81,9 @@
 // being moved, it waits for the next holder.
 func (e *entry) chooseHolder(ctx context.Context, c *Call, tried []*fleet.Host) (*fleet.Host, *Result) {
 	wait := min(time.Until(c.Deadline), c.Objective) / moveWaitDivisor
+	if e.allEvacuated(c.Service) {
+		wait = 0
+	}
 	found := e.keys.lookupHolder(ctx, c.Service, c.Key, wait, len(tried) > 0)
 	if found.Host == "" {
 		return nil, errorResult(errkind.NoOwner, "key %d of %s has no holder in map version %d", c.Key, c.Service, found.Version)
@@ -128,12 +131,16 @@
 	if e.fleet.LeavingFor(start, h.Member().Host) > e.drainLimit {
 		return errorResult(errkind.Draining, "the upstream of %s has said that it leaves", h.Member().Host)
 	}
+	if err := e.evacuation.checkHost(h.Member().Zone, c); err != nil {
+		return &Result{Err: err, Host: h.Member().Host}
+	}
 	h.RequestStarted()
 	var r *Result
 	if h.Member().Host == e.host {
 		r = e.gate.serve(ctx, c)
 	} else {
 		r = sendHop(ctx, h.Client, e.headers, c)
+		e.evacuation.merge(r.Evacuated, h.Member().Host) // before the configuration counts as confirmed
 		e.exchange.observe(r.Config, start, h.Client)
 	}
 	r.Host = h.Member().Host
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -33,7 +33,7 @@
 	}, refused: func() { s.scope.Counter("config_refusals").Inc(1) }}
 	s.exchange = &configExchange{
 		log: s.log, scope: s.scope, version: s.config.version, confirm: s.config.confirm, storeDeadline: s.storeDeliveryDeadline,
-		fetch: fetchConfig, apply: s.config.applyRow, randomPeer: s.randomPeer, wakeCh: make(chan struct{}, 1),
+		fetch: s.fetchConfig, apply: s.config.applyRow, randomPeer: s.randomPeer, wakeCh: make(chan struct{}, 1),
 	}
 	s.configFollower = s.newConfigFollower()
 }
@@ -42,7 +42,7 @@
 func (s *Sidecar) buildKeys() {
 	terms := s.settings.Terms
 	s.keys = &keyDriver{
-		host: s.settings.Host.Name, store: s.store, eras: s.eras, local: s.local, index: s.index, fleet: s.fleet, log: s.log,
+		host: s.settings.Host.Name, store: s.store, eras: s.eras, local: s.local, index: s.index, fleet: s.fleet, evacuation: s.evacuation, log: s.log,
 		maxHeartbeatHold:  min(heartbeatHold, millis(terms.HoldMaxMs)),
 		maxHold:           millis(terms.HoldMaxMs),
 		heartbeatInterval: millis(s.settings.Upstream.HeartbeatMs),
@@ -61,7 +61,7 @@
 func (s *Sidecar) buildRequests() {
 	host, terms := s.settings.Host, s.settings.Terms
 	s.gate = &gate{
-		host: host.Name, headers: s.opts.Headers, local: s.local, keys: s.keys,
+		host: host.Name, headers: s.opts.Headers, local: s.local, keys: s.keys, evacuation: s.evacuation,
 		limiter:     admit.NewPriorityLimiter(nil),
 		log:         s.log,
 		client:      newUpstreamClient(s.settings.Upstream.Address),
@@ -75,7 +75,7 @@
 	}
 	budget := BudgetLimits{Ratio: terms.RetryRatio, Slack: terms.RetrySlack, Window: millis(terms.RetryWindowMs)}
 	s.entry = &entry{
-		host: host.Name, headers: s.opts.Headers, config: s.config, exchange: s.exchange, fleet: s.fleet, keys: s.index, gate: s.gate,
+		host: host.Name, headers: s.opts.Headers, config: s.config, exchange: s.exchange, fleet: s.fleet, keys: s.index, gate: s.gate, evacuation: s.evacuation,
 		service:     func() string { return host.Service },
 		budgets:     newBudgets(budget, s.fleet.HostCount),
 		log:         s.log,
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -102,6 +102,8 @@
 
 	// Leaving is the life of the host's upstream if that upstream leaves, otherwise nil.
 	Leaving *fleet.Incarnation
+	// Evacuated is the report of the other host on the evacuated zones, or empty.
+	Evacuated string
 
 	// Config is the configuration in force at the other host. Its version is 0 if
 	// unknown.
--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -174,7 +174,7 @@
 // connection to the store, so that failures of other calls do not delay a change.
 func (s *Sidecar) newConfigFollower() *rowstore.Follower {
 	return &rowstore.Follower{
-		Store: s.configFed, Table: s.opts.Config.Key.Table, Changed: s.config.applyRow,
+		Store: s.configFed, Table: s.opts.Config.Key.Table, Changed: s.applyOperatorRow,
 		BatchDelay: s.configPollDelay, Feed: s.feeds[s.opts.Config.Key.Table],
 		UpToDate: s.confirmConfig, CheckStore: s.directStore, CheckDelay: s.configCheckDelay, Checked: s.configChecked,
 		Disconnected: func(error) { s.exchange.setStoreDisconnected(true) },
@@ -190,6 +190,7 @@
 // confirmConfig records that the follower had reported all changes of the configuration
 // that were made before asOf. A host that reads for the zone may itself be behind.
 func (s *Sidecar) confirmConfig(asOf time.Time) {
+	s.evacuation.confirm(s.configFollower.Position())
 	if s.configFed.Direct() {
 		s.config.confirm(s.config.version(), asOf)
 	}
--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -81,6 +81,7 @@
 // configChecked records a check of the configuration.
 func (s *Sidecar) configChecked(asOf time.Time, undelivered int, err error) {
 	if err == nil {
+		s.evacuation.confirm(s.configFollower.Position())
 		s.config.confirm(s.config.version(), asOf)
 	}
 	s.configChecks.record(asOf, time.Now(), err != nil)
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -39,10 +39,12 @@
 	fleet    *fleet.Directory
 	keys     *keyIndex
 	gate     *gate
-	budgets  *budgets
-	maxTimes maxRequestTimes
-	log      *event.Logger
-	metrics  *entryMetrics
+	// evacuation is nil if zones cannot be evacuated.
+	evacuation *zoneEvacuation
+	budgets    *budgets
+	maxTimes   maxRequestTimes
+	log        *event.Logger
+	metrics    *entryMetrics
 	// drainLimit is the time, counted from the notice that an upstream leaves, after which
 	// it gets no new request from this host.
 	drainLimit time.Duration
@@ -98,7 +100,7 @@
 // lookup returns the configuration in force, or nil, and its route for the request.
 func (e *entry) lookup(req *http.Request) (*vhost.Table, *vhost.Route, *errkind.Error) {
 	table := e.config.table.Load()
-	if table == nil {
+	if table == nil || !e.evacuation.ready() {
 		return nil, nil, errkind.New(errkind.NotReady, "no configuration yet")
 	}
 	route := table.Route(req.Host, req.URL.Path)
--- /dev/null
+++ b/router/sidecar/evacuation.go
@@ -0,0 +1,298 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"burdockglade.dev/router/boottime"
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/evacuation"
+	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/hop"
+	"burdockglade.dev/router/keyrange"
+	"burdockglade.dev/router/rowstore"
+)
+
+// evacuatedField is the field of a response between routers that names the evacuated
+// zones. Routers of earlier versions ignore it.
+const evacuatedField = "Burdock-Evacuated"
+
+// evacuationUnknown stands for the report of a host that does not know which zones are
+// evacuated.
+const evacuationUnknown = "-"
+
+// badReportInterval is the shortest time between log lines about malformed reports, which
+// could otherwise come with each response.
+const badReportInterval = time.Minute
+
+// zoneEvacuation holds the evacuated zones. A nil zoneEvacuation belongs to a deployment
+// whose zones cannot be evacuated. It is safe for concurrent use.
+type zoneEvacuation struct {
+	// ownZone is the zone of this host.
+	ownZone string
+	// decode returns the zone that the row with the key evacuates.
+	decode func(rowstore.Key) (zone string, ok bool)
+	// keyLimit is the time, counted from the moment at which a host learns that a zone is
+	// evacuated, for which keys that have not moved yet are served there.
+	keyLimit  time.Duration
+	startedAt boottime.Time
+	log       *event.Logger
+	scope     tally.Scope
+	// changed is called when a zone is evacuated or taken back.
+	changed func()
+	view    atomic.Pointer[evacuation.View]
+
+	mu  sync.Mutex
+	set evacuation.Set
+	// badReportAt is the time of the last log line about a malformed report.
+	badReportAt boottime.Time
+	// heldReported is true once keys that are held for too long were logged for the
+	// current evacuation of ownZone.
+	heldReported bool
+}
+
+// buildEvacuation creates the component that knows the evacuated zones. It returns nil if
+// the deployment has none.
+func (s *Sidecar) buildEvacuation() *zoneEvacuation {
+	if s.opts.EvacuatedZone == nil {
+		return nil
+	}
+	e := &zoneEvacuation{
+		ownZone: s.settings.Host.Zone, decode: s.opts.EvacuatedZone, startedAt: s.createdAt, log: s.log, scope: s.scope,
+		keyLimit: millis(s.settings.Terms.EvacuationMs) / 2,
+		changed:  func() { s.keys.wake() },
+	}
+	e.view.Store(e.set.View())
+	e.scope.Gauge("evacuated_zones").Update(0)
+	s.fleet.SetEvacuated(e.evacuated)
+	return e
+}
+
+// applyOperatorRow applies a row of the table that contains the configuration and the
+// evacuated zones.
+func (s *Sidecar) applyOperatorRow(r rowstore.Row) {
+	if !s.evacuation.applyRow(r) {
+		s.config.applyRow(r)
+	}
+}
+
+// ZoneTakenBack returns the time since which a zone that was evacuated is in service
+// again, or false if it is evacuated or was not as far as this process knows.
+func (s *Sidecar) ZoneTakenBack(zone string) (since boottime.Time, ok bool) {
+	if s.evacuation == nil {
+		return 0, false
+	}
+	return s.evacuation.view.Load().TakenBack(zone)
+}
+
+// fetchConfig requests from another host a configuration above the version, and the
+// evacuated zones if this host knows of any or knows nothing yet.
+func (s *Sidecar) fetchConfig(ctx context.Context, from *hop.Client, version uint64) (peerConfig, error) {
+	own := s.evacuation.pollReport(false)
+	peer, evacuated, err := fetchConfig(ctx, from, version, own)
+	if err == nil && own != "" {
+		s.evacuation.mergePolled(evacuated, from.Address())
+	}
+	return peer, err
+}
+
+// update applies a change of the set and reports what has changed. source names where the
+// change comes from.
+func (e *zoneEvacuation) update(source string, change func(now boottime.Time, set *evacuation.Set) []evacuation.Change) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	changes := change(boottime.Now(), &e.set)
+	view := e.set.View()
+	e.view.Store(view)
+	for _, c := range changes {
+		logged := eventZoneTakenBack
+		if c.Evacuated {
+			logged = eventZoneEvacuated
+		}
+		if c.Zone == e.ownZone {
+			e.heldReported = false
+		}
+		e.log.Log(logged, event.F("zone", c.Zone), event.F("own", c.Zone == e.ownZone), event.F("version", c.Version), event.F("source", source))
+	}
+	if len(changes) > 0 {
+		e.scope.Gauge("evacuated_zones").Update(float64(view.Count()))
+		e.changed()
+	}
+}
+
+// applyRow applies a row if it evacuates a zone, and reports whether it does.
+func (e *zoneEvacuation) applyRow(r rowstore.Row) bool {
+	if e == nil {
+		return false
+	}
+	zone, ok := e.decode(r.Key)
+	if !ok {
+		return false
+	}
+	e.update("store", func(now boottime.Time, set *evacuation.Set) []evacuation.Change {
+		if r.Deleted {
+			return set.DeleteRow(now, zone, r.Version)
+		}
+		return set.PutRow(now, zone, r.Version)
+	})
+	return true
+}
+
+// confirm records that all rows up to the version were passed to applyRow.
+func (e *zoneEvacuation) confirm(version int64) {
+	if e == nil {
+		return
+	}
+	e.update("store", func(now boottime.Time, set *evacuation.Set) []evacuation.Change { return set.Confirm(now, version) })
+}
+
+// merge adds the report of another host, which may be empty.
+func (e *zoneEvacuation) merge(report, host string) {
+	if e == nil || report == "" || report == evacuationUnknown || report == e.view.Load().Report() {
+		return
+	}
+	r, err := evacuation.Decode(report)
+	if err != nil {
+		e.logMalformed(report, host)
+		return
+	}
+	e.update(host, func(now boottime.Time, set *evacuation.Set) []evacuation.Change { return set.Merge(now, r) })
+}
+
+// mergePolled adds the response to pollReport. A host that does not respond to it has an
+// earlier version of the router and knows of no evacuated zones.
+func (e *zoneEvacuation) mergePolled(report, host string) {
+	if report != "" {
+		e.merge(report, host)
+		return
+	}
+	e.update(host, func(_ boottime.Time, set *evacuation.Set) []evacuation.Change {
+		set.AssumeKnown()
+		return nil
+	})
+}
+
+func (e *zoneEvacuation) logMalformed(report, host string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := boottime.Now()
+	if e.badReportAt != 0 && now.Sub(e.badReportAt) < badReportInterval {
+		return
+	}
+	e.badReportAt = now
+	e.log.Log(eventEvacuationReportInvalid, event.F("host", host), event.F("report", report[:min(len(report), 200)]))
+}
+
+// report returns the report that responses to other hosts carry, or "" if they carry none.
+func (e *zoneEvacuation) report() string {
+	if e == nil {
+		return ""
+	}
+	if v := e.view.Load(); v.Known() && !v.Empty() && v.Reported(boottime.Now()) {
+		return v.Report()
+	}
+	return ""
+}
+
+// pollReport returns the report that this host sends when it polls another one or responds
+// to a poll, or "" if it need not send one. asked is true if the other host has sent its
+// own.
+func (e *zoneEvacuation) pollReport(asked bool) string {
+	switch {
+	case e == nil:
+		return ""
+	case !e.view.Load().Known():
+		return evacuationUnknown
+	case asked:
+		return e.view.Load().Report()
+	}
+	return e.report()
+}
+
+// evacuated reports whether the zone is evacuated.
+func (e *zoneEvacuation) evacuated(zone string) bool {
+	return e != nil && e.view.Load().Evacuated(zone)
+}
+
+// active reports whether any zone is evacuated.
+func (e *zoneEvacuation) active() bool {
+	return e != nil && e.view.Load().Count() > 0
+}
+
+// ready reports whether the evacuated zones are known. A host that has not learned of them
+// within keyLimit of its start has no contact with the store and with other hosts; it
+// serves as before the evacuation.
+func (e *zoneEvacuation) ready() bool {
+	return e == nil || e.view.Load().Known() || boottime.Now().Sub(e.startedAt) >= e.keyLimit
+}
+
+// checkHost returns an error if an upstream in the zone must not get the call.
+func (e *zoneEvacuation) checkHost(zone string, c *Call) *errkind.Error {
+	if !e.evacuated(zone) || e.view.Load().MayServe(boottime.Now(), zone, c.Keyed, e.keyLimit) {
+		return nil
+	}
+	return errkind.New(errkind.Draining, "zone %s is evacuated", zone)
+}
+
+// checkGate returns an error if the local upstream must not get the call.
+func (e *zoneEvacuation) checkGate(c *Call) *errkind.Error {
+	if !e.ready() {
+		return errkind.New(errkind.NotReady, "the router has not read yet which zones are evacuated")
+	}
+	err := e.checkHost(e.zone(), c)
+	if err != nil {
+		e.scope.Counter("evacuation_refusals").Inc(1)
+	}
+	return err
+}
+
+// zone returns the zone of this host, or "" if zones cannot be evacuated.
+func (e *zoneEvacuation) zone() string {
+	if e == nil {
+		return ""
+	}
+	return e.ownZone
+}
+
+// ownEvacuated reports whether the zone of this host is evacuated.
+func (e *zoneEvacuation) ownEvacuated() bool {
+	return e.evacuated(e.zone())
+}
+
+// reportHeld logs once for each evacuation that the upstream still has keys after the
+// time for which they are served.
+func (e *zoneEvacuation) reportHeld(service string, ranges int) {
+	keyed := &Call{Keyed: true}
+	if ranges == 0 || e.checkHost(e.zone(), keyed) == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.heldReported {
+		e.heldReported = true
+		e.log.Log(eventEvacuationKeysHeld, event.F("service", service), event.F("ranges", ranges))
+	}
+}
+
+// allEvacuated reports whether no upstream of the service accepts requests while zones are
+// evacuated. A key then has no next holder to wait for.
+func (e *entry) allEvacuated(service string) bool {
+	return e.evacuation.active() && e.fleet.Choose(time.Now(), service, nil) == nil
+}
+
+// leaveEvacuatedZone plans moves of all ranges of this host if its zone is evacuated, the
+// busiest first. It reports whether the map changed.
+func (d *keyDriver) leaveEvacuatedZone(now boottime.Time, service string, next *keyrange.Map, others []keyrange.Member) bool {
+	if !d.evacuation.ownEvacuated() {
+		return false
+	}
+	d.evacuation.reportHeld(service, next.HeldRanges(d.host))
+	d.mu.Lock()
+	loads := d.rates.Snapshot(now)
+	d.mu.Unlock()
+	return next.EvacuateByLoad(d.host, d.load().Slots, loads, d.reachable(others))
+}
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -92,6 +92,14 @@
 		"A connection of a caller ended before a request that it had sent without waiting for earlier responses got its response. The field reason names the side that closed the connection.", "none if the caller closed it; otherwise look for what ended the request before, with the same time.")
 	eventCallerLeft = event.Define(1851, log.InfoLevel, "caller left",
 		"A caller closed its connection before it got the response; its request is cancelled.", "none; if it repeats, compare the deadlines of the callers with the field left_ms.")
+	eventZoneEvacuated = event.Define(1873, log.WarnLevel, "zone evacuated",
+		"An operator has evacuated an availability zone: its upstreams get no new requests. source is store, or the host whose response said so. own is true on the hosts of the zone.", "none; if it was not intended, remove the row that evacuates the zone.")
+	eventZoneTakenBack = event.Define(1874, log.InfoLevel, "zone taken back",
+		"The row that evacuated an availability zone is gone; its upstreams take requests again.", "none")
+	eventEvacuationKeysHeld = event.Define(1875, log.WarnLevel, "keys not moved out of an evacuated zone",
+		"The local upstream still holds ranges of keys after half of evacuation_ms. Their requests are refused until it has released them.", "Check whether hosts of the service outside the zone are ready, and the upstream's log for a release that hangs.")
+	eventEvacuationReportInvalid = event.Define(1876, log.WarnLevel, "report of evacuated zones ignored",
+		"Another host sent a report of the evacuated zones that cannot be decoded. At most one such report a minute is logged.", "Compare the versions of the two routers.")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -43,10 +43,12 @@
 	headers Headers
 	local   *localUpstream
 	keys    *keyDriver
-	limiter *admit.PriorityLimiter
-	client  *h1.Client
-	notices *noticeReader
-	log     *event.Logger
+	// evacuation is nil if zones cannot be evacuated.
+	evacuation *zoneEvacuation
+	limiter    *admit.PriorityLimiter
+	client     *h1.Client
+	notices    *noticeReader
+	log        *event.Logger
 	// drainLimit is the time, counted from the notice that the upstream leaves, after
 	// which it gets no new request.
 	drainLimit time.Duration
@@ -135,6 +137,9 @@
 
 // check returns an error if the local upstream must not get the call.
 func (g *gate) check(now time.Time, c *Call) *errkind.Error {
+	if err := g.evacuation.checkGate(c); err != nil {
+		return err
+	}
 	s := g.local.get()
 	switch {
 	case !s.known:
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -139,6 +139,8 @@
 	header := headerFrom(resp.Fields)
 	r.Leaving = decodeLeaving(header.Get(leavingField))
 	header.Del(leavingField)
+	r.Evacuated = header.Get(evacuatedField)
+	header.Del(evacuatedField)
 	if resp.Kind != "" {
 		_ = resp.Body.Close()
 		r.Err = errkind.New(errkind.Kind(resp.Kind), "%s", resp.Detail)
@@ -164,7 +166,7 @@
 	body, err := io.ReadAll(r.Body)
 	_ = r.Body.Close()
 	if err != nil {
-		return &Result{Arrived: true, Load: r.Load, HasLoad: r.HasLoad, Config: r.Config,
+		return &Result{Arrived: true, Load: r.Load, HasLoad: r.HasLoad, Config: r.Config, Evacuated: r.Evacuated,
 			Err: errkind.New(errkind.AnswerIncomplete, "the response of the other host was cut: %w", err)}
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
@@ -181,6 +183,8 @@
 	feeds map[string]*rowstore.Feed
 	// config is the configuration in force.
 	config *currentConfig
+	// evacuation is nil if zones cannot be evacuated.
+	evacuation *zoneEvacuation
 	// applyRow applies the row of a key map that another host has written.
 	applyRow func(rowstore.Row)
 }
@@ -277,11 +281,14 @@
 	} else {
 		head.Status, head.Length = r.Status, r.Length
 		head.Signature = r.Header.Get(h.headers.Signature)
-		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField)
+		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField, evacuatedField)
 	}
 	if r.Leaving != nil {
 		head.Fields = append(head.Fields, hop.Field{Name: leavingField, Value: encodeLeaving(*r.Leaving)})
 	}
+	if report := h.evacuation.report(); report != "" {
+		head.Fields = append(head.Fields, hop.Field{Name: evacuatedField, Value: report})
+	}
 	return head
 }
 
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -95,7 +95,9 @@
 	local *localUpstream
 	index *keyIndex
 	fleet *fleet.Directory
-	log   *event.Logger
+	// evacuation is nil if zones cannot be evacuated.
+	evacuation *zoneEvacuation
+	log        *event.Logger
 	// maxHeartbeatHold is the longest hold that a heartbeat grants, maxHold the longest
 	// that the deployment allows.
 	maxHeartbeatHold, maxHold time.Duration
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -49,6 +49,7 @@
 		record(next.ReassignIncarnation(s.holder), "new incarnation of the upstream")
 		record(next.CancelMoves(d.host, others), "next holder has left")
 		record(d.regenerateRefused(next, s), "the upstream has seen a higher generation")
+		record(d.leaveEvacuatedZone(now, s.service, next, others), "zone evacuated")
 	default:
 		record(next.Evacuate(d.host, d.reachable(others)), "upstream leaves")
 	}
@@ -92,12 +93,12 @@
 	return names
 }
 
-// eligibleMembers returns the upstreams that may be assigned keys: those that are ready
-// and whose host has not failed.
+// eligibleMembers returns the upstreams that may be assigned keys: those that are ready,
+// in no evacuated zone and whose host has not failed.
 func (d *keyDriver) eligibleMembers(service string, now boottime.Time) []keyrange.Member {
 	var members []keyrange.Member
 	for _, m := range d.fleet.Members(service) {
-		if m.State != fleet.Ready || d.hostFailed(now, service, m.Host) {
+		if m.State != fleet.Ready || d.evacuation.evacuated(m.Zone) || d.hostFailed(now, service, m.Host) {
 			continue
 		}
 		member := keyrange.Member{Holder: keyrange.Holder{Host: m.Host, Instance: m.Instance, Started: m.Started}}
@@ -175,7 +176,11 @@
 		d.takeoverWait.Reset()
 		return false
 	}
-	if !d.takeoverWait.Elapsed(now, takeoverDelay(slices.Index(hostNames(members), d.host))) {
+	rank := slices.Index(hostNames(members), d.host)
+	if d.evacuation.ownEvacuated() {
+		rank = primaryReaders // all hosts of the zone would otherwise act first, at once
+	}
+	if !d.takeoverWait.Elapsed(now, takeoverDelay(rank)) {
 		return false
 	}
 	for _, host := range hosts {
@@ -218,7 +223,7 @@
 // discarded, because each change of the map costs every host a read and a renewal.
 func (d *keyDriver) rebalance(now boottime.Time, next *keyrange.Map, s upstreamState, members []keyrange.Member) bool {
 	slots := d.load().Slots
-	if slots == 0 || d.stoppingFor() > 0 || !s.leavingSince.IsZero() || now.Sub(d.lastMove) < moveInterval {
+	if slots == 0 || d.stoppingFor() > 0 || !s.leavingSince.IsZero() || d.evacuation.ownEvacuated() || now.Sub(d.lastMove) < moveInterval {
 		return false
 	}
 	members = d.reachable(members)
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -77,6 +77,9 @@
 	// HoldMaxMs is the longest time for which an upstream may be granted keys. Default
 	// 10000.
 	HoldMaxMs int `ini:"hold_max_ms"`
+	// EvacuationMs is the time after which the upstreams of an evacuated zone must not get
+	// new requests. Keys that have not moved out are served for half of it. Default 5000.
+	EvacuationMs int `ini:"evacuation_ms"`
 	// RetryRatio, RetrySlack and RetryWindowMs bound the retries of a service's requests:
 	// within each window, all hosts together may send at most RetryRatio times its
 	// requests, plus RetrySlack, as retries. Defaults 0.2, 60 and 10000.
@@ -96,7 +99,7 @@
 	return Settings{
 		Upstream: UpstreamSettings{HeartbeatMs: 1000},
 		Terms: TermSettings{
-			DrainMs: 2000, GraceMs: 6000, HoldMaxMs: 10000,
+			DrainMs: 2000, GraceMs: 6000, HoldMaxMs: 10000, EvacuationMs: 5000,
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindowMs: 10000,
 		},
 		Log: LogSettings{Level: "info"},
@@ -170,6 +173,7 @@
 		{"terms.drain_ms", s.Terms.DrainMs},
 		{"terms.grace_ms", s.Terms.GraceMs},
 		{"terms.hold_max_ms", s.Terms.HoldMaxMs},
+		{"terms.evacuation_ms", s.Terms.EvacuationMs},
 		{"terms.retry_window_ms", s.Terms.RetryWindowMs},
 	} {
 		if f.value <= 0 {
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -33,6 +33,9 @@
 	// upstreams say nothing.
 	Notice func(http.Header) Notice
 	Config ConfigSource
+	// EvacuatedZone returns the zone that is evacuated while the row with the key exists
+	// in the table of the configuration. Nil if zones cannot be evacuated.
+	EvacuatedZone func(rowstore.Key) (zone string, ok bool)
 	// Commands returns the client that sends key commands to the local upstream at the
 	// address. It opens connections only while mayDial returns true. Nil if the
 	// deployment has no service whose keys are granted by commands.
@@ -61,9 +64,11 @@
 	// batchUntil is the end of the batch delay after the last configuration, a time.Time.
 	batchUntil atomic.Value
 	// feeds hold, by table, the rows that this host reads for others.
-	feeds    map[string]*rowstore.Feed
-	config   *currentConfig
-	exchange *configExchange
+	feeds  map[string]*rowstore.Feed
+	config *currentConfig
+	// evacuation is nil if zones cannot be evacuated.
+	evacuation *zoneEvacuation
+	exchange   *configExchange
 	// configFollower and fleetFollower follow the tables of the configuration and of the
 	// fleet.
 	configFollower *rowstore.Follower
@@ -114,6 +119,7 @@
 	}
 	s.scope = opts.Metrics.SubScope("entry")
 	s.buildStore()
+	s.evacuation = s.buildEvacuation()
 	s.buildConfig()
 	s.buildKeys()
 	s.buildRequests()
@@ -214,7 +220,7 @@
 
 // Ready reports whether callers may send requests.
 func (s *Sidecar) Ready() bool {
-	return s.config.table.Load() != nil && !s.stopping.Load()
+	return s.config.table.Load() != nil && s.evacuation.ready() && !s.stopping.Load()
 }
 
 // followFleet follows the members and the key maps until ctx ends.
@@ -287,7 +293,7 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, applyRow: s.applyFleetRow}
+	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, evacuation: s.evacuation, applyRow: s.applyFleetRow}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
 	callers := httpServer(s.countInFlight(s.entry))
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -47,6 +47,8 @@
 	Row rowstore.Row
 	// Config is the version in force at the router that sends a storeConfig call.
 	Config uint64
+	// Evacuated is the report of the evacuated zones with a storeConfig call, or empty.
+	Evacuated string `cbor:",omitempty"`
 }
 
 // storeResult is the result of a storeCall. It is encoded as a CBOR map with the field
@@ -60,6 +62,9 @@
 	// that this is not known.
 	Config    uint64
 	ConfigAge time.Duration
+	// Evacuated is the report of the evacuated zones in the response to a storeConfig call,
+	// or empty.
+	Evacuated string `cbor:",omitempty"`
 	// Conflict stands for rowstore.ConflictError, EraChanged for rowstore.EraChangedError,
 	// HistoryGone for rowstore.ErrHistoryGone and NotFed for rowstore.ErrFeedClosed; Error
 	// is the text of any other error. Era is the era of the first two.
@@ -203,6 +208,8 @@
 	case storeConfig:
 		_, age := h.config.confirmed(time.Now())
 		result.ConfigAge = max(age, 1)
+		h.evacuation.merge(call.Evacuated, "poll")
+		result.Evacuated = h.evacuation.pollReport(call.Evacuated != "")
 		result.Config, result.Rows = h.config.newerThan(call.Config)
 	case storeKeyMap:
 		err = h.applyKeyMap(call.Row)
