--- a/router/keyrange/map_test.go
+++ b/router/keyrange/map_test.go
@@ -190,6 +190,23 @@
 	}
 }
 
+// Guards against busy ranges of an evacuated host that go to a member without spare
+// capacity, and against moves to a host that is no member any more.
+func TestEvacuateByLoadUsesSpareCapacity(t *testing.T) {
+	all := members(4)
+	all[1].Load, all[1].Slots, all[2].Slots, all[3].Slots = 0.95, 10, 2, 10
+	m := NewMap(all, 6)
+	m.PlanMove(0, "gone")
+	busy := func(i int) float64 { return float64(max(9-i, 0)) / 4 }
+	if !m.EvacuateByLoad("h0", 10, loadsOf(m, busy), all[1:]) || m.EvacuateByLoad("h0", 10, loadsOf(m, busy), all[1:]) {
+		t.Error("want moves by the first call only")
+	}
+	counts := m.CountByHost()
+	if m.Ranges[0].Next != "h3" || m.Ranges[4].Next != "h3" || m.Ranges[8].Next == "h1" || counts["h0"] != 0 || counts["h1"]+counts["h2"]+counts["h3"] != 24 {
+		t.Errorf("ranges by host %v, %+v", counts, m.Ranges[:9])
+	}
+}
+
 // loadsOf returns loads with load(i) on the first key of range i.
 func loadsOf(m *Map, load func(i int) float64) Loads {
 	meter := LoadMeter{mean: map[uint16]float64{}, busy: map[uint16]time.Duration{}}
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -120,6 +120,8 @@
 	// wrapHop replaces the listeners for other routers of hosts that are added later; nil
 	// leaves them.
 	wrapHop func(net.Listener) net.Listener
+	// zones are the zones of hosts by name; z1 for those that are missing.
+	zones map[string]string
 }
 
 // ports are listeners by address. They are opened when the address is chosen, so that no
@@ -142,7 +144,13 @@
 
 func newCluster(t *testing.T, services ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: rowstore.NewMemory()}
+	return newZonedCluster(t, nil, services...)
+}
+
+// newZonedCluster returns a cluster whose hosts are in the zones.
+func newZonedCluster(t *testing.T, zones map[string]string, services ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: rowstore.NewMemory(), zones: zones}
 	c.publish("1")
 	for i, service := range services {
 		c.add(fmt.Sprintf("h%d", i), service)
@@ -211,6 +219,9 @@
 	p := ports{}
 	settings := DefaultSettings()
 	settings.Host = HostSettings{Name: name, Zone: "z1", Region: "r1", Service: service}
+	if zone := c.zones[name]; zone != "" {
+		settings.Host.Zone = zone
+	}
 	settings.Listen = ListenSettings{Caller: p.address(c.t), Hop: p.address(c.t), Ready: p.address(c.t), Control: p.address(c.t), Metrics: p.address(c.t)}
 	settings.Listen.HopAdvertised = settings.Listen.Hop
 	if c.wrapHop != nil {
@@ -221,7 +232,7 @@
 	notFound := func(*Sidecar) http.Handler { return http.NotFoundHandler() }
 	s := New(Options{
 		Settings: settings, Store: store, Headers: testHeaders, Notice: testNotice,
-		Config:  ConfigSource{Key: configKey, Decode: decodeTestConfig},
+		Config: ConfigSource{Key: configKey, Decode: decodeTestConfig}, EvacuatedZone: testEvacuatedZone,
 		Control: notFound, Ready: notFound, Metrics: metrics.New(), Listen: p.open,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/router/sidecar/evacuation.go
+++ b/router/sidecar/evacuation.go
@@ -285,14 +285,19 @@
 }
 
 // leaveEvacuatedZone plans moves of all ranges of this host if its zone is evacuated, the
-// busiest first. It reports whether the map changed.
+// busiest first. While the commands of an earlier process of this router may still be
+// carried out, released ranges cannot be assigned; they stay served for as long as they
+// may be. It reports whether the map changed.
 func (d *keyDriver) leaveEvacuatedZone(now boottime.Time, service string, next *keyrange.Map, others []keyrange.Member) bool {
 	if !d.evacuation.ownEvacuated() {
 		return false
 	}
 	d.evacuation.reportHeld(service, next.HeldRanges(d.host))
 	d.mu.Lock()
-	loads := d.rates.Snapshot(now)
+	loads, movable := d.rates.Snapshot(now), d.grants.Movable(now)
 	d.mu.Unlock()
+	if !movable && d.evacuation.checkHost(d.evacuation.zone(), &Call{Keyed: true}) == nil {
+		return false
+	}
 	return next.EvacuateByLoad(d.host, d.load().Slots, loads, d.reachable(others))
 }
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -39,8 +39,11 @@
 		}
 	}
 	others := slices.DeleteFunc(slices.Clone(members), func(x keyrange.Member) bool { return x.Host == d.host })
+	// A released range may have been planned to move into a zone that is evacuated as well.
+	record(d.leaveEvacuatedZone(now, s.service, next, others), "zone evacuated")
+	planned := changed
 	record(d.applyReleases(now, next, s, others), "released")
-	c.deferrable = changed
+	c.deferrable = changed && !planned
 	record(d.releaseExpired(now, next, s, others), "hold ended")
 	switch {
 	case d.stoppingFor() > 0:
@@ -49,7 +52,6 @@
 		record(next.ReassignIncarnation(s.holder), "new incarnation of the upstream")
 		record(next.CancelMoves(d.host, others), "next holder has left")
 		record(d.regenerateRefused(next, s), "the upstream has seen a higher generation")
-		record(d.leaveEvacuatedZone(now, s.service, next, others), "zone evacuated")
 	default:
 		record(next.Evacuate(d.host, d.reachable(others)), "upstream leaves")
 	}
