Let the test of the set find more wrong merges

Changing single conditions of the set showed that the random test missed two of them: its histories ended long after all hosts had read them, and a host was allowed to show a state from before the version that it claims to know. A condition that no input reaches is removed. The test of moving keys also checks that the last request at the evacuated upstream arrives within 5 s.

--- a/router/evacuation/set.go
+++ b/router/evacuation/set.go
@@ -58,7 +58,8 @@
 	Zones map[string]int64
 }
 
-// PutRow records a row that was read. A row from before a known removal changes nothing.
+// PutRow records a row that was read. Rows are passed to PutRow and DeleteRow in the order
+// of their versions. A row from before a known removal changes nothing.
 func (s *Set) PutRow(now boottime.Time, name string, version int64) []Change {
 	if s.rows == nil {
 		s.rows = map[string]int64{}
@@ -69,9 +70,7 @@
 
 // DeleteRow records that a row was deleted at the version.
 func (s *Set) DeleteRow(now boottime.Time, name string, version int64) []Change {
-	if s.rows[name] <= version {
-		delete(s.rows, name)
-	}
+	delete(s.rows, name)
 	return s.remove(now, name, version)
 }
 
@@ -83,7 +82,7 @@
 	var changes []Change
 	for _, name := range s.names() {
 		if _, present := s.rows[name]; !present {
-			changes = append(changes, s.removeUntil(now, name, asOf)...)
+			changes = append(changes, s.remove(now, name, asOf)...)
 		}
 	}
 	s.asOf = max(s.asOf, asOf)
@@ -100,7 +99,7 @@
 	}
 	for _, name := range s.names() {
 		if _, reported := r.Zones[name]; !reported {
-			changes = append(changes, s.removeUntil(now, name, r.AsOf)...)
+			changes = append(changes, s.remove(now, name, r.AsOf)...)
 		}
 	}
 	s.asOf = max(s.asOf, r.AsOf)
@@ -127,6 +126,7 @@
 	return s.set(now, name, true, version)
 }
 
+// remove takes the zone back, which had no row at the version.
 func (s *Set) remove(now boottime.Time, name string, version int64) []Change {
 	z := s.zones[name]
 	if !z.evacuated || version < z.version {
@@ -135,14 +135,6 @@
 	return s.set(now, name, false, version)
 }
 
-// removeUntil removes the zone, which had no row at the version.
-func (s *Set) removeUntil(now boottime.Time, name string, asOf int64) []Change {
-	if asOf == 0 {
-		return nil
-	}
-	return s.remove(now, name, asOf)
-}
-
 func (s *Set) set(now boottime.Time, name string, evacuated bool, version int64) []Change {
 	if s.zones == nil {
 		s.zones = map[string]zone{}
--- a/router/evacuation/set_test.go
+++ b/router/evacuation/set_test.go
@@ -14,7 +14,9 @@
 const second = boottime.Time(time.Second)
 
 // Guards against requests that reach an evacuated zone, against keys that are refused
-// before they can move, and against keys that are served there for longer than the limit.
+// before they can move or served there for longer than the limit, against an incomplete
+// report that takes a zone back, and against reports that are sent for too short or for
+// ever.
 func TestWhatMayBeServedInAnEvacuatedZone(t *testing.T) {
 	var s Set
 	s.Confirm(0, 10)
@@ -36,6 +38,7 @@
 		}
 	}
 	s.PutRow(5*second, "z1", 12)
+	s.Merge(5*second, Report{Zones: map[string]int64{}})
 	if s.View().MayServe(5*second, "z1", true, 2*time.Second) {
 		t.Error("writing the row again has extended the time")
 	}
@@ -44,51 +47,15 @@
 	if !s.View().MayServe(6*second, "z1", false, 0) || !ok || since != 6*second {
 		t.Errorf("taken back %v since %v", ok, since)
 	}
-}
-
-// A host was cut off from the store when the row was removed, and the watch does not tell
-// it afterwards. Guards against a zone that stays evacuated there, and against a removal by
-// a position that does not cover the row.
-func TestReportedZoneWithoutRowIsTakenBack(t *testing.T) {
-	var s Set
-	s.Confirm(0, 10)
-	s.Merge(second, Report{AsOf: 20, Zones: map[string]int64{"z1": 15}})
-	s.Confirm(2*second, 14)
-	if !s.View().Evacuated("z1") {
-		t.Fatal("taken back by a position before the row")
-	}
-	s.Confirm(3*second, 30)
-	if s.View().Evacuated("z1") {
-		t.Error("still evacuated")
-	}
-	s.Merge(4*second, Report{AsOf: 20, Zones: map[string]int64{"z1": 15}})
-	if s.View().Evacuated("z1") {
-		t.Error("evacuated again by an outdated report")
-	}
-}
-
-// Guards against an incomplete report that takes zones back, and against reports that end
-// before hosts that are cut off have heard of the end of an evacuation.
-func TestReportIsSentWhileItMatters(t *testing.T) {
-	var s Set
-	s.Confirm(0, 10)
-	if s.View().Reported(0) {
-		t.Error("reported without evacuated zones")
-	}
-	s.PutRow(second, "z1", 11)
-	s.Merge(second, Report{Zones: map[string]int64{}})
-	if v := s.View(); !v.Evacuated("z1") || !v.Reported(1000*second) {
-		t.Error("not evacuated or not reported")
-	}
-	s.DeleteRow(1000*second, "z1", 12)
-	if v := s.View(); !v.Reported(1001*second) || v.Reported(2000*second) {
-		t.Error("the end is not reported, or is reported for ever")
+	if !v.Reported(9000*second) || !s.View().Reported(7*second) || s.View().Reported(900*second) {
+		t.Error("reports are not sent, or are sent for ever")
 	}
 }
 
 // Hosts read one history with different delays, lose parts of it and exchange reports at
 // random. Guards against a host that returns to an older state, and against hosts that do
-// not agree in the end.
+// not agree in the end, such as one for which the row of a reported zone had vanished before
+// it read the table.
 func TestSetsConvergeAndNeverRegress(t *testing.T) {
 	for seed := range uint64(300) {
 		random := rand.New(rand.NewPCG(seed, 1))
@@ -102,6 +69,7 @@
 		check := func(i int) {
 			for _, z := range historyZones {
 				at := fmt.Sprint(i, z)
+				explained[at] = max(explained[at], hosts[i].asOf)
 				evacuated := hosts[i].View().Evacuated(z)
 				for hosts[i].known && h.evacuated(explained[at], z) != evacuated {
 					if explained[at]++; explained[at] > h.last() {
@@ -133,7 +101,7 @@
 		}
 		follow(0, 1)
 		follow(1, 1)
-		for range 60 {
+		for range random.IntN(40) {
 			i, j := random.IntN(3), random.IntN(3)
 			if i < 2 && random.IntN(2) == 0 { // host 2 never reads the store
 				follow(i, position[i]+random.Int64N(h.last()-position[i]+1))
@@ -143,8 +111,8 @@
 			check(i)
 		}
 		follow(0, h.last())
-		merge(t, hosts[1], hosts[0])
-		merge(t, hosts[2], hosts[1])
+		merge(t, hosts[2], hosts[0])
+		follow(1, h.last()) // without reports that would tell it of removals
 		for i, host := range hosts {
 			check(i)
 			for _, z := range historyZones {
--- a/router/sidecar/evacuation_test.go
+++ b/router/sidecar/evacuation_test.go
@@ -82,7 +82,8 @@
 }
 
 // Guards against keys that are not served while they move out of an evacuated zone, that
-// stay there or move into another one, and against a zone that may get none back.
+// stay there, also for requests later than allowed, or move into another such zone, and
+// against a zone that may get none back.
 func TestKeysMoveOutOfEvacuatedZone(t *testing.T) {
 	t.Parallel()
 	c := newZonedCluster(t, map[string]string{"h1": "z2", "h2": "z3"}, "keyed", "keyed", "keyed")
@@ -96,14 +97,13 @@
 	go func() {
 		defer close(done)
 		for i := 0; ctx.Err() == nil; i++ {
-			begin := time.Now()
 			got := c.hosts[0].request(t, "GET", "/keys/x", fmt.Sprint("r", i), "", testHeaders.Key, fmt.Sprint(i*997%65536))
 			if got.status != http.StatusOK {
 				unserved.Add(1)
-				t.Logf("request %d after %v: status %d %.200q", i, time.Since(begin), got.status, got.body)
 			}
 		}
 	}()
+	written := time.Now()
 	c.evacuate("z1", true, c.hosts...)
 	c.evacuate("z2", true, c.hosts...)
 	c.eventually("the third zone holds all keys", func() bool { return held(0) == 0 && held(1) == 0 && held(2) >= total })
@@ -112,6 +112,12 @@
 	if n := unserved.Load(); n > 0 {
 		t.Errorf("%d requests were not served", n)
 	}
+	u := c.hosts[0].upstream
+	u.mu.Lock()
+	if last := u.arrivals[len(u.arrivals)-1].Sub(written); last > 5*time.Second {
+		t.Errorf("the evacuated upstream got a request after %v", last)
+	}
+	u.mu.Unlock()
 	c.evacuate("z1", false, c.hosts...)
 	if got := hostNames(c.hosts[2].keys.eligibleMembers("keyed", boottime.Now())); len(got) != 2 || got[0] != "h0" {
 		t.Errorf("keys may move to %v after the first zone was taken back", got)
