--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -128,6 +128,8 @@
 	decode func([]byte) (vhost.Config, error)
 	// log is the log of hosts that are added later.
 	log *event.Logger
+	// zones are the zones of hosts by name; z1 for those that are missing.
+	zones map[string]string
 }
 
 // ports are listeners by address. They are opened when the address is chosen, so that no
@@ -150,7 +152,13 @@
 
 func newCluster(t *testing.T, services ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: rowstore.NewMemory()}
+	return newZonedCluster(t, nil, services...)
+}
+
+// newZonedCluster returns a cluster whose hosts are in the zones.
+func newZonedCluster(t *testing.T, zones map[string]string, services ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: rowstore.NewMemory(), zones: zones}
 	c.publish("1")
 	for i, service := range services {
 		c.add(fmt.Sprintf("h%d", i), service)
@@ -229,6 +237,9 @@
 	p := ports{}
 	settings := DefaultSettings()
 	settings.Host = HostSettings{Name: name, Zone: "z1", Region: cmp.Or(c.region, "r1"), Service: service}
+	if zone := c.zones[name]; zone != "" {
+		settings.Host.Zone = zone
+	}
 	settings.Listen = ListenSettings{Caller: p.address(c.t), Hop: p.address(c.t), Ready: p.address(c.t), Control: p.address(c.t), Metrics: p.address(c.t)}
 	settings.Listen.HopAdvertised = settings.Listen.Hop
 	if c.wrapHop != nil {
@@ -243,7 +254,7 @@
 	notFound := func(*Sidecar) http.Handler { return http.NotFoundHandler() }
 	s := New(Options{
 		Settings: settings, Store: store, Headers: testHeaders, Notice: testNotice,
-		Config:  ConfigSource{Key: configKey, Decode: decode},
+		Config: ConfigSource{Key: configKey, Decode: decode}, EvacuatedZone: testEvacuatedZone,
 		Control: notFound, Ready: notFound, Metrics: metrics.New(), Listen: p.open, Log: c.log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -43,11 +43,13 @@
 	headers Headers
 	local   *localUpstream
 	keys    *keyDriver
-	limiter *admit.PriorityLimiter
-	client  *h1.Client
-	notices *noticeReader
-	regions *regionRules
-	log     *event.Logger
+	// evacuation is nil if zones cannot be evacuated.
+	evacuation *zoneEvacuation
+	limiter    *admit.PriorityLimiter
+	client     *h1.Client
+	notices    *noticeReader
+	regions    *regionRules
+	log        *event.Logger
 	// drainLimit is the time, counted from the notice that the upstream leaves, after
 	// which it gets no new request.
 	drainLimit time.Duration
@@ -136,6 +138,9 @@
 
 // check returns an error if the local upstream must not get the call.
 func (g *gate) check(now time.Time, c *Call) *errkind.Error {
+	if err := g.evacuation.checkGate(c); err != nil {
+		return err
+	}
 	s := g.local.get()
 	switch {
 	case !s.known:
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -39,8 +39,11 @@
 		}
 	}
 	others := slices.DeleteFunc(slices.Clone(members), func(x keyrange.Member) bool { return x.Host == d.host })
+	// A released range may have been planned to move into a zone that is evacuated as well.
+	record(d.leaveEvacuatedZone(now, s.service, next, others), "zone evacuated")
+	planned := changed
 	record(d.applyReleases(now, next, s, others), "released")
-	c.deferrable = changed
+	c.deferrable = changed && !planned
 	record(d.releaseExpired(now, next, s, others), "hold ended")
 	switch {
 	case d.stoppingFor() > 0:
@@ -95,11 +98,12 @@
 	return names
 }
 
-// readyMembers returns the upstreams that are ready and whose host has not failed.
+// readyMembers returns the upstreams that are ready, in no evacuated zone and whose host has
+// not failed.
 func (d *keyDriver) readyMembers(service string, now boottime.Time) []keyrange.Member {
 	var members []keyrange.Member
 	for _, m := range d.fleet.Members(service) {
-		if m.State != fleet.Ready || d.hostFailed(now, service, m.Host) {
+		if m.State != fleet.Ready || d.evacuation.evacuated(m.Zone) || d.hostFailed(now, service, m.Host) {
 			continue
 		}
 		member := keyrange.Member{Holder: keyrange.Holder{Host: m.Host, Instance: m.Instance, Started: m.Started}}
@@ -178,6 +182,9 @@
 		d.takeoverWait.Reset()
 		return false
 	}
+	if d.evacuation.ownEvacuated() {
+		rank = primaryReaders // all hosts of the zone would otherwise act first, at once
+	}
 	if !d.takeoverWait.Elapsed(now, takeoverDelay(rank)) {
 		return false
 	}
@@ -221,7 +228,7 @@
 // discarded, because each change of the map costs every host a read and a renewal.
 func (d *keyDriver) rebalance(now boottime.Time, next *keyrange.Map, s upstreamState, members []keyrange.Member) bool {
 	slots := d.load().Slots
-	if slots == 0 || d.stoppingFor() > 0 || !s.leavingSince.IsZero() || now.Sub(d.lastMove) < moveInterval {
+	if slots == 0 || d.stoppingFor() > 0 || !s.leavingSince.IsZero() || d.evacuation.ownEvacuated() || now.Sub(d.lastMove) < moveInterval {
 		return false
 	}
 	members = d.reachable(members)
