Bound the requests to a cold upstream in the limiter

Cause: the limiter knows slots and the rate limit that an upstream names, but not how many requests a cold upstream tolerates. Change: PriorityLimiter has a second token bucket; waits, refusals, the queue and the reported load use it as they use the rate limit. Measured: go test ./admit in router passes.

--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/slowstart"
 )
 
 // maxWaitingPerSlot bounds the number of waiting requests per slot. Requests in a
@@ -53,6 +54,8 @@
 	limit    Limit
 	inFlight int
 	rate     RateLimit
+	// cold bounds the requests while the upstream is cold.
+	cold slowstart.Bucket
 	// responded is true once the upstream has responded.
 	responded bool
 	// nextToken dispatches waiting requests when the next token of rate is due.
@@ -188,7 +191,7 @@
 	wait := l.expectedWait(now, it)
 	slots := max(l.limit.Allowed(), 1)
 	if it.bounds.Policy == NoWait {
-		return overloaded(wait, "%d of %d slots are used, and %.0f requests per second are allowed (0: any)", l.inFlight, slots, l.rate.PerSecond())
+		return overloaded(wait, "%d of %d slots are used, and %.0f requests per second are allowed (0: any)", l.inFlight, slots, l.allowedPerSecond(now))
 	}
 	if it.bounds.Policy == UntilDeadline && it.bounds.Goal.Sub(now)-wait < l.leadTime(it) {
 		it.late = true
@@ -232,7 +235,7 @@
 
 // expectedWait returns the expected time until the item gets a slot: the service
 // times of the items before it and of one request in flight, divided by the slots, or
-// the time until the rate limit lets it through if that is longer.
+// the time until the bounds on the rate let it through if that is longer.
 func (l *PriorityLimiter) expectedWait(now time.Time, it *priorityItem) time.Duration {
 	before, ahead := l.meanService, 0
 	for _, w := range l.waiting {
@@ -241,7 +244,7 @@
 			ahead++
 		}
 	}
-	return max(before/time.Duration(max(l.limit.Allowed(), 1)), l.rate.Wait(now, ahead+1))
+	return max(before/time.Duration(max(l.limit.Allowed(), 1)), l.tokenWait(now, ahead+1))
 }
 
 // wouldMissGoal reports whether the response is expected to miss its goal if the
@@ -308,10 +311,11 @@
 	}
 }
 
-// takeSlot counts the request as in flight and against the rate limit. The caller holds
-// l.mu.
+// takeSlot counts the request as in flight and against the bounds on the rate. The caller
+// holds l.mu.
 func (l *PriorityLimiter) takeSlot(now time.Time, it *priorityItem) {
 	l.rate.Take(now)
+	l.cold.Sent(now)
 	l.inFlight++
 	if it.promoted {
 		l.promoted++
