Bound the requests to a cold upstream at its gate

Cause: heartbeats and the configuration say how long an upstream is cold and how many requests it tolerates, and neither was read. Settings cold_overage and cold_slack.

--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -11,6 +11,9 @@
 	// loadHalfLife is the age at which a reported load counts half: requests last
 	// tens to hundreds of milliseconds.
 	loadHalfLife = 300 * time.Millisecond
+	// coldLoadHalfLife is that age while the upstream is cold: the bound on its requests
+	// lets few more through for about a second.
+	coldLoadHalfLife = time.Second
 	// sampleWeight is the weight of a new sample in the moving averages of latency
 	// and errors.
 	sampleWeight = 0.1
@@ -118,14 +121,16 @@
 }
 
 // Slots returns the number of slots that the host reported last, or those of its member
-// row if it has reported none.
+// row if it has reported none. While its upstream is cold, it is at most the number that
+// the upstream can use.
 func (h *Host) Slots() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	slots := h.member.Slots
 	if h.load.Slots > 0 {
-		return h.load.Slots
+		slots = h.load.Slots
 	}
-	return h.member.Slots
+	return h.member.coldSlots(time.Now(), slots, h.latency)
 }
 
 // RequestStarted records that a request is being sent to the host.
@@ -251,7 +256,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	slots := max(h.load.Slots, h.member.Slots, 1)
-	age := float64(now.Sub(h.loadReportedAt)) / float64(loadHalfLife)
+	halfLife := loadHalfLife
+	if h.member.Cold(now) {
+		slots, halfLife = h.member.coldSlots(now, slots, h.latency), coldLoadHalfLife
+	}
+	age := float64(now.Sub(h.loadReportedAt)) / float64(halfLife)
 	reported := h.load.Utilization() / (1 + age)
 	return view{
 		host:        h,
--- a/router/fleet/member.go
+++ b/router/fleet/member.go
@@ -5,6 +5,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
+
+	"burdockglade.dev/router/slowstart"
 )
 
 // State is the state of an upstream, which determines whether it accepts new
@@ -41,6 +44,24 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// LinkMbps is the bandwidth of the host's link in Mbit/s, or 0 if unknown.
 	LinkMbps int `json:"link_mbps,omitempty"`
+	// ColdUntil is about when the upstream is warm, in Unix milliseconds, and ColdPerSecond
+	// the number of requests per second that it takes until then; 0 if it is warm.
+	ColdUntil     int64   `json:"cold_until,omitempty"`
+	ColdPerSecond float64 `json:"cold_per_s,omitempty"`
+}
+
+// Cold reports whether the upstream is cold according to the data.
+func (m Member) Cold(now time.Time) bool {
+	return m.ColdPerSecond > 0 && now.UnixMilli() < m.ColdUntil
+}
+
+// coldSlots returns how many of the given slots the upstream can use: while it is cold, as
+// many as run at the rate that it takes, if a request takes the given time.
+func (m Member) coldSlots(now time.Time, slots int, latency time.Duration) int {
+	if !m.Cold(now) {
+		return slots
+	}
+	return min(slots, slowstart.Bound{PerSecond: m.ColdPerSecond}.Slots(latency.Seconds()))
 }
 
 // Leaves reports whether the upstream has said that it leaves.
--- a/router/keyrange/balance.go
+++ b/router/keyrange/balance.go
@@ -50,11 +50,12 @@
 // MovesToNewMembers returns moves of ranges from the host to members that have
 // less than half of the mean number of ranges and a low load, such as members
 // that have just joined. hostLoad is the demand for the host's ranges as a share
-// of its slots.
-func (m *Map) MovesToNewMembers(host string, hostLoad float64, members []Member) []PlannedMove {
+// of its slots. A cold member gets ranges only as far as it can serve their load.
+func (m *Map) MovesToNewMembers(host string, hostLoad float64, loads Loads, members []Member) []PlannedMove {
 	if len(members) == 0 {
 		return nil
 	}
+	members = slices.Clone(members)
 	counts := m.CountByHost()
 	mean := len(m.Ranges) / len(members)
 	var moves []PlannedMove
@@ -68,6 +69,9 @@
 		if to.Host == host || !few || to.Load > hostLoad-newMemberLoadGap {
 			return moves
 		}
+		if to.Cold && !addLoad(members, to.Host, loads.Sum(r.From, r.To)) {
+			continue
+		}
 		moves = append(moves, PlannedMove{Range: i, To: to.Host})
 		counts[host]--
 		counts[to.Host]++
@@ -75,6 +79,18 @@
 	return moves
 }
 
+// addLoad adds load, in slots, to the member with the host name. It returns false and adds
+// nothing if the member would be overloaded.
+func addLoad(members []Member, host string, load float64) bool {
+	i := slices.IndexFunc(members, func(x Member) bool { return x.Host == host })
+	raised := members[i].Load + load/float64(max(members[i].Slots, 1))
+	if raised > overloadThreshold {
+		return false
+	}
+	members[i].Load = raised
+	return true
+}
+
 // Demand returns the load, in slots, of the ranges that the host holds and that
 // are not planned to move.
 func (m *Map) Demand(host string, loads Loads) float64 {
--- a/router/keyrange/map.go
+++ b/router/keyrange/map.go
@@ -59,6 +59,8 @@
 	// Slots is the number of requests that the upstream can run at once, 0 if that is not
 	// known. A rate limit that it names lowers the number.
 	Slots int
+	// Cold is true if the upstream is cold, so that it can use few of its slots.
+	Cold bool
 }
 
 // Clone returns a deep copy of m.
@@ -148,6 +150,7 @@
 	if len(members) == 0 {
 		return false
 	}
+	members = warmMembers(members)
 	counts := m.CountByHost()
 	changed := false
 	for i := range m.Ranges {
@@ -162,6 +165,16 @@
 	return changed
 }
 
+// warmMembers returns the members that are not cold, or all if there are no others: the
+// load of ranges that must leave their holder is not known to be what a cold one can serve.
+func warmMembers(members []Member) []Member {
+	warm := slices.DeleteFunc(slices.Clone(members), func(x Member) bool { return x.Cold })
+	if len(warm) == 0 {
+		return members
+	}
+	return warm
+}
+
 // fewestRanges returns the member with the fewest ranges, and of several the one
 // with the lowest load.
 func fewestRanges(members []Member, counts map[string]int) Member {
@@ -249,11 +262,13 @@
 	if len(members) == 0 {
 		return false
 	}
+	all := members
+	members = warmMembers(members)
 	counts := m.CountByHost()
 	changed := false
 	for i := range m.Ranges {
 		r := &m.Ranges[i]
-		if r.Holder.Host != host || isMember(members, r.Next) {
+		if r.Holder.Host != host || isMember(all, r.Next) {
 			continue
 		}
 		to := fewestRanges(members, counts)
--- a/router/keyrange/map_test.go
+++ b/router/keyrange/map_test.go
@@ -303,11 +303,11 @@
 func TestMovesToNewMembersOnly(t *testing.T) {
 	all := members(3)
 	m := NewMap(all, 8)
-	if moves := m.MovesToNewMembers("h0", 0.5, all); moves != nil {
+	if moves := m.MovesToNewMembers("h0", 0.5, Loads{}, all); moves != nil {
 		t.Errorf("moves between members with equal numbers of ranges: %+v", moves)
 	}
 	newMember := member(7)
-	moves := m.MovesToNewMembers("h0", 0.5, append(all, newMember))
+	moves := m.MovesToNewMembers("h0", 0.5, Loads{}, append(all, newMember))
 	if len(moves) == 0 {
 		t.Fatal("no move to the new member was planned")
 	}
@@ -317,11 +317,37 @@
 		}
 	}
 	newMember.Load = 0.5
-	if moves := m.MovesToNewMembers("h0", 0.5, append(all, newMember)); moves != nil {
+	if moves := m.MovesToNewMembers("h0", 0.5, Loads{}, append(all, newMember)); moves != nil {
 		t.Errorf("moves to a member with few ranges and high load: %+v", moves)
 	}
 }
 
+// A cold upstream joins, or other hosts lose theirs. Guards against a cold upstream that
+// gets keys with more load than it can serve.
+func TestColdMembersGetFewKeys(t *testing.T) {
+	all := members(3)
+	m := NewMap(all, 8)
+	meter := LoadMeter{mean: map[uint16]float64{}, busy: map[uint16]time.Duration{}}
+	for _, r := range m.Ranges {
+		meter.mean[r.From] = 0.5
+	}
+	loads := meter.Snapshot(0)
+	cold := member(7)
+	cold.Slots, cold.Cold = 2, true
+	if moves := m.MovesToNewMembers("h0", 2, loads, append(all, cold)); len(moves) != 3 {
+		t.Errorf("%d ranges of half a slot move to a cold member, want the 3 that it can serve", len(moves))
+	}
+	for _, plan := range []func(*Map) bool{
+		func(m *Map) bool { return m.Evacuate("h0", append(all[1:], cold)) },
+		func(m *Map) bool { m.FreeRangesOf("h0"); return m.AssignFree(append(all[1:], cold)) },
+	} {
+		next := m.Clone()
+		if !plan(next) || next.CountByHost()["h7"] > 0 || next.HasIncoming(cold.Holder) {
+			t.Errorf("a cold member got ranges although others are warm: %v", next.CountByHost())
+		}
+	}
+}
+
 // One range has several times the load that one upstream can serve. Guards against
 // offloading in small steps, which would leave the keys overloaded for seconds.
 func TestOffloadSpreadsHotRangeAtOnce(t *testing.T) {
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -29,6 +29,9 @@
 func (s *Sidecar) buildConfig() {
 	s.config = &currentConfig{source: logUnreadable(s.opts.Config, s.log), log: s.log, changed: func() {
 		s.config.reportVersion(s.scope)
+		if s.applyCold() {
+			s.upstreamChanged(s.local.get())
+		}
 		s.keys.wake()
 	}, refused: func() { s.scope.Counter("config_refusals").Inc(1) }}
 	s.exchange = &configExchange{
@@ -68,6 +71,7 @@
 		drainLimit:  millis(terms.DrainMs) / 2,
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
+		assumeCold:  s.assumeCold,
 	}
 	s.gate.notices = &noticeReader{
 		decode: s.opts.Notice, log: s.log, scope: s.scope, local: s.local, limiter: s.gate.limiter,
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -54,6 +54,9 @@
 	// released are the ranges that the last heartbeat response withdrew.
 	released []keyrange.Handover
 	sequence int64
+	// coldUntil is when the upstream is warm according to its heartbeats; zero if they do
+	// not say it.
+	coldUntil time.Time
 }
 
 func newTestUpstream(t *testing.T, id string) *testUpstream {
@@ -190,8 +193,8 @@
 	}
 	c := vhost.Config{
 		Version:  version,
-		Services: []vhost.Service{{Name: "plain"}, {Name: "keyed", Keyed: true}},
-		Routes:   []vhost.Route{route("look", "plain", true), route("pay", "plain", false), route("keys", "keyed", true)},
+		Services: []vhost.Service{{Name: "plain"}, {Name: "keyed", Keyed: true}, {Name: "cold", ColdStart: time.Minute, ColdPerSecond: 10}},
+		Routes:   []vhost.Route{route("look", "plain", true), route("pay", "plain", false), route("keys", "keyed", true), route("cool", "cold", true)},
 	}
 	if version > 1 {
 		c.Routes = append(c.Routes, route("new", "plain", true))
@@ -257,6 +260,7 @@
 	u.mu.Lock()
 	u.sequence++
 	r := Heartbeat{Instance: u.id, Started: 1, Sequence: u.sequence, Service: service, Slots: 4, Holds: u.holds, Released: u.released}
+	r.ColdFor, r.ColdStated = time.Until(u.coldUntil), !u.coldUntil.IsZero()
 	u.mu.Unlock()
 	reply, _ := s.HandleHeartbeat(r)
 	if !reply.Renew {
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -92,6 +92,10 @@
 		"A connection of a caller ended before a request that it had sent without waiting for earlier responses got its response. The field reason names the side that closed the connection.", "none if the caller closed it; otherwise look for what ended the request before, with the same time.")
 	eventCallerLeft = event.Define(1851, log.InfoLevel, "caller left",
 		"A caller closed its connection before it got the response; its request is cancelled.", "none; if it repeats, compare the deadlines of the callers with the field left_ms.")
+	eventCold = event.Define(1877, log.InfoLevel, "upstream is cold",
+		"The local upstream is cold, or counts as cold, and gets a bounded number of requests per second until it is warm. stated is true if it said so in a heartbeat; otherwise it has not said how long it stays cold, or there are signs that it has restarted.", "none; if it repeats for one incarnation, find out why the upstream becomes cold again.")
+	eventWarm = event.Define(1878, log.InfoLevel, "upstream is warm",
+		"The bound on the requests to the cold upstream has ended. The event is logged with the first heartbeat after the end.", "none")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 )
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -102,7 +102,7 @@
 		}
 		member := keyrange.Member{Holder: keyrange.Holder{Host: m.Host, Instance: m.Instance, Started: m.Started}}
 		if h := d.fleet.Host(m.Host); h != nil {
-			member.Load, member.Slots = h.MeanUtilization(), h.Slots()
+			member.Load, member.Slots, member.Cold = h.MeanUtilization(), h.Slots(), m.Cold(time.Now())
 		}
 		members = append(members, member)
 	}
@@ -229,7 +229,7 @@
 		return false
 	}
 	demand := next.Demand(d.host, loads) / float64(slots)
-	if moves := next.MovesToNewMembers(d.host, demand, members); len(moves) > 0 {
+	if moves := next.MovesToNewMembers(d.host, demand, loads, members); len(moves) > 0 {
 		d.lastMove = now
 		d.recordMoves(next, moves, demand, loads)
 		return true
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
@@ -83,6 +84,11 @@
 	RetryRatio    float64 `ini:"retry_ratio"`
 	RetrySlack    float64 `ini:"retry_slack"`
 	RetryWindowMs int     `ini:"retry_window_ms"`
+	// ColdOverage and ColdSlack bound the requests to a cold upstream: in any second it
+	// gets at most ColdOverage times the requests per second that its service tolerates
+	// while cold, plus ColdSlack. Defaults 1.5 and 8.
+	ColdOverage float64 `ini:"cold_overage"`
+	ColdSlack   float64 `ini:"cold_slack"`
 }
 
 // LogSettings configure the log on standard output.
@@ -98,6 +104,7 @@
 		Terms: TermSettings{
 			DrainMs: 2000, GraceMs: 6000, HoldMaxMs: 10000,
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindowMs: 10000,
+			ColdOverage: 1.5, ColdSlack: 8,
 		},
 		Log: LogSettings{Level: "info"},
 	}
@@ -179,6 +186,9 @@
 	if s.Terms.RetryRatio < 0 || s.Terms.RetrySlack < 0 {
 		errs = append(errs, errors.New("terms.retry_ratio and terms.retry_slack: want 0 or more"))
 	}
+	if t := s.Terms; !(t.ColdOverage > 0) || !(t.ColdSlack >= 0) || math.IsInf(t.ColdOverage+t.ColdSlack, 1) {
+		errs = append(errs, fmt.Errorf("terms.cold_overage = %v, terms.cold_slack = %v: want a number above 0 and one of 0 or more", t.ColdOverage, t.ColdSlack))
+	}
 	return errors.Join(errs...)
 }
 
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -77,6 +77,7 @@
 	keys           *keyDriver
 	commands       *commandSender
 	gate           *gate
+	cold           coldStart
 	entry          *entry
 	publisher      *publisher
 	sweeper        *sweeper
@@ -148,14 +149,16 @@
 	if !state.known {
 		return fleet.Member{}, false
 	}
-	return fleet.Member{
+	m := fleet.Member{
 		Host: s.settings.Host.Name, Instance: state.holder.Instance, Started: state.holder.Started,
 		Service: state.service, Zone: s.settings.Host.Zone, Region: s.settings.Host.Region,
 		Address: s.settings.Listen.HopAdvertised, Slots: state.slots,
 		State:    state.publishedState(s.stopping.Load()),
 		Leaving:  !state.leavingSince.IsZero(),
 		LinkMbps: int(s.settings.Host.LinkMbps),
-	}, true
+	}
+	m.ColdUntil, m.ColdPerSecond = s.cold.coldRow(m.Incarnation())
+	return m, true
 }
 
 // HandleHeartbeat processes a heartbeat of the local upstream. If it returns false, the
@@ -166,7 +169,7 @@
 	if state.holder != before {
 		s.gate.limiter.NewUpstream()
 	}
-	if changed {
+	if s.applyCold() || changed {
 		s.upstreamChanged(state)
 	}
 	switch verdict {
--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -6,6 +6,7 @@
 
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/keyrange"
+	"burdockglade.dev/router/slowstart"
 )
 
 // Heartbeat is one heartbeat of the local upstream.
@@ -18,6 +19,10 @@
 	Service  string
 	Slots    int
 	Draining bool
+	// ColdFor is the time for which the upstream says that it stays cold. It is valid if
+	// ColdStated is true.
+	ColdFor    time.Duration
+	ColdStated bool
 	// Holds are the ranges that the upstream holds or for which requests are still
 	// running.
 	Holds []keyrange.Grant
@@ -51,6 +56,8 @@
 	// withdrawn is true if the upstream will send no more heartbeats.
 	withdrawn     bool
 	lastHeartbeat time.Time
+	// cold knows until when the upstream is cold.
+	cold slowstart.Tracker
 	// notice is what the upstream said of itself last.
 	notice Notice
 }
@@ -100,14 +107,19 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := &u.state
+	first := false
 	holder := keyrange.Holder{Host: u.host, Instance: r.Instance, Started: r.Started}
 	switch {
 	case s.known && s.holder == holder && r.Sequence <= s.sequence:
 		changed = r.Draining && s.leave(now)
 		return *s, heartbeatOutdated, changed
 	case s.known && s.holder != holder && !u.succeeds(now, holder, r.Sequence):
+		if u.pastState(holder) == nil {
+			s.cold.Assume(now)
+		}
 		return *s, heartbeatUnproven, false
 	case !s.known || s.holder != holder:
+		first = true
 		u.adopt(now, holder)
 		changed = true
 		if r.Draining {
@@ -119,6 +131,7 @@
 	if r.Draining && s.leave(now) {
 		changed = true
 	}
+	s.cold.Heartbeat(now, first, r.ColdStated, r.ColdFor)
 	u.challenger = challenger{}
 	u.firstRefused = time.Time{}
 	return *s, heartbeatCurrent, changed
--- a/router/slowstart/tracker.go
+++ b/router/slowstart/tracker.go
@@ -14,6 +14,9 @@
 	// the end that the last one of them stated.
 	stated bool
 	until  time.Time
+	// sign is true if there was no heartbeat that states a time since a sign that the
+	// upstream has restarted.
+	sign bool
 }
 
 // Heartbeat records a heartbeat that arrived now. first is true if it is the first one of
@@ -21,17 +24,17 @@
 // it is valid if stated is true.
 func (t *Tracker) Heartbeat(now time.Time, first, stated bool, remaining time.Duration) {
 	if first {
-		t.Assume(now)
+		t.assumedFrom, t.stated, t.sign = now, false, false
 	}
 	if stated {
-		t.stated, t.until = true, now.Add(min(max(remaining, 0), maxCold))
+		t.stated, t.sign, t.until = true, false, now.Add(min(max(remaining, 0), maxCold))
 	}
 }
 
 // Assume makes the upstream count as cold until a heartbeat states otherwise: it may have
 // restarted.
 func (t *Tracker) Assume(now time.Time) {
-	t.assumedFrom, t.stated = now, false
+	t.assumedFrom, t.stated, t.sign = now, false, true
 }
 
 // Until returns the time at which the upstream is warm, or the zero time if there is none.
@@ -50,3 +53,9 @@
 func (t *Tracker) Stated() bool {
 	return t.stated
 }
+
+// Uncertain reports whether the upstream counts as cold only because of a sign that it has
+// restarted, which its next heartbeat may correct.
+func (t *Tracker) Uncertain() bool {
+	return t.sign
+}
--- a/router/vhost/vhost.go
+++ b/router/vhost/vhost.go
@@ -52,6 +52,10 @@
 	// by commands, which are calls to the upstream, and not in the responses to its
 	// heartbeats.
 	KeysByCommand bool
+	// ColdStart is the time for which an upstream is cold after its start, and ColdPerSecond
+	// the number of requests per second that a cold one tolerates; 0: no bound.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Limits are the limits of requests and connections of callers. Zero means no limit.
