--- a/router/admit/cold_test.go
+++ b/router/admit/cold_test.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,3 +117,47 @@
 		}
 	})
 }
+
+// Guards against any difference in what is admitted, refused and reported for upstreams of
+// services without a bound: one limiter is told of no bound again and again, the other never.
+func TestNoBoundChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 2))
+		limiters := []*PriorityLimiter{NewPriorityLimiter(nil), NewPriorityLimiter(nil)}
+		var held [][2]func(Result)
+		for i := range 5000 {
+			var releases [2]func(Result)
+			var texts [2]string
+			take, goal := random.IntN(2) == 0, time.Duration(random.IntN(300))*time.Millisecond
+			for j, l := range limiters {
+				if j == 0 {
+					l.SetCold(slowstart.NewBound(0, 1.5, 8), time.Now().Add(time.Hour))
+				}
+				l.SetSlots(8)
+				if i%100 == 50 {
+					l.Responded(time.Now(), 40, i%300 == 50)
+				}
+				if !take && len(held) > 0 {
+					held[0][j](Completed)
+					continue
+				}
+				release, err := l.Acquire(t.Context(), WorkClass{Priority: i % 3}, bounds(NoWait, goal, time.Second))
+				releases[j], texts[j] = release, fmt.Sprint(err)
+			}
+			if texts[0] != texts[1] {
+				t.Fatalf("request %d: %s and %s", i, texts[0], texts[1])
+			}
+			switch {
+			case releases[0] != nil:
+				held = append(held, releases)
+			case !take && len(held) > 0:
+				held = held[1:]
+			}
+			a, b, c := limiters[0].Load()
+			if x, y, z := limiters[1].Load(); a != x || b != y || c != z {
+				t.Fatalf("request %d: loads %d %d %d and %d %d %d", i, a, b, c, x, y, z)
+			}
+			time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+		}
+	})
+}
