Read the terms of cold upstreams by field

Cause: the bound copied all terms with each heartbeat. Tests of the stop write another term while heartbeats arrive, which the race detector reported in two runs of ./sidecar (three reports in the second one). Change: only the two fields are read. Measured: go test -race ./sidecar in router passes.

--- a/router/sidecar/coldstart.go
+++ b/router/sidecar/coldstart.go
@@ -75,7 +75,7 @@
 	} else if v := t.Service(state.service); v != nil {
 		service = *v
 	}
-	terms := s.settings.Terms
+	terms := &s.settings.Terms
 	return slowstart.NewBound(service.ColdPerSecond, terms.ColdOverage, terms.ColdSlack), state.cold.Until(service.ColdStart)
 }
 
