Bound the gate from any refused connection on; benchmark of admission

Cause: only refused requests counted as a sign of a restart, and not the connections that the key driver opens to a silent upstream. Change: the record of a refused connection calls back. Benchmark of a request that gets a slot at once. Measured: go test -race ./sidecar -run 'Cold|Signs|Writes|Refused|Pace' in router passes.

--- a/router/admit/prioritylimiter_test.go
+++ b/router/admit/prioritylimiter_test.go
@@ -400,3 +400,19 @@
 		}
 	})
 }
+
+// BenchmarkPriorityLimiterAcquire measures a request that gets a slot at once.
+func BenchmarkPriorityLimiterAcquire(b *testing.B) {
+	l := NewPriorityLimiter(nil)
+	l.SetSlots(16)
+	l.Responded(time.Now(), 0, false)
+	at := bounds(NoWait, time.Second, time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		release, err := l.Acquire(b.Context(), WorkClass{}, at)
+		if err != nil {
+			b.Fatal(err)
+		}
+		release(Completed)
+	}
+}
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -71,7 +71,6 @@
 		drainLimit:  millis(terms.DrainMs) / 2,
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
-		assumeCold:  s.assumeCold,
 	}
 	s.gate.notices = &noticeReader{
 		decode: s.opts.Notice, log: s.log, scope: s.scope, local: s.local, limiter: s.gate.limiter,
--- a/router/sidecar/coldstart_test.go
+++ b/router/sidecar/coldstart_test.go
@@ -104,6 +104,26 @@
 	}
 }
 
+// Guards against the usual load on an upstream that is started again and has not sent a
+// heartbeat yet: its gate must be bounded from the first refused connection on, and no
+// longer than until a heartbeat says that it is warm.
+func TestRefusedConnectionBoundsTheGate(t *testing.T) {
+	c := newCluster(t, "cold")
+	c.hosts[0].upstream.setColdUntil(time.Now())
+	c.waitReady()
+	bounded := func() bool {
+		slots, _, _ := c.hosts[0].gate.limiter.Load()
+		return slots < 4
+	}
+	c.eventually("the gate is not bounded", func() bool { return !bounded() })
+	s := c.hosts[0].Sidecar
+	c.eventually("the gate is bounded right after a refused connection", func() bool {
+		s.local.connectionRefused(time.Now())
+		return bounded()
+	})
+	c.eventually("the gate is not bounded after a heartbeat", func() bool { return !bounded() })
+}
+
 // Guards against a member row that is written with each heartbeat of a cold upstream, and
 // against one that hides that it is cold or warm.
 func TestWritesOfColdness(t *testing.T) {
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -54,8 +54,6 @@
 	stoppingFor func() time.Duration
 	// graceLeft returns the time until this router ends.
 	graceLeft func() time.Duration
-	// assumeCold is called when there are signs that the upstream has restarted.
-	assumeCold func()
 }
 
 // newUpstreamClient returns the client for the upstream. It needs no bound on
@@ -211,7 +209,6 @@
 	}
 	if errors.Is(err, connpool.ErrRefused) {
 		g.local.connectionRefused(time.Now())
-		g.assumeCold()
 	}
 	r := errorResult(errkind.UpstreamDown, "the upstream could not be reached: %w", err)
 	r.Unreachable = true
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -113,6 +113,7 @@
 		createdAt: boottime.Now(),
 		local:     &localUpstream{host: host.Name, heartbeatInterval: millis(opts.Settings.Upstream.HeartbeatMs)},
 	}
+	s.local.refused = s.assumeCold
 	s.scope = opts.Metrics.SubScope("entry")
 	s.buildStore()
 	s.buildConfig()
--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -68,6 +68,9 @@
 
 	// heartbeatInterval is the time between heartbeats of an incarnation.
 	heartbeatInterval time.Duration
+	// refused is called when a connection was refused, which is a sign that the upstream
+	// has ended and may start again. It may be nil.
+	refused func()
 
 	mu    sync.Mutex
 	state upstreamState
@@ -211,11 +214,14 @@
 // connectionRefused records that nothing listens at the upstream's address.
 func (u *localUpstream) connectionRefused(now time.Time) {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	if u.firstRefused.IsZero() || now.Sub(u.lastRefused) > maxRefusalGap {
 		u.firstRefused = now
 	}
 	u.lastRefused = now
+	u.mu.Unlock()
+	if u.refused != nil {
+		u.refused()
+	}
 }
 
 // connected records that the upstream responded.
