--- a/router/sidecar/evacuation.go
+++ b/router/sidecar/evacuation.go
@@ -42,9 +42,10 @@
 	startedAt boottime.Time
 	log       *event.Logger
 	scope     tally.Scope
-	// changed is called when a zone is evacuated or taken back.
-	changed func()
-	view    atomic.Pointer[evacuation.View]
+	// changed is called when a zone is evacuated or taken back, and ownTakenBack when the
+	// zone of this host is taken back.
+	changed, ownTakenBack func()
+	view                  atomic.Pointer[evacuation.View]
 
 	mu  sync.Mutex
 	set evacuation.Set
@@ -65,6 +66,8 @@
 		ownZone: s.settings.Host.Zone, decode: s.opts.EvacuatedZone, startedAt: s.createdAt, log: s.log, scope: s.scope,
 		keyLimit: millis(s.settings.Terms.EvacuationMs) / 2,
 		changed:  func() { s.keys.wake() },
+		// Upstreams that got no requests may have become cold.
+		ownTakenBack: s.assumeCold,
 	}
 	e.view.Store(e.set.View())
 	e.scope.Gauge("evacuated_zones").Update(0)
@@ -115,6 +118,9 @@
 		}
 		if c.Zone == e.ownZone {
 			e.heldReported = false
+			if !c.Evacuated && e.ownTakenBack != nil {
+				e.ownTakenBack()
+			}
 		}
 		e.log.Log(logged, event.F("zone", c.Zone), event.F("own", c.Zone == e.ownZone), event.F("version", c.Version), event.F("source", source))
 	}
--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -6,6 +6,7 @@
 
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/keyrange"
+	"burdockglade.dev/router/slowstart"
 )
 
 // Heartbeat is one heartbeat of the local upstream.
@@ -18,6 +19,10 @@
 	Service  string
 	Slots    int
 	Draining bool
+	// ColdFor is the time for which the upstream says that it stays cold. It is valid if
+	// ColdStated is true.
+	ColdFor    time.Duration
+	ColdStated bool
 	// Holds are the ranges that the upstream holds or for which requests are still
 	// running.
 	Holds []keyrange.Grant
@@ -51,6 +56,8 @@
 	// withdrawn is true if the upstream will send no more heartbeats.
 	withdrawn     bool
 	lastHeartbeat time.Time
+	// cold knows until when the upstream is cold.
+	cold slowstart.Tracker
 	// notice is what the upstream said of itself last.
 	notice Notice
 }
@@ -61,6 +68,9 @@
 
 	// heartbeatInterval is the time between heartbeats of an incarnation.
 	heartbeatInterval time.Duration
+	// refused is called when a connection was refused, which is a sign that the upstream
+	// has ended and may start again. It may be nil.
+	refused func()
 
 	mu    sync.Mutex
 	state upstreamState
@@ -100,14 +110,19 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := &u.state
+	first := false
 	holder := keyrange.Holder{Host: u.host, Instance: r.Instance, Started: r.Started}
 	switch {
 	case s.known && s.holder == holder && r.Sequence <= s.sequence:
 		changed = r.Draining && s.leave(now)
 		return *s, heartbeatOutdated, changed
 	case s.known && s.holder != holder && !u.succeeds(now, holder, r.Sequence):
+		if u.pastState(holder) == nil {
+			s.cold.Assume(now)
+		}
 		return *s, heartbeatUnproven, false
 	case !s.known || s.holder != holder:
+		first = true
 		u.adopt(now, holder)
 		changed = true
 		if r.Draining {
@@ -119,6 +134,7 @@
 	if r.Draining && s.leave(now) {
 		changed = true
 	}
+	s.cold.Heartbeat(now, first, r.ColdStated, r.ColdFor)
 	u.challenger = challenger{}
 	u.firstRefused = time.Time{}
 	return *s, heartbeatCurrent, changed
@@ -198,11 +214,14 @@
 // connectionRefused records that nothing listens at the upstream's address.
 func (u *localUpstream) connectionRefused(now time.Time) {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	if u.firstRefused.IsZero() || now.Sub(u.lastRefused) > maxRefusalGap {
 		u.firstRefused = now
 	}
 	u.lastRefused = now
+	u.mu.Unlock()
+	if u.refused != nil {
+		u.refused()
+	}
 }
 
 // connected records that the upstream responded.
