--- a/router/vhost/vhost.go
+++ b/router/vhost/vhost.go
@@ -24,6 +24,9 @@
 	Prefix string
 	// Repeatable is true if the requests of the route may run more than once.
 	Repeatable bool
+	// LargeResponses is true if the responses of the route are large, so that the link of
+	// the host that sends them may be the bottleneck.
+	LargeResponses bool
 	// Timeout is the longest time until the final response.
 	Timeout time.Duration
 	// TargetLatency is the latency objective.
