Package linkshare: schedule and admit responses on a link

Cause: responses of 90 KB overload links of 10 Mbit/s, and short responses behind them are lost.

A refusal names the time at which there is room.

--- /dev/null
+++ b/router/linkshare/admission.go
@@ -0,0 +1,64 @@
+package linkshare
+
+import (
+	"time"
+)
+
+// lateShare is the share of its own time on the link by which the backlog may delay a
+// response that would miss its goal on an idle link too.
+const lateShare = 0.25
+
+// Request describes a response that is to be admitted.
+type Request struct {
+	// Bytes is the expected size.
+	Bytes int64
+	// Service is the expected time until the upstream has responded.
+	Service time.Duration
+	// Goal is when the response should have been sent, Deadline when it must have been.
+	Goal     time.Time
+	Deadline time.Time
+	// Last is true if no other host is left to try, so that Deadline decides.
+	Last bool
+}
+
+// Admission is the result of Admit.
+type Admission struct {
+	// Transfer is the response with its place in the backlog, or nil if it is refused.
+	Transfer *Transfer
+	// SendTime is the expected time from the upstream's response until it has been sent.
+	SendTime time.Duration
+	// RetryAfter is the time after which there will be room, if it is refused.
+	RetryAfter time.Duration
+}
+
+// Admit admits a response if it is expected to be sent in time and does not make another
+// one late.
+func (l *Link) Admit(now time.Time, r Request) Admission {
+	rate := l.largeRate(now)
+	size, service := max(r.Bytes, 1), max(r.Service, 0)
+	limit, bound := r.limit(now, rate)
+	c := flow{remaining: float64(size), ready: service.Seconds(), limit: bound}
+	s := l.schedule(now)
+	fits, finish := s.fits(c, rate)
+	if !fits {
+		return Admission{RetryAfter: max(duration(s.roomAfter(c, rate)), time.Millisecond)}
+	}
+	t := &Transfer{remaining: size, readyAt: now.Add(service), limit: limit, deadline: r.Deadline}
+	l.transfers = append(l.transfers, t)
+	return Admission{Transfer: t, SendTime: duration(finish - c.ready)}
+}
+
+// limit returns the time until which the response must have been sent, and the seconds
+// from now until which the forecast must say so.
+func (r Request) limit(now time.Time, rate float64) (limit time.Time, bound float64) {
+	deadline := withMargin(r.Deadline.Sub(now).Seconds(), rate)
+	if r.Last {
+		return r.Deadline, deadline
+	}
+	goal := withMargin(r.Goal.Sub(now).Seconds(), rate)
+	sending := float64(r.Bytes) / rate
+	if idle := max(r.Service, 0).Seconds() + sending; idle > goal {
+		return r.Deadline, min(idle+lateShare*sending, deadline)
+	}
+	return r.Goal, min(goal, deadline)
+}
