Send large responses to other routers in turns, and admit them by bytes

Cause: the gate admitted calls by slots only. Responses of 90 KB filled the links, and short responses behind them came too late.

Change: with [host] link_mbps, the hop server writes responses above 16 KiB in chunks, each when linkshare gives it a turn; calls whose expected response would be late are refused before they run, with the time at which there is room (event 1880). Expected sizes are learnt by work class and the new flag Large of hop requests. Up to 1 MiB of such a response is read from the upstream at once, so that it does not keep a slot. The share of the link that is taken travels in Burdock-Link, above a quarter, and counts as utilization.

Without link_mbps, and for small responses, nothing is scheduled.

--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -39,15 +39,19 @@
 	Waiting int
 	// Slots is the number of requests that may run concurrently.
 	Slots int
+	// Link is the share of the host's link that is taken, 0 if it is not reported. It
+	// exceeds 1 if responses wait for the link.
+	Link float64
 }
 
 // Utilization returns the busy and waiting requests as a share of the slots, or 1
-// if the number of slots is 0. It exceeds 1 if requests wait for slots.
+// if the number of slots is 0, or Link if that is higher. It exceeds 1 if requests wait
+// for slots.
 func (l Load) Utilization() float64 {
 	if l.Slots == 0 {
-		return 1
+		return max(1, l.Link)
 	}
-	return float64(l.Busy+l.Waiting) / float64(l.Slots)
+	return max(float64(l.Busy+l.Waiting)/float64(l.Slots), l.Link)
 }
 
 // Host is another host as seen from this one. It is safe for concurrent use.
--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -72,6 +72,9 @@
 	// AsksForBody marks a request whose sender waits with a stream until the receiver asks
 	// for it. Routers of earlier versions ignore the flag and do not ask.
 	AsksForBody
+	// Large marks a request whose response is expected to be large. Routers of earlier
+	// versions ignore the flag.
+	Large
 )
 
 // bodyWanted is sent in place of the length of a response head by a receiver that asks for
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -24,6 +24,9 @@
 // Server accepts requests from other routers.
 type Server struct {
 	handler Handler
+	// SentAtOnce is called with the number of bytes before they are written in responses
+	// without a Transfer. It may be nil, and is set before Serve.
+	SentAtOnce func(n int)
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -40,10 +43,12 @@
 // serverConn is a connection from another router.
 type serverConn struct {
 	net.Conn
-	br       *bufio.Reader
-	busy     bool // guarded by Server.mu
-	sent     fieldCache
-	received fieldCache
+	br *bufio.Reader
+	// sentAtOnce is Server.SentAtOnce.
+	sentAtOnce func(n int)
+	busy       bool // guarded by Server.mu
+	sent       fieldCache
+	received   fieldCache
 	// writeMu orders the request for a stream, which another goroutine may make, before the
 	// response. responding is true once the response to the last request has begun.
 	writeMu    sync.Mutex
@@ -65,7 +70,7 @@
 			}
 			return err
 		}
-		c := &serverConn{Conn: nc, br: bufio.NewReader(nc)}
+		c := &serverConn{Conn: nc, br: bufio.NewReader(nc), sentAtOnce: s.SentAtOnce}
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
@@ -208,7 +213,8 @@
 	return watchResult, c.writeResponse(resp)
 }
 
-// writeResponse sends a response. A short one is sent in a single write.
+// writeResponse sends a response. A short one is sent in a single write, unless it has a
+// Transfer.
 func (c *serverConn) writeResponse(resp *Response) error {
 	head := resp.ResponseHead
 	head.Fields, head.SameFields = c.sent.elide(&c.sent.sent, resp.Fields)
@@ -217,18 +223,19 @@
 		return err
 	}
 	c.setResponding(true)
+	w := c.writer(resp)
 	if resp.Length >= 0 && resp.Length <= maxBufferedBodyBytes {
 		b := bytes.NewBuffer(message)
 		if err := writeBody(b, resp.Body, resp.Length); err != nil {
 			return err
 		}
-		_, err := c.Write(b.Bytes())
+		_, err := w.Write(b.Bytes())
 		return err
 	}
-	if _, err := c.Write(message); err != nil {
+	if _, err := w.Write(message); err != nil {
 		return err
 	}
-	return writeBody(c, resp.Body, resp.Length)
+	return writeBody(w, resp.Body, resp.Length)
 }
 
 func (c *serverConn) setResponding(responding bool) {
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -59,6 +59,8 @@
 	Priority int
 	// Repeatable is true if the request may run more than once.
 	Repeatable bool
+	// Large is true if the response is expected to be large.
+	Large bool
 	// Keyed is true if the call may run only at the holder of Key.
 	Keyed bool
 	Key   uint16
@@ -69,6 +71,9 @@
 	// attempts come with shorter deadlines.
 	Objective time.Duration
 	Goal      time.Time
+	// transfer is the response on its way to another router. It is nil for calls of this
+	// host, and if the link is not scheduled.
+	transfer *linkTransfer
 }
 
 // bodySendable reports whether the whole body can be sent in another attempt.
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -120,6 +120,8 @@
 	// wrapHop replaces the listeners for other routers of hosts that are added later; nil
 	// leaves them.
 	wrapHop func(net.Listener) net.Listener
+	// linkMbps is the bandwidth of the links of hosts that are added later.
+	linkMbps float64
 }
 
 // ports are listeners by address. They are opened when the address is chosen, so that no
@@ -193,6 +195,9 @@
 		Services: []vhost.Service{{Name: "plain"}, {Name: "keyed", Keyed: true}},
 		Routes:   []vhost.Route{route("look", "plain", true), route("pay", "plain", false), route("keys", "keyed", true)},
 	}
+	download := route("dl", "plain", true)
+	download.LargeResponses = true
+	c.Routes = append(c.Routes, download)
 	if version > 1 {
 		c.Routes = append(c.Routes, route("new", "plain", true))
 	}
@@ -210,7 +215,7 @@
 	u := newTestUpstream(c.t, "i-"+name)
 	p := ports{}
 	settings := DefaultSettings()
-	settings.Host = HostSettings{Name: name, Zone: "z1", Region: "r1", Service: service}
+	settings.Host = HostSettings{Name: name, Zone: "z1", Region: "r1", Service: service, LinkMbps: c.linkMbps}
 	settings.Listen = ListenSettings{Caller: p.address(c.t), Hop: p.address(c.t), Ready: p.address(c.t), Control: p.address(c.t), Metrics: p.address(c.t)}
 	settings.Listen.HopAdvertised = settings.Listen.Hop
 	if c.wrapHop != nil {
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -230,6 +230,7 @@
 		Deadline:   start.Add(e.remainingTime(req, route)),
 		Priority:   route.Priority,
 		Repeatable: route.Repeatable,
+		Large:      route.LargeResponses,
 		Objective:  route.TargetLatency,
 	}
 	left := c.Deadline.Sub(start)
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -92,6 +92,8 @@
 		"A connection of a caller ended before a request that it had sent without waiting for earlier responses got its response. The field reason names the side that closed the connection.", "none if the caller closed it; otherwise look for what ended the request before, with the same time.")
 	eventCallerLeft = event.Define(1851, log.InfoLevel, "caller left",
 		"A caller closed its connection before it got the response; its request is cancelled.", "none; if it repeats, compare the deadlines of the callers with the field left_ms.")
+	eventLinkFull = event.Define(1880, log.InfoLevel, "no room on the link",
+		"A call of another router was refused because its response, of about the given number of bytes, could not be sent in time behind the backlog of this host's link.", "If all hosts of the service report it, the demand exceeds their links: add hosts or wider links, or reduce the downloads.")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -76,7 +76,8 @@
 	if c.Keyed {
 		g.keys.countRequest(c.Key, g.limiter.MeanServiceTime(work))
 	}
-	release, err := g.limiter.Acquire(ctx, work, admit.WaitBounds{Policy: c.WaitPolicy, Goal: c.Goal, Deadline: c.Deadline})
+	sending := c.transfer.expectedSendTime()
+	release, err := g.limiter.Acquire(ctx, work, admit.WaitBounds{Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending)})
 	if err != nil {
 		return g.withLoad(&Result{Err: kindError(err)})
 	}
@@ -231,14 +232,15 @@
 		release(admit.Failed)
 		return &Result{Arrived: true, Err: err}
 	}
-	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse))
+	limit := c.transfer.bufferBytes()
+	head, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)))
 	if err != nil {
 		_ = resp.Body.Close()
 		release(admit.Failed)
 		return &Result{Arrived: true, Err: errkind.New(errkind.AnswerIncomplete, "the upstream's response was cut: %w", err)}
 	}
 	r := &Result{Arrived: true, Status: resp.Status, Header: resp.Header, Length: resp.Length}
-	if len(head) < maxBufferedResponse {
+	if len(head) < limit {
 		_ = resp.Body.Close()
 		release(admit.Completed)
 		r.Length = int64(len(head))
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -79,7 +79,7 @@
 	if c.Stream != nil {
 		head.Length = c.Stream.length
 	}
-	for flag, set := range map[hop.RequestFlags]bool{hop.Repeatable: c.Repeatable, hop.Keyed: c.Keyed} {
+	for flag, set := range map[hop.RequestFlags]bool{hop.Repeatable: c.Repeatable, hop.Keyed: c.Keyed, hop.Large: c.Large} {
 		if set {
 			head.Flags |= flag
 		}
@@ -139,6 +139,8 @@
 	header := headerFrom(resp.Fields)
 	r.Leaving = decodeLeaving(header.Get(leavingField))
 	header.Del(leavingField)
+	r.Load.Link = decodeLinkShare(header.Get(linkField))
+	header.Del(linkField)
 	if resp.Kind != "" {
 		_ = resp.Body.Close()
 		r.Err = errkind.New(errkind.Kind(resp.Kind), "%s", resp.Detail)
@@ -174,6 +176,7 @@
 // hopHandler serves calls of other routers.
 type hopHandler struct {
 	gate    *gate
+	link    *linkScheduler
 	headers Headers
 	// store is this host's own connection to the store.
 	store rowstore.Store
@@ -209,13 +212,16 @@
 	}
 	c := h.decodeCall(req, time.Now())
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	r := h.gate.serve(ctx, c)
+	r, transfer := h.link.serve(ctx, h.gate, c)
 	resp := &hop.Response{ResponseHead: h.responseHead(r), Body: r.Body}
 	if resp.Body == nil {
 		cancel()
 		return resp
 	}
 	resp.Body = &cancelOnClose{ReadCloser: r.Body, cancel: cancel}
+	if transfer != nil {
+		resp.Transfer = transfer
+	}
 	return resp
 }
 
@@ -244,6 +250,7 @@
 		Goal:       now.Add(time.Duration(req.GoalMs) * time.Millisecond),
 		Priority:   req.Priority,
 		Repeatable: req.Flags&hop.Repeatable != 0,
+		Large:      req.Flags&hop.Large != 0,
 		Keyed:      req.Flags&hop.Keyed != 0,
 		WaitPolicy: admit.WaitPolicy(req.WaitPolicy),
 		Key:        req.Key,
@@ -277,11 +284,14 @@
 	} else {
 		head.Status, head.Length = r.Status, r.Length
 		head.Signature = r.Header.Get(h.headers.Signature)
-		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField)
+		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField, linkField)
 	}
 	if r.Leaving != nil {
 		head.Fields = append(head.Fields, hop.Field{Name: leavingField, Value: encodeLeaving(*r.Leaving)})
 	}
+	if share := h.link.share(time.Now()); share != "" {
+		head.Fields = append(head.Fields, hop.Field{Name: linkField, Value: share})
+	}
 	return head
 }
 
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
@@ -30,7 +31,8 @@
 	// host are attributed to it.
 	Service string `ini:"service"`
 	// LinkMbps is the bandwidth of the host's link in Mbit/s. In each zone, the host with
-	// the highest bandwidth reads the fleet for the others. Default 0: unknown.
+	// the highest bandwidth reads the fleet for the others, and large responses to other
+	// hosts are sent in turns within it. Default 0: unknown; responses are sent at once.
 	LinkMbps float64 `ini:"link_mbps"`
 }
 
@@ -176,6 +178,9 @@
 			errs = append(errs, fmt.Errorf("%s = %d: want more than 0", f.key, f.value))
 		}
 	}
+	if s.Host.LinkMbps < 0 || math.IsNaN(s.Host.LinkMbps) || math.IsInf(s.Host.LinkMbps, 0) {
+		errs = append(errs, fmt.Errorf("host.link_mbps = %v: want 0 or more", s.Host.LinkMbps))
+	}
 	if s.Terms.RetryRatio < 0 || s.Terms.RetrySlack < 0 {
 		errs = append(errs, errors.New("terms.retry_ratio and terms.retry_slack: want 0 or more"))
 	}
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -77,6 +77,7 @@
 	keys           *keyDriver
 	commands       *commandSender
 	gate           *gate
+	link           *linkScheduler
 	entry          *entry
 	publisher      *publisher
 	sweeper        *sweeper
@@ -287,7 +288,11 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, applyRow: s.applyFleetRow}
+	hops := &hopHandler{gate: s.gate, link: s.link, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, applyRow: s.applyFleetRow}
+	hopServer := hop.NewServer(hops.serve)
+	if s.link != nil {
+		hopServer.SentAtOnce = s.link.charge
+	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
 	callers := httpServer(s.countInFlight(s.entry))
@@ -301,7 +306,7 @@
 		server        server
 	}{
 		{"caller", l.Caller, callers},
-		{"hop", l.Hop, hop.NewServer(hops.serve)},
+		{"hop", l.Hop, hopServer},
 		{"control", l.Control, httpServer(s.opts.Control(s))},
 		{"ready", l.Ready, httpServer(s.opts.Ready(s))},
 		{"metrics", l.Metrics, httpServer(mux)},
