Follow the bandwidth that the link has

Cause: on a link that is narrower than link_mbps, the schedule fills queues in the kernel and in the network, and short responses wait in them.

Change: while large responses are sent, TCP_INFO of the connections from other routers is read each 250 ms. If more is unacknowledged than a link that keeps up leaves, twice in a row, the rate goes half of the way to what receivers have acknowledged, and the next chunk waits until the queue has left. Otherwise it rises again, up to the setting. Connections that their receivers limit are left out. Events 1881 and 1882, metric burdock_entry_link_rate_share.

No run over a real narrow link: only the reading of TCP_INFO is tested on sockets.

--- a/router/hop/pace_test.go
+++ b/router/hop/pace_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"burdockglade.dev/router/connpool"
 )
 
 // countedTransfer records the turns that a response takes, and fails after some.
@@ -78,3 +80,46 @@
 		}
 	}
 }
+
+// Guards against a slow reader that is taken for a narrow link, and against bytes that are
+// not counted as carried.
+func TestSendStateLeavesSlowReadersOut(t *testing.T) {
+	const size = 32 << 20
+	for _, reads := range []bool{true, false} {
+		s := NewServer(func(context.Context, *Request) *Response {
+			return &Response{ResponseHead: ResponseHead{Status: 200, Length: size}, Body: io.NopCloser(bytes.NewReader(make([]byte, size)))}
+		})
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = s.Serve(l) }()
+		client := NewClient(connpool.Options{Address: l.Addr().String(), DialTimeout: time.Second, IdleTimeout: time.Minute})
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		resp, err := client.Do(ctx, &Request{RequestHead: RequestHead{Method: "GET"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var acked, queued int64
+		if reads {
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				t.Fatal(err)
+			}
+		}
+		tick := time.NewTicker(10 * time.Millisecond)
+		for done := false; !done; <-tick.C {
+			var more int64
+			more, queued = s.SendState()
+			acked += more
+			// The reader leaves the connection idle, the other one leaves megabytes unread.
+			done = (reads && acked >= size && queued == 0) || (!reads && more == 0 && queued == 0 && acked > 0) || ctx.Err() != nil
+		}
+		if ctx.Err() != nil {
+			t.Errorf("reads %v: %d bytes acknowledged, %d queued", reads, acked, queued)
+		}
+		cancel()
+		tick.Stop()
+		_ = resp.Body.Close()
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/router/hop/sendstate.go
@@ -0,0 +1,60 @@
+package hop
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// sendState is the state of sending on a connection, as the kernel reports it.
+type sendState struct {
+	acked uint64 // bytes that were acknowledged
+	// busy is the time in which there was something to send, receiverLimited the part of it
+	// in which the receiver did not take more. Both are in microseconds.
+	busy, receiverLimited uint64
+}
+
+// SendState returns how many bytes receivers have acknowledged since the last call, and
+// how many are written and not acknowledged. Connections whose receivers limited them for
+// more than half of the time since then are left out.
+func (s *Server) SendState() (acked, queued int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		before := c.sendState
+		now, waiting, ok := readSendState(c.Conn)
+		if !ok {
+			continue
+		}
+		c.sendState = now
+		if (now.receiverLimited-before.receiverLimited)*2 > now.busy-before.busy {
+			continue
+		}
+		acked += int64(now.acked - before.acked)
+		queued += waiting
+	}
+	return acked, queued
+}
+
+// readSendState reads the state of a TCP connection, and the number of bytes that are
+// written to it and not acknowledged.
+func readSendState(conn any) (state sendState, queued int64, ok bool) {
+	sc, isSocket := conn.(syscall.Conn)
+	if !isSocket {
+		return state, 0, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return state, 0, false
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		state = sendState{acked: info.Bytes_acked, busy: info.Busy_time, receiverLimited: info.Rwnd_limited}
+		queued = int64(info.Unacked)*int64(info.Snd_mss) + int64(info.Notsent_bytes)
+		ok = true
+	})
+	return state, queued, ok && err == nil
+}
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -46,9 +46,11 @@
 	br *bufio.Reader
 	// sentAtOnce is Server.SentAtOnce.
 	sentAtOnce func(n int)
-	busy       bool // guarded by Server.mu
-	sent       fieldCache
-	received   fieldCache
+	// sendState is that of the last call of SendState, guarded by Server.mu.
+	sendState sendState
+	busy      bool // guarded by Server.mu
+	sent      fieldCache
+	received  fieldCache
 	// writeMu orders the request for a stream, which another goroutine may make, before the
 	// response. responding is true once the response to the last request has begun.
 	writeMu    sync.Mutex
--- a/router/linkshare/link.go
+++ b/router/linkshare/link.go
@@ -30,8 +30,9 @@
 
 // Link is the outgoing direction of a host's link. It is not safe for concurrent use.
 type Link struct {
-	// rate is the capacity in bytes per second.
-	rate float64
+	// capacity is the bandwidth of the settings, rate what the link carries at present, in
+	// bytes per second.
+	capacity, rate float64
 	// busyUntil is when everything that was sent so far has left at the scheduled rate.
 	busyUntil time.Time
 	small     meter
@@ -40,6 +41,10 @@
 	transfers []*Transfer
 	// queue holds the transfers whose next chunk waits, the next one first.
 	queue []*Transfer
+	// sampledAt is the time of the last sample, busyAt that of the last one of a busy link.
+	// overruns counts the consecutive samples in which the link did not keep up.
+	sampledAt, busyAt time.Time
+	overruns          int
 }
 
 // Transfer is one large response.
@@ -60,7 +65,8 @@
 
 // New returns an idle link with a capacity in Mbit/s.
 func New(mbps float64) *Link {
-	return &Link{rate: mbps * 1e6 / 8}
+	capacity := mbps * 1e6 / 8
+	return &Link{capacity: capacity, rate: capacity}
 }
 
 // Charge records n bytes that are sent at once.
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -94,6 +94,10 @@
 		"A caller closed its connection before it got the response; its request is cancelled.", "none; if it repeats, compare the deadlines of the callers with the field left_ms.")
 	eventLinkFull = event.Define(1880, log.InfoLevel, "no room on the link",
 		"A call of another router was refused because its response, of about the given number of bytes, could not be sent in time behind the backlog of this host's link.", "If all hosts of the service report it, the demand exceeds their links: add hosts or wider links, or reduce the downloads.")
+	eventLinkNarrow = event.Define(1881, log.WarnLevel, "link narrower than set",
+		"Receivers acknowledge less than the link should carry, while more is written. The schedule follows what is carried, as the share of the setting that the line names.", "If it stays, correct link_mbps, or look for other traffic on the link.")
+	eventLinkWide = event.Define(1882, log.InfoLevel, "link as wide as set",
+		"The link carries about what link_mbps says again.", "none")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 )
--- a/router/sidecar/link.go
+++ b/router/sidecar/link.go
@@ -29,6 +29,13 @@
 	open map[*linkshare.Transfer]*linkTransfer
 	// timer grants the next turn when it is due.
 	timer *time.Timer
+	// sendState returns how many bytes were acknowledged since its last call, and how many
+	// are written and not acknowledged. Set before the first call is served.
+	sendState func() (acked, queued int64)
+	// sampling is true while the sampling of sendState goes on.
+	sampling bool
+	// narrow is true while the link carries much less than the settings say.
+	narrow bool
 }
 
 // newLinkScheduler returns a scheduler for a link of the bandwidth in Mbit/s, or nil if
@@ -172,6 +179,7 @@
 	t.share, t.turn = share, make(chan struct{}, 1)
 	t.scheduler.open[share] = t
 	t.stop = context.AfterFunc(t.ctx, t.end)
+	t.scheduler.startSampling()
 }
 
 // end frees the place in the schedule.
@@ -247,6 +255,50 @@
 	s.scope.Gauge("link_taken").Update(s.link.Taken(now))
 }
 
+// startSampling samples what the link carries until no large response is left. s.mu must
+// be held.
+func (s *linkScheduler) startSampling() {
+	if !s.sampling && s.sendState != nil {
+		s.sampling = true
+		time.AfterFunc(linkshare.SampleInterval, s.sample)
+	}
+}
+
+func (s *linkScheduler) sample() {
+	acked, queued := s.sendState()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.link.Observe(now, linkshare.Sample{Carried: acked, Queued: queued})
+	s.report(now)
+	s.reportRate(queued)
+	s.sampling = false
+	if len(s.open) > 0 {
+		s.startSampling()
+	}
+}
+
+// narrowShare and wideShare are the shares of the configured bandwidth below which a link
+// is reported as narrow, and above which no more.
+const (
+	narrowShare = 0.7
+	wideShare   = 0.9
+)
+
+// reportRate logs when the link becomes narrow or wide. s.mu must be held.
+func (s *linkScheduler) reportRate(queued int64) {
+	share := s.link.RateShare()
+	s.scope.Gauge("link_rate_share").Update(share)
+	if before := s.narrow; share < narrowShare || (before && share < wideShare) {
+		s.narrow = true
+		if !before {
+			s.log.Log(eventLinkNarrow, event.F("share", share), event.F("queued_bytes", queued))
+		}
+	} else if s.narrow = false; before {
+		s.log.Log(eventLinkWide, event.F("share", share))
+	}
+}
+
 // linkField is the field of a response between routers that names the share of the
 // responding host's link that is taken. Routers of earlier versions ignore it.
 const linkField = "Burdock-Link"
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -291,7 +291,7 @@
 	hops := &hopHandler{gate: s.gate, link: s.link, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, applyRow: s.applyFleetRow}
 	hopServer := hop.NewServer(hops.serve)
 	if s.link != nil {
-		hopServer.SentAtOnce = s.link.charge
+		hopServer.SentAtOnce, s.link.sendState = s.link.charge, hopServer.SendState
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
