Bound the memory for large responses

Cause: responses that wait for the link or for a slow reader are held in memory, 1 MiB each, without a bound; an upstream cuts off a response that stays unread and must not hold more than it has slots for.

Change: what is read ahead, what admitted responses are expected to need, and bodies above 64 KiB are charged against an eighth of [host] memory_mb (new; 16 MB without it). Calls beyond it are refused (event 1883). A response without memory is passed on while it arrives and keeps its slot, so that no more large responses run at an upstream than it has slots. The head of a response in turns goes with its first chunk; responses up to 64 KiB are no longer copied for it.

Bodies are charged only for calls of other routers, with 1 MiB at most, so that each body that the configuration allows can be sent.

--- a/router/hop/pace.go
+++ b/router/hop/pace.go
@@ -20,32 +20,42 @@
 // length.
 const turnBytes = chunkBytes + binary.MaxVarintLen64
 
-// pacedWriter writes a response in turns.
+// pacedWriter writes the body of a response in turns.
 type pacedWriter struct {
 	conn     *serverConn
 	transfer Transfer
+	// head is the head of the response, which is sent with the first part of the body.
+	head []byte
 }
 
 // Write implements io.Writer. A receiver that does not read is given up at the deadline.
 func (w *pacedWriter) Write(p []byte) (n int, err error) {
 	for len(p) > 0 && err == nil {
-		turn := p[:min(len(p), turnBytes)]
+		turn := p[:min(len(p), max(turnBytes-len(w.head), 1))]
+		size := len(turn)
+		if w.head != nil {
+			turn, w.head = append(w.head, turn...), nil
+		}
 		if err = w.transfer.Await(len(turn)); err != nil {
 			return n, err
 		}
 		if err = w.conn.SetWriteDeadline(w.transfer.Deadline()); err != nil {
 			return n, err
 		}
-		var written int
-		written, err = w.conn.Write(turn)
-		n, p = n+written, p[written:]
-		if err == nil {
-			err = w.conn.SetWriteDeadline(time.Time{}) // the connection may carry further responses
+		if _, err = w.conn.Write(turn); err != nil {
+			return n, err
 		}
+		n, p = n+size, p[size:]
+		err = w.conn.SetWriteDeadline(time.Time{}) // the connection may carry further responses
 	}
 	return n, err
 }
 
+// writePaced sends a response in turns.
+func (c *serverConn) writePaced(head []byte, resp *Response) error {
+	return writeBody(&pacedWriter{conn: c, transfer: resp.Transfer, head: head}, resp.Body, resp.Length)
+}
+
 // chargedWriter writes at once and reports the bytes.
 type chargedWriter struct {
 	conn *serverConn
@@ -57,12 +67,9 @@
 	return w.conn.Write(p)
 }
 
-// writer returns the writer for a response.
-func (c *serverConn) writer(resp *Response) io.Writer {
-	switch {
-	case resp.Transfer != nil:
-		return &pacedWriter{conn: c, transfer: resp.Transfer}
-	case c.sentAtOnce != nil:
+// writer returns the writer for a response that is sent at once.
+func (c *serverConn) writer() io.Writer {
+	if c.sentAtOnce != nil {
 		return chargedWriter{c}
 	}
 	return c
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -225,7 +225,10 @@
 		return err
 	}
 	c.setResponding(true)
-	w := c.writer(resp)
+	if resp.Transfer != nil {
+		return c.writePaced(message, resp)
+	}
+	w := c.writer()
 	if resp.Length >= 0 && resp.Length <= maxBufferedBodyBytes {
 		b := bytes.NewBuffer(message)
 		if err := writeBody(b, resp.Body, resp.Length); err != nil {
--- a/router/linkshare/link.go
+++ b/router/linkshare/link.go
@@ -152,6 +152,11 @@
 	return largeShare * max(l.rate-l.small.rate(now), minLargeShare*l.rate)
 }
 
+// TimeOf returns the time that n bytes of large responses take on the link.
+func (l *Link) TimeOf(now time.Time, n int64) time.Duration {
+	return duration(float64(n) / l.largeRate(now))
+}
+
 // backlogTime is the time of sending whose backlog counts like a fully used link.
 const backlogTime = time.Second
 
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -98,6 +98,8 @@
 		"Receivers acknowledge less than the link should carry, while more is written. The schedule follows what is carried, as the share of the setting that the line names.", "If it stays, correct link_mbps, or look for other traffic on the link.")
 	eventLinkWide = event.Define(1882, log.InfoLevel, "link as wide as set",
 		"The link carries about what link_mbps says again.", "none")
+	eventLinkMemory = event.Define(1883, log.WarnLevel, "no memory for a large response",
+		"A call of another router was refused because the bytes that are held for large responses and bodies have reached their bound.", "Look for callers that read slowly, on hosts whose calls have the caller of the line.")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -232,15 +232,14 @@
 		release(admit.Failed)
 		return &Result{Arrived: true, Err: err}
 	}
-	limit := c.transfer.bufferBytes()
-	head, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)))
+	head, complete, err := c.transfer.readResponse(resp.Body, resp.Length)
 	if err != nil {
 		_ = resp.Body.Close()
 		release(admit.Failed)
 		return &Result{Arrived: true, Err: errkind.New(errkind.AnswerIncomplete, "the upstream's response was cut: %w", err)}
 	}
 	r := &Result{Arrived: true, Status: resp.Status, Header: resp.Header, Length: resp.Length}
-	if len(head) < limit {
+	if complete {
 		_ = resp.Body.Close()
 		release(admit.Completed)
 		r.Length = int64(len(head))
--- a/router/sidecar/link.go
+++ b/router/sidecar/link.go
@@ -25,6 +25,8 @@
 	mu    sync.Mutex
 	link  *linkshare.Link
 	sizes linkshare.Sizes
+	// memory holds what is read from the upstream and not sent.
+	memory *linkshare.Memory
 	// open holds the transfers that are admitted and not ended.
 	open map[*linkshare.Transfer]*linkTransfer
 	// timer grants the next turn when it is due.
@@ -39,12 +41,12 @@
 }
 
 // newLinkScheduler returns a scheduler for a link of the bandwidth in Mbit/s, or nil if
-// that is 0.
-func newLinkScheduler(mbps float64, log *event.Logger, scope tally.Scope) *linkScheduler {
+// that is 0. memory is the number of bytes that may be held for large responses.
+func newLinkScheduler(mbps float64, memory int64, log *event.Logger, scope tally.Scope) *linkScheduler {
 	if mbps <= 0 {
 		return nil
 	}
-	return &linkScheduler{log: log, scope: scope, link: linkshare.New(mbps), open: map[*linkshare.Transfer]*linkTransfer{}}
+	return &linkScheduler{log: log, scope: scope, link: linkshare.New(mbps), memory: linkshare.NewMemory(memory), open: map[*linkshare.Transfer]*linkTransfer{}}
 }
 
 // linkTransfer is the response to a call of another router. It implements hop.Transfer.
@@ -59,6 +61,8 @@
 	// sendTime is the expected time from the upstream's response until it has been sent.
 	sendTime time.Duration
 	ended    bool
+	// held is the number of bytes of memory that are held for the call.
+	held int64
 	// stop ends the wait for the end of ctx.
 	stop func() bool
 	// turn receives a value when the next chunk may be sent.
@@ -79,9 +83,14 @@
 	if err := s.admit(time.Now(), g, c); err != nil {
 		return g.withLoad(&Result{Err: err}), nil
 	}
+	inTurns := false
+	defer func() {
+		if !inTurns { // also after a panic
+			c.transfer.end()
+		}
+	}()
 	r := g.serve(ctx, c)
-	if !s.responded(time.Now(), c, r) {
-		c.transfer.end()
+	if inTurns = s.responded(time.Now(), c, r); !inTurns {
 		return r, nil
 	}
 	return r, c.transfer
@@ -94,14 +103,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	size, large := s.sizes.Expect(t.class)
-	if !large || c.Method == http.MethodHead || g.check(now, c) != nil {
+	if !large || c.Method == http.MethodHead {
+		size = 0
+	}
+	if (size == 0 && c.Stream == nil) || g.check(now, c) != nil {
 		return nil // the gate refuses the call itself if its check fails
 	}
+	if err := s.reserveMemory(now, c, size); err != nil || size == 0 {
+		return err
+	}
 	a := s.link.Admit(now, linkshare.Request{
 		Bytes: size, Service: g.limiter.MeanServiceTime(c.workClass()),
 		Goal: c.Goal, Deadline: c.Deadline, Last: c.WaitPolicy == admit.UntilDeadline,
 	})
 	if a.Transfer == nil {
+		s.hold(t, 0)
 		return s.refused(c, size, a.RetryAfter)
 	}
 	t.sendTime = a.SendTime
@@ -112,7 +128,7 @@
 
 // refused returns the error for a call whose response of the size has no room.
 func (s *linkScheduler) refused(c *Call, size int64, retryAfter time.Duration) *errkind.Error {
-	s.scope.Counter("link_refusals").Inc(1)
+	s.countRefusal("backlog")
 	s.log.Log(eventLinkFull, event.F("request", c.RequestID), event.F("caller", c.Caller), event.F("bytes", size),
 		event.F("backlog_bytes", s.link.Backlog()), event.F("retry_ms", retryAfter.Milliseconds()))
 	err := errkind.New(errkind.Overloaded, "the link has %d bytes to send; there is room for a response of %d bytes in %v", s.link.Backlog(), size, retryAfter)
@@ -120,6 +136,10 @@
 	return err
 }
 
+func (s *linkScheduler) countRefusal(reason string) {
+	s.scope.Tagged(map[string]string{"reason": reason}).Counter("link_refusals").Inc(1)
+}
+
 // responded records the result of a call. It reports whether the response is sent in
 // turns.
 func (s *linkScheduler) responded(now time.Time, c *Call, r *Result) bool {
@@ -140,6 +160,7 @@
 		t.begin(s.link.Open(now, max(r.Length, expected, maxBufferedResponse)))
 	}
 	s.link.Ready(now, t.share, r.Length)
+	s.holdResponse(t, r)
 	s.report(now)
 	return true
 }
@@ -191,6 +212,7 @@
 		return
 	}
 	t.ended = true
+	s.hold(t, 0)
 	if t.share != nil {
 		t.stop()
 		s.link.End(t.share)
@@ -210,18 +232,6 @@
 	return t.sendTime
 }
 
-// maxPacedBuffer is the size up to which a response to another router is read at once, so
-// that it does not hold a slot of the upstream while it waits for the link.
-const maxPacedBuffer = 1 << 20
-
-// bufferBytes returns the size from which on a response is passed on while it arrives.
-func (t *linkTransfer) bufferBytes() int {
-	if t == nil {
-		return maxBufferedResponse
-	}
-	return maxPacedBuffer
-}
-
 // grant lets the transfers whose turn it is go on. s.mu must be held.
 func (s *linkScheduler) grant() {
 	for {
@@ -252,6 +262,7 @@
 // report updates the metrics. s.mu must be held.
 func (s *linkScheduler) report(now time.Time) {
 	s.scope.Gauge("link_backlog_bytes").Update(float64(s.link.Backlog()))
+	s.scope.Gauge("link_held_bytes").Update(float64(s.memory.Held()))
 	s.scope.Gauge("link_taken").Update(s.link.Taken(now))
 }
 
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -21,7 +21,8 @@
 	Log      LogSettings      `ini:"log"`
 }
 
-// HostSettings identify the host of the process. All but LinkMbps are required.
+// HostSettings identify the host of the process. All but LinkMbps and MemoryMB are
+// required.
 type HostSettings struct {
 	// Name is the unique name of the host.
 	Name   string `ini:"name"`
@@ -34,6 +35,8 @@
 	// the highest bandwidth reads the fleet for the others, and large responses to other
 	// hosts are sent in turns within it. Default 0: unknown; responses are sent at once.
 	LinkMbps float64 `ini:"link_mbps"`
+	// MemoryMB is the memory of the host in MB. Default 0: unknown.
+	MemoryMB int `ini:"memory_mb"`
 }
 
 // ListenSettings are the addresses to listen on, each an IP address and a port. All are
@@ -181,6 +184,9 @@
 	if s.Host.LinkMbps < 0 || math.IsNaN(s.Host.LinkMbps) || math.IsInf(s.Host.LinkMbps, 0) {
 		errs = append(errs, fmt.Errorf("host.link_mbps = %v: want 0 or more", s.Host.LinkMbps))
 	}
+	if s.Host.MemoryMB < 0 {
+		errs = append(errs, fmt.Errorf("host.memory_mb = %d: want 0 or more", s.Host.MemoryMB))
+	}
 	if s.Terms.RetryRatio < 0 || s.Terms.RetrySlack < 0 {
 		errs = append(errs, errors.New("terms.retry_ratio and terms.retry_slack: want 0 or more"))
 	}
