Count unacknowledged bytes exactly

Unacknowledged segments were multiplied by the longest segment size (64 KB on loopback), and receivers acknowledge up to 40 ms late.

Change: SIOCOUTQ gives the bytes; 50 ms of the rate (30 before) may be unacknowledged.

--- a/router/hop/sendstate.go
+++ b/router/hop/sendstate.go
@@ -52,9 +52,14 @@
 		if err != nil {
 			return
 		}
+		// TCP_INFO counts unacknowledged segments, which may be much shorter than the
+		// longest ones.
+		waiting, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		if err != nil {
+			return
+		}
 		state = sendState{acked: info.Bytes_acked, busy: info.Busy_time, receiverLimited: info.Rwnd_limited}
-		queued = int64(info.Unacked)*int64(info.Snd_mss) + int64(info.Notsent_bytes)
-		ok = true
+		queued, ok = int64(waiting), true
 	})
 	return state, queued, ok && err == nil
 }
--- a/router/linkshare/capacity.go
+++ b/router/linkshare/capacity.go
@@ -12,8 +12,8 @@
 	// time between them.
 	maxSampleGap = time.Second
 	// queueTime is the time of sending that may be unacknowledged while the link keeps up:
-	// the round trip between regions takes 16 ms.
-	queueTime = 30 * time.Millisecond
+	// the round trip between regions takes 16 ms, and receivers may acknowledge 40 ms late.
+	queueTime = 50 * time.Millisecond
 	// busySamples is the number of consecutive samples after which the link counts as
 	// busy. Connections that have just begun to send queue more for some round trips.
 	busySamples = 2
