Cheaper refusals, and a share of the link for large responses

Cause: a refusal behind a second of backlog takes forecasts, 0.4 to 0.8 ms on a link of 200 Mbit/s; small responses above the rate, as with a bandwidth that is set too low, pushed the schedule ahead without end, so that large ones were never sent; admission did not know that this router may end before the deadline.

Change: a refused response covers others that need as much until there is room for it, unless another one ends early. Small responses take at most nine tenths of the schedule and push it at most 250 ms ahead. The deadline of an admission is not behind the end of this router.

--- a/router/linkshare/admission.go
+++ b/router/linkshare/admission.go
@@ -37,17 +37,42 @@
 	rate := l.largeRate(now)
 	size, service := max(r.Bytes, 1), max(r.Service, 0)
 	limit, bound := r.limit(now, rate)
+	last := &l.refusals[0]
+	if r.Last {
+		last = &l.refusals[1]
+	}
+	if last.covers(now, r, bound) {
+		return Admission{RetryAfter: last.until.Sub(now)}
+	}
 	c := flow{remaining: float64(size), ready: service.Seconds(), limit: bound}
 	s := l.schedule(now)
 	fits, finish := s.fits(c, rate)
 	if !fits {
-		return Admission{RetryAfter: max(duration(s.roomAfter(c, rate)), time.Millisecond)}
+		retryAfter := max(duration(s.roomAfter(c, rate)), time.Millisecond)
+		*last = refusal{request: r, bound: bound, until: now.Add(retryAfter)}
+		return Admission{RetryAfter: retryAfter}
 	}
 	t := &Transfer{remaining: size, readyAt: now.Add(service), limit: limit, deadline: r.Deadline}
 	l.transfers = append(l.transfers, t)
 	return Admission{Transfer: t, SendTime: duration(finish - c.ready)}
 }
 
+// refusal is a refused response. Until there is room for it, others that need as much are
+// refused without a forecast, which takes up to a millisecond on a wide link.
+type refusal struct {
+	request Request
+	// bound is the time in seconds within which it had to be sent.
+	bound float64
+	// until is when there is room for it.
+	until time.Time
+}
+
+// covers reports whether a response that must be sent within the bound is refused as well.
+// A slightly longer bound makes no difference, because no forecast is that exact.
+func (f *refusal) covers(now time.Time, r Request, bound float64) bool {
+	return now.Before(f.until) && r.Bytes >= f.request.Bytes && r.Service >= f.request.Service && bound*(1-forecastMargin) <= f.bound
+}
+
 // limit returns the time until which the response must have been sent, and the seconds
 // from now until which the forecast must say so.
 func (r Request) limit(now time.Time, rate float64) (limit time.Time, bound float64) {
--- a/router/linkshare/link.go
+++ b/router/linkshare/link.go
@@ -23,9 +23,11 @@
 	catchUp = 5 * time.Millisecond
 	// meterTime is the time constant of the moving averages of traffic.
 	meterTime = time.Second
-	// minLargeShare is the least share of the rate that forecasts assume for large
-	// responses, however many small ones there are.
+	// minLargeShare is the least share of the rate that large responses get, however many
+	// small ones there are: the settings may be wrong, or the link wider.
 	minLargeShare = 0.1
+	// maxSmallLead bounds the time by which a burst of small responses delays large ones.
+	maxSmallLead = 250 * time.Millisecond
 )
 
 // Link is the outgoing direction of a host's link. It is not safe for concurrent use.
@@ -45,6 +47,8 @@
 	// overruns counts the consecutive samples in which the link did not keep up.
 	sampledAt, busyAt time.Time
 	overruns          int
+	// refusals are the last ones, without and with Request.Last.
+	refusals [2]refusal
 }
 
 // Transfer is one large response.
@@ -72,7 +76,15 @@
 // Charge records n bytes that are sent at once.
 func (l *Link) Charge(now time.Time, n int) {
 	l.small.add(now, n)
-	l.occupy(now, float64(n)/l.rate)
+	// Small responses above the rate leave large ones the share that forecasts assume.
+	before := l.busyUntil
+	l.occupy(now, float64(n)/max(l.rate, l.small.rate(now)/(1-minLargeShare)))
+	if latest := now.Add(maxSmallLead); l.busyUntil.After(latest) {
+		l.busyUntil = latest
+		if before.After(latest) {
+			l.busyUntil = before
+		}
+	}
 }
 
 // occupy adds time to the schedule.
@@ -95,6 +107,9 @@
 func (l *Link) Ready(now time.Time, t *Transfer, length int64) {
 	t.readyAt = now
 	if length >= 0 {
+		if length < t.remaining {
+			l.refusals = [2]refusal{}
+		}
 		t.remaining = length
 	}
 }
@@ -132,6 +147,9 @@
 		return
 	}
 	t.ended = true
+	if t.remaining > 0 {
+		l.refusals = [2]refusal{} // there is room earlier than forecast
+	}
 	is := func(other *Transfer) bool { return other == t }
 	l.transfers = slices.DeleteFunc(l.transfers, is)
 	l.queue = slices.DeleteFunc(l.queue, is)
--- a/router/linkshare/link_test.go
+++ b/router/linkshare/link_test.go
@@ -1,6 +1,7 @@
 package linkshare
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -283,6 +284,42 @@
 	}
 }
 
+// Guards against large responses that are never sent because small ones exceed the rate,
+// as with a bandwidth that is set too low.
+func TestSmallResponsesLeaveAShare(t *testing.T) {
+	l, now := New(testMbps), time.Unix(0, 0)
+	large := l.Open(now, 1<<20)
+	chunks := 0
+	for ms := range 10_000 {
+		now = now.Add(time.Millisecond)
+		l.Charge(now, 5_000) // four times the rate
+		l.Queue(large, ChunkBytes)
+		if sent, _ := l.Next(now); sent != nil && ms > 5_000 {
+			chunks++
+		}
+	}
+	if rate := float64(chunks) * ChunkBytes / 5; rate < 0.05*testRate || rate > 0.15*testRate {
+		t.Errorf("large responses got %.2f of the rate", rate/testRate)
+	}
+}
+
+// BenchmarkRefusal measures the forecasts of a refusal behind a backlog of a second.
+func BenchmarkRefusal(b *testing.B) {
+	now := time.Unix(0, 0)
+	for _, mbps := range []float64{10, 200} {
+		b.Run(fmt.Sprint(mbps, " Mbit"), func(b *testing.B) {
+			l := New(mbps)
+			for l.Admit(now, downloadAt(now, false)).Transfer != nil {
+			}
+			b.ReportMetric(float64(len(l.transfers)), "transfers")
+			for b.Loop() {
+				l.refusals = [2]refusal{} // the next one would be covered by it
+				l.Admit(now, downloadAt(now, false))
+			}
+		})
+	}
+}
+
 // Guards against a class whose responses are small and that is refused, and against one
 // of large responses that no route marks.
 func TestSizesOfClasses(t *testing.T) {
--- a/router/sidecar/link.go
+++ b/router/sidecar/link.go
@@ -112,9 +112,13 @@
 	if err := s.reserveMemory(now, c, size); err != nil || size == 0 {
 		return err
 	}
+	deadline := c.Deadline
+	if left := g.graceLeft(); left < deadline.Sub(now) {
+		deadline = now.Add(left) // this router ends
+	}
 	a := s.link.Admit(now, linkshare.Request{
 		Bytes: size, Service: g.limiter.MeanServiceTime(c.workClass()),
-		Goal: c.Goal, Deadline: c.Deadline, Last: c.WaitPolicy == admit.UntilDeadline,
+		Goal: c.Goal, Deadline: deadline, Last: c.WaitPolicy == admit.UntilDeadline,
 	})
 	if a.Transfer == nil {
 		s.hold(t, 0)
