--- a/router/sidecar/link.go
+++ b/router/sidecar/link.go
@@ -102,7 +102,7 @@
 	t := c.transfer
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	size, large := s.sizes.Expect(t.class)
+	size, large := s.sizes.Expect(now, t.class)
 	if !large || c.Method == http.MethodHead {
 		size = 0
 	}
@@ -122,6 +122,7 @@
 	})
 	if a.Transfer == nil {
 		s.hold(t, 0)
+		s.sizes.Refused(now, t.class)
 		return s.refused(c, size, a.RetryAfter)
 	}
 	t.sendTime = a.SendTime
@@ -160,7 +161,7 @@
 		return false
 	}
 	if t.share == nil {
-		expected, _ := s.sizes.Expect(t.class)
+		expected, _ := s.sizes.Expect(now, t.class)
 		t.begin(s.link.Open(now, max(r.Length, expected, maxBufferedResponse)))
 	}
 	s.link.Ready(now, t.share, r.Length)
