--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -60,6 +60,8 @@
 	Priority int
 	// Repeatable is true if the request may run more than once.
 	Repeatable bool
+	// Large is true if the response is expected to be large.
+	Large bool
 	// Keyed is true if the call may run only at the holder of Key.
 	Keyed bool
 	Key   uint16
@@ -76,6 +78,9 @@
 	// refusedRegions are the regions whose hosts refused the call because it is not allowed
 	// to run there.
 	refusedRegions []string
+	// transfer is the response on its way to another router. It is nil for calls of this
+	// host, and if the link is not scheduled.
+	transfer *linkTransfer
 }
 
 // bodySendable reports whether the whole body can be sent in another attempt.
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -133,6 +133,8 @@
 	log *event.Logger
 	// zones are the zones of hosts by name; z1 for those that are missing.
 	zones map[string]string
+	// linkMbps is the bandwidth of the links of hosts that are added later.
+	linkMbps float64
 }
 
 // ports are listeners by address. They are opened when the address is chosen, so that no
@@ -214,6 +216,9 @@
 		Services: []vhost.Service{{Name: "plain"}, {Name: "keyed", Keyed: true}, {Name: "cold", ColdStart: time.Minute, ColdPerSecond: 10}},
 		Routes:   []vhost.Route{route("look", "plain", true), route("pay", "plain", false), route("keys", "keyed", true), route("cool", "cold", true)},
 	}
+	download := route("dl", "plain", true)
+	download.LargeResponses = true
+	c.Routes = append(c.Routes, download)
 	if version > 1 {
 		c.Routes = append(c.Routes, route("new", "plain", true))
 	}
@@ -239,7 +244,7 @@
 	u := newTestUpstream(c.t, "i-"+name)
 	p := ports{}
 	settings := DefaultSettings()
-	settings.Host = HostSettings{Name: name, Zone: "z1", Region: cmp.Or(c.region, "r1"), Service: service}
+	settings.Host = HostSettings{Name: name, Zone: "z1", Region: cmp.Or(c.region, "r1"), Service: service, LinkMbps: c.linkMbps}
 	if zone := c.zones[name]; zone != "" {
 		settings.Host.Zone = zone
 	}
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -106,6 +106,14 @@
 		"The bound on the requests to the cold upstream has ended. The event is logged with the first heartbeat after the end.", "none")
 	eventLoadUnreadable = event.Define(1879, log.WarnLevel, "load of the upstream unreadable",
 		"A response of the local upstream reports a load that cannot be read, after one that could be read or reported none. It changes nothing.", "Look at the upstream's version: it reports its load in another form.")
+	eventLinkFull = event.Define(1880, log.InfoLevel, "no room on the link",
+		"A call of another router was refused because its response, of about the given number of bytes, could not be sent in time behind the backlog of this host's link.", "If all hosts of the service report it, the demand exceeds their links: add hosts or wider links, or reduce the downloads.")
+	eventLinkNarrow = event.Define(1881, log.WarnLevel, "link narrower than set",
+		"Receivers acknowledge less than the link should carry, while more is written. The schedule follows what is carried, as the share of the setting that the line names.", "If it stays, correct link_mbps, or look for other traffic on the link.")
+	eventLinkWide = event.Define(1882, log.InfoLevel, "link as wide as set",
+		"The link carries about what link_mbps says again.", "none")
+	eventLinkMemory = event.Define(1883, log.WarnLevel, "no memory for a large response",
+		"A call of another router was refused because the bytes that are held for large responses and bodies have reached their bound.", "Look for callers that read slowly, on hosts whose calls have the caller of the line.")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 	eventRegionRefused = event.Define(1870, log.InfoLevel, "request refused because of its region",
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -79,7 +79,7 @@
 	if c.Stream != nil {
 		head.Length = c.Stream.length
 	}
-	for flag, set := range map[hop.RequestFlags]bool{hop.Repeatable: c.Repeatable, hop.Keyed: c.Keyed} {
+	for flag, set := range map[hop.RequestFlags]bool{hop.Repeatable: c.Repeatable, hop.Keyed: c.Keyed, hop.Large: c.Large} {
 		if set {
 			head.Flags |= flag
 		}
@@ -145,6 +145,8 @@
 	header.Del(evacuatedField)
 	r.Load.Pace = decodePace(header.Get(paceField))
 	header.Del(paceField)
+	r.Load.Link = decodeLinkShare(header.Get(linkField))
+	header.Del(linkField)
 	if resp.Kind != "" {
 		_ = resp.Body.Close()
 		r.Err = errkind.New(kind, "%s", resp.Detail)
@@ -180,6 +182,7 @@
 // hopHandler serves calls of other routers.
 type hopHandler struct {
 	gate    *gate
+	link    *linkScheduler
 	headers Headers
 	// store is this host's own connection to the store.
 	store rowstore.Store
@@ -217,13 +220,16 @@
 	}
 	c := h.decodeCall(req, time.Now())
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	r := h.gate.serve(ctx, c)
+	r, transfer := h.link.serve(ctx, h.gate, c)
 	resp := &hop.Response{ResponseHead: h.responseHead(r), Body: r.Body}
 	if resp.Body == nil {
 		cancel()
 		return resp
 	}
 	resp.Body = &cancelOnClose{ReadCloser: r.Body, cancel: cancel}
+	if transfer != nil {
+		resp.Transfer = transfer
+	}
 	return resp
 }
 
@@ -252,6 +258,7 @@
 		Goal:       now.Add(time.Duration(req.GoalMs) * time.Millisecond),
 		Priority:   req.Priority,
 		Repeatable: req.Flags&hop.Repeatable != 0,
+		Large:      req.Flags&hop.Large != 0,
 		Keyed:      req.Flags&hop.Keyed != 0,
 		WaitPolicy: admit.WaitPolicy(req.WaitPolicy),
 		Key:        req.Key,
@@ -286,7 +293,7 @@
 	} else {
 		head.Status, head.Length = r.Status, r.Length
 		head.Signature = r.Header.Get(h.headers.Signature)
-		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField, kindField, evacuatedField, paceField)
+		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField, kindField, evacuatedField, paceField, linkField)
 	}
 	if r.Load.Pace != 0 {
 		head.Fields = append(head.Fields, hop.Field{Name: paceField, Value: strconv.Itoa(r.Load.Pace)})
@@ -297,6 +304,9 @@
 	if report := h.evacuation.report(); report != "" {
 		head.Fields = append(head.Fields, hop.Field{Name: evacuatedField, Value: report})
 	}
+	if share := h.link.share(time.Now()); share != "" {
+		head.Fields = append(head.Fields, hop.Field{Name: linkField, Value: share})
+	}
 	return head
 }
 
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -83,6 +83,7 @@
 	commands       *commandSender
 	gate           *gate
 	cold           coldStart
+	link           *linkScheduler
 	entry          *entry
 	publisher      *publisher
 	sweeper        *sweeper
@@ -298,7 +299,11 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, evacuation: s.evacuation, applyRow: s.applyFleetRow}
+	hops := &hopHandler{gate: s.gate, link: s.link, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, evacuation: s.evacuation, applyRow: s.applyFleetRow}
+	hopServer := hop.NewServer(hops.serve)
+	if s.link != nil {
+		hopServer.SentAtOnce, s.link.sendState = s.link.charge, hopServer.SendState
+	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
 	callers := httpServer(s.countInFlight(s.entry))
@@ -312,7 +317,7 @@
 		server        server
 	}{
 		{"caller", l.Caller, callers},
-		{"hop", l.Hop, hop.NewServer(hops.serve)},
+		{"hop", l.Hop, hopServer},
 		{"control", l.Control, httpServer(s.opts.Control(s))},
 		{"ready", l.Ready, httpServer(s.opts.Ready(s))},
 		{"metrics", l.Metrics, httpServer(mux)},
