Do not say "not run" after an attempt that got a 5xx of its upstream

An idempotent request whose first attempt ran and failed with a 5xx, and whose next attempt was refused, was answered 503: a false promise. Only errors of the router counted as possible runs; now every attempt counts that does not promise the opposite.

TestRefusalAfterFailedRunDoesNotSayNotRun got 503 before and gets 502 now.

--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -42,7 +42,7 @@
 		if last.Arrived {
 			arrivals++
 		}
-		mayHaveRun = mayHaveRun || (last.Err != nil && !last.notRun())
+		mayHaveRun = mayHaveRun || !last.notRun()
 		if !e.shouldRetry(ctx, c, route, last, arrivals) {
 			break
 		}
--- a/router/sidecar/sidecar_test.go
+++ b/router/sidecar/sidecar_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 )
 
@@ -290,3 +291,31 @@
 		}
 	}
 }
+
+// Guards against a refusal that says "not run" although an earlier attempt of the same
+// request has run and failed at its upstream.
+func TestRefusalAfterFailedRunDoesNotSayNotRun(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "plain", "keyed")
+	c.waitReady()
+	var arrivals atomic.Int64
+	for _, h := range c.hosts[:2] {
+		h.upstream.setHandler(func(w http.ResponseWriter, _ *http.Request) bool {
+			if arrivals.Add(1) == 1 {
+				w.Header().Set(testHeaders.Signature, "signed")
+				w.WriteHeader(http.StatusInternalServerError)
+				return true
+			}
+			w.Header().Set(testHeaders.NotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		})
+	}
+	got := c.hosts[2].request(t, "GET", "/look/1", "r1", "")
+	if arrivals.Load() < 2 {
+		t.Fatalf("%d arrivals, want a second attempt", arrivals.Load())
+	}
+	if got.status != http.StatusBadGateway {
+		t.Errorf("got %d %q after a run that failed, want 502", got.status, got.body)
+	}
+}
