Add tests with hostile clients against real processes

Cause: clients outside the limits have ended processes. The tests start two sidecars with a stand-in store and upstreams, send 14 kinds of hostile payloads to every listener of one of them, and check that the processes live, keep 128 MB and 1,000 descriptors, and answer an ordinary request afterwards.

--- /dev/null
+++ b/ctl/hostile/hostile_test.go
@@ -0,0 +1,142 @@
+package hostile
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"burdockglade.dev/router/hop"
+)
+
+const (
+	// crowdAtRequests and crowdAtOthers are the numbers of clients at each listener for
+	// requests (callers, other routers) and at each other one (administration, readiness,
+	// metrics).
+	crowdAtRequests = 300
+	crowdAtOthers   = 100
+	// openFactor multiplies them for connections that are opened and left.
+	openFactor = 4
+)
+
+// kind is a kind of hostile client: its payloads for HTTP and for routers. Clients take the
+// payloads in turn; without payloads for routers that listener is left alone.
+type kind struct {
+	http, routers []payload
+	factor        int
+}
+
+// hopHead is the length of the largest head between routers, as it is sent.
+const hopHead = "\x80\x80\x08"
+
+func kinds(t *testing.T) map[string]kind {
+	name := func(i int) string { return fmt.Sprintf("n%d:\r\n", i) }
+	var fields []hop.Field
+	for i := range 9000 {
+		fields = append(fields, hop.Field{Name: fmt.Sprintf("N%d", i)})
+	}
+	manyFields := encodeHop(t, hopRequest(fields, nil))
+	ordinary := encodeHop(t, hopRequest([]hop.Field{{Name: "A", Value: "b"}}, nil))
+	withBody := encodeHop(t, hopRequest(nil, make([]byte, 60<<10)))
+	short := payload{open: getHead + repeated("a:\r\n", headBytes), end: "\r\n"}
+	names := payload{open: getHead + lines(name, headBytes), end: "\r\n"}
+	all := map[string]kind{
+		"short-lines": {http: []payload{short}, routers: []payload{{open: manyFields[:len(manyFields)-1], end: manyFields[len(manyFields)-1:]}}},
+		"odd-lines": {http: []payload{
+			{open: getHead + repeated("a:\t \t\n", headBytes), end: "\r\n"},
+			{open: getHead + repeated("~!#$%&'*+:\x80\xff\r\n", headBytes), end: "\r\n"},
+		}, routers: []payload{{open: repeated("\x01\x80", headBytes)}}},
+		"many-names": {http: []payload{names}, routers: []payload{{open: manyFields}}},
+		"no-colon": {http: []payload{
+			{open: getHead + repeated("a\r\n", headBytes), end: "\r\n"},
+			{open: getHead + "a: b\r\n" + repeated(" c\r\n", headBytes), end: "\r\n"},
+		}},
+		"over-the-limit": {http: []payload{
+			{open: getHead + repeated("a:\r\n", 58<<10), end: "\r\n"},
+			{open: getHead + lines(name, 58<<10), end: "\r\n"},
+			{open: getHead + "a: " + strings.Repeat("x", 200<<10), end: "\r\n\r\n"},
+		}, routers: []payload{{open: "\xff\xff\xff\xff\xff\xff\xff\xff\x7f", repeat: "x", repeatBytes: 256 << 10}}},
+		"head-without-end": {http: []payload{
+			{open: getHead, repeat: "a:\r\n", repeatBytes: 1 << 20},
+			{open: getHead + "a: ", repeat: "x", repeatBytes: 1 << 20},
+			{open: "GET /", repeat: "x", repeatBytes: 1 << 20},
+		}, routers: []payload{{open: hopHead, repeat: "x", repeatBytes: 120 << 10}}},
+		"empty-lines": {http: []payload{{repeat: "\r\n", repeatBytes: 1 << 20}}, routers: []payload{{repeat: "\x00", repeatBytes: 1 << 20}}},
+		"chunk-extension": {http: []payload{
+			{open: postHead + "Transfer-Encoding: chunked\r\n\r\n1;", repeat: "x", repeatBytes: 1 << 20},
+			{open: postHead + "Transfer-Encoding: chunked\r\n\r\n", repeat: "1;xxxxxxxxxxxxxxxx\r\nx\r\n", repeatBytes: 1 << 20},
+		}},
+		"trailer": {http: []payload{
+			{open: postHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", repeat: "a:\r\n", repeatBytes: 1 << 20},
+			{open: postHead + "Transfer-Encoding: chunked\r\n\r\n0\r\na:", repeat: "x", repeatBytes: 1 << 20},
+		}},
+		"slow-head": {http: []payload{{open: getHead + lines(name, headBytes)}}, routers: []payload{{open: manyFields[:len(manyFields)/2]}}},
+		"slow-body": {http: []payload{
+			{open: postHead + "Content-Length: 65000\r\n\r\n" + strings.Repeat("x", 64000)},
+			{open: postHead + "Content-Length: 1000000\r\n\r\n" + strings.Repeat("x", 300000)},
+		}, routers: []payload{{open: withBody[:len(withBody)-1]}}},
+		"opened-and-left": {http: []payload{{}}, routers: []payload{{}}, factor: openFactor},
+		"pipelined": {http: []payload{
+			{open: strings.Repeat(getHead+repeated("a:\r\n", headBytes)+"\r\n", 9)},
+			{open: strings.Repeat(getHead+lines(name, headBytes)+"\r\n", 9)},
+			{open: strings.Repeat(getHead+"\r\n", 2000)},
+		}, routers: []payload{{open: strings.Repeat(ordinary, 1000)}, {open: strings.Repeat(manyFields, 4)}}},
+	}
+	var mix kind
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		mix.http = append(mix.http, all[name].http...)
+		mix.routers = append(mix.routers, all[name].routers...)
+	}
+	all["mix"] = mix
+	return all
+}
+
+// Guards against clients that end a process or make it hang: by memory that heads, bodies,
+// responses and connections take, by file descriptors that are used up, and by listeners
+// that end. Each kind meets processes of its own.
+func TestHostileClients(t *testing.T) {
+	all := kinds(t)
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.attack(all[name])
+			for i, h := range d.hosts {
+				h.check(t, fmt.Sprintf("h%d", i))
+			}
+			for _, h := range d.hosts {
+				d.awaitAnswers(h, recoveryTime)
+			}
+		})
+	}
+}
+
+// attack sends the payloads of the kind to every listener of the first host, and waits until
+// the clients have left.
+func (d *deployment) attack(k kind) {
+	h := d.hosts[0]
+	stop := make(chan struct{})
+	var observers, clients sync.WaitGroup
+	for _, h := range d.hosts {
+		observers.Go(func() { h.observeFiles(stop) })
+	}
+	for _, l := range []struct {
+		address  string
+		payloads []payload
+		clients  int
+	}{
+		{h.caller, k.http, crowdAtRequests}, {h.hop, k.routers, crowdAtRequests},
+		{h.control, k.http, crowdAtOthers}, {h.ready, k.http, crowdAtOthers}, {h.metrics, k.http, crowdAtOthers},
+	} {
+		if len(l.payloads) == 0 {
+			continue
+		}
+		for i := range l.clients * max(k.factor, 1) {
+			clients.Go(func() { l.payloads[i%len(l.payloads)].run(l.address, h.exited) })
+		}
+	}
+	clients.Wait()
+	close(stop)
+	observers.Wait()
+}
