Add the budget of memory and file descriptors of connections

router/connlimit charges connections, heads, bodies and responses, and names the connections to close when a budget runs short: lingering, fresh and idle ones first, large heads before ordinary requests, requests in progress never. It takes the time as an argument. Nothing uses it yet.

--- /dev/null
+++ b/router/connlimit/conn.go
@@ -0,0 +1,91 @@
+package connlimit
+
+import "time"
+
+// Class is the class of a listener.
+type Class int
+
+// The classes.
+const (
+	// Caller is the class of the callers of the host.
+	Caller Class = iota
+	// Router is the class of other routers.
+	Router
+	// Control is the class of the upstream's heartbeats.
+	Control
+	// Probe is the class of readiness checks and metrics.
+	Probe
+	classes
+)
+
+// String returns the name of the class, as it stands in log lines and labels.
+func (c Class) String() string {
+	return [...]string{"caller", "router", "control", "probe"}[c]
+}
+
+// Phase is what a connection is being used for.
+type Phase int
+
+// The phases.
+const (
+	// Fresh: no byte has arrived yet.
+	Fresh Phase = iota
+	// Reading: a request head is arriving.
+	Reading
+	// Active: a request is in progress.
+	Active
+	// Idle: the last request has ended.
+	Idle
+	// Lingering: the client was refused and is given time to read the response.
+	Lingering
+	phases
+)
+
+// Conn is an open connection and what is charged to it. Its fields are guarded by the
+// Budget.
+type Conn struct {
+	// Owner belongs to the caller of Open.
+	Owner any
+
+	class   Class
+	phase   Phase
+	since   time.Time // when the phase began
+	charged int64     // bytes beyond connCost
+	closed  bool
+
+	prev, next *Conn
+}
+
+// Class returns the class of the connection.
+func (c *Conn) Class() Class {
+	return c.class
+}
+
+// queue is a list of connections in the order in which their phases began.
+type queue struct {
+	first, last *Conn
+}
+
+func (q *queue) push(c *Conn) {
+	c.prev, c.next = q.last, nil
+	if q.last != nil {
+		q.last.next = c
+	} else {
+		q.first = c
+	}
+	q.last = c
+}
+
+func (q *queue) remove(c *Conn) {
+	if c.prev != nil {
+		c.prev.next = c.next
+	} else {
+		q.first = c.next
+	}
+	if c.next != nil {
+		c.next.prev = c.prev
+	} else {
+		q.last = c.prev
+	}
+	c.prev, c.next = nil, nil
+}
