Apply the limits on connections to all listeners of the sidecar

Change: a guard wraps every listener. It counts request heads as they are read, charges heads, bodies, data read ahead and responses to the budget, closes the connections that the budget names, and applies the four limits of the configuration to open connections. Accept is retried after errors, in hop.Server as well. Measured: go test ./sidecar ./hop ./connlimit passes.

--- a/router/cmd/burdockglade/sidecar.go
+++ b/router/cmd/burdockglade/sidecar.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return invalidError{err}
 	}
+	sidecar.LimitMemory(settings)
 	logger, closeLog := event.NewAsyncLogger(os.Stdout, log.ParseLevel(settings.Log.Level))
 	defer closeLog()
 	scope := metrics.New()
--- a/router/connlimit/budget.go
+++ b/router/connlimit/budget.go
@@ -103,7 +103,7 @@
 			if i > 0 && of != Caller && p != Lingering {
 				continue
 			}
-			if c := b.queues[of][p].first; c != nil && now.Sub(c.since) >= minAge(of, p) {
+			if c := b.queues[of][p].oldest(); c != nil && now.Sub(c.since) >= minAge(of, p) {
 				return c
 			}
 		}
@@ -147,17 +147,57 @@
 	if c.closed {
 		return nil, false
 	}
-	if c.charged+n > largeBytes {
-		ok = b.memory.fits(c.class, n) && (b.memory.total == 0 || b.memory.sum()+n <= b.memory.total*largePercent/100)
-	} else {
-		evicted, ok = b.fitMemory(now, c.class, c, n)
-	}
-	if ok {
+	if evicted, ok = b.fit(now, c, n); ok {
 		b.add(c, n)
 	}
 	return evicted, ok
 }
 
+// ChargeAhead is like Charge for what is read behind the current request. RefundAhead or
+// Close releases it, and not the end of the current request.
+func (b *Budget) ChargeAhead(now time.Time, c *Conn, n int64) (evicted []*Conn, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.closed {
+		return nil, false
+	}
+	if evicted, ok = b.fit(now, c, n); ok {
+		c.ahead += n
+		b.memory.used[c.class] += n
+	}
+	return evicted, ok
+}
+
+// ChargeAheadResponse is like ChargeResponse for a request behind the current one.
+func (b *Budget) ChargeAheadResponse(c *Conn, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !c.closed {
+		c.ahead += n
+		b.memory.used[c.class] += n
+	}
+}
+
+// RefundAhead releases n of the bytes of ChargeAhead.
+func (b *Budget) RefundAhead(c *Conn, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n = min(n, c.ahead)
+	c.ahead -= n
+	b.memory.used[c.class] -= n
+}
+
+// fit makes room for n bytes of the connection. Large connections have no claim to more than
+// a part of the budget, or to the reserve of their class.
+func (b *Budget) fit(now time.Time, c *Conn, n int64) (evicted []*Conn, ok bool) {
+	if c.charged+c.ahead+n <= largeBytes {
+		return b.fitMemory(now, c.class, c, n)
+	}
+	m := &b.memory
+	inReserve := m.used[c.class]+n <= m.reserve[c.class]
+	return nil, m.total == 0 || inReserve || (m.fits(c.class, n) && m.sum()+n <= m.total*largePercent/100)
+}
+
 // fitMemory makes room for n bytes of an ordinary connection of the class, which is nil if it
 // is new.
 func (b *Budget) fitMemory(now time.Time, class Class, requester *Conn, n int64) (evicted []*Conn, ok bool) {
@@ -193,7 +233,7 @@
 			continue
 		}
 		for c := b.queues[of][Reading].first; c != nil; c = c.next {
-			if c != requester && c.charged > largeBytes && (largest == nil || c.charged > largest.charged) {
+			if c != requester && c.ahead == 0 && c.charged > largeBytes && (largest == nil || c.charged > largest.charged) {
 				largest = c
 			}
 		}
@@ -228,8 +268,8 @@
 func (b *Budget) RequestStarted(now time.Time, c *Conn) (evicted []*Conn, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.closed {
-		return nil, false
+	if c.closed || c.phase == Lingering {
+		return nil, false // the server reports a request also for a head that was refused
 	}
 	b.rotatePeaks(now)
 	if c.phase == Active {
@@ -270,7 +310,7 @@
 func (b *Budget) RequestDone(now time.Time, c *Conn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !c.closed {
+	if !c.closed && c.phase != Lingering {
 		b.release(c)
 		b.setPhase(now, c, Idle)
 	}
@@ -299,7 +339,8 @@
 		return
 	}
 	b.release(c)
-	c.closed = true
+	b.memory.used[c.class] -= c.ahead
+	c.ahead, c.closed = 0, true
 	b.queues[c.class][c.phase].remove(c)
 	b.memory.used[c.class] -= connCost
 	b.files.used[c.class]--
@@ -339,6 +380,18 @@
 	return expired
 }
 
+// Yield removes the connection that has to make room for a new one of the class, because the
+// process got no descriptor. It returns nil if there is none.
+func (b *Budget) Yield(now time.Time, class Class) *Conn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	victim := b.victim(now, class)
+	if victim != nil {
+		b.close(victim)
+	}
+	return victim
+}
+
 // Stats are the amounts in use.
 type Stats struct {
 	MemoryBytes, Files int64
--- a/router/connlimit/budget_test.go
+++ b/router/connlimit/budget_test.go
@@ -123,7 +123,9 @@
 	b.Charge(at(1), c, 5000)
 	b.RequestStarted(at(1), c)
 	b.ChargeResponse(c, 7000)
+	b.ChargeAhead(at(1), c, 3000)
 	b.Refund(c, 100000)
+	b.RefundAhead(c, 1000)
 	b.ChargeResponse(c, 10)
 	b.Close(c)
 	b.Close(c)
@@ -138,6 +140,21 @@
 	}
 }
 
+// Guards against refused connections that stay open for ever, because the server reports a
+// request for the head that was refused.
+func TestRefusedConnectionsAreClosed(t *testing.T) {
+	b := New(Options{})
+	c := open(t, b, at(0), Caller, 1)[0]
+	b.Linger(at(1), c)
+	if _, ok := b.RequestStarted(at(2), c); ok {
+		t.Error("a request of a refused connection was admitted")
+	}
+	b.RequestDone(at(3), c)
+	if expired := b.Expired(at(1000), func(Class) Timeouts { return Timeouts{time.Hour, time.Hour, time.Hour} }); len(expired) != 1 {
+		t.Errorf("%d connections were closed, want 1", len(expired))
+	}
+}
+
 // Guards against limits that apply only to new connections, and to slow heads that never end.
 func TestTimeoutsApplyToOpenConnections(t *testing.T) {
 	b := New(Options{})
--- a/router/connlimit/conn.go
+++ b/router/connlimit/conn.go
@@ -50,7 +50,8 @@
 	class   Class
 	phase   Phase
 	since   time.Time // when the phase began
-	charged int64     // bytes beyond connCost
+	charged int64     // bytes beyond connCost that the current request takes
+	ahead   int64     // bytes that later requests of the connection take
 	closed  bool
 
 	prev, next *Conn
@@ -89,3 +90,13 @@
 	}
 	c.prev, c.next = nil, nil
 }
+
+// oldest returns the connection that has been in the phase for the longest time and has no
+// later request in progress, or nil.
+func (q *queue) oldest() *Conn {
+	c := q.first
+	for c != nil && c.ahead > 0 {
+		c = c.next
+	}
+	return c
+}
--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -29,6 +29,9 @@
 	RequestHead
 	Body   []byte
 	Stream io.Reader
+	// ChargeResponse charges n bytes of a response to the connection on which the request
+	// arrived. It is set by the server.
+	ChargeResponse func(n int64)
 }
 
 // Response is a response with its body, which must be closed.
--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -161,6 +161,12 @@
 
 // readHead reads a head and decodes it into head.
 func readHead(r *bufio.Reader, head any) error {
+	return readHeadWithin(r, head, func(uint64) error { return nil }, func([]byte) error { return nil })
+}
+
+// readHeadWithin is like readHead, and calls reserve before it allocates the encoded head and
+// reserveFields before it decodes it.
+func readHeadWithin(r *bufio.Reader, head any, reserve func(n uint64) error, reserveFields func([]byte) error) error {
 	n, err := binary.ReadUvarint(r)
 	if err != nil {
 		return err
@@ -168,10 +174,16 @@
 	if n > maxHeadBytes {
 		return fmt.Errorf("head of %d bytes exceeds the limit", n)
 	}
+	if err := reserve(n); err != nil {
+		return err
+	}
 	data := make([]byte, n)
 	if _, err := io.ReadFull(r, data); err != nil {
 		return err
 	}
+	if err := reserveFields(data); err != nil {
+		return err
+	}
 	if err := cbor.Unmarshal(data, head); err != nil {
 		return fmt.Errorf("decoding a head: %w", err)
 	}
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -50,21 +50,26 @@
 	responding bool
 }
 
-// Serve accepts connections until Shutdown or Close.
+// Serve accepts connections until Shutdown, Close, or the end of the listener. After other
+// errors of Accept it goes on.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
+	var retry acceptRetry
 	for {
 		nc, err := l.Accept()
 		if err != nil {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.closing {
+			switch {
+			case s.isClosing():
 				return nil
+			case errors.Is(err, net.ErrClosed):
+				return err
 			}
-			return err
+			retry.wait()
+			continue
 		}
+		retry = acceptRetry{}
 		c := &serverConn{Conn: nc, br: bufio.NewReader(nc)}
 		s.mu.Lock()
 		s.conns[c] = true
@@ -73,6 +78,12 @@
 	}
 }
 
+func (s *Server) isClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
 // serve handles the requests of one connection until it ends.
 func (s *Server) serve(c *serverConn) {
 	defer func() {
@@ -86,10 +97,14 @@
 			return
 		}
 		r, err := c.readRequest()
+		if errors.Is(err, errNoCapacity) {
+			c.refuse()
+		}
 		if err != nil || !s.begin(c) {
 			return
 		}
 		watchResult, err := s.handle(c, r)
+		c.meter().SetBusy(false)
 		if !s.end(c) || err != nil || <-watchResult != nil {
 			return
 		}
@@ -120,17 +135,20 @@
 // readRequest reads a request with a short body, or the head of one with a longer
 // body, which is then its Stream.
 func (c *serverConn) readRequest() (*Request, error) {
-	r := &Request{}
-	if err := readHead(c.br, &r.RequestHead); err != nil {
+	r := &Request{ChargeResponse: c.meter().ChargeResponse}
+	if err := readHeadWithin(c.br, &r.RequestHead, c.reserveHead, c.reserveFields); err != nil {
 		return nil, err
 	}
 	r.Fields = c.received.restore(&c.received.received, r.Fields, r.SameFields)
 	if r.Length == 0 {
-		return r, nil
+		return r, c.startRequest()
 	}
 	if r.Length < unknownLength {
 		return nil, fmt.Errorf("invalid body length %d", r.Length)
 	}
+	if err := c.reserve(bufferedBytes(r.Length)); err != nil {
+		return nil, err
+	}
 	body := bodyReader(c.br, r.Length)
 	if r.Length == unknownLength || r.Length > maxBufferedBodyBytes {
 		r.Stream = body
@@ -138,13 +156,13 @@
 			c.setResponding(false)
 			r.Stream = &askedStream{Reader: body, conn: c}
 		}
-		return r, nil
+		return r, c.startRequest()
 	}
 	r.Body = make([]byte, r.Length)
 	if _, err := io.ReadFull(body, r.Body); err != nil {
 		return nil, fmt.Errorf("reading the request body: %w", err)
 	}
-	return r, nil
+	return r, c.startRequest()
 }
 
 // askedStream is the stream of a request whose sender waits until it is asked for it, which
@@ -200,12 +218,17 @@
 			watchResult <- err
 		}()
 	}
-	resp := s.handler(ctx, r)
+	resp := emptyBody(s.handler(ctx, r))
+	defer func() { _ = resp.Body.Close() }()
+	return watchResult, c.writeResponse(resp)
+}
+
+// emptyBody gives a response without a body an empty one.
+func emptyBody(resp *Response) *Response {
 	if resp.Body == nil {
 		resp.Body = io.NopCloser(bytes.NewReader(nil))
 	}
-	defer func() { _ = resp.Body.Close() }()
-	return watchResult, c.writeResponse(resp)
+	return resp
 }
 
 // writeResponse sends a response. A short one is sent in a single write.
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -69,6 +69,8 @@
 	// attempts come with shorter deadlines.
 	Objective time.Duration
 	Goal      time.Time
+	// charge charges bytes of the response to the connection of the request. It may be nil.
+	charge func(n int64)
 }
 
 // bodySendable reports whether the whole body can be sent in another attempt.
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -82,7 +82,7 @@
 		}
 		req.Body = http.MaxBytesReader(w, req.Body, limit)
 	}
-	body, err := readBody(req)
+	body, err := receiveBody(w, req, start.Add(e.remainingTime(req, route)))
 	if err != nil {
 		e.writeError(w, req, route, start, err)
 		return
@@ -212,6 +212,7 @@
 // ends at its deadline at the latest, or when the caller leaves.
 func (e *entry) servePipelined(w http.ResponseWriter, req *http.Request, pipelined *pipelinedRequest) {
 	ctx := req.Context()
+	defer pipelined.release()
 	defer pipelined.cancel(context.Canceled)
 	stop := context.AfterFunc(ctx, func() { pipelined.cancel(context.Cause(ctx)) })
 	defer stop()
@@ -231,6 +232,7 @@
 		Priority:   route.Priority,
 		Repeatable: route.Repeatable,
 		Objective:  route.TargetLatency,
+		charge:     responseCharge(req),
 	}
 	left := c.Deadline.Sub(start)
 	c.Goal = c.Deadline.Add(route.TargetLatency - e.maxTimes.observe(route.Name, left))
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -231,6 +231,7 @@
 		release(admit.Failed)
 		return &Result{Arrived: true, Err: err}
 	}
+	c.chargeResponse(resp.Length)
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse))
 	if err != nil {
 		_ = resp.Body.Close()
--- /dev/null
+++ b/router/sidecar/guardedconn.go
@@ -0,0 +1,341 @@
+package sidecar
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"burdockglade.dev/router/connlimit"
+	"burdockglade.dev/router/errkind"
+)
+
+// refusalWriteTime bounds the time to write the response to a refused head.
+const refusalWriteTime = 100 * time.Millisecond
+
+// guardedConn counts the request heads that are read from a connection and charges them to
+// the budget. It implements hop.Meter.
+type guardedConn struct {
+	net.Conn
+	guard *connGuard
+	held  *connlimit.Conn
+	// active is true while a request is in progress: what is read then is its body.
+	active atomic.Bool
+	// fits is false if the current request found no descriptor for its connections.
+	fits atomic.Bool
+	// lingers is true once the client was refused: it is given time to read the response.
+	lingers atomic.Bool
+	// reading is true once bytes of the next head were read, which head counts. Only the
+	// goroutine that serves the connection uses them.
+	reading bool
+	head    connlimit.Head
+}
+
+// errConnRefused is the error of reads from a connection that was refused.
+var errConnRefused = errors.New("the connection is refused")
+
+// refusedRead is an error of a kind that net/http does not respond to.
+func refusedRead() error {
+	return &net.OpError{Op: "read", Net: "tcp", Err: errConnRefused}
+}
+
+// Read implements net.Conn.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	if c.lingers.Load() {
+		return 0, refusedRead()
+	}
+	n, err := c.Conn.Read(p)
+	if n == 0 || c.active.Load() {
+		return n, err
+	}
+	if rejected := c.observeHead(p[:n]); rejected != nil {
+		return 0, rejected
+	}
+	return n, err
+}
+
+// observeHead charges a part of a request head. It returns an error if the head is refused.
+func (c *guardedConn) observeHead(p []byte) error {
+	now := time.Now()
+	if !c.reading {
+		c.reading, c.head = true, connlimit.Head{}
+		if !c.guard.budget.ReadStarted(now, c.held) {
+			return refusedRead()
+		}
+	}
+	class := c.held.Class()
+	if class == connlimit.Router {
+		return nil // the server charges heads by Charge, before it reads them
+	}
+	size, lines := c.head.Add(p)
+	if size == 0 {
+		return nil
+	}
+	cost := connlimit.HeadCost(size, lines)
+	if c.processedAhead() {
+		// The request is being processed already, so that a refusal would be wrong.
+		c.guard.budget.ChargeResponse(c.held, cost)
+		return nil
+	}
+	if c.head.Exceeds(c.guard.maxHeadBytes(class)) {
+		return c.refuseHead(http.StatusRequestHeaderFieldsTooLarge, reasonHeadSize)
+	}
+	if !c.charge(now, cost) {
+		return c.refuseHead(http.StatusServiceUnavailable, reasonMemory)
+	}
+	return nil
+}
+
+// processedAhead reports whether requests that the server has not read yet are being
+// processed.
+func (c *guardedConn) processedAhead() bool {
+	own, ok := c.Conn.(*callerConn)
+	return ok && own.ahead.hasPipelined()
+}
+
+// refuseHead responds to a request whose head is not complete, and ends the reading. The
+// server has no response to write at this time.
+func (c *guardedConn) refuseHead(status int, reason string) error {
+	c.guard.refused(c.held.Class(), reason, c.RemoteAddr())
+	retry := ""
+	if status == http.StatusServiceUnavailable {
+		retry = fmt.Sprintf("%s: %s\r\n", c.guard.headers.RetryAfter, refusalRetryAfter)
+	}
+	text := http.StatusText(status)
+	response := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s", status, text, len(text), retry, text)
+	if c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime)) == nil {
+		_, _ = c.Conn.Write([]byte(response)) // the client may have left
+	}
+	c.linger()
+	return refusedRead()
+}
+
+// refusalRetry is the time after which a client may retry that was refused for lack of
+// budget. Most ordinary requests that held the budget have ended by then.
+const refusalRetry = 250 * time.Millisecond
+
+// refusalRetryAfter is that time in seconds.
+var refusalRetryAfter = strconv.FormatFloat(refusalRetry.Seconds(), 'f', 3, 64)
+
+// linger releases what is charged to the connection. Close then keeps it open for a while:
+// a connection that is closed while data arrive is reset, and the client may not get the
+// response.
+func (c *guardedConn) linger() {
+	c.lingers.Store(true)
+	c.guard.budget.Linger(time.Now(), c.held)
+}
+
+// Close implements net.Conn.
+func (c *guardedConn) Close() error {
+	if c.lingers.Load() && c.CloseWrite() == nil {
+		if own, ok := c.Conn.(*callerConn); ok {
+			own.ahead.close()
+		}
+		return nil // closed by the guard
+	}
+	c.guard.budget.Close(c.held)
+	return c.Conn.Close()
+}
+
+// forceClose closes the connection at once, after the budget has released it.
+func (c *guardedConn) forceClose() {
+	_ = c.Conn.Close() // an error means that it is closed already
+}
+
+// CloseWrite ends the sending direction.
+func (c *guardedConn) CloseWrite() error {
+	conn := c.Conn
+	if own, ok := conn.(*callerConn); ok {
+		conn = own.Conn
+	}
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// stateChanged records the phase that the HTTP server reports.
+func (c *guardedConn) stateChanged(state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		c.SetBusy(true)
+	case http.StateIdle:
+		c.SetBusy(false)
+	}
+}
+
+// SetBusy implements hop.Meter.
+func (c *guardedConn) SetBusy(busy bool) bool {
+	if c.lingers.Load() {
+		return false
+	}
+	now := time.Now()
+	c.active.Store(busy)
+	if !busy {
+		c.reading = false
+		c.guard.budget.RequestDone(now, c.held)
+		return true
+	}
+	evicted, ok := c.guard.budget.RequestStarted(now, c.held)
+	c.fits.Store(ok)
+	c.guard.makeRoom(evicted)
+	if !ok {
+		c.guard.refused(c.held.Class(), reasonDescriptors, c.RemoteAddr())
+	}
+	return ok
+}
+
+// Charge implements hop.Meter.
+func (c *guardedConn) Charge(n int64) bool {
+	if !c.charge(time.Now(), n) {
+		c.guard.refused(c.held.Class(), reasonMemory, c.RemoteAddr())
+		return false
+	}
+	return true
+}
+
+func (c *guardedConn) charge(now time.Time, n int64) bool {
+	evicted, ok := c.guard.budget.Charge(now, c.held, n)
+	c.guard.makeRoom(evicted)
+	return ok
+}
+
+// ChargeResponse implements hop.Meter.
+func (c *guardedConn) ChargeResponse(n int64) {
+	c.guard.budget.ChargeResponse(c.held, n)
+}
+
+// Refused implements hop.Meter.
+func (c *guardedConn) Refused() {
+	c.linger()
+}
+
+// chargeAhead charges bytes that later requests of the connection take.
+func (c *guardedConn) chargeAhead(n int64) bool {
+	if c == nil {
+		return true
+	}
+	evicted, ok := c.guard.budget.ChargeAhead(time.Now(), c.held, n)
+	if len(evicted) > 0 {
+		go c.guard.makeRoom(evicted) // the caller holds a lock like the one that closing takes
+	}
+	return ok
+}
+
+// refundAhead releases bytes of chargeAhead.
+func (c *guardedConn) refundAhead(n int64) {
+	if c != nil && n > 0 {
+		c.guard.budget.RefundAhead(c.held, n)
+	}
+}
+
+// maxHeadBytes returns the limit on the header of a request.
+func (c *guardedConn) maxHeadBytes() int {
+	if c == nil {
+		return maxHeaderBytes
+	}
+	return c.guard.maxHeadBytes(c.held.Class())
+}
+
+// admitRequests refuses requests that do not fit, before the handler has seen them.
+func (g *connGuard) admitRequests(next http.Handler, requestBytes int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		c := guardOf(req.Context())
+		if c == nil || c.processedAhead() {
+			next.ServeHTTP(w, req)
+			return
+		}
+		if req.ContentLength != 0 {
+			// The handler may set an earlier time. An error shows when the body is read.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(defaultTimeout))
+		}
+		if err := c.admit(req, requestBytes); err != nil {
+			g.refuseRequest(w, req, err)
+			return
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
+// admit charges what is known once the head was read. It returns an error if that does not
+// fit.
+func (c *guardedConn) admit(req *http.Request, requestBytes int64) *errkind.Error {
+	if !c.fits.Load() {
+		return errkind.New(errkind.Overloaded, "the router of this host has no file descriptors left")
+	}
+	if !c.reading || !c.head.Ended() {
+		// A part of the head came with the request before.
+		lines := 0
+		for _, values := range req.Header {
+			lines += len(values)
+		}
+		requestBytes += connlimit.HeadCost(0, lines)
+	}
+	if c.held.Class() != connlimit.Caller {
+		requestBytes += bodyCost(req)
+	}
+	if requestBytes > 0 && !c.Charge(requestBytes) {
+		return errNoMemory()
+	}
+	return nil
+}
+
+func errNoMemory() *errkind.Error {
+	err := errkind.New(errkind.Overloaded, "the router of this host has no memory left for the request")
+	err.RetryAfter = refusalRetry
+	return err
+}
+
+// refuseRequest responds to a request that no handler has seen.
+func (g *connGuard) refuseRequest(w http.ResponseWriter, req *http.Request, err *errkind.Error) {
+	if id := req.Header.Get(g.headers.RequestID); id != "" {
+		w.Header().Set(g.headers.RequestID, id)
+	}
+	w.Header().Set(g.headers.RetryAfter, refusalRetryAfter)
+	w.Header().Set("Connection", "close") // the server would otherwise wait for the body
+	w.Header().Set("Content-Type", errkind.ProblemType)
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = errkind.WriteProblem(w, err.Kind, err.Detail, http.StatusServiceUnavailable) // the client may have left
+}
+
+// bodyCost returns the bytes that are charged for the body of a request.
+func bodyCost(req *http.Request) int64 {
+	if req.ContentLength < 0 || req.ContentLength > maxBufferedBody {
+		return maxBufferedBody
+	}
+	return req.ContentLength
+}
+
+// receiveBody reads the body of a caller's request like readBody, once it fits into the
+// budget. It gives up at the deadline; the request has then not run.
+func receiveBody(w http.ResponseWriter, req *http.Request, deadline time.Time) (requestBody, *errkind.Error) {
+	c := guardOf(req.Context())
+	if c == nil || req.ContentLength == 0 || req.Body == nil {
+		return readBody(req)
+	}
+	cost := bodyCost(req)
+	if !c.Charge(cost) {
+		w.Header().Set("Connection", "close") // the server would otherwise wait for the body
+		return requestBody{}, errNoMemory()
+	}
+	control := http.NewResponseController(w)
+	// Errors of these show when the body is read.
+	_ = control.SetReadDeadline(deadline)
+	body, err := readBody(req)
+	switch {
+	case err != nil && errors.Is(err.Err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return body, errkind.New(errkind.DeadlinePassed, "the deadline passed before the body was complete")
+	case err == nil && body.stream != nil:
+		// The end of the request's context comes first, and decides on the response.
+		_ = control.SetReadDeadline(deadline.Add(lateWriteTime))
+	case err == nil:
+		_ = control.SetReadDeadline(time.Time{}) // the server watches the connection from now on
+		c.guard.budget.Refund(c.held, cost-int64(len(body.data)))
+	}
+	return body, err
+}
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -153,6 +153,7 @@
 		r.Header.Set(names.Signature, resp.Signature)
 	}
 	if r.Length >= 0 && r.Length <= maxBufferedResponse {
+		c.chargeResponse(r.Length)
 		return bufferBody(r)
 	}
 	return r
@@ -247,6 +248,7 @@
 		Keyed:      req.Flags&hop.Keyed != 0,
 		WaitPolicy: admit.WaitPolicy(req.WaitPolicy),
 		Key:        req.Key,
+		charge:     req.ChargeResponse,
 	}
 	if req.Stream != nil {
 		c.Stream = &bodyStream{src: req.Stream, length: req.Length}
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -38,6 +38,8 @@
 	cancel context.CancelCauseFunc
 	// respond writes the response once the server handles the request.
 	respond func(http.ResponseWriter, *http.Request)
+	// release releases what is charged for the request.
+	release func()
 }
 
 // drop cancels a request whose response will not be sent.
@@ -46,6 +48,7 @@
 	go func() {
 		<-p.done
 		p.result.close()
+		p.release()
 	}()
 }
 
@@ -61,6 +64,7 @@
 // arrived.
 type readAhead struct {
 	conn         net.Conn
+	account      *guardedConn // what is read ahead is charged to it; may be nil
 	startRequest func(*http.Request) *pipelinedRequest
 	log          *event.Logger
 
@@ -70,6 +74,8 @@
 	// pending holds bytes that the server has not read yet. unparsed holds those that are
 	// not yet part of a complete request head; the server may already have read them.
 	pending, unparsed []byte
+	// charged is what is charged for the two.
+	charged int64
 	// bodyLeft is the number of following bytes that belong to the body of a request.
 	bodyLeft int64
 	// inRequest is true if the server has read the head of a request and not yet
@@ -168,6 +174,9 @@
 			a.unparsed = append(a.unparsed, chunk[:n]...)
 			a.parse()
 		}
+		if err == nil && !a.chargeBytes(n) {
+			a.stopped, err = true, os.ErrDeadlineExceeded
+		}
 		if err != nil {
 			a.end(err)
 			a.mu.Unlock()
@@ -253,18 +262,21 @@
 		}
 		head := bytes.Clone(a.unparsed[:end+len(headEnd)])
 		a.unparsed = a.unparsed[end+len(headEnd):]
+		charge := a.chargeHead(head)
+		if charge == nil {
+			a.framingLost = true
+			return
+		}
 		req, err := parseHead(head)
 		if err != nil || req.ContentLength < 0 {
+			charge.release()
 			a.framingLost = true
 			return
 		}
 		a.bodyLeft = req.ContentLength
 		a.queued++
-		if a.bodyLeft > 0 || len(a.pipelined) >= readAheadRequests {
-			continue
-		}
-		if e := a.startRequest(req); e != nil {
-			a.pipelined = append(a.pipelined, e)
+		if a.bodyLeft > 0 || len(a.pipelined) >= readAheadRequests || !a.start(req, charge) {
+			charge.release()
 		}
 	}
 	a.unparsed = nil
@@ -289,6 +301,7 @@
 	}
 	n = copy(p, a.pending)
 	a.pending = a.pending[n:]
+	a.refundBytes(n)
 	a.changed.Broadcast()
 	return n, nil, true
 }
--- /dev/null
+++ b/router/sidecar/readaheadcharge.go
@@ -0,0 +1,109 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"burdockglade.dev/router/connlimit"
+)
+
+// Each byte that is read ahead is held twice, for the server and for the processing of
+// requests before their turn.
+const readAheadCopies = 2
+
+// chargeBytes charges n bytes that were read. If it returns false, nothing more may be read.
+// The caller holds a.mu.
+func (a *readAhead) chargeBytes(n int) bool {
+	cost := int64(n) * readAheadCopies
+	if !a.account.chargeAhead(cost) {
+		return false
+	}
+	a.charged += cost
+	return true
+}
+
+// refundBytes releases n bytes that the server has read. The caller holds a.mu.
+func (a *readAhead) refundBytes(n int) {
+	cost := min(int64(n)*readAheadCopies, a.charged)
+	a.charged -= cost
+	a.account.refundAhead(cost)
+}
+
+// aheadCharge is what is charged for a request that is processed before its turn.
+type aheadCharge struct {
+	account *guardedConn
+	bytes   atomic.Int64
+}
+
+// chargeHead charges a head that is parsed before its turn. It returns nil if the head must
+// be left to the server: it does not fit, or exceeds the limit.
+func (a *readAhead) chargeHead(head []byte) *aheadCharge {
+	var counted connlimit.Head
+	cost := connlimit.HeadCost(counted.Add(head))
+	if counted.Exceeds(a.account.maxHeadBytes()) || !a.account.chargeAhead(cost) {
+		return nil
+	}
+	c := &aheadCharge{account: a.account}
+	c.bytes.Store(cost)
+	return c
+}
+
+// chargeResponse charges n bytes of the response.
+func (c *aheadCharge) chargeResponse(n int64) {
+	if c.account != nil {
+		c.bytes.Add(n)
+		c.account.guard.budget.ChargeAheadResponse(c.account.held, n)
+	}
+}
+
+// release releases all of it. A second call has no effect.
+func (c *aheadCharge) release() {
+	c.account.refundAhead(c.bytes.Swap(0))
+}
+
+// aheadKey is the context key of the aheadCharge of a request.
+type aheadKey struct{}
+
+// start starts to process a request before its turn. It returns false if the request has to
+// wait. The caller holds a.mu.
+func (a *readAhead) start(req *http.Request, charge *aheadCharge) bool {
+	e := a.startRequest(req.WithContext(context.WithValue(req.Context(), aheadKey{}, charge)))
+	if e == nil {
+		return false
+	}
+	e.release = charge.release
+	a.pipelined = append(a.pipelined, e)
+	return true
+}
+
+// hasPipelined reports whether requests that the server does not handle yet are being
+// processed.
+func (a *readAhead) hasPipelined() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.pipelined) > 0
+}
+
+// responseCharge returns the function that charges the response to a request, or nil.
+func responseCharge(req *http.Request) func(n int64) {
+	if ahead, ok := req.Context().Value(aheadKey{}).(*aheadCharge); ok {
+		return ahead.chargeResponse
+	}
+	if c := guardOf(req.Context()); c != nil {
+		return c.ChargeResponse
+	}
+	return nil
+}
+
+// chargeResponse charges the part of a response that is held, before it is read. The length
+// is -1 if it is unknown.
+func (c *Call) chargeResponse(length int64) {
+	if c.charge == nil {
+		return
+	}
+	if length < 0 || length > maxBufferedResponse {
+		length = maxBufferedResponse
+	}
+	c.charge(length)
+}
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -20,7 +20,8 @@
 	Log      LogSettings      `ini:"log"`
 }
 
-// HostSettings identify the host of the process. All but LinkMbps are required.
+// HostSettings identify the host of the process and name its resources. The names are
+// required.
 type HostSettings struct {
 	// Name is the unique name of the host.
 	Name   string `ini:"name"`
@@ -32,6 +33,12 @@
 	// LinkMbps is the bandwidth of the host's link in Mbit/s. In each zone, the host with
 	// the highest bandwidth reads the fleet for the others. Default 0: unknown.
 	LinkMbps float64 `ini:"link_mbps"`
+	// MemoryMB is the memory of the host in MB, which bounds what the connections of the
+	// process hold. 0 or at least 32. Default 0: no bound.
+	MemoryMB float64 `ini:"memory_mb"`
+	// MaxFDs is the number of file descriptors that the process may open; 200 of them are
+	// kept for files. 0 or at least 300. Default 0: no bound.
+	MaxFDs int `ini:"max_fds"`
 }
 
 // ListenSettings are the addresses to listen on, each an IP address and a port. All are
@@ -135,6 +142,15 @@
 	}
 }
 
+const (
+	// minMemoryMB is what a process without traffic takes at most, and maxMemoryMB keeps the
+	// number of bytes far from overflow.
+	minMemoryMB = 32
+	maxMemoryMB = 1 << 24
+	// minFDs leaves 100 descriptors beside those that are kept for files.
+	minFDs = 300
+)
+
 // Check returns all errors of the settings, joined.
 func (s Settings) Check() error {
 	var errs []error
@@ -176,6 +192,12 @@
 			errs = append(errs, fmt.Errorf("%s = %d: want more than 0", f.key, f.value))
 		}
 	}
+	if m := s.Host.MemoryMB; m != 0 && !(m >= minMemoryMB && m <= maxMemoryMB) {
+		errs = append(errs, fmt.Errorf("host.memory_mb = %v: want 0, or %d to %d", m, minMemoryMB, maxMemoryMB))
+	}
+	if n := s.Host.MaxFDs; n != 0 && n < minFDs {
+		errs = append(errs, fmt.Errorf("host.max_fds = %d: want 0, or at least %d", n, minFDs))
+	}
 	if s.Terms.RetryRatio < 0 || s.Terms.RetrySlack < 0 {
 		errs = append(errs, errors.New("terms.retry_ratio and terms.retry_slack: want 0 or more"))
 	}
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"burdockglade.dev/router/boottime"
+	"burdockglade.dev/router/connlimit"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/hop"
@@ -84,6 +85,7 @@
 	// as last read.
 	memberVersions sync.Map
 	callers        *callerConns
+	guard          *connGuard
 	listeners      []net.Listener
 	createdAt      boottime.Time
 	stopping       atomic.Bool
@@ -116,6 +118,7 @@
 	s.buildStore()
 	s.buildConfig()
 	s.buildKeys()
+	s.guard = newConnGuard(s)
 	s.buildRequests()
 	s.buildMembers()
 	return s
@@ -247,6 +250,7 @@
 	if err != nil {
 		return err
 	}
+	s.log.Log(eventBudgets, event.F("memory_mb", s.settings.Host.MemoryMB), event.F("max_fds", s.settings.Host.MaxFDs))
 	s.log.Log(eventStarted, event.F("host", s.settings.Host.Name), event.F("zone", s.settings.Host.Zone), event.F("service", s.settings.Host.Service))
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -259,6 +263,7 @@
 		s.commands.run,
 		s.publisher.run,
 		s.sweeper.run,
+		s.guard.run,
 	} {
 		wg.Go(func() { task(background) })
 	}
@@ -278,11 +283,10 @@
 }
 
 const (
-	// readHeaderTimeout bounds the time that a caller takes to send a header.
-	readHeaderTimeout = 5 * time.Second
-	// callerIdleTimeout is longer than callers keep idle connections, so that none is
-	// closed while a request is on its way.
-	callerIdleTimeout = 2 * time.Minute
+	// controlReadTimeout bounds the time to read a request of the upstream or of the platform.
+	controlReadTimeout = 10 * time.Second
+	// metricsBytes is the memory of a request for metrics: the text, and its compression.
+	metricsBytes = 128 << 10
 )
 
 func (s *Sidecar) listen() (servers []server, err error) {
@@ -296,15 +300,17 @@
 	requests, cancel := context.WithCancelCause(context.Background())
 	callers.BaseContext = func(net.Listener) context.Context { return requests }
 	s.cancelRequests = cancel
+	s.guard.protect(callers, 0)
 	for _, e := range []struct {
 		name, address string
 		server        server
+		class         connlimit.Class
 	}{
-		{"caller", l.Caller, callers},
-		{"hop", l.Hop, hop.NewServer(hops.serve)},
-		{"control", l.Control, httpServer(s.opts.Control(s))},
-		{"ready", l.Ready, httpServer(s.opts.Ready(s))},
-		{"metrics", l.Metrics, httpServer(mux)},
+		{"caller", l.Caller, callers, connlimit.Caller},
+		{"hop", l.Hop, hop.NewServer(hops.serve), connlimit.Router},
+		{"control", l.Control, s.internalServer(s.opts.Control(s), 0), connlimit.Control},
+		{"ready", l.Ready, s.internalServer(s.opts.Ready(s), 0), connlimit.Probe},
+		{"metrics", l.Metrics, s.internalServer(mux, metricsBytes), connlimit.Probe},
 	} {
 		listener, err := s.opts.Listen(e.address)
 		if err != nil {
@@ -313,6 +319,7 @@
 		if e.server == callers {
 			listener = callerListener{Listener: listener, conns: s.callers, beginPipelined: s.beginPipelined, log: s.log}
 		}
+		listener = s.guard.listener(listener, e.class)
 		servers = append(servers, e.server)
 		s.listeners = append(s.listeners, listener)
 		go s.serve(e.server, e.name, listener)
@@ -327,8 +334,18 @@
 	}
 }
 
+// httpServer returns a server for requests of callers. The guard applies the timeouts of the
+// configuration to its connections.
 func httpServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes}
+}
+
+// internalServer returns a server for requests of the upstream or of the platform.
+func (s *Sidecar) internalServer(handler http.Handler, requestBytes int64) *http.Server {
+	sv := httpServer(handler)
+	sv.ReadHeaderTimeout, sv.ReadTimeout, sv.IdleTimeout = defaultHeaderTimeout, controlReadTimeout, defaultIdleTimeout
+	s.guard.protect(sv, requestBytes)
+	return sv
 }
 
 // maxHeaderBytes bounds the header of a request. The bound of the configuration is not
