Keep the phase of router connections free of a data race

The goroutine that watches a connection of a router reads it while the request before ends; both used the state that counts HTTP heads. That state is now used for HTTP only. Measured: go test -race -p 2 ./connlimit ./hop ./sidecar passes (before: a race in TestNamedRateLimitIsKept).

--- a/router/sidecar/guardedconn.go
+++ b/router/sidecar/guardedconn.go
@@ -30,7 +30,7 @@
 	// lingers is true once the client was refused: it is given time to read the response.
 	lingers atomic.Bool
 	// reading is true once bytes of the next head were read, which head counts. Only the
-	// goroutine that serves the connection uses them.
+	// goroutine that serves an HTTP connection uses them.
 	reading bool
 	head    connlimit.Head
 }
@@ -60,16 +60,17 @@
 
 // observeHead charges a part of a request head. It returns an error if the head is refused.
 func (c *guardedConn) observeHead(p []byte) error {
-	now := time.Now()
-	if !c.reading {
-		c.reading, c.head = true, connlimit.Head{}
-		if !c.guard.budget.ReadStarted(now, c.held) {
-			return refusedRead()
-		}
+	now, class := time.Now(), c.held.Class()
+	if (class == connlimit.Router || !c.reading) && !c.guard.budget.ReadStarted(now, c.held) {
+		return refusedRead()
 	}
-	class := c.held.Class()
 	if class == connlimit.Router {
-		return nil // the server charges heads by Charge, before it reads them
+		// The server charges heads by Charge, before it reads them. Another goroutine may
+		// read while it ends the request before.
+		return nil
+	}
+	if !c.reading {
+		c.reading, c.head = true, connlimit.Head{}
 	}
 	size, lines := c.head.Add(p)
 	if size == 0 {
@@ -176,7 +177,9 @@
 	now := time.Now()
 	c.active.Store(busy)
 	if !busy {
-		c.reading = false
+		if c.held.Class() != connlimit.Router {
+			c.reading = false
+		}
 		c.guard.budget.RequestDone(now, c.held)
 		return true
 	}
