--- a/ctl/hostile/hostile_test.go
+++ b/ctl/hostile/hostile_test.go
@@ -1,13 +1,19 @@
 package hostile
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"maps"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"burdockglade.dev/platform"
 	"burdockglade.dev/router/hop"
 )
 
@@ -140,3 +146,22 @@
 	close(stop)
 	observers.Wait()
 }
+
+// Guards against limits that refuse a request inside the limits of the configuration while
+// the process is not under pressure.
+func TestLongHeadIsServed(t *testing.T) {
+	d := newDeployment(t)
+	for _, service := range services {
+		conn, err := net.Dial("tcp4", d.hosts[0].caller)
+		must(t, err)
+		must(t, conn.SetDeadline(time.Now().Add(recoveryTime)))
+		_, err = io.WriteString(conn, "GET /"+service+"/x HTTP/1.1\r\nHost: hostile\r\n"+platform.Headers().RequestID+": long\r\n"+strings.Repeat("a:\n", 5000)+"\r\n")
+		must(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must(t, err)
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("a head of 5,000 lines for %s: status %d", service, resp.StatusCode)
+		}
+		_ = conn.Close()
+	}
+}
