End connections whose clients leave a response unread

Cause: a client that never reads keeps its request and a descriptor for ever, where the server sets no deadline (short responses). Change: the guard closes a connection whose write has lasted 30 s. Ruled out: a write deadline for each response, which costs a timer (trial: 3 microseconds a request). Measured: TestUnreadResponsesEnd passes.

--- a/router/connlimit/budget.go
+++ b/router/connlimit/budget.go
@@ -415,6 +415,18 @@
 	return expired
 }
 
+// Busy returns the connections with requests in progress.
+func (b *Budget) Busy() (busy []*Conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for class := range classes {
+		for c := b.queues[class][Active].first; c != nil; c = c.next {
+			busy = append(busy, c)
+		}
+	}
+	return busy
+}
+
 // Yield removes the connection that has to make room for a new one of the class, because the
 // process got no descriptor. It returns nil if there is none.
 func (b *Budget) Yield(now time.Time, class Class) *Conn {
--- a/router/sidecar/connguard.go
+++ b/router/sidecar/connguard.go
@@ -113,11 +113,22 @@
 				g.tagged(c.Class(), reasonTime).Counter("connections_closed").Inc(1)
 				c.Owner.(*guardedConn).forceClose()
 			}
+			g.closeUnread(now)
 			g.report()
 		}
 	}
 }
 
+// closeUnread closes the connections whose clients leave a response unread.
+func (g *connGuard) closeUnread(now time.Time) {
+	for _, c := range g.budget.Busy() {
+		if guarded := c.Owner.(*guardedConn); guarded.unread(now) {
+			g.tagged(c.Class(), reasonTime).Counter("connections_closed").Inc(1)
+			guarded.forceClose()
+		}
+	}
+}
+
 // report updates the gauges.
 func (g *connGuard) report() {
 	for class, stats := range g.budget.Stats() {
--- a/router/sidecar/connguard_test.go
+++ b/router/sidecar/connguard_test.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"burdockglade.dev/router/connlimit"
@@ -158,6 +160,35 @@
 	}
 }
 
+// Guards against clients that never read their responses and so keep connections for ever.
+func TestUnreadResponsesEnd(t *testing.T) {
+	scope := metrics.New() // has a goroutine of its own
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		g := &connGuard{budget: connlimit.New(connlimit.Options{}), limits: (&currentConfig{}).limits, scope: scope, log: event.NewLogger(io.Discard, 0)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go g.run(ctx)
+		c := g.open(near, connlimit.Router)
+		c.SetBusy(true)
+		start := time.Now()
+		if err := c.SetWriteDeadline(start.Add(2 * unreadTime)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte("x")); !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(start) != 2*unreadTime {
+			t.Errorf("with a deadline of the server: %v after %v", err, time.Since(start))
+		}
+		if err := c.SetWriteDeadline(time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+		start = time.Now()
+		if _, err := c.Write([]byte("x")); err == nil || time.Since(start) < unreadTime || time.Since(start) > unreadTime+time.Second {
+			t.Errorf("unread response: %v after %v", err, time.Since(start))
+		}
+	})
+}
+
 // failingListener fails a number of times before it accepts connections.
 type failingListener struct {
 	net.Listener
@@ -236,3 +267,46 @@
 		})
 	}
 }
+
+// BenchmarkCallerRequest measures a request of a caller over a connection of the loopback
+// interface, with the guard and with the timeouts of the server in its place.
+func BenchmarkCallerRequest(b *testing.B) {
+	for _, guarded := range []bool{false, true} {
+		b.Run(fmt.Sprintf("guarded=%v", guarded), func(b *testing.B) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			g := &connGuard{budget: connlimit.New(connlimit.Options{MemoryBytes: 536 << 20, Files: 8192}), limits: (&currentConfig{}).limits, scope: metrics.New()}
+			callers := newCallerConns()
+			server := httpServer(okHandler)
+			server.ConnState, server.ConnContext = callers.stateChanged, withConn
+			listener := net.Listener(callerListener{Listener: l, conns: callers})
+			if !guarded {
+				server.ReadHeaderTimeout, server.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
+			}
+			if guarded {
+				g.protect(server, 0)
+				listener = g.listener(listener, connlimit.Caller)
+			}
+			go func() { _ = server.Serve(listener) }() // returns after Close
+			defer func() { _ = server.Close() }()
+			conn, err := net.Dial("tcp4", l.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			head := []byte("GET /first/x HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("Some-Field: a value of some length\r\n", 14) + "\r\n")
+			buffer := make([]byte, 4096)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := conn.Write(head); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := conn.Read(buffer); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/router/sidecar/guardedconn.go
+++ b/router/sidecar/guardedconn.go
@@ -17,6 +17,10 @@
 // refusalWriteTime bounds the time to write the response to a refused head.
 const refusalWriteTime = 100 * time.Millisecond
 
+// unreadTime is how long a client may leave a response unread for which the server sets no
+// deadline. Its connection would otherwise keep its request, and a descriptor, for ever.
+const unreadTime = 30 * time.Second
+
 // guardedConn counts the request heads that are read from a connection and charges them to
 // the budget. It implements hop.Meter.
 type guardedConn struct {
@@ -27,6 +31,11 @@
 	active atomic.Bool
 	// fits is false if the current request found no descriptor for its connections.
 	fits atomic.Bool
+	// ownDeadline is true while the server has set a deadline for writes.
+	ownDeadline atomic.Bool
+	// writingSince is the time from guardEpoch at which a write without a deadline began, or
+	// 0.
+	writingSince atomic.Int64
 	// lingers is true once the client was refused: it is given time to read the response.
 	lingers atomic.Bool
 	// reading is true once bytes of the next head were read, which head counts. Only the
@@ -58,6 +67,38 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	if !c.ownDeadline.Load() {
+		// The guard looks for writes that last too long. A deadline would cost a timer, 3
+		// microseconds for each response.
+		c.writingSince.Store(int64(time.Since(guardEpoch)))
+		defer c.writingSince.Store(0)
+	}
+	return c.Conn.Write(p)
+}
+
+// guardEpoch is the time from which writingSince counts.
+var guardEpoch = time.Now()
+
+// unread reports whether a write has waited for the client for unreadTime.
+func (c *guardedConn) unread(now time.Time) bool {
+	since := c.writingSince.Load()
+	return since != 0 && now.Sub(guardEpoch)-time.Duration(since) >= unreadTime
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *guardedConn) SetWriteDeadline(t time.Time) error {
+	c.ownDeadline.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *guardedConn) SetDeadline(t time.Time) error {
+	c.ownDeadline.Store(!t.IsZero())
+	return c.Conn.SetDeadline(t)
+}
+
 // observeHead charges a part of a request head. It returns an error if the head is refused.
 func (c *guardedConn) observeHead(p []byte) error {
 	now, class := time.Now(), c.held.Class()
