--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -81,6 +81,8 @@
 	// transfer is the response on its way to another router. It is nil for calls of this
 	// host, and if the link is not scheduled.
 	transfer *linkTransfer
+	// charge charges bytes of the response to the connection of the request. It may be nil.
+	charge func(n int64)
 }
 
 // bodySendable reports whether the whole body can be sent in another attempt.
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -85,7 +85,7 @@
 		}
 		req.Body = http.MaxBytesReader(w, req.Body, limit)
 	}
-	body, err := readBody(req)
+	body, err := receiveBody(w, req, start.Add(e.remainingTime(req, route)))
 	if err != nil {
 		e.writeError(w, req, route, start, err)
 		return
@@ -215,6 +215,7 @@
 // ends at its deadline at the latest, or when the caller leaves.
 func (e *entry) servePipelined(w http.ResponseWriter, req *http.Request, pipelined *pipelinedRequest) {
 	ctx := req.Context()
+	defer pipelined.release()
 	defer pipelined.cancel(context.Canceled)
 	stop := context.AfterFunc(ctx, func() { pipelined.cancel(context.Cause(ctx)) })
 	defer stop()
@@ -236,6 +237,7 @@
 		Large:      route.LargeResponses,
 		Objective:  route.TargetLatency,
 		route:      route,
+		charge:     responseCharge(req),
 	}
 	left := c.Deadline.Sub(start)
 	c.Goal = c.Deadline.Add(route.TargetLatency - e.maxTimes.observe(route.Name, left))
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -114,6 +114,14 @@
 		"The link carries about what link_mbps says again.", "none")
 	eventLinkMemory = event.Define(1883, log.WarnLevel, "no memory for a large response",
 		"A call of another router was refused because the bytes that are held for large responses and bodies have reached their bound.", "Look for callers that read slowly, on hosts whose calls have the caller of the line.")
+	eventAcceptFailed = event.Define(1860, log.WarnLevel, "connection not accepted",
+		"A listener could not accept a connection, usually for lack of file descriptors. It tries again after 5 ms to 1 s, and an idle connection of its class is closed.", "Raise the limit of file descriptors of the process, or set max_fds to it.")
+	eventConnectionRefused = event.Define(1861, log.InfoLevel, "connection or request refused",
+		"A connection or a request did not fit into the budgets of memory_mb and max_fds, or a request head exceeds MaxHeaderBytes. The field reason says which. No upstream has seen the request.", "Look for clients with many connections or large request heads by the field address.")
+	eventConnectionEvicted = event.Define(1862, log.InfoLevel, "connection closed to make room",
+		"A connection without a request in progress was closed in favour of another one, because a budget is used up: an idle one, or one whose request head was still arriving.", "See event 1861.")
+	eventBudgets = event.Define(1863, log.InfoLevel, "budgets of connections",
+		"The process started with these settings. 0 means that there is no bound.", "none")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 	eventRegionRefused = event.Define(1870, log.InfoLevel, "request refused because of its region",
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -240,6 +240,7 @@
 		release(admit.Failed)
 		return &Result{Arrived: true, Err: err}
 	}
+	c.chargeResponse(resp.Length)
 	head, complete, err := c.transfer.readResponse(resp.Body, resp.Length)
 	if err != nil {
 		_ = resp.Body.Close()
--- a/router/sidecar/linkmemory.go
+++ b/router/sidecar/linkmemory.go
@@ -22,11 +22,11 @@
 
 // linkMemory returns the bound on the bytes that are held for large responses and bodies,
 // for a host with the memory in MB, or 0 if that is not known.
-func linkMemory(memoryMB int) int64 {
+func linkMemory(memoryMB float64) int64 {
 	if memoryMB == 0 {
 		return defaultLinkMemory
 	}
-	return int64(memoryMB) * 1_000_000 / linkMemoryDivisor
+	return int64(memoryMB * 1_000_000 / linkMemoryDivisor)
 }
 
 // reserveMemory reserves the memory for a call whose response is expected to have the
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -21,7 +21,7 @@
 	Log      LogSettings      `ini:"log"`
 }
 
-// HostSettings identify the host of the process. All but LinkMbps and MemoryMB are
+// HostSettings identify the host of the process and name its resources. The names are
 // required.
 type HostSettings struct {
 	// Name is the unique name of the host.
@@ -35,8 +35,12 @@
 	// the highest bandwidth reads the fleet for the others, and large responses to other
 	// hosts are sent in turns within it. Default 0: unknown; responses are sent at once.
 	LinkMbps float64 `ini:"link_mbps"`
-	// MemoryMB is the memory of the host in MB. Default 0: unknown.
-	MemoryMB int `ini:"memory_mb"`
+	// MemoryMB is the memory of the host in MB, which bounds what the connections of the
+	// process hold. 0 or at least 32. Default 0: no bound.
+	MemoryMB float64 `ini:"memory_mb"`
+	// MaxFDs is the number of file descriptors that the process may open; 200 of them are
+	// kept for files. 0 or at least 300. Default 0: no bound.
+	MaxFDs int `ini:"max_fds"`
 }
 
 // ListenSettings are the addresses to listen on, each an IP address and a port. All are
@@ -152,6 +156,15 @@
 	}
 }
 
+const (
+	// minMemoryMB is what a process without traffic takes at most, and maxMemoryMB keeps the
+	// number of bytes far from overflow.
+	minMemoryMB = 32
+	maxMemoryMB = 1 << 24
+	// minFDs leaves 100 descriptors beside those that are kept for files.
+	minFDs = 300
+)
+
 // Check returns all errors of the settings, joined.
 func (s Settings) Check() error {
 	var errs []error
@@ -198,8 +211,11 @@
 	if s.Host.LinkMbps < 0 || math.IsNaN(s.Host.LinkMbps) || math.IsInf(s.Host.LinkMbps, 0) {
 		errs = append(errs, fmt.Errorf("host.link_mbps = %v: want 0 or more", s.Host.LinkMbps))
 	}
-	if s.Host.MemoryMB < 0 {
-		errs = append(errs, fmt.Errorf("host.memory_mb = %d: want 0 or more", s.Host.MemoryMB))
+	if m := s.Host.MemoryMB; m != 0 && !(m >= minMemoryMB && m <= maxMemoryMB) {
+		errs = append(errs, fmt.Errorf("host.memory_mb = %v: want 0, or %d to %d", m, minMemoryMB, maxMemoryMB))
+	}
+	if n := s.Host.MaxFDs; n != 0 && n < minFDs {
+		errs = append(errs, fmt.Errorf("host.max_fds = %d: want 0, or at least %d", n, minFDs))
 	}
 	if s.Terms.RetryRatio < 0 || s.Terms.RetrySlack < 0 {
 		errs = append(errs, errors.New("terms.retry_ratio and terms.retry_slack: want 0 or more"))
