Send slow requests a second time, to another host

Change: entry.attemptHedged runs a timer beside the first attempt; when it fires and the decision allows it, a second attempt runs with its own context and copy of the call. The first usable response wins, the other attempt is cancelled and its body closed. Setting [hedge] max_share (default 0: off), events 1885 and 1886, metrics hedges and hedges_denied. A host whose requests are overtaken counts as slower (fleet.Host.Overtaken), because its cancelled attempts report no latency.

--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -21,7 +21,7 @@
 	arrivals := 0
 	mayHaveRun := false
 	var last *Result
-	for range maxHosts {
+	for len(tried) < maxHosts {
 		h, r := e.chooseHost(ctx, c, tried, last)
 		if r == nil {
 			r = e.checkTimeLeft(h, c)
@@ -36,9 +36,10 @@
 			last.close()
 		}
 		c.WaitPolicy = waitPolicy(c, len(tried))
-		last = e.attempt(ctx, h, c)
+		last = e.attemptHedged(ctx, h, c, route, tried)
 		tried = append(tried, h)
 		c.noteRegionRefusal(h, last)
+		tried, arrivals, mayHaveRun = c.countHedge(last, tried, arrivals, mayHaveRun)
 		if last.Arrived {
 			arrivals++
 		}
@@ -147,6 +148,7 @@
 	}
 	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
 		h.RequestCancelled()
+		noteOvertaken(ctx, h, c, now.Sub(start))
 		return r
 	}
 	result := fleet.Result{Reached: !r.Unreachable, Load: r.Load, HasLoad: r.HasLoad}
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -88,6 +88,7 @@
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
 	}
+	s.entry.hedges = newHedger(s.settings.Hedge, s.entry.metrics)
 }
 
 // buildMembers creates the components that publish this host and remove hosts that have
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -120,6 +120,9 @@
 	// unknown.
 	Body   io.ReadCloser
 	Length int64
+
+	// hedge is the other result if the request was sent twice without a usable response.
+	hedge *hedgedResult
 }
 
 // notRun reports whether the result promises that the request did not run and will not
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -126,6 +126,8 @@
 	// decodes their configurations, decodeTestConfig if it is nil.
 	region string
 	decode func([]byte) (vhost.Config, error)
+	// change changes the settings of hosts that are added later; nil leaves them.
+	change func(*Settings)
 	// log is the log of hosts that are added later.
 	log *event.Logger
 }
@@ -236,6 +238,9 @@
 	}
 	settings.Upstream = UpstreamSettings{Address: u.address(), HeartbeatMs: 100}
 	settings.Terms.GraceMs = 3000
+	if c.change != nil {
+		c.change(&settings)
+	}
 	decode := c.decode
 	if decode == nil {
 		decode = decodeTestConfig
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -41,6 +41,8 @@
 	gate     *gate
 	regions  *regionRules
 	budgets  *budgets
+	// hedges is nil if no request is sent a second time.
+	hedges   *hedger
 	maxTimes maxRequestTimes
 	log      *event.Logger
 	metrics  *entryMetrics
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -98,4 +98,8 @@
 		"Another router, or this one, offered the local upstream a request whose route does not allow this region by the configuration in force here. It did not run.", "none; if it repeats for more than 3 s, find out why the sender's configuration is late: event 1812.")
 	eventKeyRegions = event.Define(1871, log.WarnLevel, "regions of keys changed",
 		"If confined is false, the routes of a keyed service have no region in common with an eligible host, so that its keys may be held anywhere, and requests of restricted routes for keys outside their regions are refused. If it is true, the keys move back into the regions.", "If confined is false, check the hosts in the regions and the allowed regions of the routes.")
+	eventHedged = event.Define(1885, log.InfoLevel, "request sent a second time",
+		"The response of the first host is slower than most of the route, so that the request was sent to a second host as well.", "none; docs/OPERATIONS.md says how to set the limit.")
+	eventHedgeEnded = event.Define(1886, log.InfoLevel, "second request ended",
+		"A request that was sent a second time has ended there. outcome is won (its response is passed on), cancelled (the first host responded first) or failed (refused, error, or the caller left).", "If most have the outcome failed, lower hedge.max_share: the second hosts have no free slots.")
 )
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -17,6 +17,7 @@
 	Upstream UpstreamSettings `ini:"upstream"`
 	Store    StoreSettings    `ini:"store"`
 	Terms    TermSettings     `ini:"terms"`
+	Hedge    HedgeSettings    `ini:"hedge"`
 	Log      LogSettings      `ini:"log"`
 }
 
@@ -88,6 +89,14 @@
 	RetryWindowMs int     `ini:"retry_window_ms"`
 }
 
+// HedgeSettings limit the requests that are sent a second time, to another host, while the
+// first one is running.
+type HedgeSettings struct {
+	// MaxShare is the share, 0 to 1, of the repeatable requests of a service without keys
+	// that may be sent a second time. Default 0: none.
+	MaxShare float64 `ini:"max_share"`
+}
+
 // LogSettings configure the log on standard output.
 type LogSettings struct {
 	// Level is debug, info, warn or error. Default info.
@@ -183,6 +192,9 @@
 	if s.Terms.RetryRatio < 0 || s.Terms.RetrySlack < 0 {
 		errs = append(errs, errors.New("terms.retry_ratio and terms.retry_slack: want 0 or more"))
 	}
+	if !(s.Hedge.MaxShare >= 0 && s.Hedge.MaxShare <= 1) { // also refuses NaN
+		errs = append(errs, fmt.Errorf("hedge.max_share = %v: want 0 to 1", s.Hedge.MaxShare))
+	}
 	return errors.Join(errs...)
 }
 
