--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -223,3 +223,17 @@
 		t.Error("c is not the first host while b is avoided")
 	}
 }
+
+// Guards against a slow host whose requests are always overtaken by another one and which
+// therefore never counts as slow.
+func TestOvertakenHostIsAvoided(t *testing.T) {
+	d := newDirectory(upstream("slow", "z1", "r1"), upstream("fast", "z1", "r1"))
+	for range 30 {
+		d.Host("slow").RequestStarted()
+		d.Host("slow").RequestCancelled()
+		d.Host("slow").Overtaken(time.Second, time.Second)
+	}
+	if got := choices(d); got["fast"] != 200 {
+		t.Errorf("choices %v, want all fast", got)
+	}
+}
