--- a/router/hedge/hedge_test.go
+++ b/router/hedge/hedge_test.go
@@ -100,7 +100,7 @@
 }
 
 // Guards against second requests beyond a limit, above all in a service that is slow as a
-// whole, and against a share that is charged for requests which the retry budget stops.
+// whole.
 func TestLimits(t *testing.T) {
 	for _, c := range []struct {
 		simulation
@@ -117,12 +117,40 @@
 	} {
 		c.run(c.end)
 		sent := len(slices.DeleteFunc(c.sentAt, func(at int) bool { return at < c.from }))
-		if sent > c.maxSent || sent < c.maxSent/2 || c.denied[c.reason] == 0 || (c.reason == RetryBudget && c.denied[ShareUsed] > 0) {
+		if sent > c.maxSent || sent < c.maxSent/2 || c.denied[c.reason] == 0 {
 			t.Errorf("%s: %d sent, at most %d expected; denied: %v", c.reason, sent, c.maxSent, c.denied)
 		}
 	}
 }
 
+// Guards against second requests to services of one host, against requests that must not be
+// sent twice, and against a share that is charged for requests which the retry budget stops.
+func TestDecide(t *testing.T) {
+	share, yes, no := NewShare(1), func() bool { return true }, func() bool { return false }
+	share.Request()
+	may := Request{Repeatable: true, BodyKept: true, MaxAttempts: 2}
+	for _, c := range []struct {
+		state                 State
+		chooseHost, takeRetry func() bool
+		want                  Reason
+	}{
+		{State{Request: may, Hosts: 1}, yes, yes, FewHosts},
+		{State{Request: Request{BodyKept: true, MaxAttempts: 2}, Hosts: 2}, yes, yes, RouteChanged},
+		{State{Request: Request{Repeatable: true, MaxAttempts: 2}, Hosts: 2}, yes, yes, RouteChanged},
+		{State{Request: Request{Repeatable: true, BodyKept: true, MaxAttempts: 1}, Hosts: 2}, yes, yes, RouteChanged},
+		{State{Request: Request{Repeatable: true, BodyKept: true, MaxAttempts: 2, Keyed: true}, Hosts: 2}, yes, yes, RouteChanged},
+		{State{Request: Request{Repeatable: true, BodyKept: true, MaxAttempts: 2, Tried: 1}, Hosts: 2}, yes, yes, RouteChanged},
+		{State{Request: may, Hosts: 2}, no, yes, NoHost},
+		{State{Request: may, Hosts: 2}, yes, no, RetryBudget},
+		{State{Request: may, Hosts: 2}, yes, yes, None},
+		{State{Request: may, Hosts: 2}, yes, yes, ShareUsed},
+	} {
+		if got := Decide(c.state, Limits{Share: share, ChooseHost: c.chooseHost, TakeRetry: c.takeRetry}); got != c.want {
+			t.Errorf("%+v: %q, want %q", c.state, got, c.want)
+		}
+	}
+}
+
 // Guards against a delay from too few or too old response times, and against a wrong
 // percentile once old times are replaced.
 func TestDelay(t *testing.T) {
--- a/router/sidecar/hedge_test.go
+++ b/router/sidecar/hedge_test.go
@@ -28,6 +28,8 @@
 	cancelled [2]bool
 	open      [2]bool // bodies that were returned and are not closed
 	sent      [2]int
+	ended     [2]int
+	deaf      bool // attempts do not end when they are cancelled
 }
 
 func newHedgeTest(t *testing.T) *hedgeTest {
@@ -63,9 +65,14 @@
 func (h *hedgeTest) attemptAt(ctx context.Context, host *fleet.Host, _ *Call) *Result {
 	i := int(host.Member().Host[0] - 'a')
 	h.sent[i]++
+	defer func() { h.ended[i]++ }()
+	cancelled := ctx.Done()
+	if h.deaf {
+		cancelled = nil
+	}
 	select {
 	case <-time.After(h.took[i]):
-	case <-ctx.Done():
+	case <-cancelled:
 		h.cancelled[i] = true
 		return &Result{Arrived: true, Err: errkind.New(errkind.OutcomeUnknown, "cancelled")}
 	}
@@ -107,11 +114,17 @@
 		{name: "both refused", took: [2]time.Duration{30, 50}, results: []Result{refusal, refusal}, at: 70, sent: 2},
 		{name: "refused and lost", took: [2]time.Duration{30, 50}, results: []Result{refusal, lost}, at: 70, sent: 2, mayHaveRun: true},
 		{name: "lost and failed", took: [2]time.Duration{30, 50}, results: []Result{lost, failed}, want: "b", at: 70, sent: 2, mayHaveRun: true},
+		{name: "both failed", took: [2]time.Duration{30, 50}, results: []Result{failed, failed}, want: "a", at: 70, sent: 2, mayHaveRun: true},
+		{name: "first comes too late", took: [2]time.Duration{40, 5}, want: "b", at: 40, sent: 2, prepare: func(h *hedgeTest) { h.deaf = true }},
 		{name: "route gone", took: [2]time.Duration{900}, want: "a", at: 900, sent: 1, prepare: func(h *hedgeTest) { h.call.Host = "gone" }},
 		{name: "regions changed", took: [2]time.Duration{900}, want: "a", at: 900, sent: 1,
 			prepare: func(h *hedgeTest) { time.AfterFunc(time.Millisecond, func() { h.setConfig(t, "2 look=r2") }) }},
 		{name: "second host leaves", took: [2]time.Duration{900}, want: "a", at: 900, sent: 1,
 			prepare: func(h *hedgeTest) { h.fleet.MarkLeaving(time.Now(), "b", fleet.Incarnation{}) }},
+		{name: "second host lost", took: [2]time.Duration{900}, want: "a", at: 900, sent: 1, prepare: func(h *hedgeTest) {
+			h.fleet.Host("b").RequestStarted()
+			h.fleet.Host("b").RequestDone(time.Now().Add(-time.Second), fleet.Result{})
+		}},
 		{name: "router stops", took: [2]time.Duration{900}, want: "a", at: 900, sent: 1,
 			prepare: func(h *hedgeTest) { h.stoppingFor = func() time.Duration { return 1 } }},
 		{name: "caller leaves", took: [2]time.Duration{900, 900}, at: 40, sent: 2, mayHaveRun: true},
@@ -139,8 +152,8 @@
 			at := time.Since(start)
 			synctest.Wait()
 			tried, _, mayHaveRun := h.call.countHedge(r, nil, 0, r.Err != nil && !r.notRun())
-			if at != c.at*time.Millisecond || h.sent[0]+h.sent[1] != c.sent || mayHaveRun != c.mayHaveRun {
-				t.Errorf("%s: result after %v with %v attempts, may have run: %v", c.name, at, h.sent, mayHaveRun)
+			if at != c.at*time.Millisecond || h.sent[0]+h.sent[1] != c.sent || h.ended != h.sent || mayHaveRun != c.mayHaveRun {
+				t.Errorf("%s: result after %v with %v attempts, of which %v ended, may have run: %v", c.name, at, h.sent, h.ended, mayHaveRun)
 			}
 			if others := c.sent - 1; !r.usable() && len(tried) != others {
 				t.Errorf("%s: %d further hosts were tried, want %d", c.name, len(tried), others)
@@ -161,6 +174,18 @@
 	}
 }
 
+// Guards against a second attempt whose timer fires just when the first attempt ends: nobody
+// would take its result.
+func TestNoSecondAttemptAfterTheFirst(t *testing.T) {
+	h := newHedgeTest(t)
+	p := h.newPair(t.Context(), h.fleet.Host("a"), h.call, &vhost.Route{Name: "look"}, 20*time.Millisecond)
+	p.attempt = h.attemptAt
+	p.endFirst(true)
+	if p.startSecond(); h.sent[1] > 0 {
+		t.Error("a second attempt was made")
+	}
+}
+
 // Guards against cost for deployments that have not switched hedging on.
 func TestHedgingOffAllocatesNothing(t *testing.T) {
 	h := newHedgeTest(t)
