--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -237,3 +237,19 @@
 		t.Errorf("choices %v, want all fast", got)
 	}
 }
+
+// Guards against a spare capacity that counts hosts which a request cannot use: those that
+// are not allowed, leave or do not respond.
+func TestSpareCountsUsableHosts(t *testing.T) {
+	d := newDirectory(upstream("a", "z1", "r1"), upstream("b", "z2", "r1"), upstream("other", "z3", "r2"), upstream("leaves", "z1", "r1"), upstream("lost", "z1", "r1"))
+	for _, host := range []string{"b", "other", "leaves"} {
+		reportLoad(d, host, Load{Busy: 10, Slots: 10})
+	}
+	d.MarkLeaving(time.Now(), "leaves", d.Host("leaves").Member().Incarnation())
+	d.Host("lost").RequestStarted()
+	d.Host("lost").RequestDone(time.Now(), Result{})
+	hosts, utilization := d.Spare(time.Now(), "s", func(m Member) bool { return m.Region == "r1" })
+	if hosts != 2 || utilization != reportWeight/2 {
+		t.Errorf("%d hosts with utilization %v, want a and b with %v", hosts, utilization, reportWeight/2)
+	}
+}
--- a/router/sidecar/hedge_test.go
+++ b/router/sidecar/hedge_test.go
@@ -186,6 +186,17 @@
 	}
 }
 
+// Guards against a share that is not one, which would hedge without a limit.
+func TestHedgeShareIsChecked(t *testing.T) {
+	for share, valid := range map[float64]bool{0: true, 1: true, -0.1: false, 1.1: false, math.Inf(1): false, math.NaN(): false} {
+		s := DefaultSettings()
+		s.Hedge.MaxShare = share
+		if got := !strings.Contains(s.Check().Error(), "hedge.max_share"); got != valid {
+			t.Errorf("share %v: valid %v", share, got)
+		}
+	}
+}
+
 // Guards against cost for deployments that have not switched hedging on.
 func TestHedgingOffAllocatesNothing(t *testing.T) {
 	h := newHedgeTest(t)
