--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -43,9 +43,11 @@
 	evacuation *zoneEvacuation
 	regions    *regionRules
 	budgets    *budgets
-	maxTimes   maxRequestTimes
-	log        *event.Logger
-	metrics    *entryMetrics
+	// hedges is nil if slow requests are not sent a second time.
+	hedges   *hedger
+	maxTimes maxRequestTimes
+	log      *event.Logger
+	metrics  *entryMetrics
 	// drainLimit is the time, counted from the notice that an upstream leaves, after which
 	// it gets no new request from this host.
 	drainLimit time.Duration
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -18,6 +18,7 @@
 	Upstream UpstreamSettings `ini:"upstream"`
 	Store    StoreSettings    `ini:"store"`
 	Terms    TermSettings     `ini:"terms"`
+	Hedge    HedgeSettings    `ini:"hedge"`
 	Log      LogSettings      `ini:"log"`
 }
 
@@ -105,6 +106,14 @@
 	ColdSlack   float64 `ini:"cold_slack"`
 }
 
+// HedgeSettings limit the requests that are sent a second time, to another host, while the
+// first one is running.
+type HedgeSettings struct {
+	// MaxShare is the share, 0 to 1, of the repeatable requests of a service without keys
+	// that may be sent a second time. Default 0: none.
+	MaxShare float64 `ini:"max_share"`
+}
+
 // LogSettings configure the log on standard output.
 type LogSettings struct {
 	// Level is debug, info, warn or error. Default info.
@@ -223,6 +232,9 @@
 	if t := s.Terms; !(t.ColdOverage > 0) || !(t.ColdSlack >= 0) || math.IsInf(t.ColdOverage+t.ColdSlack, 1) {
 		errs = append(errs, fmt.Errorf("terms.cold_overage = %v, terms.cold_slack = %v: want a number above 0 and one of 0 or more", t.ColdOverage, t.ColdSlack))
 	}
+	if !(s.Hedge.MaxShare >= 0 && s.Hedge.MaxShare <= 1) { // also refuses NaN
+		errs = append(errs, fmt.Errorf("hedge.max_share = %v: want 0 to 1", s.Hedge.MaxShare))
+	}
 	return errors.Join(errs...)
 }
 
