--- a/router/sidecar/connguard_test.go
+++ b/router/sidecar/connguard_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -310,3 +311,18 @@
 		})
 	}
 }
+
+// Guards against budgets that refuse every request, and against one that overflows.
+func TestBudgetSettings(t *testing.T) {
+	for _, c := range []struct {
+		memory float64
+		files  int
+		want   bool
+	}{{0, 0, true}, {184, 4100, true}, {32, 300, true}, {31.9, 0, false}, {-1, 0, false}, {math.NaN(), 0, false}, {math.Inf(1), 0, false}, {0, 299, false}, {0, -1, false}} {
+		err := Settings{Host: HostSettings{MemoryMB: c.memory, MaxFDs: c.files}}.Check()
+		wrong := err != nil && (strings.Contains(err.Error(), "host.memory_mb") || strings.Contains(err.Error(), "host.max_fds"))
+		if wrong == c.want {
+			t.Errorf("memory_mb %v, max_fds %d: %v", c.memory, c.files, err)
+		}
+	}
+}
