Quarantine requests that crash their upstreams

Cause: a request whose target crashes its upstream is repeated at another host and sent again by its callers, until no upstream is left. Change: the gate keeps which requests its upstream lost, and proves the crash by a refused connection or a new incarnation. Gate and entry refuse a request that recurs over three crashes (kind quarantined, not run) until a trial completes; suspects run one at a time and are not repeated.

--- a/router/errkind/errkind.go
+++ b/router/errkind/errkind.go
@@ -43,6 +43,7 @@
 	NoteConflict      Kind = "note_conflict"
 	Conflict          Kind = "conflict"
 	RegionUnavailable Kind = "region_unavailable"
+	Quarantined       Kind = "quarantined"
 	Internal          Kind = "internal"
 )
 
@@ -108,6 +109,7 @@
 	NoteConflict:      {http.StatusConflict, NotRun, false, 0, "another release note was published first"},
 	Conflict:          {http.StatusConflict, NotRun, true, 0, "the state changed at the same time"},
 	RegionUnavailable: {http.StatusServiceUnavailable, NotRun, true, shortDelay, "no host in an allowed region can take the request"},
+	Quarantined:       {http.StatusServiceUnavailable, NotRun, false, longDelay, "the request has crashed the upstreams that ran it"},
 	Internal:          {http.StatusInternalServerError, Unknown, false, 0, "internal error"},
 }
 
--- a/router/quarantine/evidence.go
+++ b/router/quarantine/evidence.go
@@ -41,7 +41,7 @@
 // Lost records that a request got no complete response from the incarnation. It reports
 // whether the incarnation is known to have crashed; otherwise Ended returns the request.
 func (e *Evidence) Lost(now time.Time, of Incarnation, r Request) (crashed bool) {
-	if e.crashed(now, of) {
+	if e.Crashed(now, of) {
 		return true
 	}
 	e.lost = slices.DeleteFunc(e.lost, func(l loss) bool { return now.Sub(l.at) > proofTime })
@@ -51,14 +51,15 @@
 	return false
 }
 
-func (e *Evidence) crashed(now time.Time, of Incarnation) bool {
+// Crashed reports whether the incarnation is known to have crashed lately.
+func (e *Evidence) Crashed(now time.Time, of Incarnation) bool {
 	return slices.ContainsFunc(e.ended, func(x end) bool { return x.of == of && now.Sub(x.at) <= proofTime })
 }
 
 // Ended records that the process of the incarnation has ended without a notice. It returns
 // the requests that it lost.
 func (e *Evidence) Ended(now time.Time, of Incarnation) []Request {
-	if !e.crashed(now, of) {
+	if !e.Crashed(now, of) {
 		e.ended = append(e.ended, end{at: now, of: of})
 		e.ended = e.ended[max(len(e.ended)-maxEnded, 0):]
 	}
--- a/router/quarantine/quarantine_test.go
+++ b/router/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -18,11 +19,10 @@
 
 // simHost is one host of a simulation: a router and its upstream.
 type simHost struct {
-	set    *Set
-	upAt   int // the upstream is down before
-	life   Incarnation
-	runs   []*simRun
-	served int
+	set  *Set
+	upAt int // the upstream is down before
+	life Incarnation
+	runs []*simRun
 }
 
 type simRun struct {
@@ -78,64 +78,45 @@
 			continue
 		}
 		g := h.set.AtGate(now, run.r, false)
-		waits := func(o *simRun) bool { return o.r.Fingerprint == run.r.Fingerprint }
-		if g.Verdict == Refused || (g.Verdict == Alone && containsRun(h.runs, waits)) {
-			s.respond(h, run, nil)
-			if g.Verdict == Refused {
-				s.refused[run.r.Path]++
-				return
-			}
+		if g.Verdict == Alone && slices.ContainsFunc(h.runs, func(o *simRun) bool { return o.r == run.r }) {
 			continue
 		}
-		took := 20 + s.rnd.IntN(200)
-		run.dies = run.r.Path == s.deadly
+		if g.Verdict == Refused {
+			s.respond(h, run, nil)
+			s.refused[run.r.Path]++
+			return
+		}
+		run.dies, run.endAt, run.tried = run.r.Path == s.deadly, s.now+20+s.rnd.IntN(200), run.tried+1
 		if run.dies {
-			took = 5 + s.rnd.IntN(10)
+			run.endAt = s.now + 5 + s.rnd.IntN(10)
 		}
-		run.endAt, run.tried = s.now+took, run.tried+1
 		h.runs = append(h.runs, run)
 		return
 	}
 }
 
-func containsRun(runs []*simRun, f func(*simRun) bool) bool {
-	for _, r := range runs {
-		if f(r) {
-			return true
-		}
-	}
-	return false
-}
-
 // step lets a millisecond pass at a host.
 func (s *sim) step(h *simHost) {
 	now := at(s.now)
-	left := h.runs[:0]
-	var ended []*simRun
-	crashed := false
-	for _, run := range h.runs {
-		if run.endAt > s.now {
-			left = append(left, run)
-			continue
-		}
-		ended, crashed = append(ended, run), crashed || run.dies
-	}
-	if !crashed {
-		h.runs = left
-		for _, run := range ended {
-			h.set.Completed(now, run.r.Fingerprint)
-			s.served[run.r.Path]++
-			s.respond(h, run, nil)
+	ended := func(run *simRun) bool { return run.endAt <= s.now }
+	if !slices.ContainsFunc(h.runs, func(run *simRun) bool { return run.dies && ended(run) }) {
+		for _, run := range h.runs {
+			if ended(run) {
+				h.set.Completed(now, run.r.Fingerprint)
+				s.served[run.r.Path]++
+				s.respond(h, run, nil)
+			}
 		}
+		h.runs = slices.DeleteFunc(h.runs, ended)
 		return
 	}
-	lost := append(ended, left...)
+	lost := h.runs
 	h.runs = nil
-	var evidence Evidence
+	var requests []Request
 	for _, run := range lost {
-		evidence.Lost(now, h.life, run.r)
+		requests = append(requests, run.r)
 	}
-	h.set.Crashed(now, h.life, evidence.Ended(now, h.life))
+	h.set.Crashed(now, h.life, requests)
 	s.crashes++
 	s.lastLife++
 	h.life, h.upAt = s.lastLife, s.now+2000+s.rnd.IntN(3000)
@@ -209,9 +190,7 @@
 func TestFloodOfDifferentSuspects(t *testing.T) {
 	s := newSim(t, 6, 7)
 	n := 0
-	for range 40 {
-		s.run(1_000, 400, 0.05, func() string { n++; return fmt.Sprint("/t", n/2) })
-	}
+	s.run(40_000, 400, 0.05, func() string { n++; return fmt.Sprint("/t", n/2) })
 	s.checkHarmless()
 	set := NewSet("h")
 	for i := range 3 * MaxSuspects {
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -18,6 +18,11 @@
 // tryHosts offers the call to hosts until one responds or no other attempt is allowed.
 func (e *entry) tryHosts(ctx context.Context, c *Call, route *vhost.Route) *Result {
 	var tried []*fleet.Host
+	trialHost, err := e.quarantine.atEntry(c)
+	if err != nil {
+		return &Result{Err: err}
+	}
+	c.trialHost = trialHost
 	arrivals := 0
 	mayHaveRun := false
 	var last *Result
@@ -71,6 +76,9 @@
 		}
 		return e.chooseHolder(ctx, c, tried)
 	}
+	if c.trialHost != "" {
+		return e.chooseTrialHost(c, tried)
+	}
 	if allowed := e.regions.filter(c); allowed != nil {
 		return e.chooseAllowed(c, tried, allowed)
 	}
@@ -145,6 +153,7 @@
 	} else {
 		r = sendHop(ctx, h.Client, e.headers, c)
 		e.evacuation.merge(r.Evacuated, h.Member().Host) // before the configuration counts as confirmed
+		e.quarantine.responded(c, r, h.Member().Host)
 		e.exchange.observe(r.Config, start, h.Client)
 	}
 	r.Host = h.Member().Host
@@ -183,6 +192,9 @@
 	if !r.Arrived && r.notRun() {
 		return errkind.ResponseOf(r.Err.Kind).Retryable
 	}
+	if r.Arrived && !e.quarantine.mayRepeat(c) {
+		return false
+	}
 	if arrivals >= max(route.MaxAttempts, 1) {
 		return false
 	}
--- a/router/sidecar/body.go
+++ b/router/sidecar/body.go
@@ -5,9 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/quarantine"
 )
 
 // requestBody is the body of a request: data, or stream if it is too long to be kept.
@@ -24,6 +28,9 @@
 	// begun is true once an attempt has begun to read the body, and ended once the end of
 	// the body has been returned.
 	begun, ended atomic.Bool
+
+	mu     sync.Mutex
+	prefix bodyPrefix
 }
 
 // Read implements io.Reader. The end of the body is returned once: for a second reader the
@@ -34,12 +41,51 @@
 		return 0, errBodySent
 	}
 	n, err := b.src.Read(p)
+	b.mu.Lock()
+	b.prefix.add(p[:n], errors.Is(err, io.EOF))
+	b.mu.Unlock()
 	if errors.Is(err, io.EOF) {
 		b.ended.Store(true)
 	}
 	return n, err
 }
 
+// bodyPrefix hashes the begin of a body for its fingerprint.
+type bodyPrefix struct {
+	digest xxhash.Digest
+	length int
+	// complete is true if the begin was hashed completely.
+	complete bool
+}
+
+func (p *bodyPrefix) add(data []byte, last bool) {
+	if p.complete {
+		return
+	}
+	if p.length == 0 {
+		p.digest.Reset()
+	}
+	data = data[:min(len(data), quarantine.MaxBodyBytes-p.length)]
+	_, _ = p.digest.Write(data) // never fails
+	p.length += len(data)
+	p.complete = last || p.length == quarantine.MaxBodyBytes
+}
+
+// prefixHash returns the hash of the begin of the body. If read is true, it reads the begin,
+// which is then kept for the attempt that sends the body, unless an attempt has begun to
+// read it. complete is false if the begin is not known.
+func (b *bodyStream) prefixHash(read bool) (hash uint64, complete bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if read && !b.prefix.complete && !b.begun.Load() {
+		begin := make([]byte, quarantine.MaxBodyBytes)
+		n, err := io.ReadFull(b.src, begin)
+		b.prefix.add(begin[:n], errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
+		b.src = io.MultiReader(bytes.NewReader(begin[:n]), b.src)
+	}
+	return b.prefix.digest.Sum64(), b.prefix.complete
+}
+
 // errBodySent is the error of reading a body that an earlier attempt has read to its end.
 var errBodySent = errors.New("the body has been sent already")
 
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -65,12 +65,14 @@
 func (s *Sidecar) buildRequests() {
 	host, terms := s.settings.Host, s.settings.Terms
 	regions := &regionRules{host: host.Name, region: host.Region, config: s.config, log: s.log, scope: s.scope}
+	s.quarantine = s.buildQuarantine()
 	s.gate = &gate{
 		host: host.Name, headers: s.opts.Headers, local: s.local, keys: s.keys, evacuation: s.evacuation,
 		limiter:     admit.NewPriorityLimiter(nil),
 		log:         s.log,
 		client:      newUpstreamClient(s.settings.Upstream.Address),
 		regions:     regions,
+		quarantine:  s.quarantine,
 		drainLimit:  millis(terms.DrainMs) / 2,
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
@@ -86,6 +88,7 @@
 		service:     func() string { return host.Service },
 		budgets:     newBudgets(budget, s.fleet.HostCount),
 		regions:     regions,
+		quarantine:  s.quarantine,
 		log:         s.log,
 		metrics:     newEntryMetrics(s.scope),
 		drainLimit:  s.gate.drainLimit,
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -13,6 +13,7 @@
 	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/quarantine"
 	"burdockglade.dev/router/vhost"
 )
 
@@ -81,6 +82,9 @@
 	// transfer is the response on its way to another router. It is nil for calls of this
 	// host, and if the link is not scheduled.
 	transfer *linkTransfer
+	// trialHost is the only host to which the call may be offered, or empty.
+	trialHost string
+	evidence  callEvidence
 }
 
 // bodySendable reports whether the whole body can be sent in another attempt.
@@ -117,6 +121,13 @@
 	// Evacuated is the report of the other host on the evacuated zones, or empty.
 	Evacuated string
 
+	// Suspects is the report of the other host on requests that crash upstreams, or empty.
+	Suspects string
+	// lost is true if the connection to the local upstream ended before the response, and
+	// suspect is the fingerprint of a call that was lost.
+	lost    bool
+	suspect *quarantine.Fingerprint
+
 	// Config is the configuration in force at the other host. Its version is 0 if
 	// unknown.
 	Config peerConfig
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -56,13 +56,16 @@
 	// released are the ranges that the last heartbeat response withdrew.
 	released []keyrange.Handover
 	sequence int64
+	// started is the start of the incarnation. down is true if the process has ended.
+	started int64
+	down    bool
 	// coldUntil is when the upstream is warm according to its heartbeats; zero if they do
 	// not say it.
 	coldUntil time.Time
 }
 
 func newTestUpstream(t *testing.T, id string) *testUpstream {
-	u := &testUpstream{id: id, runs: map[string]int{}}
+	u := &testUpstream{id: id, runs: map[string]int{}, started: 1}
 	u.server = httptest.NewServer(http.HandlerFunc(u.serve))
 	t.Cleanup(u.server.Close)
 	return u
@@ -296,8 +299,12 @@
 // sendHeartbeat sends one heartbeat and applies the response.
 func (u *testUpstream) sendHeartbeat(s *Sidecar, service string) {
 	u.mu.Lock()
+	if u.down {
+		u.mu.Unlock()
+		return
+	}
 	u.sequence++
-	r := Heartbeat{Instance: u.id, Started: 1, Sequence: u.sequence, Service: service, Slots: 4, Holds: u.holds, Released: u.released}
+	r := Heartbeat{Instance: u.id, Started: u.started, Sequence: u.sequence, Service: service, Slots: 4, Holds: u.holds, Released: u.released}
 	r.ColdFor, r.ColdStated = time.Until(u.coldUntil), !u.coldUntil.IsZero()
 	u.mu.Unlock()
 	reply, _ := s.HandleHeartbeat(r)
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -42,6 +42,8 @@
 	// evacuation is nil if zones cannot be evacuated.
 	evacuation *zoneEvacuation
 	regions    *regionRules
+	// quarantine is nil if it is switched off.
+	quarantine *quarantineDriver
 	budgets    *budgets
 	maxTimes   maxRequestTimes
 	log        *event.Logger
@@ -292,7 +294,7 @@
 	response := errkind.ResponseOf(err.Kind)
 	status := response.Status
 	now := time.Now()
-	if response.Outcome == errkind.NotRun && (response.Retryable || err.Kind == errkind.DeadlinePassed) {
+	if response.Outcome == errkind.NotRun && (response.Retryable || err.Kind == errkind.DeadlinePassed || err.Kind == errkind.Quarantined) {
 		status = http.StatusServiceUnavailable
 		retryAfter := retryAfterFor(err, deadline.Sub(now))
 		w.Header().Set(e.headers.RetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
@@ -322,6 +324,9 @@
 // that the error names, limited to the part of the remaining time that callers honour.
 func retryAfterFor(err *errkind.Error, left time.Duration) time.Duration {
 	longest := min(max(left/retryAfterDivisor, minRetryAfter), maxRetryAfter)
+	if err.Kind == errkind.Quarantined {
+		return max(err.RetryAfter, minRetryAfter) // nothing earlier can help
+	}
 	if err.RetryAfter > 0 {
 		return min(max(err.RetryAfter, minRetryAfter), longest)
 	}
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -114,6 +114,16 @@
 		"The link carries about what link_mbps says again.", "none")
 	eventLinkMemory = event.Define(1883, log.WarnLevel, "no memory for a large response",
 		"A call of another router was refused because the bytes that are held for large responses and bodies have reached their bound.", "Look for callers that read slowly, on hosts whose calls have the caller of the line.")
+	eventBlamed = event.Define(1890, log.WarnLevel, "request in quarantine",
+		"Requests with the fingerprint were in progress at the crashes of upstreams on the hosts and have completed nowhere since. They are refused, apart from trials. Each host logs it once it has seen such a request itself.", "Find out why the service's upstreams crash at the path. A repaired release is found out by the next trial.")
+	eventUncrashed = event.Define(1891, log.InfoLevel, "request left the quarantine",
+		"A request with the fingerprint has completed, or another one explains the crashes. Such requests are served again.", "none")
+	eventCrash = event.Define(1892, log.WarnLevel, "upstream crashed",
+		"The process of the local upstream ended without a notice while the given number of requests was in progress. They are suspects until they complete.", "Look at the upstream's log. Event 1890 names the request if one recurs.")
+	eventSuspectsInvalid = event.Define(1893, log.WarnLevel, "report of suspects ignored",
+		"Another host sent a report of suspects that cannot be decoded. At most one such report a minute is logged.", "Compare the versions of the two routers.")
+	eventTrial = event.Define(1894, log.InfoLevel, "trial of a quarantined request",
+		"The local upstream gets one quarantined request, to find out whether it still crashes.", "none")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 	eventRegionRefused = event.Define(1870, log.InfoLevel, "request refused because of its region",
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -49,6 +50,8 @@
 	client     *h1.Client
 	notices    *noticeReader
 	regions    *regionRules
+	// quarantine is nil if it is switched off.
+	quarantine *quarantineDriver
 	log        *event.Logger
 	// drainLimit is the time, counted from the notice that the upstream leaves, after
 	// which it gets no new request.
@@ -75,6 +78,10 @@
 	if err := g.check(time.Now(), c); err != nil {
 		return g.withLoad(&Result{Err: err, Unreachable: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
 	}
+	if err := g.quarantine.enter(ctx, c); err != nil {
+		return g.withLoad(&Result{Err: err})
+	}
+	defer g.quarantine.leave(c)
 	work := c.workClass()
 	if c.Keyed {
 		g.keys.countRequest(c.Key, g.limiter.MeanServiceTime(work))
@@ -84,12 +91,13 @@
 	if err != nil {
 		return g.withLoad(&Result{Err: kindError(err)})
 	}
-	if err := g.check(time.Now(), c); err != nil {
+	if err := cmp.Or(g.check(time.Now(), c), g.quarantine.recheck(c)); err != nil {
 		release(admit.Failed)
 		return g.withLoad(&Result{Err: err})
 	}
 	start := time.Now()
 	r := g.send(ctx, c, release)
+	g.quarantine.ended(ctx, c, r)
 	if r.Err != nil {
 		g.log.Log(eventUpstreamFailed, event.F("request", c.RequestID), event.F("caller", c.Caller), event.F("kind", string(r.Err.Kind)),
 			event.F("instance", g.local.get().holder.Instance), event.F("arrived", r.Arrived), event.F("took_ms", time.Since(start).Milliseconds()), event.F("detail", r.Err.Detail))
@@ -173,6 +181,7 @@
 	holder := g.local.get().holder
 	req := g.buildRequest(c, holder.Instance, left)
 	sent := time.Now()
+	g.quarantine.sent(c, holder)
 	resp, err := g.client.Do(ctx, req)
 	if err != nil {
 		release(admit.Failed)
@@ -208,7 +217,7 @@
 		if ctx.Err() == nil {
 			g.client.CloseIdle()
 		}
-		return &Result{Arrived: true, Err: errkind.New(errkind.OutcomeUnknown, "the upstream got the request and did not respond: %w", err)}
+		return &Result{Arrived: true, lost: ctx.Err() == nil, Err: errkind.New(errkind.OutcomeUnknown, "the upstream got the request and did not respond: %w", err)}
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -244,7 +253,7 @@
 	if err != nil {
 		_ = resp.Body.Close()
 		release(admit.Failed)
-		return &Result{Arrived: true, Err: errkind.New(errkind.AnswerIncomplete, "the upstream's response was cut: %w", err)}
+		return &Result{Arrived: true, lost: true, Err: errkind.New(errkind.AnswerIncomplete, "the upstream's response was cut: %w", err)}
 	}
 	r := &Result{Arrived: true, Status: resp.Status, Header: resp.Header, Length: resp.Length}
 	if complete {
@@ -322,10 +331,25 @@
 	io.Reader
 	body    io.Closer
 	release func(admit.Result)
+
+	// quarantine, if it is not nil, gets the end of the call.
+	quarantine *quarantineDriver
+	call       *Call
+	ctx        context.Context
+	// err is the last error of Read.
+	err error
+}
+
+// Read implements io.Reader.
+func (s *streamedResponse) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	s.err = err
+	return n, err
 }
 
 // Close closes the body and releases the slot.
 func (s *streamedResponse) Close() error {
+	s.quarantine.streamEnded(s)
 	err := s.body.Close()
 	if s.release != nil {
 		s.release(admit.Completed)
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -143,6 +143,8 @@
 	header.Del(kindField)
 	r.Evacuated = header.Get(evacuatedField)
 	header.Del(evacuatedField)
+	r.Suspects = header.Get(suspectsField)
+	header.Del(suspectsField)
 	r.Load.Pace = decodePace(header.Get(paceField))
 	header.Del(paceField)
 	r.Load.Link = decodeLinkShare(header.Get(linkField))
@@ -172,7 +174,7 @@
 	body, err := io.ReadAll(r.Body)
 	_ = r.Body.Close()
 	if err != nil {
-		return &Result{Arrived: true, Load: r.Load, HasLoad: r.HasLoad, Config: r.Config, Evacuated: r.Evacuated,
+		return &Result{Arrived: true, Load: r.Load, HasLoad: r.HasLoad, Config: r.Config, Evacuated: r.Evacuated, Suspects: r.Suspects,
 			Err: errkind.New(errkind.AnswerIncomplete, "the response of the other host was cut: %w", err)}
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
@@ -192,6 +194,8 @@
 	config *currentConfig
 	// evacuation is nil if zones cannot be evacuated.
 	evacuation *zoneEvacuation
+	// quarantine is nil if it is switched off.
+	quarantine *quarantineDriver
 	// applyRow applies the row of a key map that another host has written.
 	applyRow func(rowstore.Row)
 }
@@ -293,7 +297,7 @@
 	} else {
 		head.Status, head.Length = r.Status, r.Length
 		head.Signature = r.Header.Get(h.headers.Signature)
-		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField, kindField, evacuatedField, paceField, linkField)
+		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField, kindField, evacuatedField, paceField, linkField, suspectsField)
 	}
 	if r.Load.Pace != 0 {
 		head.Fields = append(head.Fields, hop.Field{Name: paceField, Value: strconv.Itoa(r.Load.Pace)})
@@ -304,6 +308,9 @@
 	if report := h.evacuation.report(); report != "" {
 		head.Fields = append(head.Fields, hop.Field{Name: evacuatedField, Value: report})
 	}
+	if report := h.quarantine.report(r); report != "" {
+		head.Fields = append(head.Fields, hop.Field{Name: suspectsField, Value: report})
+	}
 	if share := h.link.share(time.Now()); share != "" {
 		head.Fields = append(head.Fields, hop.Field{Name: linkField, Value: share})
 	}
@@ -322,7 +329,10 @@
 
 // earlierKinds maps kinds that routers of earlier versions do not know to known ones with
 // the same status and outcome.
-var earlierKinds = map[errkind.Kind]errkind.Kind{errkind.RegionUnavailable: errkind.NoOwner}
+var earlierKinds = map[errkind.Kind]errkind.Kind{
+	errkind.RegionUnavailable: errkind.NoOwner,
+	errkind.Quarantined:       errkind.Overloaded,
+}
 
 // encodeKind returns the kind for the head of a response and its further fields.
 func encodeKind(kind errkind.Kind) (inHead string, fields []hop.Field) {
--- /dev/null
+++ b/router/sidecar/quarantine_test.go
@@ -0,0 +1,253 @@
+package sidecar
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/hop"
+	"burdockglade.dev/router/keyrange"
+	"burdockglade.dev/router/quarantine"
+)
+
+// crash ends the process of the upstream: its listener and its connections are closed, and
+// it sends no more heartbeats.
+func (u *testUpstream) crash() {
+	u.mu.Lock()
+	u.down = true
+	u.mu.Unlock()
+	_ = u.server.Listener.Close()
+	u.server.CloseClientConnections()
+}
+
+// restart starts a new incarnation at the same address.
+func (u *testUpstream) restart(t *testing.T) {
+	l, err := net.Listen("tcp4", u.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.server = &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(u.serve)}}
+	u.server.Start()
+	t.Cleanup(u.server.Close)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.down, u.started, u.sequence = false, time.Now().UnixMilli(), 0
+}
+
+// deadlyCluster is a cluster of hosts whose upstreams end when they get the path of a
+// request, until it is repaired.
+type deadlyCluster struct {
+	*cluster
+	crashes  atomic.Int64
+	repaired atomic.Bool
+	mu       sync.Mutex
+	crashed  []*testHost
+}
+
+func newDeadlyCluster(t *testing.T, hosts int) *deadlyCluster {
+	c := &deadlyCluster{cluster: newCluster(t)}
+	for i := range hosts {
+		h := c.add(fmt.Sprint("h", i), "plain")
+		h.upstream.setHandler(func(w http.ResponseWriter, r *http.Request) bool {
+			if !strings.HasPrefix(r.URL.Path, "/look/deadly") || c.repaired.Load() {
+				return false
+			}
+			c.crashes.Add(1)
+			c.mu.Lock()
+			c.crashed = append(c.crashed, h)
+			c.mu.Unlock()
+			go h.upstream.crash()
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		})
+	}
+	c.waitReady()
+	return c
+}
+
+// restartCrashed restarts the upstreams that have crashed and waits until their routers
+// know it.
+func (c *deadlyCluster) restartCrashed() {
+	c.t.Helper()
+	c.mu.Lock()
+	crashed := c.crashed
+	c.crashed = nil
+	c.mu.Unlock()
+	for _, h := range crashed {
+		h.upstream.restart(c.t)
+		c.eventually("the new incarnation is known", func() bool { return h.local.get().holder.Started == h.upstream.started })
+	}
+}
+
+// exchange sends harmless requests, so that all hosts hear of each other.
+func (c *deadlyCluster) exchange(round int) {
+	c.t.Helper()
+	for i := range 12 * len(c.hosts) {
+		id := fmt.Sprint("ok-", round, "-", i)
+		if got := c.hosts[i%len(c.hosts)].request(c.t, "GET", "/look/"+id, id, ""); got.status != http.StatusOK {
+			c.t.Errorf("a harmless request got %d %s", got.status, got.body)
+		}
+	}
+}
+
+// Guards against a request that goes on to crash upstreams after it has crashed three,
+// whichever host it comes from, against crashes by repetition, against the refusal of other
+// requests, and against a repaired release that does not serve it.
+func TestRequestThatCrashesUpstreamsIsQuarantined(t *testing.T) {
+	t.Parallel()
+	c := newDeadlyCluster(t, 5)
+	send := func(i int) response {
+		return c.hosts[i%len(c.hosts)].request(t, "GET", "/look/deadly?x=1", fmt.Sprint("deadly-", i), "")
+	}
+	for i := range 10 {
+		before := c.crashes.Load()
+		got := send(i)
+		crashed := c.crashes.Load() - before
+		if crashed > 1 || (i >= 3) != (crashed == 0) {
+			t.Fatalf("request %d crashed %d upstreams", i, crashed)
+		}
+		wait, err := strconv.ParseFloat(got.header.Get(testHeaders.RetryAfter), 64)
+		refused := got.status == http.StatusServiceUnavailable && strings.Contains(got.body, "quarantined") && err == nil && wait > 1
+		if (crashed == 0) != refused || (crashed == 1 && got.status != http.StatusBadGateway) {
+			t.Fatalf("request %d: %d crashes, got %d %v %s", i, crashed, got.status, got.header, got.body)
+		}
+		c.restartCrashed()
+		if i < 4 {
+			c.exchange(i)
+		}
+	}
+	if got := c.hosts[1].request(t, "GET", "/look/deadly?x=2", "other-query", ""); got.status != http.StatusBadGateway {
+		t.Errorf("another query: %d %s", got.status, got.body)
+	}
+	c.restartCrashed()
+	c.repaired.Store(true)
+	n := 100
+	c.eventually("the repaired release serves it", func() bool { n++; return send(n).status == http.StatusOK })
+	c.exchange(n)
+	for i := range c.hosts {
+		if got := send(200 + i); got.status != http.StatusOK {
+			t.Errorf("host %d refuses the repaired request: %d %s", i, got.status, got.body)
+		}
+	}
+}
+
+// Guards against evidence from connections that are cut and from announced ends, and
+// against crashes that are not noticed.
+func TestEvidenceOfCrashes(t *testing.T) {
+	t.Parallel()
+	for name, want := range map[string]bool{"crash": true, "cut": false, "announced": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, "plain")
+			c.waitReady()
+			h := c.hosts[0]
+			if name == "announced" {
+				h.Withdraw(Withdrawal{Instance: h.upstream.id})
+			}
+			h.upstream.setHandler(func(_ http.ResponseWriter, r *http.Request) bool {
+				if name != "cut" {
+					go h.upstream.crash()
+					<-r.Context().Done()
+				}
+				panic(http.ErrAbortHandler)
+			})
+			h.request(t, "GET", "/look/a", "a", "")
+			if got := h.gate.quarantine.active.Load(); got != want {
+				t.Errorf("suspects: %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// Guards against a report that an upstream writes or that does not reach the other router,
+// and against a kind that a router of an earlier version takes for an unknown outcome.
+func TestSuspectsTravelWithResponses(t *testing.T) {
+	q := newTestQuarantine()
+	q.suspectEverything(1)
+	handler := &hopHandler{config: &currentConfig{}, quarantine: q}
+	head := handler.responseHead(&Result{Status: 200, Header: http.Header{suspectsField: {"upstream's"}}})
+	r := hopResult(&hop.Response{ResponseHead: head, Body: http.NoBody}, testHeaders, &Call{})
+	other := newTestQuarantine()
+	other.merge(r.Suspects, "h")
+	if other.mayRepeat(&Call{Target: "/a"}) || r.Header.Get(suspectsField) != "" {
+		t.Errorf("report %q, header %v", r.Suspects, r.Header)
+	}
+	head = handler.responseHead(errorResult(errkind.Quarantined, "detail"))
+	if errkind.ResponseOf(errkind.Kind(head.Kind)).Outcome != errkind.NotRun {
+		t.Errorf("kind in the head: %s", head.Kind)
+	}
+}
+
+func newTestQuarantine() *quarantineDriver {
+	return &quarantineDriver{host: "h", local: &localUpstream{}, scope: tally.NoopScope, set: quarantine.NewSet("h"),
+		alone: map[quarantine.Fingerprint]chan struct{}{}, merged: map[string]string{}}
+}
+
+// suspectEverything records crashes of which a call for /a was lost.
+func (q *quarantineDriver) suspectEverything(crashes int) {
+	for i := range crashes {
+		state := upstreamState{known: true, holder: keyrange.Holder{Started: int64(i)}}
+		c := &Call{Target: "/a"}
+		q.sent(c, state.holder)
+		q.lost(c)
+		q.upstreamEnded(state)
+	}
+}
+
+// Guards against long bodies that are taken for each other, or that lose their begin when it
+// is compared.
+func TestFingerprintOfLongBody(t *testing.T) {
+	long := bytes.Repeat([]byte("x"), 3*quarantine.MaxBodyBytes)
+	read, peeked := &bodyStream{src: bytes.NewReader(long)}, &bodyStream{src: bytes.NewReader(long)}
+	if _, complete := read.prefixHash(false); complete {
+		t.Error("hash of a body that was not read")
+	}
+	got, _ := peeked.prefixHash(true)
+	data, err := io.ReadAll(peeked)
+	if want := quarantine.HashBody(long); got != want || err != nil || !bytes.Equal(data, long) {
+		t.Errorf("hash %x, want %x; %d bytes, %v", got, want, len(data), err)
+	}
+	_, _ = io.ReadAll(read)
+	if got, complete := read.prefixHash(false); got != quarantine.HashBody(long) || !complete {
+		t.Errorf("hash %x of a body that was read", got)
+	}
+}
+
+// BenchmarkQuarantine measures what the quarantine adds to a request.
+func BenchmarkQuarantine(b *testing.B) {
+	for _, suspects := range []int{0, 1} {
+		b.Run(fmt.Sprint("suspects=", suspects), func(b *testing.B) {
+			q := newTestQuarantine()
+			q.suspectEverything(suspects)
+			c := &Call{Service: "plain", Method: "GET", Host: "test", Target: "/look/some/target?with=query", Body: make([]byte, 16<<10)}
+			r := &Result{}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := q.atEntry(c); err != nil {
+					b.Fatal(err)
+				}
+				if err := q.enter(b.Context(), c); err != nil {
+					b.Fatal(err)
+				}
+				_ = q.recheck(c)
+				q.sent(c, keyrange.Holder{Host: "h", Instance: "i", Started: 1})
+				q.ended(b.Context(), c, r)
+				q.leave(c)
+				_ = q.report(r)
+				q.merge("", "h")
+			}
+		})
+	}
+}
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -13,12 +13,13 @@
 // Settings are the settings of one sidecar process, an INI file with one section for each
 // field. Durations are whole milliseconds, as the key names say.
 type Settings struct {
-	Host     HostSettings     `ini:"host"`
-	Listen   ListenSettings   `ini:"listen"`
-	Upstream UpstreamSettings `ini:"upstream"`
-	Store    StoreSettings    `ini:"store"`
-	Terms    TermSettings     `ini:"terms"`
-	Log      LogSettings      `ini:"log"`
+	Host       HostSettings       `ini:"host"`
+	Listen     ListenSettings     `ini:"listen"`
+	Upstream   UpstreamSettings   `ini:"upstream"`
+	Store      StoreSettings      `ini:"store"`
+	Terms      TermSettings       `ini:"terms"`
+	Quarantine QuarantineSettings `ini:"quarantine"`
+	Log        LogSettings        `ini:"log"`
 }
 
 // HostSettings identify the host of the process. All but LinkMbps and MemoryMB are
@@ -101,6 +102,12 @@
 	ColdSlack   float64 `ini:"cold_slack"`
 }
 
+// QuarantineSettings configure the refusal of requests that crash their upstreams.
+type QuarantineSettings struct {
+	// Enabled is true if such requests are refused. Default true.
+	Enabled bool `ini:"enabled"`
+}
+
 // LogSettings configure the log on standard output.
 type LogSettings struct {
 	// Level is debug, info, warn or error. Default info.
@@ -116,7 +123,8 @@
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindowMs: 10000,
 			ColdOverage: 1.5, ColdSlack: 8,
 		},
-		Log: LogSettings{Level: "info"},
+		Quarantine: QuarantineSettings{Enabled: true},
+		Log:        LogSettings{Level: "info"},
 	}
 }
 
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -85,8 +85,10 @@
 	cold           coldStart
 	link           *linkScheduler
 	entry          *entry
-	publisher      *publisher
-	sweeper        *sweeper
+	// quarantine is nil if it is switched off.
+	quarantine *quarantineDriver
+	publisher  *publisher
+	sweeper    *sweeper
 	// memberVersions maps the names of hosts to the versions (int64) of their member rows
 	// as last read.
 	memberVersions sync.Map
@@ -120,7 +122,10 @@
 		configChecks: checkSchedule{bound: millis(opts.Settings.Terms.ConfigMs)},
 		local:        &localUpstream{host: host.Name, heartbeatInterval: millis(opts.Settings.Upstream.HeartbeatMs)},
 	}
-	s.local.refused = s.assumeCold
+	s.local.refused = func() {
+		s.assumeCold()
+		s.quarantine.upstreamEnded(s.local.get())
+	}
 	s.scope = opts.Metrics.SubScope("entry")
 	s.buildStore()
 	s.evacuation = s.buildEvacuation()
@@ -173,9 +178,10 @@
 // HandleHeartbeat processes a heartbeat of the local upstream. If it returns false, the
 // heartbeat must not be acknowledged: nothing that it says is in force.
 func (s *Sidecar) HandleHeartbeat(r Heartbeat) (response HeartbeatResponse, acknowledged bool) {
-	before := s.local.get().holder
+	before := s.local.get()
 	state, verdict, changed := s.local.recordHeartbeat(time.Now(), r)
-	if state.holder != before {
+	s.quarantine.heartbeat(before, state, verdict)
+	if state.holder != before.holder {
 		s.gate.limiter.NewUpstream()
 	}
 	if s.applyCold() || changed {
@@ -299,7 +305,7 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, link: s.link, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, evacuation: s.evacuation, applyRow: s.applyFleetRow}
+	hops := &hopHandler{gate: s.gate, link: s.link, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, evacuation: s.evacuation, quarantine: s.quarantine, applyRow: s.applyFleetRow}
 	hopServer := hop.NewServer(hops.serve)
 	if s.link != nil {
 		hopServer.SentAtOnce, s.link.sendState = s.link.charge, hopServer.SendState
