Bound the paths of suspects and the probes of a crashed upstream

Cause: the path of a suspect could be as long as a request head and kept the whole head in memory; 14 lost requests at an upstream that does not accept connections would have waited for one probe after the other; a host that gets no requests of other hosts never dropped old suspects. Change: paths are cut at 200 bytes; one probe without a result counts for all requests that were lost before it; heartbeats expire old suspects; a request whose long response is being passed on no longer holds up others.

--- a/router/quarantine/evidence.go
+++ b/router/quarantine/evidence.go
@@ -46,7 +46,7 @@
 	}
 	e.lost = slices.DeleteFunc(e.lost, func(l loss) bool { return now.Sub(l.at) > proofTime })
 	if len(e.lost) < maxLost {
-		e.lost = append(e.lost, loss{at: now, of: of, request: r})
+		e.lost = append(e.lost, loss{at: now, of: of, request: r.bounded()})
 	}
 	return false
 }
--- a/router/quarantine/fingerprint.go
+++ b/router/quarantine/fingerprint.go
@@ -64,3 +64,12 @@
 	// Path has no query. It is empty if only other hosts have seen the request.
 	Path string
 }
+
+// maxPath bounds the path that is kept, in bytes.
+const maxPath = 200
+
+// bounded returns the request with a short path that keeps no longer string in memory.
+func (r Request) bounded() Request {
+	r.Service, r.Path = strings.Clone(r.Service), strings.Clone(r.Path[:min(len(r.Path), maxPath)])
+	return r
+}
--- a/router/quarantine/set.go
+++ b/router/quarantine/set.go
@@ -131,7 +131,7 @@
 	x := s.suspects[r.Fingerprint]
 	if x == nil {
 		s.makeRoom(now)
-		x = &suspect{Request: r}
+		x = &suspect{Request: Request{Fingerprint: r.Fingerprint}}
 		s.suspects[r.Fingerprint] = x
 		s.heads[r.Head]++
 	}
@@ -141,8 +141,8 @@
 
 // learn adds what is only known where the request itself was seen.
 func (x *suspect) learn(r Request) {
-	if x.Path == "" {
-		x.Service, x.Path = r.Service, r.Path
+	if x.Path == "" && r.Path != "" {
+		x.Request = r.bounded()
 	}
 }
 
@@ -189,6 +189,13 @@
 	return len(s.suspects) != before
 }
 
+// Expire removes the suspects that are too old.
+func (s *Set) Expire(now time.Time) {
+	if s.expire(now) {
+		s.changed(now)
+	}
+}
+
 func (x *suspect) has(of Incarnation) bool {
 	return slices.ContainsFunc(x.crashes, func(c crash) bool { return c.id == of })
 }
--- a/router/sidecar/quarantine.go
+++ b/router/sidecar/quarantine.go
@@ -27,6 +27,8 @@
 	// secondProbeDelay is the time after which a second connection to an upstream that has
 	// lost a request is opened: its connections may end a moment before its listener.
 	secondProbeDelay = 20 * time.Millisecond
+	// maxLoggedPath bounds the path of a log line, in bytes.
+	maxLoggedPath = 200
 	// maxReporters bounds the hosts whose last report is remembered.
 	maxReporters = 1024
 )
@@ -44,10 +46,10 @@
 	active atomic.Bool
 	// current is the incarnation to which the last call was sent.
 	current atomic.Pointer[incarnationID]
-	// probing is held while the upstream is probed. aliveAt is the time of the last probe
-	// that showed that it accepts connections.
-	probing sync.Mutex
-	aliveAt time.Time
+	// probing is held while the upstream is probed. probedAt is the time of the last probes
+	// that did not show that it has ended.
+	probing  sync.Mutex
+	probedAt time.Time
 
 	mu       sync.Mutex
 	set      *quarantine.Set
@@ -73,8 +75,6 @@
 	trial bool
 	// alone is closed when the call ends; nil if others like it need not wait.
 	alone chan struct{}
-	// streaming is true while the response is passed on and the call has not ended.
-	streaming bool
 }
 
 // buildQuarantine returns nil if the settings switch the quarantine off.
@@ -171,7 +171,7 @@
 		case d.Verdict == quarantine.Trial:
 			c.evidence.trial = true
 			q.scope.Counter("quarantine_trials").Inc(1)
-			q.log.Log(eventTrial, event.F("request", c.RequestID), event.F("fingerprint", printed(r)), event.F("service", c.Service), event.F("path", r.Path), event.F("crashes", d.Crashes))
+			q.log.Log(eventTrial, event.F("request", c.RequestID), event.F("fingerprint", printed(r)), event.F("service", c.Service), event.F("path", r.Path[:min(len(r.Path), maxLoggedPath)]), event.F("crashes", d.Crashes))
 			return nil
 		case before == nil:
 			return nil
@@ -215,9 +215,10 @@
 	return nil
 }
 
-// leave lets the next call like this one go on.
+// leave lets the next call like this one go on, also if a long response is still being
+// passed on: what crashes its upstream gets none.
 func (q *quarantineDriver) leave(c *Call) {
-	if c.evidence.alone == nil || c.evidence.streaming {
+	if c.evidence.alone == nil {
 		return
 	}
 	q.mu.Lock()
@@ -256,7 +257,6 @@
 	}
 	if stream, ok := r.Body.(*streamedResponse); ok && r.Err == nil {
 		stream.quarantine, stream.call, stream.ctx = q, c, ctx
-		c.evidence.streaming = true
 		return
 	}
 	switch {
@@ -274,7 +274,7 @@
 
 // streamEnded records the end of a response that was passed on while it arrived.
 func (q *quarantineDriver) streamEnded(s *streamedResponse) {
-	if q == nil || !s.call.evidence.streaming {
+	if q == nil {
 		return
 	}
 	switch {
@@ -283,8 +283,7 @@
 	case s.err != nil && s.ctx.Err() == nil:
 		q.lost(s.call)
 	}
-	s.call.evidence.streaming = false
-	q.leave(s.call)
+	s.quarantine = nil // Close may be called again
 }
 
 // responded records the result of a call at another host.
@@ -327,7 +326,7 @@
 	q.probing.Lock()
 	defer q.probing.Unlock()
 	for attempt := range 2 {
-		if q.aliveAt.After(lostAt) || q.crashed(of) {
+		if q.probedAt.After(lostAt) || q.crashed(of) {
 			return
 		}
 		if attempt > 0 {
@@ -340,11 +339,12 @@
 		if err := q.probe(ctx); err != nil {
 			if errors.Is(err, connpool.ErrRefused) {
 				q.local.connectionRefused(time.Now())
+				return
 			}
-			return
+			break
 		}
 	}
-	q.aliveAt = time.Now()
+	q.probedAt = time.Now()
 }
 
 func (q *quarantineDriver) crashed(of quarantine.Incarnation) bool {
@@ -382,7 +382,10 @@
 	case verdict == heartbeatCurrent:
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		q.evidence.Alive(time.Now(), q.incarnation(after.holder))
+		defer q.update()
+		now := time.Now()
+		q.evidence.Alive(now, q.incarnation(after.holder))
+		q.set.Expire(now)
 	}
 }
 
@@ -431,7 +434,7 @@
 		if c.Quarantined {
 			logged = eventBlamed
 		}
-		q.log.Log(logged, event.F("fingerprint", printed(c.Request)), event.F("service", c.Service), event.F("path", c.Path[:min(len(c.Path), 200)]),
+		q.log.Log(logged, event.F("fingerprint", printed(c.Request)), event.F("service", c.Service), event.F("path", c.Path),
 			event.F("crashes", c.Crashes), event.F("hosts", strings.Join(c.Hosts, " ")))
 	}
 }
