--- /dev/null
+++ b/router/quarantine/quarantine_test.go
@@ -0,0 +1,305 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func request(name string) Request {
+	return Request{Fingerprint: Fingerprint{Head: HashHead("s", "GET", "h", name)}, Service: "s", Path: name}
+}
+
+// simHost is one host of a simulation: a router and its upstream.
+type simHost struct {
+	set  *Set
+	upAt int // the upstream is down before
+	life Incarnation
+	runs []*simRun
+}
+
+type simRun struct {
+	r     Request
+	entry *simHost
+	endAt int
+	dies  bool
+	tried int
+}
+
+// sim is a fleet under load. Responses carry reports, as those between routers do.
+type sim struct {
+	t        *testing.T
+	rnd      *rand.Rand
+	now      int // ms
+	hosts    []*simHost
+	deadly   string // empty after the repair
+	crashes  int
+	refused  map[string]int
+	served   map[string]int
+	lastLife Incarnation
+}
+
+func newSim(t *testing.T, hosts int, seed uint64) *sim {
+	s := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), deadly: "/deadly", refused: map[string]int{}, served: map[string]int{}}
+	for i := range hosts {
+		s.lastLife++
+		s.hosts = append(s.hosts, &simHost{set: NewSet(fmt.Sprint("h", i)), life: s.lastLife})
+	}
+	return s
+}
+
+// respond ends a run with a response, which carries a report to the entry.
+func (s *sim) respond(h *simHost, run *simRun, of *Fingerprint) {
+	if h != run.entry {
+		if err := run.entry.set.Merge(at(s.now), h.set.Report(at(s.now), of)); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+// offer sends a request to a host, and to another one if the first refuses it.
+func (s *sim) offer(run *simRun) {
+	now := at(s.now)
+	d := run.entry.set.AtEntry(now, run.r, false)
+	if d.Verdict == Refused || (d.Verdict != Free && run.tried > 0) {
+		s.refused[run.r.Path]++
+		return
+	}
+	for _, i := range s.rnd.Perm(len(s.hosts)) {
+		h := s.hosts[i]
+		if h.upAt > s.now || len(h.runs) >= 14 || (d.Host != "" && h.set.host != d.Host) {
+			continue
+		}
+		g := h.set.AtGate(now, run.r, false)
+		if g.Verdict == Alone && slices.ContainsFunc(h.runs, func(o *simRun) bool { return o.r == run.r }) {
+			continue
+		}
+		if g.Verdict == Refused {
+			s.respond(h, run, nil)
+			s.refused[run.r.Path]++
+			return
+		}
+		run.dies, run.endAt, run.tried = run.r.Path == s.deadly, s.now+20+s.rnd.IntN(200), run.tried+1
+		if run.dies {
+			run.endAt = s.now + 5 + s.rnd.IntN(10)
+		}
+		h.runs = append(h.runs, run)
+		return
+	}
+}
+
+// step lets a millisecond pass at a host.
+func (s *sim) step(h *simHost) {
+	now := at(s.now)
+	ended := func(run *simRun) bool { return run.endAt <= s.now }
+	if !slices.ContainsFunc(h.runs, func(run *simRun) bool { return run.dies && ended(run) }) {
+		for _, run := range h.runs {
+			if ended(run) {
+				h.set.Completed(now, run.r.Fingerprint)
+				s.served[run.r.Path]++
+				s.respond(h, run, nil)
+			}
+		}
+		h.runs = slices.DeleteFunc(h.runs, ended)
+		return
+	}
+	lost := h.runs
+	h.runs = nil
+	var requests []Request
+	for _, run := range lost {
+		requests = append(requests, run.r)
+	}
+	h.set.Crashed(now, h.life, requests)
+	s.crashes++
+	s.lastLife++
+	h.life, h.upAt = s.lastLife, s.now+2000+s.rnd.IntN(3000)
+	for _, run := range lost {
+		s.respond(h, run, &run.r.Fingerprint)
+		if run.tried < 2 && run.entry.set.AtEntry(now, run.r, false).Verdict == Free {
+			s.offer(run)
+		}
+	}
+}
+
+// run lets time pass with perSecond requests, of which a share is deadly. The others have
+// names that next returns.
+func (s *sim) run(ms, perSecond int, share float64, next func() string) {
+	for range ms {
+		s.now++
+		if s.rnd.IntN(1000) < perSecond {
+			name := next()
+			if s.rnd.Float64() < share {
+				name = "/deadly"
+			}
+			s.offer(&simRun{r: request(name), entry: s.hosts[s.rnd.IntN(len(s.hosts))]})
+		}
+		for _, h := range s.hosts {
+			s.step(h)
+		}
+	}
+}
+
+// checkHarmless checks that nothing but the deadly request was refused.
+func (s *sim) checkHarmless() {
+	s.t.Helper()
+	delete(s.refused, "/deadly")
+	if len(s.refused) > 0 {
+		s.t.Errorf("refused: %v", s.refused)
+	}
+}
+
+// Guards against a deadly request that goes on to crash upstreams, against harmless ones
+// that are refused because they were in progress beside it, and against a repaired release
+// that does not serve it: 3% of 500 requests a second on 18 hosts with 14 slots are deadly,
+// others have 40 targets, the first of which is half of the load.
+func TestDeadlyShareOfARoute(t *testing.T) {
+	for seed := range uint64(4) {
+		s := newSim(t, 18, seed)
+		next := func() string { return fmt.Sprint("/t", max(s.rnd.IntN(80)-40, 0)) }
+		s.run(9_000, 500, 0.03, next)
+		first := s.crashes
+		s.run(81_000, 500, 0.03, next)
+		if trials := s.crashes - first; first > 8 || trials > 3 { // trials after 10, 30 and 70 s
+			t.Errorf("seed %d: %d crashes, then %d by trials", seed, first, trials)
+		}
+		s.deadly = ""
+		s.run(100_000, 500, 0.03, next)
+		served := s.served["/deadly"]
+		s.run(1_000, 500, 0.03, next)
+		if s.served["/deadly"] <= served {
+			t.Errorf("seed %d: the repaired request is not served", seed)
+		}
+		s.checkHarmless()
+	}
+}
+
+// Guards against memory that grows with, and harmless requests that are refused because of,
+// a flood of different suspects: every second request is of its own kind.
+func TestFloodOfDifferentSuspects(t *testing.T) {
+	s := newSim(t, 6, 7)
+	n := 0
+	s.run(40_000, 400, 0.05, func() string { n++; return fmt.Sprint("/t", n/2) })
+	s.checkHarmless()
+	set := NewSet("h")
+	for i := range 3 * MaxSuspects {
+		set.Crashed(at(i), Incarnation(i), []Request{request("/deadly"), request(fmt.Sprintf("/%d%01000d", i, i))})
+	}
+	if all, inQuarantine := set.Len(); all != MaxSuspects || inQuarantine != 1 {
+		t.Errorf("%d suspects, %d in quarantine", all, inQuarantine)
+	}
+	for _, x := range set.suspects {
+		if len(x.Path) > maxPath {
+			t.Fatalf("a path of %d bytes is kept", len(x.Path))
+		}
+	}
+	if report := set.Report(at(3*MaxSuspects), nil); strings.Count(report, ";") != maxReported-1 || len(report) > 4096 {
+		t.Errorf("report %q", report)
+	}
+	if set.Report(at(3*MaxSuspects).Add(maxAge+time.Hour), nil) != "" || len(set.suspects)+len(set.heads) != 0 {
+		t.Errorf("%d suspects and %d heads are left", len(set.suspects), len(set.heads))
+	}
+}
+
+// Guards against the refusal of a request that shares all its crashes with another one, of
+// which nothing shows which one is the culprit.
+func TestSharedBlame(t *testing.T) {
+	set := NewSet("h")
+	deadly, beside := request("/deadly"), request("/beside")
+	verdict := func(r Request) Verdict { return set.AtEntry(at(10), r, false).Verdict }
+	for i := range 4 {
+		set.Crashed(at(i), Incarnation(i), []Request{deadly, beside})
+	}
+	if verdict(deadly) != Alone || verdict(beside) != Alone {
+		t.Errorf("verdicts %v and %v", verdict(deadly), verdict(beside))
+	}
+	set.Completed(at(5), beside.Fingerprint)
+	if verdict(deadly) != Refused || verdict(beside) != Free {
+		t.Errorf("after the completion: verdicts %v and %v", verdict(deadly), verdict(beside))
+	}
+	if changes := set.Changes(); len(changes) != 1 || !changes[0].Quarantined || changes[0].Path != "/deadly" {
+		t.Errorf("changes %+v", changes)
+	}
+}
+
+// Guards against several trials at once, also when the host of the last crash is gone, and
+// against trials that do not become rarer.
+func TestTrials(t *testing.T) {
+	last, other := NewSet("last"), NewSet("other")
+	deadly := request("/deadly")
+	for i := range 3 {
+		last.Crashed(at(i), Incarnation(i), []Request{deadly})
+	}
+	if err := other.Merge(at(3), last.Report(at(3), nil)); err != nil {
+		t.Fatal(err)
+	}
+	now, life := at(3), Incarnation(3)
+	for _, delay := range []time.Duration{10, 20, 40, 80, 160, 300, 300} {
+		now = now.Add(delay*time.Second - 100*time.Millisecond)
+		early := last.AtGate(now, deadly, false)
+		now = now.Add(time.Second)
+		elsewhere, entry := other.AtGate(now, deadly, false), other.AtEntry(now.Add(time.Second), deadly, false)
+		first, second := last.AtGate(now, deadly, false), last.AtGate(now, deadly, false)
+		if early.Verdict != Refused || elsewhere.Verdict != Refused || entry.Verdict != Trial || entry.Host != "last" || first.Verdict != Trial || second.Verdict != Refused {
+			t.Fatalf("after %d s: early %+v, at another host %+v, at its entry %+v, then %+v and %+v", delay, early, elsewhere, entry, first, second)
+		}
+		life++
+		now = now.Add(time.Millisecond)
+		last.Crashed(now, life, []Request{deadly})
+		if err := other.Merge(now, last.Report(now, nil)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	now = now.Add(maxTrialDelay + fallbackDelay + fallbackSpread + 2*time.Second)
+	if d := other.AtGate(now, deadly, false); d.Verdict != Trial {
+		t.Errorf("no trial at another host: %+v", d)
+	}
+	other.Completed(now, deadly.Fingerprint)
+	if err := last.Merge(now, other.Report(now, nil)); err != nil || last.AtEntry(now, deadly, false).Verdict != Free {
+		t.Errorf("not cleared by another host's report: %v", err)
+	}
+}
+
+// Guards against evidence from a connection that was cut alone and from a loss long before,
+// and against requests that are missed because their loss is noticed after the crash.
+func TestEvidence(t *testing.T) {
+	var e Evidence
+	e.Lost(at(0), 1, request("/cut"))
+	e.Alive(at(500), 1)
+	e.Lost(at(1000), 1, request("/lost"))
+	e.Lost(at(1000), 2, request("/other"))
+	if got := e.Ended(at(4000), 1); len(got) != 1 || got[0].Path != "/lost" {
+		t.Errorf("in progress at the crash: %+v", got)
+	}
+	if !e.Lost(at(4010), 1, request("/late")) || e.Lost(at(4010), 3, request("/next")) {
+		t.Error("a late loss is not counted, or one of the next incarnation is")
+	}
+	if got := e.Ended(at(12_000), 2); len(got) != 0 {
+		t.Errorf("old losses count: %+v", got)
+	}
+}
+
+// Guards against reports of other hosts that end the process or fill the memory.
+func FuzzMerge(f *testing.F) {
+	set := NewSet("h h")
+	set.Crashed(at(0), 1, []Request{request("/a"), request("/b")})
+	set.Completed(at(1), request("/a").Fingerprint)
+	f.Add(set.Report(at(2), nil))
+	f.Add("1,2,3,-1,1:0::")
+	f.Fuzz(func(t *testing.T, text string) {
+		set := NewSet("h")
+		if err := set.Merge(at(0), text); err != nil && len(set.suspects) > 0 {
+			t.Error("a part of a malformed report was merged")
+		}
+		again := NewSet("other")
+		if err := again.Merge(at(0), set.Report(at(0), nil)); err != nil {
+			t.Errorf("%q: own report: %v", text, err)
+		}
+	})
+}
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -122,6 +122,16 @@
 		"A connection without a request in progress was closed in favour of another one, because a budget is used up: an idle one, or one whose request head was still arriving.", "See event 1861.")
 	eventBudgets = event.Define(1863, log.InfoLevel, "budgets of connections",
 		"The process started with these settings. 0 means that there is no bound.", "none")
+	eventBlamed = event.Define(1890, log.WarnLevel, "request in quarantine",
+		"Requests with the fingerprint were in progress at the crashes of upstreams on the hosts and have completed nowhere since. They are refused, apart from trials. Each host logs it once it has seen such a request itself.", "Find out why the service's upstreams crash at the path. A repaired release is found out by the next trial.")
+	eventUncrashed = event.Define(1891, log.InfoLevel, "request left the quarantine",
+		"A request with the fingerprint has completed, or another one explains the crashes. Such requests are served again.", "none")
+	eventCrash = event.Define(1892, log.WarnLevel, "upstream crashed",
+		"The process of the local upstream ended without a notice while the given number of requests was in progress. They are suspects until they complete.", "Look at the upstream's log. Event 1890 names the request if one recurs.")
+	eventSuspectsInvalid = event.Define(1893, log.WarnLevel, "report of suspects ignored",
+		"Another host sent a report of suspects that cannot be decoded. At most one such report a minute is logged.", "Compare the versions of the two routers.")
+	eventTrial = event.Define(1894, log.InfoLevel, "trial of a quarantined request",
+		"The local upstream gets one quarantined request, to find out whether it still crashes.", "none")
 	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
 		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 	eventRegionRefused = event.Define(1870, log.InfoLevel, "request refused because of its region",
--- a/router/sidecar/hedge.go
+++ b/router/sidecar/hedge.go
@@ -62,7 +62,7 @@
 // than most. It returns the first usable result. If there is none, the result names the
 // other attempt.
 func (e *entry) attemptHedged(ctx context.Context, h *fleet.Host, c *Call, route *vhost.Route, tried []*fleet.Host) *Result {
-	if e.hedges == nil || !c.hedgeRequest(route, tried).Eligible() {
+	if e.hedges == nil || !c.hedgeRequest(route, tried).Eligible() || !e.quarantine.mayRepeat(c) {
 		return e.attempt(ctx, h, c)
 	}
 	e.hedges.shares.Of(c.Service).Request()
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -13,13 +13,14 @@
 // Settings are the settings of one sidecar process, an INI file with one section for each
 // field. Durations are whole milliseconds, as the key names say.
 type Settings struct {
-	Host     HostSettings     `ini:"host"`
-	Listen   ListenSettings   `ini:"listen"`
-	Upstream UpstreamSettings `ini:"upstream"`
-	Store    StoreSettings    `ini:"store"`
-	Terms    TermSettings     `ini:"terms"`
-	Hedge    HedgeSettings    `ini:"hedge"`
-	Log      LogSettings      `ini:"log"`
+	Host       HostSettings       `ini:"host"`
+	Listen     ListenSettings     `ini:"listen"`
+	Upstream   UpstreamSettings   `ini:"upstream"`
+	Store      StoreSettings      `ini:"store"`
+	Terms      TermSettings       `ini:"terms"`
+	Hedge      HedgeSettings      `ini:"hedge"`
+	Quarantine QuarantineSettings `ini:"quarantine"`
+	Log        LogSettings        `ini:"log"`
 }
 
 // HostSettings identify the host of the process and name its resources. The names are
@@ -114,6 +115,12 @@
 	MaxShare float64 `ini:"max_share"`
 }
 
+// QuarantineSettings configure the refusal of requests that crash their upstreams.
+type QuarantineSettings struct {
+	// Enabled is true if such requests are refused. Default true.
+	Enabled bool `ini:"enabled"`
+}
+
 // LogSettings configure the log on standard output.
 type LogSettings struct {
 	// Level is debug, info, warn or error. Default info.
@@ -129,7 +136,8 @@
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindowMs: 10000,
 			ColdOverage: 1.5, ColdSlack: 8,
 		},
-		Log: LogSettings{Level: "info"},
+		Quarantine: QuarantineSettings{Enabled: true},
+		Log:        LogSettings{Level: "info"},
 	}
 }
 
