Report suspects to other hosts at intervals

A host now sends one each 100 ms, except to the sender of a lost request and for 2 s after a suspect with several crashes has changed.

--- a/router/quarantine/set.go
+++ b/router/quarantine/set.go
@@ -26,6 +26,8 @@
 	heads   map[uint64]int
 	changes []Change
 	report  reportState
+	// urgentUntil is the time until which other hosts should hear of the suspects soon.
+	urgentUntil time.Time
 }
 
 // NewSet returns a set without suspects for the host.
@@ -110,10 +112,28 @@
 			x.failed++
 		}
 		x.add(crash{id: of, at: now, host: s.host})
+		s.noteChange(now, x)
 	}
 	s.changed(now)
 }
 
+// urgentTime is the time for which other hosts should hear soon of a suspect with several
+// crashes that has crashed an upstream again or was cleared.
+const urgentTime = 2 * time.Second
+
+// noteChange records a further crash of the suspect, or that it was cleared.
+func (s *Set) noteChange(now time.Time, x *suspect) {
+	if len(x.crashes) > 1 {
+		s.urgentUntil = now.Add(urgentTime)
+	}
+}
+
+// Urgent reports whether a suspect with several crashes has changed a short time ago, so that
+// other hosts should hear of it before they decide on it once more.
+func (s *Set) Urgent(now time.Time) bool {
+	return now.Before(s.urgentUntil)
+}
+
 // Completed records that an upstream has completed the request.
 func (s *Set) Completed(now time.Time, f Fingerprint) {
 	x := s.suspects[f]
@@ -123,6 +143,7 @@
 	for i := range x.crashes {
 		x.crashes[i].cleared = true
 	}
+	s.noteChange(now, x)
 	s.changed(now)
 }
 
--- a/router/sidecar/quarantine.go
+++ b/router/sidecar/quarantine.go
@@ -29,6 +29,11 @@
 	secondProbeDelay = 20 * time.Millisecond
 	// maxLoggedPath bounds the path of a log line, in bytes.
 	maxLoggedPath = 200
+	// reportSpacing is the shortest time between two reports of this host, except for those to
+	// the sender of a lost request and while a
+	// suspect with several crashes has just changed. A report is longer than many responses, and after any
+	// crash of an upstream there are suspects for a minute.
+	reportSpacing = 100 * time.Millisecond
 	// maxReporters bounds the hosts whose last report is remembered.
 	maxReporters = 1024
 )
@@ -60,6 +65,8 @@
 	// merged are the last reports by host, so that each is merged once.
 	merged      map[string]string
 	badReportAt time.Time
+	// reportedAt is the time of the last report to another host.
+	reportedAt time.Time
 }
 
 type incarnationID struct {
@@ -394,10 +401,15 @@
 	if q == nil || !q.active.Load() {
 		return ""
 	}
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if r.suspect == nil && !q.set.Urgent(now) && now.Sub(q.reportedAt) < reportSpacing {
+		return ""
+	}
+	q.reportedAt = now
 	defer q.update()
-	return q.set.Report(time.Now(), r.suspect)
+	return q.set.Report(now, r.suspect)
 }
 
 // merge adds the report of another host.
