Close connections of classes that exceed the resource that is short

A router's new connection found no descriptor although idle connections of callers held most of them: a connection made room only if its class exceeded its reserve of memory and of descriptors. Found by review.

--- a/router/connlimit/budget.go
+++ b/router/connlimit/budget.go
@@ -81,7 +81,7 @@
 	b.rotatePeaks(now)
 	evicted, ok = b.fitMemory(now, class, nil, connCost)
 	for ok && !b.files.fits(class, 1) {
-		evicted, ok = b.evict(b.victim(now, class), evicted)
+		evicted, ok = b.evict(b.victim(now, class, &b.files), evicted)
 	}
 	if !ok {
 		return nil, evicted, false
@@ -93,12 +93,13 @@
 	return c, evicted, true
 }
 
-// victim returns the connection to close in favour of a new one of the class, or nil.
-func (b *Budget) victim(now time.Time, class Class) *Conn {
+// victim returns the connection to close in favour of one of the class that is short of the
+// resource, or nil.
+func (b *Budget) victim(now time.Time, class Class, short *resource) *Conn {
 	candidates := [classes]Class{class, Caller, Probe, Control} // Router connections last, only for Router
 	for _, p := range []Phase{Lingering, Fresh, Idle, Reading, Receiving} {
 		for i, of := range candidates {
-			if i > 0 && (of == class || !b.releasesFor(of)) {
+			if i > 0 && (of == class || !short.exceedsReserve(of)) {
 				continue
 			}
 			if i > 0 && of != Caller && p != Lingering {
@@ -112,12 +113,6 @@
 	return nil
 }
 
-// releasesFor reports whether other classes gain from a connection of the class that is
-// closed.
-func (b *Budget) releasesFor(of Class) bool {
-	return b.memory.exceedsReserve(of) && b.files.exceedsReserve(of)
-}
-
 // minAge returns the time for which a connection in the phase is not closed.
 func minAge(of Class, p Phase) time.Duration {
 	switch {
@@ -214,7 +209,7 @@
 	for ok = true; ok && !b.memory.fits(class, n); {
 		victim := b.largestHead(class, requester)
 		if victim == nil {
-			victim = b.victim(now, class)
+			victim = b.victim(now, class, &b.memory)
 		}
 		if victim == requester {
 			victim = nil
@@ -295,7 +290,7 @@
 		return nil, true
 	}
 	for ok = true; ok && !b.files.fits(c.class, needed); {
-		evicted, ok = b.evict(b.victim(now, c.class), evicted)
+		evicted, ok = b.evict(b.victim(now, c.class, &b.files), evicted)
 	}
 	if !ok {
 		return evicted, false
@@ -432,7 +427,7 @@
 func (b *Budget) Yield(now time.Time, class Class) *Conn {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	victim := b.victim(now, class)
+	victim := b.victim(now, class, &b.files)
 	if victim != nil {
 		b.close(victim)
 	}
