Keep unused connections of callers for the idle time

Clients keep a connection that they opened in vain for a later request, but the guard closed it after the time for a request head (3 s in place of 15 s). Found by review. Such connections still make room first when a budget is short.

--- a/router/sidecar/connguard.go
+++ b/router/sidecar/connguard.go
@@ -93,7 +93,8 @@
 	switch class {
 	case connlimit.Caller:
 		l := g.limits()
-		t = connlimit.Timeouts{Fresh: l.HeaderTimeout, Head: l.HeaderTimeout, Idle: l.IdleTimeout}
+		// Clients keep a connection that they opened in vain for a later request.
+		t = connlimit.Timeouts{Fresh: max(l.HeaderTimeout, l.IdleTimeout), Head: l.HeaderTimeout, Idle: l.IdleTimeout}
 	case connlimit.Router:
 		t.Fresh = defaultIdleTimeout
 	}
