Read the state of connections without the lock of the hop server

Two system calls for each connection ran under the lock that every request of another router takes, each 250 ms while large responses are sent. Found by review.

--- a/router/hop/sendstate.go
+++ b/router/hop/sendstate.go
@@ -1,6 +1,8 @@
 package hop
 
 import (
+	"maps"
+	"slices"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -16,11 +18,9 @@
 
 // SendState returns how many bytes receivers have acknowledged since the last call, and
 // how many are written and not acknowledged. Connections whose receivers limited them for
-// more than half of the time since then are left out.
+// more than half of the time since then are left out. Calls must not overlap.
 func (s *Server) SendState() (acked, queued int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
+	for _, c := range s.openConns() {
 		before := c.sendState
 		now, waiting, ok := readSendState(c.Conn)
 		if !ok {
@@ -36,6 +36,13 @@
 	return acked, queued
 }
 
+// openConns returns the connections, so that reading their state does not hold up requests.
+func (s *Server) openConns() []*serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 // readSendState reads the state of a TCP connection, and the number of bytes that are
 // written to it and not acknowledged.
 func readSendState(conn any) (state sendState, queued int64, ok bool) {
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -46,7 +46,7 @@
 	br *bufio.Reader
 	// sentAtOnce is Server.SentAtOnce.
 	sentAtOnce func(n int)
-	// sendState is that of the last call of SendState, guarded by Server.mu.
+	// sendState is that of the last call of SendState, which alone uses it.
 	sendState sendState
 	busy      bool // guarded by Server.mu
 	sent      fieldCache
