--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -184,10 +184,11 @@
 	before := s.local.get()
 	state, verdict, changed := s.local.recordHeartbeat(time.Now(), r)
 	s.quarantine.heartbeat(before, state, verdict)
+	coldChanged := s.applyCold() // first, because NewUpstream lets waiting requests through
 	if state.holder != before.holder {
 		s.gate.limiter.NewUpstream()
 	}
-	if s.applyCold() || changed {
+	if coldChanged || changed {
 		s.upstreamChanged(state)
 	}
 	switch verdict {
