Merge reports of evacuated zones at intervals

Nearly every response between routers names another version up to which the zones are known, and each was decoded and merged under a lock, for 10 minutes after an evacuation. Reports that differ only in that version are merged each 250 ms. Found by review.

--- a/router/evacuation/report.go
+++ b/router/evacuation/report.go
@@ -11,6 +11,9 @@
 	"strings"
 )
 
+// VersionEnd is the end of the version in a report. The zones follow.
+const VersionEnd = ";"
+
 const (
 	// maxReportZones bounds the zones of a report, which travels with each response.
 	maxReportZones = 64
@@ -44,7 +47,7 @@
 
 // Decode returns the report that Encode has encoded.
 func Decode(text string) (Report, error) {
-	first, rest, more := strings.Cut(text, ";")
+	first, rest, more := strings.Cut(text, VersionEnd)
 	asOf, err := strconv.ParseInt(first, 10, 64)
 	if err != nil || asOf < 0 {
 		return Report{}, errReport
--- a/router/sidecar/evacuation.go
+++ b/router/sidecar/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,10 @@
 // could otherwise come with each response.
 const badReportInterval = time.Minute
 
+// evacuationMergeInterval is the shortest time between reports of other hosts that are
+// merged although they name the same zones.
+const evacuationMergeInterval = 250 * time.Millisecond
+
 // zoneEvacuation holds the evacuated zones. A nil zoneEvacuation belongs to a deployment
 // whose zones cannot be evacuated. It is safe for concurrent use.
 type zoneEvacuation struct {
@@ -47,6 +52,9 @@
 	changed, ownTakenBack func()
 	view                  atomic.Pointer[evacuation.View]
 
+	// mergedAt is the boottime.Time at which a report of another host was merged last.
+	mergedAt atomic.Int64
+
 	mu  sync.Mutex
 	set evacuation.Set
 	// badReportAt is the time of the last log line about a malformed report.
@@ -158,7 +166,7 @@
 
 // merge adds the report of another host, which may be empty.
 func (e *zoneEvacuation) merge(report, host string) {
-	if e == nil || report == "" || report == evacuationUnknown || report == e.view.Load().Report() {
+	if e == nil || report == "" || report == evacuationUnknown || !e.worthMerging(report) {
 		return
 	}
 	r, err := evacuation.Decode(report)
@@ -169,6 +177,24 @@
 	e.update(host, func(now boottime.Time, set *evacuation.Set) []evacuation.Change { return set.Merge(now, r) })
 }
 
+// worthMerging reports whether a report may change more than the version up to which the
+// zones are known, or that version was not raised for a while. Nearly every response names
+// another version.
+func (e *zoneEvacuation) worthMerging(report string) bool {
+	own := e.view.Load().Report()
+	if report == own {
+		return false
+	}
+	_, zones, _ := strings.Cut(report, evacuation.VersionEnd)
+	_, ownZones, _ := strings.Cut(own, evacuation.VersionEnd)
+	now, last := int64(boottime.Now()), e.mergedAt.Load()
+	if zones == ownZones && now-last < int64(evacuationMergeInterval) {
+		return false
+	}
+	e.mergedAt.Store(now)
+	return true
+}
+
 // mergePolled adds the response to pollReport. A host that does not respond to it has an
 // earlier version of the router and knows of no evacuated zones.
 func (e *zoneEvacuation) mergePolled(report, host string) {
