Mend what a reading of the parts together showed

- memory_mb was read as MB by the links and as MiB by the connections.
One function gives the bytes; the test of linkMemory passes bytes.
- Refusals for the region or an evacuated zone were counted twice for large responses, because the link asks the same check as a question.
- The pace of an upstream that reports none any more stayed in force in the reported load and in mean service times.
- The utilization by which hedges are allowed counted hosts of evacuated zones, and the slowness of an overtaken host ignored the pace.
- A router that has not read the evacuated zones said that it had no configuration.

--- a/router/admit/limiterrate.go
+++ b/router/admit/limiterrate.go
@@ -95,6 +95,7 @@
 func (l *PriorityLimiter) Load() (slots, busy, waiting int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.paceFactor = l.pace.Factor(l.now())
 	slots, busy = l.limit.Allowed(), l.inFlight
 	if l.rate.Limited() {
 		slots = min(slots, max(1, int(math.Round(l.rate.PerSecond()*l.atPace(l.meanService).Seconds()))))
--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -230,6 +230,7 @@
 func (l *PriorityLimiter) MeanServiceTime(class WorkClass) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.paceFactor = l.pace.Factor(l.now())
 	return l.meanServiceOf(class)
 }
 
--- a/router/fleet/spare.go
+++ b/router/fleet/spare.go
@@ -10,7 +10,7 @@
 	defer d.mu.RUnlock()
 	for _, h := range d.byService[service] {
 		v := h.view(now)
-		if (allowed != nil && !allowed(v.member)) || v.unavailable || d.current(now, v.member).State != Ready {
+		if (allowed != nil && !allowed(v.member)) || v.unavailable || d.evacuated(v.member.Zone) || d.current(now, v.member).State != Ready {
 			continue
 		}
 		hosts++
@@ -29,7 +29,7 @@
 		return
 	}
 	// The request would have taken longer still, so that the time may only raise the mean.
-	if sample := float64(ran) / float64(objective); sample > h.slowness {
+	if sample := float64(ran) / float64(objective) / h.load.paceFactor(); sample > h.slowness {
 		h.slowness += sampleWeight * (sample - h.slowness)
 	}
 }
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -81,7 +81,7 @@
 		decode: s.opts.Notice, log: s.log, scope: s.scope, local: s.local, limiter: s.gate.limiter,
 		leaves: func() { s.upstreamChanged(s.local.get()) },
 	}
-	s.link = newLinkScheduler(host.LinkMbps, linkMemory(host.MemoryMB), s.log, s.scope)
+	s.link = newLinkScheduler(host.LinkMbps, linkMemory(host.MemoryBytes()), s.log, s.scope)
 	budget := BudgetLimits{Ratio: terms.RetryRatio, Slack: terms.RetrySlack, Window: millis(terms.RetryWindowMs)}
 	s.entry = &entry{
 		host: host.Name, headers: s.opts.Headers, config: s.config, exchange: s.exchange, fleet: s.fleet, keys: s.index, gate: s.gate, evacuation: s.evacuation,
--- a/router/sidecar/connguard.go
+++ b/router/sidecar/connguard.go
@@ -36,7 +36,7 @@
 // the memory that the settings name. It has no effect without that setting.
 func LimitMemory(s Settings) {
 	if s.Host.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.Host.MemoryMB * memoryLimitPercent / 100 * (1 << 20)))
+		debug.SetMemoryLimit(s.Host.MemoryBytes() * memoryLimitPercent / 100)
 	}
 }
 
@@ -54,7 +54,7 @@
 func newConnGuard(s *Sidecar) *connGuard {
 	host := s.settings.Host
 	return &connGuard{
-		budget: connlimit.New(connlimit.Options{MemoryBytes: int64(host.MemoryMB * (1 << 20)), Files: host.MaxFDs}),
+		budget: connlimit.New(connlimit.Options{MemoryBytes: host.MemoryBytes(), Files: host.MaxFDs}),
 		limits: s.config.limits, headers: s.opts.Headers, log: s.log, scope: s.scope,
 	}
 }
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -105,7 +105,10 @@
 // lookup returns the configuration in force, or nil, and its route for the request.
 func (e *entry) lookup(req *http.Request) (*vhost.Table, *vhost.Route, *errkind.Error) {
 	table := e.config.table.Load()
-	if table == nil || !e.evacuation.ready() {
+	if !e.evacuation.ready() {
+		return nil, nil, errkind.New(errkind.NotReady, "the router has not read yet which zones are evacuated")
+	}
+	if table == nil {
 		return nil, nil, errkind.New(errkind.NotReady, "no configuration yet")
 	}
 	route := table.Route(req.Host, req.URL.Path)
--- a/router/sidecar/evacuation.go
+++ b/router/sidecar/evacuation.go
@@ -275,11 +275,12 @@
 	if !e.ready() {
 		return errkind.New(errkind.NotReady, "the router has not read yet which zones are evacuated")
 	}
-	err := e.checkHost(e.zone(), c)
-	if err != nil {
-		e.scope.Counter("evacuation_refusals").Inc(1)
-	}
-	return err
+	return e.checkHost(e.zone(), c)
+}
+
+// countRefusal counts a call that was refused because the zone of this host is evacuated.
+func (e *zoneEvacuation) countRefusal() {
+	e.scope.Counter("evacuation_refusals").Inc(1)
 }
 
 // zone returns the zone of this host, or "" if zones cannot be evacuated.
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -76,6 +76,7 @@
 // serve passes one call on to the upstream and returns its result.
 func (g *gate) serve(ctx context.Context, c *Call) *Result {
 	if err := g.check(time.Now(), c); err != nil {
+		g.countRefusal(c)
 		return g.withLoad(&Result{Err: err, Unreachable: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
 	}
 	if err := g.quarantine.enter(ctx, c); err != nil {
@@ -92,6 +93,7 @@
 		return g.withLoad(&Result{Err: kindError(err)})
 	}
 	if err := cmp.Or(g.check(time.Now(), c), g.quarantine.recheck(c)); err != nil {
+		g.countRefusal(c)
 		release(admit.Failed)
 		return g.withLoad(&Result{Err: err})
 	}
@@ -105,6 +107,16 @@
 	return g.withLoad(r)
 }
 
+// countRefusal counts a refused call if its reason is the region or the zone of this host.
+func (g *gate) countRefusal(c *Call) {
+	switch {
+	case !g.regions.allowedHere(c):
+		g.regions.countRefusal(c)
+	case g.evacuation.checkHost(g.evacuation.zone(), c) != nil:
+		g.evacuation.countRefusal()
+	}
+}
+
 // otherHolder returns the name of the other host that holds the key of the call, or "" if
 // none is known.
 func (g *gate) otherHolder(c *Call) string {
@@ -157,7 +169,7 @@
 	case s.service != c.Service:
 		return errkind.New(errkind.WrongOwner, "the upstream of %s serves %s, not %s", g.host, s.service, c.Service)
 	case !g.regions.allowedHere(c):
-		return g.regions.refusal(c)
+		return g.regions.refusal()
 	case !s.mayTakeRequests(now, g.drainLimit):
 		return errkind.New(errkind.Draining, "the upstream of %s is leaving", g.host)
 	case g.stoppingFor() > unkeyedNoticeTime && !c.Keyed, g.stoppingFor() > drainNoticeTime:
--- a/router/sidecar/hedge.go
+++ b/router/sidecar/hedge.go
@@ -186,15 +186,13 @@
 		first.close()
 		return second
 	}
-	if first.Err != nil && second.Err == nil {
-		first, second = second, first
-		second.hedge = nil
-		first.hedge = &hedgedResult{second: p.second, host: p.first, result: second}
-		return first
+	chosen, other, otherHost := first, second, p.second
+	if first.Err != nil && second.Err == nil { // a response of an upstream comes before an error
+		chosen, other, otherHost = second, first, p.first
 	}
-	second.close()
-	first.hedge = &hedgedResult{second: p.second, host: p.second, result: second}
-	return first
+	other.close()
+	chosen.hedge = &hedgedResult{second: p.second, host: otherHost, result: other}
+	return chosen
 }
 
 // startSecond runs when the delay has passed. It makes the second attempt if it is allowed.
--- a/router/sidecar/link_test.go
+++ b/router/sidecar/link_test.go
@@ -124,7 +124,7 @@
 // Guards against memory for slow readers that grows without bound or is not released, and
 // against a response that is damaged between the part that is read ahead and the rest.
 func TestMemoryForLargeResponses(t *testing.T) {
-	s := newLinkScheduler(1000, linkMemory(24), event.NewLogger(io.Discard, 0), metrics.New()) // 3 MB
+	s := newLinkScheduler(1000, linkMemory(24_000_000), event.NewLogger(io.Discard, 0), metrics.New()) // 3 MB
 	newCall := func() *Call {
 		c := &Call{Stream: &bodyStream{length: 1 << 30}} // longer than the bound
 		c.transfer = &linkTransfer{scheduler: s, ctx: t.Context(), class: linkshare.Class{Large: true}}
--- a/router/sidecar/linkmemory.go
+++ b/router/sidecar/linkmemory.go
@@ -21,12 +21,12 @@
 )
 
 // linkMemory returns the bound on the bytes that are held for large responses and bodies,
-// for a host with the memory in MB, or 0 if that is not known.
-func linkMemory(memoryMB float64) int64 {
-	if memoryMB == 0 {
+// for a host with the memory in bytes, or 0 if that is not known.
+func linkMemory(hostBytes int64) int64 {
+	if hostBytes == 0 {
 		return defaultLinkMemory
 	}
-	return int64(memoryMB * 1_000_000 / linkMemoryDivisor)
+	return hostBytes / linkMemoryDivisor
 }
 
 // reserveMemory reserves the memory for a call whose response is expected to have the
--- a/router/sidecar/regions.go
+++ b/router/sidecar/regions.go
@@ -76,11 +76,15 @@
 	return route == nil || residency.Allowed(route, r.region)
 }
 
-// refusal returns the error for a call that must not run in the region of this host.
-func (r *regionRules) refusal(c *Call) *errkind.Error {
+// countRefusal counts and logs a call that was refused because of the region of this host.
+func (r *regionRules) countRefusal(c *Call) {
 	r.scope.Counter("region_refusals").Inc(1)
 	r.log.Log(eventRegionRefused, event.F("request", c.RequestID), event.F("caller", c.Caller), event.F("service", c.Service),
 		event.F("region", r.region), event.F("config", r.config.version()))
+}
+
+// refusal returns the error for a call that must not run in the region of this host.
+func (r *regionRules) refusal() *errkind.Error {
 	return errkind.New(errkind.RegionUnavailable, "the request must not run in region %q of %s", r.region, r.host)
 }
 
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -45,6 +45,11 @@
 	MaxFDs int `ini:"max_fds"`
 }
 
+// MemoryBytes returns the memory of the host in bytes, or 0 if it is not set.
+func (h HostSettings) MemoryBytes() int64 {
+	return int64(h.MemoryMB * 1_000_000)
+}
+
 // ListenSettings are the addresses to listen on, each an IP address and a port. All are
 // required.
 type ListenSettings struct {
