--- a/router/connlimit/conn.go
+++ b/router/connlimit/conn.go
@@ -23,6 +23,12 @@
 	return [...]string{"caller", "router", "control", "probe"}[c]
 }
 
+// forwards reports whether requests of the class may need a connection to another host or to
+// the upstream.
+func (c Class) forwards() bool {
+	return c == Caller || c == Router
+}
+
 // Phase is what a connection is being used for.
 type Phase int
 
