connlimit: one delay after a failed Accept, one time for refusals

Cause: hop and sidecar each had the doubling delay from 5 ms to 1 s after a failed Accept, and the 250 ms after which a refused client may retry.

Change: connlimit.AcceptRetry and connlimit.RefusalRetry take their place. No change of behaviour.

Measured: go build ./..., go vet, go test of connlimit and hop, and go test ./sidecar -run 'Link|Guard|Conn|Limit|Body|Stalled' pass.

--- a/router/hop/meter.go
+++ b/router/hop/meter.go
@@ -79,32 +79,13 @@
 	return length
 }
 
-// refusalRetry is the time after which a refused request may be sent again.
-const refusalRetry = 250 * time.Millisecond
-
 // refuse responds to a request that no handler has seen.
 func (c *serverConn) refuse() {
-	if c.SetWriteDeadline(time.Now().Add(refusalRetry)) != nil {
+	if c.SetWriteDeadline(time.Now().Add(connlimit.RefusalRetry)) != nil {
 		return
 	}
 	_ = c.writeResponse(emptyBody(&Response{ResponseHead: ResponseHead{
-		Kind: string(errkind.Overloaded), Detail: "the router has no capacity left for the request", RetryMs: int(refusalRetry.Milliseconds()),
+		Kind: string(errkind.Overloaded), Detail: "the router has no capacity left for the request", RetryMs: int(connlimit.RefusalRetry.Milliseconds()),
 	}})) // the client may have left
 	c.meter().Refused()
 }
-
-// acceptRetry delays the next Accept after an error.
-type acceptRetry struct {
-	delay time.Duration
-}
-
-const (
-	minAcceptDelay = 5 * time.Millisecond
-	maxAcceptDelay = time.Second
-)
-
-// wait waits after an error of Accept, longer after each further one.
-func (r *acceptRetry) wait() {
-	r.delay = min(max(2*r.delay, minAcceptDelay), maxAcceptDelay)
-	time.Sleep(r.delay)
-}
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -10,6 +10,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"burdockglade.dev/router/connlimit"
 )
 
 // maxBufferedBodyBytes is the maximum size of a body that is buffered: such a
@@ -63,7 +65,7 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	var retry acceptRetry
+	var retry connlimit.AcceptRetry
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -73,10 +75,10 @@
 			case errors.Is(err, net.ErrClosed):
 				return err
 			}
-			retry.wait()
+			time.Sleep(retry.Next())
 			continue
 		}
-		retry = acceptRetry{}
+		retry = connlimit.AcceptRetry{}
 		c := &serverConn{Conn: nc, br: bufio.NewReader(nc), sentAtOnce: s.SentAtOnce}
 		s.mu.Lock()
 		s.conns[c] = true
--- a/router/sidecar/connguard.go
+++ b/router/sidecar/connguard.go
@@ -19,9 +19,6 @@
 const (
 	// guardInterval is the time between two searches for connections whose time is over.
 	guardInterval = 100 * time.Millisecond
-	// minAcceptDelay and maxAcceptDelay bound the time between a failed Accept and the next.
-	minAcceptDelay = 5 * time.Millisecond
-	maxAcceptDelay = time.Second
 	// defaultHeaderTimeout and defaultIdleTimeout apply while the configuration names none.
 	// The second is longer than callers keep idle connections, so that none is closed while a
 	// request is on its way.
@@ -189,7 +186,7 @@
 
 // Accept implements net.Listener. It returns an error only once the listener is closed.
 func (l *guardedListener) Accept() (net.Conn, error) {
-	delay := minAcceptDelay
+	var retry connlimit.AcceptRetry
 	for {
 		conn, err := l.Listener.Accept()
 		if err == nil {
@@ -202,8 +199,7 @@
 			return nil, err
 		}
 		l.guard.acceptFailed(l.class, err)
-		time.Sleep(delay)
-		delay = min(2*delay, maxAcceptDelay)
+		time.Sleep(retry.Next())
 	}
 }
 
--- a/router/sidecar/guardedconn.go
+++ b/router/sidecar/guardedconn.go
@@ -157,12 +157,8 @@
 	return refusedRead()
 }
 
-// refusalRetry is the time after which a client may retry that was refused for lack of
-// budget. Most ordinary requests that held the budget have ended by then.
-const refusalRetry = 250 * time.Millisecond
-
-// refusalRetryAfter is that time in seconds.
-var refusalRetryAfter = strconv.FormatFloat(refusalRetry.Seconds(), 'f', 3, 64)
+// refusalRetryAfter is connlimit.RefusalRetry in seconds.
+var refusalRetryAfter = strconv.FormatFloat(connlimit.RefusalRetry.Seconds(), 'f', 3, 64)
 
 // linger releases what is charged to the connection. Close then keeps it open for a while:
 // a connection that is closed while data arrive is reset, and the client may not get the
@@ -340,7 +336,7 @@
 
 func errNoMemory() *errkind.Error {
 	err := errkind.New(errkind.Overloaded, "the router of this host has no memory left for the request")
-	err.RetryAfter = refusalRetry
+	err.RetryAfter = connlimit.RefusalRetry
 	return err
 }
 
