hop: name responses in turns apart from the pace of an upstream

Cause: "pace" is the speed of work at an upstream (glossary), and hop used it for responses that are sent in turns as well. Names of the hooks of the server said when they are called only to those who know the scheduler.

Change: names only. hop/pace.go is hop/turns.go, hop.Transfer is hop.Turns (also the field of Response), Server.SentAtOnce is BeforeUnscheduledWrite, Server.SendState is SampleSent, maxPacedBuffer of sidecar is maxHeldResponse.

Measured: go build ./..., go vet, go test of hop, and go test ./sidecar -run 'Link|Guard|Conn|Limit|Body|Stalled' pass.

--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -38,8 +38,8 @@
 type Response struct {
 	ResponseHead
 	Body io.ReadCloser
-	// Transfer is set by handlers for responses that are sent in turns with others.
-	Transfer Transfer
+	// Turns is set by handlers for responses that are sent in turns with others.
+	Turns Turns
 }
 
 // fieldCache holds the header fields of the last message in each direction of a
--- a/router/hop/sendstate.go
+++ b/router/hop/sendstate.go
@@ -16,10 +16,10 @@
 	busy, receiverLimited uint64
 }
 
-// SendState returns how many bytes receivers have acknowledged since the last call, and
+// SampleSent returns how many bytes receivers have acknowledged since the last call, and
 // how many are written and not acknowledged. Connections whose receivers limited them for
 // more than half of the time since then are left out. Calls must not overlap.
-func (s *Server) SendState() (acked, queued int64) {
+func (s *Server) SampleSent() (acked, queued int64) {
 	for _, c := range s.openConns() {
 		before := c.sendState
 		now, waiting, ok := readSendState(c.Conn)
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -26,9 +26,9 @@
 // Server accepts requests from other routers.
 type Server struct {
 	handler Handler
-	// SentAtOnce is called with the number of bytes before they are written in responses
-	// without a Transfer. It may be nil, and is set before Serve.
-	SentAtOnce func(n int)
+	// BeforeUnscheduledWrite is called with the number of bytes before they are written in
+	// responses without Turns. It may be nil, and is set before Serve.
+	BeforeUnscheduledWrite func(n int)
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -46,9 +46,9 @@
 type serverConn struct {
 	net.Conn
 	br *bufio.Reader
-	// sentAtOnce is Server.SentAtOnce.
-	sentAtOnce func(n int)
-	// sendState is that of the last call of SendState, which alone uses it.
+	// beforeUnscheduledWrite is Server.BeforeUnscheduledWrite.
+	beforeUnscheduledWrite func(n int)
+	// sendState is that of the last call of SampleSent, which alone uses it.
 	sendState sendState
 	busy      bool // guarded by Server.mu
 	sent      fieldCache
@@ -79,7 +79,7 @@
 			continue
 		}
 		retry = connlimit.AcceptRetry{}
-		c := &serverConn{Conn: nc, br: bufio.NewReader(nc), sentAtOnce: s.SentAtOnce}
+		c := &serverConn{Conn: nc, br: bufio.NewReader(nc), beforeUnscheduledWrite: s.BeforeUnscheduledWrite}
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
@@ -240,8 +240,7 @@
 	return resp
 }
 
-// writeResponse sends a response. A short one is sent in a single write, unless it has a
-// Transfer.
+// writeResponse sends a response. A short one without Turns is sent in a single write.
 func (c *serverConn) writeResponse(resp *Response) error {
 	head := resp.ResponseHead
 	head.Fields, head.SameFields = c.sent.elide(&c.sent.sent, resp.Fields)
@@ -250,8 +249,8 @@
 		return err
 	}
 	c.setResponding(true)
-	if resp.Transfer != nil {
-		return c.writePaced(message, resp)
+	if resp.Turns != nil {
+		return c.writeInTurns(message, resp)
 	}
 	w := c.writer()
 	if resp.Length >= 0 && resp.Length <= maxBufferedBodyBytes {
--- a/router/hop/pace.go
+++ b/router/hop/turns.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// Transfer is a response that takes turns with others, because together they exceed the
+// Turns schedules a response that takes turns with others, because together they exceed the
 // link of the host.
-type Transfer interface {
+type Turns interface {
 	// Await blocks until the next n bytes may be sent. It returns an error once the
 	// response is no longer needed.
 	Await(n int) error
@@ -20,26 +20,26 @@
 // length.
 const turnBytes = chunkBytes + binary.MaxVarintLen64
 
-// pacedWriter writes the body of a response in turns.
-type pacedWriter struct {
-	conn     *serverConn
-	transfer Transfer
+// turnWriter writes the body of a response in turns.
+type turnWriter struct {
+	conn  *serverConn
+	turns Turns
 	// head is the head of the response, which is sent with the first part of the body.
 	head []byte
 }
 
 // Write implements io.Writer. A receiver that does not read is given up at the deadline.
-func (w *pacedWriter) Write(p []byte) (n int, err error) {
+func (w *turnWriter) Write(p []byte) (n int, err error) {
 	for len(p) > 0 && err == nil {
 		turn := p[:min(len(p), max(turnBytes-len(w.head), 1))]
 		size := len(turn)
 		if w.head != nil {
 			turn, w.head = append(w.head, turn...), nil
 		}
-		if err = w.transfer.Await(len(turn)); err != nil {
+		if err = w.turns.Await(len(turn)); err != nil {
 			return n, err
 		}
-		if err = w.conn.SetWriteDeadline(w.transfer.Deadline()); err != nil {
+		if err = w.conn.SetWriteDeadline(w.turns.Deadline()); err != nil {
 			return n, err
 		}
 		if _, err = w.conn.Write(turn); err != nil {
@@ -51,9 +51,9 @@
 	return n, err
 }
 
-// writePaced sends a response in turns.
-func (c *serverConn) writePaced(head []byte, resp *Response) error {
-	return writeBody(&pacedWriter{conn: c, transfer: resp.Transfer, head: head}, resp.Body, resp.Length)
+// writeInTurns sends a response in turns.
+func (c *serverConn) writeInTurns(head []byte, resp *Response) error {
+	return writeBody(&turnWriter{conn: c, turns: resp.Turns, head: head}, resp.Body, resp.Length)
 }
 
 // chargedWriter writes at once and reports the bytes.
@@ -63,13 +63,13 @@
 
 // Write implements io.Writer.
 func (w chargedWriter) Write(p []byte) (int, error) {
-	w.conn.sentAtOnce(len(p))
+	w.conn.beforeUnscheduledWrite(len(p))
 	return w.conn.Write(p)
 }
 
 // writer returns the writer for a response that is sent at once.
 func (c *serverConn) writer() io.Writer {
-	if c.sentAtOnce != nil {
+	if c.beforeUnscheduledWrite != nil {
 		return chargedWriter{c}
 	}
 	return c
--- a/router/hop/pace_test.go
+++ b/router/hop/turns_test.go
@@ -15,20 +15,20 @@
 	"burdockglade.dev/router/connpool"
 )
 
-// countedTransfer records the turns that a response takes, and fails at one of them.
-type countedTransfer struct {
+// countedTurns records the turns that a response takes, and fails at one of them.
+type countedTurns struct {
 	turns []int
 	fails int
 }
 
-func (c *countedTransfer) Await(n int) error {
+func (c *countedTurns) Await(n int) error {
 	if c.turns = append(c.turns, n); len(c.turns) == c.fails {
 		return context.Canceled
 	}
 	return nil
 }
 
-func (c *countedTransfer) Deadline() time.Time { return time.Now().Add(time.Minute) }
+func (c *countedTurns) Deadline() time.Time { return time.Now().Add(time.Minute) }
 
 // Guards against a response that changes when it is sent in turns, against turns that are
 // longer than a chunk, and against a response that goes on after its call has ended.
@@ -36,12 +36,12 @@
 	for _, size := range []int{20_000, maxBufferedBodyBytes, 200_000} {
 		body := strings.Repeat("0123456789", size/10)
 		for _, length := range []int64{int64(len(body)), unknownLength} {
-			for fails, transfer := range []*countedTransfer{{}, {fails: 1}, {fails: 2}} {
+			for fails, counted := range []*countedTurns{{}, {fails: 1}, {fails: 2}} {
 				client, server := net.Pipe()
 				written := make(chan error, 1)
 				go func() {
-					c := &serverConn{Conn: server, sentAtOnce: func(int) { t.Error("bytes were sent at once") }}
-					resp := &Response{ResponseHead: ResponseHead{Length: length}, Body: io.NopCloser(strings.NewReader(body)), Transfer: transfer}
+					c := &serverConn{Conn: server, beforeUnscheduledWrite: func(int) { t.Error("bytes were sent at once") }}
+					resp := &Response{ResponseHead: ResponseHead{Length: length}, Body: io.NopCloser(strings.NewReader(body)), Turns: counted}
 					written <- c.writeResponse(resp)
 					_ = server.Close()
 				}()
@@ -51,8 +51,8 @@
 				if err == nil {
 					got, err = io.ReadAll(bodyReader(br, head.Length))
 				}
-				if (fails == 0) != (err == nil && string(got) == body) || slices.Max(transfer.turns) > turnBytes {
-					t.Errorf("%d bytes, failing turn %d: got %d bytes in turns %v, %v", size, fails, len(got), transfer.turns, err)
+				if (fails == 0) != (err == nil && string(got) == body) || slices.Max(counted.turns) > turnBytes {
+					t.Errorf("%d bytes, failing turn %d: got %d bytes in turns %v, %v", size, fails, len(got), counted.turns, err)
 				}
 				if err := <-written; fails > 0 && !errors.Is(err, context.Canceled) {
 					t.Errorf("%d bytes: %v after the call has ended", size, err)
@@ -64,7 +64,7 @@
 
 // Guards against a slow reader that is taken for a narrow link, and against bytes that are
 // not counted as carried.
-func TestSendStateLeavesSlowReadersOut(t *testing.T) {
+func TestSampleSentLeavesSlowReadersOut(t *testing.T) {
 	for _, reads := range []bool{true, false} {
 		size := int64(32 << 20)
 		if reads {
@@ -94,7 +94,7 @@
 				_, unread, _ = readSendState(c.Conn)
 			}
 			s.mu.Unlock()
-			more, left := s.SendState()
+			more, left := s.SampleSent()
 			acked, queued = acked+more, left
 			done = queued == 0 && ((reads && acked >= size) || (!reads && unread > 64<<10))
 		}
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -233,7 +233,7 @@
 	}
 	resp.Body = &cancelOnClose{ReadCloser: r.Body, cancel: cancel}
 	if transfer != nil {
-		resp.Transfer = transfer
+		resp.Turns = transfer
 	}
 	return resp
 }
--- a/router/sidecar/link.go
+++ b/router/sidecar/link.go
@@ -31,10 +31,10 @@
 	open map[*linkshare.Transfer]*linkTransfer
 	// timer grants the next turn when it is due.
 	timer *time.Timer
-	// sendState returns how many bytes were acknowledged since its last call, and how many
+	// sampleSent returns how many bytes were acknowledged since its last call, and how many
 	// are written and not acknowledged. Set before the first call is served.
-	sendState func() (acked, queued int64)
-	// sampling is true while the sampling of sendState goes on.
+	sampleSent func() (acked, queued int64)
+	// sampling is true while the sampling of sampleSent goes on.
 	sampling bool
 	// narrow is true while the link carries much less than the settings say.
 	narrow bool
@@ -49,7 +49,7 @@
 	return &linkScheduler{log: log, scope: scope, link: linkshare.New(mbps), memory: linkshare.NewMemory(memory), open: map[*linkshare.Transfer]*linkTransfer{}}
 }
 
-// linkTransfer is the response to a call of another router. It implements hop.Transfer.
+// linkTransfer is the response to a call of another router. It implements hop.Turns.
 type linkTransfer struct {
 	scheduler *linkScheduler
 	ctx       context.Context
@@ -177,7 +177,7 @@
 	s.link.Charge(time.Now(), n)
 }
 
-// Await implements hop.Transfer.
+// Await implements hop.Turns.
 func (t *linkTransfer) Await(n int) error {
 	s := t.scheduler
 	s.mu.Lock()
@@ -194,7 +194,7 @@
 	}
 }
 
-// Deadline implements hop.Transfer.
+// Deadline implements hop.Turns.
 func (t *linkTransfer) Deadline() time.Time {
 	return t.deadline
 }
@@ -274,14 +274,14 @@
 // startSampling samples what the link carries until no large response is left. s.mu must
 // be held.
 func (s *linkScheduler) startSampling() {
-	if !s.sampling && s.sendState != nil {
+	if !s.sampling && s.sampleSent != nil {
 		s.sampling = true
 		time.AfterFunc(linkshare.SampleInterval, s.sample)
 	}
 }
 
 func (s *linkScheduler) sample() {
-	acked, queued := s.sendState()
+	acked, queued := s.sampleSent()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/router/sidecar/link_test.go
+++ b/router/sidecar/link_test.go
@@ -139,14 +139,14 @@
 	}
 	first.transfer.end()
 	for _, full := range []bool{false, true} {
-		for _, size := range []int{0, 100, maxBufferedResponse, 300_000, maxPacedBuffer, 3 << 20} {
+		for _, size := range []int{0, 100, maxBufferedResponse, 300_000, maxHeldResponse, 3 << 20} {
 			for _, length := range []int64{int64(size), -1} {
 				transfer, body := newCall().transfer, strings.NewReader(strings.Repeat("0", size))
 				head, complete, err := transfer.readResponse(body, length)
 				if err != nil || len(head)+body.Len() != size || (complete && body.Len() > 0) || (full && len(head) > maxBufferedResponse) {
 					t.Errorf("%d bytes of %d, complete %v, full %v, %v", len(head), size, complete, full, err)
 				}
-				if !full && !complete && size < maxPacedBuffer {
+				if !full && !complete && size < maxHeldResponse {
 					t.Errorf("only %d of %d bytes were read ahead", len(head), size)
 				}
 				transfer.end()
--- a/router/sidecar/linkmemory.go
+++ b/router/sidecar/linkmemory.go
@@ -15,9 +15,9 @@
 	linkMemoryDivisor = 8
 	// defaultLinkMemory is that memory if the memory of the host is not known.
 	defaultLinkMemory = 16 << 20
-	// maxPacedBuffer is the size up to which a response to another router is read at once,
+	// maxHeldResponse is the size up to which a response to another router is read at once,
 	// so that it does not hold a slot of the upstream while it waits for the link.
-	maxPacedBuffer = 1 << 20
+	maxHeldResponse = 1 << 20
 )
 
 // linkMemory returns the bound on the bytes that are held for large responses and bodies,
@@ -32,7 +32,7 @@
 // reserveMemory reserves the memory for a call whose response is expected to have the
 // size, or returns an error. s.mu must be held.
 func (s *linkScheduler) reserveMemory(now time.Time, c *Call, size int64) *errkind.Error {
-	need := min(size, maxPacedBuffer) + bodyCharge(c)
+	need := min(size, maxHeldResponse) + bodyCharge(c)
 	if need == 0 || s.hold(c.transfer, need) {
 		return nil
 	}
@@ -52,9 +52,9 @@
 		return 0
 	}
 	if c.Stream.length < 0 {
-		return maxPacedBuffer
+		return maxHeldResponse
 	}
-	return min(c.Stream.length, maxPacedBuffer)
+	return min(c.Stream.length, maxHeldResponse)
 }
 
 // hold changes the bytes that are held for a transfer. It returns false if there is no
@@ -85,11 +85,11 @@
 // mayHold reports whether a response of the length, or of unknown length if that is
 // negative, may be read completely before it is sent.
 func (t *linkTransfer) mayHold(length int64) bool {
-	if t == nil || length > maxPacedBuffer {
+	if t == nil || length > maxHeldResponse {
 		return false
 	}
 	if length < 0 {
-		length = maxPacedBuffer
+		length = maxHeldResponse
 	}
 	t.scheduler.mu.Lock()
 	defer t.scheduler.mu.Unlock()
@@ -107,6 +107,6 @@
 	if length > 0 {
 		b.Grow(int(length) - len(head))
 	}
-	_, err = io.Copy(b, io.LimitReader(body, maxPacedBuffer-int64(len(head))))
-	return b.Bytes(), b.Len() < maxPacedBuffer || int64(b.Len()) == length, err
+	_, err = io.Copy(b, io.LimitReader(body, maxHeldResponse-int64(len(head))))
+	return b.Bytes(), b.Len() < maxHeldResponse || int64(b.Len()) == length, err
 }
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -313,7 +313,7 @@
 	hops := &hopHandler{gate: s.gate, link: s.link, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, evacuation: s.evacuation, quarantine: s.quarantine, applyRow: s.applyFleetRow}
 	hopServer := hop.NewServer(hops.serve)
 	if s.link != nil {
-		hopServer.SentAtOnce, s.link.sendState = s.link.charge, hopServer.SendState
+		hopServer.BeforeUnscheduledWrite, s.link.sampleSent = s.link.charge, hopServer.SampleSent
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.opts.Metrics.Handler)
