sidecar: move the admission of requests out of guardedconn.go

Its field "held" said nothing about what it refers to.

The field is "account", and the fields of readAhead and aheadCharge that had this name are "guarded", as variables of their type are called elsewhere. No change of behaviour.

Measured: go build ./..., go vet, and go test ./sidecar -run 'Link|Guard|Conn|Limit|Body|Stalled' pass.

--- a/router/sidecar/connguard.go
+++ b/router/sidecar/connguard.go
@@ -215,16 +215,16 @@
 // nil.
 func (g *connGuard) open(conn net.Conn, class connlimit.Class) *guardedConn {
 	guarded := &guardedConn{Conn: conn, guard: g}
-	held, evicted, ok := g.budget.Open(time.Now(), class, guarded)
+	account, evicted, ok := g.budget.Open(time.Now(), class, guarded)
 	g.makeRoom(evicted)
 	if !ok {
 		g.refused(class, reasonDescriptors, conn.RemoteAddr())
 		_ = conn.Close() // nothing was sent
 		return nil
 	}
-	guarded.held = held
+	guarded.account = account
 	if own, ok := conn.(*callerConn); ok {
-		own.ahead.account = guarded
+		own.ahead.guarded = guarded
 	}
 	return guarded
 }
--- a/router/sidecar/guardedconn.go
+++ b/router/sidecar/guardedconn.go
@@ -5,14 +5,12 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"burdockglade.dev/router/connlimit"
-	"burdockglade.dev/router/errkind"
 )
 
 // refusalWriteTime bounds the time to write the response to a refused head.
@@ -27,7 +25,8 @@
 type guardedConn struct {
 	net.Conn
 	guard *connGuard
-	held  *connlimit.Conn
+	// account is the record of the connection in the budget.
+	account *connlimit.Conn
 	// active is true while a request is in progress: what is read then is its body.
 	active atomic.Bool
 	// fits is false if the current request found no descriptor for its connections.
@@ -102,8 +101,8 @@
 
 // observeHead charges a part of a request head. It returns an error if the head is refused.
 func (c *guardedConn) observeHead(p []byte) error {
-	now, class := time.Now(), c.held.Class()
-	if (class == connlimit.Router || !c.reading) && !c.guard.budget.ReadStarted(now, c.held) {
+	now, class := time.Now(), c.account.Class()
+	if (class == connlimit.Router || !c.reading) && !c.guard.budget.ReadStarted(now, c.account) {
 		return refusedRead()
 	}
 	if class == connlimit.Router {
@@ -121,7 +120,7 @@
 	cost := connlimit.HeadCost(size, lines)
 	if c.processedAhead() {
 		// The request is being processed already, so that a refusal would be wrong.
-		c.guard.budget.ChargeResponse(c.held, cost)
+		c.guard.budget.ChargeResponse(c.account, cost)
 		return nil
 	}
 	if c.head.Exceeds(c.guard.maxHeadBytes(class)) {
@@ -143,7 +142,7 @@
 // refuseHead responds to a request whose head is not complete, and ends the reading. The
 // server has no response to write at this time.
 func (c *guardedConn) refuseHead(status int, reason string) error {
-	c.guard.refused(c.held.Class(), reason, c.RemoteAddr())
+	c.guard.refused(c.account.Class(), reason, c.RemoteAddr())
 	retry := ""
 	if status == http.StatusServiceUnavailable {
 		retry = fmt.Sprintf("%s: %s\r\n", c.guard.headers.RetryAfter, refusalRetryAfter)
@@ -165,7 +164,7 @@
 // response.
 func (c *guardedConn) linger() {
 	c.lingers.Store(true)
-	c.guard.budget.Linger(time.Now(), c.held)
+	c.guard.budget.Linger(time.Now(), c.account)
 }
 
 // Close implements net.Conn.
@@ -176,7 +175,7 @@
 		}
 		return nil // closed by the guard
 	}
-	c.guard.budget.Close(c.held)
+	c.guard.budget.Close(c.account)
 	return c.Conn.Close()
 }
 
@@ -224,17 +223,17 @@
 	now := time.Now()
 	c.active.Store(busy)
 	if !busy {
-		if c.held.Class() != connlimit.Router {
+		if c.account.Class() != connlimit.Router {
 			c.reading = false
 		}
-		c.guard.budget.RequestDone(now, c.held)
+		c.guard.budget.RequestDone(now, c.account)
 		return true
 	}
-	evicted, ok := c.guard.budget.RequestStarted(now, c.held)
+	evicted, ok := c.guard.budget.RequestStarted(now, c.account)
 	c.fits.Store(ok)
 	c.guard.makeRoom(evicted)
 	if !ok {
-		c.guard.refused(c.held.Class(), reasonDescriptors, c.RemoteAddr())
+		c.guard.refused(c.account.Class(), reasonDescriptors, c.RemoteAddr())
 	}
 	return ok
 }
@@ -242,21 +241,21 @@
 // Charge implements hop.Meter.
 func (c *guardedConn) Charge(n int64) bool {
 	if !c.charge(time.Now(), n) {
-		c.guard.refused(c.held.Class(), reasonMemory, c.RemoteAddr())
+		c.guard.refused(c.account.Class(), reasonMemory, c.RemoteAddr())
 		return false
 	}
 	return true
 }
 
 func (c *guardedConn) charge(now time.Time, n int64) bool {
-	evicted, ok := c.guard.budget.Charge(now, c.held, n)
+	evicted, ok := c.guard.budget.Charge(now, c.account, n)
 	c.guard.makeRoom(evicted)
 	return ok
 }
 
 // ChargeResponse implements hop.Meter.
 func (c *guardedConn) ChargeResponse(n int64) {
-	c.guard.budget.ChargeResponse(c.held, n)
+	c.guard.budget.ChargeResponse(c.account, n)
 }
 
 // Refused implements hop.Meter.
@@ -269,7 +268,7 @@
 	if c == nil {
 		return true
 	}
-	evicted, ok := c.guard.budget.ChargeAhead(time.Now(), c.held, n)
+	evicted, ok := c.guard.budget.ChargeAhead(time.Now(), c.account, n)
 	if len(evicted) > 0 {
 		go c.guard.makeRoom(evicted) // the caller holds a lock like the one that closing takes
 	}
@@ -279,7 +278,7 @@
 // refundAhead releases bytes of chargeAhead.
 func (c *guardedConn) refundAhead(n int64) {
 	if c != nil && n > 0 {
-		c.guard.budget.RefundAhead(c.held, n)
+		c.guard.budget.RefundAhead(c.account, n)
 	}
 }
 
@@ -288,108 +287,5 @@
 	if c == nil {
 		return maxHeaderBytes
 	}
-	return c.guard.maxHeadBytes(c.held.Class())
-}
-
-// admitRequests refuses requests that do not fit, before the handler has seen them.
-func (g *connGuard) admitRequests(next http.Handler, requestBytes int64) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		c := guardOf(req.Context())
-		if c == nil || c.processedAhead() {
-			next.ServeHTTP(w, req)
-			return
-		}
-		if req.ContentLength != 0 {
-			// The handler may set an earlier time. An error shows when the body is read.
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(defaultTimeout))
-		}
-		if err := c.admit(req, requestBytes); err != nil {
-			g.refuseRequest(w, req, err)
-			return
-		}
-		next.ServeHTTP(w, req)
-	})
-}
-
-// admit charges what is known once the head was read. It returns an error if that does not
-// fit.
-func (c *guardedConn) admit(req *http.Request, requestBytes int64) *errkind.Error {
-	if !c.fits.Load() {
-		return errkind.New(errkind.Overloaded, "the router of this host has no file descriptors left")
-	}
-	if !c.reading || !c.head.Ended() {
-		// A part of the head came with the request before.
-		lines := 0
-		for _, values := range req.Header {
-			lines += len(values)
-		}
-		requestBytes += connlimit.HeadCost(0, lines)
-	}
-	if c.held.Class() != connlimit.Caller {
-		requestBytes += bodyCost(req)
-	}
-	if !c.Charge(requestBytes + connlimit.RequestCost) {
-		return errNoMemory()
-	}
-	return nil
-}
-
-func errNoMemory() *errkind.Error {
-	err := errkind.New(errkind.Overloaded, "the router of this host has no memory left for the request")
-	err.RetryAfter = connlimit.RefusalRetry
-	return err
-}
-
-// refuseRequest responds to a request that no handler has seen.
-func (g *connGuard) refuseRequest(w http.ResponseWriter, req *http.Request, err *errkind.Error) {
-	if id := req.Header.Get(g.headers.RequestID); id != "" {
-		w.Header().Set(g.headers.RequestID, id)
-	}
-	w.Header().Set(g.headers.RetryAfter, refusalRetryAfter)
-	w.Header().Set("Connection", "close") // the server would otherwise wait for the body
-	w.Header().Set("Content-Type", errkind.ProblemType)
-	w.WriteHeader(http.StatusServiceUnavailable)
-	_ = errkind.WriteProblem(w, err.Kind, err.Detail, http.StatusServiceUnavailable) // the client may have left
-}
-
-// bodyCost returns the bytes that are charged for the body of a request.
-func bodyCost(req *http.Request) int64 {
-	if req.ContentLength < 0 || req.ContentLength > maxBufferedBody {
-		return maxBufferedBody
-	}
-	return req.ContentLength
-}
-
-// receiveBody reads the body of a caller's request like readBody, once it fits into the
-// budget. It gives up at the deadline; the request has then not run.
-func receiveBody(w http.ResponseWriter, req *http.Request, deadline time.Time) (requestBody, *errkind.Error) {
-	c := guardOf(req.Context())
-	if c == nil || req.ContentLength == 0 || req.Body == nil {
-		return readBody(req)
-	}
-	cost := bodyCost(req)
-	if !c.Charge(cost) {
-		w.Header().Set("Connection", "close") // the server would otherwise wait for the body
-		return requestBody{}, errNoMemory()
-	}
-	control := http.NewResponseController(w)
-	// Errors of these show when the body is read.
-	_ = control.SetReadDeadline(deadline)
-	c.guard.budget.BodyStarted(time.Now(), c.held)
-	body, err := readBody(req)
-	if !c.guard.budget.BodyDone(time.Now(), c.held) {
-		return body, errkind.New(errkind.CallerLeft, "the connection was closed to make room while the body was arriving")
-	}
-	switch {
-	case err != nil && errors.Is(err.Err, os.ErrDeadlineExceeded):
-		w.Header().Set("Connection", "close")
-		return body, errkind.New(errkind.DeadlinePassed, "the deadline passed before the body was complete")
-	case err == nil && body.stream != nil:
-		// The end of the request's context comes first, and decides on the response.
-		_ = control.SetReadDeadline(deadline.Add(lateWriteTime))
-	case err == nil:
-		_ = control.SetReadDeadline(time.Time{}) // the server watches the connection from now on
-		c.guard.budget.Refund(c.held, cost-int64(len(body.data)))
-	}
-	return body, err
+	return c.guard.maxHeadBytes(c.account.Class())
 }
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -64,7 +64,7 @@
 // arrived.
 type readAhead struct {
 	conn         net.Conn
-	account      *guardedConn // what is read ahead is charged to it; may be nil
+	guarded      *guardedConn // what is read ahead is charged to it; may be nil
 	startRequest func(*http.Request) *pipelinedRequest
 	log          *event.Logger
 
--- a/router/sidecar/readaheadcharge.go
+++ b/router/sidecar/readaheadcharge.go
@@ -16,7 +16,7 @@
 // The caller holds a.mu.
 func (a *readAhead) chargeBytes(n int) bool {
 	cost := int64(n) * readAheadCopies
-	if !a.account.chargeAhead(cost) {
+	if !a.guarded.chargeAhead(cost) {
 		return false
 	}
 	a.charged += cost
@@ -27,12 +27,12 @@
 func (a *readAhead) refundBytes(n int) {
 	cost := min(int64(n)*readAheadCopies, a.charged)
 	a.charged -= cost
-	a.account.refundAhead(cost)
+	a.guarded.refundAhead(cost)
 }
 
 // aheadCharge is what is charged for a request that is processed before its turn.
 type aheadCharge struct {
-	account *guardedConn
+	guarded *guardedConn
 	bytes   atomic.Int64
 }
 
@@ -41,25 +41,25 @@
 func (a *readAhead) chargeHead(head []byte) *aheadCharge {
 	var counted connlimit.Head
 	cost := connlimit.HeadCost(counted.Add(head)) + connlimit.RequestCost
-	if counted.Exceeds(a.account.maxHeadBytes()) || !a.account.chargeAhead(cost) {
+	if counted.Exceeds(a.guarded.maxHeadBytes()) || !a.guarded.chargeAhead(cost) {
 		return nil
 	}
-	c := &aheadCharge{account: a.account}
+	c := &aheadCharge{guarded: a.guarded}
 	c.bytes.Store(cost)
 	return c
 }
 
 // chargeResponse charges n bytes of the response.
 func (c *aheadCharge) chargeResponse(n int64) {
-	if c.account != nil {
+	if c.guarded != nil {
 		c.bytes.Add(n)
-		c.account.guard.budget.ChargeAheadResponse(c.account.held, n)
+		c.guarded.guard.budget.ChargeAheadResponse(c.guarded.account, n)
 	}
 }
 
 // release releases all of it. A second call has no effect.
 func (c *aheadCharge) release() {
-	c.account.refundAhead(c.bytes.Swap(0))
+	c.guarded.refundAhead(c.bytes.Swap(0))
 }
 
 // aheadKey is the context key of the aheadCharge of a request.
