Say what zero limits and servers without timeouts mean

Cause: the comment of vhost.Limits said that zero means no limit; the router applies its defaults, except for MaxBodyBytes. That of httpServer did not say that the server has no timeouts of its own.

Change: comments only.

Measured: go build ./..., go vet and go test of vhost pass.

--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -357,8 +357,8 @@
 	}
 }
 
-// httpServer returns a server for requests of callers. The guard applies the timeouts of the
-// configuration to its connections.
+// httpServer returns a server without timeouts: the guard applies those of the configuration
+// to connections of callers.
 func httpServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes}
 }
--- a/router/vhost/vhost.go
+++ b/router/vhost/vhost.go
@@ -67,7 +67,8 @@
 	ColdPerSecond float64
 }
 
-// Limits are the limits of requests and connections of callers. Zero means no limit.
+// Limits are the limits of requests and connections of callers. Zero means the router's
+// default, and no limit for MaxBodyBytes.
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
