quarantine: name functions after what they do

Evidence.Crashed and Set.Crashed had one name for a question and a record; they are HasCrashed and RecordCrash now. Private names follow: crashRecord, markUrgent, refresh, appendChange, appendQuarantined. maxSuspects is private, as no other package uses it. Comments say "the beginning of". No change of behaviour; the tests of quarantine and those of sidecar on quarantine, zones and hedging pass.

--- a/router/quarantine/evidence.go
+++ b/router/quarantine/evidence.go
@@ -15,16 +15,16 @@
 	// aliveAfter is the age from which a loss is disproved by a heartbeat, which may have
 	// been sent shortly before the upstream crashed.
 	aliveAfter = 200 * time.Millisecond
-	// maxEnded bounds the crashed incarnations that are remembered.
-	maxEnded = 8
+	// maxCrashed bounds the crashed incarnations that are remembered.
+	maxCrashed = 8
 )
 
 // Evidence collects the requests that the upstream of one host has lost, until it is known
 // whether its process has ended.
 type Evidence struct {
 	lost []loss
-	// ended are the incarnations that have crashed, oldest first.
-	ended []end
+	// crashed are the incarnations that have crashed, oldest first.
+	crashed []crashRecord
 }
 
 type loss struct {
@@ -33,7 +33,7 @@
 	request Request
 }
 
-type end struct {
+type crashRecord struct {
 	at time.Time
 	of Incarnation
 }
@@ -41,7 +41,7 @@
 // Lost records that a request got no complete response from the incarnation. It reports
 // whether the incarnation is known to have crashed; otherwise Ended returns the request.
 func (e *Evidence) Lost(now time.Time, of Incarnation, r Request) (crashed bool) {
-	if e.Crashed(now, of) {
+	if e.HasCrashed(now, of) {
 		return true
 	}
 	e.lost = slices.DeleteFunc(e.lost, func(l loss) bool { return now.Sub(l.at) > proofTime })
@@ -51,17 +51,17 @@
 	return false
 }
 
-// Crashed reports whether the incarnation is known to have crashed lately.
-func (e *Evidence) Crashed(now time.Time, of Incarnation) bool {
-	return slices.ContainsFunc(e.ended, func(x end) bool { return x.of == of && now.Sub(x.at) <= proofTime })
+// HasCrashed reports whether the incarnation is known to have crashed lately.
+func (e *Evidence) HasCrashed(now time.Time, of Incarnation) bool {
+	return slices.ContainsFunc(e.crashed, func(x crashRecord) bool { return x.of == of && now.Sub(x.at) <= proofTime })
 }
 
 // Ended records that the process of the incarnation has ended without a notice. It returns
 // the requests that it lost.
 func (e *Evidence) Ended(now time.Time, of Incarnation) []Request {
-	if !e.Crashed(now, of) {
-		e.ended = append(e.ended, end{at: now, of: of})
-		e.ended = e.ended[max(len(e.ended)-maxEnded, 0):]
+	if !e.HasCrashed(now, of) {
+		e.crashed = append(e.crashed, crashRecord{at: now, of: of})
+		e.crashed = e.crashed[max(len(e.crashed)-maxCrashed, 0):]
 	}
 	var requests []Request
 	e.lost = slices.DeleteFunc(e.lost, func(l loss) bool {
@@ -77,5 +77,5 @@
 // way.
 func (e *Evidence) Alive(now time.Time, of Incarnation) {
 	e.lost = slices.DeleteFunc(e.lost, func(l loss) bool { return l.of == of && now.Sub(l.at) > aliveAfter })
-	e.ended = slices.DeleteFunc(e.ended, func(x end) bool { return x.of == of && now.Sub(x.at) > aliveAfter })
+	e.crashed = slices.DeleteFunc(e.crashed, func(x crashRecord) bool { return x.of == of && now.Sub(x.at) > aliveAfter })
 }
--- a/router/quarantine/quarantine_test.go
+++ b/router/quarantine/quarantine_test.go
@@ -116,7 +116,7 @@
 	for _, run := range lost {
 		requests = append(requests, run.r)
 	}
-	h.set.Crashed(now, h.life, requests)
+	h.set.RecordCrash(now, h.life, requests)
 	s.crashes++
 	s.lastLife++
 	h.life, h.upAt = s.lastLife, s.now+2000+s.rnd.IntN(3000)
@@ -188,10 +188,10 @@
 	s.run(40_000, 400, 0.05, func() string { n++; return fmt.Sprint("/t", n/2) })
 	s.checkHarmless()
 	set := NewSet("h")
-	for i := range 3 * MaxSuspects {
-		set.Crashed(at(i), Incarnation(i), []Request{request("/deadly"), request(fmt.Sprintf("/%d%01000d", i, i))})
+	for i := range 3 * maxSuspects {
+		set.RecordCrash(at(i), Incarnation(i), []Request{request("/deadly"), request(fmt.Sprintf("/%d%01000d", i, i))})
 	}
-	if all, inQuarantine := set.Len(); all != MaxSuspects || inQuarantine != 1 {
+	if all, inQuarantine := set.Len(); all != maxSuspects || inQuarantine != 1 {
 		t.Errorf("%d suspects, %d in quarantine", all, inQuarantine)
 	}
 	for _, x := range set.suspects {
@@ -199,10 +199,10 @@
 			t.Fatalf("a path of %d bytes is kept", len(x.Path))
 		}
 	}
-	if report := set.Report(at(3*MaxSuspects), nil); strings.Count(report, ";") != maxReported-1 || len(report) > 4096 {
+	if report := set.Report(at(3*maxSuspects), nil); strings.Count(report, ";") != maxReported-1 || len(report) > 4096 {
 		t.Errorf("report %q", report)
 	}
-	if set.Report(at(3*MaxSuspects).Add(maxAge+time.Hour), nil) != "" || len(set.suspects)+len(set.heads) != 0 {
+	if set.Report(at(3*maxSuspects).Add(maxAge+time.Hour), nil) != "" || len(set.suspects)+len(set.heads) != 0 {
 		t.Errorf("%d suspects and %d heads are left", len(set.suspects), len(set.heads))
 	}
 }
@@ -214,7 +214,7 @@
 	deadly, beside := request("/deadly"), request("/beside")
 	verdict := func(r Request) Verdict { return set.AtEntry(at(10), r, false).Verdict }
 	for i := range 4 {
-		set.Crashed(at(i), Incarnation(i), []Request{deadly, beside})
+		set.RecordCrash(at(i), Incarnation(i), []Request{deadly, beside})
 	}
 	if verdict(deadly) != Alone || verdict(beside) != Alone {
 		t.Errorf("verdicts %v and %v", verdict(deadly), verdict(beside))
@@ -234,7 +234,7 @@
 	last, other := NewSet("last"), NewSet("other")
 	deadly := request("/deadly")
 	for i := range 3 {
-		last.Crashed(at(i), Incarnation(i), []Request{deadly})
+		last.RecordCrash(at(i), Incarnation(i), []Request{deadly})
 	}
 	if err := other.Merge(at(3), last.Report(at(3), nil)); err != nil {
 		t.Fatal(err)
@@ -251,7 +251,7 @@
 		}
 		life++
 		now = now.Add(time.Millisecond)
-		last.Crashed(now, life, []Request{deadly})
+		last.RecordCrash(now, life, []Request{deadly})
 		if err := other.Merge(now, last.Report(now, nil)); err != nil {
 			t.Fatal(err)
 		}
@@ -288,7 +288,7 @@
 // Guards against reports of other hosts that end the process or fill the memory.
 func FuzzMerge(f *testing.F) {
 	set := NewSet("h h")
-	set.Crashed(at(0), 1, []Request{request("/a"), request("/b")})
+	set.RecordCrash(at(0), 1, []Request{request("/a"), request("/b")})
 	set.Completed(at(1), request("/a").Fingerprint)
 	f.Add(set.Report(at(2), nil))
 	f.Add("1,2,3,-1,1:0::")
--- a/router/quarantine/report.go
+++ b/router/quarantine/report.go
@@ -159,7 +159,7 @@
 		news = s.mergeSuspect(now, x) || news
 	}
 	if news {
-		s.changed(now)
+		s.refresh(now)
 	}
 	return nil
 }
@@ -179,11 +179,11 @@
 		case i < 0 && len(x.crashes) == maxCrashes && c.at.Before(x.crashes[0].at):
 		case i < 0:
 			x.add(c)
-			s.noteChange(now, x)
+			s.markUrgent(now, x)
 			news = true
 		case c.cleared && !x.crashes[i].cleared:
 			x.crashes[i].cleared = true
-			s.noteChange(now, x)
+			s.markUrgent(now, x)
 			news = true
 		}
 	}
--- a/router/quarantine/set.go
+++ b/router/quarantine/set.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// MaxSuspects bounds the suspects that are kept.
-	MaxSuspects = 1024
+	// maxSuspects bounds the suspects that are kept.
+	maxSuspects = 1024
 	// maxAge is the time after its last crash or trial for which a suspect is kept.
 	maxAge = 10 * time.Minute
 	// maxCrashes bounds the crashes that are kept of one suspect.
@@ -100,9 +100,9 @@
 	return s.heads[head] > 0
 }
 
-// Crashed records that the requests were in progress when the upstream of this host
+// RecordCrash records that the requests were in progress when the upstream of this host
 // crashed.
-func (s *Set) Crashed(now time.Time, of Incarnation, requests []Request) {
+func (s *Set) RecordCrash(now time.Time, of Incarnation, requests []Request) {
 	for _, r := range requests {
 		x := s.get(now, r)
 		if x.has(of) {
@@ -112,17 +112,18 @@
 			x.failed++
 		}
 		x.add(crash{id: of, at: now, host: s.host})
-		s.noteChange(now, x)
+		s.markUrgent(now, x)
 	}
-	s.changed(now)
+	s.refresh(now)
 }
 
 // urgentTime is the time for which other hosts should hear soon of a suspect with several
 // crashes that has crashed an upstream again or was cleared.
 const urgentTime = 2 * time.Second
 
-// noteChange records a further crash of the suspect, or that it was cleared.
-func (s *Set) noteChange(now time.Time, x *suspect) {
+// markUrgent makes reports urgent after a further crash of the suspect, or after it was
+// cleared.
+func (s *Set) markUrgent(now time.Time, x *suspect) {
 	if len(x.crashes) > 1 {
 		s.urgentUntil = now.Add(urgentTime)
 	}
@@ -143,8 +144,8 @@
 	for i := range x.crashes {
 		x.crashes[i].cleared = true
 	}
-	s.noteChange(now, x)
-	s.changed(now)
+	s.markUrgent(now, x)
+	s.refresh(now)
 }
 
 // get returns the suspect for the request, which it adds if it is missing.
@@ -167,14 +168,14 @@
 	}
 }
 
-// makeRoom removes a suspect if there are MaxSuspects: of those with the fewest crashes
+// makeRoom removes a suspect if there are maxSuspects: of those with the fewest crashes
 // the oldest.
 func (s *Set) makeRoom(now time.Time) {
-	if len(s.suspects) < MaxSuspects {
+	if len(s.suspects) < maxSuspects {
 		return
 	}
 	s.expire(now)
-	if len(s.suspects) < MaxSuspects {
+	if len(s.suspects) < maxSuspects {
 		return
 	}
 	var least *suspect
@@ -213,7 +214,7 @@
 // Expire removes the suspects that are too old.
 func (s *Set) Expire(now time.Time) {
 	if s.expire(now) {
-		s.changed(now)
+		s.refresh(now)
 	}
 }
 
@@ -243,8 +244,8 @@
 	return x.trialAt
 }
 
-// changed brings what is derived from the crashes up to date.
-func (s *Set) changed(now time.Time) {
+// refresh brings what is derived from the crashes up to date.
+func (s *Set) refresh(now time.Time) {
 	s.report.at = time.Time{}
 	s.expire(now)
 	s.blame()
@@ -322,22 +323,22 @@
 	}
 	if to != quarantined && before == quarantined {
 		if x.logged {
-			s.note(x, false)
+			s.appendChange(x, false)
 		}
 		x.logged = false
 	}
-	s.noteQuarantined(x)
+	s.appendQuarantined(x)
 }
 
-// noteQuarantined adds the change to quarantined once the path is known.
-func (s *Set) noteQuarantined(x *suspect) {
+// appendQuarantined adds the change to quarantined once the path is known.
+func (s *Set) appendQuarantined(x *suspect) {
 	if x.state == quarantined && !x.logged && x.Path != "" {
 		x.logged = true
-		s.note(x, true)
+		s.appendChange(x, true)
 	}
 }
 
-func (s *Set) note(x *suspect, inQuarantine bool) {
+func (s *Set) appendChange(x *suspect, inQuarantine bool) {
 	c := Change{Request: x.Request, Quarantined: inQuarantine, Crashes: len(x.crashes)}
 	for _, crash := range x.crashes {
 		if !slices.Contains(c.Hosts, crash.host) {
--- a/router/quarantine/trial.go
+++ b/router/quarantine/trial.go
@@ -79,7 +79,7 @@
 		return Decision{}, nil
 	}
 	x.learn(r)
-	s.noteQuarantined(x)
+	s.appendQuarantined(x)
 	d := Decision{Crashes: len(x.live)}
 	switch x.state {
 	case suspected:
--- a/router/sidecar/body.go
+++ b/router/sidecar/body.go
@@ -50,11 +50,11 @@
 	return n, err
 }
 
-// bodyPrefix hashes the begin of a body for its fingerprint.
+// bodyPrefix hashes the beginning of a body for its fingerprint.
 type bodyPrefix struct {
 	digest xxhash.Digest
 	length int
-	// complete is true if the begin was hashed completely.
+	// complete is true if the beginning was hashed completely.
 	complete bool
 }
 
@@ -71,17 +71,17 @@
 	p.complete = last || p.length == quarantine.MaxBodyBytes
 }
 
-// prefixHash returns the hash of the begin of the body. If read is true, it reads the begin,
-// which is then kept for the attempt that sends the body, unless an attempt has begun to
-// read it. complete is false if the begin is not known.
+// prefixHash returns the hash of the beginning of the body. If read is true, it reads the
+// beginning, which is then kept for the attempt that sends the body, unless an attempt has
+// begun to read it. complete is false if the beginning is not known.
 func (b *bodyStream) prefixHash(read bool) (hash uint64, complete bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if read && !b.prefix.complete && !b.begun.Load() {
-		begin := make([]byte, quarantine.MaxBodyBytes)
-		n, err := io.ReadFull(b.src, begin)
-		b.prefix.add(begin[:n], errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
-		b.src = io.MultiReader(bytes.NewReader(begin[:n]), b.src)
+		beginning := make([]byte, quarantine.MaxBodyBytes)
+		n, err := io.ReadFull(b.src, beginning)
+		b.prefix.add(beginning[:n], errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
+		b.src = io.MultiReader(bytes.NewReader(beginning[:n]), b.src)
 	}
 	return b.prefix.digest.Sum64(), b.prefix.complete
 }
--- a/router/sidecar/quarantine.go
+++ b/router/sidecar/quarantine.go
@@ -97,9 +97,9 @@
 	}
 }
 
-// find returns the fingerprint of the call if it may be that of a suspect. The begin of a
-// streamed body is read if that is necessary and read is true, which it must not be once
-// the call was sent.
+// find returns the fingerprint of the call if it may be that of a suspect. The beginning
+// of a streamed body is read if that is necessary and read is true, which it must not be
+// once the call was sent.
 func (q *quarantineDriver) find(c *Call, read bool) (r quarantine.Request, found bool) {
 	if q == nil || !q.active.Load() {
 		return r, false
@@ -115,7 +115,7 @@
 }
 
 // fingerprint returns the call as it is compared with others. complete is false if the
-// begin of its body is not known; read is as in find.
+// beginning of its body is not known; read is as in find.
 func (c *Call) fingerprint(head uint64, read bool) (r quarantine.Request, complete bool) {
 	path, _, _ := strings.Cut(c.Target, "?")
 	r = quarantine.Request{Fingerprint: quarantine.Fingerprint{Head: head}, Service: c.Service, Path: path}
@@ -323,7 +323,7 @@
 	defer q.mu.Unlock()
 	defer q.update()
 	if now := time.Now(); q.evidence.Lost(now, c.evidence.sentTo, r) {
-		q.set.Crashed(now, c.evidence.sentTo, []quarantine.Request{r})
+		q.set.RecordCrash(now, c.evidence.sentTo, []quarantine.Request{r})
 	}
 	return r, true
 }
@@ -357,7 +357,7 @@
 func (q *quarantineDriver) crashed(of quarantine.Incarnation) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.evidence.Crashed(time.Now(), of)
+	return q.evidence.HasCrashed(time.Now(), of)
 }
 
 // upstreamEnded records that the process of the incarnation has ended. An announced end is
@@ -377,7 +377,7 @@
 	}
 	q.scope.Counter("upstream_crashes").Inc(1)
 	q.log.Log(eventCrash, event.F("instance", state.holder.Instance), event.F("started", state.holder.Started), event.F("requests", len(requests)))
-	q.set.Crashed(now, of, requests)
+	q.set.RecordCrash(now, of, requests)
 }
 
 // heartbeat records a heartbeat of the local upstream. before is the state before it.
