sidecar: sort the events by number

eventBlamed and eventUncrashed become eventQuarantined and eventQuarantineEnded, after the texts that they log. Numbers, levels and texts are the same; the catalogue test finds docs/EVENTS.md unchanged.

--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -82,6 +82,8 @@
 		"A host that gained keys by a change of this host could not be notified. It learns of them from the store.", "none; if it repeats, look for a partition between the hosts.")
 	eventRefused = event.Define(1840, log.InfoLevel, "request refused",
 		"The router itself responded to a request of a caller, with an error.", "The fields kind and detail name the cause; see docs/ERRORS.md.")
+	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
+		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
 	eventUpstreamFailed = event.Define(1842, log.InfoLevel, "no usable response of the upstream",
 		"The gate sent a request to the local upstream, or tried to, and got no response that may be passed on.", "The field arrived says whether the upstream got the request; search the upstream's own log for its id.")
 	eventPanic = event.Define(1843, log.ErrorLevel, "panic in the router",
@@ -92,6 +94,18 @@
 		"A connection of a caller ended before a request that it had sent without waiting for earlier responses got its response. The field reason names the side that closed the connection.", "none if the caller closed it; otherwise look for what ended the request before, with the same time.")
 	eventCallerLeft = event.Define(1851, log.InfoLevel, "caller left",
 		"A caller closed its connection before it got the response; its request is cancelled.", "none; if it repeats, compare the deadlines of the callers with the field left_ms.")
+	eventAcceptFailed = event.Define(1860, log.WarnLevel, "connection not accepted",
+		"A listener could not accept a connection, usually for lack of file descriptors. It tries again after 5 ms to 1 s, and an idle connection of its class is closed.", "Raise the limit of file descriptors of the process, or set max_fds to it.")
+	eventConnectionRefused = event.Define(1861, log.InfoLevel, "connection or request refused",
+		"A connection or a request did not fit into the budgets of memory_mb and max_fds, or a request head exceeds MaxHeaderBytes. The field reason says which. No upstream has seen the request.", "Look for clients with many connections or large request heads by the field address.")
+	eventConnectionEvicted = event.Define(1862, log.InfoLevel, "connection closed to make room",
+		"A connection without a request in progress was closed in favour of another one, because a budget is used up: an idle one, or one whose request head was still arriving.", "See event 1861.")
+	eventBudgets = event.Define(1863, log.InfoLevel, "budgets of connections",
+		"The process started with these settings. 0 means that there is no bound.", "none")
+	eventRegionRefused = event.Define(1870, log.InfoLevel, "request refused because of its region",
+		"Another router, or this one, offered the local upstream a request whose route does not allow this region by the configuration in force here. It did not run.", "none; if it repeats for more than 3 s, find out why the sender's configuration is late: event 1812.")
+	eventKeyRegions = event.Define(1871, log.WarnLevel, "regions of keys changed",
+		"If confined is false, the routes of a keyed service have no region in common with an eligible host, so that its keys may be held anywhere, and requests of restricted routes for keys outside their regions are refused. If it is true, the keys move back into the regions.", "If confined is false, check the hosts in the regions and the allowed regions of the routes.")
 	eventZoneEvacuated = event.Define(1873, log.WarnLevel, "zone evacuated",
 		"An operator has evacuated an availability zone: its upstreams get no new requests. source is store, or the host whose response said so. own is true on the hosts of the zone.", "none; if it was not intended, remove the row that evacuates the zone.")
 	eventZoneTakenBack = event.Define(1874, log.InfoLevel, "zone taken back",
@@ -114,17 +128,13 @@
 		"The link carries about what link_mbps says again.", "none")
 	eventLinkMemory = event.Define(1883, log.WarnLevel, "no memory for a large response",
 		"A call of another router was refused because the bytes that are held for large responses and bodies have reached their bound.", "Look for callers that read slowly, on hosts whose calls have the caller of the line.")
-	eventAcceptFailed = event.Define(1860, log.WarnLevel, "connection not accepted",
-		"A listener could not accept a connection, usually for lack of file descriptors. It tries again after 5 ms to 1 s, and an idle connection of its class is closed.", "Raise the limit of file descriptors of the process, or set max_fds to it.")
-	eventConnectionRefused = event.Define(1861, log.InfoLevel, "connection or request refused",
-		"A connection or a request did not fit into the budgets of memory_mb and max_fds, or a request head exceeds MaxHeaderBytes. The field reason says which. No upstream has seen the request.", "Look for clients with many connections or large request heads by the field address.")
-	eventConnectionEvicted = event.Define(1862, log.InfoLevel, "connection closed to make room",
-		"A connection without a request in progress was closed in favour of another one, because a budget is used up: an idle one, or one whose request head was still arriving.", "See event 1861.")
-	eventBudgets = event.Define(1863, log.InfoLevel, "budgets of connections",
-		"The process started with these settings. 0 means that there is no bound.", "none")
-	eventBlamed = event.Define(1890, log.WarnLevel, "request in quarantine",
+	eventHedged = event.Define(1885, log.InfoLevel, "request sent a second time",
+		"The response of the first host is slower than most of the route, so that the request was sent to a second host as well.", "none; docs/OPERATIONS.md says how to set the limit.")
+	eventHedgeEnded = event.Define(1886, log.InfoLevel, "second request ended",
+		"A request that was sent a second time has ended there. outcome is won (its response is passed on), cancelled (the first host responded first) or failed (refused, error, or the caller left).", "If most have the outcome failed, lower hedge.max_share: the second hosts have no free slots.")
+	eventQuarantined = event.Define(1890, log.WarnLevel, "request in quarantine",
 		"Requests with the fingerprint were in progress at the crashes of upstreams on the hosts and have completed nowhere since. They are refused, apart from trials. Each host logs it once it has seen such a request itself.", "Find out why the service's upstreams crash at the path. A repaired release is found out by the next trial.")
-	eventUncrashed = event.Define(1891, log.InfoLevel, "request left the quarantine",
+	eventQuarantineEnded = event.Define(1891, log.InfoLevel, "request left the quarantine",
 		"A request with the fingerprint has completed, or another one explains the crashes. Such requests are served again.", "none")
 	eventCrash = event.Define(1892, log.WarnLevel, "upstream crashed",
 		"The process of the local upstream ended without a notice while the given number of requests was in progress. They are suspects until they complete.", "Look at the upstream's log. Event 1890 names the request if one recurs.")
@@ -132,14 +142,4 @@
 		"Another host sent a report of suspects that cannot be decoded. At most one such report a minute is logged.", "Compare the versions of the two routers.")
 	eventTrial = event.Define(1894, log.InfoLevel, "trial of a quarantined request",
 		"The local upstream gets one quarantined request, to find out whether it still crashes.", "none")
-	eventRetry = event.Define(1841, log.InfoLevel, "retry decided",
-		"An attempt failed; the field decision says whether another one follows (0: yes).", "If many have the decision 4, the retry budget is exhausted.")
-	eventRegionRefused = event.Define(1870, log.InfoLevel, "request refused because of its region",
-		"Another router, or this one, offered the local upstream a request whose route does not allow this region by the configuration in force here. It did not run.", "none; if it repeats for more than 3 s, find out why the sender's configuration is late: event 1812.")
-	eventKeyRegions = event.Define(1871, log.WarnLevel, "regions of keys changed",
-		"If confined is false, the routes of a keyed service have no region in common with an eligible host, so that its keys may be held anywhere, and requests of restricted routes for keys outside their regions are refused. If it is true, the keys move back into the regions.", "If confined is false, check the hosts in the regions and the allowed regions of the routes.")
-	eventHedged = event.Define(1885, log.InfoLevel, "request sent a second time",
-		"The response of the first host is slower than most of the route, so that the request was sent to a second host as well.", "none; docs/OPERATIONS.md says how to set the limit.")
-	eventHedgeEnded = event.Define(1886, log.InfoLevel, "second request ended",
-		"A request that was sent a second time has ended there. outcome is won (its response is passed on), cancelled (the first host responded first) or failed (refused, error, or the caller left).", "If most have the outcome failed, lower hedge.max_share: the second hosts have no free slots.")
 )
--- a/router/sidecar/quarantine.go
+++ b/router/sidecar/quarantine.go
@@ -442,9 +442,9 @@
 		q.scope.Gauge("quarantined").Update(float64(inQuarantine))
 	}
 	for _, c := range q.set.Changes() {
-		logged := eventUncrashed
+		logged := eventQuarantineEnded
 		if c.Quarantined {
-			logged = eventBlamed
+			logged = eventQuarantined
 		}
 		q.log.Log(logged, event.F("fingerprint", printed(c.Request)), event.F("service", c.Service), event.F("path", c.Path),
 			event.F("crashes", c.Crashes), event.F("hosts", strings.Join(c.Hosts, " ")))
