evacuation: remove what only tests call, keep the form of reports private

Sidecar.ZoneTakenBack and View.TakenBack had no caller outside tests; the slow start learns of a zone taken back by ownTakenBack. Their tests check the state by Evacuated, and the time at which the zone was taken back by the bounds of Reported. View.Empty was implied by Reported. SameZones replaces the exported separator of reports. pollConfig no longer has the name of the function that it calls, and allEvacuated and leaveEvacuatedZone stand beside their only callers.

No change of behaviour. The tests of evacuation pass.

--- a/router/evacuation/report.go
+++ b/router/evacuation/report.go
@@ -11,10 +11,9 @@
 	"strings"
 )
 
-// VersionEnd is the end of the version in a report. The zones follow.
-const VersionEnd = ";"
-
 const (
+	// separator stands before each zone of a report.
+	separator = ";"
 	// maxReportZones bounds the zones of a report, which travels with each response.
 	maxReportZones = 64
 	// maxZoneName bounds the encoded name of a zone.
@@ -40,14 +39,14 @@
 	var text strings.Builder
 	text.WriteString(strconv.FormatInt(asOf, 10))
 	for _, name := range names {
-		fmt.Fprintf(&text, ";%s=%d", url.QueryEscape(name), r.Zones[name])
+		fmt.Fprintf(&text, "%s%s=%d", separator, url.QueryEscape(name), r.Zones[name])
 	}
 	return text.String()
 }
 
 // Decode returns the report that Encode has encoded.
 func Decode(text string) (Report, error) {
-	first, rest, more := strings.Cut(text, VersionEnd)
+	first, rest, more := strings.Cut(text, separator)
 	asOf, err := strconv.ParseInt(first, 10, 64)
 	if err != nil || asOf < 0 {
 		return Report{}, errReport
@@ -55,7 +54,7 @@
 	r := Report{AsOf: asOf, Zones: map[string]int64{}}
 	for more {
 		var entry string
-		entry, rest, more = strings.Cut(rest, ";")
+		entry, rest, more = strings.Cut(rest, separator)
 		escaped, digits, _ := strings.Cut(entry, "=")
 		name, err := url.QueryUnescape(escaped)
 		if err != nil || name == "" || len(url.QueryEscape(name)) > maxZoneName {
@@ -69,3 +68,10 @@
 	}
 	return r, nil
 }
+
+// SameZones reports whether two encoded reports name the same zones with the same versions.
+func SameZones(a, b string) bool {
+	_, zonesOfA, _ := strings.Cut(a, separator)
+	_, zonesOfB, _ := strings.Cut(b, separator)
+	return zonesOfA == zonesOfB
+}
--- a/router/evacuation/set.go
+++ b/router/evacuation/set.go
@@ -80,7 +80,7 @@
 func (s *Set) Confirm(now boottime.Time, asOf int64) []Change {
 	s.known = true
 	var changes []Change
-	for _, name := range s.names() {
+	for _, name := range s.evacuatedZones() {
 		if _, present := s.rows[name]; !present {
 			changes = append(changes, s.remove(now, name, asOf)...)
 		}
@@ -97,7 +97,7 @@
 	for _, name := range slices.Sorted(maps.Keys(r.Zones)) {
 		changes = append(changes, s.put(now, name, r.Zones[name])...)
 	}
-	for _, name := range s.names() {
+	for _, name := range s.evacuatedZones() {
 		if _, reported := r.Zones[name]; !reported {
 			changes = append(changes, s.remove(now, name, r.AsOf)...)
 		}
@@ -143,8 +143,8 @@
 	return []Change{{Zone: name, Evacuated: evacuated, Version: version}}
 }
 
-// names returns the evacuated zones in order.
-func (s *Set) names() []string {
+// evacuatedZones returns the evacuated zones in order.
+func (s *Set) evacuatedZones() []string {
 	var names []string
 	for name, z := range s.zones {
 		if z.evacuated {
@@ -208,11 +208,6 @@
 	return v.evacuated
 }
 
-// Empty reports whether no zone is evacuated or was evacuated lately.
-func (v *View) Empty() bool {
-	return len(v.zones) == 0
-}
-
 // Evacuated reports whether the zone is evacuated.
 func (v *View) Evacuated(name string) bool {
 	return v.evacuated > 0 && v.zones[name].evacuated
@@ -224,16 +219,6 @@
 	return !v.Evacuated(name) || (keyed && now.Sub(v.zones[name].since) < keyLimit)
 }
 
-// TakenBack returns the time since which the zone is in service again, or false if it is
-// evacuated or was not evacuated as far as this host knows.
-func (v *View) TakenBack(name string) (since boottime.Time, ok bool) {
-	z, ok := v.zones[name]
-	if !ok || z.evacuated {
-		return 0, false
-	}
-	return z.since, true
-}
-
 // Report returns the encoded report of the set.
 func (v *View) Report() string {
 	return v.report
--- a/router/evacuation/set_test.go
+++ b/router/evacuation/set_test.go
@@ -43,9 +43,8 @@
 		t.Error("writing the row again has extended the time")
 	}
 	s.DeleteRow(6*second, "z1", 13)
-	since, ok := s.View().TakenBack("z1")
-	if !s.View().MayServe(6*second, "z1", false, 0) || !ok || since != 6*second {
-		t.Errorf("taken back %v since %v", ok, since)
+	if v := s.View(); !v.MayServe(6*second, "z1", false, 0) || v.Evacuated("z1") || !v.Reported(606*second-1) || v.Reported(606*second) {
+		t.Error("z1 is not taken back, or not since 6 s: the set is not reported for 10 minutes after")
 	}
 	if !v.Reported(9000*second) || !s.View().Reported(7*second) || s.View().Reported(900*second) {
 		t.Error("reports are not sent, or are sent for ever")
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -108,6 +108,12 @@
 	return e.usableHolder(h, c)
 }
 
+// allEvacuated reports whether no upstream of the service accepts requests while zones are
+// evacuated. A key then has no next holder to wait for.
+func (e *entry) allEvacuated(service string) bool {
+	return e.evacuation.active() && e.fleet.Choose(time.Now(), service, nil) == nil
+}
+
 // reachableHolder returns the host, or an error result if the host is known to be
 // unreachable.
 func reachableHolder(h *fleet.Host, c *Call) (*fleet.Host, *Result) {
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -36,7 +36,7 @@
 	}, refused: func() { s.scope.Counter("config_refusals").Inc(1) }}
 	s.exchange = &configExchange{
 		log: s.log, scope: s.scope, version: s.config.version, confirm: s.config.confirm, storeDeadline: s.storeDeliveryDeadline,
-		fetch: s.fetchConfig, apply: s.config.applyRow, randomPeer: s.randomPeer, wakeCh: make(chan struct{}, 1),
+		fetch: s.pollConfig, apply: s.config.applyRow, randomPeer: s.randomPeer, wakeCh: make(chan struct{}, 1),
 	}
 	s.configFollower = s.newConfigFollower()
 }
--- a/router/sidecar/evacuation.go
+++ b/router/sidecar/evacuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +13,6 @@
 	"burdockglade.dev/router/evacuation"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/hop"
-	"burdockglade.dev/router/keyrange"
 	"burdockglade.dev/router/rowstore"
 )
 
@@ -91,18 +89,9 @@
 	}
 }
 
-// ZoneTakenBack returns the time since which a zone that was evacuated is in service
-// again, or false if it is evacuated or was not as far as this process knows.
-func (s *Sidecar) ZoneTakenBack(zone string) (since boottime.Time, ok bool) {
-	if s.evacuation == nil {
-		return 0, false
-	}
-	return s.evacuation.view.Load().TakenBack(zone)
-}
-
-// fetchConfig requests from another host a configuration above the version, and the
+// pollConfig requests from another host a configuration above the version, and the
 // evacuated zones if this host knows of any or knows nothing yet.
-func (s *Sidecar) fetchConfig(ctx context.Context, from *hop.Client, version uint64) (peerConfig, error) {
+func (s *Sidecar) pollConfig(ctx context.Context, from *hop.Client, version uint64) (peerConfig, error) {
 	own := s.evacuation.pollReport(false)
 	peer, evacuated, err := fetchConfig(ctx, from, version, own)
 	if err == nil && own != "" {
@@ -185,10 +174,8 @@
 	if report == own {
 		return false
 	}
-	_, zones, _ := strings.Cut(report, evacuation.VersionEnd)
-	_, ownZones, _ := strings.Cut(own, evacuation.VersionEnd)
 	now, last := int64(boottime.Now()), e.mergedAt.Load()
-	if zones == ownZones && now-last < int64(evacuationMergeInterval) {
+	if evacuation.SameZones(report, own) && now-last < int64(evacuationMergeInterval) {
 		return false
 	}
 	e.mergedAt.Store(now)
@@ -224,7 +211,7 @@
 	if e == nil {
 		return ""
 	}
-	if v := e.view.Load(); v.Known() && !v.Empty() && v.Reported(boottime.Now()) {
+	if v := e.view.Load(); v.Known() && v.Reported(boottime.Now()) {
 		return v.Report()
 	}
 	return ""
@@ -309,27 +296,3 @@
 		e.log.Log(eventEvacuationKeysHeld, event.F("service", service), event.F("ranges", ranges))
 	}
 }
-
-// allEvacuated reports whether no upstream of the service accepts requests while zones are
-// evacuated. A key then has no next holder to wait for.
-func (e *entry) allEvacuated(service string) bool {
-	return e.evacuation.active() && e.fleet.Choose(time.Now(), service, nil) == nil
-}
-
-// leaveEvacuatedZone plans moves of all ranges of this host if its zone is evacuated, the
-// busiest first. While the commands of an earlier process of this router may still be
-// carried out, released ranges cannot be assigned; they stay served for as long as they
-// may be. It reports whether the map changed.
-func (d *keyDriver) leaveEvacuatedZone(now boottime.Time, service string, next *keyrange.Map, others []keyrange.Member) bool {
-	if !d.evacuation.ownEvacuated() {
-		return false
-	}
-	d.evacuation.reportHeld(service, next.HeldRanges(d.host))
-	d.mu.Lock()
-	loads, movable := d.rates.Snapshot(now), d.grants.Movable(now)
-	d.mu.Unlock()
-	if !movable && d.evacuation.checkHost(d.evacuation.zone(), &Call{Keyed: true}) == nil {
-		return false
-	}
-	return next.EvacuateByLoad(d.host, d.load().Slots, loads, d.reachable(others))
-}
--- a/router/sidecar/evacuation_test.go
+++ b/router/sidecar/evacuation_test.go
@@ -76,8 +76,9 @@
 	check(503, "")
 	c.evacuate("z1", false, c.hosts...)
 	check(200, "i-h0")
-	if _, ok := c.hosts[0].ZoneTakenBack("z1"); !ok || c.hosts[0].evacuation.evacuated("z3") {
-		t.Error("z1 is not known to be taken back, or z3 is evacuated")
+	// Of the zones that were evacuated above, only z2 still is.
+	if known := c.hosts[0].evacuation; known.evacuated("z1") || !known.evacuated("z2") || known.evacuated("z3") {
+		t.Error("z1 is not known to be taken back, z2 not to be evacuated, or z3 is evacuated")
 	}
 }
 
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -70,6 +70,24 @@
 	return c
 }
 
+// leaveEvacuatedZone plans moves of all ranges of this host if its zone is evacuated, the
+// busiest first. While the commands of an earlier process of this router may still be
+// carried out, released ranges cannot be assigned; they stay served for as long as they
+// may be. It reports whether the map changed.
+func (d *keyDriver) leaveEvacuatedZone(now boottime.Time, service string, next *keyrange.Map, others []keyrange.Member) bool {
+	if !d.evacuation.ownEvacuated() {
+		return false
+	}
+	d.evacuation.reportHeld(service, next.HeldRanges(d.host))
+	d.mu.Lock()
+	loads, movable := d.rates.Snapshot(now), d.grants.Movable(now)
+	d.mu.Unlock()
+	if !movable && d.evacuation.checkHost(d.evacuation.zone(), &Call{Keyed: true}) == nil {
+		return false
+	}
+	return next.EvacuateByLoad(d.host, d.load().Slots, loads, d.reachable(others))
+}
+
 // planInitial creates the key map once the set of members is stable.
 func (d *keyDriver) planInitial(now boottime.Time, members []keyrange.Member) mapChange {
 	names := hostNames(members)
