sidecar: one throttle for log lines about malformed reports

The evacuated zones and the quarantine had the same code for at most one line a minute and 200 bytes of the report. badReportThrottle replaces both; each keeps its own, so that the events do not suppress each other. The interval is measured with time.Now for both (the zones used the boot time, which differs only while the machine is suspended).

--- a/router/sidecar/evacuation.go
+++ b/router/sidecar/evacuation.go
@@ -24,10 +24,6 @@
 // evacuated.
 const evacuationUnknown = "-"
 
-// badReportInterval is the shortest time between log lines about malformed reports, which
-// could otherwise come with each response.
-const badReportInterval = time.Minute
-
 // evacuationMergeInterval is the shortest time between reports of other hosts that are
 // merged although they name the same zones.
 const evacuationMergeInterval = 250 * time.Millisecond
@@ -50,13 +46,12 @@
 	changed, ownTakenBack func()
 	view                  atomic.Pointer[evacuation.View]
 
+	badReports badReportThrottle
 	// mergedAt is the boottime.Time at which a report of another host was merged last.
 	mergedAt atomic.Int64
 
 	mu  sync.Mutex
 	set evacuation.Set
-	// badReportAt is the time of the last log line about a malformed report.
-	badReportAt boottime.Time
 	// heldReported is true once keys that are held for too long were logged for the
 	// current evacuation of ownZone.
 	heldReported bool
@@ -160,7 +155,7 @@
 	}
 	r, err := evacuation.Decode(report)
 	if err != nil {
-		e.logMalformed(report, host)
+		e.badReports.record(e.log, eventEvacuationReportInvalid, host, report)
 		return
 	}
 	e.update(host, func(now boottime.Time, set *evacuation.Set) []evacuation.Change { return set.Merge(now, r) })
@@ -195,17 +190,6 @@
 	})
 }
 
-func (e *zoneEvacuation) logMalformed(report, host string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := boottime.Now()
-	if e.badReportAt != 0 && now.Sub(e.badReportAt) < badReportInterval {
-		return
-	}
-	e.badReportAt = now
-	e.log.Log(eventEvacuationReportInvalid, event.F("host", host), event.F("report", report[:min(len(report), 200)]))
-}
-
 // report returns the report that responses to other hosts carry, or "" if they carry none.
 func (e *zoneEvacuation) report() string {
 	if e == nil {
--- a/router/sidecar/quarantine.go
+++ b/router/sidecar/quarantine.go
@@ -56,6 +56,8 @@
 	probing  sync.Mutex
 	probedAt time.Time
 
+	badReports badReportThrottle
+
 	mu       sync.Mutex
 	set      *quarantine.Set
 	evidence quarantine.Evidence
@@ -63,8 +65,7 @@
 	// its end.
 	alone map[quarantine.Fingerprint]chan struct{}
 	// merged are the last reports by host, so that each is merged once.
-	merged      map[string]string
-	badReportAt time.Time
+	merged map[string]string
 	// reportedAt is the time of the last report to another host.
 	reportedAt time.Time
 }
@@ -427,10 +428,8 @@
 		clear(q.merged)
 	}
 	q.merged[host] = report
-	now := time.Now()
-	if err := q.set.Merge(now, report); err != nil && (q.badReportAt.IsZero() || now.Sub(q.badReportAt) >= badReportInterval) {
-		q.badReportAt = now
-		q.log.Log(eventSuspectsInvalid, event.F("host", host), event.F("report", report[:min(len(report), 200)]))
+	if err := q.set.Merge(time.Now(), report); err != nil {
+		q.badReports.record(q.log, eventSuspectsInvalid, host, report)
 	}
 }
 
