Evacuate zones and restrict routes to regions in the soak

Cause: the randomized soak did not exercise evacuated zones and allowed regions.

Change: two operators write and remove rows of evacuated zones at random beside the other faults. Each arrival at an upstream names its request. The check reports an arrival in an evacuated zone later than 5 s after the row was written, unless both the host of the upstream and the first host of the request had a fault of their link, process or store in the last 3 s; a restart excuses nothing. When the store comes back from an older copy, the operator also removes rows that it had removed.

--- a/ctl/soak/config_test.go
+++ b/ctl/soak/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -64,15 +65,23 @@
 		return vhost.Route{Name: name, Host: "soak", Prefix: "/" + name + "/", Repeatable: repeatable, MaxAttempts: 2,
 			Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond, Clusters: []vhost.Cluster{{Service: service, Weight: 1}}}
 	}
-	must(d.t, standin.Publish(context.Background(), d.store, vhost.Config{
+	restricted := func(r vhost.Route) vhost.Route {
+		r.AllowedRegions = []string{homeRegion}
+		return r
+	}
+	c := vhost.Config{
 		Version:  version,
 		Services: []vhost.Service{{Name: plainService, HealthPath: "/healthz"}, {Name: keyedService, HealthPath: "/healthz", Keyed: true, KeysByCommand: d.opts.keysByCommand}},
 		Routes: []vhost.Route{
 			route("look", plainService, true), route("pay", plainService, false),
 			route("keys", keyedService, true), route("order", keyedService, false),
-			route(fmt.Sprintf("version-%d", version), plainService, true),
+			route(fmt.Sprintf("version-%d", version), plainService, true), restricted(route("home", plainService, true)),
 		},
-	}))
+	}
+	if d.opts.restrictKeys {
+		c.Routes = append(c.Routes, restricted(route("vault", keyedService, true)))
+	}
+	must(d.t, standin.Publish(context.Background(), d.store, c))
 	d.configs.newest = version
 	d.configs.confirmed[version] = time.Now()
 }
@@ -160,10 +169,10 @@
 }
 
 // faultFree reports whether neither a host nor the store had a fault in the
-// faultFreeTime before the given time.
-func (c *configs) faultFree(host string, at time.Time) bool {
+// faultFreeTime before the given time. Faults of the ignored kinds do not count.
+func (c *configs) faultFree(host string, at time.Time, ignored ...string) bool {
 	for _, d := range c.faultPeriods {
-		if (d.host == host || d.host == everyHost) && d.from.Before(at) && d.to.Add(faultFreeTime).After(at) {
+		if (d.host == host || d.host == everyHost) && !slices.Contains(ignored, d.kind) && d.from.Before(at) && d.to.Add(faultFreeTime).After(at) {
 			return false
 		}
 	}
--- a/ctl/soak/deployment_test.go
+++ b/ctl/soak/deployment_test.go
@@ -31,8 +31,8 @@
 // defaultSlots is the number of slots of a server.
 const defaultSlots = 8
 
-// deploymentOptions configure a deployment. All but keysByCommand, slots and wrapServer are
-// required.
+// deploymentOptions configure a deployment. All but keysByCommand, slots, wrapServer,
+// twoRegions and restrictKeys are required.
 type deploymentOptions struct {
 	hosts int
 	// slots is the number of slots of each server; 0 means defaultSlots.
@@ -41,6 +41,11 @@
 	wrapServer func(*standin.Server) http.Handler
 	// keysByCommand is true if keys are granted to the keyed upstreams by commands.
 	keysByCommand bool
+	// twoRegions puts the hosts of one zone into a second region.
+	twoRegions bool
+	// restrictKeys adds a restricted route to the keyed service, whose keys then belong to
+	// hosts in homeRegion.
+	restrictKeys bool
 	// services are the services of the upstreams, in turn.
 	services []string
 	// workTime is the mean duration of an execution.
@@ -60,6 +65,9 @@
 	ledger  *standin.Ledger
 	callers *callers
 
+	// evacuations are those of the zones.
+	evacuations evacuations
+
 	// operator is held during each change of the operator.
 	operator sync.Mutex
 
@@ -175,8 +183,8 @@
 	d.t.Cleanup(h.hopRelay.Close)
 	h.app = ports[5]
 	h.settings = filepath.Join(d.dir, h.name+".ini")
-	text := fmt.Sprintf("[host]\nname = %s\nzone = z%d\nregion = r1\nservice = %s\n[listen]\ncaller = %s\nhop = %s\nhop_advertised = %s\nready = %s\ncontrol = %s\nmetrics = %s\n[upstream]\naddress = %s\nheartbeat_ms = 300\n[store]\naddress = %s\n",
-		h.name, i%3, h.service, ports[0], ports[1], h.hopRelay.Address(), ports[2], ports[3], ports[4], h.app, h.storeRelay.Address())
+	text := fmt.Sprintf("[host]\nname = %s\nzone = %s\nregion = %s\nservice = %s\n[listen]\ncaller = %s\nhop = %s\nhop_advertised = %s\nready = %s\ncontrol = %s\nmetrics = %s\n[upstream]\naddress = %s\nheartbeat_ms = 300\n[store]\naddress = %s\n",
+		h.name, d.opts.placeOf(i).zone, d.opts.placeOf(i).region, h.service, ports[0], ports[1], h.hopRelay.Address(), ports[2], ports[3], ports[4], h.app, h.storeRelay.Address())
 	must(d.t, os.WriteFile(h.settings, []byte(text), 0o600))
 	h.startServer()
 	h.start()
@@ -296,10 +304,13 @@
 func (d *deployment) awaitService(when string) {
 	d.t.Helper()
 	deadline := time.Now().Add(20 * time.Second)
-	paths := []string{"/look/", "/pay/", "/keys/", "/order/", fmt.Sprintf("/version-%d/", d.configs.newestVersion())}
+	paths := append(d.paths(), fmt.Sprintf("/version-%d/", d.configs.newestVersion()))
 	for _, h := range d.hosts {
 		for _, path := range paths {
 			for key := 0; key <= 65535; key += 13107 {
+				if key > 0 && isRestricted(path) {
+					break // their hosts and keys are those of the other routes
+				}
 				for r := d.callers.send(h.caller, path, key); r.status != 200; r = d.callers.send(h.caller, path, key) {
 					if time.Now().After(deadline) {
 						d.t.Fatalf("%s: %s does not serve %s key %d: status %d %s", when, h.name, path, key, r.status, r.body)
--- a/ctl/soak/faults_test.go
+++ b/ctl/soak/faults_test.go
@@ -24,8 +24,11 @@
 	// newRoute is true for requests that may get status 404, because the version
 	// with their route may not be in force.
 	newRoute bool
-	status   int
-	body     string
+	// restricted is true for requests that may only run in homeRegion.
+	restricted bool
+
+	status int
+	body   string
 	// host is the host that got the request, sent the time of sending.
 	host string
 	sent time.Time
@@ -54,7 +57,7 @@
 
 // send sends one request and records its result.
 func (c *callers) send(address, path string, key int) result {
-	r := result{id: c.newID(), host: address, sent: time.Now(), once: strings.HasPrefix(path, "/pay") || strings.HasPrefix(path, "/order"), newRoute: strings.HasPrefix(path, "/version")}
+	r := result{id: c.newID(), host: address, sent: time.Now(), once: strings.HasPrefix(path, "/pay") || strings.HasPrefix(path, "/order"), newRoute: strings.HasPrefix(path, "/version"), restricted: isRestricted(path)}
 	resp := exchange(address, "soak", path+"x", key, r)
 	r.status, r.body, r.answered = resp.status, resp.body, time.Now()
 	if standin.SaysLeaving(resp.header) {
@@ -107,12 +110,21 @@
 	return append([]result(nil), c.all...)
 }
 
+// paths returns the prefixes of the routes that every version has.
+func (d *deployment) paths() []string {
+	paths := []string{"/look/", "/pay/", "/keys/", "/order/", "/home/"}
+	if d.opts.restrictKeys {
+		paths = append(paths, "/vault/")
+	}
+	return paths
+}
+
 // startCallers starts three callers per host that send requests until the returned
 // function is called.
 func (d *deployment) startCallers(seed uint64) func() {
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	paths := []string{"/look/", "/pay/", "/keys/", "/order/"}
+	paths := d.paths()
 	for i, h := range d.hosts {
 		for j := range 3 {
 			rng := rand.New(rand.NewPCG(seed, uint64(100+10*i+j)))
@@ -157,6 +169,9 @@
 	h := d.hosts[rng.IntN(len(d.hosts))]
 	faultTime := between(rng, 300*time.Millisecond, 6*time.Second)
 	delay := between(rng, 100*time.Millisecond, 1500*time.Millisecond)
+	restart := func(s syscall.Signal) func() {
+		return func() { d.configs.duringFault(h.name, restartFault, func() { h.restart(s, delay) }) }
+	}
 	on := func(fault func()) func() { return func() { d.configs.duringFault(h.name, "", fault) } }
 	onAll := func(fault func()) func() { return func() { d.configs.duringFault(everyHost, "", fault) } }
 	direction := []relay.Direction{relay.ToTarget, relay.FromTarget, relay.BothDirections}[rng.IntN(3)]
@@ -166,9 +181,9 @@
 	}
 	switch rng.IntN(15) {
 	case 0:
-		return on(func() { h.restart(syscall.SIGKILL, delay) })
+		return restart(syscall.SIGKILL)
 	case 1:
-		return on(func() { h.restart(syscall.SIGTERM, delay) })
+		return restart(syscall.SIGTERM)
 	case 2:
 		return on(func() {
 			h.signal(syscall.SIGSTOP)
--- a/ctl/soak/putback_test.go
+++ b/ctl/soak/putback_test.go
@@ -43,16 +43,19 @@
 		}
 		d.store.SetFaults(standin.Faults{Down: true})
 		time.Sleep(p.outage)
+		restoredAt := time.Now()
 		d.store.Restore(older)
+		deletes := d.restoreEvacuations(restoredAt, rows)
 		d.store.SetFaults(standin.Faults{})
 		time.Sleep(p.gap)
-		txn := rowstore.Txn{Era: d.store.Era()}
+		txn := rowstore.Txn{Era: d.store.Era(), Deletes: deletes}
 		for _, r := range rows {
 			txn.Writes = append(txn.Writes, rowstore.Write{Key: r.Key, Value: r.Value})
 		}
 		if _, err := d.store.Commit(d.t.Context(), txn); err != nil {
 			d.t.Error(err)
 		}
+		d.rewriteEvacuations(rows)
 	})
 }
 
--- a/ctl/soak/soak_test.go
+++ b/ctl/soak/soak_test.go
@@ -71,7 +71,8 @@
 // Guards, under random faults of processes, connections and the store, which also comes back
 // from older copies, against work
 // that runs twice, false refusals, mixed-up responses, two holders of a key, work
-// for upstreams that drain or say that they leave, more requests than an upstream's limit,
+// for upstreams that drain or say that they leave, more requests than an upstream's limit, requests in evacuated zones or in regions
+// that their routes do not allow,
 // configurations that are late or reverted, and routers that
 // do not recover.
 func TestSoak(t *testing.T) {
@@ -99,23 +100,25 @@
 // results.
 func runSeed(t *testing.T, seed uint64) {
 	d := newDeployment(t, deploymentOptions{
-		hosts: *hostCount, keysByCommand: seed%2 == 1, services: []string{plainService, keyedService},
+		hosts: *hostCount, keysByCommand: seed%2 == 1, restrictKeys: seed%4 >= 2, twoRegions: true, services: []string{plainService, keyedService},
 		workTime: 40 * time.Millisecond, publishFirst: (*deployment).publish,
 	})
 	d.awaitService("before the faults")
 	stopCallers := d.startCallers(seed)
 	stopProbes := d.startProbes()
-	stopNotices, stopPutBacks := d.startNotices(seed), d.startPutBacks(seed)
+	stopNotices, stopPutBacks, stopEvacuations := d.startNotices(seed), d.startPutBacks(seed), d.startEvacuations(seed)
 	d.injectFaults(rand.New(rand.NewPCG(seed, 1)), *duration)
 	stopNotices()
 	stopPutBacks()
+	stopEvacuations()
 	d.heal()
 	d.awaitService("after the faults")
 	stopCallers()
 	stopProbes()
 	d.awaitWorkDone()
 	violations := append(check(d.ledger.Executions(), d.callers.results(), d.drains()), d.configs.check()...)
-	for _, err := range append(violations, d.checkNotices()...) {
+	violations = append(violations, d.checkNotices()...)
+	for _, err := range append(violations, d.checkPlacement()...) {
 		t.Error(err)
 	}
 	if t.Failed() {
