Make upstreams cold at random in the soak

Cause: the randomized soak did not exercise slow start.

Change: stand-in servers are cold for 2 s after their start (those of even incarnations do not say so in their heartbeats) and become cold again at random. The check counts the requests in each second of a cold time, from the start of the server or from the acknowledgement of the heartbeat that says so: at most 1.5 x 6 + 8. Requests refused because the server does not hold their key do not count. Evacuations last up to 2 s longer.

--- a/ctl/soak/config_test.go
+++ b/ctl/soak/config_test.go
@@ -78,6 +78,11 @@
 			route(fmt.Sprintf("version-%d", version), plainService, true), restricted(route("home", plainService, true)),
 		},
 	}
+	if d.opts.coldStarts {
+		for i := range c.Services {
+			c.Services[i].ColdStart, c.Services[i].ColdPerSecond = coldStartTime, coldPerSecond
+		}
+	}
 	if d.opts.restrictKeys {
 		c.Routes = append(c.Routes, restricted(route("vault", keyedService, true)))
 	}
--- a/ctl/soak/deployment_test.go
+++ b/ctl/soak/deployment_test.go
@@ -32,7 +32,7 @@
 const defaultSlots = 8
 
 // deploymentOptions configure a deployment. All but keysByCommand, slots, wrapServer,
-// twoRegions and restrictKeys are required.
+// twoRegions, restrictKeys and coldStarts are required.
 type deploymentOptions struct {
 	hosts int
 	// slots is the number of slots of each server; 0 means defaultSlots.
@@ -46,6 +46,8 @@
 	// restrictKeys adds a restricted route to the keyed service, whose keys then belong to
 	// hosts in homeRegion.
 	restrictKeys bool
+	// coldStarts makes the upstreams cold after their start.
+	coldStarts bool
 	// services are the services of the upstreams, in turn.
 	services []string
 	// workTime is the mean duration of an execution.
@@ -75,6 +77,8 @@
 	drained []*server
 	// limited holds the servers that have named a limit.
 	limited []*server
+	// started holds all servers.
+	started []*server
 }
 
 // server is one incarnation of a stand-in server.
@@ -198,11 +202,15 @@
 	defer h.mu.Unlock()
 	h.incarnations++
 	instance := fmt.Sprintf("i-%s-%d", h.name, h.incarnations)
-	s := standin.NewServer(standin.ServerOptions{
+	options := standin.ServerOptions{
 		Instance: instance, Service: h.service, Slots: cmp.Or(h.deployment.opts.slots, defaultSlots), Control: h.control,
 		HeartbeatInterval: 300 * time.Millisecond, WorkTime: h.deployment.opts.workTime, Keyed: h.service == keyedService, Ledger: h.deployment.ledger,
 		KeysByCommand: h.service == keyedService && h.deployment.opts.keysByCommand, LateCommands: lateCommandShare,
-	})
+	}
+	if h.deployment.opts.coldStarts {
+		options.ColdStart, options.SilentColdStart = coldStartTime, h.incarnations%2 == 0
+	}
+	s := standin.NewServer(options)
 	if h.server != nil {
 		h.server.stop()
 	}
@@ -221,6 +229,9 @@
 		cancel()
 		_ = web.Close()
 	}}
+	h.deployment.mu.Lock()
+	h.deployment.started = append(h.deployment.started, h.server)
+	h.deployment.mu.Unlock()
 	go s.Run(ctx)
 }
 
--- a/ctl/soak/notices_test.go
+++ b/ctl/soak/notices_test.go
@@ -122,7 +122,7 @@
 				continue // no response named it
 			}
 			from, most := l.First.Add(noticeTime), limitFactor*l.PerSecond*limitWindow.Seconds()+limitSlack
-			if n := mostInWindow(byInstance[instance], from, l.Until); float64(n) > most {
+			if n := mostInWindow(byInstance[instance], from, l.Until, limitWindow); float64(n) > most {
 				violations = append(violations, fmt.Errorf("%s got %d requests in %v under a limit of %.1f a second, named at %v", instance, n, limitWindow, l.PerSecond, l.First))
 			}
 		}
@@ -130,9 +130,9 @@
 	return violations
 }
 
-// mostInWindow returns the largest number of times in a limitWindow between from and
-// until.
-func mostInWindow(times []time.Time, from, until time.Time) int {
+// mostInWindow returns the largest number of times in a window of the given length between
+// from and until.
+func mostInWindow(times []time.Time, from, until time.Time, window time.Duration) int {
 	var inside []time.Time
 	for _, t := range times {
 		if !t.Before(from) && (until.IsZero() || t.Before(until)) {
@@ -141,7 +141,7 @@
 	}
 	most, first := 0, 0
 	for i, t := range inside {
-		for t.Sub(inside[first]) >= limitWindow {
+		for t.Sub(inside[first]) >= window {
 			first++
 		}
 		most = max(most, i-first+1)
--- a/ctl/soak/placement_test.go
+++ b/ctl/soak/placement_test.go
@@ -147,7 +147,7 @@
 		wg.Go(func() {
 			for first := true; ; first = false {
 				zone := zones[rng.IntN(len(zones))]
-				pause, length := between(rng, 0, 1500*time.Millisecond), between(rng, time.Second, 3*time.Second)
+				pause, length := between(rng, 0, 1500*time.Millisecond), between(rng, time.Second, 5*time.Second)
 				if rng.IntN(4) != 0 {
 					length += evacuationLimit
 				}
--- a/ctl/soak/soak_test.go
+++ b/ctl/soak/soak_test.go
@@ -72,7 +72,7 @@
 // from older copies, against work
 // that runs twice, false refusals, mixed-up responses, two holders of a key, work
 // for upstreams that drain or say that they leave, more requests than an upstream's limit, requests in evacuated zones or in regions
-// that their routes do not allow,
+// that their routes do not allow, too many requests for cold upstreams,
 // configurations that are late or reverted, and routers that
 // do not recover.
 func TestSoak(t *testing.T) {
@@ -100,17 +100,19 @@
 // results.
 func runSeed(t *testing.T, seed uint64) {
 	d := newDeployment(t, deploymentOptions{
-		hosts: *hostCount, keysByCommand: seed%2 == 1, restrictKeys: seed%4 >= 2, twoRegions: true, services: []string{plainService, keyedService},
+		hosts: *hostCount, keysByCommand: seed%2 == 1, restrictKeys: seed%4 >= 2, twoRegions: true, coldStarts: true, services: []string{plainService, keyedService},
 		workTime: 40 * time.Millisecond, publishFirst: (*deployment).publish,
 	})
 	d.awaitService("before the faults")
 	stopCallers := d.startCallers(seed)
 	stopProbes := d.startProbes()
 	stopNotices, stopPutBacks, stopEvacuations := d.startNotices(seed), d.startPutBacks(seed), d.startEvacuations(seed)
+	stopColds := d.startColds(seed)
 	d.injectFaults(rand.New(rand.NewPCG(seed, 1)), *duration)
 	stopNotices()
 	stopPutBacks()
 	stopEvacuations()
+	stopColds()
 	d.heal()
 	d.awaitService("after the faults")
 	stopCallers()
@@ -118,7 +120,8 @@
 	d.awaitWorkDone()
 	violations := append(check(d.ledger.Executions(), d.callers.results(), d.drains()), d.configs.check()...)
 	violations = append(violations, d.checkNotices()...)
-	for _, err := range append(violations, d.checkPlacement()...) {
+	violations = append(violations, d.checkPlacement()...)
+	for _, err := range append(violations, d.checkColds()...) {
 		t.Error(err)
 	}
 	if t.Failed() {
