Take back the longer wait of short calls

In a lasting overload all calls come late then, and the work that waits for them holds its slots longer.

--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -40,10 +40,6 @@
 	// promotedSlotsDivisor: promoted requests hold at most 1/promotedSlotsDivisor
 	// of the slots.
 	promotedSlotsDivisor = 2
-	// shortWaitDivisor: they wait for at most 1/shortWaitDivisor of the time until their
-	// deadline, also past their goal, so that the request that waits for them still has
-	// time for the rest of its work.
-	shortWaitDivisor = 2
 )
 
 // PriorityLimiter admits requests up to a Limit and a RateLimit and serves waiting
@@ -274,9 +270,6 @@
 func (l *PriorityLimiter) maxWait(now time.Time, it *priorityItem) time.Duration {
 	service := l.meanServiceOf(it.class)
 	toDeadline := it.bounds.Deadline.Sub(now) - l.leadTime(it)
-	if l.isShort(it.class) && it.bounds.Policy != NoWait {
-		return min(max(it.bounds.Deadline.Sub(now)/shortWaitDivisor, lateWaitFactor*service), toDeadline)
-	}
 	switch {
 	case it.late && it.bounds.Policy == UntilDeadline:
 		return min(lateWaitFactor*service, toDeadline)
