Name regions and cold rates by the words of the project

vhost.Route.Regions and ColdRate had the names of the platform's configuration. No change of behaviour: go vet of all modules, tests of vhost, residency, fleet and platform passed.

--- a/ctl/soak/cold_test.go
+++ b/ctl/soak/cold_test.go
@@ -13,11 +13,11 @@
 
 const (
 	// coldStartTime is the time for which upstreams are cold after their start, and
-	// coldPerSecond the number of requests per second that they tolerate meanwhile.
+	// coldRate the number of requests per second that they tolerate meanwhile.
 	coldStartTime = 2 * time.Second
-	coldPerSecond = 6
+	coldRate      = 6
 	// coldMost is the platform's bound for the requests to a cold upstream in any second.
-	coldMost = coldPerSecond*1.5 + 8
+	coldMost = coldRate*1.5 + 8
 )
 
 // startColds makes random servers cold again until the returned function is called. The draws
--- a/ctl/soak/config_test.go
+++ b/ctl/soak/config_test.go
@@ -66,7 +66,7 @@
 			Timeout: 3 * time.Second, TargetLatency: 500 * time.Millisecond, Clusters: []vhost.Cluster{{Service: service, Weight: 1}}}
 	}
 	restricted := func(r vhost.Route) vhost.Route {
-		r.AllowedRegions = []string{homeRegion}
+		r.Regions = []string{homeRegion}
 		return r
 	}
 	c := vhost.Config{
@@ -80,7 +80,7 @@
 	}
 	if d.opts.coldStarts {
 		for i := range c.Services {
-			c.Services[i].ColdStart, c.Services[i].ColdPerSecond = coldStartTime, coldPerSecond
+			c.Services[i].ColdStart, c.Services[i].ColdRate = coldStartTime, coldRate
 		}
 	}
 	if d.opts.restrictKeys {
--- a/router/fleet/member.go
+++ b/router/fleet/member.go
@@ -44,15 +44,15 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// LinkMbps is the bandwidth of the host's link in Mbit/s, or 0 if unknown.
 	LinkMbps int `json:"link_mbps,omitempty"`
-	// ColdUntil is about when the upstream is warm, in Unix milliseconds, and ColdPerSecond
+	// ColdUntil is about when the upstream is warm, in Unix milliseconds, and ColdRate
 	// the number of requests per second that it takes until then; 0 if it is warm.
-	ColdUntil     int64   `json:"cold_until,omitempty"`
-	ColdPerSecond float64 `json:"cold_per_s,omitempty"`
+	ColdUntil int64   `json:"cold_until,omitempty"`
+	ColdRate  float64 `json:"cold_per_s,omitempty"`
 }
 
 // Cold reports whether the upstream is cold according to the data.
 func (m Member) Cold(now time.Time) bool {
-	return m.ColdPerSecond > 0 && now.UnixMilli() < m.ColdUntil
+	return m.ColdRate > 0 && now.UnixMilli() < m.ColdUntil
 }
 
 // coldSlots returns how many of the given slots the upstream can use: while it is cold, as
@@ -61,7 +61,7 @@
 	if !m.Cold(now) {
 		return slots
 	}
-	return min(slots, slowstart.Bound{PerSecond: m.ColdPerSecond}.Slots(latency.Seconds()))
+	return min(slots, slowstart.Bound{PerSecond: m.ColdRate}.Slots(latency.Seconds()))
 }
 
 // Leaves reports whether the upstream has said that it leaves.
--- a/router/fleet/pace_test.go
+++ b/router/fleet/pace_test.go
@@ -39,7 +39,7 @@
 func TestColdMemberHasFewSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cold := upstream("cold", "z1", "r1")
-		cold.ColdUntil, cold.ColdPerSecond = time.Now().Add(5*time.Second).UnixMilli(), 10
+		cold.ColdUntil, cold.ColdRate = time.Now().Add(5*time.Second).UnixMilli(), 10
 		d := newDirectory(cold, upstream("warm", "z1", "r1"))
 		if got := choices(d); got["cold"] == 0 {
 			t.Errorf("choices %v of idle hosts", got)
--- a/router/residency/residency.go
+++ b/router/residency/residency.go
@@ -11,12 +11,12 @@
 // Restricted reports whether there are regions in which requests of the route must not
 // run.
 func Restricted(r *vhost.Route) bool {
-	return r.RegionsUnreadable || len(r.AllowedRegions) > 0
+	return r.RegionsUnreadable || len(r.Regions) > 0
 }
 
 // Allowed reports whether requests of the route may run in the region.
 func Allowed(r *vhost.Route, region string) bool {
-	return !Restricted(r) || (!r.RegionsUnreadable && slices.Contains(r.AllowedRegions, region))
+	return !Restricted(r) || (!r.RegionsUnreadable && slices.Contains(r.Regions, region))
 }
 
 // Regions is a set of regions. The zero value contains all.
@@ -42,14 +42,14 @@
 	var common Regions
 	for i := range routes {
 		r := &routes[i]
-		if r.RegionsUnreadable || len(r.AllowedRegions) == 0 || !sendsTo(r, service) {
+		if r.RegionsUnreadable || len(r.Regions) == 0 || !sendsTo(r, service) {
 			continue
 		}
 		if !common.restricted {
-			common = Regions{restricted: true, names: slices.Clone(r.AllowedRegions)}
+			common = Regions{restricted: true, names: slices.Clone(r.Regions)}
 			continue
 		}
-		common.names = slices.DeleteFunc(common.names, func(name string) bool { return !slices.Contains(r.AllowedRegions, name) })
+		common.names = slices.DeleteFunc(common.names, func(name string) bool { return !slices.Contains(r.Regions, name) })
 	}
 	return common
 }
--- a/router/residency/residency_test.go
+++ b/router/residency/residency_test.go
@@ -8,7 +8,7 @@
 )
 
 func route(service string, weight float64, regions ...string) vhost.Route {
-	return vhost.Route{Clusters: []vhost.Cluster{{Service: "other", Weight: 1}, {Service: service, Weight: weight}}, AllowedRegions: regions}
+	return vhost.Route{Clusters: []vhost.Cluster{{Service: "other", Weight: 1}, {Service: service, Weight: weight}}, Regions: regions}
 }
 
 // Guards against requests that run in a region that their route does not allow, and
@@ -26,10 +26,10 @@
 		{route("s", 1, "a"), "A", false},
 		{route("s", 1, "a"), "", false},
 		{vhost.Route{RegionsUnreadable: true}, "a", false},
-		{vhost.Route{RegionsUnreadable: true, AllowedRegions: []string{"a"}}, "a", false},
+		{vhost.Route{RegionsUnreadable: true, Regions: []string{"a"}}, "a", false},
 	} {
 		if got := Allowed(&c.route, c.region); got != c.want {
-			t.Errorf("%v (unreadable %v), region %q: %v", c.route.AllowedRegions, c.route.RegionsUnreadable, c.region, got)
+			t.Errorf("%v (unreadable %v), region %q: %v", c.route.Regions, c.route.RegionsUnreadable, c.region, got)
 		}
 	}
 }
@@ -55,13 +55,13 @@
 		"route without weight": {[]vhost.Route{route("s", 0, "a")}, hosts, true},
 		"unreadable regions":   {[]vhost.Route{unreadable, route("s", 1, "b")}, []string{"b1"}, true},
 	} {
-		before := slices.Clone(c.routes[0].AllowedRegions)
+		before := slices.Clone(c.routes[0].Regions)
 		got, confined := KeyHosts(KeyRegions(c.routes, "s"), hosts, func(h string) string { return h[:1] })
 		if !slices.Equal(got, c.want) || confined != c.confined {
 			t.Errorf("%s: hosts %v, confined %v; want %v, %v", name, got, confined, c.want, c.confined)
 		}
-		if !slices.Equal(before, c.routes[0].AllowedRegions) {
-			t.Errorf("%s: the regions of a route became %v", name, c.routes[0].AllowedRegions)
+		if !slices.Equal(before, c.routes[0].Regions) {
+			t.Errorf("%s: the regions of a route became %v", name, c.routes[0].Regions)
 		}
 	}
 }
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -218,7 +218,7 @@
 	}
 	c := vhost.Config{
 		Version:  version,
-		Services: []vhost.Service{{Name: "plain"}, {Name: "keyed", Keyed: true}, {Name: "cold", ColdStart: time.Minute, ColdPerSecond: 10}},
+		Services: []vhost.Service{{Name: "plain"}, {Name: "keyed", Keyed: true}, {Name: "cold", ColdStart: time.Minute, ColdRate: 10}},
 		Routes:   []vhost.Route{route("look", "plain", true), route("pay", "plain", false), route("keys", "keyed", true), route("cool", "cold", true)},
 	}
 	download := route("dl", "plain", true)
@@ -233,7 +233,7 @@
 		if i < 0 {
 			return vhost.Config{}, fmt.Errorf("no route %q", name)
 		}
-		c.Routes[i].AllowedRegions = strings.Split(regions, ",")
+		c.Routes[i].Regions = strings.Split(regions, ",")
 	}
 	return c, nil
 }
--- a/router/sidecar/coldstart.go
+++ b/router/sidecar/coldstart.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// unknownColdPerSecond is the rate that a cold upstream is assumed to tolerate while
+	// unknownColdRate is the rate that a cold upstream is assumed to tolerate while
 	// there is no configuration.
-	unknownColdPerSecond = 1
+	unknownColdRate = 1
 	// coldRowTolerance is how much the end of the coldness in the member row may be wrong:
 	// each correction costs a write.
 	coldRowTolerance = 2 * time.Second
@@ -71,12 +71,12 @@
 	}
 	var service vhost.Service
 	if t := s.config.table.Load(); t == nil {
-		service.ColdPerSecond = unknownColdPerSecond
+		service.ColdRate = unknownColdRate
 	} else if v := t.Service(state.service); v != nil {
 		service = *v
 	}
 	terms := &s.settings.Terms
-	return slowstart.NewBound(service.ColdPerSecond, terms.ColdOverage, terms.ColdSlack), state.cold.Until(service.ColdStart)
+	return slowstart.NewBound(service.ColdRate, terms.ColdOverage, terms.ColdSlack), state.cold.Until(service.ColdStart)
 }
 
 // differs reports whether the row must be written again. A row whose time has passed says
--- a/router/sidecar/coldstart_test.go
+++ b/router/sidecar/coldstart_test.go
@@ -66,7 +66,7 @@
 		c.requestsFor(100*time.Millisecond, 2, "/look/x")
 		return mostWithin(c.hosts[1].upstream.arrivalsAfter(before), time.Second) > coldAllowed
 	})
-	if m, _ := c.hosts[1].memberRow(); m.ColdUntil != 0 || m.ColdPerSecond != 0 {
+	if m, _ := c.hosts[1].memberRow(); m.ColdUntil != 0 || m.ColdRate != 0 {
 		t.Errorf("the member row says that the upstream is cold: %+v", m)
 	}
 }
--- a/router/sidecar/regions_test.go
+++ b/router/sidecar/regions_test.go
@@ -67,7 +67,7 @@
 // Guards against requests that run in, or bodies that are sent to, a region that is not
 // allowed, also when the request begins there, when no host is allowed, and when the only
 // allowed region is lost.
-func TestRequestsStayInAllowedRegions(t *testing.T) {
+func TestRequestsStayInTheirRegions(t *testing.T) {
 	t.Parallel()
 	c, refusals := newRegionCluster(t, "plain r1", "plain r2", "plain r1", "plain r3")
 	c.restrict(2, "look=r2 pay=r8 new=r9", c.hosts...)
@@ -119,7 +119,7 @@
 
 // Guards against keys that stay outside the allowed regions after a change, and against
 // unheld keys or requests that run when no host is allowed.
-func TestKeysMoveWithAllowedRegions(t *testing.T) {
+func TestKeysMoveWithRegions(t *testing.T) {
 	t.Parallel()
 	c, refusals := newRegionCluster(t, "keyed r1", "keyed r2")
 	held := func(i int) int { return len(c.hosts[i].upstream.heldGrants()) }
@@ -155,7 +155,7 @@
 	only := d.fleet.Host("h2").Member()
 	only.Region = "r2"
 	d.fleet.Put(only)
-	routes := []vhost.Route{{Clusters: []vhost.Cluster{{Service: "s", Weight: 1}}, AllowedRegions: []string{"r2"}}}
+	routes := []vhost.Route{{Clusters: []vhost.Cluster{{Service: "s", Weight: 1}}, Regions: []string{"r2"}}}
 	d.keyRegions = func(service string) residency.Regions { return residency.KeyRegions(routes, service) }
 	m, _ := d.index.get("s")
 	c := d.plan(boottime.Now(), s, m)
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -174,7 +174,7 @@
 		Leaving:  !state.leavingSince.IsZero(),
 		LinkMbps: int(s.settings.Host.LinkMbps),
 	}
-	m.ColdUntil, m.ColdPerSecond = s.cold.coldRow(m.Incarnation())
+	m.ColdUntil, m.ColdRate = s.cold.coldRow(m.Incarnation())
 	return m, true
 }
 
--- a/router/vhost/vhost.go
+++ b/router/vhost/vhost.go
@@ -36,9 +36,9 @@
 	// Priority is the priority of the route's requests; 0 is the highest.
 	Priority int
 	Clusters []Cluster
-	// AllowedRegions are the regions in which requests of the route may run; empty for
+	// Regions are the regions in which requests of the route may run; empty for
 	// any region.
-	AllowedRegions []string
+	Regions []string
 	// RegionsUnreadable is true if the regions could not be decoded. The requests must
 	// then run nowhere, because the operator meant to restrict them.
 	RegionsUnreadable bool
@@ -61,10 +61,10 @@
 	// by commands, which are calls to the upstream, and not in the responses to its
 	// heartbeats.
 	KeysByCommand bool
-	// ColdStart is the time for which an upstream is cold after its start, and ColdPerSecond
+	// ColdStart is the time for which an upstream is cold after its start, and ColdRate
 	// the number of requests per second that a cold one tolerates; 0: no bound.
-	ColdStart     time.Duration
-	ColdPerSecond float64
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Limits are the limits of requests and connections of callers. Zero means the router's
@@ -112,7 +112,7 @@
 		}
 		routeNames[routeKey{host, r.Prefix}] = r.Name
 		t.byHost[host] = append(t.byHost[host], r)
-		t.restricted = t.restricted || r.RegionsUnreadable || len(r.AllowedRegions) > 0
+		t.restricted = t.restricted || r.RegionsUnreadable || len(r.Regions) > 0
 	}
 	return t, nil
 }
