--- a/ctl/hostile/deployment_test.go
+++ b/ctl/hostile/deployment_test.go
@@ -25,11 +25,19 @@
 	"burdockglade.dev/router/vhost"
 )
 
+// size is the settings of a process and the bounds that it must keep.
+type size struct {
+	// memoryMB and maxFiles are its settings.
+	memoryMB, maxFiles int
+	// peakMB bounds the peak of its resident memory. The number of its open descriptors is
+	// bounded by maxFiles.
+	peakMB int
+}
+
+// smallSize is below that of every host.
+var smallSize = size{memoryMB: 128, maxFiles: 1000, peakMB: 128}
+
 const (
-	// memoryMB and maxFiles are the settings of each process and the bounds that it must
-	// keep: the peak of its resident memory and the number of its open descriptors.
-	memoryMB = 128
-	maxFiles = 1000
 	// startTime and recoveryTime bound the waits for the first answers and for an ordinary
 	// answer after a crowd has left.
 	startTime    = 30 * time.Second
@@ -75,6 +83,7 @@
 // host is a process with the addresses on which it listens.
 type host struct {
 	caller, hop, control, ready, metrics string
+	size                                 size
 	process                              *exec.Cmd
 	exited                               chan struct{}
 	// peakFiles is the largest number of open descriptors that was seen.
@@ -95,13 +104,13 @@
 	}
 }
 
-func newDeployment(t *testing.T) *deployment {
+func newDeployment(t *testing.T, of size) *deployment {
 	d := &deployment{t: t, store: standin.NewStore()}
 	storeAddress := serve(t, d.store)
 	d.publish()
 	ledger := &standin.Ledger{}
 	for i, service := range services {
-		d.hosts = append(d.hosts, startHost(t, i, service, storeAddress, ledger))
+		d.hosts = append(d.hosts, startHost(t, i, of, service, storeAddress, ledger))
 	}
 	for _, h := range d.hosts {
 		d.awaitAnswers(h, startTime)
@@ -152,9 +161,9 @@
 }
 
 // startHost starts a process and its stand-in upstream.
-func startHost(t *testing.T, i int, service, storeAddress string, ledger *standin.Ledger) *host {
+func startHost(t *testing.T, i int, of size, service, storeAddress string, ledger *standin.Ledger) *host {
 	t.Helper()
-	h := &host{caller: freePort(t), hop: freePort(t), control: freePort(t), ready: freePort(t), metrics: freePort(t), exited: make(chan struct{})}
+	h := &host{size: of, caller: freePort(t), hop: freePort(t), control: freePort(t), ready: freePort(t), metrics: freePort(t), exited: make(chan struct{})}
 	upstream := standin.NewServer(standin.ServerOptions{
 		Instance: fmt.Sprintf("i-%d", i), Service: service, Slots: 8, Control: h.control,
 		HeartbeatInterval: 300 * time.Millisecond, WorkTime: 20 * time.Millisecond, Ledger: ledger,
@@ -166,7 +175,7 @@
 	settings := filepath.Join(t.TempDir(), "settings.ini")
 	must(t, os.WriteFile(settings, fmt.Appendf(nil,
 		"[host]\nname = h%d\nzone = z\nregion = r\nservice = %s\nmemory_mb = %d\nmax_fds = %d\n[listen]\ncaller = %s\nhop = %s\nready = %s\ncontrol = %s\nmetrics = %s\n[upstream]\naddress = %s\nheartbeat_ms = 300\n[store]\naddress = %s\n",
-		i, service, memoryMB, maxFiles, h.caller, h.hop, h.ready, h.control, h.metrics, address, storeAddress), 0o600))
+		i, service, of.memoryMB, of.maxFiles, h.caller, h.hop, h.ready, h.control, h.metrics, address, storeAddress), 0o600))
 	var log bytes.Buffer // written until the process has exited
 	h.process = exec.Command(binary, "sidecar", "--settings", settings)
 	h.process.Stdout, h.process.Stderr = io.Discard, &log
@@ -270,10 +279,10 @@
 	peak, err := h.peakMemory()
 	must(t, err)
 	t.Logf("%s: peak of memory %d MB, of descriptors %d", name, peak>>20, h.peakFiles.Load())
-	if peak >= memoryMB<<20 {
-		t.Errorf("%s: the process took %d MB of memory; its host has %d", name, peak>>20, memoryMB)
+	if peak >= int64(h.size.peakMB)<<20 {
+		t.Errorf("%s: the process took %d MB of memory; its host has %d, of which it may take %d", name, peak>>20, h.size.memoryMB, h.size.peakMB)
 	}
-	if files := h.peakFiles.Load(); files > maxFiles {
-		t.Errorf("%s: the process had %d descriptors open; it may have %d", name, files, maxFiles)
+	if files := h.peakFiles.Load(); files > int64(h.size.maxFiles) {
+		t.Errorf("%s: the process had %d descriptors open; it may have %d", name, files, h.size.maxFiles)
 	}
 }
--- a/ctl/hostile/hostile_test.go
+++ b/ctl/hostile/hostile_test.go
@@ -106,8 +106,8 @@
 	all := kinds(t)
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		t.Run(name, func(t *testing.T) {
-			d := newDeployment(t)
-			d.attack(all[name])
+			d := newDeployment(t, smallSize)
+			d.attack(all[name].crowd(d.hosts[0]))
 			for i, h := range d.hosts {
 				h.check(t, fmt.Sprintf("h%d", i))
 			}
@@ -118,28 +118,39 @@
 	}
 }
 
-// attack sends the payloads of the kind to every listener of the first host, and waits until
-// the clients have left.
-func (d *deployment) attack(k kind) {
+// group is a number of clients at one listener, which take the payloads in turn.
+type group struct {
+	address  string
+	payloads []payload
+	clients  int
+}
+
+// crowd returns the clients of the kind at every listener of the host.
+func (k kind) crowd(h *host) []group {
+	groups := []group{
+		{h.caller, k.http, crowdAtRequests}, {h.hop, k.routers, crowdAtRequests},
+		{h.control, k.http, crowdAtOthers}, {h.ready, k.http, crowdAtOthers}, {h.metrics, k.http, crowdAtOthers},
+	}
+	for i := range groups {
+		groups[i].clients *= max(k.factor, 1)
+	}
+	return groups
+}
+
+// attack runs the clients at the first host, and waits until they have left.
+func (d *deployment) attack(groups []group) {
 	h := d.hosts[0]
 	stop := make(chan struct{})
 	var observers, clients sync.WaitGroup
 	for _, h := range d.hosts {
 		observers.Go(func() { h.observeFiles(stop) })
 	}
-	for _, l := range []struct {
-		address  string
-		payloads []payload
-		clients  int
-	}{
-		{h.caller, k.http, crowdAtRequests}, {h.hop, k.routers, crowdAtRequests},
-		{h.control, k.http, crowdAtOthers}, {h.ready, k.http, crowdAtOthers}, {h.metrics, k.http, crowdAtOthers},
-	} {
-		if len(l.payloads) == 0 {
+	for _, g := range groups {
+		if len(g.payloads) == 0 {
 			continue
 		}
-		for i := range l.clients * max(k.factor, 1) {
-			clients.Go(func() { l.payloads[i%len(l.payloads)].run(l.address, h.exited) })
+		for i := range g.clients {
+			clients.Go(func() { g.payloads[i%len(g.payloads)].run(g.address, h.exited) })
 		}
 	}
 	clients.Wait()
@@ -150,7 +161,7 @@
 // Guards against limits that refuse a request inside the limits of the configuration while
 // the process is not under pressure.
 func TestLongHeadIsServed(t *testing.T) {
-	d := newDeployment(t)
+	d := newDeployment(t, smallSize)
 	for _, service := range services {
 		conn, err := net.Dial("tcp4", d.hosts[0].caller)
 		must(t, err)
