Release the charge of responses that come after the request has ended

Cause: the losing attempt of a hedged request may get its response after the request was answered. The response was then charged behind the release, to a request that was read ahead until its connection closed, or to an idle connection until the end of its next request. Change: a charge for a response has no effect after the release of its request, or while the connection is idle.

--- a/router/connlimit/memory.go
+++ b/router/connlimit/memory.go
@@ -41,11 +41,13 @@
 	}
 }
 
-// ChargeResponse charges n bytes that must not be refused, because the request has run.
+// ChargeResponse charges n bytes that must not be refused, because the request has run. It
+// has no effect while the connection is idle: the response to an attempt that was given up
+// may come after the end of the request, and nothing would release its charge then.
 func (b *Budget) ChargeResponse(c *Conn, n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !c.closed {
+	if !c.closed && c.phase != Idle {
 		b.add(c, n)
 	}
 }
--- a/router/sidecar/connguard_test.go
+++ b/router/sidecar/connguard_test.go
@@ -31,6 +31,12 @@
 }
 
 func startGuarded(t *testing.T, opts connlimit.Options, handler http.Handler) *guardedServer {
+	t.Helper()
+	return startGuardedAhead(t, opts, handler, nil)
+}
+
+// startGuardedAhead is like startGuarded. beginPipelined starts requests before their turn.
+func startGuardedAhead(t *testing.T, opts connlimit.Options, handler http.Handler, beginPipelined func(*http.Request) *pipelinedRequest) *guardedServer {
 	t.Helper()
 	s := &guardedServer{}
 	s.limits.Store(&vhost.Limits{MaxHeaderBytes: 1000, HeaderTimeout: time.Minute, IdleTimeout: time.Minute})
@@ -45,7 +51,7 @@
 	server.ConnState, server.ConnContext = callers.stateChanged, withConn
 	s.guard.protect(server, 0)
 	go func() {
-		_ = server.Serve(s.guard.listener(callerListener{Listener: l, conns: callers, log: s.guard.log}, connlimit.Caller)) // returns after Close
+		_ = server.Serve(s.guard.listener(callerListener{Listener: l, conns: callers, beginPipelined: beginPipelined, log: s.guard.log}, connlimit.Caller)) // returns after Close
 	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	go s.guard.run(ctx)
--- a/router/sidecar/readaheadcharge.go
+++ b/router/sidecar/readaheadcharge.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
+	"sync"
 
 	"burdockglade.dev/router/connlimit"
 )
@@ -33,7 +33,10 @@
 // aheadCharge is what is charged for a request that is processed before its turn.
 type aheadCharge struct {
 	guarded *guardedConn
-	bytes   atomic.Int64
+
+	mu       sync.Mutex
+	bytes    int64
+	released bool
 }
 
 // chargeHead charges a head that is parsed before its turn. It returns nil if the head must
@@ -44,22 +47,31 @@
 	if counted.Exceeds(a.guarded.maxHeadBytes()) || !a.guarded.chargeAhead(cost) {
 		return nil
 	}
-	c := &aheadCharge{guarded: a.guarded}
-	c.bytes.Store(cost)
-	return c
+	return &aheadCharge{guarded: a.guarded, bytes: cost}
 }
 
-// chargeResponse charges n bytes of the response.
+// chargeResponse charges n bytes of the response. It has no effect after release: the losing
+// one of two attempts may get its response after the request was answered.
 func (c *aheadCharge) chargeResponse(n int64) {
-	if c.guarded != nil {
-		c.bytes.Add(n)
+	if c.guarded == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.released {
+		c.bytes += n
 		c.guarded.guard.budget.ChargeAheadResponse(c.guarded.account, n)
 	}
 }
 
 // release releases all of it. A second call has no effect.
 func (c *aheadCharge) release() {
-	c.guarded.refundAhead(c.bytes.Swap(0))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.released {
+		c.released = true
+		c.guarded.refundAhead(c.bytes)
+	}
 }
 
 // aheadKey is the context key of the aheadCharge of a request.
