Drop requests that were read ahead and whose turn never comes

Cause: reading ahead and net/http could disagree on which requests a connection carries: about an empty line without a carriage return, and about OPTIONS *, which net/http answers itself. A request started in vain kept its charge until the connection closed, and later requests of the connection were neither limited nor refused. Change: reading ahead ends at a head that the server may take for two. A request that was started and whose turn has passed is cancelled (event 1850, "its turn has passed").

--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -91,7 +91,7 @@
 	eventRouted = event.Define(1844, log.InfoLevel, "request routed",
 		"A service was chosen for a request of a caller. config is the version in force, config_age_ms the time since it was last known to be the newest in the store. Only some requests are logged: dropped_before counts the others.", "If config_age_ms is above 2000, find out why the store's answers are missing: events 1810 and 1812.")
 	eventPipelinedDropped = event.Define(1850, log.InfoLevel, "pipelined request dropped",
-		"A connection of a caller ended before a request that it had sent without waiting for earlier responses got its response. The field reason names the side that closed the connection.", "none if the caller closed it; otherwise look for what ended the request before, with the same time.")
+		"A connection of a caller ended before a request that it had sent without waiting for earlier responses got its response. The field reason names the side that closed the connection. Or the server of HTTP never came to the request, because it answered one before itself.", "none if the caller closed it or its turn has passed; otherwise look for what ended the request before, with the same time.")
 	eventCallerLeft = event.Define(1851, log.InfoLevel, "caller left",
 		"A caller closed its connection before it got the response; its request is cancelled.", "none; if it repeats, compare the deadlines of the callers with the field left_ms.")
 	eventAcceptFailed = event.Define(1860, log.WarnLevel, "connection not accepted",
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"burdockglade.dev/router/connlimit"
 	"burdockglade.dev/router/event"
 )
 
@@ -40,6 +41,9 @@
 	respond func(http.ResponseWriter, *http.Request)
 	// release releases what is charged for the request.
 	release func()
+	// turn is the number of requests of the connection that the server begins to handle up
+	// to this one. It is guarded by readAhead.mu.
+	turn int
 }
 
 // drop cancels a request whose response will not be sent.
@@ -139,7 +143,7 @@
 	}
 	end += len(headEnd)
 	req, err := parseHead(data[:end])
-	if err != nil || req.ContentLength < 0 {
+	if err != nil || req.ContentLength < 0 || !isOneHead(data[:end]) {
 		a.framingLost = true
 		return nil
 	}
@@ -155,6 +159,14 @@
 	return data[n:]
 }
 
+// isOneHead reports whether the server reads all of the bytes as one head. It also takes an
+// empty line without a carriage return as the end of a head.
+func isOneHead(head []byte) bool {
+	var counted connlimit.Head
+	size, _ := counted.Add(head)
+	return size == len(head)
+}
+
 func parseHead(head []byte) (*http.Request, error) {
 	return http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 }
@@ -218,12 +230,16 @@
 // caller holds a.mu.
 func (a *readAhead) dropPipelined(reason string) {
 	for _, e := range a.pipelined {
-		a.log.Log(eventPipelinedDropped, event.F("request", e.id), event.F("reason", reason))
-		e.drop()
+		a.dropRequest(e, reason)
 	}
 	a.pipelined = nil
 }
 
+func (a *readAhead) dropRequest(e *pipelinedRequest, reason string) {
+	a.log.Log(eventPipelinedDropped, event.F("request", e.id), event.F("reason", reason))
+	e.drop()
+}
+
 // stop ends the reading of the connection. Requests that were read still get a response.
 func (a *readAhead) stop() {
 	a.mu.Lock()
@@ -262,6 +278,10 @@
 		}
 		head := bytes.Clone(a.unparsed[:end+len(headEnd)])
 		a.unparsed = a.unparsed[end+len(headEnd):]
+		if !isOneHead(head) {
+			a.framingLost = true
+			return
+		}
 		charge := a.chargeHead(head)
 		if charge == nil {
 			a.framingLost = true
@@ -348,12 +368,22 @@
 	if a.err != nil && !os.IsTimeout(a.err) && len(a.pending) == 0 {
 		cancelCurrent()
 	}
-	if len(a.pipelined) == 0 || !a.pipelined[0].matches(req) {
-		return nil
+	for _, e := range a.pipelined {
+		e.turn--
+	}
+	for len(a.pipelined) > 0 {
+		e := a.pipelined[0]
+		if e.matches(req) {
+			a.pipelined = a.pipelined[1:]
+			return e
+		}
+		if e.turn > 0 {
+			return nil
+		}
+		a.pipelined = a.pipelined[1:]
+		a.dropRequest(e, "its turn has passed")
 	}
-	e := a.pipelined[0]
-	a.pipelined = a.pipelined[1:]
-	return e
+	return nil
 }
 
 // finish records that the server has responded to the request.
--- a/router/sidecar/readaheadcharge.go
+++ b/router/sidecar/readaheadcharge.go
@@ -84,7 +84,7 @@
 	if e == nil {
 		return false
 	}
-	e.release = charge.release
+	e.release, e.turn = charge.release, a.queued
 	a.pipelined = append(a.pipelined, e)
 	return true
 }
--- a/router/sidecar/readaheadcharge_test.go
+++ b/router/sidecar/readaheadcharge_test.go
@@ -108,3 +108,38 @@
 		t.Errorf("%d bytes are charged to an idle connection, want %d", got, oneConnection())
 	}
 }
+
+// Guards against requests that were started before a turn that never comes, so that what is
+// charged for them stays, and the limits do not apply to later requests of the connection.
+func TestRequestsWithoutTurnAreDropped(t *testing.T) {
+	for name, c := range map[string]struct {
+		text      string
+		responses int
+		handled   []string
+	}{
+		// The server takes the empty line without carriage returns as the end of a head. What
+		// it reads as the body of /c was taken as a request.
+		"bare line feeds": {"GET /a HTTP/1.1\r\nHost: a\r\n\r\n" +
+			"GET /b HTTP/1.1\nHost: a\n\nPOST /c HTTP/1.1\r\nHost: a\r\nContent-Length: 28\r\n\r\n" + "GET /d HTTP/1.1\r\nHost: a\r\n\r\n",
+			3, []string{"/a false", "/b false", "/c false"}},
+		// net/http responds to this request itself.
+		"not passed on": {"GET /a HTTP/1.1\r\nHost: a\r\n\r\nOPTIONS * HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n",
+			3, []string{"/a false", "/b true"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startAhead(t)
+			s.exchange(t, c.text, c.responses)
+			for _, want := range c.handled {
+				select {
+				case got := <-s.handled:
+					if got != want {
+						t.Errorf("handled %s, want %s", got, want)
+					}
+				case <-time.After(20 * time.Second):
+					t.Fatal("not handled:", want)
+				}
+			}
+			s.awaitCharge(t)
+		})
+	}
+}
