Gate: requests wait for the announced grant of their key

Cause: the key map names the new holder of a key before the holder's upstream has received the grant, and the gate refused requests in between. Change: while the map assigns the key to the gate's own upstream and the grant is on its way (keyrange: Grants.Announced, Commands.Announced), the request waits before it asks for a slot, for a quarter of its latency objective at most. It is checked again after each change of the map, of grants, of the upstream, of a stop or of an evacuation, and refused as soon as the grant is not on its way any more. At most 256 requests wait.

--- a/router/keyrange/grants_test.go
+++ b/router/keyrange/grants_test.go
@@ -150,3 +150,71 @@
 		t.Errorf("range %+v was not granted but counts as held", r)
 	}
 }
+
+// Guards against requests that wait for a grant which is not on its way: of a range that is
+// to move, was released, was held until now, or does not fit into the response, and while
+// the lease allows no grant.
+func TestAnnounced(t *testing.T) {
+	h := Holder{Host: "h", Instance: "i", Started: 1}
+	now := boottime.Time(time.Hour)
+	lease := now.Add(9 * time.Second)
+	for name, c := range map[string]struct {
+		change func(g *Grants, m *Map)
+		lease  boottime.Time
+		want   bool
+	}{
+		"new":           {func(*Grants, *Map) {}, lease, true},
+		"to move":       {func(_ *Grants, m *Map) { m.PlanMove(1, "x") }, lease, false},
+		"other holder":  {func(_ *Grants, m *Map) { m.assign(1, Holder{Host: "x"}) }, lease, false},
+		"released":      {func(g *Grants, m *Map) { g.Relinquish(&m.Ranges[1]) }, lease, false},
+		"hold ended":    {func(g *Grants, m *Map) { g.Renew(now-boottime.Time(time.Minute), m, h, false, lease, time.Second) }, lease, false},
+		"held, new map": {func(g *Grants, m *Map) { g.Renew(now, m, h, false, lease, time.Second); m.BumpGeneration(1) }, lease, true},
+		"lease ends":    {func(*Grants, *Map) {}, now.Add(minHold), false},
+		"other life":    {func(g *Grants, _ *Map) { g.Reset(Holder{Host: "h", Instance: "j", Started: 2}) }, lease, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := NewMap([]Member{{Holder: h}}, 2)
+			g := NewGrants(0, time.Second)
+			g.Reset(h)
+			c.change(g, m)
+			if got := g.Announced(now, m, MaxKey, h, c.lease); got != c.want {
+				t.Errorf("announced: %v, want %v", got, c.want)
+			}
+			if got := g.Holds(now, m.Find(MaxKey)); got && c.want {
+				t.Error("the range is held and announced")
+			}
+		})
+	}
+	m := NewMap([]Member{{Holder: h}}, MaxGrants+1)
+	g := NewGrants(0, time.Second)
+	g.Reset(h)
+	if g.Announced(now, m, MaxKey, h, lease) || !g.Announced(now, m, 0, h, lease) {
+		t.Error("want the first range to be announced and not the last one, for which the response has no room")
+	}
+}
+
+// Guards against waiting for a command that the upstream refused or whose hold has ended,
+// and against refusing requests while a grant without a response is repeated.
+func TestAnnouncedByCommand(t *testing.T) {
+	h := Holder{Host: "h", Instance: "i", Started: 1}
+	now := boottime.Time(time.Hour)
+	lease := now.Add(9 * time.Second)
+	for result, want := range map[CommandResult]bool{CommandApplied: false, CommandRefused: false, CommandUnknown: true, CommandNotApplied: true} {
+		m := NewMap([]Member{{Holder: h}}, 1)
+		g := NewGrants(0, time.Second)
+		c := NewCommands(g)
+		g.Reset(h)
+		if !c.Announced(now, m, 0, h, lease) {
+			t.Error("a grant that is due is not announced")
+		}
+		due := c.Due(now, m, h, false, lease, time.Second)
+		c.Begin(due[0])
+		if !c.Announced(now, m, 0, h, lease) {
+			t.Error("a grant in progress is not announced")
+		}
+		c.Complete(now, now, due[0], result, "")
+		if got := c.Announced(now, m, 0, h, lease); got != want {
+			t.Errorf("result %v: announced %v, want %v", result, got, want)
+		}
+	}
+}
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -70,6 +70,8 @@
 		host: host.Name, headers: s.opts.Headers, local: s.local, keys: s.keys, evacuation: s.evacuation,
 		limiter:     admit.NewPriorityLimiter(nil),
 		log:         s.log,
+		scope:       s.scope,
+		config:      s.config,
 		client:      newUpstreamClient(s.settings.Upstream.Address),
 		regions:     regions,
 		quarantine:  s.quarantine,
--- a/router/sidecar/commands.go
+++ b/router/sidecar/commands.go
@@ -51,7 +51,10 @@
 	}
 	d.commands = keyrange.NewCommands(d.grants)
 	d.wakeCommands = c.wake
-	d.index.onChange(c.wake)
+	d.index.onChange(func() {
+		c.wake()
+		d.changes.notify()
+	})
 	return c
 }
 
@@ -138,6 +141,7 @@
 	if m != nil { // no map may be used while the store's era changes
 		d.commands.Prune(now, m, s.holder)
 	}
+	d.changes.notify()
 	if cmd.Release || result == keyrange.CommandRefused {
 		d.wake()
 	}
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -142,4 +142,6 @@
 		"Another host sent a report of suspects that cannot be decoded. At most one such report a minute is logged.", "Compare the versions of the two routers.")
 	eventTrial = event.Define(1894, log.InfoLevel, "trial of a quarantined request",
 		"The local upstream gets one quarantined request, to find out whether it still crashes.", "none")
+	eventGrantMissing = event.Define(1895, log.InfoLevel, "request waited in vain for the grant of its key",
+		"The key map names the local upstream as the new holder of a key, and the grant did not reach it in time, or became obsolete meanwhile. The request was not run.", "If it repeats, look for late heartbeats of the upstream, or for event 1837 where keys are granted by commands.")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -8,8 +8,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/connpool"
 	"burdockglade.dev/router/errkind"
@@ -53,6 +56,11 @@
 	// quarantine is nil if it is switched off.
 	quarantine *quarantineDriver
 	log        *event.Logger
+	scope      tally.Scope
+	// config is the configuration in force.
+	config *currentConfig
+	// grantWaits is the number of calls that wait for the grants of their keys.
+	grantWaits atomic.Int64
 	// drainLimit is the time, counted from the notice that the upstream leaves, after
 	// which it gets no new request.
 	drainLimit time.Duration
@@ -75,7 +83,7 @@
 
 // serve passes one call on to the upstream and returns its result.
 func (g *gate) serve(ctx context.Context, c *Call) *Result {
-	if err := g.check(time.Now(), c); err != nil {
+	if err := g.checkAwaitingGrant(ctx, c); err != nil {
 		g.countRefusal(c)
 		return g.withLoad(&Result{Err: err, Unreachable: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
 	}
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -130,6 +130,9 @@
 	// granted keys by commands. wakeCommands is called when commands may be due.
 	commands     *keyrange.Commands
 	wakeCommands func()
+	// changes wakes the calls that wait for grants, when what the upstream holds or is about
+	// to hold may have changed.
+	changes broadcast
 	// superseded is closed when a later heartbeat arrives; it ends the wait of the
 	// earlier one.
 	superseded chan struct{}
@@ -157,6 +160,7 @@
 }
 
 func (d *keyDriver) wake() {
+	d.changes.notify()
 	select {
 	case d.wakeCh <- struct{}{}:
 	default:
--- a/router/sidecar/keygrants.go
+++ b/router/sidecar/keygrants.go
@@ -54,6 +54,7 @@
 	if hold == 0 {
 		return HeartbeatResponse{}
 	}
+	d.changes.notify()
 	d.log.Log(eventGrant, event.F("instance", s.holder.Instance), event.F("beat", r.Sequence), event.F("ranges", len(grants)),
 		event.F("hold_ms", hold.Milliseconds()), event.F("map_version", version), event.F("holds", len(r.Holds)), event.F("released", len(r.Released)))
 	return HeartbeatResponse{Renew: true, Grants: grants, HoldFor: hold}
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -127,6 +127,7 @@
 	s.local.refused = func() {
 		s.assumeCold()
 		s.quarantine.upstreamEnded(s.local.get())
+		s.keys.changes.notify()
 	}
 	s.scope = opts.Metrics.SubScope("entry")
 	s.buildStore()
--- a/router/sidecar/stop.go
+++ b/router/sidecar/stop.go
@@ -43,6 +43,7 @@
 	end := start.Add(millis(s.settings.Terms.GraceMs) - killMargin)
 	s.stopStartedAt.Store(int64(start))
 	s.stopping.Store(true)
+	s.keys.wake()
 	s.log.Log(eventStopping, event.F("in_flight", s.inFlight.Load()))
 	if m, ok := s.memberRow(); ok {
 		s.fleet.Put(m)
