Keys: released ranges move also when the router has just started

Cause: released ranges were not assigned before 4.1 s after the start of a router, because commands of its predecessor may still be carried out. That also held back upstreams which get their grants in responses to heartbeats and have no such commands, and upstreams granted keys by commands were told to release ranges that nobody could be assigned. Change: ranges granted by heartbeats move with their release; where keys are granted by commands, a leaving upstream and a stopping router keep their ranges until these can move, as long as the gate passes requests on. The bound on commands and the start of moves for load stay.

Measured: both new tests fail without the change (go test -race -run AfterRestart ./keyrange ./sidecar) and pass with it.

--- a/router/keyrange/commandgrants.go
+++ b/router/keyrange/commandgrants.go
@@ -69,7 +69,10 @@
 // unansweredUntil returns the time until which a grant without a response may
 // make the upstream hold keys of the range.
 func (g *Grants) unansweredUntil(s span) boottime.Time {
-	end := g.predecessorUnansweredUntil
+	var end boottime.Time
+	if !g.byHeartbeat {
+		end = g.predecessorUnansweredUntil
+	}
 	for granted, until := range g.unanswered {
 		if granted.overlaps(s) {
 			end = max(end, until)
@@ -81,6 +84,12 @@
 // Movable reports whether ranges that are released now can move at once: no
 // command of an earlier process of this router may still be carried out.
 func (g *Grants) Movable(now boottime.Time) bool {
+	return g.byHeartbeat || g.Settled(now)
+}
+
+// Settled reports whether all that an earlier process of this router sent has ended, so
+// that this process has also measured the load for a while.
+func (g *Grants) Settled(now boottime.Time) bool {
 	return now >= g.predecessorUnansweredUntil
 }
 
--- a/router/keyrange/grants.go
+++ b/router/keyrange/grants.go
@@ -52,6 +52,8 @@
 	// router; predecessorUnansweredUntil is that of its commands which may have
 	// had no response.
 	predecessorUntil, predecessorUnansweredUntil boottime.Time
+	// byHeartbeat is true if the upstream gets its grants in responses to heartbeats.
+	byHeartbeat bool
 }
 
 // NewGrants returns the state of a router that has just started. Grants of its
@@ -89,6 +91,14 @@
 	return true
 }
 
+// SetByHeartbeat records whether the upstream gets its grants in responses to heartbeats,
+// and not by commands. What an earlier process of this router sent to such an upstream
+// cannot take effect later: the upstream reports a release in a heartbeat that it sends
+// after it has processed the responses to the earlier ones.
+func (g *Grants) SetByHeartbeat(byHeartbeat bool) {
+	g.byHeartbeat = byHeartbeat
+}
+
 // Holder returns the incarnation of the upstream whose grants are tracked.
 func (g *Grants) Holder() Holder {
 	return g.holder
--- a/router/keyrange/grants_test.go
+++ b/router/keyrange/grants_test.go
@@ -218,3 +218,23 @@
 		}
 	}
 }
+
+// Guards against keys that nobody serves for 4 s after the start of a router: what its
+// predecessor granted in responses to heartbeats cannot take effect after the release. A
+// command of the predecessor can, so that such ranges must not move earlier.
+func TestReleasedRangeMovesAfterRestart(t *testing.T) {
+	const maxHold = 4 * time.Second
+	for _, byHeartbeat := range []bool{true, false} {
+		m := NewMap([]Member{{Holder: Holder{Host: "h", Instance: "i", Started: 1}}}, 1)
+		g := NewGrants(second, maxHold)
+		NewCommands(g)
+		g.Reset(m.Ranges[0].Holder)
+		g.SetByHeartbeat(byHeartbeat)
+		g.RecordRelease(m, Handover{To: MaxKey, Token: "x"})
+		for at, want := range map[boottime.Time]bool{2 * second: byHeartbeat, second.Add(withDrift(maxHold)): true} {
+			if _, ok := g.Released(at, &m.Ranges[0]); ok != want || g.Movable(at) != want {
+				t.Errorf("by heartbeat %v, at %v: may move %v, movable %v, want %v", byHeartbeat, at, ok, g.Movable(at), want)
+			}
+		}
+	}
+}
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -49,6 +49,7 @@
 		maxHeartbeatHold:  min(heartbeatHold, millis(terms.HoldMaxMs)),
 		maxHold:           millis(terms.HoldMaxMs),
 		heartbeatInterval: millis(s.settings.Upstream.HeartbeatMs),
+		drainLimit:        millis(terms.DrainMs) / 2,
 		keyed:             s.keyed,
 		keysByCommand:     s.keysByCommand,
 		keyRegions:        s.config.keyRegions,
--- a/router/sidecar/commands.go
+++ b/router/sidecar/commands.go
@@ -114,11 +114,13 @@
 
 // dueCommands returns the commands that are due.
 func (d *keyDriver) dueCommands(s upstreamState) []keyrange.Command {
+	now := boottime.Now()
+	leaving := !s.leavingSince.IsZero() && !d.servesUntilMovable(now, s)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m, _ := d.grantMap(s.service)
 	d.resetIncarnation(s)
-	return d.commands.Due(boottime.Now(), m, s.holder, !s.leavingSince.IsZero(), d.leaseEnd, min(commandHold, d.maxHold))
+	return d.commands.Due(now, m, s.holder, leaving, d.leaseEnd, min(commandHold, d.maxHold))
 }
 
 func (d *keyDriver) beginCommand(cmd keyrange.Command) {
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -104,6 +104,9 @@
 	maxHeartbeatHold, maxHold time.Duration
 	// heartbeatInterval is the time between heartbeats of the local upstream.
 	heartbeatInterval time.Duration
+	// drainLimit is the time, counted from the notice that the upstream leaves, after which
+	// it gets no new request.
+	drainLimit time.Duration
 	// keyed reports whether the keys of a service are divided among its upstreams.
 	keyed func(service string) bool
 	// keysByCommand reports whether the keys of a service are granted by commands.
--- a/router/sidecar/keydriver_test.go
+++ b/router/sidecar/keydriver_test.go
@@ -269,3 +269,52 @@
 		t.Errorf("%d hosts may be assigned keys, want all 3 when all are reachable", n)
 	}
 }
+
+// Guards against keys that nobody serves when an upstream leaves within 4 s of the start of
+// its router. Keys granted by heartbeats must move with their release; those granted by
+// commands cannot move yet, so that they must stay held while the gate passes requests on.
+func TestKeysOfLeavingUpstreamAreServedAfterRestart(t *testing.T) {
+	for name, c := range map[string]struct {
+		byCommand      bool
+		router, notice time.Duration // times since the start and since the notice
+		released       int           // ranges of 4 that are released
+	}{
+		"heartbeats":                 {false, time.Second, 0, 4},
+		"commands, router new":       {true, time.Second, 0, 0},
+		"commands, notice expired":   {true, time.Second, 2 * time.Second, 4},
+		"commands, router not new":   {true, time.Minute, 0, 4},
+		"heartbeats, router not new": {false, time.Minute, 0, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, s := newTestDriver(t, rowstore.NewMemory())
+			now := boottime.Now()
+			d.drainLimit, d.maxHold, d.leaseEnd = time.Second, commandHold, now.Add(leaseDuration)
+			d.keysByCommand = func(string) bool { return c.byCommand }
+			d.grants = keyrange.NewGrants(now.Add(-c.router), commandHold)
+			d.commands = keyrange.NewCommands(d.grants)
+			m, _ := d.index.get("s")
+			d.recordReleases(s, Heartbeat{})
+			d.local.withdraw(time.Now().Add(-c.notice), Withdrawal{Instance: "i-h1", Started: 1})
+			s = d.local.get()
+			released := 0
+			if c.byCommand {
+				for _, command := range d.dueCommands(s) {
+					if command.Release {
+						released++
+					}
+				}
+			} else {
+				d.recordReleases(s, Heartbeat{Released: []keyrange.Handover{{To: keyrange.MaxKey, Token: "x"}}})
+				if next := d.plan(now, s, m).next; next != nil {
+					released = 4 - len(next.RangesOf(s.holder))
+				}
+			}
+			if released != c.released {
+				t.Errorf("%d ranges are released, want %d", released, c.released)
+			}
+			if next := d.plan(now, s, m).next; c.released == 0 && next != nil {
+				t.Errorf("a move is planned that cannot take place: %+v", next.Ranges)
+			}
+		})
+	}
+}
--- a/router/sidecar/keygrants.go
+++ b/router/sidecar/keygrants.go
@@ -76,6 +76,7 @@
 // resetIncarnation discards what an earlier incarnation of the upstream held. The caller
 // holds d.mu.
 func (d *keyDriver) resetIncarnation(s upstreamState) {
+	d.grants.SetByHeartbeat(!d.keysByCommand(s.service))
 	if d.grants.Reset(s.holder) {
 		d.commands.Reset()
 	}
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -46,6 +46,7 @@
 	c.deferrable = changed && !planned
 	record(d.releaseExpired(now, next, s, others), "hold ended")
 	switch {
+	case d.servesUntilMovable(now, s):
 	case d.stoppingFor() > 0:
 		record(next.Evacuate(d.host, d.reachable(others)), "router stops")
 	case s.leavingSince.IsZero():
@@ -88,6 +89,21 @@
 	return next.EvacuateByLoad(d.host, d.load().Slots, loads, d.reachable(others))
 }
 
+// servesUntilMovable reports whether keys that are to leave this host because its upstream
+// leaves or its router stops stay held for now: nobody could be assigned them, because
+// commands of an earlier process of this router may still be carried out, and the gate
+// still passes requests on.
+func (d *keyDriver) servesUntilMovable(now boottime.Time, s upstreamState) bool {
+	stopping := d.stoppingFor()
+	if stopping == 0 && s.leavingSince.IsZero() {
+		return false
+	}
+	d.mu.Lock()
+	movable := d.grants.Movable(now)
+	d.mu.Unlock()
+	return !movable && stopping <= drainNoticeTime && s.mayTakeRequests(time.Now(), d.drainLimit)
+}
+
 // planInitial creates the key map once the set of members is stable.
 func (d *keyDriver) planInitial(now boottime.Time, members []keyrange.Member) mapChange {
 	names := hostNames(members)
@@ -251,9 +267,9 @@
 	}
 	members = d.reachable(members)
 	d.mu.Lock()
-	loads, movable := d.rates.Snapshot(now), d.grants.Movable(now)
+	loads, settled := d.rates.Snapshot(now), d.grants.Settled(now)
 	d.mu.Unlock()
-	if !movable {
+	if !settled {
 		return false
 	}
 	demand := next.Demand(d.host, loads) / float64(slots)
