--- a/router/sidecar/commands.go
+++ b/router/sidecar/commands.go
@@ -51,7 +51,10 @@
 	}
 	d.commands = keyrange.NewCommands(d.grants)
 	d.wakeCommands = c.wake
-	d.index.onChange(c.wake)
+	d.index.onChange(func() {
+		c.wake()
+		d.changes.notify()
+	})
 	return c
 }
 
@@ -111,11 +114,13 @@
 
 // dueCommands returns the commands that are due.
 func (d *keyDriver) dueCommands(s upstreamState) []keyrange.Command {
+	now := boottime.Now()
+	leaving := !s.leavingSince.IsZero() && !d.servesUntilMovable(now, s)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m, _ := d.grantMap(s.service)
 	d.resetIncarnation(s)
-	return d.commands.Due(boottime.Now(), m, s.holder, !s.leavingSince.IsZero(), d.leaseEnd, min(commandHold, d.maxHold))
+	return d.commands.Due(now, m, s.holder, leaving, d.leaseEnd, min(commandHold, d.maxHold))
 }
 
 func (d *keyDriver) beginCommand(cmd keyrange.Command) {
@@ -138,6 +143,7 @@
 	if m != nil { // no map may be used while the store's era changes
 		d.commands.Prune(now, m, s.holder)
 	}
+	d.changes.notify()
 	if cmd.Release || result == keyrange.CommandRefused {
 		d.wake()
 	}
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -104,6 +104,9 @@
 	maxHeartbeatHold, maxHold time.Duration
 	// heartbeatInterval is the time between heartbeats of the local upstream.
 	heartbeatInterval time.Duration
+	// drainLimit is the time, counted from the notice that the upstream leaves, after which
+	// it gets no new request.
+	drainLimit time.Duration
 	// keyed reports whether the keys of a service are divided among its upstreams.
 	keyed func(service string) bool
 	// keysByCommand reports whether the keys of a service are granted by commands.
@@ -130,6 +133,9 @@
 	// granted keys by commands. wakeCommands is called when commands may be due.
 	commands     *keyrange.Commands
 	wakeCommands func()
+	// changes wakes the calls that wait for grants, when what the upstream holds or is about
+	// to hold may have changed.
+	changes broadcast
 	// superseded is closed when a later heartbeat arrives; it ends the wait of the
 	// earlier one.
 	superseded chan struct{}
@@ -157,6 +163,7 @@
 }
 
 func (d *keyDriver) wake() {
+	d.changes.notify()
 	select {
 	case d.wakeCh <- struct{}{}:
 	default:
--- a/router/sidecar/keygrants.go
+++ b/router/sidecar/keygrants.go
@@ -54,6 +54,7 @@
 	if hold == 0 {
 		return HeartbeatResponse{}
 	}
+	d.changes.notify()
 	d.log.Log(eventGrant, event.F("instance", s.holder.Instance), event.F("beat", r.Sequence), event.F("ranges", len(grants)),
 		event.F("hold_ms", hold.Milliseconds()), event.F("map_version", version), event.F("holds", len(r.Holds)), event.F("released", len(r.Released)))
 	return HeartbeatResponse{Renew: true, Grants: grants, HoldFor: hold}
@@ -75,6 +76,7 @@
 // resetIncarnation discards what an earlier incarnation of the upstream held. The caller
 // holds d.mu.
 func (d *keyDriver) resetIncarnation(s upstreamState) {
+	d.grants.SetByHeartbeat(!d.keysByCommand(s.service))
 	if d.grants.Reset(s.holder) {
 		d.commands.Reset()
 	}
