Offer requests with large responses to near hosts first

Cause: the cost of distance in the choice of a host was the same for 400 bytes and for 90 KB, and the loads of hosts that a router seldom asks were old and looked low. So under overload most large responses travelled between zones and regions, although the links of all were full, and late ones displaced those in time at the fourth host. Change: router/locality chooses for routes of type download: the nearest hosts first, others only with spare capacity by a report that counts longer; requests wait until their goal, late ones only in spare capacity.

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -238,7 +238,15 @@
 // ChooseAllowed is Choose among the hosts for whose member data allowed returns true. A nil
 // allowed stands for all hosts.
 func (d *Directory) ChooseAllowed(now time.Time, service string, exclude []*Host, allowed func(Member) bool) *Host {
+	views := d.readyViews(now, service, allowed)
+	return d.cheapest(slices.DeleteFunc(views, func(v view) bool { return slices.Contains(exclude, v.host) }))
+}
+
+// readyViews returns the hosts of the service that accept new requests, are in no evacuated
+// zone, and for whose member data allowed returns true. A nil allowed stands for all hosts.
+func (d *Directory) readyViews(now time.Time, service string, allowed func(Member) bool) []view {
 	d.mu.RLock()
+	defer d.mu.RUnlock()
 	hosts := d.byService[service]
 	views := make([]view, 0, len(hosts))
 	for _, h := range hosts {
@@ -246,23 +254,19 @@
 		if allowed != nil && !allowed(v.member) {
 			continue
 		}
-		if d.current(now, v.member).State == Ready && !slices.Contains(exclude, h) && !d.evacuated(v.member.Zone) {
+		if d.current(now, v.member).State == Ready && !d.evacuated(v.member.Zone) {
 			views = append(views, v)
 		}
 	}
-	d.mu.RUnlock()
-	return d.cheapest(views)
+	return views
 }
 
 func (d *Directory) cheapest(views []view) *Host {
-	var meanSlowness float64
-	for _, v := range views {
-		meanSlowness += v.slowness / float64(len(views))
-	}
+	meanSlowness := meanSlownessOf(views)
 	var best *Host
 	lowest := 0.0
 	for _, v := range views {
-		cost := d.cost(v, meanSlowness) + costJitter*rand.Float64()
+		cost := d.cost(v, meanSlowness) + randomCost()
 		if best == nil || cost < lowest {
 			best, lowest = v.host, cost
 		}
@@ -270,6 +274,20 @@
 	return best
 }
 
+// meanSlownessOf returns the mean slowness of the hosts.
+func meanSlownessOf(views []view) float64 {
+	var mean float64
+	for _, v := range views {
+		mean += v.slowness / float64(len(views))
+	}
+	return mean
+}
+
+// randomCost returns a random cost of up to costJitter.
+func randomCost() float64 {
+	return costJitter * rand.Float64()
+}
+
 // cost returns the cost of choosing a host. meanSlowness is the mean of all
 // candidates.
 func (d *Directory) cost(v view, meanSlowness float64) float64 {
--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -266,8 +266,10 @@
 	host        *Host
 	member      Member
 	utilization float64
-	slowness    float64
-	errorRate   float64
+	// largeUtilization is the utilization that counts for requests with large responses.
+	largeUtilization float64
+	slowness         float64
+	errorRate        float64
 	// unavailable is true if the host is in backoff or silent.
 	unavailable bool
 }
@@ -282,13 +284,15 @@
 	}
 	age := float64(now.Sub(h.loadReportedAt)) / float64(halfLife)
 	paceAge := float64(now.Sub(h.loadReportedAt)) / float64(loadHalfLife)
-	reported := h.load.Utilization() / (1 + age)
+	largeAge := float64(now.Sub(h.loadReportedAt)) / float64(largeLoadHalfLife)
+	inFlight := float64(h.inFlight) / float64(slots)
 	return view{
-		host:        h,
-		member:      h.member,
-		utilization: max(reported, float64(h.inFlight)/float64(slots)),
-		slowness:    h.slowness * (1 + (h.load.paceFactor()-1)/(1+paceAge)),
-		errorRate:   h.errorRate,
-		unavailable: now.Before(h.backoffUntil) || h.silent(now),
+		host:             h,
+		member:           h.member,
+		utilization:      max(h.load.Utilization()/(1+age), inFlight),
+		largeUtilization: max(h.load.Utilization()/(1+largeAge), inFlight),
+		slowness:         h.slowness * (1 + (h.load.paceFactor()-1)/(1+paceAge)),
+		errorRate:        h.errorRate,
+		unavailable:      now.Before(h.backoffUntil) || h.silent(now),
 	}
 }
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -80,7 +80,11 @@
 	if c.trialHost != "" {
 		return e.chooseTrialHost(c, tried)
 	}
-	if allowed := e.regions.filter(c); allowed != nil {
+	allowed := e.regions.filter(c)
+	if c.Large {
+		return e.chooseNear(c, tried, allowed)
+	}
+	if allowed != nil {
 		return e.chooseAllowed(c, tried, allowed)
 	}
 	h := e.fleet.Choose(time.Now(), c.Service, tried)
@@ -139,6 +143,8 @@
 	switch {
 	case c.Keyed:
 		return admit.UntilGoal
+	case c.Large:
+		return c.largeWaitPolicy(time.Now())
 	case tried == 0:
 		return admit.NoWait
 	case tried == maxHosts-1:
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -63,6 +63,9 @@
 	Repeatable bool
 	// Large is true if the response is expected to be large.
 	Large bool
+	// spareHost is true if the host chosen for a call with a large response has spare
+	// capacity.
+	spareHost bool
 	// Keyed is true if the call may run only at the holder of Key.
 	Keyed bool
 	Key   uint16
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -144,4 +144,6 @@
 		"The local upstream gets one quarantined request, to find out whether it still crashes.", "none")
 	eventGrantMissing = event.Define(1895, log.InfoLevel, "request waited in vain for the grant of its key",
 		"The key map names the local upstream as the new holder of a key, and the grant did not reach it in time, or became obsolete meanwhile. The request was not run.", "If it repeats, look for late heartbeats of the upstream, or for event 1837 where keys are granted by commands.")
+	eventLargeResponseCrosses = event.Define(1920, log.InfoLevel, "large response from another region",
+		"A request whose response is expected to be large was offered to a host of another region, because no host of this one could take it and that one has spare capacity, or no host of this region responds.", "If it is frequent, add hosts of the service, or wider links, in this region.")
 )
--- a/router/sidecar/metrics.go
+++ b/router/sidecar/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/locality"
 	"burdockglade.dev/router/metrics"
 )
 
@@ -35,3 +36,9 @@
 	tags := map[string]string{"route": m.routes.Label(route), "kind": string(kind)}
 	m.scope.Tagged(tags).Counter("refusals").Inc(1)
 }
+
+// countLargeAttempt counts a request with a large response that is offered to a host at the
+// distance.
+func (m *entryMetrics) countLargeAttempt(d locality.Distance) {
+	m.scope.Tagged(map[string]string{"distance": d.String()}).Counter("large_attempts").Inc(1)
+}
