Let one host check the configuration for the fleet

Cause: each host whose requests bring no young age of the configuration checked with the store by itself.

Change: the first host of the fleet by name checks as before. The first host of each other zone asks it for its age, and the others ask the first one of their zone, with the existing poll (router/freshness, pure; sidecar.configAsker). A host that does not respond within 0.1 of config_ms, or whose own age is too high, is avoided for 1 to 16 s. Each host still checks with the store at an age of at most 0.55 of config_ms, so that the bound does not depend on the questions.

A poll by a host that knew of no evacuated zone ignored the zones in the response and then counted the configuration as confirmed; they are merged now. While the last check of a host failed, it fetches newer versions from others at once, as while its watch failed.

Tests: IsFirst is replaced by Running, and its test by one of the same cases. The first check of other hosts is at 0.45 rather than 0.4, after a question has timed out. In TestConfirmationOfOtherHostSavesChecks the other hosts now report their age also when they are asked: with an age only in responses they count as hosts that do not help.

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -216,16 +216,17 @@
 	return best
 }
 
-// IsFirst reports whether self is the first by name of the hosts that are known to run.
-func (d *Directory) IsFirst(now time.Time, self string) bool {
+// Running returns the hosts that are known to run, in no order.
+func (d *Directory) Running(now time.Time) []Member {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	for name, h := range d.hosts {
-		if name < self && h.readable(now) {
-			return false
+	members := make([]Member, 0, len(d.hosts))
+	for _, h := range d.hosts {
+		if h.readable(now) {
+			members = append(members, h.Member())
 		}
 	}
-	return true
+	return members
 }
 
 // Choose returns the host with the lowest cost among the hosts of the service that
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -207,21 +208,27 @@
 	}
 }
 
-// Guards against a fleet in which no host, or each of them, is the one that checks the
-// configuration for the others.
-func TestFirstHostIsOneThatRuns(t *testing.T) {
+// Guards against a host that has stopped or does not respond and is taken for the one that
+// checks the configuration for the others.
+func TestRunningHosts(t *testing.T) {
 	now := time.Now()
 	d := NewDirectory("z1", "r", func(address string) *hop.Client { return hop.NewClient(connpool.Options{Address: address}) })
 	d.Put(Member{Host: "a", Zone: "z2", Address: "10.0.0.1:1", State: Stopping})
 	d.Put(Member{Host: "b", Zone: "z2", Address: "10.0.0.2:1", State: Ready})
 	d.Put(Member{Host: "c", Zone: "z1", Address: "10.0.0.3:1", State: Ready})
-	if !d.IsFirst(now, "b") || d.IsFirst(now, "c") {
-		t.Error("b is not the only first host")
+	check := func(want ...string) {
+		t.Helper()
+		var names []string
+		for _, m := range d.Running(now) {
+			names = append(names, m.Host)
+		}
+		if slices.Sort(names); !slices.Equal(names, want) {
+			t.Errorf("%v run, want %v", names, want)
+		}
 	}
+	check("b", "c")
 	d.Host("b").AvoidAsReader(now.Add(time.Second))
-	if !d.IsFirst(now, "c") {
-		t.Error("c is not the first host while b is avoided")
-	}
+	check("c")
 }
 
 // Guards against a slow host whose requests are always overtaken by another one and which
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -38,6 +38,7 @@
 		log: s.log, scope: s.scope, version: s.config.version, confirm: s.config.confirm, storeDeadline: s.storeDeliveryDeadline,
 		fetch: s.pollConfig, apply: s.config.applyRow, randomPeer: s.randomPeer, wakeCh: make(chan struct{}, 1),
 	}
+	s.asker = s.newConfigAsker()
 	s.configFollower = s.newConfigFollower()
 }
 
--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -177,8 +177,8 @@
 		Store: s.configFed, Table: s.opts.Config.Key.Table, Changed: s.applyOperatorRow,
 		BatchDelay: s.configPollDelay, Feed: s.feeds[s.opts.Config.Key.Table],
 		UpToDate: s.confirmConfig, CheckStore: s.directStore, CheckDelay: s.configCheckDelay, Checked: s.configChecked,
-		Disconnected: func(error) { s.exchange.setStoreDisconnected(true) },
-		Reconnected:  func() { s.exchange.setStoreDisconnected(false) },
+		Disconnected: func(error) { s.exchange.setWatchFailed(true) },
+		Reconnected:  func() { s.exchange.setWatchFailed(false) },
 	}
 }
 
--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -12,16 +12,17 @@
 
 // Hosts keep the age of their configuration, which is the time since it was known to be
 // the newest in the store, and check with the store when the age gets too high. They tell
-// each other the age together with the version, so that in a fleet with requests the check
-// of one host serves all. If no other host responds, a change is in force after
-// maxCheckAge and one call. The ages are shares of the time within which a change must be
-// in force, because each check costs a call to the store.
+// each other the age together with the version, and ask each other for it (package
+// freshness), so that the check of one host serves all. If no other host responds, a change
+// is in force after maxCheckAge and one call. The ages are shares of the time within which a
+// change must be in force, because each check costs a call to the store.
 const (
-	// firstHostCheckAge is the age at which the first host of the fleet checks.
+	// firstHostCheckAge is the age at which a host checks on behalf of others.
 	firstHostCheckAge = 0.25
 	// minCheckAge and maxCheckAge bound the age at which any other host checks. The
-	// age is random, because all hosts reach it together when the first one fails.
-	minCheckAge = 0.4
+	// age is random, because all hosts reach it together when the first one fails. Two
+	// questions to other hosts end before minCheckAge unless both get no response.
+	minCheckAge = 0.45
 	maxCheckAge = 0.55
 )
 
@@ -87,7 +88,7 @@
 // configCheckDelay returns the time until the configuration is to be checked.
 func (s *Sidecar) configCheckDelay() time.Duration {
 	now := time.Now()
-	return s.configChecks.delay(now, s.config.lastConfirmed(), s.fleet.IsFirst(now, s.settings.Host.Name))
+	return s.configChecks.delay(now, s.config.lastConfirmed(), s.asker.checksForOthers(now))
 }
 
 // configChecked records a check of the configuration.
@@ -96,6 +97,7 @@
 		s.evacuation.confirm(s.configFollower.Position())
 		s.config.confirm(s.config.version(), asOf)
 	}
+	s.exchange.setCheckFailed(err != nil)
 	s.configChecks.record(asOf, time.Now(), err != nil)
 	s.logCheck(s.configFollower, undelivered, err)
 }
--- a/router/sidecar/configcheck_test.go
+++ b/router/sidecar/configcheck_test.go
@@ -38,6 +38,10 @@
 			counted.Store = f.CheckStore
 			f.CheckStore = counted
 		})
+		// The hosts report their ages also when they are asked.
+		h.peer.Lock()
+		h.peer.age = 300 * time.Millisecond
+		h.peer.Unlock()
 		h.fleet.Put(fleet.Member{Host: "a0", Zone: "z1", Region: "r1", Service: "plain", Address: "127.0.0.1:1", State: fleet.Ready})
 		time.Sleep(shareOf(testConfigBound, maxCheckAge))
 		before := counted.checks.Load()
@@ -48,6 +52,7 @@
 		if counted.checks.Load() != before {
 			t.Errorf("%d checks", counted.checks.Load()-before)
 		}
+		h.hangPeers()
 		time.Sleep(10 * time.Second)
 		if counted.checks.Load() == before {
 			t.Error("no check although no host confirms the configuration")
--- a/router/sidecar/configexchange.go
+++ b/router/sidecar/configexchange.go
@@ -57,6 +57,11 @@
 // inForce and was not known before.
 func (p *peerVersions) observe(now, storeDeadline time.Time, version, inForce uint64, from *hop.Client) bool {
 	p.lastObserved = now
+	return p.note(now, storeDeadline, version, inForce, from)
+}
+
+// note is observe for a response that does not postpone the next poll.
+func (p *peerVersions) note(now, storeDeadline time.Time, version, inForce uint64, from *hop.Client) bool {
 	if version <= inForce || version < p.newest {
 		return false
 	}
@@ -169,11 +174,32 @@
 
 	mu    sync.Mutex
 	peers peerVersions
+	// watchFailed and checkFailed are true if the last watch of this host, and its last
+	// check with the store, failed.
+	watchFailed, checkFailed bool
 }
 
 // observe records what a response of another host, requested at the given time, says of
 // its configuration. Version 0 means that it has none.
 func (c *configExchange) observe(peer peerConfig, requestedAt time.Time, from *hop.Client) {
+	c.record(peer, requestedAt, from, (*peerVersions).observe)
+}
+
+// compare requests the version of another host and its age, and records them. It does not
+// postpone the next poll, because it always asks the same host, which may be behind.
+func (c *configExchange) compare(ctx context.Context, host *hop.Client) (peerConfig, error) {
+	requestedAt := time.Now()
+	peer, err := c.fetch(ctx, host, noVersion)
+	if err == nil {
+		c.record(peer, requestedAt, host, (*peerVersions).note)
+	}
+	return peer, err
+}
+
+// record records what a response of another host says of its configuration; observe is
+// called for a version.
+func (c *configExchange) record(peer peerConfig, requestedAt time.Time, from *hop.Client,
+	observe func(p *peerVersions, now, storeDeadline time.Time, version, inForce uint64, from *hop.Client) bool) {
 	if peer.Version == 0 {
 		return
 	}
@@ -183,19 +209,36 @@
 	}
 	now := time.Now()
 	c.mu.Lock()
-	changed := c.peers.observe(now, c.storeDeadline(now), peer.Version, c.version(), from)
+	changed := observe(&c.peers, now, c.storeDeadline(now), peer.Version, c.version(), from)
 	c.mu.Unlock()
 	if changed {
 		c.wake()
 	}
 }
 
-// setStoreDisconnected records whether the store delivers no changes to this host.
-func (c *configExchange) setStoreDisconnected(disconnected bool) {
+// setWatchFailed records whether the last watch of this host failed.
+func (c *configExchange) setWatchFailed(failed bool) {
+	c.setDisconnected(&c.watchFailed, failed)
+}
+
+// setCheckFailed records whether the last check of this host with the store failed. If it
+// did, a silent watch is not likely to deliver a change either.
+func (c *configExchange) setCheckFailed(failed bool) {
+	c.setDisconnected(&c.checkFailed, failed)
+}
+
+// setDisconnected sets one of the two reasons for which the store is taken to deliver no
+// changes to this host.
+func (c *configExchange) setDisconnected(reason *bool, failed bool) {
 	c.mu.Lock()
+	*reason = failed
+	disconnected := c.watchFailed || c.checkFailed
+	changed := c.peers.storeDisconnected != disconnected
 	c.peers.storeDisconnected = disconnected
 	c.mu.Unlock()
-	c.wake()
+	if changed {
+		c.wake()
+	}
 }
 
 func (c *configExchange) wake() {
--- a/router/sidecar/configfleet_test.go
+++ b/router/sidecar/configfleet_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,7 +30,7 @@
 }
 
 func (f forgetful) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
-	if wait > 0 || f.fleet.trouble(f.host) != "" {
+	if wait > 0 || f.fleet.trouble(f.host) != "" || f.fleet.fault.Load().storeLost(f.host) {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
@@ -53,6 +54,40 @@
 	// firstHost is what is wrong with the first host: "", "frozen" or "cut off" from the
 	// store.
 	firstHost atomic.Value
+	// requestInterval is the mean time between two requests of a host; 0 means 30 ms.
+	requestInterval time.Duration
+	// asks counts the comparisons between hosts.
+	asks atomic.Int64
+	// zones is the number of zones, between which the hosts are divided in turn; 0 means 1.
+	zones int
+	// fault is a further failure.
+	fault atomic.Pointer[fleetFault]
+}
+
+// fleetFault is a failure of several hosts or links. A nil fleetFault is none.
+type fleetFault struct {
+	// frozen reports whether the host loses all messages.
+	frozen func(host int) bool
+	// noStore reports whether the store loses the calls of the host.
+	noStore func(host int) bool
+	// noLink reports whether messages from one host to the other are lost.
+	noLink func(from, to int) bool
+}
+
+func (f *fleetFault) lostHost(host int) bool {
+	return f != nil && f.frozen != nil && f.frozen(host)
+}
+
+func (f *fleetFault) storeLost(host int) bool {
+	return f.lostHost(host) || f != nil && f.noStore != nil && f.noStore(host)
+}
+
+func (f *fleetFault) linkLost(from, to int) bool {
+	return f.lostHost(from) || f.lostHost(to) || f != nil && f.noLink != nil && (f.noLink(from, to) || f.noLink(to, from))
+}
+
+func (f *configFleet) zone(host int) string {
+	return fmt.Sprintf("z%d", host%max(f.zones, 1))
 }
 
 func (f *configFleet) first() string {
@@ -80,7 +115,7 @@
 	f.publish(t, 1)
 	for i := range n {
 		settings := DefaultSettings()
-		settings.Host = HostSettings{Name: fmt.Sprintf("h%03d", i), Zone: "z1", Region: "r1", Service: "plain"}
+		settings.Host = HostSettings{Name: fmt.Sprintf("h%03d", i), Zone: f.zone(i), Region: "r1", Service: "plain"}
 		settings.Upstream.Address = "127.0.0.1:1"
 		notFound := func(*Sidecar) http.Handler { return http.NotFoundHandler() }
 		s := New(Options{
@@ -89,7 +124,8 @@
 			Control: notFound, Ready: notFound, Metrics: &metrics.Scope{Scope: tally.NoopScope},
 		})
 		for j := range n {
-			s.fleet.Put(fleet.Member{Host: fmt.Sprintf("h%03d", j), Zone: "z1", Region: "r1", Service: "plain", Address: "127.0.0.1:1", State: fleet.Ready})
+			s.fleet.Put(fleet.Member{Host: fmt.Sprintf("h%03d", j), Zone: f.zone(j), Region: "r1", Service: "plain", Address: fmt.Sprintf("127.0.0.1:%d", j+1), State: fleet.Ready})
+			f.index[s.fleet.Host(fmt.Sprintf("h%03d", j)).Client] = j
 		}
 		s.exchange.randomPeer = func() *hop.Client { return f.clients[f.otherThan(i)] }
 		s.exchange.fetch = func(ctx context.Context, from *hop.Client, version uint64) (peerConfig, error) {
@@ -104,12 +140,25 @@
 	return (host + 1 + rand.N(len(f.hosts)-1)) % len(f.hosts)
 }
 
+// requestTarget returns the host that gets a request: 9 of 10 stay in their zone.
+func (f *configFleet) requestTarget(from int) int {
+	to := f.otherThan(from)
+	for range 20 {
+		if f.zone(to) == f.zone(from) || rand.N(10) == 0 {
+			break
+		}
+		to = f.otherThan(from)
+	}
+	return to
+}
+
 // fetch is a comparison call from one host to another.
 func (f *configFleet) fetch(ctx context.Context, from, to int, version uint64) (peerConfig, error) {
-	if f.first() == "frozen" && (from == 0 || to == 0) {
+	if f.first() == "frozen" && (from == 0 || to == 0) || f.fault.Load().linkLost(from, to) {
 		<-ctx.Done()
 		return peerConfig{}, ctx.Err()
 	}
+	f.asks.Add(1)
 	time.Sleep(simulatedDelay())
 	result := (&hopHandler{config: f.hosts[to].config}).callStore(ctx, storeCall{Call: storeConfig, Config: version})
 	time.Sleep(simulatedDelay())
@@ -125,7 +174,7 @@
 
 // request is a request from one host to another.
 func (f *configFleet) request(from, to int) {
-	if f.first() == "frozen" && (from == 0 || to == 0) {
+	if f.first() == "frozen" && (from == 0 || to == 0) || f.fault.Load().linkLost(from, to) {
 		return
 	}
 	requestedAt := time.Now()
@@ -143,11 +192,12 @@
 	for i, s := range f.hosts {
 		tasks.Go(func() { s.followConfig(ctx) })
 		tasks.Go(func() { s.exchange.run(ctx) })
+		tasks.Go(func() { s.asker.run(ctx) })
 		if requests {
 			tasks.Go(func() {
 				for ctx.Err() == nil {
-					f.request(i, f.otherThan(i))
-					time.Sleep(rand.N(60 * time.Millisecond))
+					f.request(i, f.requestTarget(i))
+					time.Sleep(rand.N(2 * cmp.Or(f.requestInterval, 30*time.Millisecond)))
 				}
 			})
 		}
@@ -165,7 +215,7 @@
 		time.Sleep(10 * time.Millisecond)
 		waiting = false
 		for i, s := range f.hosts {
-			if f.first() == "frozen" && i == 0 || s.config.version() >= uint64(version) {
+			if f.first() == "frozen" && i == 0 || f.fault.Load().lostHost(i) || s.config.version() >= uint64(version) {
 				continue
 			}
 			waiting = time.Since(published) < time.Minute
--- a/router/sidecar/configfollow_test.go
+++ b/router/sidecar/configfollow_test.go
@@ -184,6 +184,8 @@
 		sync.Mutex
 		row     rowstore.Row
 		hanging bool
+		// age is the age of their configuration; 0 if they do not report it.
+		age time.Duration
 		// fetched is the number of configurations that were fetched.
 		fetched int
 	}
@@ -220,6 +222,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { h.followConfig(ctx) })
 	tasks.Go(func() { h.exchange.run(ctx) })
+	tasks.Go(func() { h.asker.run(ctx) })
 	t.Cleanup(func() {
 		cancel()
 		tasks.Wait()
@@ -232,7 +235,7 @@
 // fetch returns what another host responds with.
 func (h *configHost) fetch(ctx context.Context, _ *hop.Client, version uint64) (peerConfig, error) {
 	h.peer.Lock()
-	row, hanging := h.peer.row, h.peer.hanging
+	row, hanging, age := h.peer.row, h.peer.hanging, h.peer.age
 	h.peer.Unlock()
 	if hanging {
 		<-ctx.Done()
@@ -240,7 +243,7 @@
 	}
 	config, err := decodeTestConfig(row.Value)
 	if err != nil || config.Version <= version {
-		return peerConfig{Version: config.Version}, err
+		return peerConfig{Version: config.Version, Age: age, AgeKnown: age > 0}, err
 	}
 	h.peer.Lock()
 	h.peer.fetched++
--- a/router/sidecar/evacuation.go
+++ b/router/sidecar/evacuation.go
@@ -85,12 +85,14 @@
 }
 
 // pollConfig requests from another host a configuration above the version, and the
-// evacuated zones if this host knows of any or knows nothing yet.
+// evacuated zones if this host knows of any or knows nothing yet. A host that knows of
+// evacuated zones reports them unasked, and its report must be merged before its age confirms
+// the configuration of this host.
 func (s *Sidecar) pollConfig(ctx context.Context, from *hop.Client, version uint64) (peerConfig, error) {
 	own := s.evacuation.pollReport(false)
 	peer, evacuated, err := fetchConfig(ctx, from, version, own)
-	if err == nil && own != "" {
-		s.evacuation.mergePolled(evacuated, from.Address())
+	if err == nil {
+		s.evacuation.mergePolled(own, evacuated, from.Address())
 	}
 	return peer, err
 }
@@ -177,10 +179,10 @@
 	return true
 }
 
-// mergePolled adds the response to pollReport. A host that does not respond to it has an
-// earlier version of the router and knows of no evacuated zones.
-func (e *zoneEvacuation) mergePolled(report, host string) {
-	if report != "" {
+// mergePolled adds the report in the response to a poll that carried the own one. A host that
+// does not respond to it has an earlier version of the router and knows of no evacuated zones.
+func (e *zoneEvacuation) mergePolled(own, report, host string) {
+	if own == "" || report != "" {
 		e.merge(report, host)
 		return
 	}
--- a/router/sidecar/evacuation_test.go
+++ b/router/sidecar/evacuation_test.go
@@ -213,7 +213,7 @@
 	if err := h.evacuation.checkGate(&Call{}); err != nil {
 		t.Errorf("without contact: %v", err)
 	}
-	h.evacuation.mergePolled("9;z1=8", "h1")
+	h.evacuation.mergePolled("-", "9;z1=8", "h1")
 	for _, c := range []*Call{{}, {Keyed: true}} {
 		if err := h.evacuation.checkGate(c); (err == nil) != c.Keyed {
 			t.Errorf("keyed %v: %v", c.Keyed, err)
@@ -225,11 +225,26 @@
 	}
 }
 
+// Guards against a host that polls another one, which confirms its configuration, and ignores
+// the evacuated zones that the response names because it knew of none.
+func TestPollBringsFirstEvacuatedZone(t *testing.T) {
+	h := newEvacuationHost(rowstore.NewMemory())
+	h.evacuation.confirm(5)
+	own := h.evacuation.pollReport(false)
+	if own != "" {
+		t.Fatalf("the poll reports %q although no zone is evacuated", own)
+	}
+	h.evacuation.mergePolled(own, "9;z1=8", "h1")
+	if !h.evacuation.evacuated("z1") {
+		t.Error("z1 is not evacuated")
+	}
+}
+
 // Guards against an upstream that can evacuate zones with its response, and against a
 // report that does not reach the other router.
 func TestReportTravelsWithResponses(t *testing.T) {
 	h := newEvacuationHost(rowstore.NewMemory())
-	h.evacuation.mergePolled("9;z2=8", "h1")
+	h.evacuation.mergePolled("-", "9;z2=8", "h1")
 	handler := &hopHandler{config: h.config, evacuation: h.evacuation}
 	head := handler.responseHead(&Result{Status: 200, Header: http.Header{evacuatedField: {"99;z1=98"}}})
 	r := hopResult(&hop.Response{ResponseHead: head, Body: http.NoBody}, testHeaders, &Call{})
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -142,4 +142,6 @@
 		"Another host sent a report of suspects that cannot be decoded. At most one such report a minute is logged.", "Compare the versions of the two routers.")
 	eventTrial = event.Define(1894, log.InfoLevel, "trial of a quarantined request",
 		"The local upstream gets one quarantined request, to find out whether it still crashes.", "none")
+	eventAskedHostAvoided = event.Define(1910, log.InfoLevel, "host not asked for confirmations",
+		"A host that this one asks whether the configuration is the newest did not respond in time (outcome failed), or had not confirmed its own configuration for too long (outcome stale). For the given time the next host is asked instead, or this host checks with the store itself.", "none; if it is repeated for one host, look at that host's connection to the store: event 1810.")
 )
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -70,6 +70,7 @@
 	// evacuation is nil if zones cannot be evacuated.
 	evacuation *zoneEvacuation
 	exchange   *configExchange
+	asker      *configAsker
 	// configFollower and fleetFollower follow the tables of the configuration and of the
 	// fleet.
 	configFollower *rowstore.Follower
@@ -277,6 +278,7 @@
 	for _, task := range []func(context.Context){
 		s.followConfig,
 		s.exchange.run,
+		s.asker.run,
 		s.followFleet,
 		s.keys.run,
 		s.commands.run,
