Let deputies check the configuration later than the first host

Cause: while the first host of the fleet does not help, the first host of each zone checked at a quarter of config_ms, also when responses to requests bring younger ages. With many requests and half of the links lost, or three hosts of each zone lost, that made more checks than before the hosts asked each other.

Change: freshness names the role of a host; a deputy checks at 0.3.

--- a/router/freshness/freshness.go
+++ b/router/freshness/freshness.go
@@ -87,15 +87,43 @@
 	return time.Duration(s * float64(a.bound))
 }
 
-// Source returns the host that this one asks, or "" if this host checks with the store on
-// behalf of others: it is the first one of the fleet, or the first one of its zone while the
-// first one of the fleet is avoided. hosts are those that run; they may include this one.
-func (a *Asker) Source(now time.Time, hosts []Host) string {
-	source, _ := a.source(now, hosts)
-	return source
+// Role says how a host confirms its configuration.
+type Role int
+
+const (
+	// Member asks the first host of its zone.
+	Member Role = iota
+	// ZoneFirst is the first host of its zone and asks the first one of the fleet.
+	ZoneFirst
+	// Deputy is the first host of its zone while the first one of the fleet does not help. It
+	// checks with the store.
+	Deputy
+	// FleetFirst is the first host of the fleet. It checks with the store.
+	FleetFirst
+)
+
+const (
+	fleetFirstCheckAge = 0.25
+	// deputyCheckAge is above fleetFirstCheckAge, so that a deputy does not check if
+	// responses to requests bring the age of a host that has.
+	deputyCheckAge = 0.3
+)
+
+// CheckAge returns the age at which this host checks with the store on behalf of others, or
+// false if it does not.
+func (a *Asker) CheckAge(now time.Time, hosts []Host) (age time.Duration, ok bool) {
+	switch _, role := a.Source(now, hosts); role {
+	case FleetFirst:
+		return a.share(fleetFirstCheckAge), true
+	case Deputy:
+		return a.share(deputyCheckAge), true
+	}
+	return 0, false
 }
 
-func (a *Asker) source(now time.Time, hosts []Host) (source string, zoneFirst bool) {
+// Source returns the host that this one asks, or "" if this host checks with the store on
+// behalf of others. hosts are those that run; they may include this one.
+func (a *Asker) Source(now time.Time, hosts []Host) (source string, role Role) {
 	inZone, inFleet := a.self.Name, a.self.Name
 	for _, h := range hosts {
 		if h.Name < inZone && h.Zone == a.self.Zone && !a.avoided(now, h.Name) {
@@ -105,13 +133,15 @@
 	}
 	switch {
 	case inZone != a.self.Name:
-		return inZone, false
-	case inFleet == a.self.Name || a.avoided(now, inFleet):
+		return inZone, Member
+	case inFleet == a.self.Name:
+		return "", FleetFirst
+	case a.avoided(now, inFleet):
 		// Between zones only one host is tried: after the loss of the link between two
 		// regions none of the other region responds.
-		return "", true
+		return "", Deputy
 	}
-	return inFleet, true
+	return inFleet, ZoneFirst
 }
 
 func (a *Asker) avoided(now time.Time, host string) bool {
@@ -129,12 +159,12 @@
 // Next decides whether a host is asked now. confirmedAt is the time at which the
 // configuration of this host was known to be the newest.
 func (a *Asker) Next(now, confirmedAt time.Time, hosts []Host) Decision {
-	source, zoneFirst := a.source(now, hosts)
+	source, role := a.Source(now, hosts)
 	if source == "" {
 		return Decision{Wait: a.share(minAskInterval)}
 	}
 	age := askAge
-	if zoneFirst {
+	if role == ZoneFirst {
 		age = zoneAskAge
 	}
 	if a.heardAt.After(confirmedAt) {
--- a/router/freshness/freshness_test.go
+++ b/router/freshness/freshness_test.go
@@ -18,34 +18,35 @@
 		self, zone string
 		avoided    []string
 		want       string
+		role       Role
 	}{
-		{"a", "z2", nil, ""},
-		{"b", "z1", nil, "a"},
-		{"c", "z1", nil, "b"},
-		{"d", "z2", nil, "a"},
-		{"e", "z1", nil, "b"},
-		{"e", "z1", []string{"b"}, "c"},
-		{"e", "z1", []string{"b", "c"}, "a"},
-		{"c", "z1", []string{"b"}, "a"},
-		{"b", "z1", []string{"a"}, ""},
-		{"d", "z2", []string{"a"}, ""},
-		{"e", "z1", []string{"a", "b", "c"}, ""},
-		{"new", "z3", nil, "a"},
+		{"a", "z2", nil, "", FleetFirst},
+		{"b", "z1", nil, "a", ZoneFirst},
+		{"c", "z1", nil, "b", Member},
+		{"d", "z2", nil, "a", Member},
+		{"e", "z1", nil, "b", Member},
+		{"e", "z1", []string{"b"}, "c", Member},
+		{"e", "z1", []string{"b", "c"}, "a", ZoneFirst},
+		{"c", "z1", []string{"b"}, "a", ZoneFirst},
+		{"b", "z1", []string{"a"}, "", Deputy},
+		{"d", "z2", []string{"a"}, "", Deputy},
+		{"e", "z1", []string{"a", "b", "c"}, "", Deputy},
+		{"new", "z3", nil, "a", ZoneFirst},
 	} {
 		a := NewAsker(Host{c.self, c.zone}, bound)
 		for _, h := range c.avoided {
 			a.Record(now, now, h, Failed, 0)
 		}
-		got := a.Source(now, fleet)
-		if got != c.want {
-			t.Errorf("%s, which avoids %v, asks %q, want %q", c.self, c.avoided, got, c.want)
+		got, role := a.Source(now, fleet)
+		if got != c.want || role != c.role {
+			t.Errorf("%s, which avoids %v, asks %q in role %d, want %q and %d", c.self, c.avoided, got, role, c.want, c.role)
 		}
 		if got >= c.self {
 			t.Errorf("%s asks %s, which may ask it", c.self, got)
 		}
 	}
-	if got := NewAsker(Host{"a", "z1"}, bound).Source(now, nil); got != "" {
-		t.Errorf("a host that knows no other one asks %q", got)
+	if got, role := NewAsker(Host{"a", "z1"}, bound).Source(now, nil); got != "" || role != FleetFirst {
+		t.Errorf("a host that knows no other one asks %q in role %d", got, role)
 	}
 }
 
@@ -61,7 +62,7 @@
 		if d := a.Next(now, now, fleet); d.Host != "" || d.Wait != c.due {
 			t.Errorf("%s: %+v just after a confirmation, want %v", c.self, d, c.due)
 		}
-		source := a.Source(now, fleet)
+		source, _ := a.Source(now, fleet)
 		at := now.Add(c.due)
 		if d := a.Next(at, now, fleet); d.Host != source {
 			t.Errorf("%s: %+v when a question is due, want %s", c.self, d, source)
@@ -102,7 +103,7 @@
 	now = now.Add(200 * time.Millisecond)
 	ask("c", Failed)
 	ask("a", Failed) // at once: the check with the store is near
-	if a.Source(now, fleet) != "" {
+	if source, _ := a.Source(now, fleet); source != "" {
 		t.Error("a host that helps nobody is asked")
 	}
 	var total time.Duration
--- a/router/sidecar/configasker.go
+++ b/router/sidecar/configasker.go
@@ -47,12 +47,13 @@
 	return hosts
 }
 
-// checksForOthers reports whether this host checks with the store on behalf of others.
-func (c *configAsker) checksForOthers(now time.Time) bool {
+// checkAge returns the age at which this host checks with the store on behalf of others, or
+// false if it does not.
+func (c *configAsker) checkAge(now time.Time) (time.Duration, bool) {
 	hosts := c.running(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.asker.Source(now, hosts) == ""
+	return c.asker.CheckAge(now, hosts)
 }
 
 // run asks other hosts until ctx ends.
--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -17,11 +17,10 @@
 // is in force after maxCheckAge and one call. The ages are shares of the time within which a
 // change must be in force, because each check costs a call to the store.
 const (
-	// firstHostCheckAge is the age at which a host checks on behalf of others.
-	firstHostCheckAge = 0.25
-	// minCheckAge and maxCheckAge bound the age at which any other host checks. The
-	// age is random, because all hosts reach it together when the first one fails. Two
-	// questions to other hosts end before minCheckAge unless both get no response.
+	// minCheckAge and maxCheckAge bound the age at which a host checks that does not do so
+	// on behalf of others, which is earlier. The age is random, because all hosts reach it
+	// together when the host that they ask fails. A question to that host ends before
+	// minCheckAge.
 	minCheckAge = 0.45
 	maxCheckAge = 0.55
 )
@@ -58,12 +57,12 @@
 }
 
 // delay returns the time until the next check is due if nothing confirms the
-// configuration meanwhile.
-func (s *checkSchedule) delay(now, confirmedAt time.Time, firstHost bool) time.Duration {
+// configuration meanwhile. age is the age at which this host checks on behalf of others; it
+// is valid if forOthers is true.
+func (s *checkSchedule) delay(now, confirmedAt time.Time, age time.Duration, forOthers bool) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	age := shareOf(s.bound, firstHostCheckAge)
-	if !firstHost {
+	if !forOthers {
 		if s.age == 0 {
 			s.age = shareOf(s.bound, minCheckAge) + rand.N(shareOf(s.bound, maxCheckAge-minCheckAge))
 		}
@@ -88,7 +87,8 @@
 // configCheckDelay returns the time until the configuration is to be checked.
 func (s *Sidecar) configCheckDelay() time.Duration {
 	now := time.Now()
-	return s.configChecks.delay(now, s.config.lastConfirmed(), s.asker.checksForOthers(now))
+	age, forOthers := s.asker.checkAge(now)
+	return s.configChecks.delay(now, s.config.lastConfirmed(), age, forOthers)
 }
 
 // configChecked records a check of the configuration.
--- a/router/sidecar/configcheck_test.go
+++ b/router/sidecar/configcheck_test.go
@@ -86,25 +86,26 @@
 // Guards against checks without a delay while the store does not respond, and against a
 // backoff that outlasts the limit for a change.
 func TestFailedChecksBackOff(t *testing.T) {
+	const first = 500 * time.Millisecond
 	s := checkSchedule{bound: testConfigBound}
 	now := time.Now()
 	confirmedAt := now.Add(-time.Hour)
 	for range 20 {
 		s.record(now, now, true)
-		delay := s.delay(now, confirmedAt, false)
+		delay := s.delay(now, confirmedAt, 0, false)
 		if delay < minCheckBackoff || delay > maxCheckBackoff {
 			t.Fatalf("delay of %v after a failed check", delay)
 		}
 		now = now.Add(delay)
 	}
 	s.record(now, now, false)
-	if delay := s.delay(now, confirmedAt, true); delay != shareOf(testConfigBound, firstHostCheckAge) {
+	if delay := s.delay(now, confirmedAt, first, true); delay != first {
 		t.Errorf("the next check of a configuration that none confirms is after %v", delay)
 	}
-	if delay := s.delay(now, now, true); delay != shareOf(testConfigBound, firstHostCheckAge) {
-		t.Errorf("the first host checks after %v, want %v", delay, shareOf(testConfigBound, firstHostCheckAge))
+	if delay := s.delay(now, now, first, true); delay != first {
+		t.Errorf("the first host checks after %v, want %v", delay, first)
 	}
-	if delay := s.delay(now, now, false); delay < shareOf(testConfigBound, minCheckAge) || delay >= shareOf(testConfigBound, maxCheckAge) {
+	if delay := s.delay(now, now, 0, false); delay < shareOf(testConfigBound, minCheckAge) || delay >= shareOf(testConfigBound, maxCheckAge) {
 		t.Errorf("another host checks after %v", delay)
 	}
 }
