--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -12,16 +12,16 @@
 
 // Hosts keep the age of their configuration, which is the time since it was known to be
 // the newest in the store, and check with the store when the age gets too high. They tell
-// each other the age together with the version, so that in a fleet with requests the check
-// of one host serves all. If no other host responds, a change is in force after
-// maxCheckAge and one call. The ages are shares of the time within which a change must be
-// in force, because each check costs a call to the store.
+// each other the age together with the version, and ask each other for it (package
+// freshness), so that the check of one host serves all. If no other host responds, a change
+// is in force after maxCheckAge and one call. The ages are shares of the time within which a
+// change must be in force, because each check costs a call to the store.
 const (
-	// firstHostCheckAge is the age at which the first host of the fleet checks.
-	firstHostCheckAge = 0.25
-	// minCheckAge and maxCheckAge bound the age at which any other host checks. The
-	// age is random, because all hosts reach it together when the first one fails.
-	minCheckAge = 0.4
+	// minCheckAge and maxCheckAge bound the age at which a host checks that does not do so
+	// on behalf of others, which is earlier. The age is random, because all hosts reach it
+	// together when the host that they ask fails. A question to that host ends before
+	// minCheckAge.
+	minCheckAge = 0.45
 	maxCheckAge = 0.55
 )
 
@@ -57,12 +57,12 @@
 }
 
 // delay returns the time until the next check is due if nothing confirms the
-// configuration meanwhile.
-func (s *checkSchedule) delay(now, confirmedAt time.Time, firstHost bool) time.Duration {
+// configuration meanwhile. age is the age at which this host checks on behalf of others; it
+// is valid if forOthers is true.
+func (s *checkSchedule) delay(now, confirmedAt time.Time, age time.Duration, forOthers bool) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	age := shareOf(s.bound, firstHostCheckAge)
-	if !firstHost {
+	if !forOthers {
 		if s.age == 0 {
 			s.age = shareOf(s.bound, minCheckAge) + rand.N(shareOf(s.bound, maxCheckAge-minCheckAge))
 		}
@@ -87,7 +87,8 @@
 // configCheckDelay returns the time until the configuration is to be checked.
 func (s *Sidecar) configCheckDelay() time.Duration {
 	now := time.Now()
-	return s.configChecks.delay(now, s.config.lastConfirmed(), s.fleet.IsFirst(now, s.settings.Host.Name))
+	age, forOthers := s.asker.checkAge(now)
+	return s.configChecks.delay(now, s.config.lastConfirmed(), age, forOthers)
 }
 
 // configChecked records a check of the configuration.
@@ -96,6 +97,7 @@
 		s.evacuation.confirm(s.configFollower.Position())
 		s.config.confirm(s.config.version(), asOf)
 	}
+	s.exchange.setCheckFailed(err != nil)
 	s.configChecks.record(asOf, time.Now(), err != nil)
 	s.logCheck(s.configFollower, undelivered, err)
 }
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -146,4 +146,6 @@
 		"The key map names the local upstream as the new holder of a key, and the grant did not reach it in time, or became obsolete meanwhile. The request was not run.", "If it repeats, look for late heartbeats of the upstream, or for event 1837 where keys are granted by commands.")
 	eventLargeResponseCrosses = event.Define(1920, log.InfoLevel, "large response from another region",
 		"A request whose response is expected to be large was offered to a host of another region, because no host of this one could take it and that one has spare capacity, or no host of this region responds.", "If it is frequent, add hosts of the service, or wider links, in this region.")
+	eventAskedHostAvoided = event.Define(1910, log.InfoLevel, "host not asked for confirmations",
+		"A host that this one asks whether the configuration is the newest did not respond in time (outcome failed), or had not confirmed its own configuration for too long (outcome stale). For the given time the next host is asked instead, or this host checks with the store itself.", "none; if it is repeated for one host, look at that host's connection to the store: event 1810.")
 )
