--- a/router/sidecar/grantwait_test.go
+++ b/router/sidecar/grantwait_test.go
@@ -31,7 +31,7 @@
 		t.Fatal(err, invalid)
 	}
 	h.config.table.Store(table)
-	h.evacuation.mergePolled("", "h1")
+	h.evacuation.mergePolled("-", "", "h1")
 	h.beat = Heartbeat{Instance: "i-h0", Started: 1, Sequence: 1, Service: "keyed", Slots: 4}
 	h.HandleHeartbeat(h.beat)
 	h.keys.leaseEnd = boottime.Now().Add(leaseDuration)
