reservation: ledger of reservations for returning requests

Cause: a gate tells all callers that it refuses at one moment nearly the same time; they return together and are refused again. Change: package reservation. Returns recognises refused requests when they come back.

--- /dev/null
+++ b/router/reservation/returns.go
@@ -0,0 +1,118 @@
+package reservation
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxRefusals bounds the refusals that an entry remembers.
+	maxRefusals = 1024
+	// deadlineTolerance is how far the deadlines of two attempts of one request may differ.
+	// They are computed from the time left, which takes differently long to arrive.
+	deadlineTolerance = 30 * time.Millisecond
+)
+
+// Return says how a request has come back.
+type Return int
+
+// The returns. The values are sent between hosts by name.
+const (
+	// FirstAttempt: the request is not known to have been refused before.
+	FirstAttempt Return = iota
+	// Due: the time of its reservation has come.
+	Due
+	// Early: it was told to return later.
+	Early
+	// Unreserved: it has no reservation.
+	Unreserved
+)
+
+// returnNames are the values of Return that are sent between hosts.
+var returnNames = [...]string{"first", "due", "early", "unreserved"}
+
+// String returns the name of the value.
+func (r Return) String() string { return returnNames[r] }
+
+// ParseReturn returns the value with the name, or FirstAttempt if there is none.
+func ParseReturn(name string) Return {
+	return Return(max(slices.Index(returnNames[:], name), int(FirstAttempt)))
+}
+
+// Refusal is a request that was refused for lack of room.
+type Refusal struct {
+	Route string
+	// Content is a hash of what two attempts of a request have in common.
+	Content uint64
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Gate is the host that refused the request.
+	Gate string
+	// At is the time at which the request was told to return, and Reserved is true if
+	// capacity is reserved for it.
+	At       time.Time
+	Reserved bool
+	// Back is the time at which a caller that honours the refusal is back. It is before At if
+	// callers do not wait as long.
+	Back time.Time
+}
+
+// Returns holds the requests that an entry has refused and whose deadlines have not passed.
+type Returns struct {
+	refusals []Refusal
+}
+
+// Refused records a refusal. Beyond the bound, the oldest one is forgotten.
+func (r *Returns) Refused(now time.Time, f Refusal) {
+	if len(r.refusals) >= maxRefusals {
+		r.refusals = slices.DeleteFunc(r.refusals, func(f Refusal) bool { return f.Deadline.Before(now) })
+	}
+	if len(r.refusals) >= maxRefusals {
+		r.refusals = slices.Delete(r.refusals, 0, 1)
+	}
+	r.refusals = append(r.refusals, f)
+}
+
+// Match returns the refusal of the request that a new one with the route, content and
+// deadline repeats, and forgets it. Of several, one with the same content comes first, then
+// one that is due, then the one with the nearest deadline.
+func (r *Returns) Match(now time.Time, route string, content uint64, deadline time.Time) (Refusal, Return) {
+	best, bestRank, bestDifference := -1, 0, time.Duration(0)
+	for i := range r.refusals {
+		f := &r.refusals[i]
+		difference := f.Deadline.Sub(deadline).Abs()
+		if difference > deadlineTolerance || f.Route != route {
+			continue
+		}
+		rank := 0
+		if f.Content == content {
+			rank += 2
+		}
+		if f.returned(now) != Early {
+			rank++
+		}
+		if best < 0 || rank > bestRank || (rank == bestRank && difference < bestDifference) {
+			best, bestRank, bestDifference = i, rank, difference
+		}
+	}
+	if best < 0 {
+		return Refusal{}, FirstAttempt
+	}
+	f := r.refusals[best]
+	r.refusals = slices.Delete(r.refusals, best, best+1)
+	return f, f.returned(now)
+}
+
+// Len returns the number of refusals that are remembered.
+func (r *Returns) Len() int { return len(r.refusals) }
+
+// returned says how the request has come back if it arrives now.
+func (f *Refusal) returned(now time.Time) Return {
+	switch {
+	case now.Before(f.Back.Add(-earlyTolerance)):
+		return Early
+	case f.Reserved && !now.Before(f.At.Add(-earlyTolerance)):
+		return Due
+	}
+	return Unreserved
+}
