--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -72,6 +72,8 @@
 	// decision in progress.
 	pace       Pace
 	paceFactor float64
+	// reservations is nil if none are made.
+	reservations *reservations
 }
 
 // WorkClass is a class of requests that are expected to hold their slots for about
@@ -99,6 +101,8 @@
 	// promoted is true if the item is served with the highest priority instead of
 	// its own.
 	promoted bool
+	// turn orders returning requests.
+	turn turn
 	// late is true if the response is expected to miss its goal.
 	late bool
 	// expires is when the item is refused if it has no slot by then.
@@ -118,6 +122,9 @@
 	if it.effectivePriority() != other.effectivePriority() {
 		return it.effectivePriority() < other.effectivePriority()
 	}
+	if it.turn != other.turn {
+		return it.turn < other.turn
+	}
 	if it.late != other.late {
 		return other.late
 	}
@@ -158,6 +165,8 @@
 	Goal time.Time
 	// Deadline is when the caller stops waiting for the response.
 	Deadline time.Time
+	// Origin describes the attempt.
+	Origin Origin
 }
 
 // Acquire waits for a slot within the bounds. The returned function releases the
@@ -166,6 +175,15 @@
 // another host in time. Errors can also have the kinds errkind.UpstreamDown,
 // errkind.DeadlinePassed and errkind.CallerLeft.
 func (l *PriorityLimiter) Acquire(ctx context.Context, class WorkClass, bounds WaitBounds) (func(Result), error) {
+	release, err := l.acquire(ctx, class, bounds)
+	if err != nil {
+		return nil, l.offerReturn(class, bounds, err)
+	}
+	return release, nil
+}
+
+// acquire is Acquire without the time at which a refused request should return.
+func (l *PriorityLimiter) acquire(ctx context.Context, class WorkClass, bounds WaitBounds) (func(Result), error) {
 	l.mu.Lock()
 	now := l.now()
 	l.paceFactor = l.pace.Factor(now)
@@ -174,13 +192,14 @@
 		return nil, errkind.New(errkind.UpstreamDown, "no upstream is announced")
 	}
 	it := &priorityItem{class: class, arrival: l.nextArrival, bounds: bounds, decision: make(chan error, 1)}
+	l.claim(now, it)
 	if len(l.waiting) == 0 && l.mayStart(now) {
 		l.takeSlot(now, it)
 		l.mu.Unlock()
 		return l.releaseFunc(it, now), nil
 	}
 	it.promoted = l.isShort(class) && l.promoted < l.limit.Allowed()/promotedSlotsDivisor
-	it.late = l.wouldMissGoal(now, it)
+	it.late = it.turn == turnReserved || l.wouldMissGoal(now, it)
 	if err := l.enqueue(now, it); err != nil {
 		l.mu.Unlock()
 		return nil, err
@@ -195,7 +214,7 @@
 func (l *PriorityLimiter) enqueue(now time.Time, it *priorityItem) error {
 	wait := l.expectedWait(now, it)
 	slots := max(l.limit.Allowed(), 1)
-	if it.bounds.Policy == NoWait {
+	if it.bounds.Policy == NoWait && it.turn != turnReserved {
 		return overloaded(wait, "%d of %d slots are used, and %.0f requests per second are allowed (0: any)", l.inFlight, slots, l.allowedPerSecond(now))
 	}
 	if it.bounds.Policy == UntilDeadline && it.bounds.Goal.Sub(now)-wait < l.leadTime(it) {
@@ -203,17 +222,19 @@
 		wait = l.expectedWait(now, it)
 	}
 	longest := l.maxWait(now, it)
-	if wait > longest {
+	if wait > longest && !l.takePlace(it, wait-longest) {
 		return overloaded(wait, "the expected wait of %v is too long", wait)
 	}
 	it.expires = now.Add(longest + l.meanServiceOf(it.class)/2)
 	if len(l.waiting) >= slots*maxWaitingPerSlot {
 		last := l.waiting.last()
-		if !it.before(last) {
+		switch {
+		case it.before(last):
+			heap.Remove(&l.waiting, last.index)
+			last.decision <- overloaded(wait, "more urgent requests fill the queue of %d", len(l.waiting)+1)
+		case !l.takePlace(it, 0):
 			return overloaded(wait, "%d requests wait already", len(l.waiting))
 		}
-		heap.Remove(&l.waiting, last.index)
-		last.decision <- overloaded(wait, "more urgent requests fill the queue of %d", len(l.waiting)+1)
 	}
 	l.nextArrival++
 	heap.Push(&l.waiting, it)
@@ -271,6 +292,8 @@
 	service := l.meanServiceOf(it.class)
 	toDeadline := it.bounds.Deadline.Sub(now) - l.leadTime(it)
 	switch {
+	case it.turn == turnReserved:
+		return toDeadline
 	case it.late && it.bounds.Policy == UntilDeadline:
 		return min(lateWaitFactor*service, toDeadline)
 	case it.late && it.promoted:
@@ -323,6 +346,7 @@
 	l.rate.Take(now)
 	l.cold.Sent(now)
 	l.inFlight++
+	l.served(now, it.class)
 	if it.promoted {
 		l.promoted++
 	}
--- a/router/errkind/errkind.go
+++ b/router/errkind/errkind.go
@@ -131,12 +131,30 @@
 	return responses[Internal]
 }
 
+// Room says what is known of the capacity at the time at which a refused request should
+// return. The values are part of the protocol.
+type Room string
+
+// The values of Room.
+const (
+	// RoomUnknown: the time is an estimate.
+	RoomUnknown Room = ""
+	// RoomLater: there is no capacity earlier.
+	RoomLater Room = "later"
+	// RoomForecast: there is no capacity earlier on a link.
+	RoomForecast Room = "forecast"
+	// RoomReserved: capacity is reserved for the request from then on.
+	RoomReserved Room = "reserved"
+)
+
 // Error is an error with a kind.
 type Error struct {
 	Kind   Kind
 	Detail string
 	// RetryAfter overrides Response.RetryAfter if it is above 0.
 	RetryAfter time.Duration
+	// Room says what is known of the capacity after RetryAfter.
+	Room Room
 	// Err is the cause, or nil.
 	Err error
 }
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -41,6 +41,7 @@
 			last.close()
 		}
 		c.WaitPolicy = waitPolicy(c, len(tried))
+		e.markAttempt(c, h, tried)
 		last = e.attemptHedged(ctx, h, c, route, tried)
 		tried = append(tried, h)
 		c.noteRegionRefusal(h, last)
@@ -80,6 +81,9 @@
 	if c.trialHost != "" {
 		return e.chooseTrialHost(c, tried)
 	}
+	if h := e.chooseReserving(c, tried); h != nil {
+		return h, nil
+	}
 	if allowed := e.regions.filter(c); allowed != nil {
 		return e.chooseAllowed(c, tried, allowed)
 	}
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -95,6 +95,7 @@
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
 	}
+	s.entry.returns = s.buildReservations(s.gate.limiter)
 	s.entry.hedges = newHedger(s.settings.Hedge, s.entry.metrics)
 }
 
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -14,6 +14,7 @@
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/quarantine"
+	"burdockglade.dev/router/reservation"
 	"burdockglade.dev/router/vhost"
 )
 
@@ -73,7 +74,13 @@
 	// attempts come with shorter deadlines.
 	Objective time.Duration
 	Goal      time.Time
+	// Origin describes the attempt to the gate.
+	Origin admit.Origin
 
+	// returned says whether the request is known to have been refused before, and earlier is
+	// that refusal.
+	returned reservation.Return
+	earlier  reservation.Refusal
 	// route is the route by which the service was chosen; nil at the gate of another host.
 	route *vhost.Route
 	// refusedRegions are the regions whose hosts refused the call because it is not allowed
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -48,8 +48,10 @@
 	// hedges is nil if slow requests are not sent a second time.
 	hedges   *hedger
 	maxTimes maxRequestTimes
-	log      *event.Logger
-	metrics  *entryMetrics
+	// returns is nil if no reservations are made for returning requests.
+	returns *returns
+	log     *event.Logger
+	metrics *entryMetrics
 	// drainLimit is the time, counted from the notice that an upstream leaves, after which
 	// it gets no new request from this host.
 	drainLimit time.Duration
@@ -174,6 +176,7 @@
 func (e *entry) respond(w http.ResponseWriter, req *http.Request, table *vhost.Table, route *vhost.Route, c *Call, r *Result, start time.Time) {
 	defer r.close()
 	e.metrics.observe(route.Name, r, time.Since(start))
+	e.returns.refused(time.Now(), c, r)
 	if r.Err != nil {
 		e.writeError(w, req, route, c.Deadline, r.Err, event.F("host", r.Host), event.F("service", c.Service), event.F("config", table.Version()))
 		return
@@ -247,7 +250,8 @@
 		charge:     responseCharge(req),
 	}
 	left := c.Deadline.Sub(start)
-	c.Goal = c.Deadline.Add(route.TargetLatency - e.maxTimes.observe(route.Name, left))
+	longest := e.maxTimes.observe(route.Name, left)
+	c.Goal = c.Deadline.Add(route.TargetLatency - longest)
 	if s := table.Service(c.Service); s != nil && s.Keyed {
 		key, err := strconv.ParseUint(req.Header.Get(e.headers.Key), 10, 16)
 		if err != nil {
@@ -255,6 +259,8 @@
 		}
 		c.Keyed, c.Key = true, uint16(key)
 	}
+	c.Origin.Host = e.host
+	e.returns.recognise(start, c, longest, left)
 	return c, nil
 }
 
@@ -328,10 +334,11 @@
 }
 
 // retryAfterFor returns the delay after which a refused caller is asked to retry: the one
-// that the error names, limited to the part of the remaining time that callers honour.
+// that the error names. Estimates are limited to the part of the remaining time that callers
+// honour.
 func retryAfterFor(err *errkind.Error, left time.Duration) time.Duration {
 	longest := min(max(left/retryAfterDivisor, minRetryAfter), maxRetryAfter)
-	if err.Kind == errkind.Quarantined {
+	if err.Kind == errkind.Quarantined || (err.Room != errkind.RoomUnknown && err.RetryAfter > 0) {
 		return max(err.RetryAfter, minRetryAfter) // nothing earlier can help
 	}
 	if err.RetryAfter > 0 {
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -142,4 +142,6 @@
 		"Another host sent a report of suspects that cannot be decoded. At most one such report a minute is logged.", "Compare the versions of the two routers.")
 	eventTrial = event.Define(1894, log.InfoLevel, "trial of a quarantined request",
 		"The local upstream gets one quarantined request, to find out whether it still crashes.", "none")
+	eventCompetition = event.Define(1900, log.InfoLevel, "callers compete for the upstream",
+		"Requests were refused for lack of room and told when to return. The line counts the reservations since the last one (made, kept, missed, lost), the refusals without one by reason, and the final refusals by how the request had come; docs/OPERATIONS.md explains the names. At most one line is logged in 10 s.", "If it lasts for minutes, add upstreams, or look for a hot key (event 1835).")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -88,7 +88,7 @@
 		g.keys.countRequest(c.Key, g.limiter.MeanServiceTime(work))
 	}
 	sending := c.transfer.expectedSendTime()
-	release, err := g.limiter.Acquire(ctx, work, admit.WaitBounds{Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending)})
+	release, err := g.limiter.Acquire(ctx, work, admit.WaitBounds{Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending), Origin: c.Origin})
 	if err != nil {
 		return g.withLoad(&Result{Err: kindError(err)})
 	}
--- a/router/sidecar/hedge.go
+++ b/router/sidecar/hedge.go
@@ -80,6 +80,7 @@
 	second := *c // before the first attempt, which changes the call
 	second.refusedRegions = slices.Clone(c.refusedRegions)
 	second.WaitPolicy = admit.NoWait
+	second.Origin = admit.Origin{}
 	return &attemptPair{
 		entry: e, attempt: e.attempt, ctx: ctx, call: c, secondCall: &second,
 		route: route, first: h, delay: delay, done: make(chan struct{}),
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -73,7 +73,7 @@
 		Priority:    c.Priority,
 		WaitPolicy:  int(c.WaitPolicy),
 		Key:         c.Key,
-		Fields:      hopFields(c.Header, names.RequestID, names.DeadlineMs, names.Key, names.Caller, names.ExpectInstance),
+		Fields:      hopFields(c.Header, names.RequestID, names.DeadlineMs, names.Key, names.Caller, names.ExpectInstance, originField),
 		Length:      int64(len(c.Body)),
 	}
 	if c.Stream != nil {
@@ -84,6 +84,7 @@
 			head.Flags |= flag
 		}
 	}
+	head.Fields = append(head.Fields, encodeOrigin(c)...)
 	// A key that does not decide the host is passed on like any other field.
 	if key := c.Header.Get(names.Key); key != "" && !c.Keyed {
 		head.Fields = append(head.Fields, hop.Field{Name: names.Key, Value: key})
@@ -149,10 +150,12 @@
 	header.Del(paceField)
 	r.Load.Link = decodeLinkShare(header.Get(linkField))
 	header.Del(linkField)
+	room := decodeRoom(header.Get(roomField))
+	header.Del(roomField)
 	if resp.Kind != "" {
 		_ = resp.Body.Close()
 		r.Err = errkind.New(kind, "%s", resp.Detail)
-		r.Err.RetryAfter = time.Duration(resp.RetryMs) * time.Millisecond
+		r.Err.RetryAfter, r.Err.Room = time.Duration(resp.RetryMs)*time.Millisecond, room
 		r.Holder = resp.Holder
 		return r
 	}
@@ -255,8 +258,9 @@
 // decodeCall decodes a call. Its remaining times count from now, the moment of its
 // arrival.
 func (h *hopHandler) decodeCall(req *hop.Request, now time.Time) *Call {
+	header := headerFrom(req.Fields)
 	c := &Call{
-		Method: req.Method, Target: req.Target, Host: req.Host, Header: headerFrom(req.Fields),
+		Method: req.Method, Target: req.Target, Host: req.Host, Header: header, Origin: takeOrigin(header),
 		Body:      req.Body,
 		RequestID: req.RequestID, Service: req.Service, Caller: req.Caller,
 		Deadline:   now.Add(time.Duration(req.RemainingMs) * time.Millisecond),
@@ -293,13 +297,14 @@
 	}
 	if r.Err != nil {
 		head.Kind, head.Fields = encodeKind(r.Err.Kind)
+		head.Fields = append(head.Fields, encodeRoom(r.Err)...)
 		head.Detail = r.Err.Detail
 		head.RetryMs = int(r.Err.RetryAfter.Milliseconds())
 		head.Holder = r.Holder
 	} else {
 		head.Status, head.Length = r.Status, r.Length
 		head.Signature = r.Header.Get(h.headers.Signature)
-		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField, kindField, evacuatedField, paceField, linkField, suspectsField)
+		head.Fields = hopFields(r.Header, h.headers.RequestID, h.headers.Signature, h.headers.Load, leavingField, kindField, evacuatedField, paceField, linkField, suspectsField, roomField)
 	}
 	if r.Load.Pace != 0 {
 		head.Fields = append(head.Fields, hop.Field{Name: paceField, Value: strconv.Itoa(r.Load.Pace)})
--- a/router/sidecar/link.go
+++ b/router/sidecar/link.go
@@ -137,7 +137,7 @@
 	s.log.Log(eventLinkFull, event.F("request", c.RequestID), event.F("caller", c.Caller), event.F("bytes", size),
 		event.F("backlog_bytes", s.link.Backlog()), event.F("retry_ms", retryAfter.Milliseconds()))
 	err := errkind.New(errkind.Overloaded, "the link has %d bytes to send; there is room for a response of %d bytes in %v", s.link.Backlog(), size, retryAfter)
-	err.RetryAfter = retryAfter
+	err.RetryAfter, err.Room = retryAfter, errkind.RoomForecast
 	return err
 }
 
--- a/router/sidecar/linkmemory.go
+++ b/router/sidecar/linkmemory.go
@@ -40,7 +40,7 @@
 	s.countRefusal("memory")
 	s.log.Log(eventLinkMemory, event.F("request", c.RequestID), event.F("caller", c.Caller), event.F("bytes", need), event.F("held_bytes", s.memory.Held()))
 	err := errkind.New(errkind.Overloaded, "%d bytes of large responses and bodies are held; there is no memory for %d more", s.memory.Held(), need)
-	err.RetryAfter = retryAfter
+	err.RetryAfter, err.Room = retryAfter, errkind.RoomForecast
 	return err
 }
 
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -20,7 +20,9 @@
 	Terms      TermSettings       `ini:"terms"`
 	Hedge      HedgeSettings      `ini:"hedge"`
 	Quarantine QuarantineSettings `ini:"quarantine"`
-	Log        LogSettings        `ini:"log"`
+	// Reservation configures the reservations for requests that return after a refusal.
+	Reservation ReservationSettings `ini:"reservation"`
+	Log         LogSettings         `ini:"log"`
 }
 
 // HostSettings identify the host of the process and name its resources. The names are
@@ -126,6 +128,17 @@
 	Enabled bool `ini:"enabled"`
 }
 
+// ReservationSettings configure the reservations for requests that return after they were
+// refused for lack of room.
+type ReservationSettings struct {
+	// Share is the share, 0 to 0.9, of the capacity of the local upstream that may be reserved
+	// for them. 0 switches reservations off. Default 0.5.
+	Share float64 `ini:"share"`
+}
+
+// maxReservationShare leaves capacity for new requests.
+const maxReservationShare = 0.9
+
 // LogSettings configure the log on standard output.
 type LogSettings struct {
 	// Level is debug, info, warn or error. Default info.
@@ -141,8 +154,9 @@
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindowMs: 10000,
 			ColdOverage: 1.5, ColdSlack: 8,
 		},
-		Quarantine: QuarantineSettings{Enabled: true},
-		Log:        LogSettings{Level: "info"},
+		Quarantine:  QuarantineSettings{Enabled: true},
+		Reservation: ReservationSettings{Share: 0.5},
+		Log:         LogSettings{Level: "info"},
 	}
 }
 
@@ -248,6 +262,9 @@
 	if !(s.Hedge.MaxShare >= 0 && s.Hedge.MaxShare <= 1) { // also refuses NaN
 		errs = append(errs, fmt.Errorf("hedge.max_share = %v: want 0 to 1", s.Hedge.MaxShare))
 	}
+	if v := s.Reservation.Share; !(v >= 0 && v <= maxReservationShare) {
+		errs = append(errs, fmt.Errorf("reservation.share = %v: want 0 to %v", v, maxReservationShare))
+	}
 	return errors.Join(errs...)
 }
 
