--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -271,7 +271,9 @@
 			ahead++
 		}
 	}
-	return max(before/time.Duration(max(l.limit.Allowed(), 1)), l.tokenWait(now, ahead+1))
+	wait := before / time.Duration(max(l.limit.Allowed(), 1))
+	wait += l.reservedWait(now, it, wait)
+	return max(wait, l.tokenWait(now, ahead+1))
 }
 
 // wouldMissGoal reports whether the response is expected to miss its goal if the
--- a/router/admit/reserve.go
+++ b/router/admit/reserve.go
@@ -150,6 +150,15 @@
 	return interval
 }
 
+// reservedWait returns by how much the open reservations that come before a new request of the
+// class prolong its wait. The caller holds l.mu.
+func (l *PriorityLimiter) reservedWait(now time.Time, it *priorityItem, wait time.Duration) time.Duration {
+	if l.reservations == nil || it.turn == turnReserved || it.promoted || l.reservations.ledger.Len() == 0 {
+		return 0
+	}
+	return l.reservations.ledger.Before(now, it.class.Priority, wait)
+}
+
 // offerReturn adds the time at which a request that is refused finally should return to its
 // error, and makes a reservation for it if there will be capacity in time. Refusals for
 // other reasons than a lack of room are returned as they are.
@@ -169,9 +178,16 @@
 		return err // it was told when to return, or nothing is known of the capacity
 	}
 	left := bounds.Deadline.Sub(now)
-	latest := min(left/time.Duration(r.HonouredDivisor), left-l.leadTime(&priorityItem{class: class}))
+	lead := l.leadTime(&priorityItem{class: class})
+	latest := min(left/time.Duration(r.HonouredDivisor), left-lead)
+	of := class.ledgerClass()
+	if inTime := bounds.Goal.Sub(now) - lead; inTime >= minReturnDelay {
+		latest = min(latest, inTime) // a later return would miss the goal
+	} else {
+		of.Late = true
+	}
 	offer := r.ledger.Reserve(now, reservation.Request{
-		Host: bounds.Origin.Host, Class: class.ledgerClass(), Interval: interval,
+		Host: bounds.Origin.Host, Class: of, Interval: interval,
 		Earliest: now.Add(max(minReturnDelay, l.tokenWait(now, len(l.waiting)+1))), Latest: now.Add(latest),
 	})
 	r.countMissed()
@@ -193,7 +209,8 @@
 	if l.reservations == nil || own == "" || it.bounds.Policy == NoWait || it.turn != turnFirst || l.limit.Allowed() == 0 {
 		return false
 	}
-	if relief := l.meanServiceOf(it.class) / time.Duration(l.limit.Allowed()); excess > relief {
+	service := l.meanServiceOf(it.class)
+	if relief := service / time.Duration(l.limit.Allowed()); excess > relief+service/2 { // items expire that much later
 		return false
 	}
 	places := l.reservations.places
--- a/router/reservation/ledger.go
+++ b/router/reservation/ledger.go
@@ -33,6 +33,8 @@
 	edgeReservations = 2
 	// maxTrials bounds the gaps shorter than a reservation that are tried for it.
 	maxTrials = 8
+	// minShare is the least share with which lengths are computed, so that they stay finite.
+	minShare = 1e-4
 	// minLeftOver is the least share of the capacity that counts as left over by more urgent
 	// priorities, so that times stay finite.
 	minLeftOver = 0.02
@@ -43,6 +45,14 @@
 	// Priority is the rank; 0 is the highest.
 	Priority   int
 	Repeatable bool
+	// Late is true for requests that will miss their goal. They have a time line of their own,
+	// so that they do not take the capacity of those that can still meet it.
+	Late bool
+}
+
+// sharesLine reports whether reservations of the classes are on the same time line.
+func (c Class) sharesLine(o Class) bool {
+	return c.Priority == o.Priority && c.Late == o.Late
 }
 
 // Request is a refused request that asks when to return.
@@ -83,22 +93,23 @@
 
 // Options configure a Ledger.
 type Options struct {
-	// Share is the share of the capacity, 0 to 1, that may be reserved.
-	Share float64
+	// Share is the share of the capacity, 0 to 1, that may be reserved for requests that can
+	// meet their goal, and LateShare the one for late requests.
+	Share, LateShare float64
 	// Random returns a random number in [0, 1).
 	Random func() float64
 }
 
 // Ledger holds the reservations at one gate.
 type Ledger struct {
-	share  float64
+	opts   Options
 	random func() float64
 	// entries are sorted by start.
 	entries []entry
 	classes []*classAccounts
 	used    usage
-	// claimedUntil is, by rank, the end of the interval that the used reservations occupy.
-	claimedUntil [ranks]time.Time
+	// claimedUntil is, by time line, the end of the interval that the used reservations occupy.
+	claimedUntil [2 * ranks]time.Time
 	missed       int
 }
 
@@ -113,7 +124,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(opts Options) *Ledger {
-	return &Ledger{share: opts.Share, random: opts.Random}
+	return &Ledger{opts: opts, random: opts.Random}
 }
 
 // Served records that a request of the priority is served, which takes the interval of the
@@ -141,7 +152,7 @@
 			reach = reach.Add(-min(edgeReservations*length, r.Latest.Sub(r.Earliest)/2))
 		}
 	}
-	start := l.gap(now, r.Class.Priority, earliest, length)
+	start := l.gap(now, r.Class, earliest, length)
 	if start.After(reach) {
 		return l.later(now, r, start, length)
 	}
@@ -159,7 +170,7 @@
 // time at which there is capacity for its host.
 func (l *Ledger) later(now time.Time, r Request, start time.Time, length time.Duration) Offer {
 	o := Offer{At: l.spread(now, latest(start, r.Latest)), Outcome: Later}
-	if !l.gap(now, r.Class.Priority, r.Earliest, length).After(r.Latest) {
+	if !l.gap(now, r.Class, r.Earliest, length).After(r.Latest) {
 		o.Outcome = OverShare
 	}
 	return o
@@ -170,17 +181,18 @@
 	return t.Add(time.Duration(laterJitter * l.random() * float64(max(t.Sub(now), 0))))
 }
 
-// Claim uses a reservation of the host and class that is due. It returns false if there is
-// none.
+// Claim uses a reservation of the host and class that is due, whether the class was late when
+// it was made or not. It returns false if there is none.
 func (l *Ledger) Claim(now time.Time, host string, class Class) bool {
 	l.expire(now)
 	for i, e := range l.entries {
 		if e.start.After(now.Add(earlyTolerance)) {
 			return false
 		}
-		if e.host == host && e.class.class == class && !e.at.After(now.Add(earlyTolerance)) {
+		of := e.class.class
+		if e.host == host && of.Priority == class.Priority && of.Repeatable == class.Repeatable && !e.at.After(now.Add(earlyTolerance)) {
 			l.entries = slices.Delete(l.entries, i, i+1)
-			until := &l.claimedUntil[rank(class.Priority)]
+			until := &l.claimedUntil[of.line()]
 			*until = latest(*until, now).Add(l.length(now, e.class))
 			return true
 		}
@@ -188,6 +200,23 @@
 	return false
 }
 
+// Before returns how long the gate needs for the reservations that come before a new request
+// of the priority which otherwise has to wait for the given time.
+func (l *Ledger) Before(now time.Time, priority int, wait time.Duration) time.Duration {
+	var total time.Duration
+	missed := now.Add(-missedAfter)
+	for i := range l.entries {
+		e := &l.entries[i]
+		if e.start.After(now.Add(wait + total)) {
+			break
+		}
+		if e.class.class.Priority <= priority && !e.at.Before(missed) {
+			total += e.class.interval
+		}
+	}
+	return total
+}
+
 // Len returns the number of reservations.
 func (l *Ledger) Len() int { return len(l.entries) }
 
@@ -212,23 +241,27 @@
 // length returns how much of the time line a reservation of the class occupies: the rest of
 // it is for new requests and more urgent ones.
 func (l *Ledger) length(now time.Time, c *classAccounts) time.Duration {
+	share := l.opts.Share
+	if c.class.Late {
+		share = l.opts.LateShare
+	}
 	left := max(1-l.used.above(now, c.class.Priority), minLeftOver)
-	return max(time.Duration(float64(c.interval)/(l.share*left)), 1)
+	return max(time.Duration(float64(c.interval)/max(share*left, minShare)), 1)
 }
 
 // gap returns the first time from earliest on at which an interval of the length can begin
-// among the reservations of the priority. Reservations occupy as much as their classes need
+// among the reservations on the time line of the class. Reservations occupy as much as their classes need
 // now, so that they may push each other back.
-func (l *Ledger) gap(now time.Time, priority int, earliest time.Time, length time.Duration) time.Time {
+func (l *Ledger) gap(now time.Time, class Class, earliest time.Time, length time.Duration) time.Time {
 	for _, c := range l.classes {
 		c.length = l.length(now, c)
 	}
 	missed := now.Add(-missedAfter)
-	free := latest(now, l.claimedUntil[rank(priority)])
+	free := latest(now, l.claimedUntil[class.line()])
 	trials := 0
 	for i := range l.entries {
 		e := &l.entries[i]
-		if e.class.class.Priority != priority || e.at.Before(missed) {
+		if !e.class.class.sharesLine(class) || e.at.Before(missed) {
 			continue
 		}
 		begin := latest(e.start, free)
@@ -237,7 +270,7 @@
 			return start
 		}
 		if trials < maxTrials && !start.Add(length/2).After(begin) {
-			if trials++; l.fits(i, priority, start.Add(length), missed) {
+			if trials++; l.fits(i, class, start.Add(length), missed) {
 				return start
 			}
 		}
@@ -248,10 +281,10 @@
 
 // fits reports whether the reservations from the index on can be pushed back to the time free,
 // none by more than it occupies itself.
-func (l *Ledger) fits(from, priority int, free, missed time.Time) bool {
+func (l *Ledger) fits(from int, class Class, free, missed time.Time) bool {
 	for i := from; i < len(l.entries); i++ {
 		e := &l.entries[i]
-		if e.class.class.Priority != priority || e.at.Before(missed) {
+		if !e.class.class.sharesLine(class) || e.at.Before(missed) {
 			continue
 		}
 		push := free.Sub(e.start)
--- a/router/reservation/share.go
+++ b/router/reservation/share.go
@@ -18,7 +18,7 @@
 	// ranks bounds the priorities that are told apart; less urgent ones count as the last.
 	ranks = 8
 	// maxClasses bounds the classes of a ledger.
-	maxClasses = 2 * ranks
+	maxClasses = 4 * ranks
 	// maxLevelRounds bounds the rounds in which a fair level is approached.
 	maxLevelRounds = 8
 )
@@ -28,6 +28,14 @@
 	return min(max(priority, 0), ranks-1)
 }
 
+// line returns the index of the time line of a class.
+func (c Class) line() int {
+	if c.Late {
+		return ranks + rank(c.Priority)
+	}
+	return rank(c.Priority)
+}
+
 // average is a moving average of a rate, weighted by age.
 type average struct {
 	sum float64
@@ -134,7 +142,7 @@
 	}
 	classShare := fairLevel(1, func(yield func(float64)) {
 		for _, o := range l.classes {
-			if o.class.Priority == c.class.Priority {
+			if o.class.sharesLine(c.class) {
 				yield(o.demand.rate(now))
 			}
 		}
--- a/router/sidecar/competing.go
+++ b/router/sidecar/competing.go
@@ -192,7 +192,7 @@
 		c.counters[e] = s.scope.Tagged(map[string]string{"event": string(e)}).Counter("reservations")
 	}
 	l.Reserve(admit.ReservationOptions{
-		Options:         reservation.Options{Share: s.settings.Reservation.Share, Random: rand.Float64},
+		Options:         reservation.Options{Share: s.settings.Reservation.Share, LateShare: s.settings.Reservation.LateShare, Random: rand.Float64},
 		HonouredDivisor: retryAfterDivisor,
 		Count:           func(e admit.ReservationEvent, n int) { c.count(time.Now(), e, n) },
 	})
