--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -148,4 +148,6 @@
 		"A request whose response is expected to be large was offered to a host of another region, because no host of this one could take it and that one has spare capacity, or no host of this region responds.", "If it is frequent, add hosts of the service, or wider links, in this region.")
 	eventAskedHostAvoided = event.Define(1910, log.InfoLevel, "host not asked for confirmations",
 		"A host that this one asks whether the configuration is the newest did not respond in time (outcome failed), or had not confirmed its own configuration for too long (outcome stale). For the given time the next host is asked instead, or this host checks with the store itself.", "none; if it is repeated for one host, look at that host's connection to the store: event 1810.")
+	eventCompetition = event.Define(1900, log.InfoLevel, "callers compete for the upstream",
+		"Requests were refused for lack of room and told when to return. The line counts the reservations since the last one (made, kept, missed, lost), the refusals without one by reason, and the final refusals by how the request had come; docs/OPERATIONS.md explains the names. At most one line is logged in 10 s.", "If it lasts for minutes, add upstreams, or look for a hot key (event 1835).")
 )
