Serve calls of running requests first, and limit runs whose calls are refused

Nothing told a gate which requests are calls; they had a place by their mean service time only.

The entry links a request to the run that its id names, if that run is in progress at the local upstream. Priority, goal and deadline follow from the run. The field Burdock-Run tells the called gate. It serves calls before new work of the same or a lower priority, on up to two thirds of the slots while other work waits, and lets them wait as long as the run can use the response, in a burst; in a lasting overload only for a few service times. While half of the calls to a service are refused, new runs of routes that call it are admitted by a token bucket and otherwise refused (new kind calls_refused, 503, not run), at no other host again.

--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -62,6 +62,7 @@
 	nextToken *time.Timer
 	// promoted is the number of promoted requests in flight.
 	promoted    int
+	calls       runCalls
 	waiting     priorityHeap
 	nextArrival uint64
 	// meanService is the mean time that a request holds a slot at the usual pace,
@@ -118,6 +119,9 @@
 	if it.effectivePriority() != other.effectivePriority() {
 		return it.effectivePriority() < other.effectivePriority()
 	}
+	if it.bounds.OfRun != other.bounds.OfRun {
+		return it.bounds.OfRun
+	}
 	if it.late != other.late {
 		return other.late
 	}
@@ -158,6 +162,9 @@
 	Goal time.Time
 	// Deadline is when the caller stops waiting for the response.
 	Deadline time.Time
+	// OfRun is true if the request is a call for which a running request waits, and
+	// MakesCalls if it is expected to make such calls itself.
+	OfRun, MakesCalls bool
 }
 
 // Acquire waits for a slot within the bounds. The returned function releases the
@@ -174,7 +181,7 @@
 		return nil, errkind.New(errkind.UpstreamDown, "no upstream is announced")
 	}
 	it := &priorityItem{class: class, arrival: l.nextArrival, bounds: bounds, decision: make(chan error, 1)}
-	if len(l.waiting) == 0 && l.mayStart(now) {
+	if l.mayStartAtOnce(now, it) {
 		l.takeSlot(now, it)
 		l.mu.Unlock()
 		return l.releaseFunc(it, now), nil
@@ -250,7 +257,11 @@
 			ahead++
 		}
 	}
-	return max(before/time.Duration(max(l.limit.Allowed(), 1)), l.tokenWait(now, ahead+1))
+	wait := max(before/time.Duration(max(l.limit.Allowed(), 1)), l.tokenWait(now, ahead+1))
+	if it.bounds.OfRun {
+		return max(wait, l.expectedCallWait(it))
+	}
+	return wait
 }
 
 // wouldMissGoal reports whether the response is expected to miss its goal if the
@@ -268,6 +279,9 @@
 // get no slot while others can meet their goals, so their callers should retry
 // later. The caller holds l.mu.
 func (l *PriorityLimiter) maxWait(now time.Time, it *priorityItem) time.Duration {
+	if it.bounds.OfRun {
+		return l.maxCallWait(now, it)
+	}
 	service := l.meanServiceOf(it.class)
 	toDeadline := it.bounds.Deadline.Sub(now) - l.leadTime(it)
 	switch {
@@ -326,6 +340,7 @@
 	if it.promoted {
 		l.promoted++
 	}
+	l.calls.slotTaken(it, l.waiting)
 }
 
 // freeSlot frees the slot of the request; its token stays used. The caller holds l.mu.
@@ -334,6 +349,7 @@
 	if it.promoted {
 		l.promoted--
 	}
+	l.calls.slotFreed(it)
 }
 
 // isShort reports whether requests of the class are short, see shortDivisor.
@@ -380,8 +396,7 @@
 func (l *PriorityLimiter) dispatch() {
 	now := l.now()
 	l.paceFactor = l.pace.Factor(now)
-	for len(l.waiting) > 0 && l.mayStart(now) {
-		it := heap.Pop(&l.waiting).(*priorityItem)
+	for it := l.next(now); it != nil; it = l.next(now) {
 		switch {
 		case it.bounds.Deadline.Sub(now) < l.leadTime(it):
 			it.decision <- overloaded(0, "no slot was free in time")
--- /dev/null
+++ b/router/admit/runcalls.go
@@ -0,0 +1,187 @@
+package admit
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Bounds on calls of runs: requests for whose responses other running requests wait, so that
+// refusing one wastes the work of a request that runs elsewhere.
+const (
+	// While other work waits, calls start on at most callSlotsNumerator/callSlotsDenominator
+	// of the slots, and at most maxCallsInRow one after another. The second bound counts
+	// where a rate limit binds, or with a single slot.
+	callSlotsNumerator, callSlotsDenominator = 2, 3
+	maxCallsInRow                            = 6
+	// burstFactor: the queue of calls shows a burst if it was empty within the last
+	// burstFactor mean service times, otherwise a lasting overload.
+	burstFactor = 8
+	// standingWaitFactor bounds the wait of a call that can meet its goal in a lasting
+	// overload, in mean service times. Longer waits make runs hold their slots in vain.
+	standingWaitFactor = 4
+	// reservedSlotsDivisor: requests that make calls themselves leave at least
+	// 1/reservedSlotsDivisor of the slots to calls that arrived within the last
+	// reserveTime. Otherwise the requests of two services that call each other could hold
+	// all slots and wait for one another.
+	reservedSlotsDivisor = 4
+	reserveTime          = 2 * time.Second
+)
+
+// runCalls is the state of a PriorityLimiter that concerns calls of runs.
+type runCalls struct {
+	// inFlight are the calls, and callers the requests that make calls, in flight.
+	inFlight, callers int
+	// inRow is the number of calls that were started since other work that waited was.
+	inRow int
+	// arrivedAt is the time of the last call, and waitingSince the time since which the
+	// queue has had calls.
+	arrivedAt, waitingSince time.Time
+}
+
+// mayStartAtOnce reports whether the request may start without waiting. The caller holds
+// l.mu.
+func (l *PriorityLimiter) mayStartAtOnce(now time.Time, it *priorityItem) bool {
+	if it.bounds.OfRun {
+		l.calls.arrivedAt = now
+	}
+	if !l.mayStart(now) || l.reserved(now, it) {
+		return false
+	}
+	// Requests that leave the last slots to calls do not keep others waiting.
+	for _, w := range l.waiting {
+		if !l.reserved(now, w) {
+			return false
+		}
+	}
+	return true
+}
+
+// reserved reports whether the request must leave the free slots to calls of runs. The
+// caller holds l.mu.
+func (l *PriorityLimiter) reserved(now time.Time, it *priorityItem) bool {
+	if !it.bounds.MakesCalls || it.bounds.OfRun || l.calls.arrivedAt.IsZero() || now.Sub(l.calls.arrivedAt) > reserveTime {
+		return false
+	}
+	slots := l.limit.Allowed()
+	return slots > 1 && l.calls.callers >= slots-max(slots/reservedSlotsDivisor, 1)
+}
+
+// next removes the request from the queue that gets the next slot, and returns nil if none
+// may start. The caller holds l.mu.
+func (l *PriorityLimiter) next(now time.Time) *priorityItem {
+	if len(l.waiting) == 0 || !l.mayStart(now) {
+		return nil
+	}
+	first := l.waiting[0]
+	callsLast := first.bounds.OfRun && l.callsUseShare()
+	if !callsLast && !l.reserved(now, first) {
+		return heap.Pop(&l.waiting).(*priorityItem)
+	}
+	var best, call *priorityItem
+	for _, w := range l.waiting {
+		switch {
+		case l.reserved(now, w):
+		case callsLast && w.bounds.OfRun:
+			if call == nil || w.before(call) {
+				call = w
+			}
+		case best == nil || w.before(best):
+			best = w
+		}
+	}
+	if best == nil {
+		best = call
+	}
+	if best != nil {
+		heap.Remove(&l.waiting, best.index)
+	}
+	return best
+}
+
+// callsUseShare reports whether calls have used up their share while other work waits. The
+// caller holds l.mu.
+func (l *PriorityLimiter) callsUseShare() bool {
+	return l.calls.inFlight >= l.callSlots() || l.calls.inRow >= maxCallsInRow
+}
+
+// callSlots returns the slots on which calls may start while other work waits.
+func (l *PriorityLimiter) callSlots() int {
+	return max(l.limit.Allowed()*callSlotsNumerator/callSlotsDenominator, 1)
+}
+
+// slotTaken counts a request that starts. The caller holds l.mu.
+func (c *runCalls) slotTaken(it *priorityItem, waiting priorityHeap) {
+	if it.bounds.MakesCalls {
+		c.callers++
+	}
+	if !it.bounds.OfRun {
+		c.inRow = 0
+		return
+	}
+	c.inFlight++
+	c.inRow++
+	if !waiting.hasOtherWork() {
+		c.inRow = 0
+	}
+}
+
+// slotFreed counts the end of a request. The caller holds l.mu.
+func (c *runCalls) slotFreed(it *priorityItem) {
+	if it.bounds.MakesCalls {
+		c.callers--
+	}
+	if it.bounds.OfRun {
+		c.inFlight--
+	}
+}
+
+// hasOtherWork reports whether requests wait that are no calls of runs.
+func (h priorityHeap) hasOtherWork() bool {
+	for _, w := range h {
+		if !w.bounds.OfRun {
+			return true
+		}
+	}
+	return false
+}
+
+// expectedCallWait returns the expected time until a call gets a slot, if the calls before
+// it are limited to their share of the slots. The caller holds l.mu.
+func (l *PriorityLimiter) expectedCallWait(it *priorityItem) time.Duration {
+	slots := max(l.limit.Allowed(), 1)
+	before, otherWork := time.Duration(0), false
+	for _, w := range l.waiting {
+		if !w.bounds.OfRun {
+			otherWork = true
+		} else if w.before(it) {
+			before += l.meanServiceOf(w.class)
+		}
+	}
+	callSlots := slots
+	if otherWork {
+		callSlots = l.callSlots()
+	}
+	return l.atPace(l.meanService)/time.Duration(slots) + before/time.Duration(callSlots)
+}
+
+// maxCallWait returns how long a call may wait: in a burst as long as its run can use the
+// response, in a lasting overload only briefly. The caller holds l.mu.
+func (l *PriorityLimiter) maxCallWait(now time.Time, it *priorityItem) time.Duration {
+	waiting := false
+	for _, w := range l.waiting {
+		waiting = waiting || w.bounds.OfRun
+	}
+	if !waiting {
+		l.calls.waitingSince = now
+	}
+	service := l.meanServiceOf(it.class)
+	useful := it.bounds.Deadline.Sub(now) - l.leadTime(it)
+	if now.Sub(l.calls.waitingSince) < burstFactor*service {
+		return useful
+	}
+	brief := lateWaitFactor * service
+	if toGoal := it.bounds.Goal.Sub(now) - l.leadTime(it); !it.late {
+		brief = max(brief, min(toGoal, standingWaitFactor*service))
+	}
+	return min(brief, useful)
+}
--- a/router/errkind/errkind.go
+++ b/router/errkind/errkind.go
@@ -44,6 +44,7 @@
 	Conflict          Kind = "conflict"
 	RegionUnavailable Kind = "region_unavailable"
 	Quarantined       Kind = "quarantined"
+	CallsRefused      Kind = "calls_refused"
 	Internal          Kind = "internal"
 )
 
@@ -110,6 +111,7 @@
 	Conflict:          {http.StatusConflict, NotRun, true, 0, "the state changed at the same time"},
 	RegionUnavailable: {http.StatusServiceUnavailable, NotRun, true, shortDelay, "no host in an allowed region can take the request"},
 	Quarantined:       {http.StatusServiceUnavailable, NotRun, false, longDelay, "the request has crashed the upstreams that ran it"},
+	CallsRefused:      {http.StatusServiceUnavailable, NotRun, false, shortDelay, "a service that the request would call refuses its calls"},
 	Internal:          {http.StatusInternalServerError, Unknown, false, 0, "internal error"},
 }
 
--- a/router/internal/catalogue/catalogue.go
+++ b/router/internal/catalogue/catalogue.go
@@ -95,6 +95,7 @@
 	errkind.NoteInvalid:       "Correct the note as described in the detail for each line.",
 	errkind.NoteConflict:      "Base the note on the version that is given in the detail.",
 	errkind.Conflict:          "Read the state again and retry if the change is still appropriate.",
+	errkind.CallsRefused:      "Look at the service that event 1905 names: it refuses the calls that the request would make. Requests are admitted again as it serves them.",
 	errkind.Quarantined:       "Repair the service; event 1890 names the path. Requests are served again once a trial has completed.",
 	errkind.Internal:          "Find the error in the log and report it.",
 }
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -53,7 +53,7 @@
 			break
 		}
 	}
-	return e.finalResult(ctx, c, last, mayHaveRun)
+	return e.calls.ended(c, e.finalResult(ctx, c, last, mayHaveRun))
 }
 
 // checkTimeLeft returns an error result if the router stops and the response of the host is
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -66,6 +66,7 @@
 	host, terms := s.settings.Host, s.settings.Terms
 	regions := &regionRules{host: host.Name, region: host.Region, config: s.config, log: s.log, scope: s.scope}
 	s.quarantine = s.buildQuarantine()
+	calls := s.buildRunCalls()
 	s.gate = &gate{
 		host: host.Name, headers: s.opts.Headers, local: s.local, keys: s.keys, evacuation: s.evacuation,
 		limiter:     admit.NewPriorityLimiter(nil),
@@ -73,6 +74,7 @@
 		client:      newUpstreamClient(s.settings.Upstream.Address),
 		regions:     regions,
 		quarantine:  s.quarantine,
+		calls:       calls,
 		drainLimit:  millis(terms.DrainMs) / 2,
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
@@ -89,6 +91,7 @@
 		budgets:     newBudgets(budget, s.fleet.HostCount),
 		regions:     regions,
 		quarantine:  s.quarantine,
+		calls:       calls,
 		log:         s.log,
 		metrics:     newEntryMetrics(s.scope),
 		drainLimit:  s.gate.drainLimit,
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -87,6 +87,10 @@
 	// trialHost is the only host to which the call may be offered, or empty.
 	trialHost string
 	evidence  callEvidence
+	// ofRun is set if the call was made by a request in progress, and makesCalls if the
+	// call is expected to make calls itself.
+	ofRun      callOfRun
+	makesCalls bool
 }
 
 // bodySendable reports whether the whole body can be sent in another attempt.
--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -38,6 +38,12 @@
 	return n
 }
 
+// testParentID takes what is before the last slash of an id for the parent's.
+func testParentID(id string) (string, bool) {
+	at := strings.LastIndexByte(id, '/')
+	return id[:max(at, 0)], at > 0
+}
+
 var configKey = rowstore.Key{Table: "operator", Name: "config"}
 
 // testUpstream is an upstream that records the requests that it runs.
@@ -269,7 +275,7 @@
 	}
 	notFound := func(*Sidecar) http.Handler { return http.NotFoundHandler() }
 	s := New(Options{
-		Settings: settings, Store: store, Headers: testHeaders, Notice: testNotice,
+		Settings: settings, Store: store, Headers: testHeaders, Notice: testNotice, ParentID: testParentID,
 		Config: ConfigSource{Key: configKey, Decode: decode}, EvacuatedZone: testEvacuatedZone,
 		Control: notFound, Ready: notFound, Metrics: metrics.New(), Listen: p.open, Log: c.log,
 	})
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -44,7 +44,9 @@
 	regions    *regionRules
 	// quarantine is nil if it is switched off.
 	quarantine *quarantineDriver
-	budgets    *budgets
+	// calls is nil if calls of requests in progress are not recognised.
+	calls   *runCallsDriver
+	budgets *budgets
 	// hedges is nil if slow requests are not sent a second time.
 	hedges   *hedger
 	maxTimes maxRequestTimes
@@ -255,6 +257,7 @@
 		}
 		c.Keyed, c.Key = true, uint16(key)
 	}
+	e.calls.link(c, start)
 	return c, nil
 }
 
@@ -301,7 +304,7 @@
 	response := errkind.ResponseOf(err.Kind)
 	status := response.Status
 	now := time.Now()
-	if response.Outcome == errkind.NotRun && (response.Retryable || err.Kind == errkind.DeadlinePassed || err.Kind == errkind.Quarantined) {
+	if response.Outcome == errkind.NotRun && (response.Retryable || err.Kind == errkind.DeadlinePassed || err.Kind == errkind.Quarantined || err.Kind == errkind.CallsRefused) {
 		status = http.StatusServiceUnavailable
 		retryAfter := retryAfterFor(err, deadline.Sub(now))
 		w.Header().Set(e.headers.RetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -142,4 +142,8 @@
 		"Another host sent a report of suspects that cannot be decoded. At most one such report a minute is logged.", "Compare the versions of the two routers.")
 	eventTrial = event.Define(1894, log.InfoLevel, "trial of a quarantined request",
 		"The local upstream gets one quarantined request, to find out whether it still crashes.", "none")
+	eventRunsLimited = event.Define(1905, log.WarnLevel, "requests limited because of their calls",
+		"At least half of the calls that running requests of the local upstream make to the service were refused. New requests of routes that call it are admitted only as far as their calls are served, and others are refused.", "Find out why the service refuses calls: it is overloaded, or cannot be reached.")
+	eventRunsUnlimited = event.Define(1906, log.InfoLevel, "requests no longer limited because of their calls",
+		"Most calls to the service are served again, and its limit has refused no request for 1 s.", "none")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -52,7 +52,9 @@
 	regions    *regionRules
 	// quarantine is nil if it is switched off.
 	quarantine *quarantineDriver
-	log        *event.Logger
+	// calls is nil if calls of requests in progress are not recognised.
+	calls *runCallsDriver
+	log   *event.Logger
 	// drainLimit is the time, counted from the notice that the upstream leaves, after
 	// which it gets no new request.
 	drainLimit time.Duration
@@ -83,22 +85,27 @@
 		return g.withLoad(&Result{Err: err})
 	}
 	defer g.quarantine.leave(c)
+	if err := g.calls.admit(c, time.Now()); err != nil {
+		return g.withLoad(&Result{Err: err})
+	}
 	work := c.workClass()
 	if c.Keyed {
 		g.keys.countRequest(c.Key, g.limiter.MeanServiceTime(work))
 	}
 	sending := c.transfer.expectedSendTime()
-	release, err := g.limiter.Acquire(ctx, work, admit.WaitBounds{Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending)})
+	release, err := g.limiter.Acquire(ctx, work, c.waitBounds(sending))
 	if err != nil {
+		g.calls.notStarted(c)
 		return g.withLoad(&Result{Err: kindError(err)})
 	}
 	if err := cmp.Or(g.check(time.Now(), c), g.quarantine.recheck(c)); err != nil {
 		g.countRefusal(c)
+		g.calls.notStarted(c)
 		release(admit.Failed)
 		return g.withLoad(&Result{Err: err})
 	}
 	start := time.Now()
-	r := g.send(ctx, c, release)
+	r := g.send(ctx, c, g.calls.started(c, release))
 	g.quarantine.ended(ctx, c, r)
 	if r.Err != nil {
 		g.log.Log(eventUpstreamFailed, event.F("request", c.RequestID), event.F("caller", c.Caller), event.F("kind", string(r.Err.Kind)),
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -73,7 +73,7 @@
 		Priority:    c.Priority,
 		WaitPolicy:  int(c.WaitPolicy),
 		Key:         c.Key,
-		Fields:      hopFields(c.Header, names.RequestID, names.DeadlineMs, names.Key, names.Caller, names.ExpectInstance),
+		Fields:      hopFields(c.Header, names.RequestID, names.DeadlineMs, names.Key, names.Caller, names.ExpectInstance, runField),
 		Length:      int64(len(c.Body)),
 	}
 	if c.Stream != nil {
@@ -84,6 +84,9 @@
 			head.Flags |= flag
 		}
 	}
+	if c.ofRun.known {
+		head.Fields = append(head.Fields, hop.Field{Name: runField, Value: c.ofRun.encode()})
+	}
 	// A key that does not decide the host is passed on like any other field.
 	if key := c.Header.Get(names.Key); key != "" && !c.Keyed {
 		head.Fields = append(head.Fields, hop.Field{Name: names.Key, Value: key})
@@ -269,6 +272,7 @@
 		Key:        req.Key,
 		charge:     req.ChargeResponse,
 	}
+	c.ofRun = takeCallOfRun(c.Header)
 	if req.Stream != nil {
 		c.Stream = &bodyStream{src: req.Stream, length: req.Length}
 	}
@@ -334,6 +338,7 @@
 var earlierKinds = map[errkind.Kind]errkind.Kind{
 	errkind.RegionUnavailable: errkind.NoOwner,
 	errkind.Quarantined:       errkind.Overloaded,
+	errkind.CallsRefused:      errkind.Overloaded,
 }
 
 // encodeKind returns the kind for the head of a response and its further fields.
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -20,6 +20,7 @@
 	Terms      TermSettings       `ini:"terms"`
 	Hedge      HedgeSettings      `ini:"hedge"`
 	Quarantine QuarantineSettings `ini:"quarantine"`
+	Calls      CallSettings       `ini:"calls"`
 	Log        LogSettings        `ini:"log"`
 }
 
@@ -126,6 +127,13 @@
 	Enabled bool `ini:"enabled"`
 }
 
+// CallSettings configure how calls that upstreams make for their requests are treated.
+type CallSettings struct {
+	// Enabled is true if such calls are served before new requests, and new requests whose
+	// calls cannot be served are refused. Default true.
+	Enabled bool `ini:"enabled"`
+}
+
 // LogSettings configure the log on standard output.
 type LogSettings struct {
 	// Level is debug, info, warn or error. Default info.
@@ -142,6 +150,7 @@
 			ColdOverage: 1.5, ColdSlack: 8,
 		},
 		Quarantine: QuarantineSettings{Enabled: true},
+		Calls:      CallSettings{Enabled: true},
 		Log:        LogSettings{Level: "info"},
 	}
 }
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -22,7 +22,7 @@
 	"burdockglade.dev/router/vhost"
 )
 
-// Options configure a Sidecar. SetStoreAddress, Notice, Commands, Log and Listen
+// Options configure a Sidecar. SetStoreAddress, Notice, ParentID, Commands, Log and Listen
 // may be nil.
 type Options struct {
 	Settings Settings
@@ -33,7 +33,10 @@
 	// Notice decodes what an upstream says of itself in the header of a response. Nil if
 	// upstreams say nothing.
 	Notice func(http.Header) Notice
-	Config ConfigSource
+	// ParentID returns the id of the request for which an upstream makes the call with the
+	// given id, according to the form of the id. Nil if ids do not show it.
+	ParentID func(id string) (parent string, ok bool)
+	Config   ConfigSource
 	// EvacuatedZone returns the zone that is evacuated while the row with the key exists
 	// in the table of the configuration. Nil if zones cannot be evacuated.
 	EvacuatedZone func(rowstore.Key) (zone string, ok bool)
