Measure the service time of calls of runs as that of a class of its own

A call has the priority of its run, so that its service time was mixed with that of new work of that priority. Calls are a class of their own now, and the expected wait of new work counts only the slots that calls leave.

--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -84,6 +84,9 @@
 	// running requests depend on are repeatable and short, even those with the
 	// priority of long requests.
 	Repeatable bool
+	// OfRun is true if the request is a call for which a running request waits. It has the
+	// priority of that request, and its own service time.
+	OfRun bool
 }
 
 // NewPriorityLimiter returns a limiter without slots. now defaults to time.Now.
@@ -119,8 +122,8 @@
 	if it.effectivePriority() != other.effectivePriority() {
 		return it.effectivePriority() < other.effectivePriority()
 	}
-	if it.bounds.OfRun != other.bounds.OfRun {
-		return it.bounds.OfRun
+	if it.class.OfRun != other.class.OfRun {
+		return it.class.OfRun
 	}
 	if it.late != other.late {
 		return other.late
@@ -162,9 +165,8 @@
 	Goal time.Time
 	// Deadline is when the caller stops waiting for the response.
 	Deadline time.Time
-	// OfRun is true if the request is a call for which a running request waits, and
-	// MakesCalls if it is expected to make such calls itself.
-	OfRun, MakesCalls bool
+	// MakesCalls is true if the request is expected to make calls for which it waits.
+	MakesCalls bool
 }
 
 // Acquire waits for a slot within the bounds. The returned function releases the
@@ -258,10 +260,7 @@
 		}
 	}
 	wait := max(before/time.Duration(max(l.limit.Allowed(), 1)), l.tokenWait(now, ahead+1))
-	if it.bounds.OfRun {
-		return max(wait, l.expectedCallWait(it))
-	}
-	return wait
+	return max(wait, l.waitBesideCalls(now, it))
 }
 
 // wouldMissGoal reports whether the response is expected to miss its goal if the
@@ -279,7 +278,7 @@
 // get no slot while others can meet their goals, so their callers should retry
 // later. The caller holds l.mu.
 func (l *PriorityLimiter) maxWait(now time.Time, it *priorityItem) time.Duration {
-	if it.bounds.OfRun {
+	if it.class.OfRun {
 		return l.maxCallWait(now, it)
 	}
 	service := l.meanServiceOf(it.class)
@@ -340,7 +339,7 @@
 	if it.promoted {
 		l.promoted++
 	}
-	l.calls.slotTaken(it, l.waiting)
+	l.calls.slotTaken(now, it, l.meanServiceOf(it.class), l.waiting)
 }
 
 // freeSlot frees the slot of the request; its token stays used. The caller holds l.mu.
--- a/router/admit/runcalls.go
+++ b/router/admit/runcalls.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	// all slots and wait for one another.
 	reservedSlotsDivisor = 4
 	reserveTime          = 2 * time.Second
+	// useTime is the time constant of the average of the slots that calls use.
+	useTime = 500 * time.Millisecond
 )
 
 // runCalls is the state of a PriorityLimiter that concerns calls of runs.
@@ -36,12 +39,23 @@
 	// arrivedAt is the time of the last call, and waitingSince the time since which the
 	// queue has had calls.
 	arrivedAt, waitingSince time.Time
+	// used is the moving average at usedAt of the slots that calls use.
+	used   float64
+	usedAt time.Time
+}
+
+// slotsInUse returns the moving average of the slots that calls use.
+func (c *runCalls) slotsInUse(now time.Time) float64 {
+	if c.used == 0 {
+		return 0
+	}
+	return c.used * math.Exp(-float64(now.Sub(c.usedAt))/float64(useTime))
 }
 
 // mayStartAtOnce reports whether the request may start without waiting. The caller holds
 // l.mu.
 func (l *PriorityLimiter) mayStartAtOnce(now time.Time, it *priorityItem) bool {
-	if it.bounds.OfRun {
+	if it.class.OfRun {
 		l.calls.arrivedAt = now
 	}
 	if !l.mayStart(now) || l.reserved(now, it) {
@@ -59,7 +73,7 @@
 // reserved reports whether the request must leave the free slots to calls of runs. The
 // caller holds l.mu.
 func (l *PriorityLimiter) reserved(now time.Time, it *priorityItem) bool {
-	if !it.bounds.MakesCalls || it.bounds.OfRun || l.calls.arrivedAt.IsZero() || now.Sub(l.calls.arrivedAt) > reserveTime {
+	if !it.bounds.MakesCalls || it.class.OfRun || l.calls.arrivedAt.IsZero() || now.Sub(l.calls.arrivedAt) > reserveTime {
 		return false
 	}
 	slots := l.limit.Allowed()
@@ -73,7 +87,7 @@
 		return nil
 	}
 	first := l.waiting[0]
-	callsLast := first.bounds.OfRun && l.callsUseShare()
+	callsLast := first.class.OfRun && l.callsUseShare()
 	if !callsLast && !l.reserved(now, first) {
 		return heap.Pop(&l.waiting).(*priorityItem)
 	}
@@ -81,7 +95,7 @@
 	for _, w := range l.waiting {
 		switch {
 		case l.reserved(now, w):
-		case callsLast && w.bounds.OfRun:
+		case callsLast && w.class.OfRun:
 			if call == nil || w.before(call) {
 				call = w
 			}
@@ -110,14 +124,16 @@
 }
 
 // slotTaken counts a request that starts. The caller holds l.mu.
-func (c *runCalls) slotTaken(it *priorityItem, waiting priorityHeap) {
+func (c *runCalls) slotTaken(now time.Time, it *priorityItem, service time.Duration, waiting priorityHeap) {
 	if it.bounds.MakesCalls {
 		c.callers++
 	}
-	if !it.bounds.OfRun {
+	if !it.class.OfRun {
 		c.inRow = 0
 		return
 	}
+	c.used = c.slotsInUse(now) + float64(service)/float64(useTime)
+	c.usedAt = now
 	c.inFlight++
 	c.inRow++
 	if !waiting.hasOtherWork() {
@@ -130,7 +146,7 @@
 	if it.bounds.MakesCalls {
 		c.callers--
 	}
-	if it.bounds.OfRun {
+	if it.class.OfRun {
 		c.inFlight--
 	}
 }
@@ -138,30 +154,36 @@
 // hasOtherWork reports whether requests wait that are no calls of runs.
 func (h priorityHeap) hasOtherWork() bool {
 	for _, w := range h {
-		if !w.bounds.OfRun {
+		if !w.class.OfRun {
 			return true
 		}
 	}
 	return false
 }
 
-// expectedCallWait returns the expected time until a call gets a slot, if the calls before
-// it are limited to their share of the slots. The caller holds l.mu.
-func (l *PriorityLimiter) expectedCallWait(it *priorityItem) time.Duration {
-	slots := max(l.limit.Allowed(), 1)
-	before, otherWork := time.Duration(0), false
+// waitBesideCalls returns the expected time until the request gets a slot if calls and other
+// work each wait for their own share of the slots; 0 if there are no calls. The caller holds
+// l.mu.
+func (l *PriorityLimiter) waitBesideCalls(now time.Time, it *priorityItem) time.Duration {
+	if l.calls.arrivedAt.IsZero() {
+		return 0
+	}
+	slots, callSlots := float64(max(l.limit.Allowed(), 1)), float64(l.callSlots())
+	before, otherWork := l.meanServiceOf(it.class), !it.class.OfRun // one in flight
 	for _, w := range l.waiting {
-		if !w.bounds.OfRun {
-			otherWork = true
-		} else if w.before(it) {
+		if w.class.OfRun == it.class.OfRun && w.before(it) {
 			before += l.meanServiceOf(w.class)
 		}
+		otherWork = otherWork || !w.class.OfRun
 	}
-	callSlots := slots
-	if otherWork {
-		callSlots = l.callSlots()
+	share := slots
+	switch {
+	case !it.class.OfRun:
+		share = max(slots-min(l.calls.slotsInUse(now), callSlots), 1)
+	case otherWork:
+		share = callSlots
 	}
-	return l.atPace(l.meanService)/time.Duration(slots) + before/time.Duration(callSlots)
+	return time.Duration(float64(before) / share)
 }
 
 // maxCallWait returns how long a call may wait: in a burst as long as its run can use the
@@ -169,7 +191,7 @@
 func (l *PriorityLimiter) maxCallWait(now time.Time, it *priorityItem) time.Duration {
 	waiting := false
 	for _, w := range l.waiting {
-		waiting = waiting || w.bounds.OfRun
+		waiting = waiting || w.class.OfRun
 	}
 	if !waiting {
 		l.calls.waitingSince = now
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -100,7 +100,7 @@
 
 // workClass returns the class of the call by which the limiter admits it.
 func (c *Call) workClass() admit.WorkClass {
-	return admit.WorkClass{Priority: c.Priority, Repeatable: c.Repeatable}
+	return admit.WorkClass{Priority: c.Priority, Repeatable: c.Repeatable, OfRun: c.ofRun.known}
 }
 
 // Result is the result of a call: a response of the upstream, or an error.
--- a/router/sidecar/runcalls.go
+++ b/router/sidecar/runcalls.go
@@ -240,7 +240,7 @@
 func (c *Call) waitBounds(sending time.Duration) admit.WaitBounds {
 	return admit.WaitBounds{
 		Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending - c.ofRun.needs),
-		OfRun: c.ofRun.known, MakesCalls: c.makesCalls,
+		MakesCalls: c.makesCalls,
 	}
 }
 
