Decide on the calls of a run before the quarantine

A run that is refused because of its calls no longer uses up a trial of a quarantined request.

Measured: go test ./internal/catalogue, and go test -race ./sidecar -run 'TestRunsAre|Quarantin' passed.

--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -81,13 +81,14 @@
 		g.countRefusal(c)
 		return g.withLoad(&Result{Err: err, Unreachable: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
 	}
-	if err := g.quarantine.enter(ctx, c); err != nil {
+	if err := g.calls.admit(c); err != nil { // before a trial of the quarantine is used up
 		return g.withLoad(&Result{Err: err})
 	}
-	defer g.quarantine.leave(c)
-	if err := g.calls.admit(c); err != nil {
+	if err := g.quarantine.enter(ctx, c); err != nil {
+		g.calls.notStarted(c)
 		return g.withLoad(&Result{Err: err})
 	}
+	defer g.quarantine.leave(c)
 	work := c.workClass()
 	if c.Keyed {
 		g.keys.countRequest(c.Key, g.limiter.MeanServiceTime(work))
