Let calls wait until their own deadline if their run has more time

A call with a deadline of its own that is well before that of its run was refused too early at the gate: the time that the run needs after the call was taken off the deadline of the call instead of that of the run. The field Burdock-Run now has the time before the deadline of the call at which the run needs the response, which is 0 in that case.

--- a/router/dependency/dependency.go
+++ b/router/dependency/dependency.go
@@ -72,6 +72,12 @@
 	endedAt time.Time
 }
 
+// Before returns how long before the deadline of the call its run needs the response, so
+// that it can use it.
+func (c *Call) Before(deadline time.Time) time.Duration {
+	return max(deadline.Sub(c.Deadline.Add(-c.Needs)), 0)
+}
+
 // Tracker tracks the runs of one upstream.
 type Tracker struct {
 	runs     map[string]*Run
--- a/router/sidecar/runcalls.go
+++ b/router/sidecar/runcalls.go
@@ -20,12 +20,13 @@
 )
 
 // runField is the field of a request between routers that marks a call of a run. Its value
-// is the time in milliseconds that the run needs after the call, rounded up to a power of
-// two, so that it seldom differs from that of the last request on the connection.
+// is the time in milliseconds before the deadline at which the run needs the response,
+// rounded up to a power of two, so that it seldom differs from that of the last request on
+// the connection.
 const runField = "Burdock-Run"
 
-// maxRunNeeds bounds that time.
-const maxRunNeeds = time.Minute
+// maxBeforeDeadline bounds that time.
+const maxBeforeDeadline = time.Minute
 
 // runCallsDriver links the calls that the local upstream makes to the requests that run
 // there, and limits new ones whose calls cannot be served. Nil does neither. It is safe for
@@ -57,8 +58,9 @@
 type callOfRun struct {
 	// known is true if the call was made by a request in progress.
 	known bool
-	// needs is the time that the run needs after the call.
-	needs time.Duration
+	// before is the time before the deadline of the call at which the run needs the
+	// response, to use it.
+	before time.Duration
 	// call is nil at the gate of another host.
 	call *dependency.Call
 }
@@ -93,12 +95,12 @@
 		return
 	}
 	d.active.Store(true)
-	c.ofRun = callOfRun{known: true, needs: call.Needs, call: call}
 	c.Priority = min(c.Priority, call.Priority)
 	c.Goal = call.Goal
 	if call.Deadline.Before(c.Deadline) {
 		c.Deadline = call.Deadline
 	}
+	c.ofRun = callOfRun{known: true, before: call.Before(c.Deadline), call: call}
 }
 
 // ended records the result of a call and returns it.
@@ -270,14 +272,14 @@
 // takes the given time to be sent.
 func (c *Call) waitBounds(sending time.Duration) admit.WaitBounds {
 	return admit.WaitBounds{
-		Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending - c.ofRun.needs),
+		Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending - c.ofRun.before),
 		MakesCalls: c.makesCalls,
 	}
 }
 
 // encode returns the value of runField.
 func (r callOfRun) encode() string {
-	ms := uint64(min(r.needs, maxRunNeeds).Milliseconds())
+	ms := uint64(min(r.before, maxBeforeDeadline).Milliseconds())
 	if ms > 1 {
 		ms = 1 << bits.Len64(ms-1)
 	}
@@ -296,5 +298,5 @@
 	if err != nil {
 		return callOfRun{}
 	}
-	return callOfRun{known: true, needs: min(time.Duration(ms)*time.Millisecond, maxRunNeeds)}
+	return callOfRun{known: true, before: min(time.Duration(ms)*time.Millisecond, maxBeforeDeadline)}
 }
