--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -62,6 +62,7 @@
 	nextToken *time.Timer
 	// promoted is the number of promoted requests in flight.
 	promoted    int
+	calls       runCalls
 	waiting     priorityHeap
 	nextArrival uint64
 	// meanService is the mean time that a request holds a slot at the usual pace,
@@ -85,6 +86,9 @@
 	// running requests depend on are repeatable and short, even those with the
 	// priority of long requests.
 	Repeatable bool
+	// OfRun is true if the request is a call for which a running request waits. It has the
+	// priority of that request, and its own service time.
+	OfRun bool
 }
 
 // NewPriorityLimiter returns a limiter without slots. now defaults to time.Now.
@@ -122,6 +126,9 @@
 	if it.effectivePriority() != other.effectivePriority() {
 		return it.effectivePriority() < other.effectivePriority()
 	}
+	if it.class.OfRun != other.class.OfRun {
+		return it.class.OfRun
+	}
 	if it.turn != other.turn {
 		return it.turn < other.turn
 	}
@@ -167,6 +174,8 @@
 	Deadline time.Time
 	// Origin describes the attempt.
 	Origin Origin
+	// MakesCalls is true if the request is expected to make calls for which it waits.
+	MakesCalls bool
 }
 
 // Acquire waits for a slot within the bounds. The returned function releases the
@@ -193,7 +202,7 @@
 	}
 	it := &priorityItem{class: class, arrival: l.nextArrival, bounds: bounds, decision: make(chan error, 1)}
 	l.claim(now, it)
-	if len(l.waiting) == 0 && l.mayStart(now) {
+	if l.mayStartAtOnce(now, it) {
 		l.takeSlot(now, it)
 		l.mu.Unlock()
 		return l.releaseFunc(it, now), nil
@@ -273,7 +282,7 @@
 	}
 	wait := before / time.Duration(max(l.limit.Allowed(), 1))
 	wait += l.reservedWait(now, it, wait)
-	return max(wait, l.tokenWait(now, ahead+1))
+	return max(wait, l.tokenWait(now, ahead+1), l.waitBesideCalls(now, it))
 }
 
 // wouldMissGoal reports whether the response is expected to miss its goal if the
@@ -291,6 +300,9 @@
 // get no slot while others can meet their goals, so their callers should retry
 // later. The caller holds l.mu.
 func (l *PriorityLimiter) maxWait(now time.Time, it *priorityItem) time.Duration {
+	if it.class.OfRun {
+		return l.maxCallWait(now, it)
+	}
 	service := l.meanServiceOf(it.class)
 	toDeadline := it.bounds.Deadline.Sub(now) - l.leadTime(it)
 	switch {
@@ -352,6 +364,7 @@
 	if it.promoted {
 		l.promoted++
 	}
+	l.countCallStart(now, it)
 }
 
 // freeSlot frees the slot of the request; its token stays used. The caller holds l.mu.
@@ -360,6 +373,7 @@
 	if it.promoted {
 		l.promoted--
 	}
+	l.calls.slotFreed(it)
 }
 
 // isShort reports whether requests of the class are short, see shortDivisor.
@@ -406,8 +420,7 @@
 func (l *PriorityLimiter) dispatch() {
 	now := l.now()
 	l.paceFactor = l.pace.Factor(now)
-	for len(l.waiting) > 0 && l.mayStart(now) {
-		it := heap.Pop(&l.waiting).(*priorityItem)
+	for it := l.next(now); it != nil; it = l.next(now) {
 		switch {
 		case it.bounds.Deadline.Sub(now) < l.leadTime(it):
 			it.decision <- overloaded(0, "no slot was free in time")
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"burdockglade.dev/router/admit"
+	"burdockglade.dev/router/dependency"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/quarantine"
@@ -97,6 +98,16 @@
 	// trialHost is the only host to which the call may be offered, or empty.
 	trialHost string
 	evidence  callEvidence
+	// ofRun is set if the call was made by a request in progress, and makesCalls if the
+	// call is expected to make calls itself.
+	ofRun      callOfRun
+	makesCalls bool
+	// run is the call while the local upstream runs it, and calls the driver that knows it.
+	run   dependency.Run
+	calls *runCallsDriver
+	// foundRoute is the route of a call of another host if routeSought is true.
+	foundRoute  *vhost.Route
+	routeSought bool
 }
 
 // bodySendable reports whether the whole body can be sent in another attempt.
@@ -106,7 +117,7 @@
 
 // workClass returns the class of the call by which the limiter admits it.
 func (c *Call) workClass() admit.WorkClass {
-	return admit.WorkClass{Priority: c.Priority, Repeatable: c.Repeatable}
+	return admit.WorkClass{Priority: c.Priority, Repeatable: c.Repeatable, OfRun: c.ofRun.known}
 }
 
 // Result is the result of a call: a response of the upstream, or an error.
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -150,4 +150,8 @@
 		"A host that this one asks whether the configuration is the newest did not respond in time (outcome failed), or had not confirmed its own configuration for too long (outcome stale). For the given time the next host is asked instead, or this host checks with the store itself.", "none; if it is repeated for one host, look at that host's connection to the store: event 1810.")
 	eventCompetition = event.Define(1900, log.InfoLevel, "callers compete for the upstream",
 		"Requests were refused for lack of room and told when to return. The line counts the reservations since the last one (made, kept, missed, lost), the refusals without one by reason, and the final refusals by how the request had come; docs/OPERATIONS.md explains the names. At most one line is logged in 10 s.", "If it lasts for minutes, add upstreams, or look for a hot key (event 1835).")
+	eventRunsLimited = event.Define(1905, log.WarnLevel, "requests limited because of their calls",
+		"At least half of the calls that running requests of the local upstream make to the service were refused. New requests of routes that call it are admitted only as far as their calls are served, and others are refused.", "Find out why the service refuses calls: it is overloaded, or cannot be reached.")
+	eventRunsUnlimited = event.Define(1906, log.InfoLevel, "requests no longer limited because of their calls",
+		"Most calls to the service are served again, and its limit has refused no request for 1 s.", "none")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -55,8 +55,10 @@
 	regions    *regionRules
 	// quarantine is nil if it is switched off.
 	quarantine *quarantineDriver
-	log        *event.Logger
-	scope      tally.Scope
+	// calls is nil if calls of requests in progress are not recognised.
+	calls *runCallsDriver
+	log   *event.Logger
+	scope tally.Scope
 	// config is the configuration in force.
 	config *currentConfig
 	// grantWaits is the number of calls that wait for the grants of their keys.
@@ -87,7 +89,11 @@
 		g.countRefusal(c)
 		return g.withLoad(&Result{Err: err, Unreachable: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
 	}
+	if err := g.calls.admit(c); err != nil { // before a trial of the quarantine is used up
+		return g.withLoad(&Result{Err: err})
+	}
 	if err := g.quarantine.enter(ctx, c); err != nil {
+		g.calls.notStarted(c)
 		return g.withLoad(&Result{Err: err})
 	}
 	defer g.quarantine.leave(c)
@@ -96,17 +102,19 @@
 		g.keys.countRequest(c.Key, g.limiter.MeanServiceTime(work))
 	}
 	sending := c.transfer.expectedSendTime()
-	release, err := g.limiter.Acquire(ctx, work, admit.WaitBounds{Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending), Origin: c.Origin})
+	release, err := g.limiter.Acquire(ctx, work, c.waitBounds(sending))
 	if err != nil {
+		g.calls.notStarted(c)
 		return g.withLoad(&Result{Err: kindError(err)})
 	}
 	if err := cmp.Or(g.check(time.Now(), c), g.quarantine.recheck(c)); err != nil {
 		g.countRefusal(c)
+		g.calls.notStarted(c)
 		release(admit.Failed)
 		return g.withLoad(&Result{Err: err})
 	}
 	start := time.Now()
-	r := g.send(ctx, c, release)
+	r := g.send(ctx, c, g.calls.started(c, release))
 	g.quarantine.ended(ctx, c, r)
 	if r.Err != nil {
 		g.log.Log(eventUpstreamFailed, event.F("request", c.RequestID), event.F("caller", c.Caller), event.F("kind", string(r.Err.Kind)),
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -22,6 +22,7 @@
 	Quarantine QuarantineSettings `ini:"quarantine"`
 	// Reservation configures the reservations for requests that return after a refusal.
 	Reservation ReservationSettings `ini:"reservation"`
+	Calls       CallSettings        `ini:"calls"`
 	Log         LogSettings         `ini:"log"`
 }
 
@@ -142,6 +143,13 @@
 // maxReservationShare leaves capacity for new requests.
 const maxReservationShare = 0.9
 
+// CallSettings configure how calls that upstreams make for their requests are treated.
+type CallSettings struct {
+	// Enabled is true if such calls are served before new requests, and new requests whose
+	// calls cannot be served are refused. Default true.
+	Enabled bool `ini:"enabled"`
+}
+
 // LogSettings configure the log on standard output.
 type LogSettings struct {
 	// Level is debug, info, warn or error. Default info.
@@ -159,6 +167,7 @@
 		},
 		Quarantine:  QuarantineSettings{Enabled: true},
 		Reservation: ReservationSettings{Share: 0.25, LateShare: 0.05},
+		Calls:       CallSettings{Enabled: true},
 		Log:         LogSettings{Level: "info"},
 	}
 }
