--- a/router/admit/reserve.go
+++ b/router/admit/reserve.go
@@ -180,15 +180,16 @@
 	left := bounds.Deadline.Sub(now)
 	lead := l.leadTime(&priorityItem{class: class})
 	latest := min(left/time.Duration(r.HonouredDivisor), left-lead)
+	earliest := max(minReturnDelay, l.tokenWait(now, len(l.waiting)+1))
 	of := class.ledgerClass()
-	if inTime := bounds.Goal.Sub(now) - lead; inTime >= minReturnDelay {
+	if inTime := bounds.Goal.Sub(now) - lead; inTime >= earliest {
 		latest = min(latest, inTime) // a later return would miss the goal
 	} else {
 		of.Late = true
 	}
 	offer := r.ledger.Reserve(now, reservation.Request{
 		Host: bounds.Origin.Host, Class: of, Interval: interval,
-		Earliest: now.Add(max(minReturnDelay, l.tokenWait(now, len(l.waiting)+1))), Latest: now.Add(latest),
+		Earliest: now.Add(earliest), Latest: now.Add(latest),
 	})
 	r.countMissed()
 	refusal.RetryAfter, refusal.Room = offer.At.Sub(now), errkind.RoomLater
--- a/router/reservation/ledger.go
+++ b/router/reservation/ledger.go
@@ -27,6 +27,9 @@
 	reservedJitter = 0.5
 	// laterJitter is the part of the delay by which a time without a reservation is spread.
 	laterJitter = 0.25
+	// maxDelay bounds the delay of a time without a reservation: nothing is known of the
+	// capacity that far ahead, and a late share of 0 would give times without end.
+	maxDelay = 10 * time.Second
 	// edgeReservations is the number of reservations that stay free at the end of the reach of
 	// a host that asks for more than its share: capacity appears there first, and the host
 	// that asks most often would always take it.
@@ -149,7 +152,7 @@
 	if share < 1 { // one reservation may come a spacing sooner, because requests come irregularly
 		earliest = latest(earliest, a.next.Add(-spacing))
 		if a.demand.rate(now) > share {
-			reach = reach.Add(-min(edgeReservations*length, r.Latest.Sub(r.Earliest)/2))
+			reach = reach.Add(-max(min(edgeReservations*length, r.Latest.Sub(r.Earliest)/2), 0))
 		}
 	}
 	start := l.gap(now, r.Class, earliest, length)
@@ -178,7 +181,8 @@
 
 // spread returns a random time somewhat behind t.
 func (l *Ledger) spread(now, t time.Time) time.Time {
-	return t.Add(time.Duration(laterJitter * l.random() * float64(max(t.Sub(now), 0))))
+	delay := min(max(t.Sub(now), 0), maxDelay)
+	return now.Add(time.Duration(float64(delay) * (1 + laterJitter*l.random())))
 }
 
 // Claim uses a reservation of the host and class that is due, whether the class was late when
