Read the configuration once a zone in fleets above 40 hosts

Cause: in fleets of up to 100 hosts each host watched the operator's table, so that each change, and each 25 s without one, cost one call for each host.

Change: the limit is 40 hosts. That of the batch delay after a start stays 100 and is a constant of its own. No change waits for the reader of the zone, because checks bring it without any watch.

--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -164,10 +164,11 @@
 // configuration must be in force within 2 s.
 const configBatchDelay = 700 * time.Millisecond
 
-// smallFleetHosts is the number of hosts up to which each host reads the configuration
-// from the store itself. In larger fleets each change would cost one call to the store
-// per host.
-const smallFleetHosts = 100
+// directConfigHosts is the number of hosts up to which each host reads the configuration
+// from the store itself. In larger fleets each change, and each end of a watch without one,
+// would cost one call to the store per host. A change is in force in time without any watch,
+// by checks.
+const directConfigHosts = 40
 
 // newConfigFollower returns the follower of the configuration. In large fleets it reads
 // through the host that reads for the zone, and otherwise directly. It uses its own
@@ -231,7 +232,7 @@
 // configFeedSource returns the connection to the host that reads the configuration for
 // this one, or nil if this host reads it from the store.
 func (s *Sidecar) configFeedSource() (rowstore.WatchFunc, func(error)) {
-	if s.fleet.HostCount() <= smallFleetHosts {
+	if s.fleet.HostCount() <= directConfigHosts {
 		return nil, nil
 	}
 	return s.feedSource()
--- a/router/sidecar/configcalls_test.go
+++ b/router/sidecar/configcalls_test.go
@@ -47,6 +47,28 @@
 	}
 }
 
+// Guards against a fleet in which each change costs a call to the store for each host.
+func TestChangesAreReadOncePerZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const zones, changes = 6, 4
+		f := &configFleet{feeds: true}
+		f.runFor(t, 78, zones, false, func() {
+			time.Sleep(30 * time.Second) // watches of the store that were sent at the start have ended
+			watches := f.watches.Load()
+			for version := range changes {
+				if took := f.checkChange(t, version+2); took > configInForce {
+					t.Errorf("in force after %v", took)
+				}
+				time.Sleep(10 * time.Second)
+			}
+			if watches = f.watches.Load() - watches; watches > 2*zones*changes {
+				t.Errorf("%d watches of the store for %d changes", watches, changes)
+			}
+			t.Logf("%d watches of the store for %d changes", watches, changes)
+		})
+	})
+}
+
 // Guards against a change that is late, or a configuration that is confirmed wrongly, because
 // hosts rely on another one that is lost, cut off from the store, or unreachable for some.
 func TestLostCheckersDoNotDelayChange(t *testing.T) {
@@ -65,11 +87,11 @@
 		"half of the links lost":          {noLink: randomHalf},
 		"zone of the first host cut off":  {noLink: func(a, b int) bool { return firstZone(a) != firstZone(b) }},
 	} {
-		for _, requests := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s, requests %v", name, requests), func(t *testing.T) {
+		for _, mode := range []struct{ requests, feeds bool }{{false, false}, {true, false}, {false, true}} {
+			t.Run(fmt.Sprintf("%s, requests %v, feeds %v", name, mode.requests, mode.feeds), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := &configFleet{}
-					f.runFor(t, hosts, zones, requests, func() { f.checkChanges(t, fault) })
+					f := &configFleet{feeds: mode.feeds}
+					f.runFor(t, hosts, zones, mode.requests, func() { f.checkChanges(t, fault) })
 				})
 			})
 		}
--- a/router/sidecar/configfleet_test.go
+++ b/router/sidecar/configfleet_test.go
@@ -30,6 +30,16 @@
 }
 
 func (f forgetful) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
+	if wait > 0 && f.fleet.feeds {
+		f.fleet.watches.Add(1)
+		rows, version, err := f.Memory.Watch(ctx, table, after, wait)
+		if f.fleet.fault.Load().storeLost(f.host) {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		time.Sleep(simulatedDelay())
+		return rows, version, err
+	}
 	if wait > 0 || f.fleet.trouble(f.host) != "" || f.fleet.fault.Load().storeLost(f.host) {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
@@ -58,6 +68,10 @@
 	requestInterval time.Duration
 	// asks counts the comparisons between hosts.
 	asks atomic.Int64
+	// feeds is true if the store delivers changes and the reader of each zone feeds the
+	// others. watches counts the watches of the store.
+	feeds   bool
+	watches atomic.Int64
 	// zones is the number of zones, between which the hosts are divided in turn; 0 means 1.
 	zones int
 	// fault is a further failure.
@@ -131,6 +145,9 @@
 		s.exchange.fetch = func(ctx context.Context, from *hop.Client, version uint64) (peerConfig, error) {
 			return f.fetch(ctx, i, f.index[from], version)
 		}
+		if f.feeds {
+			s.configFed.Source = func() (rowstore.WatchFunc, func(error)) { return f.feedSource(i) }
+		}
 		f.hosts, f.clients = append(f.hosts, s), append(f.clients, newHopClient("127.0.0.1:1"))
 		f.index[f.clients[i]] = i
 	}
@@ -140,6 +157,30 @@
 	return (host + 1 + rand.N(len(f.hosts)-1)) % len(f.hosts)
 }
 
+// feedSource replaces Sidecar.feedSource of a host.
+func (f *configFleet) feedSource(host int) (rowstore.WatchFunc, func(error)) {
+	s := f.hosts[host]
+	reader := s.fleet.ZoneReader(time.Now(), s.settings.Host.Name)
+	if reader == nil {
+		return nil, nil
+	}
+	to := f.index[reader.Client]
+	return func(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
+		ctx, cancel := context.WithTimeout(ctx, relayedCallTimeout)
+		defer cancel()
+		result := (&hopHandler{feeds: f.hosts[to].feeds}).callStore(ctx, storeCall{Call: storeFeed, Table: table, After: after, Wait: min(wait, maxRelayedWatch)})
+		if f.fault.Load().linkLost(host, to) {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		time.Sleep(simulatedDelay())
+		if result.NotFed {
+			return nil, 0, rowstore.ErrFeedClosed
+		}
+		return result.Rows, result.Version, ctx.Err()
+	}, func(err error) { s.feedEnded(reader, err) }
+}
+
 // requestTarget returns the host that gets a request: 9 of 10 stay in their zone.
 func (f *configFleet) requestTarget(from int) int {
 	to := f.otherThan(from)
--- a/router/sidecar/feed.go
+++ b/router/sidecar/feed.go
@@ -7,6 +7,7 @@
 
 	"burdockglade.dev/router/boottime"
 	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/rowstore"
 )
 
@@ -23,6 +24,8 @@
 	// it finds the reader of its zone.
 	startBatchDelay = 1200 * time.Millisecond
 	startPhase      = 5 * time.Second
+	// smallFleetHosts is the number of hosts up to which a fleet needs no startBatchDelay.
+	smallFleetHosts = 100
 	// failedReaderBackoff is the time for which a reader that did not respond is not
 	// used, relayedReaderBackoff that for a reader that does not read the store itself.
 	failedReaderBackoff  = 10 * time.Second
@@ -50,15 +53,18 @@
 		return nil, nil
 	}
 	remote := &remoteStore{client: reader.Client}
-	return remote.watchFeed, func(err error) {
-		if err == nil || errors.Is(err, context.Canceled) {
-			return
-		}
-		backoff := failedReaderBackoff
-		if errors.Is(err, rowstore.ErrFeedClosed) {
-			backoff = relayedReaderBackoff
-		}
-		reader.AvoidAsReader(time.Now().Add(backoff))
-		s.log.Log(eventReaderFailed, event.F("host", reader.Member().Host), event.F("error", err.Error()))
+	return remote.watchFeed, func(err error) { s.feedEnded(reader, err) }
+}
+
+// feedEnded records the end of a watch of a reader's feed.
+func (s *Sidecar) feedEnded(reader *fleet.Host, err error) {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return
+	}
+	backoff := failedReaderBackoff
+	if errors.Is(err, rowstore.ErrFeedClosed) {
+		backoff = relayedReaderBackoff
 	}
+	reader.AvoidAsReader(time.Now().Add(backoff))
+	s.log.Log(eventReaderFailed, event.F("host", reader.Member().Host), event.F("error", err.Error()))
 }
