Rank the hosts of a service without choosing one

An explanation needs the order and the reasons of the choice, and must not draw a random number or take the probe of a host that does not respond. Directory.Rank and Host.WouldAllowRequest share the exclusion, the cost and the probe rule with ChooseAllowed and AllowRequest, which decide as before.

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -238,31 +238,60 @@
 // ChooseAllowed is Choose among the hosts for whose member data allowed returns true. A nil
 // allowed stands for all hosts.
 func (d *Directory) ChooseAllowed(now time.Time, service string, exclude []*Host, allowed func(Member) bool) *Host {
+	return d.cheapest(d.eligible(now, service, exclude, allowed), randomJitter)
+}
+
+// eligible returns the hosts of the service that may be chosen.
+func (d *Directory) eligible(now time.Time, service string, exclude []*Host, allowed func(Member) bool) []view {
 	d.mu.RLock()
+	defer d.mu.RUnlock()
 	hosts := d.byService[service]
 	views := make([]view, 0, len(hosts))
 	for _, h := range hosts {
-		v := h.view(now)
-		if allowed != nil && !allowed(v.member) {
-			continue
-		}
-		if d.current(now, v.member).State == Ready && !slices.Contains(exclude, h) && !d.evacuated(v.member.Zone) {
+		if v := h.view(now); d.exclusion(now, v, exclude, allowed) == Eligible {
 			views = append(views, v)
 		}
 	}
-	d.mu.RUnlock()
-	return d.cheapest(views)
+	return views
+}
+
+// exclusion returns the reason for which a host may not be chosen. d.mu must be held.
+func (d *Directory) exclusion(now time.Time, v view, exclude []*Host, allowed func(Member) bool) Exclusion {
+	switch state := d.current(now, v.member).State; {
+	case allowed != nil && !allowed(v.member):
+		return NotAllowed
+	case state == Stopping:
+		return ExcludedStopping
+	case state != Ready:
+		return ExcludedLeaving
+	case slices.Contains(exclude, v.host):
+		return ExcludedTried
+	case d.evacuated(v.member.Zone):
+		return ExcludedEvacuated
+	}
+	return Eligible
+}
+
+func randomJitter() float64 {
+	return costJitter * rand.Float64()
 }
 
-func (d *Directory) cheapest(views []view) *Host {
-	var meanSlowness float64
+// meanSlowness returns the mean slowness of the candidates.
+func meanSlowness(views []view) float64 {
+	var mean float64
 	for _, v := range views {
-		meanSlowness += v.slowness / float64(len(views))
+		mean += v.slowness / float64(len(views))
 	}
+	return mean
+}
+
+// cheapest returns the host with the lowest sum of cost and jitter, or nil if there is none.
+func (d *Directory) cheapest(views []view, jitter func() float64) *Host {
+	mean := meanSlowness(views)
 	var best *Host
 	lowest := 0.0
 	for _, v := range views {
-		cost := d.cost(v, meanSlowness) + costJitter*rand.Float64()
+		cost := d.cost(v, mean) + jitter()
 		if best == nil || cost < lowest {
 			best, lowest = v.host, cost
 		}
--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -243,14 +243,27 @@
 func (h *Host) AllowRequest(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !now.Before(h.backoffUntil) && !h.silent(now) {
-		return true
+	allowed, probe := h.allows(now)
+	if probe {
+		h.probedAt = now
 	}
-	if now.Sub(h.probedAt) < probeInterval {
-		return false
+	return allowed
+}
+
+// WouldAllowRequest returns what AllowRequest would, and whether that would be a probe.
+func (h *Host) WouldAllowRequest(now time.Time) (allowed, probe bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.allows(now)
+}
+
+// allows is WouldAllowRequest with h.mu held.
+func (h *Host) allows(now time.Time) (allowed, probe bool) {
+	if !now.Before(h.backoffUntil) && !h.silent(now) {
+		return true, false
 	}
-	h.probedAt = now
-	return true
+	due := now.Sub(h.probedAt) >= probeInterval
+	return due, due
 }
 
 // Reachable reports whether the last request reached the host and the host is not
