Show what limiter, budgets and quarantine would decide, without a change

An explanation runs the decision on the state of the router and must not take a slot, a token, a trial or a place in the queue.

--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -171,16 +171,15 @@
 	l.paceFactor = l.pace.Factor(now)
 	if l.limit.Allowed() == 0 {
 		l.mu.Unlock()
-		return nil, errkind.New(errkind.UpstreamDown, "no upstream is announced")
+		return nil, errNoUpstream()
 	}
 	it := &priorityItem{class: class, arrival: l.nextArrival, bounds: bounds, decision: make(chan error, 1)}
-	if len(l.waiting) == 0 && l.mayStart(now) {
+	if l.startsAtOnce(now) {
 		l.takeSlot(now, it)
 		l.mu.Unlock()
 		return l.releaseFunc(it, now), nil
 	}
-	it.promoted = l.isShort(class) && l.promoted < l.limit.Allowed()/promotedSlotsDivisor
-	it.late = l.wouldMissGoal(now, it)
+	l.classify(now, it)
 	if err := l.enqueue(now, it); err != nil {
 		l.mu.Unlock()
 		return nil, err
@@ -193,10 +192,27 @@
 // full queue it displaces the last item if it precedes that one. The caller holds
 // l.mu.
 func (l *PriorityLimiter) enqueue(now time.Time, it *priorityItem) error {
-	wait := l.expectedWait(now, it)
+	wait, displaced, err := l.judge(now, it)
+	if err != nil {
+		return err
+	}
+	if displaced != nil {
+		heap.Remove(&l.waiting, displaced.index)
+		displaced.decision <- overloaded(wait, "more urgent requests fill the queue of %d", len(l.waiting)+1)
+	}
+	l.nextArrival++
+	heap.Push(&l.waiting, it)
+	l.awaitToken(now)
+	return nil
+}
+
+// judge decides whether the item may wait. It returns the expected wait, and the waiting
+// item whose place it takes, or nil. Only the item changes. The caller holds l.mu.
+func (l *PriorityLimiter) judge(now time.Time, it *priorityItem) (wait time.Duration, displaced *priorityItem, err error) {
+	wait = l.expectedWait(now, it)
 	slots := max(l.limit.Allowed(), 1)
 	if it.bounds.Policy == NoWait {
-		return overloaded(wait, "%d of %d slots are used, and %.0f requests per second are allowed (0: any)", l.inFlight, slots, l.allowedPerSecond(now))
+		return wait, nil, overloaded(wait, "%d of %d slots are used, and %.0f requests per second are allowed (0: any)", l.inFlight, slots, l.allowedPerSecond(now))
 	}
 	if it.bounds.Policy == UntilDeadline && it.bounds.Goal.Sub(now)-wait < l.leadTime(it) {
 		it.late = true
@@ -204,21 +220,16 @@
 	}
 	longest := l.maxWait(now, it)
 	if wait > longest {
-		return overloaded(wait, "the expected wait of %v is too long", wait)
+		return wait, nil, overloaded(wait, "the expected wait of %v is too long", wait)
 	}
 	it.expires = now.Add(longest + l.meanServiceOf(it.class)/2)
 	if len(l.waiting) >= slots*maxWaitingPerSlot {
-		last := l.waiting.last()
-		if !it.before(last) {
-			return overloaded(wait, "%d requests wait already", len(l.waiting))
+		displaced = l.waiting.last()
+		if !it.before(displaced) {
+			return wait, nil, overloaded(wait, "%d requests wait already", len(l.waiting))
 		}
-		heap.Remove(&l.waiting, last.index)
-		last.decision <- overloaded(wait, "more urgent requests fill the queue of %d", len(l.waiting)+1)
 	}
-	l.nextArrival++
-	heap.Push(&l.waiting, it)
-	l.awaitToken(now)
-	return nil
+	return wait, displaced, nil
 }
 
 // MeanServiceTime returns the mean time for which a request of the class holds a
--- a/router/hedge/hedge_test.go
+++ b/router/hedge/hedge_test.go
@@ -168,3 +168,19 @@
 		t.Error("delay from old response times")
 	}
 }
+
+// Guards against an explanation that uses up the share of second requests, or that keeps a
+// limit for a service without requests.
+func TestCopyOfShareIsIndependent(t *testing.T) {
+	shares := NewShares(0.5)
+	for range 4 {
+		shares.Of("a").Request()
+	}
+	c := shares.CopyOf("a")
+	if c.Tokens() != 2 || !c.Take() || !c.Take() || c.Take() || shares.Of("a").Tokens() != 2 {
+		t.Errorf("the original has %v tokens, want 2", shares.Of("a").Tokens())
+	}
+	if shares.CopyOf("b").Take() || len(shares.byService) != 1 {
+		t.Errorf("limits of %d services, want 1", len(shares.byService))
+	}
+}
--- a/router/hedge/share.go
+++ b/router/hedge/share.go
@@ -69,3 +69,30 @@
 	}
 	return limit
 }
+
+// Copy returns a limit with the same state, which can be charged without an effect on the
+// original.
+func (s *Share) Copy() *Share {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Share{share: s.share, tokens: s.tokens}
+}
+
+// Tokens returns the number of second requests that the limit allows now.
+func (s *Share) Tokens() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tokens
+}
+
+// CopyOf returns a copy of the limit of a service. It adds none for a service without
+// requests.
+func (s *Shares) CopyOf(service string) *Share {
+	s.mu.Lock()
+	limit := s.byService[service]
+	s.mu.Unlock()
+	if limit == nil {
+		return NewShare(s.share)
+	}
+	return limit.Copy()
+}
--- a/router/quarantine/quarantine_test.go
+++ b/router/quarantine/quarantine_test.go
@@ -303,3 +303,32 @@
 		}
 	})
 }
+
+// Guards against an explanation that starts the trial of a quarantined request, reports a
+// suspect of which no request was seen, or differs from the decision that follows.
+func TestPeekChangesNothing(t *testing.T) {
+	s, r := NewSet("h0"), request("/deadly")
+	for life := range Incarnation(3) {
+		s.RecordCrash(at(int(life)), life, []Request{{Fingerprint: r.Fingerprint}})
+	}
+	for _, ms := range []int{100, 60_000} { // refused, then a trial
+		now := at(ms)
+		for range 3 {
+			s.PeekEntry(now, r, false)
+			s.PeekGate(now, r, false)
+		}
+		if changes := s.Changes(); len(changes) != 0 {
+			t.Fatalf("%d ms: changes %v", ms, changes)
+		}
+	}
+	entry, gate := s.PeekEntry(at(60_000), r, false), s.PeekGate(at(60_000), r, false)
+	if got := s.AtEntry(at(60_000), r, false); got != entry || got.Verdict != Trial {
+		t.Errorf("at the entry: %+v, peeked %+v", got, entry)
+	}
+	if got := s.AtGate(at(60_000), r, false); got != gate || got.Verdict != Trial {
+		t.Errorf("at the gate: %+v, peeked %+v", got, gate)
+	}
+	if got := s.PeekGate(at(60_000), r, false); got.Verdict != Refused || s.HeadCount(r.Head) != 1 {
+		t.Errorf("while the trial runs: %+v, %d suspects", got, s.HeadCount(r.Head))
+	}
+}
--- a/router/quarantine/trial.go
+++ b/router/quarantine/trial.go
@@ -50,6 +50,12 @@
 // AtEntry decides on a request before a host is chosen. A keyed request can only go to the
 // holder of its key, which then takes the place of the host of the last crash.
 func (s *Set) AtEntry(now time.Time, r Request, keyed bool) Decision {
+	s.learn(now, r)
+	return s.PeekEntry(now, r, keyed)
+}
+
+// PeekEntry is AtEntry without a change.
+func (s *Set) PeekEntry(now time.Time, r Request, keyed bool) Decision {
 	d, x := s.decide(now, r)
 	if d.Verdict == Trial && !keyed && now.Before(x.fallbackAt(s.host)) {
 		d.Host = x.lastCrash().host
@@ -60,17 +66,40 @@
 // AtGate decides on a request before it is sent to the upstream of this host. A trial
 // counts as started.
 func (s *Set) AtGate(now time.Time, r Request, keyed bool) Decision {
+	s.learn(now, r)
+	d, x := s.decideAtGate(now, r, keyed)
+	if d.Verdict == Trial {
+		x.trialAt = now
+		s.report.at = time.Time{}
+	}
+	return d
+}
+
+// PeekGate is AtGate without a change: no trial counts as started.
+func (s *Set) PeekGate(now time.Time, r Request, keyed bool) Decision {
+	d, _ := s.decideAtGate(now, r, keyed)
+	return d
+}
+
+func (s *Set) decideAtGate(now time.Time, r Request, keyed bool) (Decision, *suspect) {
 	d, x := s.decide(now, r)
-	if d.Verdict != Trial {
-		return d
+	if d.Verdict == Trial && !keyed && x.lastCrash().host != s.host && now.Before(x.fallbackAt(s.host)) {
+		return Decision{Verdict: Refused, RetryAfter: minRetryAfter, Crashes: d.Crashes}, x
 	}
-	fallback := x.fallbackAt(s.host)
-	if !keyed && x.lastCrash().host != s.host && now.Before(fallback) {
-		return Decision{Verdict: Refused, RetryAfter: minRetryAfter, Crashes: d.Crashes}
+	return d, x
+}
+
+// HeadCount returns the number of suspects with the Fingerprint.Head, whatever their bodies.
+func (s *Set) HeadCount(head uint64) int {
+	return s.heads[head]
+}
+
+// learn adds what the request shows of a suspect.
+func (s *Set) learn(now time.Time, r Request) {
+	if x := s.suspects[r.Fingerprint]; x != nil && now.Sub(x.lastActivity()) <= maxAge {
+		x.learn(r)
+		s.appendQuarantined(x)
 	}
-	x.trialAt = now
-	s.report.at = time.Time{}
-	return d
 }
 
 func (s *Set) decide(now time.Time, r Request) (Decision, *suspect) {
@@ -78,8 +107,6 @@
 	if x == nil || now.Sub(x.lastActivity()) > maxAge {
 		return Decision{}, nil
 	}
-	x.learn(r)
-	s.appendQuarantined(x)
 	d := Decision{Crashes: len(x.live)}
 	switch x.state {
 	case suspected:
--- a/router/retry/budget.go
+++ b/router/retry/budget.go
@@ -23,7 +23,12 @@
 // Budget is a token bucket that limits retries to a share of a service's requests.
 // It is safe for concurrent use; times are passed in.
 type Budget struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	bucket
+}
+
+// bucket is the state of a Budget.
+type bucket struct {
 	share float64
 	// minRate is the number of tokens per second that are added without requests.
 	minRate float64
@@ -43,14 +48,14 @@
 // NewBudget returns a budget that allows retries for the share (0 to 1) of the
 // requests. A share of 0 or less leaves minRetryRate.
 func NewBudget(share float64) *Budget {
-	return &Budget{share: max(share, 0), minRate: minRetryRate, minCapacity: minBurst, burstSeconds: burstSeconds, tokens: minBurst}
+	return &Budget{bucket: bucket{share: max(share, 0), minRate: minRetryRate, minCapacity: minBurst, burstSeconds: burstSeconds, tokens: minBurst}}
 }
 
 // NewSharedBudget returns one host's part of a budget that is divided among hosts.
 // minRate is the number of retries per second that are always allowed, and
 // minCapacity the minimum capacity of the bucket.
 func NewSharedBudget(share, minRate, minCapacity float64) *Budget {
-	return &Budget{share: max(share, 0), minRate: minRate, minCapacity: minCapacity, burstSeconds: sharedBurstSeconds, tokens: minCapacity}
+	return &Budget{bucket: bucket{share: max(share, 0), minRate: minRate, minCapacity: minCapacity, burstSeconds: sharedBurstSeconds, tokens: minCapacity}}
 }
 
 // SetShare changes the share of requests that may be retried.
@@ -81,9 +86,17 @@
 	return true
 }
 
+// Tokens returns the number of tokens, without a change.
+func (b *Budget) Tokens(now time.Time) float64 {
+	b.mu.Lock()
+	state := b.bucket
+	b.mu.Unlock()
+	state.advance(now)
+	return state.tokens
+}
+
 // advance updates the rate and adds the tokens of minRate, at most once per second.
-// The caller holds b.mu.
-func (b *Budget) advance(now time.Time) {
+func (b *bucket) advance(now time.Time) {
 	if b.last.IsZero() {
 		b.last = now
 		return
@@ -99,6 +112,6 @@
 }
 
 // capacity returns the maximum number of tokens.
-func (b *Budget) capacity() float64 {
+func (b *bucket) capacity() float64 {
 	return max(b.minCapacity, b.share*b.rate*b.burstSeconds)
 }
--- a/router/retry/retry_test.go
+++ b/router/retry/retry_test.go
@@ -109,3 +109,23 @@
 		t.Errorf("without budget: %v", got)
 	}
 }
+
+// Guards against an explanation that shows another number of retries than the budget
+// allows, or that uses the budget up.
+func TestTokensAgreeWithTake(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewSharedBudget(0.1, 2, 3)
+	b.Request(now)
+	now = now.Add(3 * time.Second)
+	want := b.Tokens(now)
+	if again := b.Tokens(now); again != want {
+		t.Errorf("%v tokens, then %v", want, again)
+	}
+	taken := 0
+	for b.Take(now) {
+		taken++
+	}
+	if taken != int(want) || taken == 0 {
+		t.Errorf("%d retries were allowed, %v tokens shown", taken, want)
+	}
+}
