Explain where a request would be sent, without sending it

GET /v1/explain on the control listener of burdockglade sidecar returns route, services, ranked hosts, forecast attempts, the decision of the local gate, hedging, retry budget and quarantine. The call is a dry run through tryHosts, chooseHost, shouldRetry, decideHedge and the checks of the gate; only steps with side effects depend on Call.dryRun. newCall, writeError, tryHosts and attempt are split where the dry run needs a part of them. Setting [explain] enabled (default true), events 1915 and 1916, metric explanations. The range of event numbers is extended to 1999, because the 18xx numbers are used up.

--- a/router/event/event.go
+++ b/router/event/event.go
@@ -4,7 +4,7 @@
 // never changes and is never reused; docs/EVENTS.md lists the numbers with cause and
 // remedy. The ranges are 1000 process, 1100 ownership and lease, 1200 gate, admission
 // and upstream, 1300 release notes, 1400 moves and placement, 1500 peers and members,
-// 1600 forwarding, 1700 administration, 1800 sidecar.
+// 1600 forwarding, 1700 administration, 1800 and 1900 sidecar.
 package event
 
 import (
--- a/router/fleet/rank.go
+++ b/router/fleet/rank.go
@@ -95,6 +95,14 @@
 	return d.cheapest(d.eligible(now, service, exclude, allowed), func() float64 { return 0 })
 }
 
+// Figures returns the figures of the host. Excluded and Cost are not set.
+func (h *Host) Figures(now time.Time) Candidate {
+	v := h.view(now)
+	c := h.candidate(now, v)
+	c.Member = v.member
+	return c
+}
+
 // candidate returns the host with the figures of the view.
 func (h *Host) candidate(now time.Time, v view) Candidate {
 	c := Candidate{
--- a/router/internal/catalogue/catalogue_test.go
+++ b/router/internal/catalogue/catalogue_test.go
@@ -85,8 +85,8 @@
 		if e.Name == "" || e.Cause == "" || e.Remedy == "" {
 			t.Errorf("event %d lacks name, cause or remedy", e.Number)
 		}
-		if e.Number < 1000 || e.Number > 1899 {
-			t.Errorf("event %d is outside 1000 to 1899", e.Number)
+		if e.Number < 1000 || e.Number > 1999 {
+			t.Errorf("event %d is outside 1000 to 1999", e.Number)
 		}
 	}
 }
--- a/router/quarantine/quarantine_test.go
+++ b/router/quarantine/quarantine_test.go
@@ -328,7 +328,10 @@
 	if got := s.AtGate(at(60_000), r, false); got != gate || got.Verdict != Trial {
 		t.Errorf("at the gate: %+v, peeked %+v", got, gate)
 	}
-	if got := s.PeekGate(at(60_000), r, false); got.Verdict != Refused || s.HeadCount(r.Head) != 1 {
-		t.Errorf("while the trial runs: %+v, %d suspects", got, s.HeadCount(r.Head))
+	if got := s.PeekGate(at(60_000), r, false); got.Verdict != Refused {
+		t.Errorf("while the trial runs: %+v", got)
+	}
+	if own, other := s.OtherBodies(r.Fingerprint), s.OtherBodies(Fingerprint{Head: r.Head, Body: 7}); own != 0 || other != 1 {
+		t.Errorf("%d and %d suspects with another body, want 0 and 1", own, other)
 	}
 }
--- a/router/quarantine/trial.go
+++ b/router/quarantine/trial.go
@@ -89,9 +89,13 @@
 	return d, x
 }
 
-// HeadCount returns the number of suspects with the Fingerprint.Head, whatever their bodies.
-func (s *Set) HeadCount(head uint64) int {
-	return s.heads[head]
+// OtherBodies returns the number of suspects that differ from the request only in the body.
+func (s *Set) OtherBodies(f Fingerprint) int {
+	n := s.heads[f.Head]
+	if s.suspects[f] != nil {
+		n--
+	}
+	return n
 }
 
 // learn adds what the request shows of a suspect.
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -17,6 +17,14 @@
 
 // tryHosts offers the call to hosts until one responds or no other attempt is allowed.
 func (e *entry) tryHosts(ctx context.Context, c *Call, route *vhost.Route) *Result {
+	return e.tryHostsWith(ctx, c, route, e.attemptHedged)
+}
+
+// attemptFunc offers a call to a host.
+type attemptFunc func(ctx context.Context, h *fleet.Host, c *Call, route *vhost.Route, tried []*fleet.Host) *Result
+
+// tryHostsWith is tryHosts with another way to offer the call.
+func (e *entry) tryHostsWith(ctx context.Context, c *Call, route *vhost.Route, attempt attemptFunc) *Result {
 	var tried []*fleet.Host
 	trialHost, err := e.quarantine.atEntry(c)
 	if err != nil {
@@ -41,7 +49,7 @@
 			last.close()
 		}
 		c.WaitPolicy = waitPolicy(c, len(tried))
-		last = e.attemptHedged(ctx, h, c, route, tried)
+		last = attempt(ctx, h, c, route, tried)
 		tried = append(tried, h)
 		c.noteRegionRefusal(h, last)
 		tried, arrivals, mayHaveRun = c.countHedge(last, tried, arrivals, mayHaveRun)
@@ -83,7 +91,7 @@
 	if allowed := e.regions.filter(c); allowed != nil {
 		return e.chooseAllowed(c, tried, allowed)
 	}
-	h := e.fleet.Choose(time.Now(), c.Service, tried)
+	h := e.choose(time.Now(), c, tried, nil)
 	if h == nil {
 		return nil, errorResult(errkind.NoOwner, "no upstream of %s accepts requests; %d were tried", c.Service, len(tried))
 	}
@@ -94,7 +102,7 @@
 // being moved, it waits for the next holder.
 func (e *entry) chooseHolder(ctx context.Context, c *Call, tried []*fleet.Host) (*fleet.Host, *Result) {
 	wait := min(time.Until(c.Deadline), c.Objective) / moveWaitDivisor
-	if e.allEvacuated(c.Service) {
+	if c.dryRun || e.allEvacuated(c.Service) {
 		wait = 0
 	}
 	found := e.keys.lookupHolder(ctx, c.Service, c.Key, wait, len(tried) > 0)
@@ -111,13 +119,13 @@
 // allEvacuated reports whether no upstream of the service accepts requests while zones are
 // evacuated. A key then has no next holder to wait for.
 func (e *entry) allEvacuated(service string) bool {
-	return e.evacuation.active() && e.fleet.Choose(time.Now(), service, nil) == nil
+	return e.evacuation.active() && e.fleet.ChooseLowest(time.Now(), service, nil, nil) == nil
 }
 
 // reachableHolder returns the host, or an error result if the host is known to be
 // unreachable.
 func reachableHolder(h *fleet.Host, c *Call) (*fleet.Host, *Result) {
-	if !h.AllowRequest(time.Now()) {
+	if !c.allowRequest(time.Now(), h) {
 		return nil, errorResult(errkind.PeerUnreachable, "key %d of %s is held by host %s, which does not respond", c.Key, c.Service, h.Member().Host)
 	}
 	return h, nil
@@ -143,16 +151,24 @@
 	return admit.UntilGoal
 }
 
-// attempt offers the call to one host.
-func (e *entry) attempt(ctx context.Context, h *fleet.Host, c *Call) *Result {
-	start := time.Now()
+// refuseAttempt returns an error result if the call must not be sent to the host.
+func (e *entry) refuseAttempt(now time.Time, h *fleet.Host, c *Call) *Result {
 	// The host's own gate refuses the call as well, unless it has restarted since.
-	if e.fleet.LeavingFor(start, h.Member().Host) > e.drainLimit {
+	if e.fleet.LeavingFor(now, h.Member().Host) > e.drainLimit {
 		return errorResult(errkind.Draining, "the upstream of %s has said that it leaves", h.Member().Host)
 	}
 	if err := e.evacuation.checkHost(h.Member().Zone, c); err != nil {
 		return &Result{Err: err, Host: h.Member().Host}
 	}
+	return nil
+}
+
+// attempt offers the call to one host.
+func (e *entry) attempt(ctx context.Context, h *fleet.Host, c *Call) *Result {
+	start := time.Now()
+	if r := e.refuseAttempt(start, h, c); r != nil {
+		return r
+	}
 	h.RequestStarted()
 	var r *Result
 	if h.Member().Host == e.host {
--- a/router/sidecar/budgets.go
+++ b/router/sidecar/budgets.go
@@ -38,10 +38,26 @@
 	defer b.mu.Unlock()
 	budget := b.byService[service]
 	if budget == nil {
-		slack := budgetShare * b.terms.Slack / float64(max(b.hosts(), 1))
-		floor := slack / 2 / max(b.terms.Window.Seconds(), 1)
-		budget = retry.NewSharedBudget(budgetShare*b.terms.Ratio, floor, max(slack/2, 1))
+		budget = b.newBudget()
 		b.byService[service] = budget
 	}
 	return budget
 }
+
+func (b *budgets) newBudget() *retry.Budget {
+	slack := budgetShare * b.terms.Slack / float64(max(b.hosts(), 1))
+	floor := slack / 2 / max(b.terms.Window.Seconds(), 1)
+	return retry.NewSharedBudget(budgetShare*b.terms.Ratio, floor, max(slack/2, 1))
+}
+
+// tokens returns the number of retries that the budget of a service allows now. It adds no
+// budget for a service without requests.
+func (b *budgets) tokens(now time.Time, service string) float64 {
+	b.mu.Lock()
+	budget := b.byService[service]
+	if budget == nil {
+		budget = b.newBudget()
+	}
+	b.mu.Unlock()
+	return budget.Tokens(now)
+}
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -84,6 +84,9 @@
 	transfer *linkTransfer
 	// charge charges bytes of the response to the connection of the request. It may be nil.
 	charge func(n int64)
+	// dryRun is true if the call is explained and not sent. The decisions on it then change
+	// nothing, wait for nothing and draw no random number.
+	dryRun bool
 	// trialHost is the only host to which the call may be offered, or empty.
 	trialHost string
 	evidence  callEvidence
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -232,11 +232,18 @@
 
 // newCall returns the call for a request. It selects the service.
 func (e *entry) newCall(req *http.Request, body requestBody, table *vhost.Table, route *vhost.Route, start time.Time) (*Call, *errkind.Error) {
+	return e.buildCall(req, body, table, route, start, route.PickService(), e.maxTimes.observe)
+}
+
+// buildCall returns the call for a request to the service. firstTime returns the time until
+// the deadline of first attempts of a route, from that of this request.
+func (e *entry) buildCall(req *http.Request, body requestBody, table *vhost.Table, route *vhost.Route, start time.Time,
+	service string, firstTime func(route string, requested time.Duration) time.Duration) (*Call, *errkind.Error) {
 	c := &Call{
 		Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header,
 		Body: body.data, Stream: body.stream,
 		RequestID:  req.Header.Get(e.headers.RequestID),
-		Service:    route.PickService(),
+		Service:    service,
 		Caller:     e.service(),
 		Deadline:   start.Add(e.remainingTime(req, route)),
 		Priority:   route.Priority,
@@ -247,7 +254,7 @@
 		charge:     responseCharge(req),
 	}
 	left := c.Deadline.Sub(start)
-	c.Goal = c.Deadline.Add(route.TargetLatency - e.maxTimes.observe(route.Name, left))
+	c.Goal = c.Deadline.Add(route.TargetLatency - firstTime(route.Name, left))
 	if s := table.Service(c.Service); s != nil && s.Keyed {
 		key, err := strconv.ParseUint(req.Header.Get(e.headers.Key), 10, 16)
 		if err != nil {
@@ -276,6 +283,14 @@
 	return requested
 }
 
+// peek returns what observe would, without recording the requested time.
+func (l *maxRequestTimes) peek(route string, requested time.Duration) time.Duration {
+	if known, ok := l.byRoute.Load(route); ok {
+		return max(known.(time.Duration), requested)
+	}
+	return requested
+}
+
 // remainingTime returns the shorter of the time until the caller's deadline and the
 // timeout of the route.
 func (e *entry) remainingTime(req *http.Request, route *vhost.Route) time.Duration {
@@ -298,17 +313,11 @@
 		e.log.Log(eventCallerLeft, event.F("request", id), event.F("left_ms", time.Until(deadline).Milliseconds()), event.F("detail", err.Detail))
 		panic(http.ErrAbortHandler) // the caller no longer reads the response
 	}
-	response := errkind.ResponseOf(err.Kind)
-	status := response.Status
 	now := time.Now()
-	if response.Outcome == errkind.NotRun && (response.Retryable || err.Kind == errkind.DeadlinePassed || err.Kind == errkind.Quarantined) {
-		status = http.StatusServiceUnavailable
-		retryAfter := retryAfterFor(err, deadline.Sub(now))
+	status, retryAfter := statusFor(err, now, deadline)
+	if retryAfter > 0 {
 		w.Header().Set(e.headers.RetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if response.Outcome == errkind.Unknown && !now.Before(deadline) {
-		status = http.StatusGatewayTimeout
-	}
 	name := ""
 	if route != nil {
 		name = route.Name
@@ -327,6 +336,19 @@
 	_ = errkind.WriteProblem(w, err.Kind, err.Detail, status) // the caller may have left
 }
 
+// statusFor returns the status of the response to a request that ends with the error, and the
+// delay after which the caller is asked to retry, or 0 if it is not asked to.
+func statusFor(err *errkind.Error, now, deadline time.Time) (status int, retryAfter time.Duration) {
+	response := errkind.ResponseOf(err.Kind)
+	switch {
+	case response.Outcome == errkind.NotRun && (response.Retryable || err.Kind == errkind.DeadlinePassed || err.Kind == errkind.Quarantined):
+		return http.StatusServiceUnavailable, retryAfterFor(err, deadline.Sub(now))
+	case response.Outcome == errkind.Unknown && !now.Before(deadline):
+		return http.StatusGatewayTimeout, 0
+	}
+	return response.Status, 0
+}
+
 // retryAfterFor returns the delay after which a refused caller is asked to retry: the one
 // that the error names, limited to the part of the remaining time that callers honour.
 func retryAfterFor(err *errkind.Error, left time.Duration) time.Duration {
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -142,4 +142,8 @@
 		"Another host sent a report of suspects that cannot be decoded. At most one such report a minute is logged.", "Compare the versions of the two routers.")
 	eventTrial = event.Define(1894, log.InfoLevel, "trial of a quarantined request",
 		"The local upstream gets one quarantined request, to find out whether it still crashes.", "none")
+	eventExplained = event.Define(1915, log.InfoLevel, "decision explained",
+		"The control listener was asked where a request would be sent. Nothing was sent. kind is that of the refusal, or empty.", "none; if remote is not known, restrict who reaches the control listener, or set explain.enabled to false.")
+	eventExplainFailed = event.Define(1916, log.ErrorLevel, "explanation failed",
+		"A panic ended an explanation; requests are not affected.", "Report it with the log.")
 )
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -77,7 +77,7 @@
 func (g *gate) serve(ctx context.Context, c *Call) *Result {
 	if err := g.check(time.Now(), c); err != nil {
 		g.countRefusal(c)
-		return g.withLoad(&Result{Err: err, Unreachable: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)})
+		return g.withLoad(g.refused(c, err))
 	}
 	if err := g.quarantine.enter(ctx, c); err != nil {
 		return g.withLoad(&Result{Err: err})
@@ -107,6 +107,11 @@
 	return g.withLoad(r)
 }
 
+// refused returns the result of a call that check refuses.
+func (g *gate) refused(c *Call, err *errkind.Error) *Result {
+	return &Result{Err: err, Unreachable: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)}
+}
+
 // countRefusal counts a refused call if its reason is the region or the zone of this host.
 func (g *gate) countRefusal(c *Call) {
 	switch {
--- a/router/sidecar/hedge.go
+++ b/router/sidecar/hedge.go
@@ -300,7 +300,7 @@
 	}
 	var second *fleet.Host
 	reason := hedge.Decide(state, hedge.Limits{
-		Share: e.hedges.shares.Of(c.Service),
+		Share: e.hedgeShare(c),
 		ChooseHost: func() bool {
 			h, refused := e.chooseHost(ctx, c, []*fleet.Host{first}, nil)
 			if refused != nil || !h.Reachable(now) || h.Member().Cold(now) {
@@ -309,7 +309,7 @@
 			second = h
 			return true
 		},
-		TakeRetry: func() bool { return e.budgets.forService(c.Service).Take(now) },
+		TakeRetry: func() bool { return e.takeRetry(now, c) },
 	})
 	return second, reason
 }
--- a/router/sidecar/keyindex.go
+++ b/router/sidecar/keyindex.go
@@ -23,9 +23,10 @@
 	changed func()
 }
 
-// indexedMap is a key map with its row version. changed is closed when a newer map
-// replaces it.
+// indexedMap is a key map with its row version and the time at which it came into force here.
+// changed is closed when a newer map replaces it.
 type indexedMap struct {
+	since   time.Time
 	version int64
 	keys    *keyrange.Map
 	changed chan struct{}
@@ -71,7 +72,7 @@
 		x.mu.Unlock()
 		return
 	}
-	x.services[service] = &indexedMap{version: version, keys: m, changed: make(chan struct{})}
+	x.services[service] = &indexedMap{since: time.Now(), version: version, keys: m, changed: make(chan struct{})}
 	if old != nil {
 		close(old.changed)
 	}
--- a/router/sidecar/quarantine.go
+++ b/router/sidecar/quarantine.go
@@ -94,8 +94,10 @@
 }
 
 // refusal returns the error for a call that is not sent.
-func (q *quarantineDriver) refusal(d quarantine.Decision, at string) *errkind.Error {
-	q.scope.Tagged(map[string]string{"at": at}).Counter("quarantine_refusals").Inc(1)
+func (q *quarantineDriver) refusal(c *Call, d quarantine.Decision, at string) *errkind.Error {
+	if !c.dryRun {
+		q.scope.Tagged(map[string]string{"at": at}).Counter("quarantine_refusals").Inc(1)
+	}
 	err := errkind.New(errkind.Quarantined, "requests like this one were in progress at %d crashes of upstreams", d.Crashes)
 	err.RetryAfter = d.RetryAfter
 	return err
@@ -106,7 +108,7 @@
 func (q *quarantineDriver) atEntry(c *Call) (host string, err *errkind.Error) {
 	d := q.decideAtEntry(c, true)
 	if d.Verdict == quarantine.Refused {
-		return "", q.refusal(d, "entry")
+		return "", q.refusal(c, d, "entry")
 	}
 	return d.Host, nil
 }
@@ -123,6 +125,9 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if c.dryRun {
+		return q.set.PeekEntry(time.Now(), r, c.Keyed)
+	}
 	defer q.update()
 	return q.set.AtEntry(time.Now(), r, c.Keyed)
 }
@@ -140,7 +145,7 @@
 		d, before := q.decideAtGate(c, r)
 		switch {
 		case d.Verdict == quarantine.Refused:
-			return q.refusal(d, "gate")
+			return q.refusal(c, d, "gate")
 		case d.Verdict == quarantine.Trial:
 			c.evidence.trial = true
 			q.scope.Counter("quarantine_trials").Inc(1)
@@ -183,7 +188,7 @@
 		return nil
 	}
 	if d := q.decideAtEntry(c, false); d.Verdict == quarantine.Refused || d.Verdict == quarantine.Trial {
-		return q.refusal(d, "gate")
+		return q.refusal(c, d, "gate")
 	}
 	return nil
 }
@@ -209,7 +214,7 @@
 func (e *entry) chooseTrialHost(c *Call, tried []*fleet.Host) (*fleet.Host, *Result) {
 	h := e.fleet.Host(c.trialHost)
 	if h != nil && len(tried) == 0 && h.Member().Service == c.Service {
-		if allowed := e.regions.filter(c); (allowed == nil || allowed(h.Member())) && h.AllowRequest(time.Now()) {
+		if allowed := e.regions.filter(c); (allowed == nil || allowed(h.Member())) && c.allowRequest(time.Now(), h) {
 			return h, nil
 		}
 	}
--- a/router/sidecar/regions.go
+++ b/router/sidecar/regions.go
@@ -101,11 +101,11 @@
 // if a region is lost, its requests are refused at once.
 func (e *entry) chooseAllowed(c *Call, tried []*fleet.Host, allowed func(fleet.Member) bool) (*fleet.Host, *Result) {
 	now := time.Now()
-	h := e.fleet.ChooseAllowed(now, c.Service, tried, allowed)
+	h := e.choose(now, c, tried, allowed)
 	if h == nil {
 		return nil, errorResult(errkind.RegionUnavailable, "no upstream of %s in an allowed region accepts requests; %d were tried", c.Service, len(tried))
 	}
-	if !h.AllowRequest(now) {
+	if !c.allowRequest(now, h) {
 		return nil, errorResult(errkind.RegionUnavailable, "no host of %s in an allowed region responds", c.Service)
 	}
 	return h, nil
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -20,6 +20,7 @@
 	Terms      TermSettings       `ini:"terms"`
 	Hedge      HedgeSettings      `ini:"hedge"`
 	Quarantine QuarantineSettings `ini:"quarantine"`
+	Explain    ExplainSettings    `ini:"explain"`
 	Log        LogSettings        `ini:"log"`
 }
 
@@ -62,7 +63,7 @@
 	HopAdvertised string `ini:"hop_advertised"`
 	// Ready serves the readiness check of the platform.
 	Ready string `ini:"ready"`
-	// Control serves the heartbeats of the local upstream.
+	// Control serves the heartbeats of the local upstream, and explanations.
 	Control string `ini:"control"`
 	// Metrics serves metrics under /metrics.
 	Metrics string `ini:"metrics"`
@@ -126,6 +127,12 @@
 	Enabled bool `ini:"enabled"`
 }
 
+// ExplainSettings configure the explanation of decisions.
+type ExplainSettings struct {
+	// Enabled is true if Listen.Control serves it. Default true.
+	Enabled bool `ini:"enabled"`
+}
+
 // LogSettings configure the log on standard output.
 type LogSettings struct {
 	// Level is debug, info, warn or error. Default info.
@@ -142,6 +149,7 @@
 			ColdOverage: 1.5, ColdSlack: 8,
 		},
 		Quarantine: QuarantineSettings{Enabled: true},
+		Explain:    ExplainSettings{Enabled: true},
 		Log:        LogSettings{Level: "info"},
 	}
 }
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -88,6 +88,8 @@
 	entry          *entry
 	// quarantine is nil if it is switched off.
 	quarantine *quarantineDriver
+	// explaining is held while an explanation is made.
+	explaining sync.Mutex
 	publisher  *publisher
 	sweeper    *sweeper
 	// memberVersions maps the names of hosts to the versions (int64) of their member rows
@@ -331,7 +333,7 @@
 	}{
 		{"caller", l.Caller, callers, connlimit.Caller},
 		{"hop", l.Hop, hopServer, connlimit.Router},
-		{"control", l.Control, s.internalServer(s.opts.Control(s), 0), connlimit.Control},
+		{"control", l.Control, s.internalServer(s.explainHandler(s.opts.Control(s)), 0), connlimit.Control},
 		{"ready", l.Ready, s.internalServer(s.opts.Ready(s), 0), connlimit.Probe},
 		{"metrics", l.Metrics, s.internalServer(mux, metricsBytes), connlimit.Probe},
 	} {
