--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -28,6 +28,7 @@
 	ExitFailed   = 1 // refused, failed or not confirmed
 	ExitUsage    = 2 // wrong arguments or invalid input
 	ExitConflict = 3 // conflict with another change
+	ExitRefused  = 3 // explain: the request would be refused
 	ExitUnknown  = 4 // router or store unreachable, or outcome unknown
 	ExitTimeout  = 5 // the wait timed out
 )
@@ -35,8 +36,8 @@
 const description = `Operates burdockglade routers through their administration API.
 
 Exit codes: 0 done; 1 refused, failed or not confirmed; 2 wrong arguments or
-invalid input; 3 conflict with another change; 4 router or store unreachable, or
-outcome unknown; 5 wait timed out.`
+invalid input; 3 conflict with another change, or explain: the request would be
+refused; 4 router or store unreachable, or outcome unknown; 5 wait timed out.`
 
 // Grammar is the command line of burdockctl.
 type Grammar struct {
@@ -51,6 +52,7 @@
 	Move     MoveCmd     `cmd:"" help:"Move a shard to another host."`
 	Drain    DrainCmd    `cmd:"" help:"Make a host move its shards away and stop."`
 	Takeover TakeoverCmd `cmd:"" help:"Take over a group whose holder and standby are switched off."`
+	Explain  ExplainCmd  `cmd:"" help:"Explain where a sidecar would send a request."`
 	Settings SettingsCmd `cmd:"" help:"Settings of a router process."`
 	Version  VersionCmd  `cmd:"" help:"Show the version of burdockctl."`
 }
@@ -127,11 +129,14 @@
 	var usage *usageError
 	var problems settings.Problems
 	var kindErr *errkind.Error
+	var refused *refusedError
 	switch {
 	case err == nil:
 		return ExitOK
 	case errors.Is(err, ErrTimeout):
 		return ExitTimeout
+	case errors.As(err, &refused):
+		return ExitRefused
 	case errors.As(err, &usage), errors.As(err, &problems):
 		return ExitUsage
 	case !errors.As(err, &kindErr):
