Test explanations with processes, and each step that a dry run must not take

The holder of a key is marked in place of the hosts that jitter can make the first one. The test of side effects covers second requests, the probe of a host that alone may serve a request, refusals of the quarantine and the jitter.

--- a/ctl/command/explain.go
+++ b/ctl/command/explain.go
@@ -155,7 +155,9 @@
 	}
 	writeHosts(w, s)
 	_, _ = io.WriteString(w, "\n")
-	row(w, "ATTEMPT", "HOST", "MAY WAIT", "DECISION", "BASIS", "DETAIL")
+	if len(s.Attempts) > 0 {
+		row(w, "ATTEMPT", "HOST", "MAY WAIT", "DECISION", "BASIS", "DETAIL")
+	}
 	for i, a := range s.Attempts {
 		row(w, i+1, a.Host, a.WaitPolicy, decision(a.Gate), a.Basis, a.Detail)
 	}
@@ -178,7 +180,7 @@
 			reported = fmt.Sprintf("%.2f %s", h.Reported, millis(h.LoadAgeMs))
 		}
 		row(w, h.Host, h.Zone, h.Region, h.State, cost, first, fmt.Sprintf("%.2f", h.Utilization), reported, h.Slots, h.InFlight,
-			fmt.Sprintf("%.2f", h.Pace), fmt.Sprintf("%.1f", h.Link), fmt.Sprintf("%.2f", h.ErrorRate), fmt.Sprintf("%.2f", h.Slowness), notes(h))
+			fmt.Sprintf("%.2f", h.Pace), fmt.Sprintf("%.1f", h.Link), fmt.Sprintf("%.2f", h.ErrorRate), fmt.Sprintf("%.4f", h.Slowness), notes(h))
 	}
 	if s.OmittedHosts > 0 {
 		row(w, "", fmt.Sprintf("%d further hosts", s.OmittedHosts))
--- a/router/explain/explain.go
+++ b/router/explain/explain.go
@@ -195,9 +195,11 @@
 	State  string `json:"state"`
 	// Excluded is empty, or not_allowed, leaving, stopping or evacuated.
 	Excluded string `json:"excluded,omitempty"`
-	// Cost ranks the candidates; the lowest comes first.
+	// Cost ranks the candidates; the lowest comes first. A key has one candidate, its holder,
+	// whatever the cost.
 	Cost float64 `json:"cost"`
-	// MayBeFirst is true if jitter can make the host the first one.
+	// MayBeFirst is true if the host is the holder of the key, or, for a request without a
+	// key, if jitter can make it the first one.
 	MayBeFirst bool `json:"may_be_first"`
 	// Utilization is the share of the slots that counts for the cost, Reported the one that
 	// the host reported LoadAgeMs ago.
--- a/router/sidecar/explain.go
+++ b/router/sidecar/explain.go
@@ -174,6 +174,11 @@
 	c.dryRun = true
 	x.Key = e.explainKey(now, c)
 	x.Hosts = e.explainHosts(now, c)
+	for i := range x.Hosts {
+		if h := &x.Hosts[i]; c.Keyed {
+			h.MayBeFirst = h.Host == x.Key.Holder
+		}
+	}
 	x.LocalGate = e.explainGate(now, c)
 	x.Quarantine = e.explainQuarantine(now, c)
 	r, forecasts := e.tryHostsDry(ctx, c, route)
--- a/router/sidecar/explain_test.go
+++ b/router/sidecar/explain_test.go
@@ -6,16 +6,61 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/explain"
 	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/hedge"
 	"burdockglade.dev/router/quarantine"
 )
 
+// hedges returns the limit of second requests of the service plain.
+func (h *testHost) hedges() *hedge.Share {
+	return h.entry.hedges.shares.CopyOf("plain")
+}
+
+// explanations returns the number of explanations that the metrics show.
+func (h *testHost) explanations(t *testing.T) int {
+	t.Helper()
+	_, page := h.get(t, h.settings.Listen.Metrics, "/metrics")
+	sum := 0
+	for line := range strings.Lines(page) {
+		if strings.HasPrefix(line, "burdock_entry_explanations{") {
+			n, err := strconv.Atoi(strings.Fields(line)[1])
+			if err != nil {
+				t.Fatal(err)
+			}
+			sum += n
+		}
+	}
+	return sum
+}
+
+// logText is a log that can be searched.
+type logText struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logText) contains(part string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), part)
+}
+
 // get requests a path from a listener of the host.
 func (h *testHost) get(t *testing.T, address, path string) (status int, body string) {
 	t.Helper()
@@ -59,7 +104,7 @@
 	if !x.Outcome.Served {
 		return x.Outcome.Status == got.status && strings.Contains(got.body, string(x.Outcome.Kind))
 	}
-	if s := x.Services[0]; s.Key == nil {
+	if s := x.Services[0]; s.Kind == "plain" {
 		return slices.ContainsFunc(s.Hosts, func(h explain.Host) bool { return h.MayBeFirst && strings.HasPrefix(got.body, "i-"+h.Host+" ") })
 	}
 	return strings.HasPrefix(got.body, "i-"+x.Outcome.Host+" ")
@@ -129,25 +174,49 @@
 	t.Parallel()
 	c := newCluster(t)
 	c.change = func(s *Settings) { s.Hedge.MaxShare = 0.5 }
+	log := &logText{}
+	c.log = event.NewLogger(log, 0)
 	h := c.add("h0", "plain")
 	c.add("h1", "plain")
+	c.add("h2", "cold")
 	c.waitReady()
 	for i := range 60 {
 		h.request(t, "GET", "/look/x", fmt.Sprint("warm", i), "")
 	}
-	lost := h.fleet.Host("h1")
-	lost.RequestStarted()
-	lost.RequestDone(time.Now().Add(time.Hour), fleet.Result{}) // backoff for an hour
+	// Both hosts respond, so that a second request would be sent.
+	shares, tokens := h.hedges().Tokens(), h.entry.budgets.tokens(time.Now(), "plain")
+	for range 20 {
+		x := h.explain(t, "/look/x", "").Services[0]
+		if x.Hedging == nil || x.Hedging.DelayMs <= 0 || (x.Hedging.Host == "") == (x.Hedging.Denied == "") {
+			t.Fatalf("hedging %+v", x.Hedging)
+		}
+		if x.Outcome.Host != x.Hosts[0].Host {
+			t.Errorf("the request goes to %s, the first host is %s", x.Outcome.Host, x.Hosts[0].Host)
+		}
+	}
+	if h.hedges().Tokens() != shares || h.entry.budgets.tokens(time.Now(), "plain") < tokens || tokens < 2 || shares < 2 {
+		t.Errorf("%v second requests and %v retries allowed, %v and %v before", h.hedges().Tokens(), h.entry.budgets.tokens(time.Now(), "plain"), shares, tokens)
+	}
+	// Requests of the route cool can only be served by h2.
+	c.restrict(2, "cool=r1", c.hosts...)
+	lost, only := h.fleet.Host("h1"), h.fleet.Host("h2")
+	for _, host := range []*fleet.Host{lost, only} {
+		host.RequestStarted()
+		host.RequestDone(time.Now().Add(time.Hour), fleet.Result{}) // backoff for an hour
+	}
 	deadly := quarantine.Request{Fingerprint: quarantine.Fingerprint{Head: quarantine.HashHead("plain", "GET", "test", "/look/deadly"), Body: quarantine.HashBody(nil)}}
+	refused := deadly
+	refused.Head = quarantine.HashHead("plain", "GET", "test", "/look/refused")
 	h.quarantine.mu.Lock()
 	for life := range quarantine.Incarnation(3) {
 		h.quarantine.set.RecordCrash(time.Now().Add(-time.Minute), life+1, []quarantine.Request{deadly})
+		h.quarantine.set.RecordCrash(time.Now().Add(5*time.Second), life+10, []quarantine.Request{refused}) // no trial for 15 s
 	}
 	h.quarantine.update()
 	h.quarantine.mu.Unlock()
 	c.eventually("the gauges are up to date", func() bool {
 		_, page := h.get(t, h.settings.Listen.Metrics, "/metrics")
-		return strings.Contains(page, "burdock_entry_suspects 1") && strings.Contains(page, "burdock_entry_quarantined 1")
+		return strings.Contains(page, "burdock_entry_suspects 2") && strings.Contains(page, "burdock_entry_quarantined 2")
 	})
 	state := func() string {
 		var lines []string
@@ -161,7 +230,7 @@
 		}
 		slices.Sort(lines)
 		e := h.entry
-		allowed, probe := lost.WouldAllowRequest(time.Now())
+		allowed, probe := only.WouldAllowRequest(time.Now())
 		longest, _ := e.maxTimes.byRoute.Load("pay")
 		slots, inFlight, waiting := e.gate.limiter.Stats()
 		h.quarantine.mu.Lock()
@@ -170,28 +239,31 @@
 		e.budgets.mu.Lock()
 		defer e.budgets.mu.Unlock()
 		return fmt.Sprint(lines, len(e.budgets.byService), e.hedges.shares.CopyOf("plain").Tokens(), allowed, probe, longest, slots, inFlight, waiting,
-			entry, gate, h.quarantine.set.Changes(), h.fleet.Rank(time.Now(), "plain", nil)[1].InFlight)
+			entry, gate, h.quarantine.set.Changes(), h.fleet.Rank(time.Now(), "plain", nil)[1].InFlight, lost.Figures(time.Now()).Probe)
 	}
-	tokens := h.entry.budgets.tokens(time.Now(), "plain")
 	before := state()
 	if !strings.Contains(before, "request_seconds") {
 		t.Fatalf("the metrics of requests are missing: %s", before)
 	}
+	paths := []string{"/look/x", "/look/deadly", "/look/refused", "/pay/x", "/keys/x", "/cool/x", "/nowhere"}
+	asked := h.explanations(t)
 	for range 20 {
-		for _, path := range []string{"/look/x", "/look/deadly", "/pay/x", "/keys/x", "/cool/x", "/nowhere"} {
+		for _, path := range paths {
 			h.explain(t, path, "7")
 		}
 	}
+	// Metrics are reported some time after they have changed.
+	c.eventually("the metrics are up to date", func() bool { return h.explanations(t) >= asked+20*len(paths) })
 	if after := state(); after != before {
 		t.Errorf("before %s\nafter %s", before, after)
 	}
-	if now := h.entry.budgets.tokens(time.Now(), "plain"); now < tokens {
-		t.Errorf("%v tokens of the retry budget, %v before", now, tokens)
-	}
 	x := h.explain(t, "/look/x", "").Services[0]
 	if x.Hedging == nil || !x.Hedging.Eligible || x.Hedging.DelayMs <= 0 || x.Hedging.Denied != "few_hosts" {
 		t.Errorf("hedging %+v", x.Hedging)
 	}
+	if log.contains(`"event":1890,`) {
+		t.Error("an explained request was taken for one that was seen")
+	}
 	if x = h.explain(t, "/look/deadly", "").Services[0]; x.Quarantine.Verdict != "trial" || x.Quarantine.Crashes != 3 || !x.Outcome.Served {
 		t.Errorf("quarantine %+v", x.Quarantine)
 	}
