--- a/ctl/command/explain.go
+++ b/ctl/command/explain.go
@@ -234,7 +234,11 @@
 		row(w, name, "served by "+o.Host)
 		return
 	}
-	row(w, name, fmt.Sprintf("refused: %d %s", o.Status, o.Kind), "retry after "+millis(o.RetryAfterMs), o.Detail)
+	refusal := fmt.Sprintf("refused: %d %s", o.Status, o.Kind)
+	if o.RetryAfterMs > 0 {
+		refusal += ", retry after " + millis(o.RetryAfterMs)
+	}
+	row(w, name, refusal, o.Detail)
 }
 
 // millis formats milliseconds, of which -1 stands for unknown.
