--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -248,7 +248,7 @@
 	hosts := d.byService[service]
 	views := make([]view, 0, len(hosts))
 	for _, h := range hosts {
-		if v := h.view(now); d.exclusion(now, v, exclude, allowed) == Eligible {
+		if v := h.view(now); d.exclusion(now, &v, exclude, allowed) == Eligible {
 			views = append(views, v)
 		}
 	}
@@ -256,8 +256,8 @@
 }
 
 // exclusion returns the reason for which a host may not be chosen. d.mu must be held.
-func (d *Directory) exclusion(now time.Time, v view, exclude []*Host, allowed func(Member) bool) Exclusion {
-	switch state := d.current(now, v.member).State; {
+func (d *Directory) exclusion(now time.Time, v *view, exclude []*Host, allowed func(Member) bool) Exclusion {
+	switch state := d.state(now, &v.member); {
 	case allowed != nil && !allowed(v.member):
 		return NotAllowed
 	case state == Stopping:
--- a/router/fleet/leaving.go
+++ b/router/fleet/leaving.go
@@ -73,12 +73,22 @@
 // current returns the member data with the state that follows from the notices of leaving.
 // d.mu must be held.
 func (d *Directory) current(now time.Time, m Member) Member {
-	if _, leaves := d.leavingSince(now, m); leaves && m.State == Ready {
-		m.State = Draining
-	}
+	m.State = d.state(now, &m)
 	return m
 }
 
+// state returns the state that follows from the member data and the notices of leaving. d.mu
+// must be held.
+func (d *Directory) state(now time.Time, m *Member) State {
+	if m.State != Ready || len(d.leaving[m.Host]) == 0 {
+		return m.State
+	}
+	if _, leaves := d.leavingSince(now, *m); leaves {
+		return Draining
+	}
+	return m.State
+}
+
 // leavingSince returns the time of the notice that concerns the member data, and false if
 // there is none. d.mu must be held.
 func (d *Directory) leavingSince(now time.Time, m Member) (since time.Time, leaves bool) {
--- a/router/fleet/rank.go
+++ b/router/fleet/rank.go
@@ -65,7 +65,7 @@
 		v := h.view(now)
 		c := h.candidate(now, v)
 		c.Member = d.current(now, v.member)
-		if c.Excluded = d.exclusion(now, v, nil, allowed); c.Excluded == Eligible {
+		if c.Excluded = d.exclusion(now, &v, nil, allowed); c.Excluded == Eligible {
 			eligible = append(eligible, v)
 		}
 		candidates = append(candidates, c)
