--- a/router/admit/reserve.go
+++ b/router/admit/reserve.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"container/heap"
 	"errors"
 	"time"
 
@@ -217,14 +216,14 @@
 	return w.class.Priority == it.class.Priority && w.turn == it.turn && w.promoted == it.promoted && w.bounds.Origin.Host != ""
 }
 
-// takePlace removes a waiting request in favour of the item, whose wait is too long by the
-// excess or for which the queue is full (excess 0). It is the last one of the host and class
-// with most requests of the priority in the queue, if these are at least two more than those
-// of the item's, so that two hosts do not displace each other's requests alternately. It
-// reports whether there is room for the item now. The caller holds l.mu.
-func (l *PriorityLimiter) takePlace(it *priorityItem, excess time.Duration) bool {
+// displacedFor returns the waiting request whose place the item takes if its wait is too long
+// by the excess or the queue is full (excess 0), or nil. It is the last one of the host and
+// class with most requests of the priority in the queue, if these are at least two more than
+// those of the item's, so that two hosts do not displace each other's requests alternately.
+// The caller holds l.mu.
+func (l *PriorityLimiter) displacedFor(it *priorityItem, excess time.Duration) *priorityItem {
 	if l.reservations == nil || it.bounds.Origin.Host == "" || it.bounds.Policy == NoWait || it.turn != turnFirst {
-		return false
+		return nil
 	}
 	places := l.reservations.places
 	clear(places)
@@ -239,7 +238,7 @@
 		}
 	}
 	if places[most] < places[it.placeKey()]+2 {
-		return false
+		return nil
 	}
 	var last *priorityItem
 	for _, w := range l.waiting {
@@ -248,13 +247,19 @@
 		}
 	}
 	if last == nil {
-		return false
+		return nil
 	}
 	relief := l.meanServiceOf(last.class) / time.Duration(max(l.limit.Allowed(), 1))
 	if excess > relief+l.meanServiceOf(it.class)/2 { // a waiting request expires that much behind its longest wait
-		return false
+		return nil
 	}
-	heap.Remove(&l.waiting, last.index)
-	last.decision <- overloaded(0, "requests of other hosts or classes than those of %s have fewer places in the queue", most.host)
-	return true
+	return last
+}
+
+// displacedError returns the error for a waiting request whose place the item takes.
+func (l *PriorityLimiter) displacedError(wait time.Duration, it, displaced *priorityItem) error {
+	if it.before(displaced) {
+		return overloaded(wait, "more urgent requests fill the queue of %d", len(l.waiting)+1)
+	}
+	return overloaded(0, "requests of other hosts or classes than those of %s have fewer places in the queue", displaced.placeKey().host)
 }
--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -239,44 +239,46 @@
 // ChooseAllowed is Choose among the hosts for whose member data allowed returns true. A nil
 // allowed stands for all hosts.
 func (d *Directory) ChooseAllowed(now time.Time, service string, exclude []*Host, allowed func(Member) bool) *Host {
-	views := d.readyViews(now, service, allowed)
-	return d.cheapest(slices.DeleteFunc(views, func(v view) bool { return slices.Contains(exclude, v.host) }))
+	return d.cheapest(d.eligible(now, service, exclude, allowed), randomJitter)
 }
 
-// readyViews returns the hosts of the service that accept new requests, are in no evacuated
-// zone, and for whose member data allowed returns true. A nil allowed stands for all hosts.
-func (d *Directory) readyViews(now time.Time, service string, allowed func(Member) bool) []view {
+// eligible returns the hosts of the service that may be chosen.
+func (d *Directory) eligible(now time.Time, service string, exclude []*Host, allowed func(Member) bool) []view {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	hosts := d.byService[service]
 	views := make([]view, 0, len(hosts))
 	for _, h := range hosts {
-		v := h.view(now)
-		if allowed != nil && !allowed(v.member) {
-			continue
-		}
-		if d.current(now, v.member).State == Ready && !d.evacuated(v.member.Zone) {
+		if v := h.view(now); d.exclusion(now, &v, exclude, allowed) == Eligible {
 			views = append(views, v)
 		}
 	}
 	return views
 }
 
-func (d *Directory) cheapest(views []view) *Host {
-	meanSlowness := meanSlownessOf(views)
-	var best *Host
-	lowest := 0.0
-	for _, v := range views {
-		cost := d.cost(v, meanSlowness) + randomCost()
-		if best == nil || cost < lowest {
-			best, lowest = v.host, cost
-		}
+// exclusion returns the reason for which a host may not be chosen. d.mu must be held.
+func (d *Directory) exclusion(now time.Time, v *view, exclude []*Host, allowed func(Member) bool) Exclusion {
+	switch state := d.state(now, &v.member); {
+	case allowed != nil && !allowed(v.member):
+		return NotAllowed
+	case state == Stopping:
+		return ExcludedStopping
+	case state != Ready:
+		return ExcludedLeaving
+	case slices.Contains(exclude, v.host):
+		return ExcludedTried
+	case d.evacuated(v.member.Zone):
+		return ExcludedEvacuated
 	}
-	return best
+	return Eligible
 }
 
-// meanSlownessOf returns the mean slowness of the hosts.
-func meanSlownessOf(views []view) float64 {
+func randomJitter() float64 {
+	return costJitter * rand.Float64()
+}
+
+// meanSlowness returns the mean slowness of the candidates.
+func meanSlowness(views []view) float64 {
 	var mean float64
 	for _, v := range views {
 		mean += v.slowness / float64(len(views))
@@ -284,9 +286,18 @@
 	return mean
 }
 
-// randomCost returns a random cost of up to costJitter.
-func randomCost() float64 {
-	return costJitter * rand.Float64()
+// cheapest returns the host with the lowest sum of cost and jitter, or nil if there is none.
+func (d *Directory) cheapest(views []view, jitter func() float64) *Host {
+	mean := meanSlowness(views)
+	var best *Host
+	lowest := 0.0
+	for _, v := range views {
+		cost := d.cost(v, mean) + jitter()
+		if best == nil || cost < lowest {
+			best, lowest = v.host, cost
+		}
+	}
+	return best
 }
 
 // cost returns the cost of choosing a host. meanSlowness is the mean of all
--- a/router/fleet/near.go
+++ b/router/fleet/near.go
@@ -30,14 +30,23 @@
 // ChooseNear returns the host of the service for a request whose response is large. allowed
 // and exclude are those of ChooseAllowed.
 func (d *Directory) ChooseNear(now time.Time, service string, exclude []*Host, allowed func(Member) bool) NearChoice {
-	views := d.readyViews(now, service, allowed)
-	meanSlowness := meanSlownessOf(views)
+	return d.chooseNear(now, service, exclude, allowed, randomJitter)
+}
+
+// ChooseNearest is ChooseNear without the random cost that distinguishes equal hosts.
+func (d *Directory) ChooseNearest(now time.Time, service string, exclude []*Host, allowed func(Member) bool) NearChoice {
+	return d.chooseNear(now, service, exclude, allowed, noJitter)
+}
+
+func (d *Directory) chooseNear(now time.Time, service string, exclude []*Host, allowed func(Member) bool, jitter func() float64) NearChoice {
+	views := d.eligible(now, service, nil, allowed)
+	mean := meanSlowness(views)
 	here := locality.Place{Zone: d.zone, Region: d.region}
 	candidates := make([]locality.Candidate, 0, len(views))
 	for _, v := range views {
 		candidates = append(candidates, locality.Candidate{
 			Distance:    here.DistanceTo(locality.Place{Zone: v.member.Zone, Region: v.member.Region}),
-			Utilization: v.largeUtilization, Cost: d.cost(v, meanSlowness) + randomCost(),
+			Utilization: v.largeUtilization, Cost: d.cost(v, mean) + jitter(),
 			Healthy: !v.unavailable && v.errorRate < unhealthyErrorRate,
 			Tried:   slices.Contains(exclude, v.host),
 		})
--- a/router/sidecar/competing.go
+++ b/router/sidecar/competing.go
@@ -165,7 +165,7 @@
 	h := e.fleet.ChooseAllowed(now, c.Service, nil, func(m fleet.Member) bool {
 		return m.Host == c.earlier.Gate && (allowed == nil || allowed(m))
 	})
-	if h == nil || !h.AllowRequest(now) {
+	if h == nil || !c.allowRequest(now, h) {
 		return nil
 	}
 	return h
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -154,4 +154,8 @@
 		"At least half of the calls that running requests of the local upstream make to the service were refused. New requests of routes that call it are admitted only as far as their calls are served, and others are refused.", "Find out why the service refuses calls: it is overloaded, or cannot be reached.")
 	eventRunsUnlimited = event.Define(1906, log.InfoLevel, "requests no longer limited because of their calls",
 		"Most calls to the service are served again, and its limit has refused no request for 1 s.", "none")
+	eventExplained = event.Define(1915, log.InfoLevel, "decision explained",
+		"The control listener was asked where a request would be sent. Nothing was sent. kind is that of the refusal, or empty.", "none; if remote is not known, restrict who reaches the control listener, or set explain.enabled to false.")
+	eventExplainFailed = event.Define(1916, log.ErrorLevel, "explanation failed",
+		"A panic ended an explanation; requests are not affected.", "Report it with the log.")
 )
--- a/router/sidecar/near.go
+++ b/router/sidecar/near.go
@@ -14,17 +14,24 @@
 // error result if no near host is left and no distant one has spare capacity.
 func (e *entry) chooseNear(c *Call, tried []*fleet.Host, allowed func(fleet.Member) bool) (*fleet.Host, *Result) {
 	now := time.Now()
-	chosen := e.fleet.ChooseNear(now, c.Service, tried, allowed)
+	choose := e.fleet.ChooseNear
+	if c.dryRun {
+		choose = e.fleet.ChooseNearest
+	}
+	chosen := choose(now, c.Service, tried, allowed)
 	h := chosen.Host
 	switch {
 	case h == nil && allowed != nil && len(tried) == 0:
 		return nil, errorResult(errkind.RegionUnavailable, "no upstream of %s in an allowed region accepts requests", c.Service)
 	case h == nil:
 		return nil, errorResult(errkind.NoOwner, "no upstream of %s has capacity for a large response; %d were tried", c.Service, len(tried))
-	case allowed != nil && !h.AllowRequest(now):
+	case allowed != nil && !c.allowRequest(now, h):
 		return nil, errorResult(errkind.RegionUnavailable, "no host of %s in an allowed region responds", c.Service)
 	}
 	c.spareHost = chosen.HasSpare
+	if c.dryRun {
+		return h, nil
+	}
 	e.metrics.countLargeAttempt(chosen.Distance)
 	if chosen.Distance == locality.OtherRegion {
 		e.log.Log(eventLargeResponseCrosses, event.F("request", c.RequestID), event.F("service", c.Service), event.F("host", h.Member().Host),
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -23,6 +23,7 @@
 	// Reservation configures the reservations for requests that return after a refusal.
 	Reservation ReservationSettings `ini:"reservation"`
 	Calls       CallSettings        `ini:"calls"`
+	Explain     ExplainSettings     `ini:"explain"`
 	Log         LogSettings         `ini:"log"`
 }
 
@@ -65,7 +66,7 @@
 	HopAdvertised string `ini:"hop_advertised"`
 	// Ready serves the readiness check of the platform.
 	Ready string `ini:"ready"`
-	// Control serves the heartbeats of the local upstream.
+	// Control serves the heartbeats of the local upstream, and explanations.
 	Control string `ini:"control"`
 	// Metrics serves metrics under /metrics.
 	Metrics string `ini:"metrics"`
@@ -150,6 +151,12 @@
 	Enabled bool `ini:"enabled"`
 }
 
+// ExplainSettings configure the explanation of decisions.
+type ExplainSettings struct {
+	// Enabled is true if Listen.Control serves it. Default true.
+	Enabled bool `ini:"enabled"`
+}
+
 // LogSettings configure the log on standard output.
 type LogSettings struct {
 	// Level is debug, info, warn or error. Default info.
@@ -168,6 +175,7 @@
 		Quarantine:  QuarantineSettings{Enabled: true},
 		Reservation: ReservationSettings{Share: 0.25, LateShare: 0.05},
 		Calls:       CallSettings{Enabled: true},
+		Explain:     ExplainSettings{Enabled: true},
 		Log:         LogSettings{Level: "info"},
 	}
 }
