--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -134,7 +134,7 @@
 // refused for lack of room.
 type ReservationSettings struct {
 	// Share is the share of the capacity of the local upstream that may be reserved for those
-	// that can still meet their latency objective. 0 switches reservations off. Default 0.25.
+	// that can still meet their latency objective. Default 0: no reservations are made.
 	Share float64 `ini:"share"`
 	// LateShare is the share that may be reserved for those that cannot. Together the two are
 	// at most 0.9. Default 0.05.
@@ -147,7 +147,7 @@
 // CallSettings configure how calls that upstreams make for their requests are treated.
 type CallSettings struct {
 	// Enabled is true if such calls are served before new requests, and new requests whose
-	// calls cannot be served are refused. Default true.
+	// calls cannot be served are refused. Default false.
 	Enabled bool `ini:"enabled"`
 }
 
@@ -173,8 +173,7 @@
 			ColdOverage: 1.5, ColdSlack: 8,
 		},
 		Quarantine:  QuarantineSettings{Enabled: true},
-		Reservation: ReservationSettings{Share: 0.25, LateShare: 0.05},
-		Calls:       CallSettings{Enabled: true},
+		Reservation: ReservationSettings{LateShare: 0.05},
 		Explain:     ExplainSettings{Enabled: true},
 		Log:         LogSettings{Level: "info"},
 	}
