Check the fleet only while its watch brings nothing

Change: the 2 s are counted from the start of the last watch or reading that returned. A lost change is found as early as before.

--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -104,7 +104,7 @@
 func (s *Sidecar) buildMembers() {
 	s.fleetFollower = &rowstore.Follower{
 		Store: s.fleetFed, Table: tableFleet, Changed: s.applyFleetRow, BatchDelay: s.fleetReadDelay, Feed: s.feeds[tableFleet],
-		CheckStore: s.directStore, CheckDelay: s.fleetCheckDelay, Checked: s.fleetChecked,
+		UpToDate: s.fleetUpToDate, CheckStore: s.directStore, CheckDelay: s.fleetCheckDelay, Checked: s.fleetChecked,
 	}
 	s.publisher = &publisher{store: s.store, eras: s.eras, log: s.log, member: s.memberRow, foundRow: s.ownRowFound, wakeCh: make(chan struct{}, 1)}
 	s.sweeper = &sweeper{
--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -108,15 +108,42 @@
 	if !s.fleetFed.Direct() {
 		return fleetCheckInterval
 	}
-	return time.Until(s.fleetCheckedAt.Add(fleetCheckInterval))
+	return time.Until(s.fleetCheckedAt.get().Add(fleetCheckInterval))
 }
 
-// fleetChecked records a check of the fleet.
+// fleetUpToDate records that all changes of the fleet that were made before asOf have been
+// reported, which is what a check would show. While watches bring changes, no check is made.
+func (s *Sidecar) fleetUpToDate(asOf time.Time) {
+	if s.fleetFed.Direct() {
+		s.fleetCheckedAt.advance(asOf)
+	}
+}
+
+// fleetChecked records a check of the fleet. The next one is due after the interval also if
+// this one failed.
 func (s *Sidecar) fleetChecked(_ time.Time, undelivered int, err error) {
-	s.fleetCheckedAt = time.Now()
+	s.fleetCheckedAt.advance(time.Now())
 	s.logCheck(s.fleetFollower, undelivered, err)
 }
 
+// latestTime holds the latest of several times. It is safe for concurrent use.
+type latestTime struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (l *latestTime) advance(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at = later(l.at, at)
+}
+
+func (l *latestTime) get() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.at
+}
+
 func (s *Sidecar) logCheck(f *rowstore.Follower, undelivered int, err error) {
 	outcome := "unchanged"
 	switch {
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -76,7 +76,9 @@
 	configFollower *rowstore.Follower
 	fleetFollower  *rowstore.Follower
 	configChecks   checkSchedule
-	fleetCheckedAt time.Time
+	// fleetCheckedAt is the latest time up to which all changes of the fleet are known to
+	// have been reported, or the end of the last check.
+	fleetCheckedAt latestTime
 	scope          tally.Scope
 	fleet          *fleet.Directory
 	index          *keyIndex
