Switch reservations and calls of runs on in their tests

Measured: go test ./sidecar -run 'Call|Run|Return|Origin|Reserv|Explain|Near| Retry|Settings' passes.

--- a/router/sidecar/competing_test.go
+++ b/router/sidecar/competing_test.go
@@ -109,7 +109,10 @@
 // reservation.
 func TestLastHostReserves(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, "plain", "plain")
+	c := newCluster(t)
+	c.change = func(s *Settings) { s.Reservation.Share = 0.25 }
+	c.add("h0", "plain")
+	c.add("h1", "plain")
 	c.waitReady()
 	release, held := make(chan struct{}), sync.WaitGroup{}
 	defer held.Wait()
--- a/router/sidecar/runcalls_test.go
+++ b/router/sidecar/runcalls_test.go
@@ -24,7 +24,10 @@
 }
 
 func newCallingCluster(t *testing.T) *callingCluster {
-	c := &callingCluster{cluster: newCluster(t, "plain", "keyed")}
+	c := &callingCluster{cluster: newCluster(t)}
+	c.change = func(s *Settings) { s.Calls.Enabled = true }
+	c.add("h0", "plain")
+	c.add("h1", "keyed")
 	h0, h1 := c.hosts[0], c.hosts[1]
 	h1.upstream.setHandler(func(w http.ResponseWriter, _ *http.Request) bool {
 		if c.refusing.Load() {
