Leave places in the queue to other work beside calls of runs

A queue full of calls refused all other work, which then did not wait, so that calls took all slots: found in a trial of the test with longer waits in a lasting overload (104 calls and 0 other requests with one slot, 505 and 40 with six). Calls take two thirds of the places at most if other work has arrived within 2 s.

--- a/router/admit/runcalls.go
+++ b/router/admit/runcalls.go
@@ -36,9 +36,9 @@
 	inFlight, callers int
 	// inRow is the number of calls that were started since other work that waited was.
 	inRow int
-	// arrivedAt is the time of the last call, and waitingSince the time since which the
-	// queue has had calls.
-	arrivedAt, waitingSince time.Time
+	// arrivedAt is the time of the last call, otherAt that of the last other request, and
+	// waitingSince the time since which the queue has had calls.
+	arrivedAt, otherAt, waitingSince time.Time
 	// used is the moving average at usedAt of the slots that calls use.
 	used   float64
 	usedAt time.Time
@@ -57,6 +57,8 @@
 func (l *PriorityLimiter) mayStartAtOnce(now time.Time, it *priorityItem) bool {
 	if it.class.OfRun {
 		l.calls.arrivedAt = now
+	} else {
+		l.calls.otherAt = now
 	}
 	if !l.mayStart(now) || l.reserved(now, it) {
 		return false
@@ -190,13 +192,20 @@
 // maxCallWait returns how long a call may wait: in a burst as long as its run can use the
 // response, in a lasting overload only briefly. The caller holds l.mu.
 func (l *PriorityLimiter) maxCallWait(now time.Time, it *priorityItem) time.Duration {
-	waiting := false
+	waiting := 0
 	for _, w := range l.waiting {
-		waiting = waiting || w.class.OfRun
+		if w.class.OfRun {
+			waiting++
+		}
 	}
-	if !waiting {
+	if waiting == 0 {
 		l.calls.waitingSince = now
 	}
+	// A queue full of calls would refuse all other work.
+	places := max(l.limit.Allowed(), 1) * maxWaitingPerSlot * callSlotsNumerator / callSlotsDenominator
+	if waiting >= places && now.Sub(l.calls.otherAt) < reserveTime {
+		return 0
+	}
 	service := l.meanServiceOf(it.class)
 	useful := it.bounds.Deadline.Sub(now) - l.leadTime(it)
 	if now.Sub(l.calls.waitingSince) < burstFactor*service {
--- a/router/admit/runcalls_test.go
+++ b/router/admit/runcalls_test.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,9 +25,8 @@
 // callClass is the class of calls of runs that are less urgent than other work.
 var callClass = WorkClass{Priority: 1, Repeatable: true, OfRun: true}
 
-// queue starts requests that wait, and returns a function that waits until all have got a
-// slot or were refused, and returns their names in that order. Each takes the service time
-// of its class.
+// queue starts requests, and records the names of those that get a slot, in that order.
+// Each holds it for the service time of its class.
 type queue struct {
 	l     *PriorityLimiter
 	all   sync.WaitGroup
@@ -34,37 +35,24 @@
 }
 
 func (q *queue) add(t *testing.T, name string, class WorkClass, b WaitBounds) {
-	t.Helper()
 	q.all.Go(func() {
 		release, err := q.l.Acquire(t.Context(), class, b)
 		if err != nil {
-			name = "-" + name
+			return
 		}
 		q.mu.Lock()
 		q.order = append(q.order, name)
 		q.mu.Unlock()
-		if err == nil {
-			took := 120 * time.Millisecond
-			if class.OfRun {
-				took = 40 * time.Millisecond
-			}
-			time.Sleep(took)
-			release(Completed)
-		}
+		time.Sleep(map[bool]time.Duration{true: 40 * time.Millisecond, false: 120 * time.Millisecond}[class.OfRun])
+		release(Completed)
 	})
 	synctest.Wait()
 }
 
+// count waits for the end of all requests and returns how many with the name got a slot.
 func (q *queue) count(name string) int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	n := 0
-	for _, o := range q.order {
-		if o == name {
-			n++
-		}
-	}
-	return n
+	q.all.Wait()
+	return strings.Count(strings.Join(q.order, " ")+" ", name+" ")
 }
 
 // Guards against calls that wait behind new work of their priority, and against new work
@@ -92,7 +80,6 @@
 					}
 					time.Sleep(5 * time.Millisecond)
 				}
-				q.all.Wait()
 				calls, work := q.count("call"), q.count("work")
 				t.Logf("%d calls and %d other requests were served", calls, work)
 				if 8*work < calls || calls < work {
@@ -116,11 +103,8 @@
 		q.add(t, "urgent", WorkClass{Priority: 0}, far())
 		q.add(t, "call", callClass, far())
 		q.all.Wait()
-		want := []string{"first", "urgent", "call", "same", "batch"}
-		for i, name := range want {
-			if q.order[i] != name {
-				t.Fatalf("served in the order %v, want %v", q.order, want)
-			}
+		if want := []string{"first", "urgent", "call", "same", "batch"}; !slices.Equal(q.order, want) {
+			t.Errorf("served in the order %v, want %v", q.order, want)
 		}
 	})
 }
@@ -135,7 +119,6 @@
 		for range 40 {
 			q.add(t, "call", callClass, bounds(UntilGoal, 50*time.Millisecond, 500*time.Millisecond))
 		}
-		q.all.Wait()
 		if n := q.count("call"); n < 24 {
 			t.Errorf("%d of a burst of 40 calls were served, want what a queue of four per slot allows", n)
 		}
@@ -149,7 +132,6 @@
 		if waiting > 14 {
 			t.Errorf("%d calls wait in a lasting overload, want no more than 6 slots serve in two service times", waiting)
 		}
-		q.all.Wait()
 		if n := q.count("call"); n < 400 {
 			t.Errorf("%d calls were served in 3 s, want the capacity of 450", n)
 		}
@@ -197,3 +179,22 @@
 		}
 	})
 }
+
+// Guards against a burst of calls that fills the queue, so that all other work is refused.
+func TestCallsLeavePlacesInTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := &queue{l: callLimiter(6)}
+		for range 6 {
+			q.add(t, "work", WorkClass{Priority: 1}, bounds(UntilGoal, time.Second, time.Second))
+		}
+		for range 40 {
+			q.add(t, "call", callClass, bounds(UntilGoal, time.Second, time.Second))
+		}
+		for range 6 {
+			q.add(t, "work", WorkClass{Priority: 1}, bounds(UntilGoal, time.Second, time.Second))
+		}
+		if work, calls := q.count("work"), q.count("call"); work != 12 || calls < 16 {
+			t.Errorf("%d requests and %d calls were served, want 12 and at least 16", work, calls)
+		}
+	})
+}
--- a/router/dependency/dependency_test.go
+++ b/router/dependency/dependency_test.go
@@ -196,17 +196,14 @@
 		tracker.CallEnded(at(i), tracker.Call(at(i), name, "s"), Served, name, 0)
 		tracker.End(at(i), r, true)
 	}
-	if len(tracker.runs) > 0 || len(tracker.routes) > maxRoutes || len(tracker.services) > maxServices {
-		t.Errorf("%d runs, %d routes and %d services are kept", len(tracker.runs), len(tracker.routes), len(tracker.services))
-	}
+	services, hosts := 0, 0
 	for _, r := range tracker.routes {
-		if len(r.calls) > maxServicesOfRoute {
-			t.Fatalf("%d services of a route are kept", len(r.calls))
-		}
+		services = max(services, len(r.calls))
 	}
 	for _, s := range tracker.services {
-		if len(s.hosts) > maxHosts {
-			t.Fatalf("%d hosts of a service are kept", len(s.hosts))
-		}
+		hosts = max(hosts, len(s.hosts))
+	}
+	if len(tracker.runs) > 0 || len(tracker.routes) > maxRoutes || services > maxServicesOfRoute || len(tracker.services) > maxServices || hosts > maxHosts {
+		t.Errorf("%d runs, %d routes with up to %d services, %d services with up to %d hosts are kept", len(tracker.runs), len(tracker.routes), services, len(tracker.services), hosts)
 	}
 }
