--- a/ctl/command/explain.go
+++ b/ctl/command/explain.go
@@ -121,7 +121,7 @@
 		row(w, "configuration", x.Config.Version, "age "+millis(x.Config.AgeMs))
 	}
 	if r := x.Route; r != nil {
-		regions := strings.Join(r.AllowedRegions, ",")
+		regions := strings.Join(r.Regions, ",")
 		if r.RegionsUnreadable {
 			regions = "unreadable: none"
 		} else if regions == "" {
@@ -197,7 +197,7 @@
 		n = append(n, strings.ReplaceAll(h.Excluded, "_", " "))
 	}
 	if h.Cold {
-		n = append(n, fmt.Sprintf("cold for %s, %.1f/s", millis(h.ColdForMs), h.ColdPerSecond))
+		n = append(n, fmt.Sprintf("cold for %s, %.1f/s", millis(h.ColdForMs), h.ColdRate))
 	}
 	switch {
 	case h.Silent:
--- a/ctl/command/explain_test.go
+++ b/ctl/command/explain_test.go
@@ -18,7 +18,7 @@
 		Name: "cart", Share: 1, Kind: "keyed", DeadlineMs: 1500, CostJitter: 0.08, OmittedHosts: 3,
 		Key: &explain.Key{Key: 7, Holder: "host-2", Generation: 12, MapVersion: 5, MapAgeMs: 4200},
 		Hosts: []explain.Host{
-			{Host: "host-2", Zone: "z1", State: "ready", Cost: 0.25, MayBeFirst: true, LoadAgeMs: 40, Reported: 1.5, Slots: 6, Cold: true, ColdForMs: 800, ColdPerSecond: 2},
+			{Host: "host-2", Zone: "z1", State: "ready", Cost: 0.25, MayBeFirst: true, LoadAgeMs: 40, Reported: 1.5, Slots: 6, Cold: true, ColdForMs: 800, ColdRate: 2},
 			{Host: "host-3", Zone: "z9", State: "ready", Excluded: "evacuated", LoadAgeMs: -1, Unreachable: true, ProbeDue: true},
 		},
 		Attempts:   []explain.Attempt{{Host: "host-2", WaitPolicy: "until_goal", Basis: explain.BasisLocalGate, Gate: explain.Gate{Decision: explain.DecisionRefused, Kind: errkind.Overloaded, ExpectedWaitMs: 90}}},
--- a/router/explain/explain.go
+++ b/router/explain/explain.go
@@ -135,9 +135,9 @@
 	TimeoutMs       int64  `json:"timeout_ms"`
 	TargetLatencyMs int64  `json:"target_latency_ms"`
 	MaxAttempts     int    `json:"max_attempts"`
-	// AllowedRegions are the regions in which requests may run; empty for any, unless
+	// Regions are the regions in which requests may run; empty for any, unless
 	// RegionsUnreadable is true: then they may run nowhere.
-	AllowedRegions    []string `json:"allowed_regions"`
+	Regions           []string `json:"allowed_regions"`
 	RegionsUnreadable bool     `json:"regions_unreadable,omitempty"`
 }
 
@@ -219,8 +219,8 @@
 	Slowness  float64 `json:"slowness"`
 	Cold      bool    `json:"cold"`
 	ColdForMs int64   `json:"cold_for_ms,omitempty"`
-	// ColdPerSecond is the number of requests per second that the cold upstream takes.
-	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
+	// ColdRate is the number of requests per second that the cold upstream takes.
+	ColdRate float64 `json:"cold_per_second,omitempty"`
 	// Unreachable is true if the last request did not reach the host or it is silent;
 	// ProbeDue if the next request that only it can serve is sent all the same.
 	Unreachable bool `json:"unreachable"`
--- a/router/sidecar/explain.go
+++ b/router/sidecar/explain.go
@@ -207,7 +207,7 @@
 	return &explain.Route{
 		Name: route.Name, Host: route.Host, Prefix: route.Prefix, Priority: route.Priority, Repeatable: route.Repeatable,
 		LargeResponses: route.LargeResponses, TimeoutMs: route.Timeout.Milliseconds(), TargetLatencyMs: route.TargetLatency.Milliseconds(),
-		MaxAttempts: max(route.MaxAttempts, 1), AllowedRegions: append([]string{}, route.Regions...), RegionsUnreadable: route.RegionsUnreadable,
+		MaxAttempts: max(route.MaxAttempts, 1), Regions: append([]string{}, route.Regions...), RegionsUnreadable: route.RegionsUnreadable,
 	}
 }
 
@@ -250,7 +250,7 @@
 			h.Pace = float64(r.Load.Pace) / 100
 		}
 		if r.Cold {
-			h.ColdForMs, h.ColdPerSecond = m.ColdUntil-now.UnixMilli(), m.ColdRate
+			h.ColdForMs, h.ColdRate = m.ColdUntil-now.UnixMilli(), m.ColdRate
 		}
 		hosts = append(hosts, h)
 	}
--- a/router/sidecar/explain_test.go
+++ b/router/sidecar/explain_test.go
@@ -305,7 +305,7 @@
 	}
 	c.restrict(2, "cool=r9", c.hosts...)
 	x := h.explain(t, "/cool/x", "")
-	if x.Outcome.Kind != errkind.RegionUnavailable || x.Services[0].Hosts[0].Excluded != "not_allowed" || x.Route.AllowedRegions[0] != "r9" {
+	if x.Outcome.Kind != errkind.RegionUnavailable || x.Services[0].Hosts[0].Excluded != "not_allowed" || x.Route.Regions[0] != "r9" {
 		t.Errorf("restricted: %+v", x.Outcome)
 	}
 }
