Evacuate in the test only after requests have reached the zone

Cause: TestKeysMoveOutOfEvacuatedZone panicked in 3 of 7 runs at load averages of 30 to 40, on the merged parts: all keys had moved before the first request reached the evacuated upstream, so that its list of arrivals was empty. Without load 2 to 28 requests arrived. Change: the rows are written once the first request has arrived, and requests that are not served before that count as well.

--- a/router/sidecar/evacuation_test.go
+++ b/router/sidecar/evacuation_test.go
@@ -101,16 +101,24 @@
 	c.eventually("all keys are held", func() bool { return held(0)+held(1)+held(2) == total })
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	moved := movedKeys{cluster: c, evacuatedAt: time.Now()}
+	start := time.Now()
+	moved := movedKeys{cluster: c}
 	go func() {
 		defer close(done)
 		for i := 0; ctx.Err() == nil; i++ {
 			got := c.hosts[0].request(t, "GET", "/keys/x", fmt.Sprint("r", i), "", testHeaders.Key, fmt.Sprint(i*997%65536))
 			if got.status != http.StatusOK {
-				moved.unserved = append(moved.unserved, fmt.Sprintf("%v after the rows: %d %s", time.Since(moved.evacuatedAt), got.status, got.body))
+				moved.unserved = append(moved.unserved, fmt.Sprintf("%v after the start: %d %s", time.Since(start), got.status, got.body))
 			}
 		}
 	}()
+	first := c.hosts[0].upstream
+	c.eventually("requests reach the first zone", func() bool {
+		first.mu.Lock()
+		defer first.mu.Unlock()
+		return len(first.arrivals) > 0
+	})
+	moved.evacuatedAt = time.Now()
 	c.evacuate("z1", true, c.hosts...)
 	c.evacuate("z2", true, c.hosts...)
 	c.eventually("the third zone holds all keys", func() bool { return held(0) == 0 && held(1) == 0 && held(2) >= total })
