Quarantine: lost requests are sent again once they are known to be harmless

Cause: a repeatable request that was in progress at the upstream which another request crashed is a suspect like it, so that it was answered 502. Change: the entry waits, for at most [quarantine] repeat_wait_ms (default 400) and a quarter of the time left, and sends the request again as soon as it is no suspect any more, because its target has completed or a further crash explains this one. The culprit is sent no further than before. Requests that must not run twice do not wait.

--- a/router/quarantine/quarantine_test.go
+++ b/router/quarantine/quarantine_test.go
@@ -31,6 +31,8 @@
 	endAt int
 	dies  bool
 	tried int
+	// waitUntil is the time until which the lost request waits to be sent again.
+	waitUntil int
 }
 
 // sim is a fleet under load. Responses carry reports, as those between routers do.
@@ -44,6 +46,14 @@
 	refused  map[string]int
 	served   map[string]int
 	lastLife Incarnation
+	// lost counts the harmless requests that were lost in crashes, and unserved those of
+	// them that were not sent again. waiting are those that wait.
+	lost, unserved int
+	waiting        []*simRun
+	// wait is the longest time for which a lost request waits, in ms.
+	wait int
+	// runsAfterThird counts the deadly requests that were sent after the third crash.
+	runsAfterThird int
 }
 
 func newSim(t *testing.T, hosts int, seed uint64) *sim {
@@ -89,6 +99,9 @@
 		run.dies, run.endAt, run.tried = run.r.Path == s.deadly, s.now+20+s.rnd.IntN(200), run.tried+1
 		if run.dies {
 			run.endAt = s.now + 5 + s.rnd.IntN(10)
+			if s.crashes >= quarantineAfter {
+				s.runsAfterThird++
+			}
 		}
 		h.runs = append(h.runs, run)
 		return
@@ -122,9 +135,24 @@
 	h.life, h.upAt = s.lastLife, s.now+2000+s.rnd.IntN(3000)
 	for _, run := range lost {
 		s.respond(h, run, &run.r.Fingerprint)
-		if run.tried < 2 && run.entry.set.AtEntry(now, run.r, false).Verdict == Free {
-			s.offer(run)
+		if !run.dies {
+			s.lost++
 		}
+		run.waitUntil = s.now + s.wait
+		s.repeat(run)
+	}
+}
+
+// repeat sends a lost request again if that is allowed, or lets it wait.
+func (s *sim) repeat(run *simRun) {
+	verdict := run.entry.set.AfterLoss(at(s.now), run.r, false)
+	switch {
+	case run.tried < 2 && verdict == RepeatNow:
+		s.offer(run)
+	case run.tried < 2 && verdict == RepeatLater && s.now < run.waitUntil:
+		s.waiting = append(s.waiting, run)
+	case !run.dies:
+		s.unserved++
 	}
 }
 
@@ -143,6 +171,11 @@
 		for _, h := range s.hosts {
 			s.step(h)
 		}
+		waiting := s.waiting
+		s.waiting = nil
+		for _, run := range waiting {
+			s.repeat(run)
+		}
 	}
 }
 
@@ -180,6 +213,69 @@
 	}
 }
 
+// Guards against harmless requests that are lost beside a deadly one and not served, and
+// against a deadly one that crashes more upstreams because they are sent again: 800 requests
+// a second, with popular and with rare targets.
+func TestLostRequestsAreSentAgain(t *testing.T) {
+	for _, targets := range []int{40, 4000} {
+		var lost, unserved, crashes [2]int
+		for seed := range uint64(6) {
+			for i, wait := range []int{0, 400} {
+				s := newSim(t, 18, seed)
+				s.wait = wait
+				s.run(2_000, 800, 0.03, func() string { return fmt.Sprint("/t", s.rnd.IntN(targets)) })
+				lost[i], unserved[i], crashes[i] = lost[i]+s.lost, unserved[i]+s.unserved, crashes[i]+s.crashes
+				if s.crashes > 8 {
+					t.Errorf("%d targets, seed %d, wait %d ms: %d crashes", targets, seed, wait, s.crashes)
+				}
+				s.checkHarmless()
+			}
+		}
+		t.Logf("%d targets: lost %v, of them unserved %v, crashes %v without and with waiting", targets, lost, unserved, crashes)
+		if unserved[1] > lost[1]/5 || crashes[1] > crashes[0]+crashes[0]/4 {
+			t.Errorf("%d targets: %d of %d lost requests were not served, %d crashes; without waiting %d of %d, %d crashes",
+				targets, unserved[1], lost[1], crashes[1], unserved[0], lost[0], crashes[0])
+		}
+	}
+}
+
+// Guards against a culprit that is sent to a further upstream after its third crash, or
+// before it is known to be harmless, and against waiting longer than the deadline allows.
+func TestAfterLoss(t *testing.T) {
+	set := NewSet("h")
+	deadly, beside := request("/deadly"), request("/beside")
+	check := func(what string, r Request, want Repeat) {
+		t.Helper()
+		if got := set.AfterLoss(at(10), r, false); got != want {
+			t.Errorf("%s: %s: %v, want %v", what, r.Path, got, want)
+		}
+	}
+	check("no crash", beside, RepeatNow)
+	set.RecordCrash(at(0), 1, []Request{deadly, beside})
+	check("one crash", deadly, RepeatLater)
+	check("one crash", beside, RepeatLater)
+	set.RecordCrash(at(1), 2, []Request{deadly})
+	check("second crash", deadly, RepeatLater)
+	check("second crash explains the first", beside, RepeatNow)
+	set.RecordCrash(at(2), 3, []Request{deadly, beside})
+	check("quarantined", deadly, RepeatNever)
+	check("beside a quarantined one", beside, RepeatNow)
+	tied := NewSet("h")
+	for i := range 3 {
+		tied.RecordCrash(at(i), Incarnation(i), []Request{deadly, beside})
+	}
+	for _, r := range []Request{deadly, beside} {
+		if got := tied.AfterLoss(at(10), r, false); got != RepeatNever {
+			t.Errorf("%s shares three crashes: %v", r.Path, got)
+		}
+	}
+	for left, want := range map[time.Duration]time.Duration{-time.Second: 0, 400 * time.Millisecond: 100 * time.Millisecond, time.Minute: time.Second} {
+		if got := RepeatWait(time.Second, left); got != want {
+			t.Errorf("%v left: waits %v, want %v", left, got, want)
+		}
+	}
+}
+
 // Guards against memory that grows with, and harmless requests that are refused because of,
 // a flood of different suspects: every second request is of its own kind.
 func TestFloodOfDifferentSuspects(t *testing.T) {
--- a/router/quarantine/set.go
+++ b/router/quarantine/set.go
@@ -26,6 +26,8 @@
 	heads   map[uint64]int
 	changes []Change
 	report  reportState
+	// revision rises when suspects or their states may have changed.
+	revision uint64
 	// urgentUntil is the time until which other hosts should hear of the suspects soon.
 	urgentUntil time.Time
 }
@@ -95,6 +97,11 @@
 	return len(s.suspects), inQuarantine
 }
 
+// Revision returns a number that rises when decisions may have changed, except by time.
+func (s *Set) Revision() uint64 {
+	return s.revision
+}
+
 // HasHead reports whether a suspect has this Fingerprint.Head.
 func (s *Set) HasHead(head uint64) bool {
 	return s.heads[head] > 0
@@ -247,6 +254,7 @@
 // refresh brings what is derived from the crashes up to date.
 func (s *Set) refresh(now time.Time) {
 	s.report.at = time.Time{}
+	s.revision++
 	s.expire(now)
 	s.blame()
 }
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -204,10 +204,10 @@
 	if !r.Arrived && r.notRun() {
 		return errkind.ResponseOf(r.Err.Kind).Retryable
 	}
-	if r.Arrived && !e.quarantine.mayRepeat(c) {
+	if arrivals >= max(route.MaxAttempts, 1) {
 		return false
 	}
-	if arrivals >= max(route.MaxAttempts, 1) {
+	if r.Arrived && !e.quarantine.mayRepeatAfter(ctx, c, r) {
 		return false
 	}
 	outcome, kind := errkind.Unknown, errkind.OutcomeUnknown
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -144,4 +144,6 @@
 		"The local upstream gets one quarantined request, to find out whether it still crashes.", "none")
 	eventGrantMissing = event.Define(1895, log.InfoLevel, "request waited in vain for the grant of its key",
 		"The key map names the local upstream as the new holder of a key, and the grant did not reach it in time, or became obsolete meanwhile. The request was not run.", "If it repeats, look for late heartbeats of the upstream, or for event 1837 where keys are granted by commands.")
+	eventNotRepeated = event.Define(1896, log.InfoLevel, "lost request not sent again",
+		"A repeatable request was in progress at the crash of an upstream and was not sent to another host, because it may have caused the crash. Its caller got an error that says that it may have run.", "Look for event 1890, which names the request that crashes upstreams. If it does not follow, compare the paths of the lost requests with the upstream's log.")
 )
--- a/router/sidecar/quarantine.go
+++ b/router/sidecar/quarantine.go
@@ -35,6 +35,12 @@
 	// that did not show that it has ended.
 	probing  sync.Mutex
 	probedAt time.Time
+	// repeatWait is the longest time for which a lost request waits to be sent again.
+	repeatWait time.Duration
+	// repeatWaits is the number of lost requests that wait.
+	repeatWaits atomic.Int64
+	// changes wakes them when suspects have changed.
+	changes broadcast
 
 	badReports badReportThrottle
 
@@ -48,6 +54,8 @@
 	merged map[string]string
 	// reportedAt is the time of the last report to another host.
 	reportedAt time.Time
+	// revision is the one of set at the last call of update.
+	revision uint64
 }
 
 // buildQuarantine returns nil if the settings switch the quarantine off.
@@ -58,7 +66,7 @@
 	return &quarantineDriver{
 		host: s.settings.Host.Name, local: s.local, log: s.log, scope: s.scope,
 		probe: func(ctx context.Context) error { return s.gate.client.Probe(ctx) },
-		set:   quarantine.NewSet(s.settings.Host.Name),
+		set:   quarantine.NewSet(s.settings.Host.Name), repeatWait: millis(s.settings.Quarantine.RepeatWaitMs),
 		alone: map[quarantine.Fingerprint]chan struct{}{}, merged: map[string]string{},
 	}
 }
--- a/router/sidecar/quarantine_test.go
+++ b/router/sidecar/quarantine_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -60,6 +61,7 @@
 
 func newDeadlyCluster(t *testing.T, hosts int) *deadlyCluster {
 	c := &deadlyCluster{cluster: newCluster(t)}
+	c.change = func(s *Settings) { s.Quarantine.RepeatWaitMs = maxRepeatWaitMs } // the machine may be busy
 	for i := range hosts {
 		h := c.add(fmt.Sprint("h", i), "plain")
 		h.upstream.setHandler(func(w http.ResponseWriter, r *http.Request) bool {
@@ -141,6 +143,73 @@
 	}
 }
 
+// Guards against harmless requests that are not served because they were in progress at the
+// upstream that a deadly one crashed, against a deadly one that is repeated, and against
+// requests that must not run twice and do.
+func TestRequestsBesideDeadlyOneAreServed(t *testing.T) {
+	t.Parallel()
+	c := newDeadlyCluster(t, 2)
+	crashed := make(chan struct{})
+	inProgress := make([]atomic.Int64, len(c.hosts)) // repeatable ones by host
+	for i, h := range c.hosts {
+		deadly := h.upstream.handler
+		h.upstream.setHandler(func(w http.ResponseWriter, r *http.Request) bool {
+			if r.URL.Path == "/look/deadly" {
+				return deadly(w, r)
+			}
+			if r.URL.Path == "/look/beside" {
+				inProgress[i].Add(1)
+			}
+			select {
+			case <-crashed:
+			case <-r.Context().Done():
+			}
+			return false
+		})
+	}
+	var wg sync.WaitGroup
+	n := 0
+	send := func(path string) {
+		id := fmt.Sprint("beside-", n)
+		from := c.hosts[n%len(c.hosts)]
+		n++
+		wg.Go(func() {
+			got := from.request(t, "GET", path, id, "")
+			runs := 0
+			for _, h := range c.hosts {
+				runs += h.upstream.runCount(id)
+			}
+			if path == "/look/beside" && got.status != http.StatusOK {
+				t.Errorf("%s got %d %s", id, got.status, got.body)
+			}
+			if path == "/pay/beside" && runs > 1 {
+				t.Errorf("%s, which must not run twice, ran %d times", id, runs)
+			}
+		})
+	}
+	send("/pay/beside")
+	c.eventually("repeatable requests run at each host", func() bool { // one host has 4 slots
+		at := [...]int64{inProgress[0].Load(), inProgress[1].Load()}
+		if n < 6 && at[0]+at[1] == int64(n-1) && min(at[0], at[1]) == 0 {
+			send("/look/beside")
+		}
+		return min(at[0], at[1]) > 0
+	})
+	wg.Go(func() {
+		if got := c.hosts[0].request(t, "GET", "/look/deadly", "deadly", ""); got.status != http.StatusBadGateway || c.crashes.Load() != 1 {
+			t.Errorf("the deadly request got %d, %d crashes", got.status, c.crashes.Load())
+		}
+	})
+	c.eventually("the deadly request and another one wait", func() bool {
+		return c.hosts[0].quarantine.repeatWaits.Load()+c.hosts[1].quarantine.repeatWaits.Load() > 1
+	})
+	close(crashed)
+	for range c.hosts {
+		send("/look/beside") // its completion clears the target
+	}
+	wg.Wait()
+}
+
 // Guards against evidence from connections that are cut and from announced ends, and
 // against crashes that are not noticed.
 func TestEvidenceOfCrashes(t *testing.T) {
@@ -190,6 +259,12 @@
 // Guards against a router that fails where the quarantine is switched off.
 func TestQuarantineSwitchedOff(t *testing.T) {
 	settings := DefaultSettings()
+	for ms, valid := range map[int]bool{-1: false, 0: true, maxRepeatWaitMs: true, maxRepeatWaitMs + 1: false} {
+		settings.Quarantine.RepeatWaitMs = ms
+		if got := !strings.Contains(settings.Check().Error(), "quarantine.repeat_wait_ms"); got != valid {
+			t.Errorf("repeat_wait_ms = %d: valid %v, want %v", ms, got, valid)
+		}
+	}
 	settings.Quarantine.Enabled = false
 	q := (&Sidecar{settings: settings}).buildQuarantine()
 	c, r := &Call{}, &Result{lost: true}
@@ -199,7 +274,8 @@
 	q.leave(c)
 	q.heartbeat(upstreamState{known: true}, upstreamState{}, heartbeatCurrent)
 	q.responded(c, &Result{Suspects: "x"}, "h")
-	if err := cmp.Or(atEntry, q.enter(t.Context(), c), q.recheck(c)); err != nil || !q.mayRepeat(c) || q.report(r) != "" {
+	c.Repeatable, r.Err = true, errkind.New(errkind.OutcomeUnknown, "lost")
+	if err := cmp.Or(atEntry, q.enter(t.Context(), c), q.recheck(c)); err != nil || !q.mayRepeat(c) || !q.mayRepeatAfter(t.Context(), c, r) || q.report(r) != "" {
 		t.Errorf("refused or reported: %v", err)
 	}
 }
--- a/router/sidecar/quarantinereport.go
+++ b/router/sidecar/quarantinereport.go
@@ -60,6 +60,10 @@
 
 // update reports what has changed. q.mu must be held.
 func (q *quarantineDriver) update() {
+	if revision := q.set.Revision(); revision != q.revision {
+		q.revision = revision
+		q.changes.notify()
+	}
 	all, inQuarantine := q.set.Len()
 	if q.active.Swap(all > 0) || all > 0 {
 		q.scope.Gauge("suspects").Update(float64(all))
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -120,10 +120,17 @@
 	MaxShare float64 `ini:"max_share"`
 }
 
+// maxRepeatWaitMs bounds quarantine.repeat_wait_ms: callers wait meanwhile.
+const maxRepeatWaitMs = 2000
+
 // QuarantineSettings configure the refusal of requests that crash their upstreams.
 type QuarantineSettings struct {
 	// Enabled is true if such requests are refused. Default true.
 	Enabled bool `ini:"enabled"`
+	// RepeatWaitMs is the longest time for which a repeatable request that was lost in a
+	// crash waits until it is known to be harmless, so that it can be sent to another host.
+	// 0 switches the wait off.
+	RepeatWaitMs int `ini:"repeat_wait_ms"`
 }
 
 // LogSettings configure the log on standard output.
@@ -141,7 +148,7 @@
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindowMs: 10000,
 			ColdOverage: 1.5, ColdSlack: 8,
 		},
-		Quarantine: QuarantineSettings{Enabled: true},
+		Quarantine: QuarantineSettings{Enabled: true, RepeatWaitMs: 400},
 		Log:        LogSettings{Level: "info"},
 	}
 }
@@ -248,6 +255,9 @@
 	if !(s.Hedge.MaxShare >= 0 && s.Hedge.MaxShare <= 1) { // also refuses NaN
 		errs = append(errs, fmt.Errorf("hedge.max_share = %v: want 0 to 1", s.Hedge.MaxShare))
 	}
+	if w := s.Quarantine.RepeatWaitMs; w < 0 || w > maxRepeatWaitMs {
+		errs = append(errs, fmt.Errorf("quarantine.repeat_wait_ms = %d: want 0 to %d", w, maxRepeatWaitMs))
+	}
 	return errors.Join(errs...)
 }
 
