--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -158,4 +158,6 @@
 		"The control listener was asked where a request would be sent. Nothing was sent. kind is that of the refusal, or empty.", "none; if remote is not known, restrict who reaches the control listener, or set explain.enabled to false.")
 	eventExplainFailed = event.Define(1916, log.ErrorLevel, "explanation failed",
 		"A panic ended an explanation; requests are not affected.", "Report it with the log.")
+	eventNotRepeated = event.Define(1896, log.InfoLevel, "lost request not sent again",
+		"A repeatable request was in progress at the crash of an upstream and was not sent to another host, because it may have caused the crash. Its caller got an error that says that it may have run.", "Look for event 1890, which names the request that crashes upstreams. If it does not follow, compare the paths of the lost requests with the upstream's log.")
 )
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -124,10 +124,17 @@
 	MaxShare float64 `ini:"max_share"`
 }
 
+// maxRepeatWaitMs bounds quarantine.repeat_wait_ms: callers wait meanwhile.
+const maxRepeatWaitMs = 2000
+
 // QuarantineSettings configure the refusal of requests that crash their upstreams.
 type QuarantineSettings struct {
 	// Enabled is true if such requests are refused. Default true.
 	Enabled bool `ini:"enabled"`
+	// RepeatWaitMs is the longest time for which a repeatable request that was lost in a
+	// crash waits until it is known to be harmless, so that it can be sent to another host.
+	// 0 switches the wait off.
+	RepeatWaitMs int `ini:"repeat_wait_ms"`
 }
 
 // ReservationSettings configure the reservations for requests that return after they were
@@ -172,7 +179,7 @@
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindowMs: 10000,
 			ColdOverage: 1.5, ColdSlack: 8,
 		},
-		Quarantine:  QuarantineSettings{Enabled: true},
+		Quarantine:  QuarantineSettings{Enabled: true, RepeatWaitMs: 400},
 		Reservation: ReservationSettings{LateShare: 0.05},
 		Explain:     ExplainSettings{Enabled: true},
 		Log:         LogSettings{Level: "info"},
@@ -284,6 +291,9 @@
 	if r := s.Reservation; !(r.Share >= 0 && r.LateShare >= 0 && r.Share+r.LateShare <= maxReservationShare) {
 		errs = append(errs, fmt.Errorf("reservation.share = %v, reservation.late_share = %v: want 0 or more, and %v together at most", r.Share, r.LateShare, maxReservationShare))
 	}
+	if w := s.Quarantine.RepeatWaitMs; w < 0 || w > maxRepeatWaitMs {
+		errs = append(errs, fmt.Errorf("quarantine.repeat_wait_ms = %d: want 0 to %d", w, maxRepeatWaitMs))
+	}
 	return errors.Join(errs...)
 }
 
