A call that runs again is another run

Cause (found by reading): a keyed call that was lost may be offered to the same upstream again. Its run was a field of the call that was overwritten without the lock, while calls of the first run still pointed at it; and a log line was written under the lock that every request needs. Change: each start has a run of its own, and limits are logged outside the lock. Measured: tests of calls and runs in ./sidecar and ./dependency pass.

--- a/router/sidecar/runcalls.go
+++ b/router/sidecar/runcalls.go
@@ -190,9 +190,11 @@
 		return release
 	}
 	c.calls = d
-	c.run = dependency.Run{ID: c.RequestID, Request: c, Priority: c.Priority, Deadline: c.Deadline, Goal: c.Goal}
+	// A call that is offered to the upstream again is another run: calls of the first one may
+	// still be in progress.
+	run := &dependency.Run{ID: c.RequestID, Request: c, Priority: c.Priority, Deadline: c.Deadline, Goal: c.Goal}
 	d.mu.Lock()
-	d.tracker.Start(&c.run)
+	d.tracker.Start(run)
 	d.mu.Unlock()
 	return func(r admit.Result) {
 		var now time.Time // not needed while nothing makes calls
@@ -200,7 +202,7 @@
 			now = time.Now()
 		}
 		d.mu.Lock()
-		d.tracker.End(now, &c.run, r == admit.Completed)
+		d.tracker.End(now, run, r == admit.Completed)
 		d.mu.Unlock()
 		release(r)
 	}
@@ -247,7 +249,8 @@
 }
 
 // reportLimits logs limits that have begun or ended, and sets the metric of the refused
-// calls. The caller holds d.mu.
+// calls. It does not wait for the log, because every request needs d.mu, which the caller
+// holds.
 func (d *runCallsDriver) reportLimits(now time.Time) {
 	if now.Sub(d.reportedAt) < limitReportInterval {
 		return
@@ -264,7 +267,7 @@
 		if l.Limited {
 			which = eventRunsLimited
 		}
-		d.log.Log(which, event.F("service", l.Service), event.F("refused_share", l.Share), event.F("calls_per_second", l.Rate))
+		go d.log.Log(which, event.F("service", l.Service), event.F("refused_share", l.Share), event.F("calls_per_second", l.Rate))
 	}
 }
 
