Count large attempts when they are made, and explain their order

Cause (found by reading): the choice of a near host counted and logged an attempt that hedging may still deny, under a lock; an explanation ranked hosts of large requests by cost, while distance decides; a call that the quarantine refuses, or that comes while the router stops, was never ended for its run. Change: attempts are counted in attempt, the explanation marks the host that would be chosen, such calls are ended, and retries take the budget in one place. Measured: tests of explanations, hedging, links and retries in ./sidecar pass.

--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -28,7 +28,7 @@
 	var tried []*fleet.Host
 	trialHost, err := e.quarantine.atEntry(c)
 	if err != nil {
-		return &Result{Err: err}
+		return e.calls.ended(c, &Result{Err: err})
 	}
 	c.trialHost = trialHost
 	arrivals := 0
@@ -183,6 +183,9 @@
 	if r := e.refuseAttempt(start, h, c); r != nil {
 		return r
 	}
+	if c.Large && !c.Keyed {
+		e.noteLargeAttempt(c, h)
+	}
 	h.RequestStarted()
 	var r *Result
 	if h.Member().Host == e.host {
@@ -245,7 +248,7 @@
 		class = retry.Repeatable
 	}
 	now := time.Now()
-	takeBudget := func() bool { return e.budgets.forService(c.Service).Take(now) }
+	takeBudget := func() bool { return e.takeRetry(now, c) }
 	decision := retry.Decide(class, outcome, kind, c.Deadline.Sub(now), takeBudget)
 	e.log.Log(eventRetry, event.F("request", c.RequestID), event.F("service", c.Service), event.F("host", r.Host),
 		event.F("kind", string(kind)), event.F("outcome", string(outcome)), event.F("arrivals", arrivals), event.F("decision", int(decision)))
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"burdockglade.dev/router/admit"
-	"burdockglade.dev/router/dependency"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/locality"
 	"burdockglade.dev/router/quarantine"
 	"burdockglade.dev/router/reservation"
 	"burdockglade.dev/router/vhost"
@@ -68,6 +68,8 @@
 	// spareHost is true if the host chosen for a call with a large response has spare
 	// capacity.
 	spareHost bool
+	// distance is that of this host.
+	distance locality.Distance
 	// Keyed is true if the call may run only at the holder of Key.
 	Keyed bool
 	Key   uint16
@@ -105,8 +107,7 @@
 	// call is expected to make calls itself.
 	ofRun      callOfRun
 	makesCalls bool
-	// run is the call while the local upstream runs it, and calls the driver that knows it.
-	run   dependency.Run
+	// calls is the driver that knows the run that the call is, once it has started.
 	calls *runCallsDriver
 	// foundRoute is the route of a call of another host if routeSought is true.
 	foundRoute  *vhost.Route
--- a/router/sidecar/explain.go
+++ b/router/sidecar/explain.go
@@ -231,6 +231,12 @@
 // explainHosts returns the hosts of the call's service.
 func (e *entry) explainHosts(now time.Time, c *Call) []explain.Host {
 	ranked := e.fleet.Rank(now, c.Service, e.regions.filter(c))
+	near := ""
+	if c.Large && !c.Keyed { // chosen by distance and not by cost
+		if h := e.fleet.ChooseNearest(now, c.Service, nil, e.regions.filter(c)).Host; h != nil {
+			near = h.Member().Host
+		}
+	}
 	hosts := make([]explain.Host, 0, len(ranked))
 	for i, r := range ranked {
 		m := r.Member
@@ -241,6 +247,9 @@
 			Pace: 1, Link: r.Load.Link, LinkMbps: m.LinkMbps, ErrorRate: r.ErrorRate, Slowness: r.Slowness,
 			Unreachable: r.Unavailable, Silent: r.Silent, ProbeDue: r.Probe, Cold: r.Cold, Local: m.Host == e.host,
 		}
+		if c.Large && !c.Keyed {
+			h.MayBeFirst = m.Host == near
+		}
 		if r.LoadAge >= 0 {
 			h.LoadAgeMs = explain.Millis(r.LoadAge)
 		} else {
--- a/router/sidecar/near.go
+++ b/router/sidecar/near.go
@@ -29,17 +29,19 @@
 		return nil, errorResult(errkind.RegionUnavailable, "no host of %s in an allowed region responds", c.Service)
 	}
 	c.spareHost = chosen.HasSpare
-	if c.dryRun {
-		return h, nil
-	}
-	e.metrics.countLargeAttempt(chosen.Distance)
-	if chosen.Distance == locality.OtherRegion {
-		e.log.Log(eventLargeResponseCrosses, event.F("request", c.RequestID), event.F("service", c.Service), event.F("host", h.Member().Host),
-			event.F("region", h.Member().Region), event.F("tried", len(tried)))
-	}
+	c.distance = chosen.Distance
 	return h, nil
 }
 
+// noteLargeAttempt counts and logs that a request with a large response is offered to a host.
+func (e *entry) noteLargeAttempt(c *Call, h *fleet.Host) {
+	e.metrics.countLargeAttempt(c.distance)
+	if c.distance == locality.OtherRegion {
+		e.log.Log(eventLargeResponseCrosses, event.F("request", c.RequestID), event.F("service", c.Service),
+			event.F("host", h.Member().Host), event.F("region", h.Member().Region))
+	}
+}
+
 // largeWaitPolicy returns how long a call with a large response may wait at the host that
 // was chosen for it. Each host that is tried may be the last one. One that is late already
 // uses spare capacity only: on a full link it would make others late as well.
