Keep reservations and calls of runs apart, and name what newcomers stumbled on

Cause (found by reading): with both parts switched on, calls of runs got reservations that nobody uses, and their places in the queue could be taken by other work; attempts carried their origin although no reservations are made; expired refusals stayed until there were 1,024. Change: calls make and take no reservations, compete with calls only, and origins are sent only with reservations. 'reserved' named two things in admit; the text of a refusal for kept slots, comments of the limiter, and names in freshness and fleet follow the usual terms.

--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -43,10 +43,11 @@
 )
 
 // PriorityLimiter admits requests up to a Limit and a RateLimit and serves waiting
-// requests by priority. Within a priority, requests that can still meet their goal come first,
-// earliest goal first: short calls that running requests wait for have near goals.
-// Late requests come last, because after a burst they would make all others late as
-// well. It is safe for concurrent use.
+// requests by priority. Within a priority, calls of running requests come first, then
+// requests that use a reservation, first attempts, and requests that returned early or
+// without a reservation. Among these, requests that can still meet their goal come first,
+// earliest goal first. Late requests come last, because after a burst they would make all
+// others late as well. It is safe for concurrent use.
 type PriorityLimiter struct {
 	now func() time.Time
 
@@ -235,11 +236,15 @@
 }
 
 // judge decides whether the item may wait. It returns the expected wait, and the waiting
-// item whose place it takes, or nil. Only the item changes. The caller holds l.mu.
+// item whose place it takes, or nil. It changes the item and, for a call of a run, the start
+// of a burst of calls. The caller holds l.mu.
 func (l *PriorityLimiter) judge(now time.Time, it *priorityItem) (wait time.Duration, displaced *priorityItem, err error) {
 	wait = l.expectedWait(now, it)
 	slots := max(l.limit.Allowed(), 1)
 	if it.bounds.Policy == NoWait && it.turn != turnReserved {
+		if l.mayStart(now) {
+			return wait, nil, overloaded(wait, "the free slots are kept for calls of running requests")
+		}
 		return wait, nil, overloaded(wait, "%d of %d slots are used, and %.0f requests per second are allowed (0: any)", l.inFlight, slots, l.allowedPerSecond(now))
 	}
 	if it.bounds.Policy == UntilDeadline && it.bounds.Goal.Sub(now)-wait < l.leadTime(it) {
--- a/router/admit/reserve.go
+++ b/router/admit/reserve.go
@@ -159,11 +159,12 @@
 }
 
 // offerReturn adds the time at which a request that is refused finally should return to its
-// error, and makes a reservation for it if there will be capacity in time. Refusals for
-// other reasons than a lack of room are returned as they are.
+// error, and makes a reservation for it if there will be capacity in time. Calls of runs,
+// which are not repeated, and refusals for other reasons than a lack of room are returned as
+// they are.
 func (l *PriorityLimiter) offerReturn(class WorkClass, bounds WaitBounds, err error) error {
 	var refusal *errkind.Error
-	if l.reservations == nil || !bounds.Origin.Final || !errors.As(err, &refusal) || refusal.Kind != errkind.Overloaded {
+	if l.reservations == nil || class.OfRun || !bounds.Origin.Final || !errors.As(err, &refusal) || refusal.Kind != errkind.Overloaded {
 		return err
 	}
 	l.mu.Lock()
@@ -213,7 +214,7 @@
 // competesWith reports whether the places in the queue are divided between the hosts and
 // classes of the item and of the waiting request.
 func (it *priorityItem) competesWith(w *priorityItem) bool {
-	return w.class.Priority == it.class.Priority && w.turn == it.turn && w.promoted == it.promoted && w.bounds.Origin.Host != ""
+	return w.class.Priority == it.class.Priority && w.class.OfRun == it.class.OfRun && w.turn == it.turn && w.promoted == it.promoted && w.bounds.Origin.Host != ""
 }
 
 // displacedFor returns the waiting request whose place the item takes if its wait is too long
--- a/router/admit/runcalls.go
+++ b/router/admit/runcalls.go
@@ -20,12 +20,12 @@
 	// standingWaitFactor bounds the wait of a call that can meet its goal in a lasting
 	// overload, in mean service times. Longer waits make runs hold their slots in vain.
 	standingWaitFactor = 4
-	// reservedSlotsDivisor: requests that make calls themselves leave at least
-	// 1/reservedSlotsDivisor of the slots to calls that arrived within the last
-	// reserveTime. Otherwise the requests of two services that call each other could hold
+	// keptSlotsDivisor: requests that make calls themselves leave at least
+	// 1/keptSlotsDivisor of the slots to calls that arrived within the last
+	// keptSlotsTime. Otherwise the requests of two services that call each other could hold
 	// all slots and wait for one another.
-	reservedSlotsDivisor = 4
-	reserveTime          = 2 * time.Second
+	keptSlotsDivisor = 4
+	keptSlotsTime    = 2 * time.Second
 	// useTime is the time constant of the average of the slots that calls use.
 	useTime = 500 * time.Millisecond
 )
@@ -65,26 +65,26 @@
 
 // startsAtOnce is mayStartAtOnce for a request that only may arrive. The caller holds l.mu.
 func (l *PriorityLimiter) startsAtOnce(now time.Time, it *priorityItem) bool {
-	if !l.mayStart(now) || l.reserved(now, it) {
+	if !l.mayStart(now) || l.mustLeaveSlot(now, it) {
 		return false
 	}
 	// Requests that leave the last slots to calls do not keep others waiting.
 	for _, w := range l.waiting {
-		if !l.reserved(now, w) {
+		if !l.mustLeaveSlot(now, w) {
 			return false
 		}
 	}
 	return true
 }
 
-// reserved reports whether the request must leave the free slots to calls of runs. The
+// mustLeaveSlot reports whether the request must leave the free slots to calls of runs. The
 // caller holds l.mu.
-func (l *PriorityLimiter) reserved(now time.Time, it *priorityItem) bool {
-	if !it.bounds.MakesCalls || it.class.OfRun || l.calls.arrivedAt.IsZero() || now.Sub(l.calls.arrivedAt) > reserveTime {
+func (l *PriorityLimiter) mustLeaveSlot(now time.Time, it *priorityItem) bool {
+	if !it.bounds.MakesCalls || it.class.OfRun || l.calls.arrivedAt.IsZero() || now.Sub(l.calls.arrivedAt) > keptSlotsTime {
 		return false
 	}
 	slots := l.limit.Allowed()
-	return slots > 1 && l.calls.callers >= slots-max(slots/reservedSlotsDivisor, 1)
+	return slots > 1 && l.calls.callers >= slots-max(slots/keptSlotsDivisor, 1)
 }
 
 // next removes the request from the queue that gets the next slot, and returns nil if none
@@ -95,13 +95,13 @@
 	}
 	first := l.waiting[0]
 	callsLast := first.class.OfRun && l.callsUseShare()
-	if !callsLast && !l.reserved(now, first) {
+	if !callsLast && !l.mustLeaveSlot(now, first) {
 		return heap.Pop(&l.waiting).(*priorityItem)
 	}
 	var best, call *priorityItem
 	for _, w := range l.waiting {
 		switch {
-		case l.reserved(now, w):
+		case l.mustLeaveSlot(now, w):
 		case callsLast && w.class.OfRun:
 			if call == nil || w.before(call) {
 				call = w
@@ -173,7 +173,7 @@
 // work each wait for their own share of the slots; 0 if there are no calls. The caller holds
 // l.mu.
 func (l *PriorityLimiter) waitBesideCalls(now time.Time, it *priorityItem) time.Duration {
-	if l.calls.arrivedAt.IsZero() {
+	if l.calls.arrivedAt.IsZero() || (now.Sub(l.calls.arrivedAt) > keptSlotsTime && !it.class.OfRun && l.calls.slotsInUse(now) == 0) {
 		return 0
 	}
 	slots, callSlots := float64(max(l.limit.Allowed(), 1)), float64(l.callSlots())
@@ -208,7 +208,7 @@
 	}
 	// A queue full of calls would refuse all other work.
 	places := max(l.limit.Allowed(), 1) * maxWaitingPerSlot * callSlotsNumerator / callSlotsDenominator
-	if waiting >= places && now.Sub(l.calls.otherAt) < reserveTime {
+	if waiting >= places && now.Sub(l.calls.otherAt) < keptSlotsTime {
 		return 0
 	}
 	service := l.meanServiceOf(it.class)
--- a/router/admit/runcalls_test.go
+++ b/router/admit/runcalls_test.go
@@ -173,9 +173,9 @@
 			t.Errorf("a request that makes no calls got no slot: %v", err)
 		}
 		releases[5](Completed)
-		time.Sleep(reserveTime + time.Millisecond)
+		time.Sleep(keptSlotsTime + time.Millisecond)
 		if err := start(WorkClass{}, true); err != nil {
-			t.Errorf("the slot is still reserved %v after the last call: %v", reserveTime, err)
+			t.Errorf("the slot is still reserved %v after the last call: %v", keptSlotsTime, err)
 		}
 	})
 }
--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -260,7 +260,7 @@
 func (d *Directory) exclusion(now time.Time, v *view, exclude []*Host, allowed func(Member) bool) Exclusion {
 	switch state := d.state(now, &v.member); {
 	case allowed != nil && !allowed(v.member):
-		return NotAllowed
+		return ExcludedNotAllowed
 	case state == Stopping:
 		return ExcludedStopping
 	case state != Ready:
--- a/router/fleet/rank.go
+++ b/router/fleet/rank.go
@@ -13,8 +13,8 @@
 const (
 	// Eligible: the host may be chosen.
 	Eligible Exclusion = ""
-	// NotAllowed: the caller of the directory does not allow the host.
-	NotAllowed Exclusion = "not_allowed"
+	// ExcludedNotAllowed: the caller of the directory does not allow the host.
+	ExcludedNotAllowed Exclusion = "not_allowed"
 	// ExcludedLeaving: the upstream leaves.
 	ExcludedLeaving Exclusion = "leaving"
 	// ExcludedStopping: the router of the host stops.
--- a/router/fleet/rank_test.go
+++ b/router/fleet/rank_test.go
@@ -20,7 +20,7 @@
 	want := []struct {
 		host     string
 		excluded Exclusion
-	}{{"next", Eligible}, {"far", Eligible}, {"near", Eligible}, {"forbidden", NotAllowed}, {"gone", ExcludedEvacuated}, {"leaves", ExcludedLeaving}}
+	}{{"next", Eligible}, {"far", Eligible}, {"near", Eligible}, {"forbidden", ExcludedNotAllowed}, {"gone", ExcludedEvacuated}, {"leaves", ExcludedLeaving}}
 	if len(ranked) != len(want) {
 		t.Fatalf("%d hosts ranked, want %d", len(ranked), len(want))
 	}
--- a/router/freshness/freshness.go
+++ b/router/freshness/freshness.go
@@ -41,10 +41,10 @@
 	// host is avoided: one may be due to a single slow check, or to a host that has just
 	// become the first of its zone. A host that was avoided before gets no second one.
 	staleTolerance = 2
-	// rehabilitation is the number of consecutive responses that are young enough after
+	// confirmationsToRecover is the number of consecutive responses that are recent enough after
 	// which earlier failures of the host no longer count. A host that is cut off from the
-	// store is kept young by others now and then.
-	rehabilitation = 8
+	// store is still gets recent confirmations from other hosts now and then.
+	confirmationsToRecover = 8
 )
 
 // Host is a host that is known to run.
@@ -56,9 +56,9 @@
 type Asker struct {
 	self  Host
 	bound time.Duration
-	// heardAt is the latest time at which a response says that the configuration of the
+	// confirmedElsewhereAt is the latest time at which a response says that the configuration of the
 	// asked host was the newest in the store.
-	heardAt time.Time
+	confirmedElsewhereAt time.Time
 	// askedAt is the time of the last question.
 	askedAt time.Time
 	hosts   map[string]*record
@@ -67,7 +67,7 @@
 // record is what an Asker knows of a host that it has asked.
 type record struct {
 	// stale and confirmed are the numbers of consecutive responses that were too old, and
-	// that were young enough. failures is the number of times for which the host was avoided.
+	// that were recent enough. failures is the number of times for which the host was avoided.
 	stale, confirmed, failures int
 	avoidUntil                 time.Time
 }
@@ -167,8 +167,8 @@
 	if role == ZoneFirst {
 		age = zoneAskAge
 	}
-	if a.heardAt.After(confirmedAt) {
-		confirmedAt = a.heardAt // the other host has a version that this one is to get
+	if a.confirmedElsewhereAt.After(confirmedAt) {
+		confirmedAt = a.confirmedElsewhereAt // the other host has a version that this one is to get
 	}
 	due := confirmedAt.Add(a.share(age))
 	if earliest := a.askedAt.Add(a.share(minAskInterval)); earliest.After(due) {
@@ -185,7 +185,7 @@
 
 // Outcomes of questions.
 const (
-	// Confirmed means that the response was young enough.
+	// Confirmed means that the response was recent enough.
 	Confirmed Outcome = iota
 	// Stale means that the configuration of the asked host was too old itself.
 	Stale
@@ -219,11 +219,11 @@
 	}
 	switch o {
 	case Confirmed:
-		if r.stale, r.confirmed = 0, r.confirmed+1; r.failures == 0 || r.confirmed >= rehabilitation {
+		if r.stale, r.confirmed = 0, r.confirmed+1; r.failures == 0 || r.confirmed >= confirmationsToRecover {
 			delete(a.hosts, host)
 		}
-		if at := askedAt.Add(-age); at.After(a.heardAt) {
-			a.heardAt = at
+		if at := askedAt.Add(-age); at.After(a.confirmedElsewhereAt) {
+			a.confirmedElsewhereAt = at
 		}
 		return 0
 	case Stale:
--- a/router/freshness/freshness_test.go
+++ b/router/freshness/freshness_test.go
@@ -122,7 +122,7 @@
 	if avoid := a.Record(now, now, "b", Stale, 0); avoid != maxAvoid {
 		t.Errorf("avoided for %v although it had helped only once", avoid)
 	}
-	for range rehabilitation {
+	for range confirmationsToRecover {
 		a.Record(now, now, "b", Confirmed, 0)
 	}
 	if avoid := a.Record(now, now, "b", Failed, 0); avoid != minAvoid {
--- a/router/reservation/returns.go
+++ b/router/reservation/returns.go
@@ -77,6 +77,7 @@
 // deadline repeats, and forgets it. Of several, one with the same content comes first, then
 // one that is due, then the one with the nearest deadline.
 func (r *Returns) Match(now time.Time, route string, content uint64, deadline time.Time) (Refusal, Return) {
+	r.refusals = slices.DeleteFunc(r.refusals, func(f Refusal) bool { return f.Deadline.Before(now) })
 	best, bestRank, bestDifference := -1, 0, time.Duration(0)
 	for i := range r.refusals {
 		f := &r.refusals[i]
--- a/router/sidecar/competing.go
+++ b/router/sidecar/competing.go
@@ -4,6 +4,7 @@
 	"hash/maphash"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -117,7 +118,7 @@
 // refused records the refusal of a call if it names a time with capacity. A call that came
 // back too early is told its time again.
 func (r *returns) refused(now time.Time, c *Call, res *Result) {
-	if r == nil || !res.notRun() || res.Err.Kind != errkind.Overloaded {
+	if r == nil || c.ofRun.known || !res.notRun() || res.Err.Kind != errkind.Overloaded {
 		return
 	}
 	f := reservation.Refusal{
@@ -140,6 +141,10 @@
 
 // markAttempt sets what the gate of the host has to know of the attempt.
 func (e *entry) markAttempt(c *Call, h *fleet.Host, tried []*fleet.Host) {
+	if e.returns == nil {
+		return
+	}
+	c.Origin.Host = e.host
 	c.Origin.Final = e.isFinal(c, h, tried)
 	c.Origin.Return = c.returned
 	if c.returned == reservation.Due && c.earlier.Gate != h.Member().Host {
@@ -153,7 +158,11 @@
 	if c.Keyed || c.trialHost != "" || len(tried) >= maxHosts-1 {
 		return true
 	}
-	return !e.fleet.HasOther(time.Now(), c.Service, h, tried, e.regions.filter(c))
+	now, allowed := time.Now(), e.regions.filter(c)
+	if c.Large {
+		return e.fleet.ChooseNearest(now, c.Service, append(slices.Clone(tried), h), allowed).Host == nil
+	}
+	return !e.fleet.HasOther(now, c.Service, h, tried, allowed)
 }
 
 // chooseReserving returns the host that has made the reservation of a returning call, or nil.
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -138,6 +138,7 @@
 		return
 	}
 	if err := e.checkStopping(); err != nil { // the body may have ended late
+		e.calls.ended(c, &Result{Err: err})
 		e.writeError(w, req, route, c.Deadline, err)
 		return
 	}
@@ -275,7 +276,6 @@
 		}
 		c.Keyed, c.Key = true, uint16(key)
 	}
-	c.Origin.Host = e.host
 	return c, nil
 }
 
