--- a/router/sidecar/runcalls.go
+++ b/router/sidecar/runcalls.go
@@ -195,11 +195,11 @@
 	d.tracker.Start(&c.run)
 	d.mu.Unlock()
 	return func(r admit.Result) {
+		d.mu.Lock()
 		var now time.Time // not needed while nothing makes calls
-		if d.active.Load() {
+		if !d.tracker.Idle() {
 			now = time.Now()
 		}
-		d.mu.Lock()
 		d.tracker.End(now, &c.run, r == admit.Completed)
 		d.mu.Unlock()
 		release(r)
