--- a/router/sidecar/runcalls.go
+++ b/router/sidecar/runcalls.go
@@ -197,11 +197,11 @@
 	d.tracker.Start(run)
 	d.mu.Unlock()
 	return func(r admit.Result) {
+		d.mu.Lock()
 		var now time.Time // not needed while nothing makes calls
-		if d.active.Load() {
+		if !d.tracker.Idle() {
 			now = time.Now()
 		}
-		d.mu.Lock()
 		d.tracker.End(now, run, r == admit.Completed)
 		d.mu.Unlock()
 		release(r)
