Admit promoted calls of runs by the wait without their promotion

Callers saw (with [calls] enabled, in a lasting overload): calls were queued beyond the bound of two service times, so that their runs held slots in vain.

Cause: a short call is promoted while promoted requests hold fewer than half of the slots. Its expected wait then ignores the calls that it overtakes, so that it is admitted however long the queue is; the overtaken ones wait longer than they were admitted for. A trace of the test shows expected waits of 6.7 to 60 ms with 11 to 17 calls waiting.

Change: the expected wait of a call among calls is that of its turn without promotion. The order of service stays.

The test is unchanged.

--- a/router/admit/runcalls.go
+++ b/router/admit/runcalls.go
@@ -178,8 +178,12 @@
 	}
 	slots, callSlots := float64(max(l.limit.Allowed(), 1)), float64(l.callSlots())
 	before, otherWork := l.meanServiceOf(it.class), !it.class.OfRun // one in flight
+	// A promoted call overtakes other calls, which then wait longer than they were admitted
+	// for. It is therefore admitted only if the wait fits without its promotion.
+	inTurn := *it
+	inTurn.promoted = it.promoted && !it.class.OfRun
 	for _, w := range l.waiting {
-		if w.class.OfRun == it.class.OfRun && w.before(it) {
+		if w.class.OfRun == it.class.OfRun && w.before(&inTurn) {
 			before += l.meanServiceOf(w.class)
 		}
 		otherWork = otherWork || !w.class.OfRun
