Use connections between routers again after refusals

Callers saw under high load: each attempt at a host that had just refused a request began with a new connection, 16 ms between regions.

Cause: a connection is released when the body of its response was read to the end. A refusal has none and is closed unread, so the connection was closed.

Change: an empty body counts as read.

The new test had 5 connections for 5 requests before, 1 after.

--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -100,7 +100,7 @@
 	}
 	resp.Fields = cache.restore(&cache.received, resp.Fields, resp.SameFields)
 	// The server closes a connection after a request with a stream.
-	resp.Body = &responseBody{conn: cn, src: bodyReader(cn.Reader, resp.Length), noReuse: r.Stream != nil}
+	resp.Body = &responseBody{conn: cn, src: bodyReader(cn.Reader, resp.Length), ended: resp.Length == 0, noReuse: r.Stream != nil}
 	return resp, true, nil
 }
 
@@ -174,9 +174,10 @@
 // responseBody is the body of a response. Close returns the connection to the pool if
 // the body has been read completely.
 type responseBody struct {
-	conn  *connpool.Conn
-	src   io.Reader
-	stop  func() bool
+	conn *connpool.Conn
+	src  io.Reader
+	stop func() bool
+	// ended is true once nothing of the body is left to read. An empty body need not be read.
 	ended bool
 	// noReuse is true if the connection carries no further requests.
 	noReuse bool
--- a/router/hop/hop_test.go
+++ b/router/hop/hop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -176,3 +177,66 @@
 		t.Errorf("got %v after the shutdown, want an error that says nothing was sent", err)
 	}
 }
+
+// countingListener counts the connections, and the bytes that are read from them.
+type countingListener struct {
+	net.Listener
+	conns, bytes atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.conns.Add(1)
+	}
+	return &countingConn{Conn: c, bytes: &l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// startCountingServer is startServer with a listener that counts what arrives.
+func startCountingServer(t *testing.T, h Handler) (*Client, *countingListener) {
+	t.Helper()
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &countingListener{Listener: inner}
+	s := NewServer(h)
+	go func() { _ = s.Serve(l) }()
+	c := NewClient(connpool.Options{Address: l.Addr().String(), DialTimeout: time.Second, IdleTimeout: time.Minute})
+	t.Cleanup(func() {
+		c.CloseIdle()
+		_ = s.Close()
+	})
+	return c, l
+}
+
+// Guards against a new connection after each refusal: the caller of Do does not read the
+// body of a refusal, which is empty.
+func TestConnectionIsUsedAgainAfterARefusal(t *testing.T) {
+	c, l := startCountingServer(t, func(context.Context, *Request) *Response {
+		return &Response{ResponseHead: ResponseHead{Kind: "overloaded"}}
+	})
+	for range 5 {
+		resp, err := c.Do(t.Context(), &Request{RequestHead: RequestHead{Method: "GET"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := resp.Body.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := l.conns.Load(); n != 1 {
+		t.Errorf("%d connections for 5 requests, want 1", n)
+	}
+}
