Keep the routers' events in the test of hostile clients

Cause: TestHostileClients/mix failed once before any hostile client had connected, and the run kept nothing that the routers had logged.

Change: the last 64 KiB of the standard output and of the standard error of each process are kept, and printed if the test fails. attackFirst and start are split off, so that the test of `burdockglade run` can use them. No crowd, bound or check changes. Before, at most 4,000 bytes of the standard error were printed.

--- a/ctl/hostile/deployment_test.go
+++ b/ctl/hostile/deployment_test.go
@@ -4,7 +4,6 @@
 package hostile
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -83,9 +82,11 @@
 // host is a process with the addresses on which it listens.
 type host struct {
 	caller, hop, control, ready, metrics string
-	size                                 size
-	process                              *exec.Cmd
-	exited                               chan struct{}
+	// upstream and admin are listeners of `burdockglade run`, which has no ready.
+	upstream, admin string
+	size            size
+	process         *exec.Cmd
+	exited          chan struct{}
 	// peakFiles is the largest number of open descriptors that was seen.
 	peakFiles atomic.Int64
 }
@@ -176,9 +177,17 @@
 	must(t, os.WriteFile(settings, fmt.Appendf(nil,
 		"[host]\nname = h%d\nzone = z\nregion = r\nservice = %s\nmemory_mb = %d\nmax_fds = %d\n[listen]\ncaller = %s\nhop = %s\nready = %s\ncontrol = %s\nmetrics = %s\n[upstream]\naddress = %s\nheartbeat_ms = 300\n[store]\naddress = %s\n",
 		i, service, of.memoryMB, of.maxFiles, h.caller, h.hop, h.ready, h.control, h.metrics, address, storeAddress), 0o600))
-	var log bytes.Buffer // written until the process has exited
-	h.process = exec.Command(binary, "sidecar", "--settings", settings)
-	h.process.Stdout, h.process.Stderr = io.Discard, &log
+	h.start(t, fmt.Sprintf("h%d", i), "sidecar", "--settings", settings)
+	return h
+}
+
+// start starts the program with the arguments. If the test fails, it prints the end of what
+// the process has written: its events, and the cause if the process has crashed.
+func (h *host) start(t *testing.T, name string, args ...string) {
+	t.Helper()
+	var output, errorOutput lastBytes // written until the process has exited
+	h.process = exec.Command(binary, args...)
+	h.process.Stdout, h.process.Stderr = &output, &errorOutput
 	must(t, h.process.Start())
 	go func() {
 		_ = h.process.Wait() // a killed process is reported by the test itself
@@ -187,11 +196,29 @@
 	t.Cleanup(func() {
 		_ = h.process.Process.Kill() // it may have exited
 		<-h.exited
-		if t.Failed() && log.Len() > 0 {
-			t.Logf("standard error of h%d: %.4000s", i, log.String())
+		if t.Failed() {
+			t.Logf("end of the standard output of %s:\n%s", name, output.kept)
+			t.Logf("end of the standard error of %s:\n%s", name, errorOutput.kept)
 		}
 	})
-	return h
+}
+
+// keptBytes is about 300 events, more than a router writes in the 30 s of a wait without
+// hostile load.
+const keptBytes = 64 << 10
+
+// lastBytes keeps the end of what is written to it.
+type lastBytes struct {
+	kept []byte
+}
+
+// Write implements io.Writer.
+func (l *lastBytes) Write(p []byte) (int, error) {
+	l.kept = append(l.kept, p...)
+	if excess := len(l.kept) - keptBytes; excess > 0 {
+		l.kept = append(l.kept[:0], l.kept[excess:]...)
+	}
+	return len(p), nil
 }
 
 // awaitAnswers waits until ordinary requests to both services are answered.
--- a/ctl/hostile/hostile_test.go
+++ b/ctl/hostile/hostile_test.go
@@ -139,10 +139,16 @@
 
 // attack runs the clients at the first host, and waits until they have left.
 func (d *deployment) attack(groups []group) {
-	h := d.hosts[0]
+	attackFirst(d.hosts, groups)
+}
+
+// attackFirst runs the clients at the first of the hosts, and waits until they have left. It
+// records the descriptors of all hosts meanwhile.
+func attackFirst(hosts []*host, groups []group) {
+	h := hosts[0]
 	stop := make(chan struct{})
 	var observers, clients sync.WaitGroup
-	for _, h := range d.hosts {
+	for _, h := range hosts {
 		observers.Go(func() { h.observeFiles(stop) })
 	}
 	for _, g := range groups {
