Move the guard of connections to router/connguard

Cause: `burdockglade run` needs the guard of the sidecar's listeners, and router/sidecar/connguard.go depends on the configuration of the sidecar.

Change: the driver is now package connguard. Limits in force, timeouts, the header fields of refused heads and the response to a refused request are passed in; what reads requests ahead is an interface. A listener says whether its server speaks HTTP or charges requests itself (hop.Meter), which the class router stood for. The sidecar serves as before. Bounds of memory_mb and max_fds are in connlimit, for both commands.

Tests: constructors and names are adapted. TestUnreadResponsesEnd and BenchmarkGuardedRequest move with the driver. TestMetricScopes compares sets of scopes without duplicates, because connguard has the scope `entry` as sidecar has; a scope that is added or renamed still fails.

--- a/router/sidecar/guardedconn.go
+++ b/router/connguard/conn.go
@@ -1,11 +1,10 @@
-package sidecar
+package connguard
 
 import (
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,11 +19,29 @@
 // deadline. Its connection would otherwise keep its request, and a descriptor, for ever.
 const unreadTime = 30 * time.Second
 
-// guardedConn counts the request heads that are read from a connection and charges them to
+// Ahead is implemented by connections that read requests before the HTTP server does.
+type Ahead interface {
+	net.Conn
+	// SetGuarded passes the connection to which what is read ahead is charged.
+	SetGuarded(*Conn)
+	// ProcessedAhead reports whether requests that the server has not read yet are being
+	// processed.
+	ProcessedAhead() bool
+	// StopAhead ends the reading ahead, and cancels those requests.
+	StopAhead()
+	// Socket returns the connection that is read.
+	Socket() net.Conn
+}
+
+// Conn counts the request heads that are read from a connection and charges them to
 // the budget. It implements hop.Meter.
-type guardedConn struct {
+type Conn struct {
 	net.Conn
-	guard *connGuard
+	guard *Guard
+	// ahead is Conn if that reads ahead, or nil.
+	ahead Ahead
+	// metered is true if the server itself charges requests and reports their begin and end.
+	metered bool
 	// account is the record of the connection in the budget.
 	account *connlimit.Conn
 	// active is true while a request is in progress: what is read then is its body.
@@ -57,7 +74,7 @@
 }
 
 // Read implements net.Conn.
-func (c *guardedConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	if c.lingers.Load() {
 		return 0, refusedRead()
 	}
@@ -72,7 +89,7 @@
 }
 
 // Write implements net.Conn.
-func (c *guardedConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	if !c.ownDeadline.Load() {
 		// The guard looks for writes that last too long. A deadline would cost a timer, 3
 		// microseconds for each response.
@@ -86,30 +103,30 @@
 var guardEpoch = time.Now()
 
 // unread reports whether a write has waited for the client for unreadTime.
-func (c *guardedConn) unread(now time.Time) bool {
+func (c *Conn) unread(now time.Time) bool {
 	since := c.writingSince.Load()
 	return since != 0 && now.Sub(guardEpoch)-time.Duration(since) >= unreadTime
 }
 
 // SetWriteDeadline implements net.Conn.
-func (c *guardedConn) SetWriteDeadline(t time.Time) error {
+func (c *Conn) SetWriteDeadline(t time.Time) error {
 	c.ownDeadline.Store(!t.IsZero())
 	return c.Conn.SetWriteDeadline(t)
 }
 
 // SetDeadline implements net.Conn.
-func (c *guardedConn) SetDeadline(t time.Time) error {
+func (c *Conn) SetDeadline(t time.Time) error {
 	c.ownDeadline.Store(!t.IsZero())
 	return c.Conn.SetDeadline(t)
 }
 
 // observeHead charges a part of a request head. It returns an error if the head is refused.
-func (c *guardedConn) observeHead(p []byte) error {
+func (c *Conn) observeHead(p []byte) error {
 	now, class := time.Now(), c.account.Class()
-	if (class == connlimit.Router || !c.reading) && !c.guard.budget.ReadStarted(now, c.account) {
+	if (c.metered || !c.reading) && !c.guard.budget.ReadStarted(now, c.account) {
 		return refusedRead()
 	}
-	if class == connlimit.Router {
+	if c.metered {
 		// The server charges heads by Charge, before it reads them. Another goroutine may
 		// read while it ends the request before.
 		return nil
@@ -128,7 +145,7 @@
 		c.guard.budget.ChargeResponse(c.account, cost)
 		return nil
 	}
-	if c.head.Exceeds(c.guard.maxHeadBytes(class)) {
+	if c.head.Exceeds(c.guard.opts.MaxHeadBytes(class)) {
 		return c.refuseHead(http.StatusRequestHeaderFieldsTooLarge, reasonHeadSize)
 	}
 	if !c.charge(now, cost) {
@@ -139,21 +156,20 @@
 
 // processedAhead reports whether requests that the server has not read yet are being
 // processed.
-func (c *guardedConn) processedAhead() bool {
-	own, ok := c.Conn.(*callerConn)
-	return ok && own.ahead.hasPipelined()
+func (c *Conn) processedAhead() bool {
+	return c.ahead != nil && c.ahead.ProcessedAhead()
 }
 
 // refuseHead responds to a request whose head is not complete, and ends the reading. The
 // server has no response to write at this time.
-func (c *guardedConn) refuseHead(status int, reason string) error {
+func (c *Conn) refuseHead(status int, reason string) error {
 	c.guard.refused(c.account.Class(), reason, c.RemoteAddr())
-	retry := ""
-	if status == http.StatusServiceUnavailable {
-		retry = fmt.Sprintf("%s: %s\r\n", c.guard.headers.RetryAfter, refusalRetryAfter)
+	fields := ""
+	if c.guard.opts.RefusalFields != nil {
+		fields = c.guard.opts.RefusalFields(c.account.Class(), status)
 	}
 	text := http.StatusText(status)
-	response := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s", status, text, len(text), retry, text)
+	response := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s", status, text, len(text), fields, text)
 	if c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime)) == nil {
 		_, _ = c.Conn.Write([]byte(response)) // the client may have left
 	}
@@ -161,22 +177,19 @@
 	return refusedRead()
 }
 
-// refusalRetryAfter is connlimit.RefusalRetry in seconds.
-var refusalRetryAfter = strconv.FormatFloat(connlimit.RefusalRetry.Seconds(), 'f', 3, 64)
-
 // linger releases what is charged to the connection. Close then keeps it open for a while:
 // a connection that is closed while data arrive is reset, and the client may not get the
 // response.
-func (c *guardedConn) linger() {
+func (c *Conn) linger() {
 	c.lingers.Store(true)
 	c.guard.budget.Linger(time.Now(), c.account)
 }
 
 // Close implements net.Conn.
-func (c *guardedConn) Close() error {
+func (c *Conn) Close() error {
 	if c.lingers.Load() && c.CloseWrite() == nil {
-		if own, ok := c.Conn.(*callerConn); ok {
-			own.ahead.close()
+		if c.ahead != nil {
+			c.ahead.StopAhead()
 		}
 		return nil // closed by the guard
 	}
@@ -185,12 +198,12 @@
 }
 
 // forceClose closes the connection at once, after the budget has released it.
-func (c *guardedConn) forceClose() {
+func (c *Conn) forceClose() {
 	_ = c.Conn.Close() // an error means that it is closed already
 }
 
 // SyscallConn implements syscall.Conn, by which the state of the connection is read.
-func (c *guardedConn) SyscallConn() (syscall.RawConn, error) {
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, errors.ErrUnsupported
@@ -199,10 +212,10 @@
 }
 
 // CloseWrite ends the sending direction.
-func (c *guardedConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	conn := c.Conn
-	if own, ok := conn.(*callerConn); ok {
-		conn = own.Conn
+	if c.ahead != nil {
+		conn = c.ahead.Socket()
 	}
 	if half, ok := conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
@@ -211,7 +224,7 @@
 }
 
 // stateChanged records the phase that the HTTP server reports.
-func (c *guardedConn) stateChanged(state http.ConnState) {
+func (c *Conn) stateChanged(state http.ConnState) {
 	switch state {
 	case http.StateActive:
 		c.SetBusy(true)
@@ -221,12 +234,12 @@
 }
 
 // SetBusy implements hop.Meter.
-func (c *guardedConn) SetBusy(busy bool) bool {
+func (c *Conn) SetBusy(busy bool) bool {
 	if c.lingers.Load() {
 		return false
 	}
 	c.active.Store(busy)
-	isHTTP := c.account.Class() != connlimit.Router
+	isHTTP := !c.metered
 	if !busy {
 		if isHTTP {
 			c.reading = false
@@ -251,12 +264,12 @@
 }
 
 // Charge implements hop.Meter.
-func (c *guardedConn) Charge(n int64) bool {
+func (c *Conn) Charge(n int64) bool {
 	return c.chargeAt(time.Now(), n)
 }
 
 // chargeAt is like Charge at the time.
-func (c *guardedConn) chargeAt(now time.Time, n int64) bool {
+func (c *Conn) chargeAt(now time.Time, n int64) bool {
 	if !c.charge(now, n) {
 		c.guard.refused(c.account.Class(), reasonMemory, c.RemoteAddr())
 		return false
@@ -264,24 +277,25 @@
 	return true
 }
 
-func (c *guardedConn) charge(now time.Time, n int64) bool {
+func (c *Conn) charge(now time.Time, n int64) bool {
 	evicted, ok := c.guard.budget.Charge(now, c.account, n)
 	c.guard.makeRoom(evicted)
 	return ok
 }
 
 // ChargeResponse implements hop.Meter.
-func (c *guardedConn) ChargeResponse(n int64) {
+func (c *Conn) ChargeResponse(n int64) {
 	c.guard.budget.ChargeResponse(c.account, n)
 }
 
 // Refused implements hop.Meter.
-func (c *guardedConn) Refused() {
+func (c *Conn) Refused() {
 	c.linger()
 }
 
-// chargeAhead charges bytes that later requests of the connection take.
-func (c *guardedConn) chargeAhead(n int64) bool {
+// ChargeAhead charges n bytes that later requests of the connection take. It returns false if
+// they do not fit. c may be nil.
+func (c *Conn) ChargeAhead(n int64) bool {
 	if c == nil {
 		return true
 	}
@@ -292,17 +306,25 @@
 	return ok
 }
 
-// refundAhead releases bytes of chargeAhead.
-func (c *guardedConn) refundAhead(n int64) {
+// RefundAhead releases n bytes of ChargeAhead. c may be nil.
+func (c *Conn) RefundAhead(n int64) {
 	if c != nil && n > 0 {
 		c.guard.budget.RefundAhead(c.account, n)
 	}
 }
 
-// maxHeadBytes returns the limit on the header of a request.
-func (c *guardedConn) maxHeadBytes() int {
-	if c == nil {
-		return maxHeaderBytes
-	}
-	return c.guard.maxHeadBytes(c.account.Class())
+// ChargeAheadResponse charges n bytes of the response to a later request, which must not be
+// refused.
+func (c *Conn) ChargeAheadResponse(n int64) {
+	c.guard.budget.ChargeAheadResponse(c.account, n)
+}
+
+// Refund releases n bytes of Charge.
+func (c *Conn) Refund(n int64) {
+	c.guard.budget.Refund(c.account, n)
+}
+
+// MaxHeadBytes returns the limit on the header of a request.
+func (c *Conn) MaxHeadBytes() int {
+	return c.guard.opts.MaxHeadBytes(c.account.Class())
 }
--- a/router/internal/catalogue/metrics_test.go
+++ b/router/internal/catalogue/metrics_test.go
@@ -23,6 +23,7 @@
 // metricScopes maps each package that creates instruments to the scope that is passed
 // in its options. Package node uses the root scope.
 var metricScopes = map[string]string{
+	"connguard": "entry",
 	"forward":   "caller",
 	"gate":      "gate",
 	"metrics":   "store",
@@ -73,6 +74,7 @@
 		}
 	}
 	slices.Sort(want)
+	want = slices.Compact(want) // connguard has the scope of the process that uses it
 	if diff := cmp.Diff(want, readMetricSource(t).scopes); diff != "" {
 		t.Errorf("the scopes in the source (+) differ from those of this test (-):\n%s", diff)
 	}
--- a/router/sidecar/connguard_bench_test.go
+++ b/router/sidecar/connguard_bench_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/connlimit"
 	"burdockglade.dev/router/metrics"
 )
@@ -30,10 +31,10 @@
 	server.ConnState, server.ConnContext = callers.stateChanged, withConn
 	listener := net.Listener(callerListener{Listener: l, conns: callers})
 	if guarded {
-		g := &connGuard{budget: connlimit.New(connlimit.Options{MemoryBytes: 536 << 20, Files: 8192}), limits: (&currentConfig{}).limits, scope: metrics.New()}
-		go g.run(b.Context())
-		g.protect(server, 0)
-		listener = g.listener(listener, connlimit.Caller)
+		g := newConnGuard(connlimit.Options{MemoryBytes: 536 << 20, Files: 8192}, (&currentConfig{}).limits, Headers{}, nil, metrics.New())
+		go g.Run(b.Context())
+		g.Protect(server, connguard.ServerOptions{BodyTime: defaultTimeout})
+		listener = g.Listener(listener, connlimit.Caller)
 	} else {
 		server.ReadHeaderTimeout, server.IdleTimeout = defaultHeaderTimeout, defaultIdleTimeout
 	}
--- a/router/sidecar/connguard_test.go
+++ b/router/sidecar/connguard_test.go
@@ -4,18 +4,16 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/connlimit"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/hop"
@@ -25,7 +23,7 @@
 
 // guardedServer is a server of callers with a guard, as a sidecar has it.
 type guardedServer struct {
-	guard   *connGuard
+	guard   *connguard.Guard
 	limits  atomic.Pointer[vhost.Limits]
 	address string
 }
@@ -40,8 +38,8 @@
 	t.Helper()
 	s := &guardedServer{}
 	s.limits.Store(&vhost.Limits{MaxHeaderBytes: 1000, HeaderTimeout: time.Minute, IdleTimeout: time.Minute})
-	s.guard = &connGuard{budget: connlimit.New(opts), limits: func() vhost.Limits { return *s.limits.Load() },
-		headers: Headers{RetryAfter: "Retry-After", RequestID: "Id"}, log: event.NewLogger(io.Discard, 0), scope: metrics.New()}
+	log := event.NewLogger(io.Discard, 0)
+	s.guard = newConnGuard(opts, func() vhost.Limits { return *s.limits.Load() }, Headers{RetryAfter: "Retry-After", RequestID: "Id"}, log, metrics.New())
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -49,12 +47,12 @@
 	callers := newCallerConns()
 	server := httpServer(handler)
 	server.ConnState, server.ConnContext = callers.stateChanged, withConn
-	s.guard.protect(server, 0)
+	s.guard.Protect(server, connguard.ServerOptions{BodyTime: defaultTimeout})
 	go func() {
-		_ = server.Serve(s.guard.listener(callerListener{Listener: l, conns: callers, beginPipelined: beginPipelined, log: s.guard.log}, connlimit.Caller)) // returns after Close
+		_ = server.Serve(s.guard.Listener(callerListener{Listener: l, conns: callers, beginPipelined: beginPipelined, log: log}, connlimit.Caller)) // returns after Close
 	}()
 	ctx, cancel := context.WithCancel(context.Background())
-	go s.guard.run(ctx)
+	go s.guard.Run(ctx)
 	t.Cleanup(func() {
 		cancel()
 		_ = server.Close()
@@ -159,43 +157,14 @@
 	}
 	_ = conn.Close()
 	deadline := time.Now().Add(20 * time.Second)
-	for s.guard.budget.Stats()[connlimit.Caller].MemoryBytes != 0 {
+	for s.guard.Stats(connlimit.Caller).MemoryBytes != 0 {
 		if time.Now().After(deadline) {
-			t.Fatalf("%+v is charged after the last connection", s.guard.budget.Stats()[connlimit.Caller])
+			t.Fatalf("%+v is charged after the last connection", s.guard.Stats(connlimit.Caller))
 		}
 		<-time.After(10 * time.Millisecond)
 	}
 }
 
-// Guards against clients that never read their responses and so keep connections for ever.
-func TestUnreadResponsesEnd(t *testing.T) {
-	scope := metrics.New() // has a goroutine of its own
-	synctest.Test(t, func(t *testing.T) {
-		near, far := net.Pipe()
-		defer func() { _ = far.Close() }()
-		g := &connGuard{budget: connlimit.New(connlimit.Options{}), limits: (&currentConfig{}).limits, scope: scope, log: event.NewLogger(io.Discard, 0)}
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		go g.run(ctx)
-		c := g.open(near, connlimit.Router)
-		c.SetBusy(true)
-		start := time.Now()
-		if err := c.SetWriteDeadline(start.Add(2 * unreadTime)); err != nil {
-			t.Fatal(err)
-		}
-		if _, err := c.Write([]byte("x")); !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(start) != 2*unreadTime {
-			t.Errorf("with a deadline of the server: %v after %v", err, time.Since(start))
-		}
-		if err := c.SetWriteDeadline(time.Time{}); err != nil {
-			t.Fatal(err)
-		}
-		start = time.Now()
-		if _, err := c.Write([]byte("x")); err == nil || time.Since(start) < unreadTime || time.Since(start) > unreadTime+time.Second {
-			t.Errorf("unread response: %v after %v", err, time.Since(start))
-		}
-	})
-}
-
 // failingListener fails a number of times before it accepts connections.
 type failingListener struct {
 	net.Listener
@@ -213,7 +182,7 @@
 func TestListenersSurviveErrorsOfAccept(t *testing.T) {
 	guard := startGuarded(t, connlimit.Options{}, okHandler).guard
 	for name, wrap := range map[string]func(net.Listener) net.Listener{
-		"guarded": func(l net.Listener) net.Listener { return guard.listener(l, connlimit.Router) },
+		"guarded": func(l net.Listener) net.Listener { return guard.MeteredListener(l, connlimit.Router) },
 		"bare":    func(l net.Listener) net.Listener { return l },
 	} {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -240,41 +209,6 @@
 	}
 }
 
-// scriptedConn yields the same head at each read.
-type scriptedConn struct {
-	net.Conn
-	head []byte
-}
-
-func (c scriptedConn) Read(p []byte) (int, error) { return copy(p, c.head), nil }
-
-// BenchmarkGuardedRequest measures what the guard adds to an ordinary request, with and
-// without 1,000 other connections.
-func BenchmarkGuardedRequest(b *testing.B) {
-	head := []byte("GET /first/x HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("Some-Field: a value of some length\r\n", 14) + "\r\n")
-	for _, others := range []int{0, 1000} {
-		b.Run(fmt.Sprint(others), func(b *testing.B) {
-			g := &connGuard{budget: connlimit.New(connlimit.Options{MemoryBytes: 536 << 20, Files: 8192}), limits: (&currentConfig{}).limits, scope: metrics.New()}
-			for range others {
-				g.open(scriptedConn{}, connlimit.Caller)
-			}
-			c := g.open(scriptedConn{head: head}, connlimit.Caller)
-			req := &http.Request{Header: http.Header{}}
-			buffer := make([]byte, 4096)
-			b.ReportAllocs()
-			for b.Loop() {
-				_, err := c.Read(buffer)
-				c.stateChanged(http.StateActive)
-				if refused := c.admit(req, 0); refused != nil || err != nil {
-					b.Fatal(refused, err)
-				}
-				c.ChargeResponse(1000)
-				c.stateChanged(http.StateIdle)
-			}
-		})
-	}
-}
-
 // Guards against budgets that refuse every request, and against one that overflows.
 func TestBudgetSettings(t *testing.T) {
 	for _, c := range []struct {
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -94,12 +94,6 @@
 		"A connection of a caller ended before a request that it had sent without waiting for earlier responses got its response. The field reason names the side that closed the connection. Or the server of HTTP never came to the request, because it answered one before itself.", "none if the caller closed it or its turn has passed; otherwise look for what ended the request before, with the same time.")
 	eventCallerLeft = event.Define(1851, log.InfoLevel, "caller left",
 		"A caller closed its connection before it got the response; its request is cancelled.", "none; if it repeats, compare the deadlines of the callers with the field left_ms.")
-	eventAcceptFailed = event.Define(1860, log.WarnLevel, "connection not accepted",
-		"A listener could not accept a connection, usually for lack of file descriptors. It tries again after 5 ms to 1 s, and an idle connection of its class is closed.", "Raise the limit of file descriptors of the process, or set max_fds to it.")
-	eventConnectionRefused = event.Define(1861, log.InfoLevel, "connection or request refused",
-		"A connection or a request did not fit into the budgets of memory_mb and max_fds, or a request head exceeds MaxHeaderBytes. The field reason says which. No upstream has seen the request.", "Look for clients with many connections or large request heads by the field address.")
-	eventConnectionEvicted = event.Define(1862, log.InfoLevel, "connection closed to make room",
-		"A connection without a request in progress was closed in favour of another one, because a budget is used up: an idle one, or one whose request head was still arriving.", "See event 1861.")
 	eventBudgets = event.Define(1863, log.InfoLevel, "budgets of connections",
 		"The process started with these settings. 0 means that there is no bound.", "none")
 	eventRegionRefused = event.Define(1870, log.InfoLevel, "request refused because of its region",
--- a/router/sidecar/explain.go
+++ b/router/sidecar/explain.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"burdockglade.dev/router/admit"
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/explain"
@@ -64,8 +65,8 @@
 		return nil, "busy", errkind.New(errkind.Overloaded, "another explanation is in progress")
 	}
 	defer s.explaining.Unlock()
-	if c := guardOf(req.Context()); c != nil && !c.Charge(explainBytes) {
-		return nil, "busy", errNoMemory()
+	if c := connguard.Of(req.Context()); c != nil && !c.Charge(explainBytes) {
+		return nil, "busy", connguard.NoMemory()
 	}
 	defer func() {
 		if v := recover(); v != nil {
--- a/router/sidecar/readahead.go
+++ b/router/sidecar/readahead.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/connlimit"
 	"burdockglade.dev/router/event"
 )
@@ -69,7 +70,7 @@
 // arrived.
 type readAhead struct {
 	conn         net.Conn
-	guarded      *guardedConn // what is read ahead is charged to it; may be nil
+	guarded      *connguard.Conn // what is read ahead is charged to it; may be nil
 	startRequest func(*http.Request) *pipelinedRequest
 	log          *event.Logger
 
--- a/router/sidecar/readaheadcharge.go
+++ b/router/sidecar/readaheadcharge.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/connlimit"
 )
 
@@ -16,7 +17,7 @@
 // The caller holds a.mu.
 func (a *readAhead) chargeBytes(n int) bool {
 	cost := int64(n) * readAheadCopies
-	if !a.guarded.chargeAhead(cost) {
+	if !a.guarded.ChargeAhead(cost) {
 		return false
 	}
 	a.charged += cost
@@ -27,12 +28,12 @@
 func (a *readAhead) refundBytes(n int) {
 	cost := min(int64(n)*readAheadCopies, a.charged)
 	a.charged -= cost
-	a.guarded.refundAhead(cost)
+	a.guarded.RefundAhead(cost)
 }
 
 // aheadCharge is what is charged for a request that is processed before its turn.
 type aheadCharge struct {
-	guarded *guardedConn
+	guarded *connguard.Conn
 
 	mu       sync.Mutex
 	bytes    int64
@@ -44,12 +45,20 @@
 func (a *readAhead) chargeHead(head []byte) *aheadCharge {
 	var counted connlimit.Head
 	cost := connlimit.HeadCost(counted.Add(head)) + connlimit.RequestCost
-	if counted.Exceeds(a.guarded.maxHeadBytes()) || !a.guarded.chargeAhead(cost) {
+	if counted.Exceeds(a.maxHeadBytes()) || !a.guarded.ChargeAhead(cost) {
 		return nil
 	}
 	return &aheadCharge{guarded: a.guarded, bytes: cost}
 }
 
+// maxHeadBytes returns the limit on the header of a request.
+func (a *readAhead) maxHeadBytes() int {
+	if a.guarded == nil {
+		return maxHeaderBytes
+	}
+	return a.guarded.MaxHeadBytes()
+}
+
 // chargeResponse charges n bytes of the response. It has no effect after release: the losing
 // one of two attempts may get its response after the request was answered.
 func (c *aheadCharge) chargeResponse(n int64) {
@@ -60,7 +69,7 @@
 	defer c.mu.Unlock()
 	if !c.released {
 		c.bytes += n
-		c.guarded.guard.budget.ChargeAheadResponse(c.guarded.account, n)
+		c.guarded.ChargeAheadResponse(n)
 	}
 }
 
@@ -70,7 +79,7 @@
 	defer c.mu.Unlock()
 	if !c.released {
 		c.released = true
-		c.guarded.refundAhead(c.bytes)
+		c.guarded.RefundAhead(c.bytes)
 	}
 }
 
@@ -106,7 +115,7 @@
 	if ahead, ok := req.Context().Value(aheadKey{}).(*aheadCharge); ok {
 		return ahead.chargeResponse
 	}
-	if c := guardOf(req.Context()); c != nil {
+	if c := connguard.Of(req.Context()); c != nil {
 		return c.ChargeResponse
 	}
 	return nil
--- a/router/sidecar/readaheadcharge_test.go
+++ b/router/sidecar/readaheadcharge_test.go
@@ -51,7 +51,7 @@
 }
 
 func (s *aheadServer) charged() int64 {
-	return s.guard.budget.Stats()[connlimit.Caller].MemoryBytes
+	return s.guard.Stats(connlimit.Caller).MemoryBytes
 }
 
 // exchange sends the text on a connection that has served a request before, and reads n
--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"burdockglade.dev/router/connlimit"
 )
 
 // Settings are the settings of one sidecar process, an INI file with one section for each
@@ -218,15 +220,6 @@
 	}
 }
 
-const (
-	// minMemoryMB is what a process without traffic takes at most, and maxMemoryMB keeps the
-	// number of bytes far from overflow.
-	minMemoryMB = 32
-	maxMemoryMB = 1 << 24
-	// minFDs leaves 100 descriptors beside those that are kept for files.
-	minFDs = 300
-)
-
 // Check returns all errors of the settings, joined.
 func (s Settings) Check() error {
 	var errs []error
@@ -273,11 +266,11 @@
 	if s.Host.LinkMbps < 0 || math.IsNaN(s.Host.LinkMbps) || math.IsInf(s.Host.LinkMbps, 0) {
 		errs = append(errs, fmt.Errorf("host.link_mbps = %v: want 0 or more", s.Host.LinkMbps))
 	}
-	if m := s.Host.MemoryMB; m != 0 && !(m >= minMemoryMB && m <= maxMemoryMB) {
-		errs = append(errs, fmt.Errorf("host.memory_mb = %v: want 0, or %d to %d", m, minMemoryMB, maxMemoryMB))
+	if m := s.Host.MemoryMB; !connlimit.ValidMemoryMB(m) {
+		errs = append(errs, fmt.Errorf("host.memory_mb = %v: want 0, or %d to %d", m, connlimit.MinMemoryMB, connlimit.MaxMemoryMB))
 	}
-	if n := s.Host.MaxFDs; n != 0 && n < minFDs {
-		errs = append(errs, fmt.Errorf("host.max_fds = %d: want 0, or at least %d", n, minFDs))
+	if n := s.Host.MaxFDs; !connlimit.ValidFiles(n) {
+		errs = append(errs, fmt.Errorf("host.max_fds = %d: want 0, or at least %d", n, connlimit.MinFiles))
 	}
 	if s.Terms.RetryRatio < 0 || s.Terms.RetrySlack < 0 {
 		errs = append(errs, errors.New("terms.retry_ratio and terms.retry_slack: want 0 or more"))
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"burdockglade.dev/router/boottime"
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/connlimit"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
@@ -102,7 +103,7 @@
 	// as last read.
 	memberVersions sync.Map
 	callers        *callerConns
-	guard          *connGuard
+	guard          *connguard.Guard
 	listeners      []net.Listener
 	createdAt      boottime.Time
 	stopping       atomic.Bool
@@ -142,7 +143,7 @@
 	s.evacuation = s.buildEvacuation()
 	s.buildConfig()
 	s.buildKeys()
-	s.guard = newConnGuard(s)
+	s.guard = newConnGuard(connlimit.Options{MemoryBytes: host.MemoryBytes(), Files: host.MaxFDs}, s.config.limits, opts.Headers, s.log, s.scope)
 	s.buildRequests()
 	s.buildMembers()
 	return s
@@ -292,7 +293,7 @@
 		s.commands.run,
 		s.publisher.run,
 		s.sweeper.run,
-		s.guard.run,
+		s.guard.Run,
 	} {
 		wg.Go(func() { task(background) })
 	}
@@ -333,7 +334,7 @@
 	requests, cancel := context.WithCancelCause(context.Background())
 	callers.BaseContext = func(net.Listener) context.Context { return requests }
 	s.cancelRequests = cancel
-	s.guard.protect(callers, 0)
+	s.guard.Protect(callers, connguard.ServerOptions{BodyTime: defaultTimeout})
 	for _, e := range []struct {
 		name, address string
 		server        server
@@ -352,7 +353,11 @@
 		if e.server == callers {
 			listener = callerListener{Listener: listener, conns: s.callers, beginPipelined: s.beginPipelined, log: s.log}
 		}
-		listener = s.guard.listener(listener, e.class)
+		if e.server == hopServer {
+			listener = s.guard.MeteredListener(listener, e.class)
+		} else {
+			listener = s.guard.Listener(listener, e.class)
+		}
 		servers = append(servers, e.server)
 		s.listeners = append(s.listeners, listener)
 		go s.serve(e.server, e.name, listener)
@@ -377,7 +382,7 @@
 func (s *Sidecar) internalServer(handler http.Handler, requestBytes int64) *http.Server {
 	sv := httpServer(handler)
 	sv.ReadHeaderTimeout, sv.ReadTimeout, sv.IdleTimeout = defaultHeaderTimeout, controlReadTimeout, defaultIdleTimeout
-	s.guard.protect(sv, requestBytes)
+	s.guard.Protect(sv, connguard.ServerOptions{RequestBytes: requestBytes, BodyTime: defaultTimeout})
 	return sv
 }
 
