Bound the control messages that a router holds

Cause: the control listener of `burdockglade run` read messages of up to 16 MB, also compressed ones of 16 KB, from processes that had not authenticated.

Change: before authentication a message may have 4 KiB, decompressed; those of the handshake have a host name, a nonce and a proof. Messages and their decoded parameters are charged to connections that have a Meter, until the call ends. A call that does not fit gets the error `overloaded`.

Measured: (cd router && go test -race -p 2 ./peer): ok. Existing tests are unchanged.

--- a/router/peer/codec.go
+++ b/router/peer/codec.go
@@ -45,7 +45,11 @@
 
 // codec frames JSON messages with a length prefix, so that an oversized message is
 // rejected before it is read.
-type codec struct{}
+type codec struct {
+	// limits bounds the messages of a connection that the server accepted; nil for that of a
+	// client.
+	limits *messageLimits
+}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (codec) WriteObject(stream io.Writer, obj any) error {
@@ -89,7 +93,7 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (codec) ReadObject(stream *bufio.Reader, v any) error {
+func (c codec) ReadObject(stream *bufio.Reader, v any) error {
 	var prefix [lengthBytes]byte
 	if _, err := io.ReadFull(stream, prefix[:]); err != nil {
 		return err
@@ -97,31 +101,39 @@
 	size := binary.BigEndian.Uint32(prefix[:])
 	compressed := size&compressedFlag != 0
 	size &^= compressedFlag
-	if size > maxMessageBytes {
+	limit := c.limits.maxBytes()
+	if int64(size) > limit {
 		return fmt.Errorf("%w: %d bytes", errMessageTooLarge, size)
 	}
+	if err := c.limits.charge(int64(size)); err != nil {
+		return err
+	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(stream, body); err != nil {
 		return err
 	}
 	if compressed {
 		var err error
-		if body, err = decompress(body); err != nil {
+		if body, err = decompress(body, limit); err != nil {
 			return err
 		}
 	}
+	// The decoded message has its own copy of the parameters.
+	if err := c.limits.charge(int64(len(body))); err != nil {
+		return err
+	}
 	return json.Unmarshal(body, v)
 }
 
-// decompress decompresses a body up to maxMessageBytes, so that a small message
-// cannot exhaust memory.
-func decompress(compressed []byte) ([]byte, error) {
+// decompress decompresses a body up to limit bytes, so that a small message cannot
+// exhaust memory.
+func decompress(compressed []byte, limit int64) ([]byte, error) {
 	r := flate.NewReader(bytes.NewReader(compressed))
-	body, err := io.ReadAll(io.LimitReader(r, maxMessageBytes+1))
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
 		return nil, fmt.Errorf("decompressing control message: %w", err)
 	}
-	if len(body) > maxMessageBytes {
+	if int64(len(body)) > limit {
 		return nil, errMessageTooLarge
 	}
 	return body, nil
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -153,7 +153,8 @@
 	// The deadline closes connections that do not authenticate in time, and
 	// later idle ones.
 	_ = conn.SetReadDeadline(time.Now().Add(handshakeTimeout))
-	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	limits := newMessageLimits(conn, sess.authenticated)
+	handler := limitedHandler{limits: limits, Handler: jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		response, err := sess.handle(ctx, req)
 		if err == nil && sess.authenticated() {
 			_ = conn.SetReadDeadline(time.Now().Add(serverIdleTimeout))
@@ -162,8 +163,8 @@
 			s.opts.Log.Log(evRefused, event.F("address", conn.RemoteAddr().String()), event.F("error", err.Error()))
 		}
 		return response, toRPCError(err)
-	}))
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec{}), handler, jsonrpc2.SetLogger(discardLogger{}))
+	})}
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec{limits: limits}), handler, jsonrpc2.SetLogger(discardLogger{}))
 	<-rpc.DisconnectNotify()
 }
 
