Guard the listeners of run with budgets of memory and descriptors

Cause: `burdockglade run` bounded the number of neither the connections nor the bytes that they hold. A client that sent no body kept its request for ever.

Change: [host] memory_mb and max_fds of `run`, off by default, with the bounds of the sidecar. All six listeners are behind router/connguard; a failed Accept is tried again and ends none of them. The limits and timeouts of [limits] stay with net/http, those of the guard lie beyond them. Responses are charged for the buffers that copy them. Buffered bodies are read until the deadline of their request, and bodies that nobody reads for 5 s at most. A refusal to another router names its kind without a request id, and the entry takes it as not run; one of an earlier version takes it as unknown. Idle connections of routers and descriptors of past requests count for 45 s where pools keep connections that long (PoolTime); 20 s stay the default, for the sidecar.

Ruled out: a limit on the number of connections (docs/design).

Measured: TestHostileClientsOfRun was written before the guard, and crowds and bounds (128 MB, 1,000 descriptors) were not changed since. (cd ctl && go test -p 2 ./hostile -run 'OfRun|ByRun' -v) with the settings and without the guard: 4 of 4 crowds failed, and in an earlier run of the first three 3 of 3, with up to 466 MB (slow heads), 274 MB (mix), 1,484 MB (all listeners), 1,027 descriptors (opened and left) and 1,194 (mix). With the guard 4 of 4 passed in 2 of 2 runs, at most 55 MB and 714 descriptors. A request with a head of 15 KiB was served before and after. (cd ctl && go test -p 2 ./hostile): ok, 111 s. (cd router && go test -race -p 2 ./connguard ./connlimit ./forward ./gate ./peer ./node ./settings ./internal/catalogue): ok. Without the change in forward/hop.go TestRefusalByOwnersLimitsHasNotRun fails (outcome unknown, trial). (cd ctl && go test -p 2 ./e2e -run ...): 9 tests of 9 passed; 10 of 10 with memory_mb = 184 and max_fds = 4100 in their settings (trial on the work tree).

--- a/ctl/hostile/deployment_test.go
+++ b/ctl/hostile/deployment_test.go
@@ -1,4 +1,4 @@
-// Package hostile runs sidecars as separate processes and sends them what no sound client
+// Package hostile runs routers as separate processes and sends them what no sound client
 // sends. It checks that the processes live on, stay within their memory and file
 // descriptors, and answer an ordinary request afterwards.
 package hostile
--- a/router/cmd/burdockglade/main.go
+++ b/router/cmd/burdockglade/main.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/phuslu/log"
 
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/metrics"
 	"burdockglade.dev/router/node"
@@ -58,6 +59,7 @@
 	if err != nil {
 		return invalidError{err}
 	}
+	connguard.LimitMemory(s.Host.MemoryBytes())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	scope := metrics.New()
--- a/router/connlimit/budget.go
+++ b/router/connlimit/budget.go
@@ -26,14 +26,13 @@
 	// minIdleTime is the time for which a connection is not closed in a phase: the server may
 	// not have processed yet what it has read.
 	minIdleTime = 250 * time.Millisecond
-	// routerIdleTime is that time for idle connections of routers. Their clients give them up
-	// after 20 s; before that a request may be on its way.
-	routerIdleTime = 30 * time.Second
+	// routerIdleMargin is what idle connections of routers have beyond the time after which
+	// their clients give them up: before that a request may be on its way.
+	routerIdleMargin = 10 * time.Second
 	// lingerTime is how long a refused client may read the response.
 	lingerTime = 500 * time.Millisecond
-	// poolTime is how long the connections that a request has used to other hosts may stay
-	// open.
-	poolTime = 20 * time.Second
+	// defaultPoolTime is that of package connpool.
+	defaultPoolTime = 20 * time.Second
 )
 
 // Options configure a Budget. 0 means that there is no bound.
@@ -42,6 +41,8 @@
 	MemoryBytes int64
 	// Files is the number of file descriptors that the process may open.
 	Files int
+	// PoolTime is how long routers keep idle connections to other hosts. 0 means 20 s.
+	PoolTime time.Duration
 }
 
 // Timeouts bound the phases of the connections of a class.
@@ -57,6 +58,8 @@
 	memory resource
 	files  resource
 	queues [classes][phases]queue
+	// poolTime is Options.PoolTime.
+	poolTime time.Duration
 	// active is the number of requests in progress, and peaks the largest numbers in the
 	// current and the previous period of poolTime.
 	active      [classes]int64
@@ -66,7 +69,10 @@
 
 // New returns a budget without connections.
 func New(o Options) *Budget {
-	b := &Budget{memory: newResource(o.MemoryBytes / budgetDivisor)}
+	b := &Budget{memory: newResource(o.MemoryBytes / budgetDivisor), poolTime: defaultPoolTime}
+	if o.PoolTime > 0 {
+		b.poolTime = o.PoolTime
+	}
 	if o.Files > 0 {
 		b.files = newResource(max(int64(o.Files-reservedFiles), 1))
 	}
--- a/router/connlimit/budget_test.go
+++ b/router/connlimit/budget_test.go
@@ -226,6 +226,24 @@
 	}
 }
 
+// Guards against idle connections of routers that are closed while their clients still use
+// them, where these keep them for longer than 20 s.
+func TestIdleRoutersAreKeptForPoolTime(t *testing.T) {
+	for _, pool := range []time.Duration{0, 45 * time.Second} {
+		b := New(Options{Files: reservedFiles + 1, PoolTime: pool})
+		c := open(t, b, at(0), Router, 1)[0]
+		b.ReadStarted(at(0), c)
+		b.RequestDone(at(0), c)
+		kept := max(pool, defaultPoolTime) + routerIdleMargin
+		if b.Yield(at(0).Add(kept-1), Router) != nil {
+			t.Errorf("pool time %v: closed before %v", pool, kept)
+		}
+		if b.Yield(at(0).Add(kept), Router) == nil {
+			t.Errorf("pool time %v: not closed after %v", pool, kept)
+		}
+	}
+}
+
 // Guards against heads whose size or lines are counted wrongly, however they arrive.
 func TestHeadCountsPiecewise(t *testing.T) {
 	for text, want := range map[string]Head{
--- a/router/connlimit/descriptors.go
+++ b/router/connlimit/descriptors.go
@@ -35,7 +35,7 @@
 // rotatePeaks begins a new period once the current one is over. Descriptors of the largest
 // number of requests in the period before the last are released.
 func (b *Budget) rotatePeaks(now time.Time) {
-	if now.Sub(b.periodSince) < poolTime {
+	if now.Sub(b.periodSince) < b.poolTime {
 		return
 	}
 	b.periodSince = now
--- a/router/connlimit/evict.go
+++ b/router/connlimit/evict.go
@@ -15,7 +15,7 @@
 			if i > 0 && of != Caller && p != Lingering {
 				continue
 			}
-			if c := b.queues[of][p].oldest(); c != nil && now.Sub(c.since) >= minAge(of, p) {
+			if c := b.queues[of][p].oldest(); c != nil && now.Sub(c.since) >= b.minAge(of, p) {
 				return c
 			}
 		}
@@ -24,12 +24,12 @@
 }
 
 // minAge returns the time for which a connection in the phase is not closed.
-func minAge(of Class, p Phase) time.Duration {
+func (b *Budget) minAge(of Class, p Phase) time.Duration {
 	switch {
 	case p == Lingering:
 		return 0
 	case of == Router && p == Idle:
-		return routerIdleTime
+		return b.poolTime + routerIdleMargin
 	}
 	return minIdleTime
 }
--- a/router/forward/body.go
+++ b/router/forward/body.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/errkind"
 )
 
@@ -14,6 +16,10 @@
 // request can be retried. A larger body is streamed and can be sent only once.
 const maxReplayBytes = 256 << 10
 
+// streamMargin is how long behind the deadline of its request a streamed body may still be
+// read. The request has ended by then.
+const streamMargin = time.Second
+
 // body supplies the body of a caller's request to each attempt. It is either
 // buffered or streamed.
 type body struct {
@@ -25,7 +31,7 @@
 
 // newBody buffers a body of at most maxReplayBytes bytes. A larger body, or one of
 // unknown length, is streamed and must not exceed limit bytes.
-func newBody(in *http.Request, limit int64) (*body, error) {
+func newBody(in *http.Request, limit int64) (*body, *errkind.Error) {
 	if in.Body == nil || in.Body == http.NoBody || in.ContentLength == 0 {
 		return &body{}, nil
 	}
@@ -42,6 +48,36 @@
 	return &body{buffered: buffered, length: in.ContentLength}, nil
 }
 
+// streamBytes is the memory of a body that is streamed: the buffer of an attempt.
+const streamBytes = 32 << 10
+
+// receiveBody returns the body of a request like newBody, once it fits into the limits on
+// connections. A body that is buffered and not complete at the deadline is refused.
+func receiveBody(w http.ResponseWriter, in *http.Request, r *request) (*body, *errkind.Error) {
+	c := connguard.Of(in.Context())
+	if c == nil || in.Body == nil || in.Body == http.NoBody || in.ContentLength == 0 {
+		return newBody(in, r.service.MaxBody)
+	}
+	cost := int64(streamBytes)
+	if in.ContentLength > 0 && in.ContentLength <= maxReplayBytes {
+		cost = in.ContentLength
+	}
+	var b *body
+	refused := c.ReceiveBody(w, connguard.Body{
+		Cost: cost, Deadline: r.deadline, StreamMargin: streamMargin,
+		Read: func() (held int64, streams bool, err *errkind.Error) {
+			if b, err = newBody(in, r.service.MaxBody); err != nil {
+				return 0, false, err
+			}
+			return cost, b.stream != nil, nil
+		},
+	})
+	if refused != nil {
+		return nil, refused
+	}
+	return b, nil
+}
+
 // open returns the body for one attempt.
 func (b *body) open() io.ReadCloser {
 	if b.stream == nil {
--- a/router/forward/entry.go
+++ b/router/forward/entry.go
@@ -119,7 +119,10 @@
 	}
 	r, err := newRequest(in, e.opts.Services, start)
 	if err == nil {
-		r.body, err = newBody(in, r.service.MaxBody)
+		var refused *errkind.Error
+		if r.body, refused = receiveBody(w, in, r); refused != nil {
+			err = refused
+		}
 	}
 	if err != nil {
 		e.refuse(w, r, err)
--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -202,7 +202,7 @@
 	var seen http.Header
 	holder := startOwner(t, "b", func(w http.ResponseWriter, r *http.Request, _ gate.Request) error {
 		seen = r.Header.Clone()
-		w.Header().Set(headerRefusal, "wrong_owner")
+		w.Header().Set(HeaderRefusal, "wrong_owner")
 		w.Header().Set("X-Answer", "yes")
 		_, _ = io.WriteString(w, "ok")
 		return nil
--- a/router/forward/headers.go
+++ b/router/forward/headers.go
@@ -16,13 +16,15 @@
 	headerHopRegion       = "Burdock-Hop-Region" // of the entry
 	headerHopTenant       = "Burdock-Hop-Tenant"
 	headerHopIdempotency  = "Burdock-Hop-Idempotency-Key"
-	headerRefusal         = "Burdock-Refusal" // set on refusals of the owner's router
 	internalHeaderPrefix  = "Burdock-"
 	headerConnection      = "Connection"
 	headerExpect          = "Expect"
 	expectContinue        = "100-continue"
 )
 
+// HeaderRefusal is set on refusals of the owner's router to the kind of error.
+const HeaderRefusal = "Burdock-Refusal"
+
 // hopByHopHeaders lists the headers that apply to a single connection and are not
 // forwarded.
 var hopByHopHeaders = []string{
--- a/router/forward/hop.go
+++ b/router/forward/hop.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"burdockglade.dev/router/connguard"
+	"burdockglade.dev/router/connlimit"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/gate"
 	"burdockglade.dev/router/ownership"
@@ -256,12 +258,16 @@
 // deliver sends the owner's response to the caller, or returns the owner's refusal.
 func (h *hop) deliver(w http.ResponseWriter, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
+	if err := overloadRefusal(resp.Header); err != nil {
+		return err
+	}
 	if resp.Header.Get(HeaderRequestID) != h.id {
 		return errkind.New(errkind.OutcomeUnknown, "host %s responded to request %q instead of %q", h.record.Holder.Name, resp.Header.Get(HeaderRequestID), h.id)
 	}
-	if resp.Header.Get(headerRefusal) != "" {
+	if resp.Header.Get(HeaderRefusal) != "" {
 		return readRefusal(resp)
 	}
+	connguard.ChargeResponse(h.r.in.Context(), streamBufferBytes)
 	copyHeaders(w.Header(), endToEndHeaders(resp.Header))
 	w.Header().Set(HeaderRequestID, h.id)
 	setOwnerHeaders(w, h.record)
@@ -307,6 +313,17 @@
 	}
 }
 
+// overloadRefusal returns the error of a refusal by the limits on connections of the owner's
+// router, or nil. The router has not read the request, and so does not know its id.
+func overloadRefusal(header http.Header) error {
+	if header.Get(HeaderRequestID) != "" || header.Get(HeaderRefusal) != string(errkind.Overloaded) {
+		return nil
+	}
+	err := errkind.New(errkind.Overloaded, "the owner's router has no capacity left for the request")
+	err.RetryAfter = connlimit.RefusalRetry
+	return markOwnerRefusal(err)
+}
+
 func readRefusal(resp *http.Response) error {
 	var f refusal
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRefusalBytes)).Decode(&f); err != nil {
--- a/router/forward/hopserver.go
+++ b/router/forward/hopserver.go
@@ -145,7 +145,7 @@
 		f.Record = record
 	}
 	response := errkind.ResponseOf(kind)
-	w.Header().Set(headerRefusal, string(kind))
+	w.Header().Set(HeaderRefusal, string(kind))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(response.Status)
 	_ = json.NewEncoder(w).Encode(f)
--- a/router/gate/response.go
+++ b/router/gate/response.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/upstream"
@@ -34,6 +35,11 @@
 	if response.ContentLength >= 0 && response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
 		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
+	held := response.ContentLength
+	if held < 0 || held > maxBufferedResponse {
+		held = copyBufferSize
+	}
+	connguard.ChargeResponse(h.r.Context(), held)
 	if response.ContentLength > maxBufferedResponse || response.ContentLength < 0 && h.r.Method != http.MethodHead {
 		h.streamResponse(inFlight, response, header)
 		return true, nil
--- a/router/node/listeners.go
+++ b/router/node/listeners.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"burdockglade.dev/router/connguard"
 )
 
 // Timeouts and limits of the HTTP servers.
@@ -62,6 +64,7 @@
 		l.close()
 		return nil, fmt.Errorf("[listen] control (UDP): %w", err)
 	}
+	l.guard(n.guard)
 	return l, nil
 }
 
@@ -98,6 +101,10 @@
 	metricsMux.Handle("GET /metrics", n.options.Metrics.Handler)
 	upstreamServer := &http.Server{Handler: n.agent.Handler(), ReadTimeout: upstreamReadTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes}
 	metricsServer := &http.Server{Handler: metricsMux, ReadHeaderTimeout: limits.ReadHeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes}
+	for _, s := range []*http.Server{l.callerServer, l.hopServer, upstreamServer, adminServer} {
+		n.guard.Protect(s, connguard.ServerOptions{DrainTime: drainTimeout})
+	}
+	n.guard.Protect(metricsServer, connguard.ServerOptions{RequestBytes: metricsBytes, DrainTime: drainTimeout})
 	l.otherServers = []*http.Server{upstreamServer, adminServer, metricsServer}
 	l.run(l.callerServer, l.caller)
 	l.run(l.hopServer, l.hop)
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -15,6 +15,7 @@
 
 	"burdockglade.dev/router/admin"
 	"burdockglade.dev/router/admit"
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/forward"
@@ -100,6 +101,7 @@
 	drainRequested chan struct{}
 
 	adminServer *http.Server
+	guard       *connguard.Guard
 	listeners   *listeners
 	running     sync.WaitGroup
 }
@@ -313,6 +315,7 @@
 		IdleTimeout:       n.settings.Limits.IdleTimeout,
 	})
 	n.adminServer = server
+	n.guard = n.buildGuard()
 	return err
 }
 
@@ -367,6 +370,7 @@
 	n.running.Go(func() { n.placer.run(ctx) })
 	n.running.Go(func() { n.keepStandbysInOtherZones(ctx) })
 	n.running.Go(func() { n.reportGauges(ctx) })
+	n.running.Go(func() { n.runGuard(ctx) })
 	n.running.Go(func() { n.initialScan(ctx) })
 	n.listeners.serve(n, n.adminServer)
 }
--- a/router/settings/keys.go
+++ b/router/settings/keys.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"burdockglade.dev/router/connlimit"
 )
 
 // keyDef defines one key of the settings file.
@@ -30,9 +32,31 @@
 		required(nameKey("host", "zone", func(s *Settings) *string { return &s.Host.Zone })),
 		required(nameKey("host", "region", func(s *Settings) *string { return &s.Host.Region })),
 		optional(nameKey("host", "service", func(s *Settings) *string { return &s.Host.Service })),
+		{
+			section: "host", name: "memory_mb",
+			want: fmt.Sprintf("0, or a number from %d to %d", connlimit.MinMemoryMB, connlimit.MaxMemoryMB),
+			set:  setMemory,
+		},
+		{
+			section: "host", name: "max_fds",
+			want: fmt.Sprintf("0, or a whole number of at least %d", connlimit.MinFiles),
+			set:  setMaxFDs,
+		},
 	}
 }
 
+func setMemory(s *Settings, value string) bool {
+	v, err := strconv.ParseFloat(value, 64)
+	s.Host.MemoryMB = v
+	return err == nil && connlimit.ValidMemoryMB(v)
+}
+
+func setMaxFDs(s *Settings, value string) bool {
+	v, err := strconv.Atoi(value)
+	s.Host.MaxFDs = v
+	return err == nil && connlimit.ValidFiles(v)
+}
+
 func listenKeys() []keyDef {
 	return []keyDef{
 		addrKey("listen", "caller", func(s *Settings) *string { return &s.Listen.Caller }),
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -37,6 +37,17 @@
 	// Default: none. The service that the upstream announces is
 	// authoritative.
 	Service string
+	// MemoryMB is the memory of the host in MB, which bounds what the connections of the
+	// process hold. 0 or 32 to 16777216. Default 0: no bound.
+	MemoryMB float64
+	// MaxFDs is the number of file descriptors that the process may open; 200 of them are
+	// kept for files. 0 or at least 300. Default 0: no bound.
+	MaxFDs int
+}
+
+// MemoryBytes returns the memory of the host in bytes, or 0 if it is not set.
+func (h Host) MemoryBytes() int64 {
+	return int64(h.MemoryMB * 1_000_000)
 }
 
 // Listen has the addresses that the process listens on, each an IP address and a
