Stopping hosts go on taking requests that end in time

Callers saw: while 36 to 40 of 69 routers were restarted within a few seconds, about half of the requests were refused, although the upstreams of the stopping hosts were idle for most of the 2.5 s that a stop takes at least.

Cause: other hosts, and the stopping host itself, stopped choosing an upstream as soon as its router had announced the stop, and its gate refused requests without a key of other hosts after 1 s.

Change: the gate takes requests without a key as long as they are expected to end by the end of the notice time, by the mean service time of their class, and in any case for the first second, as before. Hosts choose a stopping host for 1 s after they hear of the stop, behind others that have free slots. Large responses still go elsewhere.

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -82,6 +82,7 @@
 	if h.member.Incarnation() != m.Incarnation() {
 		h.slowness, h.errorRate = 0, 0
 	}
+	h.noteStopping(time.Now(), m)
 	h.member = m
 	h.rowVersion = max(h.rowVersion, version)
 	h.mu.Unlock()
@@ -231,7 +232,7 @@
 
 // Choose returns the host with the lowest cost among the hosts of the service that
 // accept new requests, are in no evacuated zone and are not in exclude, or nil if there is
-// none.
+// none. Hosts whose router has just begun to stop are among them, at a higher cost.
 func (d *Directory) Choose(now time.Time, service string, exclude []*Host) *Host {
 	return d.ChooseAllowed(now, service, exclude, nil)
 }
@@ -261,9 +262,9 @@
 	switch state := d.state(now, &v.member); {
 	case allowed != nil && !allowed(v.member):
 		return ExcludedNotAllowed
-	case state == Stopping:
+	case state == Stopping && !d.usableWhileStopping(now, v):
 		return ExcludedStopping
-	case state != Ready:
+	case state != Ready && state != Stopping:
 		return ExcludedLeaving
 	case slices.Contains(exclude, v.host):
 		return ExcludedTried
@@ -320,5 +321,8 @@
 	if v.unavailable {
 		cost += unavailableCost
 	}
+	if v.member.State == Stopping {
+		cost += stoppingCost
+	}
 	return cost
 }
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -138,6 +138,41 @@
 	}
 }
 
+// Guards against slots that stay unused while a router begins to stop and all other hosts
+// are busy, and against requests to it that will be refused.
+func TestStoppingHostIsChosenBehindOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory(upstream("a", "z1", "r1"), upstream("b", "z1", "r1"))
+		stopping := upstream("a", "z1", "r1")
+		stopping.State = Stopping
+		d.Put(stopping)
+		if got := choices(d); got["b"] != 200 {
+			t.Errorf("choices %v while b is idle, want all b", got)
+		}
+		busy := d.Host("b")
+		for range 10 {
+			busy.RequestStarted()
+		}
+		if got := choices(d); got["a"] != 200 {
+			t.Errorf("choices %v while b is full, want all a", got)
+		}
+		d.Put(stopping) // the same news once more
+		time.Sleep(stoppingUseTime)
+		if got := choices(d); got["b"] != 200 {
+			t.Errorf("choices %v after %v, want all b", got, stoppingUseTime)
+		}
+		d.Put(upstream("a", "z1", "r1"))
+		if got := choices(d); got["a"] != 200 {
+			t.Errorf("choices %v after the restart, want all a", got)
+		}
+		stopping.Leaving = true
+		d.Put(stopping)
+		if got := choices(d); got["b"] != 200 {
+			t.Errorf("choices %v while the upstream of a leaves as well, want all b", got)
+		}
+	})
+}
+
 // Guards against rows of other writers that are accepted as hosts without a usable
 // address.
 func TestDecodeMemberRejectsInvalidRows(t *testing.T) {
--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -104,6 +104,9 @@
 	// failures is the number of consecutive requests that did not reach the host.
 	failures     int
 	backoffUntil time.Time
+	// stoppingSince is the time since which the router of the host is known to stop, zero if
+	// it does not.
+	stoppingSince time.Time
 	// notReaderUntil is the time until which the host is not used as reader of its
 	// zone.
 	notReaderUntil time.Time
@@ -285,6 +288,8 @@
 	errorRate        float64
 	// unavailable is true if the host is in backoff or silent.
 	unavailable bool
+	// stoppingSince is that of the host.
+	stoppingSince time.Time
 }
 
 func (h *Host) view(now time.Time) view {
@@ -307,5 +312,6 @@
 		slowness:         h.slowness * (1 + (h.load.paceFactor()-1)/(1+paceAge)),
 		errorRate:        h.errorRate,
 		unavailable:      now.Before(h.backoffUntil) || h.silent(now),
+		stoppingSince:    h.stoppingSince,
 	}
 }
--- a/router/fleet/near.go
+++ b/router/fleet/near.go
@@ -40,6 +40,8 @@
 
 func (d *Directory) chooseNear(now time.Time, service string, exclude []*Host, allowed func(Member) bool, jitter func() float64) NearChoice {
 	views := d.eligible(now, service, nil, allowed)
+	// A large response would keep a stopping router, and the link of its host, busy for long.
+	views = slices.DeleteFunc(views, func(v view) bool { return v.member.State == Stopping })
 	mean := meanSlowness(views)
 	here := locality.Place{Zone: d.zone, Region: d.region}
 	candidates := make([]locality.Candidate, 0, len(views))
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -184,6 +184,7 @@
 		return err
 	}
 	s := g.local.get()
+	service := g.limiter.MeanServiceTime(c.workClass())
 	switch {
 	case !s.known:
 		return errkind.New(errkind.UpstreamDown, "the upstream of %s has not announced itself", g.host)
@@ -193,9 +194,9 @@
 		return g.regions.refusal()
 	case !s.mayTakeRequests(now, g.drainLimit):
 		return errkind.New(errkind.Draining, "the upstream of %s is leaving", g.host)
-	case g.stoppingFor() > unkeyedNoticeTime && !c.Keyed, g.stoppingFor() > drainNoticeTime:
+	case !takesWhileStopping(g.stoppingFor(), service, c.Keyed):
 		return errkind.New(errkind.Draining, "the router of %s is stopping", g.host)
-	case min(g.limiter.MeanServiceTime(c.workClass()), c.Deadline.Sub(now)) > g.graceLeft():
+	case min(service, c.Deadline.Sub(now)) > g.graceLeft():
 		return errkind.New(errkind.Draining, "the request would not end before the router of %s", g.host)
 	case c.Keyed && !g.keys.holds(c.Key):
 		return errkind.New(errkind.NoOwner, "the upstream of %s does not hold key %d", g.host, c.Key)
--- a/router/sidecar/stop.go
+++ b/router/sidecar/stop.go
@@ -15,9 +15,9 @@
 	// router has reported that it is not ready. Callers check once a second and leave
 	// after two failures; later requests would not end within the grace period.
 	drainNoticeTime = 2200 * time.Millisecond
-	// unkeyedNoticeTime is that time for requests of other routers that can go to another
-	// upstream. Those routers learn of the stop from the member row.
-	unkeyedNoticeTime = time.Second
+	// minUnkeyedNoticeTime is how long requests without a key are taken in any case, however
+	// long they run: other routers need this time to learn of the stop from the member row.
+	minUnkeyedNoticeTime = time.Second
 	// maxHandOverTime is how long a stop waits for the upstream's keys to move to other
 	// hosts. Keys that stay would be unavailable until the router is back.
 	maxHandOverTime = 3500 * time.Millisecond
@@ -92,6 +92,18 @@
 	return now.Sub(start) >= drainNoticeTime && handedOver && s.inFlight.Load() == 0 && busy+waiting == 0
 }
 
+// takesWhileStopping reports whether a router that has been stopping for the time takes
+// another request for its upstream. Requests without a key can go to other upstreams: they
+// are taken as long as they are expected to end by the end of the notice time, so that the
+// slots of a stopping host stay in use and do not delay its end. service is the mean time
+// that such a request runs.
+func takesWhileStopping(stopping, service time.Duration, keyed bool) bool {
+	if keyed || stopping <= minUnkeyedNoticeTime {
+		return stopping <= drainNoticeTime
+	}
+	return stopping+service <= drainNoticeTime
+}
+
 // stoppingFor returns the time since the stop began, or 0.
 func (s *Sidecar) stoppingFor() time.Duration {
 	if !s.stopping.Load() {
