--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -29,6 +29,11 @@
 	RequestHead
 	Body   []byte
 	Stream io.Reader
+	// DeferBody asks the client to send Body only once the server has admitted the request.
+	// It has no effect if the server is not known to support it.
+	DeferBody bool
+	// deferred is set by the server if the sender keeps the body. Body is then empty.
+	deferred *deferredBody
 	// ChargeResponse charges n bytes of a response to the connection on which the request
 	// arrived. It is set by the server.
 	ChargeResponse func(n int64)
@@ -47,6 +52,8 @@
 type fieldCache struct {
 	sent, received []Field
 	used           bool
+	// defersBodies is true once the server has announced that it knows DefersBody.
+	defersBodies bool
 }
 
 // Do sends the request once and returns the head of its response. When ctx ends, the
@@ -78,11 +85,17 @@
 	if r.Stream != nil {
 		head.Flags |= AsksForBody
 	}
+	body := r.Body
+	deferBody := r.DeferBody && cache.defersBodies && r.Stream == nil && len(body) > 0
+	if deferBody {
+		head.Flags |= DefersBody
+		body = nil
+	}
 	message, err := appendHead(nil, head)
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", connpool.ErrNotSent, err)
 	}
-	n, err := cn.Write(append(message, r.Body...))
+	n, err := cn.Write(append(message, body...))
 	if err != nil {
 		if n == 0 {
 			err = fmt.Errorf("%w: %w", connpool.ErrNotSent, err)
@@ -94,11 +107,18 @@
 			return nil, true, fmt.Errorf("sending the request body: %w", err)
 		}
 	}
+	if deferBody {
+		if sent, err := sendDeferred(cn, r.Body); err != nil {
+			return nil, sent, err
+		}
+	}
 	resp = &Response{}
 	if err := readResponseHead(cn.Reader, &resp.ResponseHead); err != nil {
 		return nil, true, fmt.Errorf("reading the response head: %w", err)
 	}
-	resp.Fields = cache.restore(&cache.received, resp.Fields, resp.SameFields)
+	var announced bool
+	resp.Fields, announced = takeDeferral(cache.restore(&cache.received, resp.Fields, resp.SameFields))
+	cache.defersBodies = cache.defersBodies || announced
 	// The server closes a connection after a request with a stream.
 	resp.Body = &responseBody{conn: cn, src: bodyReader(cn.Reader, resp.Length), ended: resp.Length == 0, noReuse: r.Stream != nil}
 	return resp, true, nil
--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -75,6 +75,9 @@
 	// Large marks a request whose response is expected to be large. Routers of earlier
 	// versions ignore the flag.
 	Large
+	// DefersBody marks a request whose body the sender keeps until the receiver asks for it.
+	// It is sent only on connections on which the receiver has announced that it knows it.
+	DefersBody
 )
 
 // bodyWanted is sent in place of the length of a response head by a receiver that asks for
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -57,6 +57,8 @@
 	// response. responding is true once the response to the last request has begun.
 	writeMu    sync.Mutex
 	responding bool
+	// deferralAnnounced is true once a refusal has told the client of DefersBody.
+	deferralAnnounced bool
 }
 
 // Serve accepts connections until Shutdown, Close, or the end of the listener. After other
@@ -158,6 +160,14 @@
 	if err := c.reserve(bufferedBytes(r.Length)); err != nil {
 		return nil, err
 	}
+	if r.Flags&DefersBody != 0 {
+		if r.Length < 0 || r.Length > maxBufferedBodyBytes {
+			return nil, errDeferredLength
+		}
+		c.setResponding(false)
+		r.deferred = &deferredBody{conn: c, length: r.Length}
+		return r, c.startRequest()
+	}
 	body := bodyReader(c.br, r.Length)
 	if r.Length == unknownLength || r.Length > maxBufferedBodyBytes {
 		r.Stream = body
@@ -211,14 +221,13 @@
 // the connection and cancels the handler's context if the connection ends.
 // watchResult then yields the error, or nil once the next request arrives. A request
 // with a stream is the last one on its connection, because its handler may not have
-// read the stream to its end; its connection is not watched.
+// read the stream to its end; its connection is not watched. That of a request with a
+// deferred body is watched once the body has been read.
 func (s *Server) handle(c *serverConn, r *Request) (watchResult chan error, err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	watchResult = make(chan error, 1)
-	if r.Stream != nil {
-		watchResult <- io.EOF
-	} else {
+	watch := func() {
 		go func() {
 			_, err := c.br.Peek(1)
 			if err != nil {
@@ -227,8 +236,19 @@
 			watchResult <- err
 		}()
 	}
+	switch {
+	case r.Stream != nil:
+		watchResult <- io.EOF
+	case r.deferred != nil:
+		r.deferred.read = watch
+	default:
+		watch()
+	}
 	resp := emptyBody(s.handler(ctx, r))
 	defer func() { _ = resp.Body.Close() }()
+	if d := r.deferred; d != nil && (!d.asked || d.err != nil) {
+		watchResult <- d.err
+	}
 	return watchResult, c.writeResponse(resp)
 }
 
@@ -243,7 +263,8 @@
 // writeResponse sends a response. A short one without Turns is sent in a single write.
 func (c *serverConn) writeResponse(resp *Response) error {
 	head := resp.ResponseHead
-	head.Fields, head.SameFields = c.sent.elide(&c.sent.sent, resp.Fields)
+	c.announceDeferral(&head)
+	head.Fields, head.SameFields = c.sent.elide(&c.sent.sent, head.Fields)
 	message, err := appendHead(nil, head)
 	if err != nil {
 		return err
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -191,7 +191,9 @@
 	if h.Member().Host == e.host {
 		r = e.gate.serve(ctx, c)
 	} else {
+		c.deferBody = e.defersBody(start, h, c)
 		r = sendHop(ctx, h.Client, e.headers, c)
+		e.observeRefusal(start, h, c, r)
 		e.evacuation.merge(r.Evacuated, h.Member().Host) // before the configuration counts as confirmed
 		e.quarantine.responded(c, r, h.Member().Host)
 		e.exchange.observe(r.Config, start, h.Client)
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -8,6 +8,7 @@
 	"burdockglade.dev/router/boottime"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/keyrange"
+	"burdockglade.dev/router/locality"
 	"burdockglade.dev/router/rowstore"
 )
 
@@ -93,6 +94,7 @@
 		host: host.Name, headers: s.opts.Headers, config: s.config, exchange: s.exchange, fleet: s.fleet, keys: s.index, gate: s.gate, evacuation: s.evacuation,
 		service:     func() string { return host.Service },
 		budgets:     newBudgets(budget, s.fleet.HostCount),
+		place:       locality.Place{Zone: host.Zone, Region: host.Region},
 		regions:     regions,
 		quarantine:  s.quarantine,
 		calls:       calls,
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -13,6 +13,7 @@
 	"burdockglade.dev/router/admit"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/hop"
 	"burdockglade.dev/router/locality"
 	"burdockglade.dev/router/quarantine"
 	"burdockglade.dev/router/reservation"
@@ -53,6 +54,11 @@
 	// Body is the complete body, unless Stream is set.
 	Body   []byte
 	Stream *bodyStream
+	// deferred is the request of another router that keeps the body until it is asked for
+	// it, see loadBody. It is nil if Body is complete.
+	deferred *hop.Request
+	// deferBody is true if another router gets the body only once it has admitted the call.
+	deferBody bool
 
 	RequestID string
 	Service   string
@@ -114,6 +120,20 @@
 	routeSought bool
 }
 
+// loadBody asks the router that has sent the call for its body, if that still has it. Without
+// the body the call cannot run.
+func (c *Call) loadBody() *errkind.Error {
+	if c.deferred == nil {
+		return nil
+	}
+	body, err := c.deferred.ReadBody()
+	if err != nil {
+		return errkind.New(errkind.PeerUnreachable, "the body was not received: %w", err)
+	}
+	c.Body, c.deferred = body, nil
+	return nil
+}
+
 // bodySendable reports whether the whole body can be sent in another attempt.
 func (c *Call) bodySendable() bool {
 	return c.Stream == nil || !c.Stream.begun.Load()
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -9,7 +9,9 @@
 
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/expectation"
 	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/locality"
 	"burdockglade.dev/router/vhost"
 )
 
@@ -47,6 +49,9 @@
 	// calls is nil if calls of requests in progress are not recognised.
 	calls   *runCallsDriver
 	budgets *budgets
+	// refusals says how often other hosts refuse calls, and place is that of this host.
+	refusals expectation.Refusals
+	place    locality.Place
 	// hedges is nil if slow requests are not sent a second time.
 	hedges   *hedger
 	maxTimes maxRequestTimes
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -113,6 +113,11 @@
 		release(admit.Failed)
 		return g.withLoad(&Result{Err: err})
 	}
+	if err := c.loadBody(); err != nil {
+		g.calls.notStarted(c)
+		release(admit.Failed)
+		return g.withLoad(&Result{Err: err})
+	}
 	start := time.Now()
 	r := g.send(ctx, c, g.calls.started(c, release))
 	g.quarantine.ended(ctx, c, r)
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -101,7 +101,7 @@
 	if !c.Deadline.After(now) {
 		return errorResult(errkind.DeadlinePassed, "the deadline passed before the request was sent")
 	}
-	req := &hop.Request{RequestHead: requestHead(names, c, now), Body: c.Body}
+	req := &hop.Request{RequestHead: requestHead(names, c, now), Body: c.Body, DeferBody: c.deferBody}
 	if c.Stream != nil {
 		req.Stream = c.Stream
 	}
@@ -277,6 +277,9 @@
 		charge:     req.ChargeResponse,
 	}
 	c.ofRun = takeCallOfRun(c.Header)
+	if req.BodyDeferred() {
+		c.deferred = req
+	}
 	if req.Stream != nil {
 		c.Stream = &bodyStream{src: req.Stream, length: req.Length}
 	}
--- a/router/sidecar/metrics.go
+++ b/router/sidecar/metrics.go
@@ -37,6 +37,16 @@
 	m.scope.Tagged(tags).Counter("refusals").Inc(1)
 }
 
+// countDeferredBody counts a call that was offered without its body. kept is true if the
+// other host refused it, so that the body was not sent.
+func (m *entryMetrics) countDeferredBody(kept bool) {
+	outcome := "sent"
+	if kept {
+		outcome = "kept"
+	}
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("deferred_bodies").Inc(1)
+}
+
 // countLargeAttempt counts a request with a large response that is offered to a host at the
 // distance.
 func (m *entryMetrics) countLargeAttempt(d locality.Distance) {
--- a/router/sidecar/quarantine.go
+++ b/router/sidecar/quarantine.go
@@ -93,6 +93,9 @@
 func (c *Call) fingerprint(head uint64, read bool) (r quarantine.Request, complete bool) {
 	path, _, _ := strings.Cut(c.Target, "?")
 	r = quarantine.Request{Fingerprint: quarantine.Fingerprint{Head: head}, Service: c.Service, Path: path}
+	if c.deferred != nil && (!read || c.loadBody() != nil) {
+		return r, false
+	}
 	if c.Stream == nil {
 		r.Body = quarantine.HashBody(c.Body)
 		return r, true
