--- a/router/hop/deferbody_test.go
+++ b/router/hop/deferbody_test.go
@@ -4,58 +4,12 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"strings"
-	"sync/atomic"
 	"testing"
-	"time"
 
 	"burdockglade.dev/router/connpool"
 )
 
-// countingListener counts the connections, and the bytes that are read from them.
-type countingListener struct {
-	net.Listener
-	conns, bytes atomic.Int64
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err == nil {
-		l.conns.Add(1)
-	}
-	return &countingConn{Conn: c, bytes: &l.bytes}, err
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// startCountingServer is startServer with a listener that counts what arrives.
-func startCountingServer(t *testing.T, h Handler) (*Client, *countingListener) {
-	t.Helper()
-	inner, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := &countingListener{Listener: inner}
-	s := NewServer(h)
-	go func() { _ = s.Serve(l) }()
-	c := NewClient(connpool.Options{Address: l.Addr().String(), DialTimeout: time.Second, IdleTimeout: time.Minute})
-	t.Cleanup(func() {
-		c.CloseIdle()
-		_ = s.Close()
-	})
-	return c, l
-}
-
 func deferredRequest(path, body string) *Request {
 	return &Request{RequestHead: RequestHead{Method: "POST", Target: path, Length: int64(len(body))}, Body: []byte(body), DeferBody: true}
 }
