Take the shortest refusals for the round trip

Cause: refusals of requests that waited in a queue raised the mean, so that bodies were sent along at a distance of 17 ms. Change: a shorter sample replaces the round trip, a longer one raises it by a fiftieth. Measured: the new test failed with the mean.

--- a/router/expectation/expectation.go
+++ b/router/expectation/expectation.go
@@ -26,8 +26,9 @@
 	// roundTripDivisor: the round trip takes at most 1/roundTripDivisor of the latency
 	// objective.
 	roundTripDivisor = 10
-	// roundTripWeight is the weight of a new sample in the moving average of the round trip.
-	roundTripWeight = 0.1
+	// roundTripRise is the weight of a longer sample in the round trip. Refusals of requests
+	// that waited in a queue come late, so that the shortest samples count.
+	roundTripRise = 0.02
 	// maxTargets bounds the targets that are known.
 	maxTargets = 256
 )
@@ -45,7 +46,7 @@
 	// less.
 	offered, refused float64
 	at               time.Time
-	// roundTrip is the moving average of the time until a refusal arrives.
+	// roundTrip is about the shortest time until a refusal arrives.
 	roundTrip time.Duration
 }
 
@@ -84,10 +85,11 @@
 		return
 	}
 	rec.refused++
-	if rec.roundTrip == 0 {
+	if rec.roundTrip == 0 || took < rec.roundTrip {
 		rec.roundTrip = took
+		return
 	}
-	rec.roundTrip += time.Duration(roundTripWeight * float64(took-rec.roundTrip))
+	rec.roundTrip += time.Duration(roundTripRise * float64(took-rec.roundTrip))
 }
 
 // Defers reports whether a request with the body and the latency objective is sent without
--- a/router/expectation/expectation_test.go
+++ b/router/expectation/expectation_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// Guards against a round trip that is taken for long because some requests waited in the
+// queue of the other host before they were refused.
+func TestRefusalsAfterAWaitDoNotCountAsRoundTrip(t *testing.T) {
+	var r Refusals
+	for i := range 20 {
+		took := 17 * time.Millisecond
+		if i%2 == 1 {
+			took = 400 * time.Millisecond
+		}
+		r.Observe(epoch, distant, true, took)
+	}
+	if !r.Defers(epoch, distant, 4000, 800*time.Millisecond) {
+		t.Error("bodies are sent along although a refusal takes 17 ms")
+	}
+}
+
 // Guards against memory that grows with the services of other configurations.
 func TestTargetsAreBounded(t *testing.T) {
 	var r Refusals
