Stand-in upstreams respond with a size and make calls that requests ask for

Cause: a load of large responses beside short ones, and runs that call other services, could not be sent to the stand-ins: the size of responses was one option of the upstream, and its work called nobody. Padding now reaches the minimum size also when fewer than 13 bytes are missing. Ruled out: header fields in place of the query: routers drop fields of callers with the prefix Burdock-, and the load tool compares path and query with the response anyway.

--- a/ctl/dev/demo.go
+++ b/ctl/dev/demo.go
@@ -228,8 +228,8 @@
 	h.upstream, err = standin.StartUpstream(standin.UpstreamOptions{
 		Name: s.Host.Name, Service: d.c.Service, Kind: standin.KindFenced,
 		Address: d.address(i, portUpstream), ControlAddress: d.address(i, portUpstreamControl),
-		Router: "http://" + d.address(i, portUpstreamListener),
-		Slots:  16, Connections: 120, WorkTime: d.c.WorkTime,
+		Router: "http://" + d.address(i, portUpstreamListener), CallRouter: "http://" + d.address(i, portCaller),
+		Slots: 16, Connections: 120, WorkTime: d.c.WorkTime,
 	})
 	if err != nil {
 		stop()
--- a/ctl/dev/dev.go
+++ b/ctl/dev/dev.go
@@ -100,6 +100,7 @@
 	ColdRequests   int           `help:"Number of requests that are slower after the start." default:"0"`
 	ColdTime       time.Duration `help:"Addition to the work time of cold requests." default:"0s"`
 	AnswerBytes    int           `help:"Minimum size of a response in bytes." default:"0"`
+	CallRouter     string        `help:"Base URL of the caller listener, on a loopback IP, of the router through which running requests call other services."`
 	IgnoreCancel   bool          `help:"Continue work whose caller has disconnected."`
 	RenewEvery     time.Duration `help:"Interval of renewals at the router." default:"250ms"`
 	LedgerUnits    int           `help:"Units of work that the ledger holds." default:"500000"`
@@ -142,6 +143,7 @@
 		ColdRequests:     c.ColdRequests,
 		ColdTime:         c.ColdTime,
 		MinResponseBytes: c.AnswerBytes,
+		CallRouter:       c.CallRouter,
 		IgnoreCancel:     c.IgnoreCancel,
 		RenewInterval:    c.RenewEvery,
 		LedgerUnits:      c.LedgerUnits,
--- a/stores/standin/upstream.go
+++ b/stores/standin/upstream.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 )
@@ -62,6 +63,10 @@
 	// MinResponseBytes is the minimum size of a response; shorter ones are
 	// padded.
 	MinResponseBytes int
+	// CallRouter is the base URL of the caller listener, on a loopback address, of the
+	// router through which running requests call other services; if empty, requests that
+	// ask for calls are refused.
+	CallRouter string
 	// IgnoreCancel continues work whose sender has disconnected.
 	IgnoreCancel bool
 	// RenewInterval is the interval of the renewals at the router; default 250
@@ -124,6 +129,15 @@
 	if o.MinResponseBytes < 0 || o.MinResponseBytes > maxResponseBytes {
 		return fmt.Errorf("upstream: response of %d bytes: want 0 to %d", o.MinResponseBytes, maxResponseBytes)
 	}
+	if o.CallRouter != "" {
+		router, err := url.Parse(o.CallRouter)
+		if err != nil || router.Scheme != "http" {
+			return fmt.Errorf("upstream: router for calls %q: want http://ip:port", o.CallRouter)
+		}
+		if err := CheckLoopback(router.Host); err != nil {
+			return fmt.Errorf("upstream: router for calls: %w", err)
+		}
+	}
 	for _, d := range []time.Duration{o.AcceptTime, o.ProbeTime, o.WorkTime, o.WorkJitter, o.ColdTime, o.RenewInterval} {
 		if d < 0 || d > maxDelay {
 			return fmt.Errorf("upstream: duration %v: want 0 to %v", d, maxDelay)
@@ -144,6 +158,7 @@
 
 	data       *limitedListener // for requests
 	control    net.Listener     // for ledger and faults
+	callClient *http.Client     // for calls of running requests
 	servers    []*http.Server
 	ctx        context.Context // ends when the upstream closes
 	cancel     context.CancelFunc
@@ -173,6 +188,8 @@
 		state:   newKeyState(),
 		slots:   make(chan struct{}, o.Slots),
 		rng:     newRand(o.Seed, 0),
+		// Each slot makes one call at a time.
+		callClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.Slots, DisableCompression: true}},
 	}
 	u.ctx, u.cancel = context.WithCancel(context.Background())
 	if err := u.listen(); err != nil {
@@ -236,6 +253,7 @@
 		_ = s.Close()
 	}
 	u.goroutines.Wait()
+	u.callClient.CloseIdleConnections()
 }
 
 // Stop shuts the upstream down gracefully. It notifies the router that the
--- a/stores/standin/upstreamhttp.go
+++ b/stores/standin/upstreamhttp.go
@@ -61,6 +61,8 @@
 	Entries     int    `json:"entries"`
 	StateBytes  int    `json:"state_bytes"`
 	StateSHA256 string `json:"state_sha256"`
+	// Calls is the number of calls that the request has made.
+	Calls int `json:"calls,omitempty"`
 	// Padding is the result of the function Padding.
 	Padding string `json:"padding,omitempty"`
 }
@@ -81,6 +83,10 @@
 	unit Unit
 	body []byte
 	uri  string // path and query
+	// responseBytes is the minimum size of the response, calls are the paths of the calls
+	// that the request makes while it runs.
+	responseBytes int
+	calls         []string
 }
 
 // rejection is an error response that states that the work did not run.
@@ -249,15 +255,20 @@
 	}
 	response, err := u.execute(r.Context(), req)
 	u.releaseSlot()
-	if errors.As(err, &rejected) {
+	var failed *callError
+	switch {
+	case errors.As(err, &rejected):
 		writeRejection(w, rejected)
 		return
+	case errors.As(err, &failed):
+		writeCallFailure(w, req.uri, failed)
+		return
 	}
 	if err != nil {
 		// The sender has disconnected or the upstream is closing.
 		panic(http.ErrAbortHandler)
 	}
-	u.writeResponse(w, r, response)
+	u.writeResponse(w, r, response, req.responseBytes)
 }
 
 // parse reads a request to /{service}/{key}[/rest].
@@ -283,7 +294,7 @@
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
 		Group:          r.Header.Get(HeaderGroup),
 	}
-	if err := u.parseFenceHeaders(r.Header, &req.unit); err != nil {
+	if err := errors.Join(u.parseFenceHeaders(r.Header, &req.unit), u.parseQuery(r.URL.Query(), &req)); err != nil {
 		return parsedRequest{}, &rejection{http.StatusBadRequest, errKindBadRequest, err.Error()}
 	}
 	return req, nil
@@ -339,7 +350,11 @@
 	seq := u.ledger.begin(req.unit)
 	workCtx, cancel := u.workContext(ctx, req.unit)
 	defer cancel()
-	if err := u.faults.simulateWork(workCtx, u.workTime()); err != nil {
+	err = u.faults.simulateWork(workCtx, u.workTime())
+	if err == nil {
+		err = u.makeCalls(workCtx, req.calls)
+	}
+	if err != nil {
 		u.ledger.end(seq, UnitAbandoned, err.Error(), u.now())
 		return EchoResponse{}, err
 	}
@@ -433,17 +448,18 @@
 		Entries:        value.entries,
 		StateBytes:     len(value.content),
 		StateSHA256:    hex.EncodeToString(state[:]),
+		Calls:          len(req.calls),
 	}
 }
 
 // writeResponse writes the response, delayed or truncated if a fault requires
 // it.
-func (u *Upstream) writeResponse(w http.ResponseWriter, r *http.Request, response EchoResponse) {
+func (u *Upstream) writeResponse(w http.ResponseWriter, r *http.Request, response EchoResponse, minBytes int) {
 	truncate, delay := u.faults.responseFault()
 	if sleep(r.Context(), delay) != nil || u.faults.awaitUnfrozen() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	body := u.encodeResponse(response)
+	body := encodeResponse(response, minBytes)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -456,13 +472,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// encodeResponse encodes the response, padded to MinResponseBytes.
-func (u *Upstream) encodeResponse(response EchoResponse) []byte {
+// encodeResponse encodes the response, padded to minBytes.
+func encodeResponse(response EchoResponse, minBytes int) []byte {
 	// Encoding a struct of strings and numbers does not fail.
 	body, _ := json.Marshal(response)
 	const paddingField = len(`,"padding":""`)
-	if missing := u.options.MinResponseBytes - len(body) - paddingField; missing > 0 {
-		response.Padding = Padding(response.Method, response.URI, missing)
+	if missing := minBytes - len(body); missing > 0 {
+		response.Padding = Padding(response.Method, response.URI, max(missing-paddingField, 1))
 		body, _ = json.Marshal(response)
 	}
 	return bytes.Clone(body)
