burdockctl dev load: load patterns and a report for each kind of request

Cause: the load of two users could not be sent to the stand-ins, and the report did not tell which kind of request was late or refused. Change: options for large responses, callers that read slowly, retry at once or disconnect, hot keys and bursts; presets exports and bookings; for each kind the number sent, served in time and late, refused, refused again after a retry, failed, left, and the times at the 50th, 95th and 99th percentile. Behaviours are drawn for each request; patterns that are off take no draws, so that a seed gives the same load as before. Slow callers have a receive buffer of 16 KiB, because the kernel would otherwise take whole responses. Ruled out: shares of workers in place of shares of requests: in an open loop, workers that are slow get fewer arrivals. Kind histograms with three digits: 440 MB for 512 workers with 5 kinds, 60 MB with two digits (calculated).

--- a/ctl/dev/check.go
+++ b/ctl/dev/check.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"syscall"
+	"time"
 
 	"burdockglade.dev/stores/standin"
 )
@@ -25,6 +26,12 @@
 	method, service, key, query string
 	body                        []byte
 	idempotencyKey              string
+	// kind is the index of the request's kind in the plan.
+	kind int
+	// answerBytes is the size of the response that the request asks for, 0 if it asks for
+	// none, and calls is the number of calls that its run makes.
+	answerBytes, calls int
+	caller             caller
 }
 
 func (r loadRequest) uri() string {
@@ -46,6 +53,10 @@
 	// resultWrong: a response that looked complete was not the response to the
 	// request, or a refusal was malformed.
 	resultWrong resultKind = "wrong"
+	// resultRunLost: the run was not committed because one of its calls failed.
+	resultRunLost resultKind = "run lost"
+	// resultLeft: the caller disconnected before the end of the response.
+	resultLeft resultKind = "left"
 )
 
 // result is the result of one request.
@@ -53,12 +64,38 @@
 	kind   resultKind
 	detail string
 	body   string // response body; set for resultOK only
+	// notRun and retryAfter are what a refusal says of its outcome and of its end.
+	notRun     bool
+	retryAfter time.Duration
+	// began is the time of the first byte of a response that its caller read slowly.
+	began time.Time
+}
+
+// took returns the time from begin until now, or until the response began if its caller
+// read it slowly.
+func (v result) took(begin time.Time) time.Duration {
+	if !v.began.IsZero() {
+		return v.began.Sub(begin)
+	}
+	return time.Since(begin)
+}
+
+// failure returns the result of a request that ended with a transport error.
+func failure(ctx context.Context, kind resultKind, err error) result {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errLeft):
+		return result{kind: resultLeft}
+	case cause != nil:
+		err = cause
+	}
+	return result{kind: kind, detail: transportDetail(err)}
 }
 
 // checkResponse checks that the response belongs to the request and is complete.
 func checkResponse(r loadRequest, status int, h http.Header, body []byte) result {
 	if status != http.StatusOK {
-		return checkRefusal(status, h)
+		return checkRefusal(r, status, h, body)
 	}
 	var a standin.EchoResponse
 	d := json.NewDecoder(bytes.NewReader(body))
@@ -72,6 +109,9 @@
 	if detail := mismatch(r, h, a); detail != "" {
 		return wrongResult("%s", detail)
 	}
+	if len(body) < r.answerBytes {
+		return wrongResult("%d bytes instead of %d", len(body), r.answerBytes)
+	}
 	return result{kind: resultOK, body: string(body)}
 }
 
@@ -79,13 +119,23 @@
 	return result{kind: resultWrong, detail: fmt.Sprintf(format, args...)}
 }
 
-// checkRefusal accepts refusals with an error kind and a valid outcome.
-func checkRefusal(status int, h http.Header) result {
+// checkRefusal accepts refusals with an error kind and a valid outcome, and the responses
+// to runs that were lost with a call.
+func checkRefusal(r loadRequest, status int, h http.Header, body []byte) result {
 	kind, outcome := h.Get(standin.HeaderError), h.Get(standin.HeaderOutcome)
+	var failed standin.CallFailure
+	if status == http.StatusBadGateway && r.calls > 0 && json.Unmarshal(body, &failed) == nil &&
+		failed.Kind == standin.KindCallFailed && failed.URI == r.uri() {
+		return result{kind: resultRunLost}
+	}
 	if kind == "" || (outcome != "not-run" && outcome != "unknown") {
 		return wrongResult("status %d with error %q and outcome %q", status, kind, outcome)
 	}
-	return result{kind: resultRefused, detail: kind + " " + outcome}
+	v := result{kind: resultRefused, detail: kind + " " + outcome, notRun: outcome == "not-run"}
+	if seconds, err := strconv.Atoi(h.Get("Retry-After")); err == nil && seconds > 0 {
+		v.retryAfter = time.Duration(seconds) * time.Second
+	}
+	return v
 }
 
 // mismatch describes the first field in which the response does not match the
@@ -100,6 +150,7 @@
 		{"idempotency key", r.idempotencyKey, a.IdempotencyKey},
 		{"body size", strconv.Itoa(len(r.body)), strconv.Itoa(a.BodyBytes)},
 		{"body digest", hex.EncodeToString(digest[:]), a.BodySHA256},
+		{"number of calls", strconv.Itoa(r.calls), strconv.Itoa(a.Calls)},
 		{"padding", standin.Padding(a.Method, a.URI, len(a.Padding)), a.Padding},
 	} {
 		if field.want != field.got {
--- a/ctl/dev/load.go
+++ b/ctl/dev/load.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -55,7 +56,8 @@
 	Timeout     time.Duration  `help:"Request-Timeout and the client's own limit." default:"2s"`
 	Seed        uint64         `help:"Seed of keys, methods and arrivals." default:"1"`
 	JSON        bool           `help:"Print the report as JSON."`
-	Out         io.Writer      `kong:"-"`
+	Patterns    `embed:""`
+	Out         io.Writer `kong:"-"`
 }
 
 // ErrWrongResponses is returned if responses did not belong to their requests.
@@ -90,11 +92,12 @@
 	sending, cancel := context.WithTimeout(ctx, c.Duration)
 	defer cancel()
 	begin := time.Now()
+	plan.begin = begin
 	var arrivals chan time.Time
 	notSent := make(chan int64, 1)
 	if c.Rate > 0 {
 		arrivals = make(chan time.Time, maxLoadBacklog)
-		go func() { notSent <- c.generateArrivals(sending, arrivals) }()
+		go func() { notSent <- plan.generateArrivals(sending, arrivals) }()
 	} else {
 		notSent <- 0
 	}
@@ -108,14 +111,15 @@
 	workers.Wait()
 	took := time.Since(begin)
 	plan.client.CloseIdleConnections()
-	return merge(tallies, took, <-notSent), nil
+	plan.slowClient.CloseIdleConnections()
+	return merge(plan.kinds, tallies, took, <-notSent), nil
 }
 
 // generateArrivals sends the times of Poisson arrivals until ctx is done. It returns
 // the number of arrivals that were dropped because the backlog was full.
-func (c *LoadCmd) generateArrivals(ctx context.Context, arrivals chan<- time.Time) (notSent int64) {
+func (p *loadPlan) generateArrivals(ctx context.Context, arrivals chan<- time.Time) (notSent int64) {
 	defer close(arrivals)
-	random := mathrand.New(mathrand.NewPCG(c.Seed, 1<<32))
+	random := mathrand.New(mathrand.NewPCG(p.Seed, 1<<32))
 	next := time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -131,7 +135,8 @@
 			default:
 				notSent++
 			}
-			next = next.Add(time.Duration(random.ExpFloat64() / c.Rate * float64(time.Second)))
+			rate := p.Rate * p.factorAt(next.Sub(p.begin))
+			next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 		}
 		timer.Reset(time.Until(next))
 	}
@@ -140,37 +145,45 @@
 // loadPlan is a validated LoadCmd with the state that its workers share.
 type loadPlan struct {
 	*LoadCmd
-	client  *http.Client
-	runID   string   // distinguishes the idempotency keys of runs with the same seed
-	methods []string // each repeated according to its weight
+	begin      time.Time
+	client     *http.Client
+	slowClient *http.Client // for callers that read slowly
+	runID      string       // distinguishes the idempotency keys of runs with the same seed
+	kinds      []loadKind
+	// draws has the index of each kind in kinds, repeated according to its weight.
+	draws []int
+	// large is the index of largeKind in kinds, or -1.
+	large int
 }
 
 const maxMixWeight = 1000
 
-// methodsOfMix returns each method repeated according to its weight. It removes the
-// methods from mix.
-func methodsOfMix(mix map[string]int) ([]string, error) {
-	var methods []string
+// kindsOfMix returns a kind for each method of the mix. It removes the methods from mix.
+func kindsOfMix(mix map[string]int) ([]loadKind, error) {
+	var kinds []loadKind
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
 		weight := mix[method]
 		if weight < 0 || weight > maxMixWeight {
 			return nil, fmt.Errorf("weight %d of %s: want 0 to %d", weight, method, maxMixWeight)
 		}
-		for range weight {
-			methods = append(methods, method)
+		if weight > 0 {
+			kinds = append(kinds, loadKind{name: method, method: method, weight: weight})
 		}
 		delete(mix, method)
 	}
 	for method := range mix {
 		return nil, fmt.Errorf("method %q: want GET, POST, PUT or DELETE", method)
 	}
-	if len(methods) == 0 {
+	if len(kinds) == 0 {
 		return nil, errors.New("the mix contains no method with a weight above 0")
 	}
-	return methods, nil
+	return kinds, nil
 }
 
 func (c *LoadCmd) plan() (*loadPlan, error) {
+	completed := *c
+	c = &completed
+	c.complete(c.Duration, c.Rate > 0)
 	if err := c.check(); err != nil {
 		return nil, err
 	}
@@ -178,22 +191,40 @@
 	for method, weight := range c.Mix {
 		mix[strings.ToUpper(method)] += weight
 	}
-	methods, err := methodsOfMix(mix)
+	kinds, err := c.kinds(mix)
 	if err != nil {
 		return nil, err
 	}
-	return &loadPlan{
-		LoadCmd: c,
-		runID:   rand.Text()[:10],
-		methods: methods,
-		client: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: c.Workers,
-				DisableCompression:  true,
+	p := &loadPlan{LoadCmd: c, runID: rand.Text()[:10], kinds: kinds, large: -1, client: c.newClient(0), slowClient: c.newClient(slowReadBuffer)}
+	for i, k := range kinds {
+		for range k.weight {
+			p.draws = append(p.draws, i)
+		}
+		if k.name == largeKind {
+			p.large = i
+		}
+	}
+	return p, nil
+}
+
+// newClient returns a client whose connections have receive buffers of the given size; 0
+// leaves the size to the system.
+func (c *LoadCmd) newClient(readBuffer int) *http.Client {
+	var dialer net.Dialer
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: c.Workers,
+			DisableCompression:  true,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if tcp, ok := conn.(*net.TCPConn); ok && readBuffer > 0 {
+					_ = tcp.SetReadBuffer(readBuffer)
+				}
+				return conn, err
 			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-	}, nil
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 func (c *LoadCmd) check() error {
@@ -213,6 +244,7 @@
 		return fmt.Errorf("exponent of the Zipf distribution %v: want 0 or more than 1", c.Zipf)
 	}
 	return errors.Join(
+		c.Patterns.check(c.Rate, c.Keys),
 		checkRange("rate", c.Rate, 0, maxLoadRate),
 		checkRange("workers", float64(c.Workers), 1, maxLoadWorkers),
 		checkRange("duration", c.Duration.Seconds(), 0.001, maxLoadDuration.Seconds()),
@@ -246,7 +278,7 @@
 		loadPlan: p,
 		number:   number,
 		random:   mathrand.New(mathrand.NewPCG(p.Seed, number)),
-		tally:    newTally(),
+		tally:    newTally(p.kinds),
 	}
 	if p.Zipf > 0 {
 		w.zipf = mathrand.NewZipf(w.random, p.Zipf, 1, uint64(p.Keys-1))
@@ -260,7 +292,7 @@
 func (w *loadWorker) run(ctx, sending context.Context, arrivals <-chan time.Time) {
 	if arrivals == nil {
 		for sending.Err() == nil {
-			w.request(ctx, time.Now())
+			w.request(ctx, sending, time.Now())
 		}
 		return
 	}
@@ -269,18 +301,35 @@
 			w.tally.notSent++
 			continue
 		}
-		w.request(ctx, arrival)
+		w.request(ctx, sending, arrival)
 	}
 }
 
-// request sends one request, and sends a share of the keyed POSTs a second time.
-func (w *loadWorker) request(ctx context.Context, arrival time.Time) {
-	r := w.next()
+// request sends one request, sends it again after refusals as its caller does, and sends a
+// share of the keyed POSTs a second time.
+func (w *loadWorker) request(ctx, sending context.Context, arrival time.Time) {
+	r := w.next(arrival.Sub(w.begin))
 	first := w.send(ctx, r)
-	w.tally.add(first, time.Since(arrival))
+	w.tally.add(first, first.took(arrival))
 	if first.kind == resultNoResponse {
 		sleep(ctx, failureDelay)
 	}
+	retries := 0
+	for ; first.kind == resultRefused && first.notRun && retries < r.caller.retries; retries++ {
+		if !r.caller.impatient {
+			if first.retryAfter > w.Timeout {
+				break
+			}
+			sleep(sending, first.retryAfter)
+		}
+		if sending.Err() != nil {
+			break
+		}
+		begin := time.Now()
+		first = w.send(ctx, r)
+		w.tally.add(first, first.took(begin))
+	}
+	w.tally.kinds[r.kind].add(first, retries, first.took(arrival))
 	if r.idempotencyKey == "" || w.random.Float64() >= w.Repeat {
 		return
 	}
@@ -290,7 +339,7 @@
 	if first.kind == resultOK && second.kind == resultOK && first.body != second.body {
 		second = result{kind: resultWrong, detail: "a retry got a different response"}
 	}
-	w.tally.add(second, time.Since(begin))
+	w.tally.add(second, second.took(begin))
 }
 
 // sleep waits for the duration or until ctx is done.
@@ -303,19 +352,38 @@
 	}
 }
 
-// next returns the next random request.
-func (w *loadWorker) next() loadRequest {
-	w.sent++
+// randomKey draws a key by the distribution of keys.
+func (w *loadWorker) randomKey() string {
 	key := uint64(w.random.IntN(w.Keys))
 	if w.zipf != nil {
 		key = w.zipf.Uint64()
 	}
+	return "key-" + strconv.FormatUint(key, 10)
+}
+
+// next returns the next random request, at a time from the start of the load. The hot keys
+// are the last ones, which the Zipf distribution draws least.
+func (w *loadWorker) next(elapsed time.Duration) loadRequest {
+	w.sent++
+	key := w.randomKey()
+	kind := w.draws[w.random.IntN(len(w.draws))]
+	if w.large >= 0 && w.kinds[kind].method == http.MethodGet && w.random.Float64() < w.LargeShare {
+		kind = w.large
+	}
+	if w.isHot(elapsed, w.random) {
+		key = "key-" + strconv.Itoa(w.Keys-1-w.random.IntN(w.HotKeys))
+	}
 	id := w.runID + "-" + strconv.FormatUint(w.number, 36) + "-" + strconv.Itoa(w.sent)
+	query, answerBytes := w.query(&w.kinds[kind], w.random, w.randomKey)
 	r := loadRequest{
-		method:  w.methods[w.random.IntN(len(w.methods))],
-		service: w.Service,
-		key:     "key-" + strconv.FormatUint(key, 10),
-		query:   "n=" + id,
+		kind:        kind,
+		method:      w.kinds[kind].method,
+		service:     w.Service,
+		key:         key,
+		query:       "n=" + id + query,
+		answerBytes: answerBytes,
+		calls:       w.kinds[kind].calls,
+		caller:      w.drawCaller(w.random),
 	}
 	if r.method == http.MethodPost || r.method == http.MethodPut {
 		r.body = []byte(standin.Padding(r.method, id, w.BodyBytes))
@@ -326,14 +394,55 @@
 	return r
 }
 
-// send sends a request and checks its response.
+// errLeft is the cause of the end of requests whose callers disconnect.
+var errLeft = errors.New("the caller has left")
+
+// send sends a request and checks its response. Slow callers have the time limit until the
+// response begins, and then as long again as well as the time that they take to read it.
 func (w *loadWorker) send(ctx context.Context, r loadRequest) result {
-	ctx, cancel := context.WithTimeout(ctx, w.Timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := time.AfterFunc(w.Timeout, func() { cancel(context.DeadlineExceeded) })
+	defer limit.Stop()
+	if r.caller.leaveAfter > 0 {
+		defer time.AfterFunc(r.caller.leaveAfter, func() { cancel(errLeft) }).Stop()
+	}
+	req, err := w.newRequest(ctx, r)
+	if err != nil {
+		return result{kind: resultNoResponse, detail: "request not made"}
+	}
+	client := w.client
+	if r.caller.slow {
+		client = w.slowClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return failure(ctx, resultNoResponse, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	began := time.Now()
+	content := io.Reader(resp.Body)
+	if r.caller.slow {
+		reading := time.Duration(max(resp.ContentLength, 0)) * time.Second / time.Duration(w.SlowRate)
+		limit.Reset(w.Timeout + reading)
+		content = &slowReader{ctx: ctx, from: resp.Body, rate: w.SlowRate, begin: began}
+	}
+	body, err := io.ReadAll(io.LimitReader(content, maxLoadResponse+1))
+	if err != nil {
+		return failure(ctx, resultTruncated, err)
+	}
+	v := checkResponse(r, resp.StatusCode, resp.Header, body)
+	if r.caller.slow {
+		v.began = began
+	}
+	return v
+}
+
+func (w *loadWorker) newRequest(ctx context.Context, r loadRequest) (*http.Request, error) {
 	target := w.Targets[w.random.IntN(len(w.Targets))]
 	req, err := http.NewRequestWithContext(ctx, r.method, strings.TrimSuffix(target, "/")+r.uri(), strings.NewReader(string(r.body)))
 	if err != nil {
-		return result{kind: resultNoResponse, detail: "request not made"}
+		return nil, err
 	}
 	// Without GetBody, net/http does not retry the request.
 	req.GetBody = nil
@@ -344,14 +453,23 @@
 	if w.Tenants > 0 {
 		req.Header.Set("Burdock-Tenant", "tenant-"+strconv.Itoa(w.random.IntN(w.Tenants)))
 	}
-	resp, err := w.client.Do(req)
-	if err != nil {
-		return result{kind: resultNoResponse, detail: transportDetail(err)}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadResponse+1))
-	if err != nil {
-		return result{kind: resultTruncated, detail: transportDetail(err)}
-	}
-	return checkResponse(r, resp.StatusCode, resp.Header, body)
+	return req, nil
+}
+
+// slowReader reads at most rate bytes a second since begin.
+type slowReader struct {
+	ctx   context.Context
+	from  io.Reader
+	rate  int
+	begin time.Time
+	read  int // bytes
+}
+
+// Read implements io.Reader. It reads what is due in a twentieth of a second at most.
+func (s *slowReader) Read(p []byte) (int, error) {
+	n, err := s.from.Read(p[:min(len(p), s.rate/20)])
+	s.read += n
+	due := time.Duration(s.read) * time.Second / time.Duration(s.rate)
+	sleep(s.ctx, time.Until(s.begin.Add(due)))
+	return n, err
 }
--- a/ctl/dev/report.go
+++ b/ctl/dev/report.go
@@ -27,14 +27,19 @@
 	responses *hdrhistogram.Histogram // latencies of complete responses
 	refusals  *hdrhistogram.Histogram
 	examples  []string
+	kinds     []*kindTally // by the index of the kind
 }
 
-func newTally() *tally {
-	return &tally{
+func newTally(kinds []loadKind) *tally {
+	t := &tally{
 		counts:    make(map[resultKind]map[string]int64),
 		responses: hdrhistogram.New(minLatency, maxLatency, latencyDigits),
 		refusals:  hdrhistogram.New(minLatency, maxLatency, latencyDigits),
 	}
+	for _, k := range kinds {
+		t.kinds = append(t.kinds, newKindTally(k))
+	}
+	return t
 }
 
 // add counts the result of one request. Wrong responses are also kept as examples.
@@ -45,7 +50,7 @@
 		t.example(v.detail)
 	}
 	t.count(v.kind, detail, 1)
-	micros := min(max(latency.Microseconds(), minLatency), maxLatency)
+	micros := boundedMicros(latency)
 	// The value is within the range of the histogram, so recording cannot fail.
 	switch v.kind {
 	case resultOK:
@@ -88,10 +93,16 @@
 	Truncated int64 `json:"cut"`
 	// Wrong counts responses that looked complete but did not belong to their
 	// request, and malformed refusals.
-	Wrong          int64    `json:"wrong"`
-	WrongExamples  []string `json:"wrong_examples,omitempty"`
-	Latency        Latency  `json:"latency"`
-	RefusalLatency Latency  `json:"refused_in"`
+	Wrong int64 `json:"wrong"`
+	// RunsLost counts runs that were not committed because one of their calls failed.
+	RunsLost int64 `json:"runs_lost"`
+	// Left counts requests whose callers disconnected before the end of the response.
+	Left int64 `json:"left"`
+	// Kinds has the results of each kind of request.
+	Kinds          []KindReport `json:"kinds"`
+	WrongExamples  []string     `json:"wrong_examples,omitempty"`
+	Latency        Latency      `json:"latency"`
+	RefusalLatency Latency      `json:"refused_in"`
 }
 
 // Latency contains the mean and percentiles in microseconds. In an open loop the
@@ -120,8 +131,8 @@
 }
 
 // merge combines the tallies of all workers into a report.
-func merge(tallies []*tally, took time.Duration, notSent int64) Report {
-	total := newTally()
+func merge(kinds []loadKind, tallies []*tally, took time.Duration, notSent int64) Report {
+	total := newTally(kinds)
 	for _, t := range tallies {
 		total.responses.Merge(t.responses)
 		total.refusals.Merge(t.refusals)
@@ -135,10 +146,13 @@
 		for _, text := range t.examples {
 			total.example(text)
 		}
+		for i, k := range t.kinds {
+			total.kinds[i].merge(k)
+		}
 	}
-	return Report{
+	report := Report{
 		Seconds:            took.Seconds(),
-		Sent:               total.sum(resultOK) + total.sum(resultRefused) + total.sum(resultNoResponse) + total.sum(resultTruncated) + total.sum(resultWrong),
+		Sent:               total.sum(resultOK) + total.sum(resultRefused) + total.sum(resultNoResponse) + total.sum(resultTruncated) + total.sum(resultWrong) + total.sum(resultRunLost) + total.sum(resultLeft),
 		NotSent:            notSent,
 		Repeats:            total.repeats,
 		Responses:          total.sum(resultOK),
@@ -150,7 +164,13 @@
 		WrongExamples:      total.examples,
 		Latency:            percentiles(total.responses),
 		RefusalLatency:     percentiles(total.refusals),
+		RunsLost:           total.sum(resultRunLost),
+		Left:               total.sum(resultLeft),
 	}
+	for _, k := range total.kinds {
+		report.Kinds = append(report.Kinds, k.report())
+	}
+	return report
 }
 
 func (t *tally) sum(kind resultKind) int64 {
@@ -174,9 +194,13 @@
 	w.counts("no answer", r.NoResponse)
 	w.line("cut answers %d", r.Truncated)
 	w.line("wrong answers %d", r.Wrong)
+	if r.RunsLost+r.Left > 0 {
+		w.line("runs lost with a call %d, callers that left %d", r.RunsLost, r.Left)
+	}
 	for _, text := range r.WrongExamples {
 		w.line("  %s", text)
 	}
+	w.kinds(r.Kinds)
 	return w.err
 }
 
