--- a/stores/standin/relay.go
+++ b/stores/standin/relay.go
@@ -41,6 +41,8 @@
 	// relayQueueChunks is the maximum number of delayed chunks per direction of
 	// a connection.
 	relayQueueChunks = 64
+	// narrowBufferBytes is the receive buffer of connections through a narrow link.
+	narrowBufferBytes = 64 << 10
 	// relayDialTimeout limits dialing the target.
 	relayDialTimeout = time.Second
 )
@@ -146,10 +148,46 @@
 	}
 }
 
+// bandwidth limits the bytes that all connections of a relay carry in each direction.
+type bandwidth struct {
+	mu             sync.Mutex
+	bytesPerSecond int
+	free           map[Direction]time.Time // when the bytes accepted so far have been carried
+}
+
+// set changes the bandwidth; 0 is unlimited.
+func (b *bandwidth) set(bytesPerSecond int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bytesPerSecond, b.free = bytesPerSecond, make(map[Direction]time.Time)
+}
+
+func (b *bandwidth) isLimited() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytesPerSecond > 0
+}
+
+// reserve returns the time at which n more bytes have been carried.
+func (b *bandwidth) reserve(d Direction, n int) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.bytesPerSecond == 0 {
+		return time.Time{}
+	}
+	begin := time.Now()
+	if b.free[d].After(begin) {
+		begin = b.free[d]
+	}
+	b.free[d] = begin.Add(time.Duration(n) * time.Second / time.Duration(b.bytesPerSecond))
+	return b.free[d]
+}
+
 // Relay forwards TCP connections from its address to a target. A partition
 // holds data back and delivers it after healing, as TCP does.
 type Relay struct {
 	*relayState
+	bandwidth  bandwidth
 	target     string
 	listener   net.Listener
 	goroutines sync.WaitGroup
@@ -188,6 +226,16 @@
 	return len(r.conns)
 }
 
+// SetBandwidth limits the bytes a second of all connections together, in each direction;
+// 0 removes the limit. The relay reads from a sender only what it can carry, so that the
+// sender sees the narrow link.
+func (r *Relay) SetBandwidth(bytesPerSecond int) {
+	r.bandwidth.set(bytesPerSecond)
+	if bytesPerSecond > 0 {
+		r.forEachConn((*relayedConn).limitBuffers)
+	}
+}
+
 // Blackhole makes the currently open connections permanently unresponsive: no
 // data passes and neither end sees a close. New connections are not affected.
 func (r *Relay) Blackhole() {
@@ -241,6 +289,7 @@
 	}
 	rc := &relayedConn{
 		state:      r.relayState,
+		bandwidth:  &r.bandwidth,
 		client:     conn,
 		target:     target,
 		closed:     make(chan struct{}),
@@ -250,6 +299,9 @@
 		rc.reset()
 		return
 	}
+	if r.bandwidth.isLimited() {
+		rc.limitBuffers()
+	}
 	rc.run()
 	r.connsMu.Lock()
 	delete(r.conns, rc)
@@ -270,6 +322,7 @@
 // relayedConn is one connection through a relay.
 type relayedConn struct {
 	state          *relayState
+	bandwidth      *bandwidth
 	client, target net.Conn
 
 	closeOnce     sync.Once
@@ -294,6 +347,16 @@
 	})
 }
 
+// limitBuffers limits what the kernel takes from the senders. Otherwise it would take several
+// megabytes, so that a narrow link would hold back small messages for seconds.
+func (rc *relayedConn) limitBuffers() {
+	for _, conn := range []net.Conn{rc.client, rc.target} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(narrowBufferBytes) // fails only if the connection is closed
+		}
+	}
+}
+
 func (rc *relayedConn) blackhole() {
 	rc.blackholeOnce.Do(func() { close(rc.blackholed) })
 }
@@ -323,7 +386,7 @@
 	var reader sync.WaitGroup
 	reader.Go(func() {
 		defer close(queue)
-		rc.readChunks(from, queue)
+		rc.readChunks(d, from, queue)
 	})
 	err := rc.writeChunks(d, to, queue)
 	if err != nil {
@@ -344,11 +407,14 @@
 }
 
 // readChunks queues the data that arrives, and a chunk without data at the end
-// of the stream.
-func (rc *relayedConn) readChunks(from net.Conn, queue chan<- chunk) {
+// of the stream. It reads on when the link has carried the data.
+func (rc *relayedConn) readChunks(d Direction, from net.Conn, queue chan<- chunk) {
 	for {
 		buffer := make([]byte, relayChunkBytes)
 		n, err := from.Read(buffer)
+		if n > 0 && !rc.waitUntil(rc.bandwidth.reserve(d, n)) {
+			return
+		}
 		deliverAt := time.Now().Add(rc.state.currentDelay())
 		if n > 0 {
 			queue <- chunk{data: buffer[:n], deliverAt: deliverAt}
--- a/stores/standin/relay_test.go
+++ b/stores/standin/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -228,3 +229,24 @@
 		}
 	}
 }
+
+// Guards against a narrow link whose connections have the bandwidth each, and against one
+// that stays narrow.
+func TestRelayBandwidth(t *testing.T) {
+	r := startRelay(t, echoServer(t))
+	first, second := dial(t, r.Address()), dial(t, r.Address())
+	text := strings.Repeat("x", 20_000)
+	r.SetBandwidth(400_000)
+	begin := time.Now()
+	if _, err := io.WriteString(first, text); err != nil {
+		t.Fatal(err)
+	}
+	exchange(t, second, text)
+	receive(t, first, text)
+	if took := time.Since(begin); took < 100*time.Millisecond {
+		t.Errorf("40 kB took %v, want 100 ms at least", took)
+	}
+	r.SetBandwidth(1)
+	r.SetBandwidth(0)
+	exchange(t, second, text)
+}
