Soak: downloads through narrow links, slow readers and calls of runs

Cause: routes of type download, the link scheduler and calls of running requests were not part of the soak. Change: the routes /files/ (download, mean 90 kB, up to 540 kB) and /trip/ (runs once and calls a keyed route that runs once); link_mbps = 20 and [calls] enabled = true on all hosts; one more caller on each host, a quarter of whose requests reads slowly; links between hosts narrowed to 2 to 20 Mbit/s for 1 to 5 s. A narrow link excuses no late configuration. The existing checks apply to the new requests (whole responses, true refusals, at most once); a kind of which 50 were sent and none was served is reported. Checks: send records the same results as before through sendAs; awaitService waits for the two new routes as well.

--- a/ctl/soak/config_test.go
+++ b/ctl/soak/config_test.go
@@ -83,6 +83,11 @@
 			c.Services[i].ColdStart, c.Services[i].ColdRate = coldStartTime, coldRate
 		}
 	}
+	if d.opts.downloads {
+		files := route("files", plainService, true)
+		files.LargeResponses = true
+		c.Routes = append(c.Routes, files, route("trip", plainService, false))
+	}
 	if d.opts.restrictKeys {
 		c.Routes = append(c.Routes, restricted(route("vault", keyedService, true)))
 	}
--- a/ctl/soak/deployment_test.go
+++ b/ctl/soak/deployment_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -32,7 +33,7 @@
 const defaultSlots = 8
 
 // deploymentOptions configure a deployment. All but keysByCommand, slots, wrapServer,
-// twoRegions, restrictKeys and coldStarts are required.
+// twoRegions, restrictKeys, coldStarts and downloads are required.
 type deploymentOptions struct {
 	hosts int
 	// slots is the number of slots of each server; 0 means defaultSlots.
@@ -48,6 +49,9 @@
 	restrictKeys bool
 	// coldStarts makes the upstreams cold after their start.
 	coldStarts bool
+	// downloads adds routes for large responses and for runs that make calls, and the
+	// settings that concern them.
+	downloads bool
 	// services are the services of the upstreams, in turn.
 	services []string
 	// workTime is the mean duration of an execution.
@@ -189,6 +193,9 @@
 	h.settings = filepath.Join(d.dir, h.name+".ini")
 	text := fmt.Sprintf("[host]\nname = %s\nzone = %s\nregion = %s\nservice = %s\n[listen]\ncaller = %s\nhop = %s\nhop_advertised = %s\nready = %s\ncontrol = %s\nmetrics = %s\n[upstream]\naddress = %s\nheartbeat_ms = 300\n[store]\naddress = %s\n",
 		h.name, d.opts.placeOf(i).zone, d.opts.placeOf(i).region, h.service, ports[0], ports[1], h.hopRelay.Address(), ports[2], ports[3], ports[4], h.app, h.storeRelay.Address())
+	if d.opts.downloads {
+		text = strings.Replace(text, "[listen]", fmt.Sprintf("link_mbps = %d\n[calls]\nenabled = true\n[listen]", linkMbps), 1)
+	}
 	must(d.t, os.WriteFile(h.settings, []byte(text), 0o600))
 	h.startServer()
 	h.start()
@@ -210,6 +217,9 @@
 	if h.deployment.opts.coldStarts {
 		options.ColdStart, options.SilentColdStart = coldStartTime, h.incarnations%2 == 0
 	}
+	if h.deployment.opts.downloads {
+		options.BodyBytes, options.Call = func(r *http.Request) int { return downloadBytes(r.URL.Path) }, h.call
+	}
 	s := standin.NewServer(options)
 	if h.server != nil {
 		h.server.stop()
@@ -316,11 +326,14 @@
 	d.t.Helper()
 	deadline := time.Now().Add(20 * time.Second)
 	paths := append(d.paths(), fmt.Sprintf("/version-%d/", d.configs.newestVersion()))
+	if d.opts.downloads {
+		paths = append(paths, downloadPrefix, runPrefix)
+	}
 	for _, h := range d.hosts {
 		for _, path := range paths {
 			for key := 0; key <= 65535; key += 13107 {
-				if key > 0 && isRestricted(path) {
-					break // their hosts and keys are those of the other routes
+				if key > 0 && (isRestricted(path) || path == downloadPrefix || path == runPrefix) {
+					break // their hosts and keys are those of the other routes, or they have no keys
 				}
 				for r := d.callers.send(h.caller, path, key); r.status != 200; r = d.callers.send(h.caller, path, key) {
 					if time.Now().After(deadline) {
--- a/ctl/soak/faults_test.go
+++ b/ctl/soak/faults_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,10 @@
 	newRoute bool
 	// restricted is true for requests that may only run in homeRegion.
 	restricted bool
+	// load names the load of startDownloads that the request belongs to.
+	load string
+	// pause is the time for which its caller waits before each read of the response.
+	pause time.Duration
 
 	status int
 	body   string
@@ -55,11 +60,21 @@
 	return fmt.Sprintf("r%d", c.next)
 }
 
-// send sends one request and records its result.
+// send sends one request with a new id and records its result.
 func (c *callers) send(address, path string, key int) result {
-	r := result{id: c.newID(), host: address, sent: time.Now(), once: strings.HasPrefix(path, "/pay") || strings.HasPrefix(path, "/order"), newRoute: strings.HasPrefix(path, "/version"), restricted: isRestricted(path)}
-	resp := exchange(address, "soak", path+"x", key, r)
+	return c.sendAs(result{id: c.newID()}, address, path+"x", key)
+}
+
+// sendAs sends the request of r, which has an id, and records its result.
+func (c *callers) sendAs(r result, address, path string, key int) result {
+	once := func(prefix string) bool { return strings.HasPrefix(path, prefix) }
+	r.host, r.sent, r.once = address, time.Now(), slices.ContainsFunc([]string{"/pay", "/order", runPrefix}, once)
+	r.newRoute, r.restricted = strings.HasPrefix(path, "/version"), isRestricted(path)
+	resp := exchange(address, "soak", path, key, r)
 	r.status, r.body, r.answered = resp.status, resp.body, time.Now()
+	if size := downloadBytes(path); size > 0 && r.status == http.StatusOK {
+		r.body = shortened(r.id, r.body, size)
+	}
 	if standin.SaysLeaving(resp.header) {
 		r.leaving = instanceOf(resp.header)
 	}
@@ -92,12 +107,16 @@
 	req.Header.Set(names.RequestID, r.id)
 	req.Header.Set(names.DeadlineMs, "2500")
 	req.Header.Set(names.Key, strconv.Itoa(key))
-	resp, err := client.Do(req)
+	sender := client
+	if r.pause > 0 {
+		sender = slowClient
+	}
+	resp, err := sender.Do(req)
 	if err != nil {
 		return response{body: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(slowReader{resp.Body, r.pause})
 	if err != nil {
 		return response{body: err.Error()}
 	}
--- a/ctl/soak/soak_test.go
+++ b/ctl/soak/soak_test.go
@@ -70,7 +70,8 @@
 
 // Guards, under random faults of processes, connections and the store, which also comes back
 // from older copies, against work
-// that runs twice, false refusals, mixed-up responses, two holders of a key, work
+// that runs twice, false refusals, mixed-up or broken responses, also of downloads through
+// narrow links and to slow callers and of calls of running requests, two holders of a key, work
 // for upstreams that drain or say that they leave, more requests than an upstream's limit, requests in evacuated zones or in regions
 // that their routes do not allow, too many requests for cold upstreams,
 // configurations that are late or reverted, and routers that
@@ -100,19 +101,20 @@
 // results.
 func runSeed(t *testing.T, seed uint64) {
 	d := newDeployment(t, deploymentOptions{
-		hosts: *hostCount, keysByCommand: seed%2 == 1, restrictKeys: seed%4 >= 2, twoRegions: true, coldStarts: true, services: []string{plainService, keyedService},
+		hosts: *hostCount, keysByCommand: seed%2 == 1, restrictKeys: seed%4 >= 2, twoRegions: true, coldStarts: true, downloads: true, services: []string{plainService, keyedService},
 		workTime: 40 * time.Millisecond, publishFirst: (*deployment).publish,
 	})
 	d.awaitService("before the faults")
 	stopCallers := d.startCallers(seed)
 	stopProbes := d.startProbes()
 	stopNotices, stopPutBacks, stopEvacuations := d.startNotices(seed), d.startPutBacks(seed), d.startEvacuations(seed)
-	stopColds := d.startColds(seed)
+	stopColds, stopDownloads := d.startColds(seed), d.startDownloads(seed)
 	d.injectFaults(rand.New(rand.NewPCG(seed, 1)), *duration)
 	stopNotices()
 	stopPutBacks()
 	stopEvacuations()
 	stopColds()
+	stopDownloads()
 	d.heal()
 	d.awaitService("after the faults")
 	stopCallers()
@@ -121,6 +123,7 @@
 	violations := append(check(d.ledger.Executions(), d.callers.results(), d.drains()), d.configs.check()...)
 	violations = append(violations, d.checkNotices()...)
 	violations = append(violations, d.checkPlacement()...)
+	violations = append(violations, d.checkDownloads()...)
 	for _, err := range append(violations, d.checkColds()...) {
 		t.Error(err)
 	}
