Keys: make the initial key map although some hosts come and go

Callers saw: 503 for all keys of a new service for as long as one of its upstreams became ready and not ready within 1.5 s.

Cause: planInitial started its wait again whenever the set of ready members changed. Change: the steady members (ready for 1.5 s without a break) hold all keys 6 s after the first member was seen at the latest; the others get ranges later by their load. A set that does not change is served as before, 1.5 s after its last change. The decision is in keyrange.InitialMembers.

Ruled out: late heartbeats as the reason for a change of the set. They change neither a member's state nor its lease.

--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -36,9 +36,6 @@
 	// maxHeartbeatWait bounds the time until a heartbeat is responded to. The upstream
 	// times out after a second.
 	maxHeartbeatWait = 550 * time.Millisecond
-	// stableMembersTime is how long the set of members must be unchanged before the
-	// initial key map is created.
-	stableMembersTime = 1500 * time.Millisecond
 	// initialRanges is the number of ranges of the initial key map, within the bounds for
 	// each member. Adjacent ranges get different holders, because busy keys are close to
 	// one another and are thus spread from the start.
@@ -153,10 +150,9 @@
 	leaseWatch    keyrange.LeaseWatch
 	storeClock    keyrange.StoreClock
 	takeoverWait  keyrange.ConditionTimer
-	stableMembers keyrange.ConditionTimer
+	initial       keyrange.InitialMembers
 	// suspicion measures how long a holder of keys has been unreachable.
-	suspicion   keyrange.ConditionTimer
-	lastMembers []string
+	suspicion keyrange.ConditionTimer
 	// outsideRegions is true while no eligible host is in the regions of the keys.
 	outsideRegions bool
 	lastMove       boottime.Time
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -30,6 +30,7 @@
 	if len(m.Ranges) == 0 {
 		return d.planInitial(now, members)
 	}
+	d.initial.Reset()
 	next := m.Clone()
 	c := mapChange{lapsed: map[string]int64{}}
 	changed := false
@@ -104,18 +105,18 @@
 	return !movable && stopping <= drainNoticeTime && s.mayTakeRequests(time.Now(), d.drainLimit)
 }
 
-// planInitial creates the key map once the set of members is stable.
+// planInitial creates the key map among the members that are steady.
 func (d *keyDriver) planInitial(now boottime.Time, members []keyrange.Member) mapChange {
-	names := hostNames(members)
-	if !slices.Equal(names, d.lastMembers) {
-		d.lastMembers = names
-		d.stableMembers.Reset()
-	}
-	rank := slices.Index(names, d.host)
-	if rank < 0 || !d.stableMembers.Elapsed(now, stableMembersTime+time.Duration(rank)*actionStagger) {
+	steady := d.initial.Choose(now, d.host, members)
+	if len(steady) == 0 {
 		return mapChange{}
 	}
-	return mapChange{next: keyrange.NewMap(members, initialRangesPerMember(len(members))), before: &keyrange.Map{}, reason: "initial key map"}
+	reason := "initial key map"
+	if len(steady) < len(members) {
+		reason = "initial key map of the steady hosts"
+	}
+	next := keyrange.NewInitialMap(steady, len(members)*initialRangesPerMember(len(members)))
+	return mapChange{next: next, before: &keyrange.Map{}, reason: reason}
 }
 
 // initialRangesPerMember returns the number of ranges that each of n members gets in the
