Tests: clusters with keys start when their hosts know each other

Cause of "all keys are held: not within 30 s": the tests start hosts one after another and take for granted that each knows the others 1.5 s after the first one is ready. The product does not promise that: a host that comes later is not in the initial key map and gets no ranges without load. TestRefusalNamesTheHolder also read the key map of a host that holds none without waiting for it.

Change: with several keyed hosts, the configuration comes when all hosts know each other. Clusters with fewer keyed hosts start as before.

--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -173,12 +173,16 @@
 
 // newZonedCluster returns a cluster whose hosts are in the zones.
 func newZonedCluster(t *testing.T, zones map[string]string, services ...string) *cluster {
+	t.Helper()
+	c := newUnconfiguredCluster(t, zones)
+	c.addFirst(services...)
+	return c
+}
+
+// newUnconfiguredCluster returns a cluster without hosts and without a configuration.
+func newUnconfiguredCluster(t *testing.T, zones map[string]string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: rowstore.NewMemory(), zones: zones}
-	c.publish("1")
-	for i, service := range services {
-		c.add(fmt.Sprintf("h%d", i), service)
-	}
 	t.Cleanup(func() {
 		for _, h := range c.hosts {
 			h.cancel()
@@ -190,6 +194,55 @@
 	return c
 }
 
+// addFirst publishes the first configuration and adds the first hosts, each given as
+// "service" or "service region". If several hosts have keys, the configuration follows when all
+// hosts know each other: a key map is made once those that are known are steady, and a host
+// that a busy machine starts later gets no ranges without load.
+func (c *cluster) addFirst(hosts ...string) {
+	c.t.Helper()
+	keyed := len(slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return !strings.HasPrefix(host, "keyed") }))
+	if keyed <= 1 {
+		c.publish("1")
+	}
+	for i, host := range hosts {
+		service, region, _ := strings.Cut(host, " ")
+		c.region = region
+		c.add(fmt.Sprintf("h%d", i), service)
+	}
+	if keyed > 1 {
+		c.eventually("all hosts know each other", func() bool {
+			return !slices.ContainsFunc(c.hosts, func(h *testHost) bool { return h.fleet.HostCount() != len(c.hosts) })
+		})
+		c.publish("1")
+	}
+}
+
+// waitKeysHeld waits until the upstream of each keyed host holds its part of the initial key
+// map and all hosts know the map.
+func (c *cluster) waitKeysHeld() {
+	c.t.Helper()
+	last := ""
+	defer func() {
+		if c.t.Failed() {
+			c.t.Log(last)
+		}
+	}()
+	c.eventually("all keys are held", func() bool {
+		for _, h := range c.hosts {
+			m, version := h.index.get("keyed")
+			held, want := len(h.upstream.heldGrants()), 0
+			if h.settings.Host.Service == "keyed" {
+				want = maxInitialRangesPerMember
+			}
+			if m == nil || held != want {
+				last = fmt.Sprintf("%s: map of version %d, %d ranges held, want %d", h.settings.Host.Name, version, held, want)
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // publish stores a configuration; its row holds the version and, for each restricted route,
 // its name and its regions: "2 look=r1,r2".
 func (c *cluster) publish(version string) {
--- a/router/sidecar/evacuation_test.go
+++ b/router/sidecar/evacuation_test.go
@@ -98,7 +98,7 @@
 	c.waitReady()
 	held := func(i int) int { return len(c.hosts[i].upstream.heldGrants()) }
 	total := 3 * maxInitialRangesPerMember
-	c.eventually("all keys are held", func() bool { return held(0)+held(1)+held(2) == total })
+	c.waitKeysHeld()
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	start := time.Now()
--- a/router/sidecar/faultyupstream_test.go
+++ b/router/sidecar/faultyupstream_test.go
@@ -167,7 +167,7 @@
 			t.Parallel()
 			cl := newCluster(t, "keyed", "plain")
 			cl.waitReady()
-			cl.eventually("all keys are held", func() bool { return len(cl.hosts[0].upstream.heldGrants()) == maxInitialRangesPerMember })
+			cl.waitKeysHeld()
 			arrivals, runs := &runCounter{}, &runCounter{}
 			cl.hosts[0].upstream.serveRaw(func(r *rawRequest) bool {
 				if arrivals.add(r.id) == 1 {
--- a/router/sidecar/regions_test.go
+++ b/router/sidecar/regions_test.go
@@ -28,13 +28,10 @@
 // given as "service region".
 func newRegionCluster(t *testing.T, hosts ...string) (*cluster, *refusalCount) {
 	t.Helper()
-	c, refusals := newCluster(t), &refusalCount{}
+	refusals := &refusalCount{}
+	c := newUnconfiguredCluster(t, nil)
 	c.log = event.NewLogger(refusals, log.InfoLevel)
-	for i, host := range hosts {
-		service, region, _ := strings.Cut(host, " ")
-		c.region = region
-		c.add(fmt.Sprintf("h%d", i), service)
-	}
+	c.addFirst(hosts...)
 	c.waitReady()
 	return c, refusals
 }
@@ -123,7 +120,7 @@
 	t.Parallel()
 	c, refusals := newRegionCluster(t, "keyed r1", "keyed r2")
 	held := func(i int) int { return len(c.hosts[i].upstream.heldGrants()) }
-	c.eventually("all keys are held", func() bool { return held(0) > 0 && held(0)+held(1) == 2*maxInitialRangesPerMember })
+	c.waitKeysHeld()
 	for version, to := range []int{2: 1, 3: 0} {
 		if version < 2 {
 			continue
--- a/router/sidecar/sidecar_test.go
+++ b/router/sidecar/sidecar_test.go
@@ -108,9 +108,7 @@
 	t.Parallel()
 	c := newCluster(t, "keyed", "keyed", "plain")
 	c.waitReady()
-	c.eventually("all keys are held", func() bool {
-		return len(c.hosts[0].upstream.heldGrants())+len(c.hosts[1].upstream.heldGrants()) == 2*maxInitialRangesPerMember
-	})
+	c.waitKeysHeld()
 	for key := 0; key <= 65535; key += 4369 {
 		holder := ""
 		for _, h := range c.hosts[:2] {
@@ -145,7 +143,7 @@
 		}
 		return n
 	}
-	c.eventually("all keys are held", func() bool { return totalHeld() == 3*maxInitialRangesPerMember })
+	c.waitKeysHeld()
 	first := c.hosts[0]
 	first.cancel()
 	<-first.done
@@ -163,9 +161,7 @@
 	t.Parallel()
 	c := newCluster(t, "keyed", "keyed")
 	c.waitReady()
-	c.eventually("all keys are held", func() bool {
-		return len(c.hosts[0].upstream.heldGrants())+len(c.hosts[1].upstream.heldGrants()) == 2*maxInitialRangesPerMember
-	})
+	c.waitKeysHeld()
 	first := c.hosts[0]
 	first.Withdraw(Withdrawal{Instance: first.upstream.id})
 	c.eventually("the other upstream holds all keys", func() bool {
@@ -275,9 +271,7 @@
 	t.Parallel()
 	c := newCluster(t, "keyed", "keyed", "plain")
 	c.waitReady()
-	c.eventually("all keys are held", func() bool {
-		return len(c.hosts[0].upstream.heldGrants())+len(c.hosts[1].upstream.heldGrants()) == 2*maxInitialRangesPerMember
-	})
+	c.waitKeysHeld()
 	m, version := c.hosts[2].index.get("keyed")
 	outdated := m.Clone()
 	for i := range outdated.Ranges {
