Keys: drop new moves when the store was put back

Callers saw: 503 for keys whose move was planned when the store came back from an older copy, until the key map was made anew (0.5 s, or 9.9 s if a key is claimed by no host).

Cause: until there is a new map, a host grants by the last one of the era before, and ranges with a planned move are not granted. Their next holder can get them by no map any more. Change: the host drops the planned moves of ranges that its upstream still holds from that map.

Ruled out: dropping the moves of ranges that the upstream has been told to release as well. It may end its work on them and report the release after the new grant.

Measured: the first case of TestNewMovesAreDroppedInNewEra fails without the change (3 of 4 ranges granted), both pass with it. go test -p 2 ./sidecar -run 'TestNewMovesAreDropped|HostThatClaims|Recover|Claim|Era' passes once.

--- a/router/sidecar/keyera.go
+++ b/router/sidecar/keyera.go
@@ -113,7 +113,7 @@
 	// between claims again what it claimed there.
 	confirmed = confirmed || (d.grantSource.era == noEra && claimedBefore)
 	if m != nil && rowstore.EraOf(version) == before && d.grantSource.era == before {
-		held = m
+		held = d.withoutNewMoves(now, m)
 	}
 	d.grantSource = grantSource{era: noEra, claimed: held}
 	if held != nil {
@@ -126,6 +126,20 @@
 		event.F("claims", len(d.era.claims.Ranges)), event.F("lease_left_ms", d.leaseEnd.Sub(now).Milliseconds()))
 }
 
+// withoutNewMoves returns the map without planned moves of ranges that the upstream still
+// holds: the next holder can get them by no map any more, and without a grant they would not
+// be served until there is a new map. Ranges that the upstream has been told to release are
+// not granted again, because it may report the release later. The caller holds d.mu.
+func (d *keyDriver) withoutNewMoves(now boottime.Time, m *keyrange.Map) *keyrange.Map {
+	m = m.Clone()
+	for i := range m.Ranges {
+		if r := &m.Ranges[i]; r.Holder.Host == d.host && d.grants.Holds(now, r) {
+			r.Next = ""
+		}
+	}
+	return m
+}
+
 // grantMap returns the map by which keys may be granted, or nil, and its version. The
 // caller holds d.mu.
 func (d *keyDriver) grantMap(service string) (*keyrange.Map, int64) {
--- a/router/sidecar/keyrecovery_test.go
+++ b/router/sidecar/keyrecovery_test.go
@@ -156,3 +156,27 @@
 		}
 	}
 }
+
+// Guards against keys that nobody serves until the new map is made, up to 10 s, because they
+// were to move when the store was put back: their next holder gets them by no map any more.
+// Ranges that the upstream is already to release must not be granted again.
+func TestNewMovesAreDroppedInNewEra(t *testing.T) {
+	for name, want := range map[string]int{"upstream still holds the range": 4, "upstream is to release it": 3} {
+		t.Run(name, func(t *testing.T) {
+			f := newRecoveringFleet(t)
+			f.grants(0)
+			d := f.drivers[0]
+			_, version := d.index.get("s")
+			planned := f.before.Clone()
+			planned.PlanMove(planned.RangesOf(d.local.get().holder)[0], "h2")
+			d.index.put("s", version+1, planned)
+			if want == 3 {
+				f.grants(0)
+			}
+			f.step(0)
+			if granted := f.grants(0); len(granted) != want {
+				t.Errorf("h0 grants %d ranges before there is a new map, want %d of the 4 that it claims", len(granted), want)
+			}
+		})
+	}
+}
