Keys: ranges of a silent upstream go to other hosts, not back to it

Callers saw: 503 for half of the keys of an upstream whose heartbeats were late by more than its hold, until they came again.

Cause: the host freed the expired ranges, and free ranges go to the ready host with the fewest, which is the one that has just freed them. The key map changed in each step, up to ten times a second. Change: in the change that frees them, the ranges go to the other hosts of the service. If there are none, they stay.

Measured: TestKeysOfSilentUpstreamGoToOtherHosts and TestKeysOfOnlyUpstreamStayWhileItIsSilent fail without the change (12 and 11 changes in 3 s, all ranges back at the silent host) and pass with it: go test -p 2 ./sidecar -run 'TestKeysOfSilent|TestKeysOfOnly|Lapsed|Silent|Keys'.

--- a/router/keyrange/map.go
+++ b/router/keyrange/map.go
@@ -288,6 +288,15 @@
 	m.Ranges[i].Next = to
 }
 
+// PlanMoveAway plans a move of range i to the member with the fewest ranges, unless one is
+// already planned to a member. A range that is released without a planned move can be assigned
+// to its previous holder again.
+func (m *Map) PlanMoveAway(i int, members []Member) {
+	if r := &m.Ranges[i]; len(members) > 0 && !isMember(members, r.Next) {
+		r.Next = fewestRanges(warmMembers(members), m.CountByHost()).Host
+	}
+}
+
 // CancelMoves cancels planned moves of a host's ranges to hosts that are no longer
 // among the members. It reports whether the map changed.
 func (m *Map) CancelMoves(host string, members []Member) bool {
--- a/router/sidecar/keyplan.go
+++ b/router/sidecar/keyplan.go
@@ -179,10 +179,18 @@
 }
 
 // releaseExpired ends holds that have expired, if the upstream has ended, sends no
-// heartbeats, or is to release the range.
+// heartbeats, or is to release the range. In the first two cases the ranges go to other hosts
+// at once: as free ranges they would be assigned to this one again, which has the fewest.
 func (d *keyDriver) releaseExpired(now boottime.Time, next *keyrange.Map, s upstreamState, others []keyrange.Member) bool {
 	ended := d.local.ended(time.Now(), d.heartbeatInterval)
-	silent := d.local.silentFor(time.Now()) > d.maxHeartbeatHold
+	absent := ended || d.local.silentFor(time.Now()) > d.maxHeartbeatHold
+	if absent && len(others) == 0 {
+		return false // the upstream gets its ranges back when it sends heartbeats again
+	}
+	targets := d.reachable(others)
+	if len(targets) == 0 {
+		targets = others
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if ended {
@@ -191,8 +199,11 @@
 	changed := false
 	for _, i := range next.RangesOf(s.holder) {
 		r := &next.Ranges[i]
-		if (ended || silent || r.Next != "") && d.grants.HoldEnded(now, r) {
+		if (absent || r.Next != "") && d.grants.HoldEnded(now, r) {
 			d.grants.Relinquish(r)
+			if absent {
+				next.PlanMoveAway(i, targets)
+			}
 			next.Release(i, "", others)
 			changed = true
 		}
