Tests: measure for how long keys are refused after the store was put back

Cause of "some keys were not served for 3.97 s": TestKeysAfterStoreIsPutBack sent 48 requests one after another and took the time of the whole pass for the time for which keys were not served.

Change: the test asks for all keys at the same time and measures for each key and host how long it is refused. The limit is 2 s; the old bound of 3 s included a pass of 1 s. All keys must then be served in one pass, as before. The test upstream forgets holds that have expired, by which the test sees two holders, and reports only those parts of a range as released that are not granted any more; both as the platform's stand-in does.

Ruled out: the wait for a range of its own at the entry as the cause. It lengthens a refused request to 0.75 s; an unserved key is served as soon as without it.

--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -59,6 +59,8 @@
 	arrivals []time.Time
 	headers  []http.Header
 	holds    []keyrange.Grant
+	// holdsUntil is the time at which holds expire unless they are renewed.
+	holdsUntil time.Time
 	// released are the ranges that the last heartbeat response withdrew.
 	released []keyrange.Handover
 	sequence int64
@@ -371,6 +373,7 @@
 	r := Heartbeat{Instance: u.id, Started: u.started, Sequence: u.sequence, Service: service, Slots: 4, Holds: u.holds, Released: u.released}
 	r.ColdFor, r.ColdStated = time.Until(u.coldUntil), !u.coldUntil.IsZero()
 	u.mu.Unlock()
+	sent := time.Now()
 	reply, _ := s.HandleHeartbeat(r)
 	if !reply.Renew {
 		return
@@ -379,11 +382,29 @@
 	defer u.mu.Unlock()
 	u.released = nil
 	for _, h := range u.holds {
-		if !slices.ContainsFunc(reply.Grants, func(g keyrange.Grant) bool { return g.From <= h.From && h.To <= g.To }) {
-			u.released = append(u.released, keyrange.Handover{From: h.From, To: h.To, Token: "left"})
+		u.released = append(u.released, withoutGrants(h, reply.Grants)...)
+	}
+	u.holds, u.holdsUntil = reply.Grants, sent.Add(reply.HoldFor)
+}
+
+// withoutGrants returns the parts of a hold that the grants, which are sorted, do not cover.
+func withoutGrants(hold keyrange.Grant, grants []keyrange.Grant) []keyrange.Handover {
+	var parts []keyrange.Handover
+	next, end := int(hold.From), int(hold.To)
+	add := func(to int) {
+		if next <= to {
+			parts = append(parts, keyrange.Handover{From: uint16(next), To: uint16(to), Token: "left"})
 		}
 	}
-	u.holds = reply.Grants
+	for _, g := range grants {
+		if int(g.To) < next || int(g.From) > end {
+			continue
+		}
+		add(int(g.From) - 1)
+		next = int(g.To) + 1
+	}
+	add(end)
+	return parts
 }
 
 func (u *testUpstream) heldGrants() []keyrange.Grant {
@@ -392,6 +413,16 @@
 	return u.holds
 }
 
+// currentGrants returns the grants whose hold has not expired.
+func (u *testUpstream) currentGrants() []keyrange.Grant {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if time.Now().After(u.holdsUntil) {
+		return nil
+	}
+	return u.holds
+}
+
 // eventually waits until a condition holds.
 func (c *cluster) eventually(what string, holds func() bool) {
 	c.t.Helper()
--- a/router/sidecar/putback_test.go
+++ b/router/sidecar/putback_test.go
@@ -44,7 +44,7 @@
 func (c *cluster) holders(key uint16) []string {
 	var holders []string
 	for _, h := range c.hosts {
-		for _, g := range h.upstream.heldGrants() {
+		for _, g := range h.upstream.currentGrants() {
 			if g.From <= key && key <= g.To {
 				holders = append(holders, h.settings.Host.Name)
 			}
@@ -77,7 +77,7 @@
 			for key := 0; key <= keyrange.MaxKey; key += 257 {
 				holders := 0
 				for _, h := range c.hosts {
-					for _, g := range h.upstream.heldGrants() {
+					for _, g := range h.upstream.currentGrants() {
 						if int(g.From) > key || key > int(g.To) {
 							continue
 						}
@@ -134,6 +134,35 @@
 	}
 }
 
+// checkKeysServed sends requests for keys from all hosts, each again until it is served, and
+// fails if a key was refused at a host for longer than the limit. The keys are asked for at the
+// same time: the time of the requests that are served does not count.
+func (c *cluster) checkKeysServed(limit time.Duration) {
+	c.t.Helper()
+	var wg sync.WaitGroup
+	for key := 0; key <= keyrange.MaxKey; key += 4369 {
+		wg.Go(func() {
+			for i, h := range c.hosts {
+				begin, refused := time.Now(), time.Duration(0)
+				var last response
+				for n := 0; refused < 30*time.Second; n++ {
+					id := fmt.Sprintf("check-%d-%d-%d-%d", key, i, n, begin.UnixNano())
+					got := h.request(c.t, http.MethodGet, "/keys/x", id, "", testHeaders.Key, fmt.Sprint(key))
+					if got.status == http.StatusOK {
+						break
+					}
+					refused, last = time.Since(begin), got
+					<-time.After(20 * time.Millisecond)
+				}
+				if refused > limit {
+					c.t.Errorf("key %d was refused by %s for %v, at last with %d %s", key, h.settings.Host.Name, refused, last.status, last.body)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // Guards against keys with two holders, or with none for long, after the store was put back
 // to a copy from before the keys moved.
 func TestKeysAfterStoreIsPutBack(t *testing.T) {
@@ -159,11 +188,8 @@
 	c.store.Restore(older)
 	putBack := time.Now()
 	c.eventually("the leases from before have ended", func() bool { return time.Since(putBack) > leaseDuration+3*time.Second })
-	later := time.Now()
+	c.checkKeysServed(2 * time.Second)
 	c.eventually("all keys are served", served)
-	if took := time.Since(later); took > 3*time.Second {
-		t.Errorf("some keys were not served for %v after the leases from before had ended", took)
-	}
 	for _, what := range stopWatching() {
 		t.Error(what)
 	}
