Quarantine: hosts without responses hear of suspects by polls

Callers saw: a host that served its own requests refused a repaired request until it expected a trial, for 10 s up to 5 minutes, and did not refuse requests that had crashed upstreams elsewhere.

Cause: reports travelled with responses between routers only. Change: the polls of configurations, which a host without responses sends to a random other one every 0.4 s, carry the reports of both sides, while there are suspects. No message is added; earlier versions ignore the member.

--- a/router/sidecar/configexchange.go
+++ b/router/sidecar/configexchange.go
@@ -335,14 +335,15 @@
 	c.scope.Tagged(map[string]string{"outcome": outcome}).Counter("config_exchanges").Inc(1)
 }
 
-// fetchConfig requests from another host a configuration above the version. Its report of
-// the evacuated zones is the response to the given one, and empty if that host sends none.
-func fetchConfig(ctx context.Context, from *hop.Client, version uint64, report string) (peerConfig, string, error) {
-	result, err := (&remoteStore{client: from}).call(ctx, storeCall{Call: storeConfig, Config: version, Evacuated: report})
+// fetchConfig requests from another host the configuration above the version of the call. The
+// reports in the result are the responses to those of the call.
+func fetchConfig(ctx context.Context, from *hop.Client, call storeCall) (peerConfig, storeResult, error) {
+	call.Call = storeConfig
+	result, err := (&remoteStore{client: from}).call(ctx, call)
 	if err != nil {
 		// The other connections use the same path and are likely to be broken as well.
 		from.CloseIdle()
-		return peerConfig{}, "", err
+		return peerConfig{}, storeResult{}, err
 	}
 	peer := peerConfig{Version: result.Config, Age: result.ConfigAge, AgeKnown: result.ConfigAge > 0}
 	switch len(result.Rows) {
@@ -350,7 +351,7 @@
 	case 1:
 		peer.Row = &result.Rows[0]
 	default:
-		return peerConfig{}, "", fmt.Errorf("%s responded with %d rows", from.Address(), len(result.Rows))
+		return peerConfig{}, storeResult{}, fmt.Errorf("%s responded with %d rows", from.Address(), len(result.Rows))
 	}
-	return peer, result.Evacuated, nil
+	return peer, result, nil
 }
--- a/router/sidecar/evacuation.go
+++ b/router/sidecar/evacuation.go
@@ -85,14 +85,17 @@
 }
 
 // pollConfig requests from another host a configuration above the version, and the
-// evacuated zones if this host knows of any or knows nothing yet. A host that knows of
+// evacuated zones if this host knows of any or knows nothing yet. Both report the requests
+// that crash upstreams: a host whose requests run at its own upstream gets no responses. A
+// host that knows of
 // evacuated zones reports them unasked, and its report must be merged before its age confirms
 // the configuration of this host.
 func (s *Sidecar) pollConfig(ctx context.Context, from *hop.Client, version uint64) (peerConfig, error) {
 	own := s.evacuation.pollReport(false)
-	peer, evacuated, err := fetchConfig(ctx, from, version, own)
+	peer, result, err := fetchConfig(ctx, from, storeCall{Config: version, Evacuated: own, Suspects: s.quarantine.pollReport()})
 	if err == nil {
-		s.evacuation.mergePolled(own, evacuated, from.Address())
+		s.evacuation.mergePolled(own, result.Evacuated, from.Address())
+		s.quarantine.merge(result.Suspects, from.Address())
 	}
 	return peer, err
 }
--- a/router/sidecar/quarantine_test.go
+++ b/router/sidecar/quarantine_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -256,6 +257,25 @@
 	}
 }
 
+// Guards against a host that goes on to refuse, or to send, a request that crashes upstreams
+// because it gets no responses of other hosts: its requests run at its own upstream.
+func TestHostWithoutResponsesHearsOfSuspects(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "plain", "plain")
+	c.waitReady()
+	call := &Call{Target: "/a"}
+	all := func(holds func(q *quarantineDriver) bool) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(c.hosts, func(h *testHost) bool { return !holds(h.quarantine) })
+		}
+	}
+	c.hosts[0].quarantine.suspectEverything(3)
+	c.eventually("all hosts refuse the request", all(func(q *quarantineDriver) bool { _, err := q.atEntry(call); return err != nil }))
+	c.hosts[0].quarantine.completed(call)
+	// A trial that is due would not be refused either.
+	c.eventually("all hosts know that the request is repaired", all(func(q *quarantineDriver) bool { return q.mayRepeat(call) }))
+}
+
 // Guards against a router that fails where the quarantine is switched off.
 func TestQuarantineSwitchedOff(t *testing.T) {
 	settings := DefaultSettings()
--- a/router/sidecar/quarantinereport.go
+++ b/router/sidecar/quarantinereport.go
@@ -38,6 +38,18 @@
 	return q.set.Report(now, r.suspect)
 }
 
+// pollReport returns the report for a poll of another host or for the response to one, or ""
+// if there is none. A host polls while it gets few responses, every 0.4 s at most.
+func (q *quarantineDriver) pollReport() string {
+	if q == nil || !q.active.Load() {
+		return ""
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	defer q.update()
+	return q.set.Report(time.Now(), nil)
+}
+
 // merge adds the report of another host.
 func (q *quarantineDriver) merge(report, host string) {
 	if q == nil || report == "" {
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -49,6 +49,9 @@
 	Config uint64
 	// Evacuated is the report of the evacuated zones with a storeConfig call, or empty.
 	Evacuated string `cbor:",omitempty"`
+	// Suspects is the report of requests that crash upstreams with a storeConfig call, or
+	// empty.
+	Suspects string `cbor:"Burdock-Suspects,omitempty"`
 }
 
 // storeResult is the result of a storeCall. It is encoded as a CBOR map with the field
@@ -65,6 +68,9 @@
 	// Evacuated is the report of the evacuated zones in the response to a storeConfig call,
 	// or empty.
 	Evacuated string `cbor:",omitempty"`
+	// Suspects is the report of requests that crash upstreams in the response to a
+	// storeConfig call, or empty.
+	Suspects string `cbor:"Burdock-Suspects,omitempty"`
 	// Conflict stands for rowstore.ConflictError, EraChanged for rowstore.EraChangedError,
 	// HistoryGone for rowstore.ErrHistoryGone and NotFed for rowstore.ErrFeedClosed; Error
 	// is the text of any other error. Era is the era of the first two.
@@ -210,6 +216,8 @@
 		result.ConfigAge = max(age, 1)
 		h.evacuation.merge(call.Evacuated, "poll")
 		result.Evacuated = h.evacuation.pollReport(call.Evacuated != "")
+		h.quarantine.merge(call.Suspects, "poll")
+		result.Suspects = h.quarantine.pollReport()
 		result.Config, result.Rows = h.config.newerThan(call.Config)
 	case storeKeyMap:
 		err = h.applyKeyMap(call.Row)
