Quarantine: the first response on a connection after a change reports it

Callers saw: a host that gets few responses went on to refuse a repaired request.

Cause: later than 2 s after a change, a router adds its report to one response each 0.1 s, whichever host that goes to. With 500 responses a second to others, a host with 3 a second found it in every 50th (calculated). Change: each connection keeps which change was reported on it; the first response after another one has the report. The spacing stays for all further ones.

TestRequestThatCrashesUpstreamsIsQuarantined took for granted that 12 harmless requests of each host bring the news of the repair; which hosts run them is not determined, and a host that runs its own hears nothing by them. It now requires that all hosts suspect the request before the repair and have heard of it within 4 s after the harmless requests, and sends the request again only then.

--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -32,6 +32,10 @@
 	// ChargeResponse charges n bytes of a response to the connection on which the request
 	// arrived. It is set by the server.
 	ChargeResponse func(n int64)
+	// Told belongs to the handler, which keeps in it what it has said on the connection on
+	// which the request arrived. It is 0 at first, nil if the request did not arrive at a
+	// server, and used by one request at a time.
+	Told *uint64
 }
 
 // Response is a response with its body, which must be closed.
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -51,6 +51,7 @@
 	// sendState is that of the last call of SampleSent, which alone uses it.
 	sendState sendState
 	busy      bool // guarded by Server.mu
+	told      uint64
 	sent      fieldCache
 	received  fieldCache
 	// writeMu orders the request for a stream, which another goroutine may make, before the
@@ -144,7 +145,7 @@
 // readRequest reads a request with a short body, or the head of one with a longer
 // body, which is then its Stream.
 func (c *serverConn) readRequest() (*Request, error) {
-	r := &Request{ChargeResponse: c.meter().ChargeResponse}
+	r := &Request{ChargeResponse: c.meter().ChargeResponse, Told: &c.told}
 	if err := readHeadWithin(c.br, &r.RequestHead, c.reserveHead, c.reserveFields); err != nil {
 		return nil, err
 	}
--- a/router/quarantine/set.go
+++ b/router/quarantine/set.go
@@ -30,6 +30,8 @@
 	revision uint64
 	// urgentUntil is the time until which other hosts should hear of the suspects soon.
 	urgentUntil time.Time
+	// news is the number of changes of which they should.
+	news uint64
 }
 
 // NewSet returns a set without suspects for the host.
@@ -133,6 +135,7 @@
 func (s *Set) markUrgent(now time.Time, x *suspect) {
 	if len(x.crashes) > 1 {
 		s.urgentUntil = now.Add(urgentTime)
+		s.news++
 	}
 }
 
@@ -142,6 +145,11 @@
 	return now.Before(s.urgentUntil)
 }
 
+// News returns a number that rises with each change that makes reports urgent.
+func (s *Set) News() uint64 {
+	return s.news
+}
+
 // Completed records that an upstream has completed the request.
 func (s *Set) Completed(now time.Time, f Fingerprint) {
 	x := s.suspects[f]
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -154,6 +154,9 @@
 	// suspect is the fingerprint of a call that was lost.
 	lost    bool
 	suspect *quarantine.Fingerprint
+	// told is hop.Request.Told of a call of another host, where the gate keeps the
+	// quarantine.Set.News that it has reported.
+	told *uint64
 
 	// Config is the configuration in force at the other host. Its version is 0 if
 	// unknown.
--- a/router/sidecar/quarantine_test.go
+++ b/router/sidecar/quarantine_test.go
@@ -14,6 +14,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -103,12 +104,27 @@
 	}
 }
 
+// checkHeardOfRepair waits until no host suspects the call any more, and fails if that takes
+// longer than the limit. Which hosts run the requests of exchange is not determined: a host
+// that ran all of its own hears of the repair by polls only.
+func (c *deadlyCluster) checkHeardOfRepair(call *Call, limit time.Duration) {
+	c.t.Helper()
+	begin := time.Now()
+	for _, h := range c.hosts {
+		c.eventually(h.settings.Host.Name+" hears of the repair", func() bool { return h.quarantine.mayRepeat(call) })
+	}
+	if took := time.Since(begin); took > limit {
+		c.t.Errorf("all hosts had heard of the repair after %v", took)
+	}
+}
+
 // Guards against a request that goes on to crash upstreams after it has crashed three,
 // whichever host it comes from, against crashes by repetition, against the refusal of other
 // requests, and against a repaired release that does not serve it.
 func TestRequestThatCrashesUpstreamsIsQuarantined(t *testing.T) {
 	t.Parallel()
 	c := newDeadlyCluster(t, 5)
+	deadly := &Call{Service: "plain", Method: "GET", Host: "test", Target: "/look/deadly?x=1"}
 	send := func(i int) response {
 		return c.hosts[i%5].request(t, "GET", "/look/deadly?x=1", fmt.Sprint("deadly-", i), "")
 	}
@@ -133,10 +149,16 @@
 		t.Errorf("another query: %d %s", got.status, got.body)
 	}
 	c.restartCrashed()
+	for _, h := range c.hosts {
+		if h.quarantine.mayRepeat(deadly) {
+			t.Errorf("%s does not suspect the request", h.settings.Host.Name)
+		}
+	}
 	c.repaired.Store(true)
 	n := 100
 	c.eventually("the repaired release serves it", func() bool { n++; return send(n).status == http.StatusOK })
 	c.exchange(n)
+	c.checkHeardOfRepair(deadly, 4*time.Second)
 	for i := range c.hosts {
 		if got := send(200 + i); got.status != http.StatusOK {
 			t.Errorf("host %d refuses the repaired request: %d %s", i, got.status, got.body)
@@ -257,6 +279,39 @@
 	}
 }
 
+// Guards against a host that does not hear for long which requests crash upstreams, and which
+// no longer do, because it gets one response where others get hundreds.
+func TestRareResponseCarriesNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQuarantine()
+		var often, rarely uint64
+		respond := func(told *uint64) bool { return q.report(&Result{told: told}) != "" }
+		change := func(news func()) {
+			news()
+			time.Sleep(3 * time.Second) // the news are no longer urgent
+			reports := 0
+			for range 500 {
+				if respond(&often) {
+					reports++
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+			if reports > 12 {
+				t.Errorf("%d reports in a second to a host that gets 500 responses", reports)
+			}
+			respond(&often)
+			if !respond(&rarely) {
+				t.Error("the first response after a change has no report")
+			}
+			if respond(&rarely) {
+				t.Error("the second response has a report as well")
+			}
+		}
+		change(func() { q.suspectEverything(3) })
+		change(func() { q.completed(&Call{Target: "/a"}) })
+	})
+}
+
 // Guards against a host that goes on to refuse, or to send, a request that crashes upstreams
 // because it gets no responses of other hosts: its requests run at its own upstream.
 func TestHostWithoutResponsesHearsOfSuspects(t *testing.T) {
--- a/router/sidecar/quarantinereport.go
+++ b/router/sidecar/quarantinereport.go
@@ -14,9 +14,9 @@
 	// crash their upstreams. Routers of earlier versions ignore it.
 	suspectsField = "Burdock-Suspects"
 	// reportSpacing is the shortest time between two reports of this host, except for those
-	// to the sender of a lost request and while a suspect with several crashes has just
-	// changed. A report is longer than many responses, and after any crash of an upstream
-	// there are suspects for a minute.
+	// to the sender of a lost request, while a suspect with several crashes has just changed,
+	// and the first one on each connection after such a change. A report is longer than many
+	// responses, and after any crash of an upstream there are suspects for a minute.
 	reportSpacing = 100 * time.Millisecond
 	// maxReporters bounds the hosts whose last report is remembered.
 	maxReporters = 1024
@@ -30,9 +30,14 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if r.suspect == nil && !q.set.Urgent(now) && now.Sub(q.reportedAt) < reportSpacing {
+	news := q.set.News()
+	untold := r.told != nil && *r.told != news // the spacing may have left this host out
+	if r.suspect == nil && !untold && !q.set.Urgent(now) && now.Sub(q.reportedAt) < reportSpacing {
 		return ""
 	}
+	if r.told != nil {
+		*r.told = news
+	}
 	q.reportedAt = now
 	defer q.update()
 	return q.set.Report(now, r.suspect)
