Keys: bound what one host gets from a silent one; begin waits anew

A host with as many ranges as the response to a heartbeat grants (90) gets none of a silent upstream, since nobody would serve them. The wait for the initial key map begins anew after all members were away; otherwise the first one back would have taken all keys.

Measured: TestPlanMoveAwayIsBounded and the new case of TestInitialMapIsMadeInBoundedTime; the latter fails without the change ("[h0] after 20s"). go test -p 2 ./keyrange passes.

--- a/router/keyrange/initial.go
+++ b/router/keyrange/initial.go
@@ -26,8 +26,8 @@
 type InitialMembers struct {
 	// present holds the time since which each member has been present.
 	present map[string]boottime.Time
-	// first is the time of the first observation with members, changed that of the last
-	// change of the set.
+	// first is the time since which there have been members, changed that of the last change
+	// of the set.
 	first, changed boottime.Time
 }
 
@@ -53,11 +53,12 @@
 
 // observe records the present members.
 func (i *InitialMembers) observe(now boottime.Time, members []Member) {
-	if i.present == nil {
-		i.present = map[string]boottime.Time{}
+	if len(members) == 0 {
+		i.Reset() // the wait begins again with the next member
+		return
 	}
-	if len(members) > 0 && i.first == 0 {
-		i.first = now
+	if i.present == nil {
+		i.present, i.first = map[string]boottime.Time{}, now
 	}
 	before := len(i.present)
 	maps.DeleteFunc(i.present, func(host string, _ boottime.Time) bool {
--- a/router/keyrange/initial_test.go
+++ b/router/keyrange/initial_test.go
@@ -53,7 +53,10 @@
 		"one flaps":             {"h0", func(i int, since time.Duration) bool { return i < 2 || since/time.Second%2 == 0 }, maxInitialWait, []string{"h0", "h1"}},
 		"the first one flaps":   {"h1", func(i int, since time.Duration) bool { return i > 0 || since/time.Second%2 == 0 }, maxInitialWait, []string{"h1", "h2"}},
 		"one comes each second": {"h0", func(i int, since time.Duration) bool { return i <= int(since/time.Second) }, maxInitialWait, []string{"h0", "h1", "h2", "h3", "h4"}},
-		"this one flaps":        {"h0", func(i int, since time.Duration) bool { return i > 0 || since/time.Second%2 == 0 }, 0, nil},
+		"all were away": {"h0", func(i int, since time.Duration) bool {
+			return since < time.Second || since >= time.Duration(20+i)*time.Second
+		}, 22*time.Second + steadyTime, []string{"h0", "h1", "h2"}},
+		"this one flaps": {"h0", func(i int, since time.Duration) bool { return i > 0 || since/time.Second%2 == 0 }, 0, nil},
 	} {
 		n := 3
 		if name == "one comes each second" {
@@ -82,3 +85,17 @@
 		t.Errorf("%d ranges for one host, a heartbeat grants %d", len(m.Ranges), MaxGrants)
 	}
 }
+
+// Guards against ranges of a silent host that nobody serves because their new holder has more
+// than a heartbeat can grant.
+func TestPlanMoveAwayIsBounded(t *testing.T) {
+	t.Parallel()
+	all := presence(2, func(int) bool { return true })
+	m := NewMap(all, 60)
+	for _, i := range m.RangesOf(all[0].Holder) {
+		m.PlanMoveAway(i, all[1:])
+	}
+	if n := m.CountByHost()["h1"]; n != MaxGrants {
+		t.Errorf("%d ranges at the other host, want %d", n, MaxGrants)
+	}
+}
--- a/router/keyrange/map.go
+++ b/router/keyrange/map.go
@@ -289,11 +289,15 @@
 }
 
 // PlanMoveAway plans a move of range i to the member with the fewest ranges, unless one is
-// already planned to a member. A range that is released without a planned move can be assigned
-// to its previous holder again.
+// already planned to a member, or that member has as many as the response to a heartbeat can
+// grant. A range that is released without a planned move can be assigned to its previous
+// holder again.
 func (m *Map) PlanMoveAway(i int, members []Member) {
 	if r := &m.Ranges[i]; len(members) > 0 && !isMember(members, r.Next) {
-		r.Next = fewestRanges(warmMembers(members), m.CountByHost()).Host
+		counts := m.CountByHost()
+		if to := fewestRanges(warmMembers(members), counts); counts[to.Host] < MaxGrants {
+			r.Next = to.Host
+		}
 	}
 }
 
