--- a/router/sidecar/cluster_test.go
+++ b/router/sidecar/cluster_test.go
@@ -59,6 +59,8 @@
 	arrivals []time.Time
 	headers  []http.Header
 	holds    []keyrange.Grant
+	// holdsUntil is the time at which holds expire unless they are renewed.
+	holdsUntil time.Time
 	// released are the ranges that the last heartbeat response withdrew.
 	released []keyrange.Handover
 	sequence int64
@@ -173,12 +175,16 @@
 
 // newZonedCluster returns a cluster whose hosts are in the zones.
 func newZonedCluster(t *testing.T, zones map[string]string, services ...string) *cluster {
+	t.Helper()
+	c := newUnconfiguredCluster(t, zones)
+	c.addFirst(services...)
+	return c
+}
+
+// newUnconfiguredCluster returns a cluster without hosts and without a configuration.
+func newUnconfiguredCluster(t *testing.T, zones map[string]string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: rowstore.NewMemory(), zones: zones}
-	c.publish("1")
-	for i, service := range services {
-		c.add(fmt.Sprintf("h%d", i), service)
-	}
 	t.Cleanup(func() {
 		for _, h := range c.hosts {
 			h.cancel()
@@ -190,6 +196,55 @@
 	return c
 }
 
+// addFirst publishes the first configuration and adds the first hosts, each given as
+// "service" or "service region". If several hosts have keys, the configuration follows when all
+// hosts know each other: a key map is made once those that are known are steady, and a host
+// that a busy machine starts later gets no ranges without load.
+func (c *cluster) addFirst(hosts ...string) {
+	c.t.Helper()
+	keyed := len(slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return !strings.HasPrefix(host, "keyed") }))
+	if keyed <= 1 {
+		c.publish("1")
+	}
+	for i, host := range hosts {
+		service, region, _ := strings.Cut(host, " ")
+		c.region = region
+		c.add(fmt.Sprintf("h%d", i), service)
+	}
+	if keyed > 1 {
+		c.eventually("all hosts know each other", func() bool {
+			return !slices.ContainsFunc(c.hosts, func(h *testHost) bool { return h.fleet.HostCount() != len(c.hosts) })
+		})
+		c.publish("1")
+	}
+}
+
+// waitKeysHeld waits until the upstream of each keyed host holds its part of the initial key
+// map and all hosts know the map.
+func (c *cluster) waitKeysHeld() {
+	c.t.Helper()
+	last := ""
+	defer func() {
+		if c.t.Failed() {
+			c.t.Log(last)
+		}
+	}()
+	c.eventually("all keys are held", func() bool {
+		for _, h := range c.hosts {
+			m, version := h.index.get("keyed")
+			held, want := len(h.upstream.heldGrants()), 0
+			if h.settings.Host.Service == "keyed" {
+				want = maxInitialRangesPerMember
+			}
+			if m == nil || held != want {
+				last = fmt.Sprintf("%s: map of version %d, %d ranges held, want %d", h.settings.Host.Name, version, held, want)
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // publish stores a configuration; its row holds the version and, for each restricted route,
 // its name and its regions: "2 look=r1,r2".
 func (c *cluster) publish(version string) {
@@ -318,6 +373,7 @@
 	r := Heartbeat{Instance: u.id, Started: u.started, Sequence: u.sequence, Service: service, Slots: 4, Holds: u.holds, Released: u.released}
 	r.ColdFor, r.ColdStated = time.Until(u.coldUntil), !u.coldUntil.IsZero()
 	u.mu.Unlock()
+	sent := time.Now()
 	reply, _ := s.HandleHeartbeat(r)
 	if !reply.Renew {
 		return
@@ -326,11 +382,29 @@
 	defer u.mu.Unlock()
 	u.released = nil
 	for _, h := range u.holds {
-		if !slices.ContainsFunc(reply.Grants, func(g keyrange.Grant) bool { return g.From <= h.From && h.To <= g.To }) {
-			u.released = append(u.released, keyrange.Handover{From: h.From, To: h.To, Token: "left"})
+		u.released = append(u.released, withoutGrants(h, reply.Grants)...)
+	}
+	u.holds, u.holdsUntil = reply.Grants, sent.Add(reply.HoldFor)
+}
+
+// withoutGrants returns the parts of a hold that the grants, which are sorted, do not cover.
+func withoutGrants(hold keyrange.Grant, grants []keyrange.Grant) []keyrange.Handover {
+	var parts []keyrange.Handover
+	next, end := int(hold.From), int(hold.To)
+	add := func(to int) {
+		if next <= to {
+			parts = append(parts, keyrange.Handover{From: uint16(next), To: uint16(to), Token: "left"})
 		}
 	}
-	u.holds = reply.Grants
+	for _, g := range grants {
+		if int(g.To) < next || int(g.From) > end {
+			continue
+		}
+		add(int(g.From) - 1)
+		next = int(g.To) + 1
+	}
+	add(end)
+	return parts
 }
 
 func (u *testUpstream) heldGrants() []keyrange.Grant {
@@ -339,6 +413,16 @@
 	return u.holds
 }
 
+// currentGrants returns the grants whose hold has not expired.
+func (u *testUpstream) currentGrants() []keyrange.Grant {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if time.Now().After(u.holdsUntil) {
+		return nil
+	}
+	return u.holds
+}
+
 // eventually waits until a condition holds.
 func (c *cluster) eventually(what string, holds func() bool) {
 	c.t.Helper()
