Decide in one place which hosts accept requests

Cause: HasOther and Spare of router/fleet repeated the conditions of Directory.exclusion and missed its last change, by which a host whose router began to stop less than a second ago may be chosen. For HasOther the result differs in that case: such a host now counts as another one. Its caller, entry.isFinal, must say whether Choose will offer the request to one more host; so far it marked the attempt before as final, and the gate waited for a slot or made a reservation although a host was left. Spare still leaves out stopping hosts: it bounds second requests, and the slots of such a host are lost within seconds while its work goes to the others. Tests: TestHasOtherAgreesWithChoose and TestSpareLeavesOutStoppingHosts are new.

--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -295,3 +295,50 @@
 		t.Errorf("%d hosts with utilization %v, want a and b with %v", hosts, utilization, reportWeight/2)
 	}
 }
+
+// Guards against spare capacity that counts a host whose router stops: its slots are lost
+// within seconds, and second requests would compete with the work that it leaves to others.
+func TestSpareLeavesOutStoppingHosts(t *testing.T) {
+	d := newDirectory(upstream("a", "z1", "r1"), upstream("b", "z1", "r1"))
+	reportLoad(d, "a", Load{Busy: 10, Slots: 10})
+	stopping := upstream("b", "z1", "r1")
+	stopping.State = Stopping
+	d.Put(stopping)
+	if hosts, utilization := d.Spare(time.Now(), "s", nil); hosts != 1 || utilization != reportWeight {
+		t.Errorf("%d hosts with utilization %v, want a alone with %v", hosts, utilization, reportWeight)
+	}
+}
+
+// Guards against an attempt that is called final although Choose would offer the request to
+// another host afterwards, and against one that is not although no host is left.
+func TestHasOtherAgreesWithChoose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory(upstream("a", "z1", "r1"), upstream("b", "z1", "r1"))
+		evacuated := ""
+		d.SetEvacuated(func(zone string) bool { return zone == evacuated })
+		first := d.Host("a")
+		check := func(when string, want bool, exclude []*Host, allowed func(Member) bool) {
+			t.Helper()
+			now := time.Now()
+			chosen := d.ChooseAllowed(now, "s", append([]*Host{first}, exclude...), allowed)
+			if other := d.HasOther(now, "s", first, exclude, allowed); other != want || (chosen != nil) != want {
+				t.Errorf("%s: another host %v, chosen %v, want %v", when, other, chosen != nil, want)
+			}
+		}
+		b := upstream("b", "z1", "r1")
+		check("b is ready", true, nil, nil)
+		check("b was tried", false, []*Host{d.Host("b")}, nil)
+		check("b is not allowed", false, nil, func(m Member) bool { return m.Host != "b" })
+		evacuated = "z1"
+		check("the zone is evacuated", false, nil, nil)
+		evacuated = ""
+		b.State = Stopping
+		d.Put(b)
+		check("b begins to stop", true, nil, nil)
+		time.Sleep(stoppingUseTime)
+		check("b stops for longer", false, nil, nil)
+		b.State = Draining
+		d.Put(b)
+		check("b leaves", false, nil, nil)
+	})
+}
--- a/router/fleet/others.go
+++ b/router/fleet/others.go
@@ -1,22 +1,17 @@
 package fleet
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
-// HasOther reports whether there is a host of the service that accepts requests other than h
-// and those in exclude, and for whose member data allowed returns true. A nil allowed stands
-// for all hosts.
+// HasOther reports whether Choose could choose a host of the service other than h and those in
+// exclude, for whose member data allowed returns true. A nil allowed stands for all hosts.
 func (d *Directory) HasOther(now time.Time, service string, h *Host, exclude []*Host, allowed func(Member) bool) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	for _, o := range d.byService[service] {
-		if o == h || slices.Contains(exclude, o) {
+		if o == h {
 			continue
 		}
-		m := o.Member()
-		if (allowed == nil || allowed(m)) && d.current(now, m).State == Ready && !d.evacuated(m.Zone) {
+		if v := o.view(now); d.exclusion(now, &v, exclude, allowed) == Eligible {
 			return true
 		}
 	}
