Look up the route of a call in one place

Cause: entry, hedge, regions, grantwait and runcalls each read the table in force and looked up the route, with the path from requestPath or from plainPath. explain calls entry.lookup already. Change: currentConfig.route looks up a host name and path, and callRoute a call. requestPath uses plainPath first, so that all of them have the faster path. entry.lookup reads the table after the check of the evacuations, which can only make it newer. regionRules.route still looks at the table in force first, so that unrestricted configurations cost no look-up; the route may then come from a newer table. Tests: TestRequestPathIsThatOfTheEntry has three more targets, which the faster path handles. Measured: (cd router && go test -p 2 -run 'Region|RequestPath|Route|Hedg|Runs|Calls|Grant|Explain|Config|Entry' ./sidecar) passes in 26 s at a load average above 20; the rest of the package was not run.

--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -148,6 +148,21 @@
 	return nil
 }
 
+// route returns the configuration in force and its route for the host name and path. Both are
+// nil if there is no configuration.
+func (c *currentConfig) route(host, path string) (*vhost.Table, *vhost.Route) {
+	t := c.table.Load()
+	if t == nil {
+		return nil, nil
+	}
+	return t, t.Route(host, path)
+}
+
+// callRoute is route for a call, which may come from another host.
+func (c *currentConfig) callRoute(call *Call) (*vhost.Table, *vhost.Route) {
+	return c.route(call.Host, requestPath(call.Method, call.Target))
+}
+
 // serviceMatches reports whether the configuration contains the service and matches
 // returns true for it.
 func (c *currentConfig) serviceMatches(name string, matches func(*vhost.Service) bool) bool {
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -113,14 +113,13 @@
 
 // lookup returns the configuration in force, or nil, and its route for the request.
 func (e *entry) lookup(req *http.Request) (*vhost.Table, *vhost.Route, *errkind.Error) {
-	table := e.config.table.Load()
 	if !e.evacuation.ready() {
 		return nil, nil, errkind.New(errkind.NotReady, "the router has not read yet which zones are evacuated")
 	}
+	table, route := e.config.route(req.Host, req.URL.Path)
 	if table == nil {
 		return nil, nil, errkind.New(errkind.NotReady, "no configuration yet")
 	}
-	route := table.Route(req.Host, req.URL.Path)
 	if route == nil {
 		return table, nil, errkind.New(errkind.NotFound, "no route for host %q and path %q in configuration %d", req.Host, req.URL.Path, table.Version())
 	}
--- a/router/sidecar/grantwait.go
+++ b/router/sidecar/grantwait.go
@@ -120,10 +120,8 @@
 	if c.Objective > 0 {
 		return c.Objective
 	}
-	if table := g.config.table.Load(); table != nil {
-		if route := table.Route(c.Host, requestPath(c.Method, c.Target)); route != nil {
-			return route.TargetLatency
-		}
+	if _, route := g.config.callRoute(c); route != nil {
+		return route.TargetLatency
 	}
 	return 0
 }
--- a/router/sidecar/hedge.go
+++ b/router/sidecar/hedge.go
@@ -282,11 +282,7 @@
 // decideHedge decides whether the call, whose first attempt is running, is sent a second
 // time, and returns the host for it.
 func (e *entry) decideHedge(ctx context.Context, c *Call, begun *vhost.Route, first *fleet.Host, delay time.Duration) (*fleet.Host, hedge.Reason) {
-	table := e.config.table.Load()
-	if table == nil {
-		return nil, hedge.RouteChanged
-	}
-	route := table.Route(c.Host, requestPath(c.Method, c.Target))
+	table, route := e.config.callRoute(c)
 	if route == nil || route.Name != begun.Name || !sendsTo(route, c.Service) {
 		return nil, hedge.RouteChanged
 	}
--- a/router/sidecar/regions.go
+++ b/router/sidecar/regions.go
@@ -35,7 +35,7 @@
 	}
 	route := c.route
 	if table := r.config.table.Load(); table != nil && (table.Restricted() || (route != nil && residency.Restricted(route))) {
-		if current := table.Route(c.Host, requestPath(c.Method, c.Target)); current != nil {
+		if _, current := r.config.callRoute(c); current != nil {
 			route = current
 		}
 	}
@@ -48,6 +48,9 @@
 // requestPath returns the path of a request target, as net/http determines it. A target
 // that it would refuse has the path "".
 func requestPath(method, target string) string {
+	if path, plain := plainPath(target); plain {
+		return path
+	}
 	if method == http.MethodConnect && !strings.HasPrefix(target, "/") {
 		return ""
 	}
@@ -58,6 +61,23 @@
 	return u.Path
 }
 
+// plainPath returns the path of a target that has nothing to decode. Parsing it as a URL
+// takes half a microsecond.
+func plainPath(target string) (path string, plain bool) {
+	if !strings.HasPrefix(target, "/") {
+		return "", false
+	}
+	for i := range len(target) {
+		switch c := target[i]; {
+		case c == '?':
+			return target[:i], true
+		case c <= ' ' || c == '%' || c == 0x7f:
+			return "", false
+		}
+	}
+	return target, true
+}
+
 // filter returns the function that reports whether the call may be sent to a host, or nil
 // if all hosts are allowed.
 func (r *regionRules) filter(c *Call) func(fleet.Member) bool {
--- a/router/sidecar/regions_test.go
+++ b/router/sidecar/regions_test.go
@@ -204,7 +204,7 @@
 
 // Guards against a gate that looks up another path than the entry.
 func TestRequestPathIsThatOfTheEntry(t *testing.T) {
-	for _, line := range []string{"GET /a%2fb/../c?x=/y", "GET //a/b", "GET http://h/a?b", "OPTIONS *", "CONNECT h:1", "CONNECT /a", "GET /a;b%20"} {
+	for _, line := range []string{"GET /a%2fb/../c?x=/y", "GET //a/b", "GET /a?b=%41", "GET /a#b?c", "GET /é", "GET http://h/a?b", "OPTIONS *", "CONNECT h:1", "CONNECT /a", "GET /a;b%20"} {
 		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(line + " HTTP/1.1\r\nHost: h\r\n\r\n")))
 		if err != nil {
 			t.Fatal(err)
--- a/router/sidecar/runcalls.go
+++ b/router/sidecar/runcalls.go
@@ -5,7 +5,6 @@
 	"math/bits"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -216,14 +215,9 @@
 // routeName returns the name of the route of a call, "" if it has none. It is looked up once,
 // by the configuration in force, if the call came from another host.
 func (d *runCallsDriver) routeName(c *Call) string {
-	table := d.config.table.Load()
-	if c.route == nil && !c.routeSought && table != nil {
-		c.routeSought = true
-		if path, plain := plainPath(c.Target); plain {
-			c.foundRoute = table.Route(c.Host, path)
-		} else {
-			c.foundRoute = table.Route(c.Host, requestPath(c.Method, c.Target))
-		}
+	if c.route == nil && !c.routeSought {
+		table, route := d.config.callRoute(c)
+		c.foundRoute, c.routeSought = route, table != nil
 	}
 	if route := cmp.Or(c.route, c.foundRoute); route != nil {
 		return route.Name
@@ -231,23 +225,6 @@
 	return ""
 }
 
-// plainPath returns the path of a target that has nothing to decode. Parsing it as a URL
-// takes half a microsecond.
-func plainPath(target string) (path string, plain bool) {
-	if !strings.HasPrefix(target, "/") {
-		return "", false
-	}
-	for i := range len(target) {
-		switch c := target[i]; {
-		case c == '?':
-			return target[:i], true
-		case c <= ' ' || c == '%' || c == 0x7f:
-			return "", false
-		}
-	}
-	return target, true
-}
-
 // reportLimits logs limits that have begun or ended, and sets the metric of the refused
 // calls. It does not wait for the log, because every request needs d.mu, which the caller
 // holds.
