Name the pairs that admit a run and take it back

Cause: dependency.Tracker took and returned the tokens of a run in one function with a count of 1 or -1, which read as if one undid the other. In the gate the counterpart of admit was called notStarted, in router/admit that of countCallStart slotFreed. Change: takeTokens and returnTokens state what they do not undo: a probe that is taken back owes nothing, and the next one waits for probeInterval. Release loses the time, which it did not use. The gate has admit and takeBack, the limiter countStart and countEnd. Behaviour stays the same. Tests: TestReleaseReturnsTheTokensOfARun is new; the simulation calls Release without the time.

--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -383,7 +383,7 @@
 	if it.promoted {
 		l.promoted++
 	}
-	l.countCallStart(now, it)
+	l.countStart(now, it)
 }
 
 // freeSlot frees the slot of the request; its token stays used. The caller holds l.mu.
@@ -392,7 +392,7 @@
 	if it.promoted {
 		l.promoted--
 	}
-	l.calls.slotFreed(it)
+	l.countEnd(it)
 }
 
 // isShort reports whether requests of the class are short, see shortDivisor.
--- a/router/admit/runcalls.go
+++ b/router/admit/runcalls.go
@@ -130,8 +130,9 @@
 	return max(l.limit.Allowed()*callSlotsNumerator/callSlotsDenominator, 1)
 }
 
-// countCallStart counts a request that starts. The caller holds l.mu.
-func (l *PriorityLimiter) countCallStart(now time.Time, it *priorityItem) {
+// countStart counts the start of a request, which countEnd takes out of the requests in flight
+// when it ends. The caller holds l.mu.
+func (l *PriorityLimiter) countStart(now time.Time, it *priorityItem) {
 	c := &l.calls
 	if it.bounds.MakesCalls {
 		c.callers++
@@ -149,13 +150,14 @@
 	}
 }
 
-// slotFreed counts the end of a request. The caller holds l.mu.
-func (c *runCalls) slotFreed(it *priorityItem) {
+// countEnd counts the end of a request. The calls in a row and the average of the slots in use
+// describe starts and stay as they are. The caller holds l.mu.
+func (l *PriorityLimiter) countEnd(it *priorityItem) {
 	if it.bounds.MakesCalls {
-		c.callers--
+		l.calls.callers--
 	}
 	if it.class.OfRun {
-		c.inFlight--
+		l.calls.inFlight--
 	}
 }
 
--- a/router/dependency/dependency_test.go
+++ b/router/dependency/dependency_test.go
@@ -207,3 +207,26 @@
 		t.Errorf("%d runs, %d routes with up to %d services, %d services with up to %d hosts are kept", len(tracker.runs), len(tracker.routes), services, len(tracker.services), hosts)
 	}
 }
+
+// Guards against admissions of runs that do not begin and nevertheless use up what is left for
+// others.
+func TestReleaseReturnsTheTokensOfARun(t *testing.T) {
+	tracker := NewTracker()
+	offer(tracker, 0, 2000, 20, func(i int) (Outcome, string) {
+		if i%5 < 2 {
+			return Served, "h"
+		}
+		return Refused, "h"
+	})
+	s := tracker.services["s"]
+	if !s.limited {
+		t.Fatal("the runs are not limited")
+	}
+	s.tokens = 1
+	if tracker.Admit(at(2000), "route") != nil || s.tokens >= 1 {
+		t.Fatalf("%v tokens after an admission, want fewer than 1", s.tokens)
+	}
+	if tracker.Release("route"); s.tokens != 1 {
+		t.Errorf("%v tokens after its release, want 1", s.tokens)
+	}
+}
--- a/router/dependency/simulation_test.go
+++ b/router/dependency/simulation_test.go
@@ -124,7 +124,7 @@
 	h.mu.Lock()
 	if err != nil {
 		if c == nil {
-			h.tracker.Release(time.Now(), w.name)
+			h.tracker.Release(w.name)
 		}
 		h.mu.Unlock()
 		return err
--- a/router/dependency/throttle.go
+++ b/router/dependency/throttle.go
@@ -1,6 +1,7 @@
 package dependency
 
 import (
+	"iter"
 	"math"
 	"time"
 )
@@ -223,32 +224,53 @@
 			return s.refusal(now, name)
 		}
 	}
-	t.take(now, r, 1)
+	for s, calls := range t.limitedServices(r) {
+		s.takeTokens(now, calls)
+	}
 	return nil
 }
 
 // Release takes back an admission of a run that did not begin.
-func (t *Tracker) Release(now time.Time, routeName string) {
-	if r := t.routes[routeName]; r != nil {
-		t.take(now, r, -1)
+func (t *Tracker) Release(routeName string) {
+	r := t.routes[routeName]
+	if r == nil {
+		return
+	}
+	for s, calls := range t.limitedServices(r) {
+		s.returnTokens(calls)
 	}
 }
 
-// take takes the tokens of the given number of runs.
-func (t *Tracker) take(now time.Time, r *route, runs float64) {
-	for name, n := range r.calls {
-		s := t.services[name]
-		if s == nil || n < minCallsPerRun || !s.limited {
-			continue
-		}
-		// A probe does not make the bucket owe more than the calls of one run.
-		s.tokens = max(s.tokens-runs*n, -n)
-		if runs > 0 {
-			s.admittedAt = now
+// limitedServices returns the services with a limit that a run of the route calls, and the
+// mean number of its calls to each.
+func (t *Tracker) limitedServices(r *route) iter.Seq2[*service, float64] {
+	return func(yield func(*service, float64) bool) {
+		for name, n := range r.calls {
+			s := t.services[name]
+			if s == nil || n < minCallsPerRun || !s.limited {
+				continue
+			}
+			if !yield(s, n) {
+				return
+			}
 		}
 	}
 }
 
+// takeTokens takes the tokens of a run that is admitted. A probe does not make the bucket owe
+// more than the calls of one run.
+func (s *service) takeTokens(now time.Time, calls float64) {
+	s.tokens = max(s.tokens-calls, -calls)
+	s.admittedAt = now
+}
+
+// returnTokens returns the tokens of a run that did not begin. It is not the exact inverse of
+// takeTokens: what a probe did not owe because of the bound is returned as well, and admittedAt
+// stays, so that the next probe waits for probeInterval.
+func (s *service) returnTokens(calls float64) {
+	s.tokens = max(s.tokens+calls, -calls)
+}
+
 func (s *service) refusal(now time.Time, name string) *Refusal {
 	wait := s.admittedAt.Add(probeInterval).Sub(now)
 	if rate := s.rate(now); rate > 0 {
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -93,7 +93,7 @@
 		return g.withLoad(&Result{Err: err})
 	}
 	if err := g.quarantine.enter(ctx, c); err != nil {
-		g.calls.notStarted(c)
+		g.calls.takeBack(c)
 		return g.withLoad(&Result{Err: err})
 	}
 	defer g.quarantine.leave(c)
@@ -104,17 +104,17 @@
 	sending := c.transfer.expectedSendTime()
 	release, err := g.limiter.Acquire(ctx, work, c.waitBounds(sending))
 	if err != nil {
-		g.calls.notStarted(c)
+		g.calls.takeBack(c)
 		return g.withLoad(&Result{Err: kindError(err)})
 	}
 	if err := cmp.Or(g.check(time.Now(), c), g.quarantine.recheck(c)); err != nil {
 		g.countRefusal(c)
-		g.calls.notStarted(c)
+		g.calls.takeBack(c)
 		release(admit.Failed)
 		return g.withLoad(&Result{Err: err})
 	}
 	if err := c.loadBody(); err != nil {
-		g.calls.notStarted(c)
+		g.calls.takeBack(c)
 		release(admit.Failed)
 		return g.withLoad(&Result{Err: err})
 	}
--- a/router/sidecar/runcalls.go
+++ b/router/sidecar/runcalls.go
@@ -171,15 +171,15 @@
 	return err
 }
 
-// notStarted takes back what admit has admitted.
-func (d *runCallsDriver) notStarted(c *Call) {
+// takeBack takes back an admission of admit: the call does not begin.
+func (d *runCallsDriver) takeBack(c *Call) {
 	if d == nil || !c.makesCalls || c.ofRun.known {
 		return
 	}
 	route := d.routeName(c)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.tracker.Release(time.Now(), route)
+	d.tracker.Release(route)
 }
 
 // started records that the call begins at the upstream. The returned function replaces
