Name what an entry remembers of refusals Refusals

Cause: reservation.Returns held refusals, with the methods Refused and Match (which also removes), and sidecar had a type returns around it with a method refused. Change: reservation.Refusals with Add and Take; sidecar has a returnTracker with recognise and recordRefusal. The values sent between hosts keep their names. Tests: they follow the names; TestReturns is now TestRefusals.

--- a/router/admit/reserve_test.go
+++ b/router/admit/reserve_test.go
@@ -41,10 +41,10 @@
 func (c competitor) run(ctx context.Context) bool {
 	start := time.Now()
 	deadline := start.Add(c.deadline)
-	var returns reservation.Returns
+	var refusals reservation.Refusals
 	for time.Until(deadline) > c.took {
 		now := time.Now()
-		earlier, kind := returns.Match(now, "", 0, deadline)
+		earlier, kind := refusals.Take(now, "", 0, deadline)
 		release, err := c.limiter.Acquire(ctx, WorkClass{Priority: 1}, WaitBounds{
 			Policy: UntilGoal, Goal: start.Add(c.goal), Deadline: deadline, Origin: Origin{Host: c.host, Final: true, Return: kind}})
 		if err == nil {
@@ -59,7 +59,7 @@
 		if kind == reservation.Early {
 			f = earlier
 		}
-		returns.Refused(now, f)
+		refusals.Add(now, f)
 		if c.ignores {
 			time.Sleep(50 * time.Millisecond)
 		} else {
--- a/router/reservation/ledger.go
+++ b/router/reservation/ledger.go
@@ -1,6 +1,6 @@
 // Package reservation divides the capacity of an upstream between requests that were
 // refused for lack of room and return later. Ledger is the account of the gate beside the
-// upstream: it gives refused requests times at which there will be capacity. Returns is what
+// upstream: it gives refused requests times at which there will be capacity. Refusals is what
 // the entry remembers of refused requests, so that it recognises them when they return. Both
 // take the time as an argument and are not safe for concurrent use.
 package reservation
--- a/router/reservation/ledger_test.go
+++ b/router/reservation/ledger_test.go
@@ -222,11 +222,11 @@
 
 // Guards against first attempts that are taken for returning ones, and against a return that
 // is attributed to another request.
-func TestReturns(t *testing.T) {
-	var r Returns
+func TestRefusals(t *testing.T) {
+	var r Refusals
 	deadline := start.Add(time.Second)
 	refuse := func(content uint64, at time.Duration, reserved bool) {
-		r.Refused(start, Refusal{Route: "look", Content: content, Deadline: deadline, At: start.Add(at), Back: start.Add(min(at, 333*time.Millisecond)), Reserved: reserved})
+		r.Add(start, Refusal{Route: "look", Content: content, Deadline: deadline, At: start.Add(at), Back: start.Add(min(at, 333*time.Millisecond)), Reserved: reserved})
 	}
 	refuse(1, 100*time.Millisecond, true)
 	refuse(2, 200*time.Millisecond, true)
@@ -246,7 +246,7 @@
 		{"without a reservation, when callers are back", 333 * time.Millisecond, "look", 3, deadline, Unreserved},
 		{"forgotten", 333 * time.Millisecond, "look", 3, deadline, FirstAttempt},
 	} {
-		if _, got := r.Match(start.Add(c.at), c.route, c.content, c.deadline); got != c.want {
+		if _, got := r.Take(start.Add(c.at), c.route, c.content, c.deadline); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/router/reservation/returns.go
+++ b/router/reservation/returns.go
@@ -57,30 +57,30 @@
 	Back time.Time
 }
 
-// Returns holds the requests that an entry has refused and whose deadlines have not passed.
-type Returns struct {
-	refusals []Refusal
+// Refusals holds the requests that an entry has refused and whose deadlines have not passed.
+type Refusals struct {
+	entries []Refusal
 }
 
-// Refused records a refusal. Beyond the bound, the oldest one is forgotten.
-func (r *Returns) Refused(now time.Time, f Refusal) {
-	if len(r.refusals) >= maxRefusals {
-		r.refusals = slices.DeleteFunc(r.refusals, func(f Refusal) bool { return f.Deadline.Before(now) })
+// Add records a refusal. Beyond the bound, the oldest one is forgotten.
+func (r *Refusals) Add(now time.Time, f Refusal) {
+	if len(r.entries) >= maxRefusals {
+		r.entries = slices.DeleteFunc(r.entries, func(f Refusal) bool { return f.Deadline.Before(now) })
 	}
-	if len(r.refusals) >= maxRefusals {
-		r.refusals = slices.Delete(r.refusals, 0, 1)
+	if len(r.entries) >= maxRefusals {
+		r.entries = slices.Delete(r.entries, 0, 1)
 	}
-	r.refusals = append(r.refusals, f)
+	r.entries = append(r.entries, f)
 }
 
-// Match returns the refusal of the request that a new one with the route, content and
+// Take returns the refusal of the request that a new one with the route, content and
 // deadline repeats, and forgets it. Of several, one with the same content comes first, then
 // one that is due, then the one with the nearest deadline.
-func (r *Returns) Match(now time.Time, route string, content uint64, deadline time.Time) (Refusal, Return) {
-	r.refusals = slices.DeleteFunc(r.refusals, func(f Refusal) bool { return f.Deadline.Before(now) })
+func (r *Refusals) Take(now time.Time, route string, content uint64, deadline time.Time) (Refusal, Return) {
+	r.entries = slices.DeleteFunc(r.entries, func(f Refusal) bool { return f.Deadline.Before(now) })
 	best, bestRank, bestDifference := -1, 0, time.Duration(0)
-	for i := range r.refusals {
-		f := &r.refusals[i]
+	for i := range r.entries {
+		f := &r.entries[i]
 		difference := f.Deadline.Sub(deadline).Abs()
 		if difference > deadlineTolerance || f.Route != route {
 			continue
@@ -99,13 +99,13 @@
 	if best < 0 {
 		return Refusal{}, FirstAttempt
 	}
-	f := r.refusals[best]
-	r.refusals = slices.Delete(r.refusals, best, best+1)
+	f := r.entries[best]
+	r.entries = slices.Delete(r.entries, best, best+1)
 	return f, f.returned(now)
 }
 
 // Len returns the number of refusals that are remembered.
-func (r *Returns) Len() int { return len(r.refusals) }
+func (r *Refusals) Len() int { return len(r.entries) }
 
 // returned says how the request has come back if it arrives now.
 func (f *Refusal) returned(now time.Time) Return {
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -104,7 +104,7 @@
 		stoppingFor: s.stoppingFor,
 		graceLeft:   s.graceLeft,
 	}
-	s.entry.returns = s.buildReservations(s.gate.limiter)
+	s.entry.returnTracker = s.buildReservations(s.gate.limiter)
 	s.entry.hedges = newHedger(s.settings.Hedge, s.entry.metrics)
 }
 
--- a/router/sidecar/competing.go
+++ b/router/sidecar/competing.go
@@ -83,17 +83,17 @@
 	return errkind.RoomUnknown
 }
 
-// returns recognises requests that callers of this host repeat after a refusal.
-type returns struct {
-	seed maphash.Seed
-	mu   sync.Mutex
-	set  reservation.Returns
+// returnTracker recognises requests that callers of this host repeat after a refusal.
+type returnTracker struct {
+	seed     maphash.Seed
+	mu       sync.Mutex
+	refusals reservation.Refusals
 }
 
-func newReturns() *returns { return &returns{seed: maphash.MakeSeed()} }
+func newReturnTracker() *returnTracker { return &returnTracker{seed: maphash.MakeSeed()} }
 
 // content returns a hash of what two attempts of a request have in common.
-func (r *returns) content(c *Call) uint64 {
+func (r *returnTracker) content(c *Call) uint64 {
 	return maphash.Comparable(r.seed, struct {
 		method, host, target string
 		key                  uint16
@@ -102,22 +102,22 @@
 
 // recognise sets what is known of an earlier attempt of the call. longest is the time left
 // of first attempts, left that of the call.
-func (r *returns) recognise(now time.Time, c *Call, longest, left time.Duration) {
+func (r *returnTracker) recognise(now time.Time, c *Call, longest, left time.Duration) {
 	if r == nil || left >= longest-firstAttemptTolerance {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.set.Len() == 0 {
+	if r.refusals.Len() == 0 {
 		return
 	}
-	c.earlier, c.Origin.Return = r.set.Match(now, c.route.Name, r.content(c), c.Deadline)
+	c.earlier, c.Origin.Return = r.refusals.Take(now, c.route.Name, r.content(c), c.Deadline)
 	c.returned = c.Origin.Return
 }
 
-// refused records the refusal of a call if it names a time with capacity. A call that came
+// recordRefusal records the refusal of a call if it names a time with capacity. A call that came
 // back too early is told its time again.
-func (r *returns) refused(now time.Time, c *Call, res *Result) {
+func (r *returnTracker) recordRefusal(now time.Time, c *Call, res *Result) {
 	if r == nil || c.ofRun.known || !res.notRun() || res.Err.Kind != errkind.Overloaded {
 		return
 	}
@@ -136,12 +136,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.set.Refused(now, f)
+	r.refusals.Add(now, f)
 }
 
 // markAttempt sets what the gate of the host has to know of the attempt.
 func (e *entry) markAttempt(c *Call, h *fleet.Host, tried []*fleet.Host) {
-	if e.returns == nil {
+	if e.returnTracker == nil {
 		return
 	}
 	c.Origin.Host = e.host
@@ -192,7 +192,7 @@
 }
 
 // buildReservations lets the limiter of the gate make reservations if the settings allow it.
-func (s *Sidecar) buildReservations(l *admit.PriorityLimiter) *returns {
+func (s *Sidecar) buildReservations(l *admit.PriorityLimiter) *returnTracker {
 	if s.settings.Reservation.Share <= 0 {
 		return nil
 	}
@@ -205,7 +205,7 @@
 		HonouredDivisor: retryAfterDivisor,
 		Count:           func(e admit.ReservationEvent, n int) { c.count(time.Now(), e, n) },
 	})
-	return newReturns()
+	return newReturnTracker()
 }
 
 // count counts n events and logs a summary from time to time.
--- a/router/sidecar/competing_test.go
+++ b/router/sidecar/competing_test.go
@@ -64,14 +64,14 @@
 // and is told another time than before.
 func TestEntryRecognisesReturningRequests(t *testing.T) {
 	const longest = 3 * time.Second
-	now, r := time.Now(), newReturns()
+	now, r := time.Now(), newReturnTracker()
 	deadline := now.Add(longest)
 	newCall := func(target string) *Call {
 		return &Call{Method: "GET", Target: target, Deadline: deadline, route: &vhost.Route{Name: "look"}}
 	}
 	refuse := func(target string, kind errkind.Kind, room errkind.Room, after time.Duration) {
 		res := &Result{Host: "h1", Err: &errkind.Error{Kind: kind, RetryAfter: after, Room: room}}
-		r.refused(now, newCall(target), res)
+		r.recordRefusal(now, newCall(target), res)
 	}
 	refuse("/reserved", errkind.Overloaded, errkind.RoomReserved, 400*time.Millisecond)
 	refuse("/later", errkind.Overloaded, errkind.RoomLater, 5*time.Second)
@@ -86,7 +86,7 @@
 	}
 	early := arrive("/reserved", 100*time.Millisecond)
 	res := &Result{Host: "h2", Err: &errkind.Error{Kind: errkind.Overloaded, RetryAfter: time.Millisecond}}
-	r.refused(now.Add(100*time.Millisecond), early, res)
+	r.recordRefusal(now.Add(100*time.Millisecond), early, res)
 	if early.returned != reservation.Early || res.Err.RetryAfter != 300*time.Millisecond {
 		t.Errorf("an early return: %v, told to return in %v, want the remaining 300 ms", early.returned, res.Err.RetryAfter)
 	}
@@ -99,8 +99,8 @@
 	refuse("/draining", errkind.Draining, errkind.RoomUnknown, 0)
 	refuse("/link", errkind.Overloaded, errkind.RoomForecast, time.Second)
 	refuse("/estimate", errkind.Overloaded, errkind.RoomUnknown, time.Second)
-	if r.set.Len() != 0 {
-		t.Errorf("%d refusals are remembered, want none", r.set.Len())
+	if r.refusals.Len() != 0 {
+		t.Errorf("%d refusals are remembered, want none", r.refusals.Len())
 	}
 }
 
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -55,10 +55,10 @@
 	// hedges is nil if slow requests are not sent a second time.
 	hedges   *hedger
 	maxTimes maxRequestTimes
-	// returns is nil if no reservations are made for returning requests.
-	returns *returns
-	log     *event.Logger
-	metrics *entryMetrics
+	// returnTracker is nil if no reservations are made for returning requests.
+	returnTracker *returnTracker
+	log           *event.Logger
+	metrics       *entryMetrics
 	// drainLimit is the time, counted from the notice that an upstream leaves, after which
 	// it gets no new request from this host.
 	drainLimit time.Duration
@@ -183,7 +183,7 @@
 func (e *entry) respond(w http.ResponseWriter, req *http.Request, table *vhost.Table, route *vhost.Route, c *Call, r *Result, start time.Time) {
 	defer r.close()
 	e.metrics.observe(route.Name, r, time.Since(start))
-	e.returns.refused(time.Now(), c, r)
+	e.returnTracker.recordRefusal(time.Now(), c, r)
 	if r.Err != nil {
 		e.writeError(w, req, route, c.Deadline, r.Err, event.F("host", r.Host), event.F("service", c.Service), event.F("config", table.Version()))
 		return
@@ -248,7 +248,7 @@
 	}
 	e.calls.link(c, start)
 	if left := c.Deadline.Sub(start); !c.ofRun.known { // calls end with their run, so that a first attempt may be short
-		e.returns.recognise(start, c, e.maxTimes.peek(route.Name, left), left)
+		e.returnTracker.recognise(start, c, e.maxTimes.peek(route.Name, left), left)
 	}
 	return c, nil
 }
