Split the manager and the records of ownership by job

Cause: manager.go (555 lines) and records.go (508) held several jobs. Change: code moves only. From manager.go: watcher.go (watchers, with their takeovers from standby.go), join.go and status.go (records and summary for readers). Measured: the sorted lines of the package without package and import lines are the same before and after; (cd router && go vet ./ownership && go test -p 2 ./ownership) passes.

--- a/router/ownership/manager.go
+++ b/router/ownership/manager.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -324,36 +322,6 @@
 	return nil
 }
 
-// watcherJitterShare is the longest random wait of a watcher, as a share of the
-// renewal deadline: the hosts of a service spread their takeovers over it.
-// watcherRetryShare is the delay after a takeover that failed, as a share of the
-// renewal deadline.
-const (
-	watcherJitterShare = 1.0 / 64
-	watcherRetryShare  = 1.0 / 64
-)
-
-// reconcileWatcher keeps a watcher of each group of a joined service for which
-// this host is neither holder nor standby.
-func (m *Manager) reconcileWatcher(now time.Time, key string, g Group) {
-	if !m.joined[g.Service] || m.held[key] != nil || m.standbys[key] != nil {
-		delete(m.watchers, key)
-		return
-	}
-	if w := m.watchers[key]; w != nil && w.Version() == g.Version {
-		return
-	}
-	jitter := time.Duration(float64(m.o.Timing.RenewDeadline) * watcherJitterShare * rand.Float64())
-	w := lease.NewWatcher(lease.WatcherOptions{
-		Timing:       m.o.Timing,
-		UpstreamWait: m.upstreamWait(g.Service),
-		Jitter:       jitter,
-		Version:      g.Version,
-		Now:          now,
-	})
-	m.watchers[key] = &w
-}
-
 // upstreamWait returns how long requests may still run at a holder's upstream
 // after the end of the lease. While the definition of the service is unknown, it
 // returns the wait for plain upstreams, which is the longest.
@@ -417,139 +385,3 @@
 	}, fields...)
 	m.o.Log.Log(e, all...)
 }
-
-// Join creates this host's groups of a service. It does nothing if this process
-// holds a group of the service. A host whose groups were taken over gets new
-// ones, because without a group it could not receive shards. Errors have the
-// kind UnknownService, Conflict, StoreUnavailable or OutcomeUnknown; after
-// OutcomeUnknown the groups may exist, and another call may create more.
-func (m *Manager) Join(ctx context.Context, service string, groups int) error {
-	s, ok := m.o.Service(service)
-	if !ok {
-		return errkind.New(errkind.UnknownService, "service %q is not in the release note in force", service)
-	}
-	m.lock()
-	if m.holds(service) || m.joining[service] {
-		busy := m.joining[service]
-		m.unlock()
-		if busy {
-			return errkind.New(errkind.Conflict, "a join of service %q is already in progress", service)
-		}
-		return nil
-	}
-	m.joining[service] = true
-	m.unlock()
-
-	sentAt := time.Now()
-	created, err := m.o.Records.Join(ctx, JoinRequest{
-		Service: service,
-		Shards:  s.Shards,
-		Holder:  m.o.Self,
-		Groups:  groups,
-		Standby: func() Host { return m.pickStandby(service) },
-	})
-
-	m.lock()
-	defer m.unlock()
-	delete(m.joining, service)
-	if err != nil {
-		return err
-	}
-	m.joined[service] = true
-	for _, g := range created {
-		m.installWritten(g, sentAt)
-		m.log(evJoined, g, event.F("shards", len(g.Shards)))
-	}
-	for key, g := range m.newest {
-		if g.Service == service {
-			m.reconcileWatcher(time.Now(), key, g)
-		}
-	}
-	m.wakeUp()
-	return nil
-}
-
-// holds reports whether this host holds a group of the service. The lock must
-// be held.
-func (m *Manager) holds(service string) bool {
-	for _, role := range m.held {
-		if role.rec.Service == service {
-			return true
-		}
-	}
-	return false
-}
-
-// HeldGroups returns the groups that this host holds, sorted by key.
-func (m *Manager) HeldGroups() []Group {
-	m.lock()
-	defer m.unlock()
-	groups := make([]Group, 0, len(m.held))
-	for _, role := range m.held {
-		groups = append(groups, role.rec)
-	}
-	return sortGroups(groups)
-}
-
-// StandbyGroups returns the groups for which this host is the standby, sorted by
-// key. A group known only from heartbeats has no shards and version 0 until its
-// row is read.
-func (m *Manager) StandbyGroups() []Group {
-	m.lock()
-	defer m.unlock()
-	groups := make([]Group, 0, len(m.standbys))
-	for _, role := range m.standbys {
-		groups = append(groups, role.rec)
-	}
-	return sortGroups(groups)
-}
-
-func sortGroups(groups []Group) []Group {
-	slices.SortFunc(groups, func(a, b Group) int { return strings.Compare(a.Key(), b.Key()) })
-	return groups
-}
-
-// NewestRecord returns the newest known record of a group.
-func (m *Manager) NewestRecord(service, groupID string) (Group, bool) {
-	m.lock()
-	defer m.unlock()
-	g, ok := m.newest[GroupKey(service, groupID)]
-	return g, ok
-}
-
-// Summary counts the groups of this host.
-type Summary struct {
-	// Held and Shards count the groups that this host holds and their shards;
-	// Standbys counts the groups for which it is the standby.
-	Held, Shards, Standbys int
-	// WithoutStandby counts held groups that have no standby. Lapsed counts held
-	// groups that may not be served now.
-	WithoutStandby, Lapsed int
-	// MinLeaseRemaining is the shortest remaining lease time of the held groups;
-	// 0 if a lease has lapsed or no group is held.
-	MinLeaseRemaining time.Duration
-}
-
-// Summary returns the current counts.
-func (m *Manager) Summary(now time.Time) Summary {
-	m.lock()
-	defer m.unlock()
-	s := Summary{Held: len(m.held), Standbys: len(m.standbys)}
-	first := true
-	for _, role := range m.held {
-		s.Shards += len(role.rec.Shards)
-		if role.rec.Standby.IsZero() {
-			s.WithoutStandby++
-		}
-		remaining := max(0, role.machine.LeaseEnd().Sub(now))
-		if role.handingOver || remaining == 0 {
-			remaining = 0
-			s.Lapsed++
-		}
-		if first || remaining < s.MinLeaseRemaining {
-			s.MinLeaseRemaining = remaining
-		}
-		first = false
-	}
-	return s
-}
--- a/router/ownership/standby.go
+++ b/router/ownership/standby.go
@@ -232,51 +232,6 @@
 	return m.standbys[base.Key()] != role || !role.machine.TakeoverStarted()
 }
 
-// takeOverExpired takes over a group whose row did not change before a watcher's
-// deadline.
-func (m *Manager) takeOverExpired(ctx context.Context, base Group) {
-	current, err := m.o.Records.Get(ctx, base.Service, base.ID)
-	if err == nil && current.Version == base.Version {
-		sentAt := time.Now()
-		var g Group
-		next := m.pickStandby(base.Service, base.Holder.Name, base.Standby.Name)
-		g, err = m.o.Records.TakeOverExpired(ctx, base, m.o.Self, next)
-		if err == nil {
-			m.startAfterTakeover(evTookOverExpired, "horizon", g, sentAt)
-			return
-		}
-	}
-	m.lock()
-	defer m.unlock()
-	switch {
-	case err == nil:
-		m.adopt(current)
-	case errkind.Is(err, errkind.NotFound):
-		m.removeGroup(base.Key())
-	case errkind.Is(err, errkind.Conflict):
-		m.adoptResult(base, Group{}, err)
-	case !errkind.Is(err, errkind.OutcomeUnknown):
-		m.logFailure(base, err)
-		m.restartWatcher(base)
-	}
-}
-
-// restartWatcher schedules another takeover attempt for the same row version.
-func (m *Manager) restartWatcher(base Group) {
-	key := base.Key()
-	if m.newest[key].Version != base.Version || m.watchers[key] != nil {
-		return
-	}
-	now := time.Now()
-	delay := time.Duration(float64(m.o.Timing.RenewDeadline) * watcherRetryShare)
-	// The renewal deadline has already passed for this version, so the watcher
-	// waits only for the delay.
-	w := lease.NewWatcher(lease.WatcherOptions{Version: base.Version, Now: now})
-	w.Postpone(now.Add(delay))
-	m.watchers[key] = &w
-	m.wakeUp()
-}
-
 // DeclareLost takes over a group whose holder and standby an operator has
 // declared to be down. Errors have the kind NotFound, Conflict, StoreUnavailable
 // or OutcomeUnknown.
