Test second requests and final attempts beside a host that stops

Cause: the use of one decision about stopping hosts was tested in router/fleet only, not at its two callers. Change: TestStoppingHostMayFollowAnAttempt (entry.isFinal) is new, and TestHedgedAttempts has the case of a second host whose router stops. Measured: (cd router && go test -p 2 -run 'StoppingHostMayFollow|HedgedAttempts' ./sidecar) passes.

--- a/router/sidecar/competing_test.go
+++ b/router/sidecar/competing_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"burdockglade.dev/router/admit"
@@ -104,6 +105,26 @@
 	}
 }
 
+// Guards against an attempt that waits for a slot or gets a reservation as the final one although
+// a host whose router has just begun to stop would take the request next, and against one that
+// is not final although only hosts are left that stop for longer.
+func TestStoppingHostMayFollowAnAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &entry{fleet: fleet.NewDirectory("z1", "r1", newHopClient)}
+		for host, state := range map[string]fleet.State{"a": fleet.Ready, "b": fleet.Stopping} {
+			e.fleet.Put(fleet.Member{Host: host, Service: "plain", Zone: "z1", Region: "r1", Address: host + ":1", State: state, Slots: 4})
+		}
+		call, a := &Call{Service: "plain"}, e.fleet.Host("a")
+		if e.isFinal(call, a, nil) {
+			t.Error("the attempt is final although b has just begun to stop")
+		}
+		time.Sleep(time.Second)
+		if !e.isFinal(call, a, nil) {
+			t.Error("the attempt is not final although b takes no requests any more")
+		}
+	})
+}
+
 // Guards against reservations at hosts that are not the last one, against refusals without
 // one, and against returning requests that are sent to another host than the one with their
 // reservation.
--- a/router/sidecar/hedge_test.go
+++ b/router/sidecar/hedge_test.go
@@ -126,6 +126,11 @@
 			h.fleet.Host("b").RequestStarted()
 			h.fleet.Host("b").RequestDone(time.Now().Add(-time.Second), fleet.Result{})
 		}},
+		{name: "router of the second host stops", took: [2]time.Duration{900}, want: "a", at: 900, sent: 1, prepare: func(h *hedgeTest) {
+			m := h.fleet.Host("b").Member()
+			m.State = fleet.Stopping
+			h.fleet.Put(m)
+		}},
 		{name: "router stops", took: [2]time.Duration{900}, want: "a", at: 900, sent: 1,
 			prepare: func(h *hedgeTest) { h.stoppingFor = func() time.Duration { return 1 } }},
 		{name: "caller leaves", took: [2]time.Duration{900, 900}, at: 40, sent: 2, mayHaveRun: true},
