Name what arrives, what is needed and what was looked up

Cause: mayStartAtOnce noted an arrival and startsAtOnce did not; dependency.Call.Before read like a comparison of times; the fields foundRoute and routeSought of a call did not say what they hold. Change: noteArrival and mayStartAtOnce, NeededBefore, lookedUpRoute and routeLookedUp. Behaviour stays the same. Tests: they follow the names.

--- a/router/admit/preview.go
+++ b/router/admit/preview.go
@@ -28,7 +28,7 @@
 		return Preview{Err: errNoUpstream()}
 	}
 	it := &priorityItem{class: class, arrival: l.nextArrival, bounds: bounds}
-	if l.startsAtOnce(now, it) {
+	if l.mayStartAtOnce(now, it) {
 		return Preview{Late: l.wouldMissGoal(now, it)}
 	}
 	l.classify(now, it)
--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -203,6 +203,7 @@
 	}
 	it := &priorityItem{class: class, arrival: l.nextArrival, bounds: bounds, decision: make(chan error, 1)}
 	l.claim(now, it)
+	l.noteArrival(now, it)
 	if l.mayStartAtOnce(now, it) {
 		l.takeSlot(now, it)
 		l.mu.Unlock()
--- a/router/admit/runcalls.go
+++ b/router/admit/runcalls.go
@@ -52,19 +52,17 @@
 	return c.used * math.Exp(-float64(now.Sub(c.usedAt))/float64(useTime))
 }
 
-// mayStartAtOnce reports whether the request, which arrives now, may start without waiting.
-// The caller holds l.mu.
-func (l *PriorityLimiter) mayStartAtOnce(now time.Time, it *priorityItem) bool {
+// noteArrival notes that the request arrives now. The caller holds l.mu.
+func (l *PriorityLimiter) noteArrival(now time.Time, it *priorityItem) {
 	if it.class.OfRun {
 		l.calls.arrivedAt = now
 	} else {
 		l.calls.otherAt = now
 	}
-	return l.startsAtOnce(now, it)
 }
 
-// startsAtOnce is mayStartAtOnce for a request that only may arrive. The caller holds l.mu.
-func (l *PriorityLimiter) startsAtOnce(now time.Time, it *priorityItem) bool {
+// mayStartAtOnce reports whether the request may start without waiting. The caller holds l.mu.
+func (l *PriorityLimiter) mayStartAtOnce(now time.Time, it *priorityItem) bool {
 	if !l.mayStart(now) || l.mustLeaveSlot(now, it) {
 		return false
 	}
--- a/router/dependency/dependency.go
+++ b/router/dependency/dependency.go
@@ -72,9 +72,9 @@
 	endedAt time.Time
 }
 
-// Before returns how long before the deadline of the call its run needs the response, so
+// NeededBefore returns how long before the deadline of the call its run needs the response, so
 // that it can use it.
-func (c *Call) Before(deadline time.Time) time.Duration {
+func (c *Call) NeededBefore(deadline time.Time) time.Duration {
 	return max(deadline.Sub(c.Deadline.Add(-c.Needs)), 0)
 }
 
--- a/router/dependency/dependency_test.go
+++ b/router/dependency/dependency_test.go
@@ -68,7 +68,7 @@
 			t.Errorf("call %d: %v needed afterwards, goal in %v, want %v before the goal of the run", i, c.Needs, c.Goal.Sub(start), want)
 		}
 	}
-	if early, late := c.Before(at(500)), c.Before(at(1950)); early != 0 || late != 50*time.Millisecond {
+	if early, late := c.NeededBefore(at(500)), c.NeededBefore(at(1950)); early != 0 || late != 50*time.Millisecond {
 		// the run needs 100 ms after the call, and has 2,000 ms left
 		t.Errorf("responses are needed %v and %v before deadlines in 500 and 1,950 ms, want 0 and 50 ms", early, late)
 	}
--- a/router/dependency/simulation_test.go
+++ b/router/dependency/simulation_test.go
@@ -106,7 +106,7 @@
 	bounds := admit.WaitBounds{Policy: admit.UntilGoal, Goal: run.Goal, Deadline: deadline}
 	class := admit.WorkClass{Priority: w.priority, Repeatable: len(w.calls) == 0}
 	if c != nil {
-		class.OfRun, bounds.Goal, bounds.Deadline = true, c.Goal, deadline.Add(-c.Before(deadline))
+		class.OfRun, bounds.Goal, bounds.Deadline = true, c.Goal, deadline.Add(-c.NeededBefore(deadline))
 		class.Priority = min(class.Priority, c.Priority)
 	}
 	if !s.plain {
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -115,9 +115,9 @@
 	makesCalls bool
 	// calls is the driver that knows the run that the call is, once it has started.
 	calls *runCallsDriver
-	// foundRoute is the route of a call of another host if routeSought is true.
-	foundRoute  *vhost.Route
-	routeSought bool
+	// lookedUpRoute is the route of a call of another host if routeLookedUp is true.
+	lookedUpRoute *vhost.Route
+	routeLookedUp bool
 }
 
 // loadBody asks the router that has sent the call for its body, if that still has it. Without
--- a/router/sidecar/runcalls.go
+++ b/router/sidecar/runcalls.go
@@ -57,9 +57,9 @@
 type callOfRun struct {
 	// known is true if the call was made by a request in progress.
 	known bool
-	// before is the time before the deadline of the call at which the run needs the
+	// neededBefore is the time before the deadline of the call at which the run needs the
 	// response, to use it.
-	before time.Duration
+	neededBefore time.Duration
 	// call is nil at the gate of another host.
 	call *dependency.Call
 }
@@ -99,7 +99,7 @@
 	if call.Deadline.Before(c.Deadline) {
 		c.Deadline = call.Deadline
 	}
-	c.ofRun = callOfRun{known: true, before: call.Before(c.Deadline), call: call}
+	c.ofRun = callOfRun{known: true, neededBefore: call.NeededBefore(c.Deadline), call: call}
 }
 
 // ended records the result of a call and returns it.
@@ -215,11 +215,11 @@
 // routeName returns the name of the route of a call, "" if it has none. It is looked up once,
 // by the configuration in force, if the call came from another host.
 func (d *runCallsDriver) routeName(c *Call) string {
-	if c.route == nil && !c.routeSought {
+	if c.route == nil && !c.routeLookedUp {
 		table, route := d.config.callRoute(c)
-		c.foundRoute, c.routeSought = route, table != nil
+		c.lookedUpRoute, c.routeLookedUp = route, table != nil
 	}
-	if route := cmp.Or(c.route, c.foundRoute); route != nil {
+	if route := cmp.Or(c.route, c.lookedUpRoute); route != nil {
 		return route.Name
 	}
 	return ""
@@ -252,7 +252,7 @@
 // takes the given time to be sent.
 func (c *Call) waitBounds(sending time.Duration) admit.WaitBounds {
 	return admit.WaitBounds{
-		Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending - c.ofRun.before),
+		Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending - c.ofRun.neededBefore),
 		Origin:     c.Origin,
 		MakesCalls: c.makesCalls,
 	}
@@ -260,7 +260,7 @@
 
 // encode returns the value of runField.
 func (r callOfRun) encode() string {
-	ms := uint64(min(r.before, maxBeforeDeadline).Milliseconds())
+	ms := uint64(min(r.neededBefore, maxBeforeDeadline).Milliseconds())
 	if ms > 1 {
 		ms = 1 << bits.Len64(ms-1)
 	}
@@ -279,5 +279,5 @@
 	if err != nil {
 		return callOfRun{}
 	}
-	return callOfRun{known: true, before: min(time.Duration(ms)*time.Millisecond, maxBeforeDeadline)}
+	return callOfRun{known: true, neededBefore: min(time.Duration(ms)*time.Millisecond, maxBeforeDeadline)}
 }
--- a/router/sidecar/runcalls_test.go
+++ b/router/sidecar/runcalls_test.go
@@ -67,9 +67,9 @@
 	if r := c.run(); r.status != http.StatusOK {
 		t.Fatalf("status %d: %s", r.status, r.body)
 	}
-	head := requestHead(testHeaders, &Call{ofRun: callOfRun{known: true, before: 70 * time.Millisecond}, Deadline: time.Now().Add(time.Second)}, time.Now())
+	head := requestHead(testHeaders, &Call{ofRun: callOfRun{known: true, neededBefore: 70 * time.Millisecond}, Deadline: time.Now().Add(time.Second)}, time.Now())
 	got := (&hopHandler{gate: gate, headers: testHeaders}).decodeCall(&hop.Request{RequestHead: head}, time.Now())
-	if !got.ofRun.known || got.ofRun.before != 128*time.Millisecond || got.Header.Get(runField) != "" {
+	if !got.ofRun.known || got.ofRun.neededBefore != 128*time.Millisecond || got.Header.Get(runField) != "" {
 		t.Errorf("got %+v with the header %v, want a call whose response is needed 128 ms before its deadline", got.ofRun, got.Header)
 	}
 	forged := requestHead(testHeaders, &Call{Header: http.Header{runField: {"1"}}, Deadline: time.Now().Add(time.Second)}, time.Now())
@@ -145,7 +145,7 @@
 			c := &Call{RequestID: "1b1695ca47561e0c", Method: "GET", Host: "test", Target: "/look/1?q=1"}
 			b.ReportAllocs()
 			for b.Loop() {
-				c.routeSought, c.foundRoute = false, nil
+				c.routeLookedUp, c.lookedUpRoute = false, nil
 				d.link(c, start)
 				if err := d.admit(c); err != nil {
 					b.Fatal(err)
