--- a/router/admit/prioritylimiter.go
+++ b/router/admit/prioritylimiter.go
@@ -203,6 +203,7 @@
 	}
 	it := &priorityItem{class: class, arrival: l.nextArrival, bounds: bounds, decision: make(chan error, 1)}
 	l.claim(now, it)
+	l.noteArrival(now, it)
 	if l.mayStartAtOnce(now, it) {
 		l.takeSlot(now, it)
 		l.mu.Unlock()
@@ -383,7 +384,7 @@
 	if it.promoted {
 		l.promoted++
 	}
-	l.countCallStart(now, it)
+	l.countStart(now, it)
 }
 
 // freeSlot frees the slot of the request; its token stays used. The caller holds l.mu.
@@ -392,7 +393,7 @@
 	if it.promoted {
 		l.promoted--
 	}
-	l.calls.slotFreed(it)
+	l.countEnd(it)
 }
 
 // isShort reports whether requests of the class are short, see shortDivisor.
--- a/router/admit/runcalls.go
+++ b/router/admit/runcalls.go
@@ -52,19 +52,17 @@
 	return c.used * math.Exp(-float64(now.Sub(c.usedAt))/float64(useTime))
 }
 
-// mayStartAtOnce reports whether the request, which arrives now, may start without waiting.
-// The caller holds l.mu.
-func (l *PriorityLimiter) mayStartAtOnce(now time.Time, it *priorityItem) bool {
+// noteArrival notes that the request arrives now. The caller holds l.mu.
+func (l *PriorityLimiter) noteArrival(now time.Time, it *priorityItem) {
 	if it.class.OfRun {
 		l.calls.arrivedAt = now
 	} else {
 		l.calls.otherAt = now
 	}
-	return l.startsAtOnce(now, it)
 }
 
-// startsAtOnce is mayStartAtOnce for a request that only may arrive. The caller holds l.mu.
-func (l *PriorityLimiter) startsAtOnce(now time.Time, it *priorityItem) bool {
+// mayStartAtOnce reports whether the request may start without waiting. The caller holds l.mu.
+func (l *PriorityLimiter) mayStartAtOnce(now time.Time, it *priorityItem) bool {
 	if !l.mayStart(now) || l.mustLeaveSlot(now, it) {
 		return false
 	}
@@ -130,8 +128,9 @@
 	return max(l.limit.Allowed()*callSlotsNumerator/callSlotsDenominator, 1)
 }
 
-// countCallStart counts a request that starts. The caller holds l.mu.
-func (l *PriorityLimiter) countCallStart(now time.Time, it *priorityItem) {
+// countStart counts the start of a request, which countEnd takes out of the requests in flight
+// when it ends. The caller holds l.mu.
+func (l *PriorityLimiter) countStart(now time.Time, it *priorityItem) {
 	c := &l.calls
 	if it.bounds.MakesCalls {
 		c.callers++
@@ -149,13 +148,14 @@
 	}
 }
 
-// slotFreed counts the end of a request. The caller holds l.mu.
-func (c *runCalls) slotFreed(it *priorityItem) {
+// countEnd counts the end of a request. The calls in a row and the average of the slots in use
+// describe starts and stay as they are. The caller holds l.mu.
+func (l *PriorityLimiter) countEnd(it *priorityItem) {
 	if it.bounds.MakesCalls {
-		c.callers--
+		l.calls.callers--
 	}
 	if it.class.OfRun {
-		c.inFlight--
+		l.calls.inFlight--
 	}
 }
 
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -89,10 +89,10 @@
 	// Origin describes the attempt to the gate.
 	Origin admit.Origin
 
-	// returned says whether the request is known to have been refused before, and earlier is
-	// that refusal.
-	returned reservation.Return
-	earlier  reservation.Refusal
+	// returnKind says whether the request is known to have been refused before, and
+	// earlierRefusal is that refusal.
+	returnKind     reservation.Return
+	earlierRefusal reservation.Refusal
 	// route is the route by which the service was chosen; nil at the gate of another host.
 	route *vhost.Route
 	// refusedRegions are the regions whose hosts refused the call because it is not allowed
@@ -115,9 +115,9 @@
 	makesCalls bool
 	// calls is the driver that knows the run that the call is, once it has started.
 	calls *runCallsDriver
-	// foundRoute is the route of a call of another host if routeSought is true.
-	foundRoute  *vhost.Route
-	routeSought bool
+	// lookedUpRoute is the route of a call of another host if routeLookedUp is true.
+	lookedUpRoute *vhost.Route
+	routeLookedUp bool
 }
 
 // loadBody asks the router that has sent the call for its body, if that still has it. Without
--- a/router/sidecar/competing.go
+++ b/router/sidecar/competing.go
@@ -83,17 +83,17 @@
 	return errkind.RoomUnknown
 }
 
-// returns recognises requests that callers of this host repeat after a refusal.
-type returns struct {
-	seed maphash.Seed
-	mu   sync.Mutex
-	set  reservation.Returns
+// returnTracker recognises requests that callers of this host repeat after a refusal.
+type returnTracker struct {
+	seed     maphash.Seed
+	mu       sync.Mutex
+	refusals reservation.Refusals
 }
 
-func newReturns() *returns { return &returns{seed: maphash.MakeSeed()} }
+func newReturnTracker() *returnTracker { return &returnTracker{seed: maphash.MakeSeed()} }
 
 // content returns a hash of what two attempts of a request have in common.
-func (r *returns) content(c *Call) uint64 {
+func (r *returnTracker) content(c *Call) uint64 {
 	return maphash.Comparable(r.seed, struct {
 		method, host, target string
 		key                  uint16
@@ -102,52 +102,53 @@
 
 // recognise sets what is known of an earlier attempt of the call. longest is the time left
 // of first attempts, left that of the call.
-func (r *returns) recognise(now time.Time, c *Call, longest, left time.Duration) {
+func (r *returnTracker) recognise(now time.Time, c *Call, longest, left time.Duration) {
 	if r == nil || left >= longest-firstAttemptTolerance {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.set.Len() == 0 {
+	if r.refusals.Len() == 0 {
 		return
 	}
-	c.earlier, c.Origin.Return = r.set.Match(now, c.route.Name, r.content(c), c.Deadline)
-	c.returned = c.Origin.Return
+	c.earlierRefusal, c.Origin.Return = r.refusals.Take(now, c.route.Name, r.content(c), c.Deadline)
+	c.returnKind = c.Origin.Return
 }
 
-// refused records the refusal of a call if it names a time with capacity. A call that came
-// back too early is told its time again.
-func (r *returns) refused(now time.Time, c *Call, res *Result) {
+// recordRefusal records the refusal of a call if it names a time with capacity. A call that
+// came back too early is told its time again.
+func (r *returnTracker) recordRefusal(now time.Time, c *Call, res *Result) {
 	if r == nil || c.ofRun.known || !res.notRun() || res.Err.Kind != errkind.Overloaded {
 		return
 	}
 	f := reservation.Refusal{
-		Route: c.route.Name, Content: r.content(c), Deadline: c.Deadline, Gate: res.Host,
-		At: now.Add(res.Err.RetryAfter), Reserved: res.Err.Room == errkind.RoomReserved,
+		Route: c.route.Name, Content: r.content(c), Deadline: c.Deadline, Host: res.Host,
+		RetryAt: now.Add(res.Err.RetryAfter), Reserved: res.Err.Room == errkind.RoomReserved,
 	}
-	if c.returned == reservation.Early {
-		f.Gate, f.At, f.Reserved, f.Back = c.earlier.Gate, c.earlier.At, c.earlier.Reserved, c.earlier.Back
-		res.Err.RetryAfter, res.Err.Room = f.At.Sub(now), errkind.RoomLater
+	if c.returnKind == reservation.Early {
+		earlier := &c.earlierRefusal
+		f.Host, f.RetryAt, f.Reserved, f.ExpectedAt = earlier.Host, earlier.RetryAt, earlier.Reserved, earlier.ExpectedAt
+		res.Err.RetryAfter, res.Err.Room = f.RetryAt.Sub(now), errkind.RoomLater
 	} else {
 		if res.Err.Room != errkind.RoomLater && res.Err.Room != errkind.RoomReserved {
 			return // the gate has no account of the refusal
 		}
-		f.Back = now.Add(min(res.Err.RetryAfter, c.Deadline.Sub(now)/retryAfterDivisor))
+		f.ExpectedAt = now.Add(min(res.Err.RetryAfter, c.Deadline.Sub(now)/retryAfterDivisor))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.set.Refused(now, f)
+	r.refusals.Add(now, f)
 }
 
 // markAttempt sets what the gate of the host has to know of the attempt.
 func (e *entry) markAttempt(c *Call, h *fleet.Host, tried []*fleet.Host) {
-	if e.returns == nil {
+	if e.returnTracker == nil {
 		return
 	}
 	c.Origin.Host = e.host
 	c.Origin.Final = e.isFinal(c, h, tried)
-	c.Origin.Return = c.returned
-	if c.returned == reservation.Due && c.earlier.Gate != h.Member().Host {
+	c.Origin.Return = c.returnKind
+	if c.returnKind == reservation.Due && c.earlierRefusal.Host != h.Member().Host {
 		c.Origin.Return = reservation.FirstAttempt // the reservation is at another host
 	}
 }
@@ -167,12 +168,12 @@
 
 // chooseReserving returns the host that has made the reservation of a returning call, or nil.
 func (e *entry) chooseReserving(c *Call, tried []*fleet.Host) *fleet.Host {
-	if c.returned != reservation.Due || len(tried) > 0 {
+	if c.returnKind != reservation.Due || len(tried) > 0 {
 		return nil
 	}
 	now, allowed := time.Now(), e.regions.filter(c)
 	h := e.fleet.ChooseAllowed(now, c.Service, nil, func(m fleet.Member) bool {
-		return m.Host == c.earlier.Gate && (allowed == nil || allowed(m))
+		return m.Host == c.earlierRefusal.Host && (allowed == nil || allowed(m))
 	})
 	if h == nil || !c.allowRequest(now, h) {
 		return nil
@@ -192,7 +193,7 @@
 }
 
 // buildReservations lets the limiter of the gate make reservations if the settings allow it.
-func (s *Sidecar) buildReservations(l *admit.PriorityLimiter) *returns {
+func (s *Sidecar) buildReservations(l *admit.PriorityLimiter) *returnTracker {
 	if s.settings.Reservation.Share <= 0 {
 		return nil
 	}
@@ -205,7 +206,7 @@
 		HonouredDivisor: retryAfterDivisor,
 		Count:           func(e admit.ReservationEvent, n int) { c.count(time.Now(), e, n) },
 	})
-	return newReturns()
+	return newReturnTracker()
 }
 
 // count counts n events and logs a summary from time to time.
--- a/router/sidecar/competing_test.go
+++ b/router/sidecar/competing_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"burdockglade.dev/router/admit"
@@ -64,14 +65,14 @@
 // and is told another time than before.
 func TestEntryRecognisesReturningRequests(t *testing.T) {
 	const longest = 3 * time.Second
-	now, r := time.Now(), newReturns()
+	now, r := time.Now(), newReturnTracker()
 	deadline := now.Add(longest)
 	newCall := func(target string) *Call {
 		return &Call{Method: "GET", Target: target, Deadline: deadline, route: &vhost.Route{Name: "look"}}
 	}
 	refuse := func(target string, kind errkind.Kind, room errkind.Room, after time.Duration) {
 		res := &Result{Host: "h1", Err: &errkind.Error{Kind: kind, RetryAfter: after, Room: room}}
-		r.refused(now, newCall(target), res)
+		r.recordRefusal(now, newCall(target), res)
 	}
 	refuse("/reserved", errkind.Overloaded, errkind.RoomReserved, 400*time.Millisecond)
 	refuse("/later", errkind.Overloaded, errkind.RoomLater, 5*time.Second)
@@ -81,29 +82,49 @@
 		r.recognise(at, c, longest, deadline.Sub(at))
 		return c
 	}
-	if c := arrive("/reserved", 0); c.returned != reservation.FirstAttempt {
-		t.Errorf("a first attempt: %v", c.returned)
+	if c := arrive("/reserved", 0); c.returnKind != reservation.FirstAttempt {
+		t.Errorf("a first attempt: %v", c.returnKind)
 	}
 	early := arrive("/reserved", 100*time.Millisecond)
 	res := &Result{Host: "h2", Err: &errkind.Error{Kind: errkind.Overloaded, RetryAfter: time.Millisecond}}
-	r.refused(now.Add(100*time.Millisecond), early, res)
-	if early.returned != reservation.Early || res.Err.RetryAfter != 300*time.Millisecond {
-		t.Errorf("an early return: %v, told to return in %v, want the remaining 300 ms", early.returned, res.Err.RetryAfter)
+	r.recordRefusal(now.Add(100*time.Millisecond), early, res)
+	if early.returnKind != reservation.Early || res.Err.RetryAfter != 300*time.Millisecond {
+		t.Errorf("an early return: %v, told to return in %v, want the remaining 300 ms", early.returnKind, res.Err.RetryAfter)
 	}
-	if c := arrive("/reserved", 400*time.Millisecond); c.returned != reservation.Due || c.earlier.Gate != "h1" {
-		t.Errorf("a return in time: %v at %q", c.returned, c.earlier.Gate)
+	if c := arrive("/reserved", 400*time.Millisecond); c.returnKind != reservation.Due || c.earlierRefusal.Host != "h1" {
+		t.Errorf("a return in time: %v at %q", c.returnKind, c.earlierRefusal.Host)
 	}
-	if c := arrive("/later", time.Second); c.returned != reservation.Unreserved { // a third of the time left
-		t.Errorf("a return without a reservation: %v", c.returned)
+	if c := arrive("/later", time.Second); c.returnKind != reservation.Unreserved { // a third of the time left
+		t.Errorf("a return without a reservation: %v", c.returnKind)
 	}
 	refuse("/draining", errkind.Draining, errkind.RoomUnknown, 0)
 	refuse("/link", errkind.Overloaded, errkind.RoomForecast, time.Second)
 	refuse("/estimate", errkind.Overloaded, errkind.RoomUnknown, time.Second)
-	if r.set.Len() != 0 {
-		t.Errorf("%d refusals are remembered, want none", r.set.Len())
+	if r.refusals.Len() != 0 {
+		t.Errorf("%d refusals are remembered, want none", r.refusals.Len())
 	}
 }
 
+// Guards against an attempt that waits for a slot or gets a reservation as the final one although
+// a host whose router has just begun to stop would take the request next, and against one that
+// is not final although only hosts are left that stop for longer.
+func TestStoppingHostMayFollowAnAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &entry{fleet: fleet.NewDirectory("z1", "r1", newHopClient)}
+		for host, state := range map[string]fleet.State{"a": fleet.Ready, "b": fleet.Stopping} {
+			e.fleet.Put(fleet.Member{Host: host, Service: "plain", Zone: "z1", Region: "r1", Address: host + ":1", State: state, Slots: 4})
+		}
+		call, a := &Call{Service: "plain"}, e.fleet.Host("a")
+		if e.isFinal(call, a, nil) {
+			t.Error("the attempt is final although b has just begun to stop")
+		}
+		time.Sleep(time.Second)
+		if !e.isFinal(call, a, nil) {
+			t.Error("the attempt is not final although b takes no requests any more")
+		}
+	})
+}
+
 // Guards against reservations at hosts that are not the last one, against refusals without
 // one, and against returning requests that are sent to another host than the one with their
 // reservation.
@@ -145,7 +166,7 @@
 	e := c.hosts[0].entry
 	for _, gate := range []string{"h0", "h1"} {
 		call := &Call{Service: "plain", Host: "test", Target: "/look/more", Method: "GET", Origin: admit.Origin{Host: "h0"},
-			returned: reservation.Due, earlier: reservation.Refusal{Gate: gate}}
+			returnKind: reservation.Due, earlierRefusal: reservation.Refusal{Host: gate}}
 		h, r := e.chooseHost(t.Context(), call, nil, nil)
 		if r != nil || h.Member().Host != gate {
 			t.Fatalf("a request with a reservation at %s is sent elsewhere: %+v", gate, r)
--- a/router/sidecar/runcalls.go
+++ b/router/sidecar/runcalls.go
@@ -5,7 +5,6 @@
 	"math/bits"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,9 +57,9 @@
 type callOfRun struct {
 	// known is true if the call was made by a request in progress.
 	known bool
-	// before is the time before the deadline of the call at which the run needs the
+	// neededBefore is the time before the deadline of the call at which the run needs the
 	// response, to use it.
-	before time.Duration
+	neededBefore time.Duration
 	// call is nil at the gate of another host.
 	call *dependency.Call
 }
@@ -100,7 +99,7 @@
 	if call.Deadline.Before(c.Deadline) {
 		c.Deadline = call.Deadline
 	}
-	c.ofRun = callOfRun{known: true, before: call.Before(c.Deadline), call: call}
+	c.ofRun = callOfRun{known: true, neededBefore: call.NeededBefore(c.Deadline), call: call}
 }
 
 // ended records the result of a call and returns it.
@@ -172,15 +171,15 @@
 	return err
 }
 
-// notStarted takes back what admit has admitted.
-func (d *runCallsDriver) notStarted(c *Call) {
+// takeBack takes back an admission of admit: the call does not begin.
+func (d *runCallsDriver) takeBack(c *Call) {
 	if d == nil || !c.makesCalls || c.ofRun.known {
 		return
 	}
 	route := d.routeName(c)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.tracker.Release(time.Now(), route)
+	d.tracker.Release(route)
 }
 
 // started records that the call begins at the upstream. The returned function replaces
@@ -216,38 +215,16 @@
 // routeName returns the name of the route of a call, "" if it has none. It is looked up once,
 // by the configuration in force, if the call came from another host.
 func (d *runCallsDriver) routeName(c *Call) string {
-	table := d.config.table.Load()
-	if c.route == nil && !c.routeSought && table != nil {
-		c.routeSought = true
-		if path, plain := plainPath(c.Target); plain {
-			c.foundRoute = table.Route(c.Host, path)
-		} else {
-			c.foundRoute = table.Route(c.Host, requestPath(c.Method, c.Target))
-		}
+	if c.route == nil && !c.routeLookedUp {
+		table, route := d.config.callRoute(c)
+		c.lookedUpRoute, c.routeLookedUp = route, table != nil
 	}
-	if route := cmp.Or(c.route, c.foundRoute); route != nil {
+	if route := cmp.Or(c.route, c.lookedUpRoute); route != nil {
 		return route.Name
 	}
 	return ""
 }
 
-// plainPath returns the path of a target that has nothing to decode. Parsing it as a URL
-// takes half a microsecond.
-func plainPath(target string) (path string, plain bool) {
-	if !strings.HasPrefix(target, "/") {
-		return "", false
-	}
-	for i := range len(target) {
-		switch c := target[i]; {
-		case c == '?':
-			return target[:i], true
-		case c <= ' ' || c == '%' || c == 0x7f:
-			return "", false
-		}
-	}
-	return target, true
-}
-
 // reportLimits logs limits that have begun or ended, and sets the metric of the refused
 // calls. It does not wait for the log, because every request needs d.mu, which the caller
 // holds.
@@ -275,7 +252,7 @@
 // takes the given time to be sent.
 func (c *Call) waitBounds(sending time.Duration) admit.WaitBounds {
 	return admit.WaitBounds{
-		Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending - c.ofRun.before),
+		Policy: c.WaitPolicy, Goal: c.Goal.Add(-sending), Deadline: c.Deadline.Add(-sending - c.ofRun.neededBefore),
 		Origin:     c.Origin,
 		MakesCalls: c.makesCalls,
 	}
@@ -283,7 +260,7 @@
 
 // encode returns the value of runField.
 func (r callOfRun) encode() string {
-	ms := uint64(min(r.before, maxBeforeDeadline).Milliseconds())
+	ms := uint64(min(r.neededBefore, maxBeforeDeadline).Milliseconds())
 	if ms > 1 {
 		ms = 1 << bits.Len64(ms-1)
 	}
@@ -302,5 +279,5 @@
 	if err != nil {
 		return callOfRun{}
 	}
-	return callOfRun{known: true, before: min(time.Duration(ms)*time.Millisecond, maxBeforeDeadline)}
+	return callOfRun{known: true, neededBefore: min(time.Duration(ms)*time.Millisecond, maxBeforeDeadline)}
 }
