Read the fleet from the store once for all zones

Change: in fleets of more than 40 hosts, the host with the widest link reads the store, and the readers of the other zones relay its feed. They read the store themselves while it does not respond, does not read the store, or has not known for 3 s that its feed is complete.

Changes to existing tests: NewFeed takes the way of reading instead of a bool, and the feed of configfleet_test.go is divided into two functions. What they check is unchanged.

Not run: the rest of the package sidecar.

--- a/router/fleet/directory.go
+++ b/router/fleet/directory.go
@@ -193,29 +193,6 @@
 	return len(zones)
 }
 
-// ZoneReader returns the host that reads the fleet from the store on behalf of
-// this zone: the one with the highest link bandwidth, then the first by name. It
-// returns nil if that host is self or no other host is known.
-func (d *Directory) ZoneReader(now time.Time, self string) *Host {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	var best *Host
-	var bestMember Member
-	for name, h := range d.hosts {
-		m := h.Member()
-		if m.Zone != d.zone || (name != self && !h.readable(now)) {
-			continue
-		}
-		if best == nil || m.LinkMbps > bestMember.LinkMbps || (m.LinkMbps == bestMember.LinkMbps && m.Host < bestMember.Host) {
-			best, bestMember = h, m
-		}
-	}
-	if best == nil || bestMember.Host == self {
-		return nil
-	}
-	return best
-}
-
 // Running returns the hosts that are known to run, in no order.
 func (d *Directory) Running(now time.Time) []Member {
 	d.mu.RLock()
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -179,6 +179,42 @@
 	}
 }
 
+// Guards against several hosts that read the store for the whole fleet, and against a second
+// host that is tried in place of one that does not respond.
+func TestFleetReaderIsSameForAllHosts(t *testing.T) {
+	now := time.Now()
+	for _, self := range []string{"a", "b", "c", "d"} {
+		d := newDirectory()
+		for _, m := range []Member{
+			{Host: "a", Zone: "z1", LinkMbps: 10}, {Host: "b", Zone: "z2", LinkMbps: 200},
+			{Host: "c", Zone: "z3", LinkMbps: 200}, {Host: "d", Zone: "z2", LinkMbps: 1000, State: Stopping},
+		} {
+			d.Put(m)
+		}
+		check := func(what, want string) {
+			t.Helper()
+			reader, isSelf := d.FleetReader(now, self)
+			got := ""
+			if reader != nil {
+				got = reader.Member().Host
+			}
+			if isSelf != (self == "b") || self != "b" && got != want {
+				t.Errorf("%s: host %s reads through %q (self %v), want %q", what, self, got, isSelf, want)
+			}
+		}
+		check("all respond", "b")
+		d.Host("b").FleetReaderFailed(now, time.Second)
+		check("b has failed", "")
+		now = now.Add(time.Second)
+		check("after the backoff", "b")
+		d.Host("b").FleetReaderFailed(now, time.Second)
+		now = now.Add(time.Second)
+		check("b has failed again", "")
+		now = now.Add(time.Second)
+		check("after twice the backoff", "b")
+	}
+}
+
 func readerName(d *Directory, now time.Time, self string) string {
 	if h := d.ZoneReader(now, self); h != nil {
 		return h.Member().Host
--- a/router/fleet/host.go
+++ b/router/fleet/host.go
@@ -107,6 +107,38 @@
 	// notReaderUntil is the time until which the host is not used as reader of its
 	// zone.
 	notReaderUntil time.Time
+	// notFleetReaderUntil is that time for the reader of the whole fleet. It is separate,
+	// because the link to the host's zone may be lost while the host reads for its own zone.
+	notFleetReaderUntil time.Time
+	// fleetReaderFailures is the number of consecutive watches of its feed that failed.
+	fleetReaderFailures int
+}
+
+// maxReaderBackoffDoublings bounds the backoff of a reader of the fleet. Each attempt at a
+// host that does not respond keeps the changes from a zone until it times out.
+const maxReaderBackoffDoublings = 3
+
+// FleetReaderFailed keeps this host from reading the fleet through the host for the backoff,
+// which is doubled with each consecutive failure.
+func (h *Host) FleetReaderFailed(now time.Time, backoff time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notFleetReaderUntil = now.Add(backoff << min(h.fleetReaderFailures, maxReaderBackoffDoublings))
+	h.fleetReaderFailures++
+}
+
+// FleetReaderResponded records that the host responded as the reader of the fleet.
+func (h *Host) FleetReaderResponded() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fleetReaderFailures = 0
+}
+
+// fleetReadable reports whether readers of other zones may read the fleet from the host.
+func (h *Host) fleetReadable(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !now.Before(h.backoffUntil) && !now.Before(h.notReaderUntil) && !now.Before(h.notFleetReaderUntil)
 }
 
 // AvoidAsReader keeps the host from being chosen as the reader of its zone before
--- a/router/rowstore/check.go
+++ b/router/rowstore/check.go
@@ -32,6 +32,9 @@
 		undelivered, err := f.check(ctx, timeout)
 		timeout = nextCheckTimeout(timeout, err)
 		checkedAt = time.Now()
+		if err == nil {
+			f.confirmFeed(start)
+		}
 		if f.Checked != nil && ctx.Err() == nil {
 			f.Checked(start, undelivered, err)
 		}
--- a/router/rowstore/feed_test.go
+++ b/router/rowstore/feed_test.go
@@ -17,13 +17,13 @@
 // Guards against two hosts that follow each other: neither would ever receive a
 // change.
 func TestFeedIsClosedUnlessReadFromStore(t *testing.T) {
-	direct := false
-	f := NewFeed(func() bool { return direct })
+	reading := Follows
+	f := NewFeed(func() Reading { return reading })
 	f.open(3, []Row{feedRow("a", 3)})
 	if _, _, err := f.Watch(t.Context(), 0, 0); !errors.Is(err, ErrFeedClosed) {
 		t.Errorf("followed through another host: %v, want ErrFeedClosed", err)
 	}
-	direct = true
+	reading = ReadsStore
 	if rows, version, err := f.Watch(t.Context(), 0, 0); err != nil || version != 3 || len(rows) != 1 {
 		t.Errorf("followed directly: %v, %d, %v", rows, version, err)
 	}
@@ -33,10 +33,40 @@
 	}
 }
 
+// Guards against a circle of hosts that relay the table to each other, and against relaying
+// the feed of a host that is cut off from the store without noticing it.
+func TestFeedIsRelayedOnlyFromStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reading := Relays
+		f := NewFeed(func() Reading { return reading })
+		f.open(3, []Row{feedRow("a", 3)})
+		f.confirm(time.Now())
+		if rows, _, err := f.Watch(t.Context(), 0, 0); err != nil || len(rows) != 1 {
+			t.Errorf("relaying host, to its zone: %v, %v", rows, err)
+		}
+		if _, _, err := f.WatchFromStore(t.Context(), 0, 0, 0); !errors.Is(err, ErrFeedClosed) {
+			t.Errorf("relaying host, to a relaying one: %v, want ErrFeedClosed", err)
+		}
+		reading = ReadsStore
+		if rows, _, err := f.WatchFromStore(t.Context(), 0, 0, 3*time.Second); err != nil || len(rows) != 1 {
+			t.Errorf("host that reads the store: %v, %v", rows, err)
+		}
+		// The age is exceeded while the call waits.
+		time.Sleep(2500 * time.Millisecond)
+		if _, _, err := f.WatchFromStore(t.Context(), 3, time.Second, 3*time.Second); !errors.Is(err, ErrFeedClosed) {
+			t.Errorf("feed that was not confirmed for 3.5 s: %v, want ErrFeedClosed", err)
+		}
+		f.confirm(time.Now())
+		if _, version, err := f.WatchFromStore(t.Context(), 3, time.Second, 3*time.Second); err != nil || version != 3 {
+			t.Errorf("feed that was confirmed again: version %d, %v", version, err)
+		}
+	})
+}
+
 // Guards against changes that a reader of the feed never receives: the rows of a
 // read may be newer than the version up to which the feed is complete.
 func TestFeedWithholdsRowsAfterItsVersion(t *testing.T) {
-	f := NewFeed(func() bool { return true })
+	f := NewFeed(func() Reading { return ReadsStore })
 	f.open(4, []Row{feedRow("a", 2), feedRow("b", 6)})
 	rows, version, err := f.Watch(t.Context(), 0, 0)
 	if err != nil || version != 4 || !cmp.Equal(rows, []Row{feedRow("a", 2)}) {
@@ -56,7 +86,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := NewMemory()
 		put(t, store, "a", "1")
-		source := NewFeed(func() bool { return true })
+		source := NewFeed(func() Reading { return ReadsStore })
 		failing := false
 		var ended []error
 		fed := &FeedStore{Store: store, Source: func() (WatchFunc, func(error)) {
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -162,11 +162,18 @@
 }
 
 func (f *Follower) reportUpToDate(asOf time.Time) {
+	f.confirmFeed(asOf)
 	if f.UpToDate != nil {
 		f.UpToDate(asOf)
 	}
 }
 
+func (f *Follower) confirmFeed(asOf time.Time) {
+	if f.Feed != nil {
+		f.Feed.confirm(asOf)
+	}
+}
+
 // read reads the whole table, part by part, and continues from the version at which the
 // parts were listed, because a watch from there is the only call that reports parts
 // created since.
--- a/router/rowstore/interleaving_test.go
+++ b/router/rowstore/interleaving_test.go
@@ -216,7 +216,7 @@
 
 // play follows a table through the interleaving and returns what was wrong.
 func (i interleaving) play() []string {
-	f := &followed{present: map[string]string{}, feed: NewFeed(func() bool { return true })}
+	f := &followed{present: map[string]string{}, feed: NewFeed(func() Reading { return ReadsStore })}
 	f.store = &troubled{Memory: NewMemory(), rng: rand.New(rand.NewPCG(i.seed, 0)), faulty: true, lost: i.lost, failed: i.failed, maxDelay: i.maxDelay}
 	var checkedAt time.Time
 	follower := &Follower{
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -17,11 +17,11 @@
 	s.eras.OnChange(s.storePutBack)
 	s.directStore = &rowstore.EraStore{Eras: s.eras, Store: &rowstore.ReconnectingStore{Store: &countedStore{store: s.opts.Store, scope: s.scope}}}
 	s.store = &rowstore.EraStore{Eras: s.eras, Store: &rowstore.RelayedStore{Primary: s.directStore, Relays: s.relayStores, Now: time.Now}}
-	s.fleetFed = &rowstore.FeedStore{Store: s.store, Source: s.feedSource}
+	s.fleetFed = &rowstore.FeedStore{Store: s.store, Source: s.feedSource, StoreReader: s.fleetReader}
 	s.configFed = &rowstore.FeedStore{Store: s.directStore, Source: s.configFeedSource}
 	s.feeds = map[string]*rowstore.Feed{
-		tableFleet:              rowstore.NewFeed(s.fleetFed.Direct),
-		s.opts.Config.Key.Table: rowstore.NewFeed(s.configFed.Direct),
+		tableFleet:              rowstore.NewFeed(s.fleetFed.Reading),
+		s.opts.Config.Key.Table: rowstore.NewFeed(s.configFed.Reading),
 	}
 }
 
@@ -116,7 +116,7 @@
 	s.publisher = &publisher{store: s.store, eras: s.eras, log: s.log, member: s.memberRow, foundRow: s.ownRowFound, wakeCh: make(chan struct{}, 1)}
 	s.sweeper = &sweeper{
 		host: s.settings.Host.Name, zone: s.settings.Host.Zone, fleet: s.fleet, log: s.log,
-		readsForZone: s.fleetFed.Direct,
+		readsForZone: func() bool { return s.fleetFed.Reading() != rowstore.Follows },
 		probe:        func(ctx context.Context, h *fleet.Host) error { return h.Client.Probe(ctx) },
 		remove:       s.removeMemberRow,
 	}
--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -114,6 +114,7 @@
 // fleetUpToDate records that all changes of the fleet that were made before asOf have been
 // reported, which is what a check would show. While watches bring changes, no check is made.
 func (s *Sidecar) fleetUpToDate(asOf time.Time) {
+	s.scope.Tagged(map[string]string{"source": s.fleetFed.Reading().String()}).Counter("fleet_watches").Inc(1)
 	if s.fleetFed.Direct() {
 		s.fleetCheckedAt.advance(asOf)
 	}
--- a/router/sidecar/configfleet_test.go
+++ b/router/sidecar/configfleet_test.go
@@ -164,11 +164,18 @@
 	if reader == nil {
 		return nil, nil
 	}
-	to := f.index[reader.Client]
+	return f.watchFeed(host, f.index[reader.Client], relayedCallTimeout, storeCall{Wait: maxRelayedWatch}), func(err error) { s.feedEnded(reader, err) }
+}
+
+// watchFeed returns the function with which one host watches the feed of another. The call
+// names the longest wait and which feed is required.
+func (f *configFleet) watchFeed(host, to int, timeout time.Duration, call storeCall) rowstore.WatchFunc {
 	return func(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
-		ctx, cancel := context.WithTimeout(ctx, relayedCallTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		result := (&hopHandler{feeds: f.hosts[to].feeds}).callStore(ctx, storeCall{Call: storeFeed, Table: table, After: after, Wait: min(wait, maxRelayedWatch)})
+		call := call
+		call.Call, call.Table, call.After, call.Wait = storeFeed, table, after, min(wait, call.Wait)
+		result := (&hopHandler{feeds: f.hosts[to].feeds}).callStore(ctx, call)
 		if f.fault.Load().linkLost(host, to) {
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
@@ -178,7 +185,7 @@
 			return nil, 0, rowstore.ErrFeedClosed
 		}
 		return result.Rows, result.Version, ctx.Err()
-	}, func(err error) { s.feedEnded(reader, err) }
+	}
 }
 
 // requestTarget returns the host that gets a request: 9 of 10 stay in their zone.
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -45,6 +45,9 @@
 	Txn   rowstore.Txn
 	// Row is the row of a storeKeyMap call.
 	Row rowstore.Row
+	// FromStore of a storeFeed call requires that the other router reads the store itself.
+	// Routers of earlier versions ignore it, and have feeds only while they do.
+	FromStore bool `cbor:",omitempty"`
 	// Config is the version in force at the router that sends a storeConfig call.
 	Config uint64
 	// Evacuated is the report of the evacuated zones with a storeConfig call, or empty.
@@ -149,10 +152,19 @@
 	return r.watch(ctx, storeCall{Call: storeFeed, Table: table, After: after, Wait: wait})
 }
 
+// watchFeedFromStore is watchFeed if the other router reads the store itself.
+func (r *remoteStore) watchFeedFromStore(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
+	return r.watch(ctx, storeCall{Call: storeFeed, Table: table, After: after, Wait: min(wait, maxFleetReaderWatch), FromStore: true})
+}
+
 func (r *remoteStore) watch(ctx context.Context, call storeCall) ([]rowstore.Row, int64, error) {
 	// A short watch returns to the direct connection soon after that works again. If the
 	// other host fails while this one waits, only the timeout ends the call.
-	ctx, cancel := context.WithTimeout(ctx, relayedCallTimeout)
+	timeout := relayedCallTimeout
+	if call.FromStore {
+		timeout = maxFleetReaderWatch + storeCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	call.Wait = min(call.Wait, maxRelayedWatch)
 	result, err := r.call(ctx, call)
@@ -204,7 +216,7 @@
 			err = fmt.Errorf("no feed for table %q", call.Table)
 			break
 		}
-		result.Rows, result.Version, err = feed.Watch(ctx, call.After, call.Wait)
+		result.Rows, result.Version, err = watchFeed(ctx, feed, call)
 	case storeConfig:
 		_, age := h.config.confirmed(time.Now())
 		result.ConfigAge = max(age, 1)
