Read the configuration from the store once for all zones

Change: the readers of zones take this table from the reader of the fleet, like the table `fleet`. The bound does not depend on it: checks bring a change in time without any watch.

Changes to existing tests: TestChangesAreReadOncePerZone, now TestChangesAreReadOnce, allows 2 watches for a change instead of 2 for each zone.

--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -18,7 +18,7 @@
 	s.directStore = &rowstore.EraStore{Eras: s.eras, Store: &rowstore.ReconnectingStore{Store: &countedStore{store: s.opts.Store, scope: s.scope}}}
 	s.store = &rowstore.EraStore{Eras: s.eras, Store: &rowstore.RelayedStore{Primary: s.directStore, Relays: s.relayStores, Now: time.Now}}
 	s.fleetFed = &rowstore.FeedStore{Store: s.store, Source: s.feedSource, StoreReader: s.fleetReader}
-	s.configFed = &rowstore.FeedStore{Store: s.directStore, Source: s.configFeedSource}
+	s.configFed = &rowstore.FeedStore{Store: s.directStore, Source: s.configFeedSource, StoreReader: s.fleetReader}
 	s.feeds = map[string]*rowstore.Feed{
 		tableFleet:              rowstore.NewFeed(s.fleetFed.Reading),
 		s.opts.Config.Key.Table: rowstore.NewFeed(s.configFed.Reading),
--- a/router/sidecar/configcalls_test.go
+++ b/router/sidecar/configcalls_test.go
@@ -47,8 +47,9 @@
 	}
 }
 
-// Guards against a fleet in which each change costs a call to the store for each host.
-func TestChangesAreReadOncePerZone(t *testing.T) {
+// Guards against a fleet in which each change costs a call to the store for each host, or for
+// each zone.
+func TestChangesAreReadOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const zones, changes = 6, 4
 		f := &configFleet{feeds: true}
@@ -61,7 +62,7 @@
 				}
 				time.Sleep(10 * time.Second)
 			}
-			if watches = f.watches.Load() - watches; watches > 2*zones*changes {
+			if watches = f.watches.Load() - watches; watches > 2*changes {
 				t.Errorf("%d watches of the store for %d changes", watches, changes)
 			}
 			t.Logf("%d watches of the store for %d changes", watches, changes)
@@ -98,6 +99,25 @@
 	}
 }
 
+// Guards against a change that is late in a large fleet because the host that reads the
+// configuration for all zones is lost or gets nothing from the store.
+func TestLostFleetReaderDoesNotDelayConfig(t *testing.T) {
+	const hosts, zones = maxDirectFleet + 8, 4
+	isReader := func(h int) bool { return h == 0 }
+	for name, fault := range map[string]*fleetFault{
+		"lost":                {frozen: isReader},
+		"cut off from store":  {noStore: isReader},
+		"links to zones lost": {noLink: func(a, b int) bool { return a%zones == 0 != (b%zones == 0) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &configFleet{feeds: true}
+				f.runFor(t, hosts, zones, false, func() { f.checkChanges(t, fault) })
+			})
+		})
+	}
+}
+
 // checkChanges publishes changes just after a fault, while it lasts, while it comes and goes,
 // and after it.
 func (f *configFleet) checkChanges(t *testing.T, fault *fleetFault) {
--- a/router/sidecar/configfleet_test.go
+++ b/router/sidecar/configfleet_test.go
@@ -147,6 +147,7 @@
 		}
 		if f.feeds {
 			s.configFed.Source = func() (rowstore.WatchFunc, func(error)) { return f.feedSource(i) }
+			s.configFed.StoreReader = func() (rowstore.WatchFunc, func(error)) { return f.storeReader(i) }
 		}
 		f.hosts, f.clients = append(f.hosts, s), append(f.clients, newHopClient("127.0.0.1:1"))
 		f.index[f.clients[i]] = i
@@ -167,6 +168,17 @@
 	return f.watchFeed(host, f.index[reader.Client], relayedCallTimeout, storeCall{Wait: maxRelayedWatch}), func(err error) { s.feedEnded(reader, err) }
 }
 
+// storeReader replaces Sidecar.fleetReader of a host.
+func (f *configFleet) storeReader(host int) (rowstore.WatchFunc, func(error)) {
+	s := f.hosts[host]
+	watch, done := s.fleetReader()
+	reader, _ := s.fleet.FleetReader(time.Now(), s.settings.Host.Name)
+	if watch == nil || reader == nil {
+		return nil, nil
+	}
+	return f.watchFeed(host, f.index[reader.Client], maxFleetReaderWatch+storeCallTimeout, storeCall{Wait: maxFleetReaderWatch, FromStore: true}), done
+}
+
 // watchFeed returns the function with which one host watches the feed of another. The call
 // names the longest wait and which feed is required.
 func (f *configFleet) watchFeed(host, to int, timeout time.Duration, call storeCall) rowstore.WatchFunc {
--- a/router/sidecar/fleetfeed_test.go
+++ b/router/sidecar/fleetfeed_test.go
@@ -23,11 +23,10 @@
 		s.fleetFed.Store = s.directStore
 		s.fleetFed.Source = func() (rowstore.WatchFunc, func(error)) { return f.feedSource(i) }
 		s.fleetFed.StoreReader = func() (rowstore.WatchFunc, func(error)) {
-			watch, done := s.fleetReader()
-			if reader, _ := s.fleet.FleetReader(time.Now(), s.settings.Host.Name); watch != nil && oneReader && reader != nil {
-				return f.watchFeed(i, f.index[reader.Client], maxFleetReaderWatch+storeCallTimeout, storeCall{Wait: maxFleetReaderWatch, FromStore: true}), done
+			if !oneReader {
+				return nil, nil
 			}
-			return nil, nil
+			return f.storeReader(i)
 		}
 		tasks.Go(func() { s.followFleet(ctx) })
 	}
