Check the configuration in time after the store responds again

Cause: a host that was cut off from the store had a change up to 3.3 s after the store could be reached again, if half of the links between hosts were lost as well. A check that was lost just before still had up to 2 s to be answered, and the next one waited for its end and for a backoff of up to 0.8 s.

Change: while checks of the configuration fail, two of them begin at most 0.8 of config_ms apart. A check without a response keeps its 2 s; the next one no longer waits for it. A failure is not reported if a check that began later has succeeded.

Changes to existing tests: TestLostCheckersDoNotDelayChange has four more faults, each with and without requests and feeds. In these, hosts without a connection of their own to the store are bound by the limit of 2 s from the time at which it works again; all other hosts are bound as before. All cases now also check that no host goes back to an older version.

Ruled out: a shorter limit on one check. A host whose store needs longer would never complete one (TestChecksOfSlowStoreSucceedInTheEnd).

While the store does not respond at all, a host makes a check each 1.6 s rather than each 2.8 s (computed from the limits).

--- a/router/rowstore/check.go
+++ b/router/rowstore/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 )
 
@@ -20,24 +21,66 @@
 // read, or the last call of Run failed and the next one has not begun.
 var ErrNotFollowing = errors.New("the table is not being followed")
 
+// checkState is what the checks of a Follower know of those before them. It is guarded by mu,
+// which is also held while Checked is called.
+type checkState struct {
+	mu sync.Mutex
+	// endedAt is the end of the last check, at first the start of the Follower.
+	endedAt time.Time
+	// succeededAt is the start of the latest check that succeeded.
+	succeededAt time.Time
+	timeout     time.Duration
+}
+
 // runChecks makes the checks until ctx is done.
 func (f *Follower) runChecks(ctx context.Context) {
-	checkedAt, timeout := time.Now(), minCheckTimeout
+	state := &checkState{endedAt: time.Now(), timeout: minCheckTimeout}
+	var checks sync.WaitGroup
+	defer checks.Wait()
 	for ctx.Err() == nil {
-		if delay := f.checkDelay(checkedAt); delay > 0 {
+		if delay := f.checkDelay(state.lastEnd()); delay > 0 {
 			sleep(ctx, delay)
 			continue
 		}
-		start := time.Now()
-		undelivered, err := f.check(ctx, timeout)
-		timeout = nextCheckTimeout(timeout, err)
-		checkedAt = time.Now()
-		if err == nil {
-			f.confirmFeed(start)
-		}
-		if f.Checked != nil && ctx.Err() == nil {
-			f.Checked(start, undelivered, err)
+		ended, end := context.WithCancel(ctx)
+		checks.Go(func() {
+			defer end()
+			f.runCheck(ctx, state)
+		})
+		if f.MaxCheckGap > 0 {
+			sleep(ended, f.MaxCheckGap)
+			continue
 		}
+		<-ended.Done()
+	}
+}
+
+func (c *checkState) lastEnd() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endedAt
+}
+
+// runCheck makes a check and reports its outcome. The failure of a check is not reported if
+// one that began later has succeeded.
+func (f *Follower) runCheck(ctx context.Context, state *checkState) {
+	state.mu.Lock()
+	start, timeout := time.Now(), state.timeout
+	state.mu.Unlock()
+	undelivered, err := f.check(ctx, timeout)
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	if err != nil && state.succeededAt.After(start) {
+		return
+	}
+	state.timeout = nextCheckTimeout(timeout, err)
+	state.endedAt = time.Now()
+	if err == nil {
+		state.succeededAt = start
+		f.confirmFeed(start)
+	}
+	if f.Checked != nil && ctx.Err() == nil {
+		f.Checked(start, undelivered, err)
 	}
 }
 
--- a/router/rowstore/check_test.go
+++ b/router/rowstore/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -121,3 +122,60 @@
 		<-done
 	})
 }
+
+// reconnects is a store that loses all calls until path is set, and then all watches.
+type reconnects struct {
+	eatsWatches
+	path *atomic.Bool
+}
+
+func (r reconnects) Watch(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error) {
+	if !r.path.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return r.eatsWatches.Watch(ctx, table, after, wait)
+}
+
+// Guards against a change that is late because a check that was lost just before the store
+// could be reached again has to time out first, and against the failure of that check being
+// reported after the success of a later one.
+func TestLostCheckDoesNotDelayNextCheck(t *testing.T) {
+	const gap = 1600 * time.Millisecond
+	for offset := time.Duration(0); offset < 4*time.Second; offset += 250 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			store := reconnects{eatsWatches{NewMemory()}, &atomic.Bool{}}
+			reported := make(chan Row, 1)
+			var succeeded atomic.Bool
+			f := &Follower{
+				Store: store, Table: "t", Changed: func(r Row) { reported <- r }, Disconnected: func(error) {}, Reconnected: func() {},
+				MaxCheckGap: gap, CheckDelay: func() time.Duration {
+					if succeeded.Load() {
+						return time.Second
+					}
+					return 0
+				},
+				Checked: func(_ time.Time, _ int, err error) {
+					if err != nil && succeeded.Load() {
+						t.Errorf("a check failed after one that succeeded: %v", err)
+					}
+					succeeded.Store(err == nil)
+				},
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { f.Run(ctx); close(done) }()
+			time.Sleep(10*time.Second + offset)
+			put(t, store.Memory, "a", "1")
+			store.path.Store(true)
+			began := time.Now()
+			<-reported
+			if took := time.Since(began); took > gap {
+				t.Errorf("the change was reported after %v, want %v at most", took, gap)
+			}
+			time.Sleep(10 * time.Second)
+			cancel()
+			<-done
+		})
+	}
+}
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -49,7 +49,11 @@
 	// made unless CheckDelay returns another time. It must return a delay after a check
 	// that failed. Nil means every checkInterval.
 	CheckDelay func() time.Duration
-	// Checked, if set, is called after each check with the number of rows that the watch
+	// MaxCheckGap, if above 0, is the time after which the next check may begin while the
+	// last one has no response. A check that was lost then delays the next one by no more,
+	// although a slow store has longer to respond to it.
+	MaxCheckGap time.Duration
+	// Checked, if set, is called after each check, one call at a time, with the number of rows that the watch
 	// in progress had not delivered. If err is nil, all changes that were in CheckStore before
 	// asOf, the start of the check, have been reported.
 	Checked func(asOf time.Time, undelivered int, err error)
--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -178,6 +178,7 @@
 		Store: s.configFed, Table: s.opts.Config.Key.Table, Changed: s.applyOperatorRow,
 		BatchDelay: s.configPollDelay, Feed: s.feeds[s.opts.Config.Key.Table],
 		UpToDate: s.confirmConfig, CheckStore: s.directStore, CheckDelay: s.configCheckDelay, Checked: s.configChecked,
+		MaxCheckGap:  shareOf(millis(s.settings.Terms.ConfigMs), maxCheckGap),
 		Disconnected: func(error) { s.exchange.setWatchFailed(true) },
 		Reconnected:  func() { s.exchange.setWatchFailed(false) },
 	}
--- a/router/sidecar/configcalls_test.go
+++ b/router/sidecar/configcalls_test.go
@@ -77,6 +77,8 @@
 	host := func(lost ...int) func(int) bool { return func(h int) bool { return slices.Contains(lost, h) } }
 	randomHalf := func(a, b int) bool { return (min(a, b)*7919+max(a, b)*104729)%14 < 7 }
 	firstZone := func(h int) bool { return h%zones == 0 }
+	odd := func(h int) bool { return h%2 == 1 }
+	firstHalf := func(h int) bool { return h < hosts/2 }
 	for name, fault := range map[string]*fleetFault{
 		"none":                            {},
 		"first host of the fleet lost":    {frozen: host(0)},
@@ -87,6 +89,11 @@
 		"first hosts cut off from store":  {noStore: host(0, 1, 2)},
 		"half of the links lost":          {noLink: randomHalf},
 		"zone of the first host cut off":  {noLink: func(a, b int) bool { return firstZone(a) != firstZone(b) }},
+		// Hosts without a path to the store are bound by the limit once they have one again.
+		"half of the hosts cut off from store":               {noStore: odd, unbound: true},
+		"half of the hosts and of the links cut off":         {noStore: odd, noLink: randomHalf, unbound: true},
+		"first half of the hosts cut off from store":         {noStore: firstHalf, unbound: true},
+		"first half of the hosts, half of the links cut off": {noStore: firstHalf, noLink: randomHalf, unbound: true},
 	} {
 		for _, mode := range []struct{ requests, feeds bool }{{false, false}, {true, false}, {false, true}} {
 			t.Run(fmt.Sprintf("%s, requests %v, feeds %v", name, mode.requests, mode.feeds), func(t *testing.T) {
@@ -142,6 +149,9 @@
 			time.Sleep(rand.N(time.Second))
 		}
 		change()
+		if fault.unbound {
+			slowest = max(slowest, f.checkPathsBack(t, fault, change, &version))
+		}
 		f.fault.Store(nil)
 		time.Sleep(3 * time.Second) // a call that was sent during the fault may take 2 s to fail
 		change()
@@ -156,6 +166,23 @@
 	t.Logf("slowest %v; %d checks in 20 s of the fault without changes", slowest, f.checks.Load()-before)
 }
 
+// checkPathsBack checks that hosts that were cut off from the store have a change that was
+// published meanwhile in time after they have a path to the store again, also while links
+// between hosts stay lost.
+func (f *configFleet) checkPathsBack(t *testing.T, fault *fleetFault, change func(), version *int) (slowest time.Duration) {
+	t.Helper()
+	for range 8 {
+		time.Sleep(rand.N(5 * time.Second))
+		published := time.Now()
+		change()
+		time.Sleep(rand.N(2 * time.Second))
+		f.fault.Store(&fleetFault{noLink: fault.noLink})
+		slowest = max(slowest, f.awaitVersion(t, *version, published))
+		f.fault.Store(fault)
+	}
+	return slowest
+}
+
 // Guards against a host whose configuration is confirmed by another one, so that it does not
 // check with the store, and which does not learn of an evacuated zone from that host.
 func TestConfirmationBringsEvacuatedZones(t *testing.T) {
--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -23,6 +23,10 @@
 	// minCheckAge.
 	minCheckAge = 0.45
 	maxCheckAge = 0.55
+	// maxCheckGap is the longest time between the starts of two checks while checks fail. A
+	// host that was cut off from the store must have the newest configuration in time after
+	// the store responds again; a check lost just before may wait for a response for 2 s.
+	maxCheckGap = 0.8
 )
 
 // shareOf returns the share of the time bound.
@@ -81,6 +85,9 @@
 		return
 	}
 	s.notBefore = now.Add(min(minCheckBackoff<<min(s.failures, 8), maxCheckBackoff))
+	if latest := start.Add(shareOf(s.bound, maxCheckGap)); s.notBefore.After(latest) {
+		s.notBefore = latest
+	}
 	s.failures++
 }
 
--- a/router/sidecar/configfleet_test.go
+++ b/router/sidecar/configfleet_test.go
@@ -86,6 +86,9 @@
 	noStore func(host int) bool
 	// noLink reports whether messages from one host to the other are lost.
 	noLink func(from, to int) bool
+	// unbound is true if the limit does not apply to the hosts of noStore while the fault
+	// lasts.
+	unbound bool
 }
 
 func (f *fleetFault) lostHost(host int) bool {
@@ -96,6 +99,11 @@
 	return f.lostHost(host) || f != nil && f.noStore != nil && f.noStore(host)
 }
 
+// bound reports whether a change must be in force on the host in time.
+func (f *fleetFault) bound(host int) bool {
+	return !f.lostHost(host) && !(f != nil && f.unbound && f.storeLost(host))
+}
+
 func (f *fleetFault) linkLost(from, to int) bool {
 	return f.lostHost(from) || f.lostHost(to) || f != nil && f.noLink != nil && (f.noLink(from, to) || f.noLink(to, from))
 }
@@ -270,21 +278,35 @@
 func (f *configFleet) checkChange(t *testing.T, version int) (slowest time.Duration) {
 	t.Helper()
 	f.publish(t, version)
-	published := time.Now()
+	return f.awaitVersion(t, version, time.Now())
+}
+
+// awaitVersion waits until the hosts to which the limit applies have the version that was
+// published at the given time, with the checks of checkChange, and returns the time that it
+// took.
+func (f *configFleet) awaitVersion(t *testing.T, version int, published time.Time) time.Duration {
+	t.Helper()
+	began := time.Now()
+	before := make([]uint64, len(f.hosts))
 	for waiting := true; waiting; {
 		time.Sleep(10 * time.Millisecond)
 		waiting = false
 		for i, s := range f.hosts {
-			if f.first() == "frozen" && i == 0 || f.fault.Load().lostHost(i) || s.config.version() >= uint64(version) {
+			inForce := s.config.version()
+			if inForce < before[i] {
+				t.Errorf("host %d went back from version %d to %d", i, before[i], inForce)
+			}
+			before[i] = inForce
+			if f.first() == "frozen" && i == 0 || f.fault.Load().lostHost(i) || inForce >= uint64(version) {
 				continue
 			}
-			waiting = time.Since(published) < time.Minute
+			waiting = waiting || f.fault.Load().bound(i) && time.Since(began) < time.Minute
 			if late := s.config.lastConfirmed().Sub(published); late > 0 && s.config.version() < uint64(version) {
 				t.Errorf("host %d takes version %d for the newest %v after version %d", i, s.config.version(), late, version)
 			}
 		}
 	}
-	return time.Since(published)
+	return time.Since(began)
 }
 
 // Guards against hosts that confirm an old configuration to each other, and against a
