Start with what a host of the zone has read from the store

Cause: a router that starts read the parts of the tables of the fleet and of the configuration, the configuration, the members and the key map of each keyed service from the store, although a host of its zone has all of them.

Change: it lists the members, which also shows the era of the store, and requests the rest from two hosts of its zone. The fleet must have been known to be complete within the last 3 s, and the configuration is confirmed by the poll that also brings the evacuated zones. Otherwise it reads the store, without listing the members again. The configuration is listed while the parts of its table are being determined, so that waiting for the members does not make the start of a whole system slower.

Changes to existing tests: none.

Measured: go test -race ./sidecar -run TestStart (hosts in one process, one keyed service): a start makes 1 call that reads these tables, and 5 where no host of its zone runs or all of them are cut off from the store ("list fleet/members", "parts fleet", "list fleet/keyed", "parts operator", "list operator/"). go test -race ./rowstore, and ./sidecar -run 'Start|Restart|Feed|Fleet|Config|PutBack|PutsBack|Evac' passed (116 s).

--- a/router/fleet/reader.go
+++ b/router/fleet/reader.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // preferredReader reports whether a host with member data a is preferred to one with b as a
 // reader: the one with the higher link bandwidth, then the first by name.
@@ -57,3 +60,19 @@
 	}
 	return best, false
 }
+
+// StartSources returns up to n other hosts of this zone, the preferred ones first, that are
+// not stopping. A host that starts asks them for what they have read.
+func (d *Directory) StartSources(n int, self string) []*Host {
+	hosts := slices.DeleteFunc(d.InZone(d.zone), func(h *Host) bool {
+		m := h.Member()
+		return m.Host == self || m.State == Stopping
+	})
+	slices.SortStableFunc(hosts, func(a, b *Host) int {
+		if preferredReader(a.Member(), b.Member()) {
+			return -1
+		}
+		return 1
+	})
+	return hosts[:min(n, len(hosts))]
+}
--- a/router/rowstore/feed.go
+++ b/router/rowstore/feed.go
@@ -111,6 +111,13 @@
 	})
 }
 
+// Age returns the time since the feed was last known to be complete, or false if it never
+// was.
+func (f *Feed) Age(now time.Time) (age time.Duration, known bool) {
+	at := f.lastConfirmed()
+	return now.Sub(at), !at.IsZero()
+}
+
 func (f *Feed) lastConfirmed() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -43,6 +43,13 @@
 	// UpToDate, if set, is called after each successful read or watch: all changes that
 	// were in Store before asOf, the start of the call, have been reported.
 	UpToDate func(asOf time.Time)
+	// Start, if set, is called before the table is read for the first time. It returns what
+	// is known of the table, or false if that is nothing; apply reports rows while Start is
+	// running.
+	Start func(ctx context.Context, apply func([]Row)) (Start, bool)
+	// KnownPart, if set, is a part that the table is known to have. It is listed while the
+	// parts are being determined.
+	KnownPart *string
 	// CheckStore, if set, is the store that checks call instead of Store.
 	CheckStore Store
 	// CheckDelay, if set, returns the time until the next check is due, which is then
@@ -72,6 +79,8 @@
 	// rows are those not yet added to Feed.
 	rows []Row
 
+	// started is what Start returned, until the table is read.
+	started      *Start
 	disconnected bool
 	// changed is true if the last watch returned rows.
 	changed bool
@@ -91,7 +100,7 @@
 	backoff := retry.Backoff{Base: backoffBase, Cap: backoffCap}
 	failures := 0
 	// historyGone is true if the last watch returned ErrHistoryGone.
-	read, historyGone := false, false
+	read, historyGone := f.begin(ctx), false
 	for ctx.Err() == nil {
 		var err error
 		start := time.Now()
@@ -178,28 +187,35 @@
 	}
 }
 
-// read reads the whole table, part by part, and continues from the version at which the
-// parts were listed, because a watch from there is the only call that reports parts
-// created since.
+// read reads the whole table, part by part, and continues from the earliest version at which
+// the parts were determined or listed, because a watch from there is the only call that
+// reports parts created since.
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	parts, listedAt, err := f.Store.Parts(ctx, f.Table)
+	ahead, listed := f.listAhead(ctx)
+	parts, version, err := f.Store.Parts(ctx, f.Table)
 	if err != nil {
 		return err
 	}
 	present := map[Key]bool{}
 	for _, part := range parts {
-		rows, _, err := f.Store.List(ctx, f.Table, part)
-		if err != nil {
-			return err
+		var l listing
+		if listed != nil && part == ahead {
+			l = listed()
+		} else {
+			l = f.list(ctx, part)
+		}
+		if l.err != nil {
+			return l.err
 		}
-		for _, r := range rows {
+		version = min(version, l.version)
+		for _, r := range l.rows {
 			present[r.Key] = true
 		}
-		f.applyListed(rows)
+		f.applyListed(l.rows)
 	}
-	f.finishRead(present, listedAt)
+	f.finishRead(present, version)
 	return nil
 }
 
--- a/router/sidecar/config.go
+++ b/router/sidecar/config.go
@@ -176,7 +176,7 @@
 func (s *Sidecar) newConfigFollower() *rowstore.Follower {
 	return &rowstore.Follower{
 		Store: s.configFed, Table: s.opts.Config.Key.Table, Changed: s.applyOperatorRow,
-		BatchDelay: s.configPollDelay, Feed: s.feeds[s.opts.Config.Key.Table],
+		KnownPart: &s.opts.Config.Key.Part, BatchDelay: s.configPollDelay, Feed: s.feeds[s.opts.Config.Key.Table],
 		UpToDate: s.confirmConfig, CheckStore: s.directStore, CheckDelay: s.configCheckDelay, Checked: s.configChecked,
 		MaxCheckGap:  shareOf(millis(s.settings.Terms.ConfigMs), maxCheckGap),
 		Disconnected: func(error) { s.exchange.setWatchFailed(true) },
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -282,6 +282,7 @@
 	s.log.Log(eventStarted, event.F("host", s.settings.Host.Name), event.F("zone", s.settings.Host.Zone), event.F("service", s.settings.Host.Service))
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	s.startThroughZone()
 	var wg sync.WaitGroup
 	for _, task := range []func(context.Context){
 		s.followConfig,
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -48,6 +48,8 @@
 	// FromStore of a storeFeed call requires that the other router reads the store itself.
 	// Routers of earlier versions ignore it, and have feeds only while they do.
 	FromStore bool `cbor:",omitempty"`
+	// WithAge of a storeFeed call requests FeedAge. Routers of earlier versions ignore it.
+	WithAge bool `cbor:",omitempty"`
 	// Config is the version in force at the router that sends a storeConfig call.
 	Config uint64
 	// Evacuated is the report of the evacuated zones with a storeConfig call, or empty.
@@ -68,6 +70,9 @@
 	// Evacuated is the report of the evacuated zones in the response to a storeConfig call,
 	// or empty.
 	Evacuated string `cbor:",omitempty"`
+	// FeedAge is the time since the feed of a storeFeed call was known to be complete; 0 means
+	// that this is not known.
+	FeedAge time.Duration `cbor:",omitempty"`
 	// Conflict stands for rowstore.ConflictError, EraChanged for rowstore.EraChangedError,
 	// HistoryGone for rowstore.ErrHistoryGone and NotFed for rowstore.ErrFeedClosed; Error
 	// is the text of any other error. Era is the era of the first two.
@@ -216,6 +221,9 @@
 			err = fmt.Errorf("no feed for table %q", call.Table)
 			break
 		}
+		if age, known := feed.Age(time.Now()); call.WithAge && known {
+			result.FeedAge = max(age, 1)
+		}
 		result.Rows, result.Version, err = watchFeed(ctx, feed, call)
 	case storeConfig:
 		_, age := h.config.confirmed(time.Now())
