Ask the second host of the zone at a start only if the first does not help

Cause: a router that starts got both tables from two hosts at the same time. When many start together, the second responses load the links of the zone for nothing.

Change: the second host is asked when the first one refuses or has not responded after 50 ms. The whole time stays 100 ms.

--- a/router/sidecar/start.go
+++ b/router/sidecar/start.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// startSources is the number of hosts of its zone that a starting router asks at the same
-	// time. The first one is the reader of the zone; the second replaces one that is lost.
-	startSources = 2
+	// startSources is the number of hosts of its zone that a starting router asks. The first
+	// one is the reader of the zone. The second is asked when the first one refuses, or has not
+	// responded after startSecondDelay.
+	startSources     = 2
+	startSecondDelay = startAskTimeout / 2
 	// startAskTimeout bounds the time that they get to respond. It is above the 84 ms for
 	// which a host with a sixth of a core pauses, and short, because after the loss of a
 	// whole zone no host responds.
@@ -97,8 +99,19 @@
 	defer cancel()
 	hosts := s.fleet.StartSources(startSources, s.settings.Host.Name)
 	responses := make(chan *startResponse, len(hosts))
-	for _, h := range hosts {
+	for i, h := range hosts {
 		go func() { responses <- s.askStartSource(ctx, h, table) }()
+		if i == len(hosts)-1 {
+			break
+		}
+		select {
+		case r := <-responses:
+			if r != nil {
+				return *r, true
+			}
+			responses <- nil // counted below
+		case <-time.After(startSecondDelay):
+		}
 	}
 	for range hosts {
 		if r := <-responses; r != nil {
