Share readings of the leases between the hosts of a service

Change: these hosts ask one that sorts before them for the next reading that it sends, and the reading serves all that have asked. Since it is sent after the question has arrived, the conclusions from it rest on the same clocks as those from an own reading. A response that took more than 150 ms does not determine the store's clock; a primary reader whose clock is more than 5 s old reads itself. A lease that is not renewed is still read by each primary reader at its end, and now exactly then rather than at the next check of the driver. New call `leases` between routers, new event 1942, new counter lease_readings. In keydriver.go and keylease.go: leaseReadDue is called, and readLeases is divided.

Changes to existing tests: none.

Not measured: backups that suspect a loss; TestShareSource covers whom they ask.

--- a/router/keyrange/lease.go
+++ b/router/keyrange/lease.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// Age returns the time since the last observation.
+func (c *StoreClock) Age(now boottime.Time) time.Duration {
+	return now.Sub(c.local)
+}
+
 // storeClockStep is the resolution of the store's clock, whose times are rounded down.
 const storeClockStep = time.Millisecond
 
--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -46,7 +46,7 @@
 func (s *Sidecar) buildKeys() {
 	terms := s.settings.Terms
 	s.keys = &keyDriver{
-		host: s.settings.Host.Name, store: s.store, eras: s.eras, local: s.local, index: s.index, fleet: s.fleet, evacuation: s.evacuation, log: s.log,
+		host: s.settings.Host.Name, zone: s.settings.Host.Zone, scope: s.scope, store: s.store, eras: s.eras, local: s.local, index: s.index, fleet: s.fleet, evacuation: s.evacuation, log: s.log,
 		maxHeartbeatHold:  min(heartbeatHold, millis(terms.HoldMaxMs)),
 		maxHold:           millis(terms.HoldMaxMs),
 		heartbeatInterval: millis(s.settings.Upstream.HeartbeatMs),
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -36,6 +36,8 @@
 		"The host that reads the fleet from the store for all zones did not respond, does not read the store, or does not know whether it has missed changes; this host reads the store for its zone.", "none; if it is repeated for one host, look at that host's connection to the store: event 1810.")
 	eventStartedThroughHost = event.Define(1941, log.InfoLevel, "table read from another host at the start",
 		"This host has just started and got the rows of a table from a host of its zone instead of the store.", "none")
+	eventLeaseShareFailed = event.Define(1942, log.InfoLevel, "reading of the leases not shared",
+		"A host that reads the leases of the service did not share its reading; this host reads them from the store itself, and does not ask that host for 10 s.", "none; if it is repeated for one host, look at that host's connection to the store: event 1810.")
 	eventMemberRemoved = event.Define(1816, log.InfoLevel, "member row of a host removed",
 		"A host of this zone did not respond to several consecutive probes, or its address now belongs to another host; its member row is removed. The host writes the row again if it is running.", "none; if the host is running, look for a partition between it and this host.")
 	eventConfigFetched = event.Define(1817, log.InfoLevel, "configuration of another host in force",
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -205,6 +205,8 @@
 	quarantine *quarantineDriver
 	// applyRow applies the row of a key map that another host has written.
 	applyRow func(rowstore.Row)
+	// leases returns the next reading of the leases of a service.
+	leases func(ctx context.Context, service string) (leaseReading, error)
 }
 
 // serve passes a call on to the local upstream or to the store. A panic ends only this
--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"burdockglade.dev/router/boottime"
 	"burdockglade.dev/router/connpool"
 	"burdockglade.dev/router/event"
@@ -91,11 +93,15 @@
 // the key map of its service.
 type keyDriver struct {
 	host  string
+	zone  string
 	store rowstore.Store
 	eras  *rowstore.Eras
 	local *localUpstream
 	index *keyIndex
 	fleet *fleet.Directory
+	share leaseShare
+	// scope may be nil.
+	scope tally.Scope
 	// evacuation is nil if zones cannot be evacuated.
 	evacuation *zoneEvacuation
 	log        *event.Logger
@@ -226,7 +232,7 @@
 func (d *keyDriver) step(ctx context.Context, s upstreamState) {
 	now := boottime.Now()
 	d.enterNewestEra(s)
-	if now.Sub(d.lastLeaseRead) >= d.leaseWatch.UntilNextEnd(suspectAfter, d.currentReadInterval(s.service)) {
+	if d.leaseReadDue(ctx, s.service) {
 		d.lastLeaseRead = now
 		d.readLeases(ctx, s.service)
 	}
--- a/router/sidecar/keylease.go
+++ b/router/sidecar/keylease.go
@@ -76,7 +76,7 @@
 	return renewInterval
 }
 
-// readLeases reads the leases of the service and records which of them are being renewed.
+// readLeases reads the leases of the service, for this host and for those that wait for it.
 func (d *keyDriver) readLeases(ctx context.Context, service string) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
@@ -87,29 +87,39 @@
 		d.log.Log(eventLeaseReadFailed, event.F("service", service), event.F("error", err.Error()))
 		return
 	}
-	if rowstore.EraOf(version) != d.era.number || !d.eraEntered {
+	d.countLeaseReading("store")
+	r := leaseReading{service: service, sent: sent, rows: rows, version: version}
+	d.share.publish(r)
+	d.applyLeases(r)
+}
+
+// applyLeases records which leases of a reading are being renewed.
+func (d *keyDriver) applyLeases(r leaseReading) {
+	if rowstore.EraOf(r.version) != d.era.number || !d.eraEntered {
 		d.wake()
 		return
 	}
-	leases := make(map[string]keyrange.Lease, len(rows))
-	d.era.claimsOf, d.era.leftover, d.era.claimsReadAt = map[string]keyrange.Claims{}, nil, sent
-	for _, r := range rows {
-		host, era := splitEraName(r.Name)
+	leases := make(map[string]keyrange.Lease, len(r.rows))
+	d.era.claimsOf, d.era.leftover, d.era.claimsReadAt = map[string]keyrange.Claims{}, nil, r.sent
+	for _, row := range r.rows {
+		host, era := splitEraName(row.Name)
 		if era != d.era.number {
-			d.era.leftover = append(d.era.leftover, r.Key)
+			d.era.leftover = append(d.era.leftover, row.Key)
 			continue
 		}
-		lease, err := keyrange.DecodeLeaseRow(host, r.Value)
+		lease, err := keyrange.DecodeLeaseRow(host, row.Value)
 		if err != nil {
-			d.log.Log(eventRowInvalid, event.F("row", "lease of "+r.Name), event.F("error", err.Error()))
+			d.log.Log(eventRowInvalid, event.F("row", "lease of "+row.Name), event.F("error", err.Error()))
 		}
 		if lease.Claims != nil {
 			d.era.claimsOf[host] = *lease.Claims
 		}
-		leases[host] = keyrange.Lease{Version: r.Version, End: lease.End, ReadAt: r.ReadAt}
-		d.storeClock.Observe(sent, r.ReadAt)
+		leases[host] = keyrange.Lease{Version: row.Version, End: lease.End, ReadAt: row.ReadAt}
+		if !r.noClock {
+			d.storeClock.Observe(r.sent, row.ReadAt)
+		}
 	}
-	d.leaseWatch.Observe(boottime.Now(), leases, d.currentReadInterval(service))
+	d.leaseWatch.Observe(boottime.Now(), leases, d.currentReadInterval(r.service))
 }
 
 // commit renews the lease and applies the change in one transaction. A renewal must prove
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -321,7 +321,7 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, link: s.link, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, evacuation: s.evacuation, quarantine: s.quarantine, applyRow: s.applyFleetRow}
+	hops := &hopHandler{gate: s.gate, link: s.link, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, evacuation: s.evacuation, quarantine: s.quarantine, applyRow: s.applyFleetRow, leases: s.keys.awaitLeases}
 	hopServer := hop.NewServer(hops.serve)
 	if s.link != nil {
 		hopServer.BeforeUnscheduledWrite, s.link.sampleSent = s.link.charge, hopServer.SampleSent
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -29,6 +29,8 @@
 	storeConfig = "config"
 	// storeKeyMap delivers a key map that the sending router has just written.
 	storeKeyMap = "key map"
+	// storeLeases requests the next reading of the leases of the service in Part.
+	storeLeases = "leases"
 )
 
 // maxStoreBody bounds the encoded result of a relayed call, in bytes.
@@ -231,6 +233,10 @@
 		h.evacuation.merge(call.Evacuated, "poll")
 		result.Evacuated = h.evacuation.pollReport(call.Evacuated != "")
 		result.Config, result.Rows = h.config.newerThan(call.Config)
+	case storeLeases:
+		var r leaseReading
+		r, err = h.leases(ctx, call.Part)
+		result.Rows, result.Version = r.rows, r.version
 	case storeKeyMap:
 		err = h.applyKeyMap(call.Row)
 	case storeCommit:
