Name optional fields of store calls between routers as the protocol does

Cause: optional data between routers travels in fields whose names begin with Burdock-. The fields of the store calls that were added for the reader of the fleet and for starts did not.

Change: Burdock-From-Store, Burdock-With-Age and Burdock-Feed-Age.

Changes to existing tests: none.

Measured: go test ./sidecar -run 'TestStart|FeedFromStore|Relay|LeaseReadings|OneHostReads' passed.

--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -49,9 +49,9 @@
 	Row rowstore.Row
 	// FromStore of a storeFeed call requires that the other router reads the store itself.
 	// Routers of earlier versions ignore it, and have feeds only while they do.
-	FromStore bool `cbor:",omitempty"`
+	FromStore bool `cbor:"Burdock-From-Store,omitempty"`
 	// WithAge of a storeFeed call requests FeedAge. Routers of earlier versions ignore it.
-	WithAge bool `cbor:",omitempty"`
+	WithAge bool `cbor:"Burdock-With-Age,omitempty"`
 	// Config is the version in force at the router that sends a storeConfig call.
 	Config uint64
 	// Evacuated is the report of the evacuated zones with a storeConfig call, or empty.
@@ -74,7 +74,7 @@
 	Evacuated string `cbor:",omitempty"`
 	// FeedAge is the time since the feed of a storeFeed call was known to be complete; 0 means
 	// that this is not known.
-	FeedAge time.Duration `cbor:",omitempty"`
+	FeedAge time.Duration `cbor:"Burdock-Feed-Age,omitempty"`
 	// Conflict stands for rowstore.ConflictError, EraChanged for rowstore.EraChangedError,
 	// HistoryGone for rowstore.ErrHistoryGone and NotFed for rowstore.ErrFeedClosed; Error
 	// is the text of any other error. Era is the era of the first two.
