Merge fewer reads of the store

One host reads for the fleet, starts ask a host of their zone, readings of leases are shared, and hosts that were cut off from the store check in time after it responds again.

--- a/router/sidecar/configcheck.go
+++ b/router/sidecar/configcheck.go
@@ -23,6 +23,10 @@
 	// minCheckAge.
 	minCheckAge = 0.45
 	maxCheckAge = 0.55
+	// maxCheckGap is the longest time between the starts of two checks while checks fail. A
+	// host that was cut off from the store must have the newest configuration in time after
+	// the store responds again; a check lost just before may wait for a response for 2 s.
+	maxCheckGap = 0.8
 )
 
 // shareOf returns the share of the time bound.
@@ -81,6 +85,9 @@
 		return
 	}
 	s.notBefore = now.Add(min(minCheckBackoff<<min(s.failures, 8), maxCheckBackoff))
+	if latest := start.Add(shareOf(s.bound, maxCheckGap)); s.notBefore.After(latest) {
+		s.notBefore = latest
+	}
 	s.failures++
 }
 
@@ -114,6 +121,7 @@
 // fleetUpToDate records that all changes of the fleet that were made before asOf have been
 // reported, which is what a check would show. While watches bring changes, no check is made.
 func (s *Sidecar) fleetUpToDate(asOf time.Time) {
+	s.scope.Tagged(map[string]string{"source": s.fleetFed.Reading().String()}).Counter("fleet_watches").Inc(1)
 	if s.fleetFed.Direct() {
 		s.fleetCheckedAt.advance(asOf)
 	}
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -283,6 +283,7 @@
 	s.log.Log(eventStarted, event.F("host", s.settings.Host.Name), event.F("zone", s.settings.Host.Zone), event.F("service", s.settings.Host.Service))
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	s.startThroughZone()
 	var wg sync.WaitGroup
 	for _, task := range []func(context.Context){
 		s.followConfig,
@@ -321,7 +322,7 @@
 
 func (s *Sidecar) listen() (servers []server, err error) {
 	l := s.settings.Listen
-	hops := &hopHandler{gate: s.gate, link: s.link, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, evacuation: s.evacuation, quarantine: s.quarantine, applyRow: s.applyFleetRow}
+	hops := &hopHandler{gate: s.gate, link: s.link, headers: s.opts.Headers, store: s.directStore, feeds: s.feeds, config: s.config, evacuation: s.evacuation, quarantine: s.quarantine, applyRow: s.applyFleetRow, leases: s.keys.awaitLeases}
 	hopServer := hop.NewServer(hops.serve)
 	if s.link != nil {
 		hopServer.BeforeUnscheduledWrite, s.link.sampleSent = s.link.charge, hopServer.SampleSent
--- a/router/sidecar/storerelay.go
+++ b/router/sidecar/storerelay.go
@@ -29,6 +29,8 @@
 	storeConfig = "config"
 	// storeKeyMap delivers a key map that the sending router has just written.
 	storeKeyMap = "key map"
+	// storeLeases requests the next reading of the leases of the service in Part.
+	storeLeases = "leases"
 )
 
 // maxStoreBody bounds the encoded result of a relayed call, in bytes.
@@ -45,6 +47,11 @@
 	Txn   rowstore.Txn
 	// Row is the row of a storeKeyMap call.
 	Row rowstore.Row
+	// FromStore of a storeFeed call requires that the other router reads the store itself.
+	// Routers of earlier versions ignore it, and have feeds only while they do.
+	FromStore bool `cbor:"Burdock-From-Store,omitempty"`
+	// WithAge of a storeFeed call requests FeedAge. Routers of earlier versions ignore it.
+	WithAge bool `cbor:"Burdock-With-Age,omitempty"`
 	// Config is the version in force at the router that sends a storeConfig call.
 	Config uint64
 	// Evacuated is the report of the evacuated zones with a storeConfig call, or empty.
@@ -71,6 +78,9 @@
 	// Suspects is the report of requests that crash upstreams in the response to a
 	// storeConfig call, or empty.
 	Suspects string `cbor:"Burdock-Suspects,omitempty"`
+	// FeedAge is the time since the feed of a storeFeed call was known to be complete; 0 means
+	// that this is not known.
+	FeedAge time.Duration `cbor:"Burdock-Feed-Age,omitempty"`
 	// Conflict stands for rowstore.ConflictError, EraChanged for rowstore.EraChangedError,
 	// HistoryGone for rowstore.ErrHistoryGone and NotFed for rowstore.ErrFeedClosed; Error
 	// is the text of any other error. Era is the era of the first two.
@@ -155,10 +165,19 @@
 	return r.watch(ctx, storeCall{Call: storeFeed, Table: table, After: after, Wait: wait})
 }
 
+// watchFeedFromStore is watchFeed if the other router reads the store itself.
+func (r *remoteStore) watchFeedFromStore(ctx context.Context, table string, after int64, wait time.Duration) ([]rowstore.Row, int64, error) {
+	return r.watch(ctx, storeCall{Call: storeFeed, Table: table, After: after, Wait: min(wait, maxFleetReaderWatch), FromStore: true})
+}
+
 func (r *remoteStore) watch(ctx context.Context, call storeCall) ([]rowstore.Row, int64, error) {
 	// A short watch returns to the direct connection soon after that works again. If the
 	// other host fails while this one waits, only the timeout ends the call.
-	ctx, cancel := context.WithTimeout(ctx, relayedCallTimeout)
+	timeout := relayedCallTimeout
+	if call.FromStore {
+		timeout = maxFleetReaderWatch + storeCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	call.Wait = min(call.Wait, maxRelayedWatch)
 	result, err := r.call(ctx, call)
@@ -210,7 +229,10 @@
 			err = fmt.Errorf("no feed for table %q", call.Table)
 			break
 		}
-		result.Rows, result.Version, err = feed.Watch(ctx, call.After, call.Wait)
+		if age, known := feed.Age(time.Now()); call.WithAge && known {
+			result.FeedAge = max(age, 1)
+		}
+		result.Rows, result.Version, err = watchFeed(ctx, feed, call)
 	case storeConfig:
 		_, age := h.config.confirmed(time.Now())
 		result.ConfigAge = max(age, 1)
@@ -219,6 +241,10 @@
 		h.quarantine.merge(call.Suspects, "poll")
 		result.Suspects = h.quarantine.pollReport()
 		result.Config, result.Rows = h.config.newerThan(call.Config)
+	case storeLeases:
+		var r leaseReading
+		r, err = h.leases(ctx, call.Part)
+		result.Rows, result.Version = r.rows, r.version
 	case storeKeyMap:
 		err = h.applyKeyMap(call.Row)
 	case storeCommit:
