Name reported changes and deferred bodies plainly between routers

Cause: hop.Request.Told, Result.told and quarantine.Set.News were figurative names for the number of the last reported change. Comments on bodyWanted, askForBody and readResponseHead spoke of streams only, although deferred bodies use them as well. Call.deferBody read as if it always had an effect. Change: Reported, reported and UrgentChanges; deferredBody.read is onRead; the comments name both kinds of bodies. No behaviour changes. Measured: go vet of ./hop, ./quarantine and ./sidecar; go test -p 2 ./hop ./quarantine, and ./sidecar -run 'Deferred|RareResponse|WithoutResponses| Quarantine|Suspect|Report|HopResult': all pass.

--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -37,10 +37,10 @@
 	// ChargeResponse charges n bytes of a response to the connection on which the request
 	// arrived. It is set by the server.
 	ChargeResponse func(n int64)
-	// Told belongs to the handler, which keeps in it what it has said on the connection on
-	// which the request arrived. It is 0 at first, nil if the request did not arrive at a
-	// server, and used by one request at a time.
-	Told *uint64
+	// Reported belongs to the handler, which keeps in it the number of the last report that it
+	// has sent on the connection on which the request arrived. It is 0 at first, nil if the
+	// request did not arrive at a server, and used by one request at a time.
+	Reported *uint64
 }
 
 // Response is a response with its body, which must be closed.
@@ -52,7 +52,8 @@
 }
 
 // fieldCache holds the header fields of the last message in each direction of a
-// connection, so that unchanged fields need not be sent again.
+// connection, so that unchanged fields need not be sent again. A client also keeps in it what
+// the server has announced.
 type fieldCache struct {
 	sent, received []Field
 	used           bool
@@ -161,7 +162,7 @@
 	return len(first) > 0 && first[0] != bodyWanted, nil
 }
 
-// readResponseHead reads the head of a response, behind the request for the stream if the
+// readResponseHead reads the head of a response, behind the request for the body if the
 // server has made one.
 func readResponseHead(r *bufio.Reader, head *ResponseHead) error {
 	first, err := r.Peek(1)
--- a/router/hop/deferbody.go
+++ b/router/hop/deferbody.go
@@ -29,10 +29,10 @@
 	conn   *serverConn
 	length int64
 	asked  bool
-	// read is called when the body has been read.
-	read func()
-	data []byte
-	err  error
+	// onRead is called when the body has been read.
+	onRead func()
+	data   []byte
+	err    error
 }
 
 // ReadBody returns the body of a request without a stream. If it was deferred, the first call
@@ -57,7 +57,7 @@
 	d.asked = true
 	d.data, d.err = d.fetch()
 	if d.err == nil {
-		d.read()
+		d.onRead()
 	}
 	return d.data, d.err
 }
@@ -96,8 +96,8 @@
 	return fields, false
 }
 
-// sendDeferred sends a body if the server asks for it. sent is false as long as the server
-// cannot have run the request, because it has not got the body.
+// sendDeferred sends a body if the server asks for it. sent is false if the server has neither
+// asked for the body nor responded: it cannot have run the request without its body.
 func sendDeferred(cn *connpool.Conn, body []byte) (sent bool, err error) {
 	wanted, err := peekBodyWanted(cn.Reader)
 	if err != nil {
--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -81,7 +81,7 @@
 )
 
 // bodyWanted is sent in place of the length of a response head by a receiver that asks for
-// the stream of a request.
+// the stream or the deferred body of a request.
 const bodyWanted = 0
 
 // ResponseHead is the head of a response: a refusal if Kind is set, otherwise the
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -51,14 +51,15 @@
 	// sendState is that of the last call of SampleSent, which alone uses it.
 	sendState sendState
 	busy      bool // guarded by Server.mu
-	told      uint64
-	sent      fieldCache
-	received  fieldCache
-	// writeMu orders the request for a stream, which another goroutine may make, before the
+	// reported is Request.Reported.
+	reported uint64
+	sent     fieldCache
+	received fieldCache
+	// writeMu orders the request for a body, which another goroutine may make, before the
 	// response. responding is true once the response to the last request has begun.
 	writeMu    sync.Mutex
 	responding bool
-	// deferralAnnounced is true once a refusal has told the client of DefersBody.
+	// deferralAnnounced is true once a refusal has announced DefersBody to the client.
 	deferralAnnounced bool
 }
 
@@ -147,7 +148,7 @@
 // readRequest reads a request with a short body, or the head of one with a longer
 // body, which is then its Stream.
 func (c *serverConn) readRequest() (*Request, error) {
-	r := &Request{ChargeResponse: c.meter().ChargeResponse, Told: &c.told}
+	r := &Request{ChargeResponse: c.meter().ChargeResponse, Reported: &c.reported}
 	if err := readHeadWithin(c.br, &r.RequestHead, c.reserveHead, c.reserveFields); err != nil {
 		return nil, err
 	}
@@ -204,7 +205,7 @@
 	return s.Reader.Read(p)
 }
 
-// askForBody asks the sender for the stream of the request. Once the response has begun it
+// askForBody asks the sender for the stream or the deferred body of the request. Once the response has begun it
 // returns an error: the sender then sends nothing.
 func (c *serverConn) askForBody() error {
 	c.writeMu.Lock()
@@ -241,7 +242,7 @@
 	case r.Stream != nil:
 		watchResult <- io.EOF
 	case r.deferred != nil:
-		r.deferred.read = watch
+		r.deferred.onRead = watch
 	default:
 		watch()
 	}
--- a/router/quarantine/set.go
+++ b/router/quarantine/set.go
@@ -30,8 +30,8 @@
 	revision uint64
 	// urgentUntil is the time until which other hosts should hear of the suspects soon.
 	urgentUntil time.Time
-	// news is the number of changes of which they should.
-	news uint64
+	// urgentChanges is the number of changes that have set urgentUntil.
+	urgentChanges uint64
 }
 
 // NewSet returns a set without suspects for the host.
@@ -135,7 +135,7 @@
 func (s *Set) markUrgent(now time.Time, x *suspect) {
 	if len(x.crashes) > 1 {
 		s.urgentUntil = now.Add(urgentTime)
-		s.news++
+		s.urgentChanges++
 	}
 }
 
@@ -145,9 +145,9 @@
 	return now.Before(s.urgentUntil)
 }
 
-// News returns a number that rises with each change that makes reports urgent.
-func (s *Set) News() uint64 {
-	return s.news
+// UrgentChanges returns the number of changes that have made reports urgent.
+func (s *Set) UrgentChanges() uint64 {
+	return s.urgentChanges
 }
 
 // Completed records that an upstream has completed the request.
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -57,7 +57,8 @@
 	// deferred is the request of another router that keeps the body until it is asked for
 	// it, see loadBody. It is nil if Body is complete.
 	deferred *hop.Request
-	// deferBody is true if another router gets the body only once it has admitted the call.
+	// deferBody is true if another router is to get the body only once it has admitted the call.
+	// It has no effect on connections on which that router has not announced its support.
 	deferBody bool
 
 	RequestID string
@@ -174,9 +175,9 @@
 	// suspect is the fingerprint of a call that was lost.
 	lost    bool
 	suspect *quarantine.Fingerprint
-	// told is hop.Request.Told of a call of another host, where the gate keeps the
-	// quarantine.Set.News that it has reported.
-	told *uint64
+	// reported is hop.Request.Reported of a call of another host. The gate keeps in it the
+	// quarantine.Set.UrgentChanges up to which it has reported.
+	reported *uint64
 
 	// Config is the configuration in force at the other host. Its version is 0 if
 	// unknown.
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -234,7 +234,7 @@
 	c := h.decodeCall(req, time.Now())
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	r, transfer := h.link.serve(ctx, h.gate, c)
-	r.told = req.Told
+	r.reported = req.Reported
 	resp := &hop.Response{ResponseHead: h.responseHead(r), Body: r.Body}
 	if resp.Body == nil {
 		cancel()
--- a/router/sidecar/quarantine_test.go
+++ b/router/sidecar/quarantine_test.go
@@ -285,7 +285,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		q := newTestQuarantine()
 		var often, rarely uint64
-		respond := func(told *uint64) bool { return q.report(&Result{told: told}) != "" }
+		respond := func(reported *uint64) bool { return q.report(&Result{reported: reported}) != "" }
 		change := func(news func()) {
 			news()
 			time.Sleep(3 * time.Second) // the news are no longer urgent
--- a/router/sidecar/quarantinereport.go
+++ b/router/sidecar/quarantinereport.go
@@ -30,13 +30,13 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	news := q.set.News()
-	untold := r.told != nil && *r.told != news // the spacing may have left this host out
-	if r.suspect == nil && !untold && !q.set.Urgent(now) && now.Sub(q.reportedAt) < reportSpacing {
+	changes := q.set.UrgentChanges()
+	unreported := r.reported != nil && *r.reported != changes // the spacing may have left this host out
+	if r.suspect == nil && !unreported && !q.set.Urgent(now) && now.Sub(q.reportedAt) < reportSpacing {
 		return ""
 	}
-	if r.told != nil {
-		*r.told = news
+	if r.reported != nil {
+		*r.reported = changes
 	}
 	q.reportedAt = now
 	defer q.update()
