Separate the use of a shared lease reading from the decision to read

Cause: leaseReadDue applied the reading of another host and decided whether this host reads the store. Change: applySharedReading, and the comments. No behaviour changes.

--- a/router/expectation/expectation.go
+++ b/router/expectation/expectation.go
@@ -1,6 +1,6 @@
 // Package expectation decides whether a request is sent to another router along with its
 // body, or without it until that router has admitted the request, as with Expect:
-// 100-continue in HTTP. While most requests to distant hosts are refused, their bodies are
+// 100-continue in HTTP. While many requests to distant hosts are refused, their bodies are
 // most of the traffic between regions. The package has no clock, network or goroutine.
 package expectation
 
--- a/router/fleet/stopping.go
+++ b/router/fleet/stopping.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// stoppingUseTime is how long after the news that a router stops its host may still be
-	// chosen. Until then the router takes requests that end in time; later it refuses them,
-	// and each refusal costs a hop.
+	// stoppingUseTime is how long a host may still be chosen after this one has learnt that its
+	// router stops. Until then the router takes requests that end in time; later it refuses
+	// them, and each refusal costs a hop.
 	stoppingUseTime = time.Second
 	// stoppingCost ranks hosts whose router stops behind others that have free slots in the
 	// region.
--- a/router/rowstore/follow.go
+++ b/router/rowstore/follow.go
@@ -60,9 +60,9 @@
 	// last one has no response. A check that was lost then delays the next one by no more,
 	// although a slow store has longer to respond to it.
 	MaxCheckGap time.Duration
-	// Checked, if set, is called after each check, one call at a time, with the number of rows that the watch
-	// in progress had not delivered. If err is nil, all changes that were in CheckStore before
-	// asOf, the start of the check, have been reported.
+	// Checked, if set, is called after each check, one call at a time, with the number of rows
+	// that the watch in progress had not delivered. If err is nil, all changes that were in
+	// CheckStore before asOf, the start of the check, have been reported.
 	Checked func(asOf time.Time, undelivered int, err error)
 
 	mu       sync.Mutex
--- a/router/sidecar/feed.go
+++ b/router/sidecar/feed.go
@@ -81,8 +81,8 @@
 	return isSelf
 }
 
-// fleetReader returns the connection to the host that reads the fleet from the store for all
-// zones, or nil if this host reads it from the store.
+// fleetReader returns the connection to the host that reads the fleet and the configuration
+// from the store for all zones, or nil if this host reads them from the store.
 func (s *Sidecar) fleetReader() (rowstore.WatchFunc, func(error)) {
 	if s.fleet.HostCount() <= maxDirectFleet {
 		return nil, nil
--- a/router/sidecar/leaseshare.go
+++ b/router/sidecar/leaseshare.go
@@ -149,14 +149,7 @@
 // leaseReadDue reports whether this host is to read the leases from the store now. It applies
 // a reading that another host has made, and asks for the next one.
 func (d *keyDriver) leaseReadDue(ctx context.Context, service string) bool {
-	r, pending := d.share.take()
-	if r != nil && r.service == service && d.lastLeaseRead != 0 && r.sent > d.lastLeaseRead {
-		d.lastLeaseRead = boottime.Now()
-		d.countLeaseReading("host")
-		d.applyLeases(*r)
-		// The hosts that got the same reading ask for the next one together.
-		time.AfterFunc(minShareInterval, d.wake)
-	}
+	pending := d.applySharedReading(service)
 	interval := d.currentReadInterval(service)
 	since, untilEnd := boottime.Now().Sub(d.lastLeaseRead), d.leaseWatch.UntilNextEnd(suspectAfter, interval)
 	if wait := untilEnd - since; wait > 0 && wait < checkInterval && untilEnd < interval {
@@ -182,6 +175,21 @@
 	return since >= interval
 }
 
+// applySharedReading applies the reading that another host has made for this one, if it is newer
+// than the last one. It reports whether this host waits for a further reading.
+func (d *keyDriver) applySharedReading(service string) (pending bool) {
+	r, pending := d.share.take()
+	if r == nil || r.service != service || d.lastLeaseRead == 0 || r.sent <= d.lastLeaseRead {
+		return pending
+	}
+	d.lastLeaseRead = boottime.Now()
+	d.countLeaseReading("host")
+	d.applyLeases(*r)
+	// The hosts that got the same reading ask for the next one together.
+	time.AfterFunc(minShareInterval, d.wake)
+	return pending
+}
+
 // shareClockAge returns the age of the store's clock from which on a host with the interval
 // between its readings reads the leases itself. That of backups is the one that they also have
 // while they suspect nothing.
--- a/router/sidecar/metrics.go
+++ b/router/sidecar/metrics.go
@@ -37,8 +37,8 @@
 	m.scope.Tagged(tags).Counter("refusals").Inc(1)
 }
 
-// countDeferredBody counts a call that was offered without its body. kept is true if the
-// other host refused it, so that the body was not sent.
+// countDeferredBody counts a call whose body was to be sent only after admission. kept is
+// true if the other host refused the call for lack of capacity, so that the body was not sent.
 func (m *entryMetrics) countDeferredBody(kept bool) {
 	outcome := "sent"
 	if kept {
