--- a/router/sidecar/keydriver.go
+++ b/router/sidecar/keydriver.go
@@ -44,8 +44,9 @@
 	initialRanges             = 840
 	maxInitialRangesPerMember = 24
 	minInitialRangesPerMember = 6
-	// primaryReaders is the number of hosts, in the order of their names, that read the
-	// leases at leaseReadInterval. The others are their backups.
+	// primaryReaders is the number of hosts, in the order of their names, that need a reading
+	// of the leases at leaseReadInterval, their own or a shared one. The others are their
+	// backups.
 	primaryReaders = 3
 	// actionStagger is the delay between the hosts, in the order of their names, that may
 	// react to the same condition, so that they do not all write at once.
