Take the timeouts of the guard of run from the packages that set them

Cause: router/node repeated the idle timeouts of router/upstream and router/peer, and router/forward had its buffer size twice (streamBytes, streamBufferBytes). A change of one would have left the other behind. The values and the behaviour stay. TestGuardKeepsLimitsOfSettings uses the exported constant, with the same bound.

--- a/router/forward/body.go
+++ b/router/forward/body.go
@@ -48,9 +48,6 @@
 	return &body{buffered: buffered, length: in.ContentLength}, nil
 }
 
-// streamBytes is the memory of a body that is streamed: the buffer of an attempt.
-const streamBytes = 32 << 10
-
 // receiveBody returns the body of a request like newBody, once it fits into the limits on
 // connections. A body that is buffered and not complete at the deadline is refused.
 func receiveBody(w http.ResponseWriter, in *http.Request, r *request) (*body, *errkind.Error) {
@@ -58,7 +55,7 @@
 	if c == nil || in.Body == nil || in.Body == http.NoBody || in.ContentLength == 0 {
 		return newBody(in, r.service.MaxBody)
 	}
-	cost := int64(streamBytes)
+	cost := int64(streamBufferBytes) // of a body that is streamed
 	if in.ContentLength > 0 && in.ContentLength <= maxReplayBytes {
 		cost = in.ContentLength
 	}
--- a/router/node/connguard.go
+++ b/router/node/connguard.go
@@ -14,21 +14,18 @@
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/forward"
+	"burdockglade.dev/router/peer"
+	"burdockglade.dev/router/upstream"
 )
 
 var evBudgets = event.Define(1011, log.InfoLevel, "budgets of connections",
 	"the process started with these settings; 0 means that there is no bound", "none")
 
 const (
-	// poolTime is the longest time for which the router keeps idle connections: those to its
-	// upstream, 45 s.
-	poolTime = 45 * time.Second
 	// headMargin is what net/http reads of a head beyond MaxHeaderBytes.
 	headMargin = 4 << 10
 	// timeoutMargin makes the timeouts of the servers come before those of the guard.
 	timeoutMargin = time.Second
-	// controlIdleTimeout is that of control connections, package peer.
-	controlIdleTimeout = 5 * time.Minute
 	// drainTimeout bounds the wait for the rest of the body of a request that was answered
 	// before it was read. Without it, clients that send no body hold their requests for ever.
 	drainTimeout = 5 * time.Second
@@ -41,7 +38,9 @@
 func (n *Node) buildGuard() *connguard.Guard {
 	host, limits := n.settings.Host, n.settings.Limits
 	return connguard.New(connguard.Options{
-		Budget: connlimit.Options{MemoryBytes: host.MemoryBytes(), Files: host.MaxFDs, PoolTime: poolTime},
+		// No connection that requests have used is kept idle for longer than those to the
+		// upstream.
+		Budget: connlimit.Options{MemoryBytes: host.MemoryBytes(), Files: host.MaxFDs, PoolTime: upstream.IdleTimeout},
 		MaxHeadBytes: func(class connlimit.Class) int {
 			if class == connlimit.Router {
 				return 2*limits.MaxHeaderBytes + headMargin
@@ -65,7 +64,7 @@
 	limits := n.settings.Limits
 	longest := max(limits.ReadHeaderTimeout, limits.IdleTimeout, upstreamReadTimeout)
 	if class == connlimit.Router {
-		longest = controlIdleTimeout
+		longest = peer.ServerIdleTimeout
 	}
 	longest += timeoutMargin
 	return connlimit.Timeouts{Fresh: longest, Head: longest, Idle: longest}
--- a/router/node/connguard_test.go
+++ b/router/node/connguard_test.go
@@ -21,6 +21,7 @@
 	"burdockglade.dev/router/metrics"
 	"burdockglade.dev/router/note"
 	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/router/peer"
 	"burdockglade.dev/router/retry"
 	"burdockglade.dev/router/route"
 	"burdockglade.dev/router/settings"
@@ -132,7 +133,7 @@
 		}
 	}
 	n := &Node{settings: s, options: Options{Metrics: metrics.New()}}
-	for class, least := range map[connlimit.Class]time.Duration{connlimit.Caller: time.Hour, connlimit.Control: time.Hour, connlimit.Probe: time.Hour, connlimit.Router: controlIdleTimeout} {
+	for class, least := range map[connlimit.Class]time.Duration{connlimit.Caller: time.Hour, connlimit.Control: time.Hour, connlimit.Probe: time.Hour, connlimit.Router: peer.ServerIdleTimeout} {
 		if got := n.connTimeouts(class); min(got.Fresh, got.Head, got.Idle) <= least {
 			t.Errorf("class %v: %+v, want more than %v", class, got, least)
 		}
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -35,9 +35,9 @@
 	// communicates with its standbys, its holders and a few random peers at a
 	// time.
 	maxConnections = 2048
-	// serverIdleTimeout closes a connection without messages. It is longer than
+	// ServerIdleTimeout closes a connection without messages. It is longer than
 	// clientIdleTimeout, so that clients close first.
-	serverIdleTimeout = 5 * time.Minute
+	ServerIdleTimeout = 5 * time.Minute
 	acceptRetryDelay  = 50 * time.Millisecond
 )
 
@@ -157,7 +157,7 @@
 	handler := limitedHandler{limits: limits, Handler: jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		response, err := sess.handle(ctx, req)
 		if err == nil && sess.authenticated() {
-			_ = conn.SetReadDeadline(time.Now().Add(serverIdleTimeout))
+			_ = conn.SetReadDeadline(time.Now().Add(ServerIdleTimeout))
 		}
 		if errors.Is(err, errBadProof) {
 			s.opts.Log.Log(evRefused, event.F("address", conn.RemoteAddr().String()), event.F("error", err.Error()))
--- a/router/upstream/client.go
+++ b/router/upstream/client.go
@@ -40,9 +40,9 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	// idleTimeout is below that of common servers (60 s and more), because a
+	// IdleTimeout is how long an idle connection is kept. It is below that of common servers (60 s and more), because a
 	// request fails on a connection that the server is closing.
-	idleTimeout         = 45 * time.Second
+	IdleTimeout         = 45 * time.Second
 	maxResponseHeader   = 64 << 10 // bytes
 	reservedConnections = 2        // one for grants, one for a probe
 	maxRefusalBody      = 4 << 10  // bytes
@@ -184,7 +184,7 @@
 		MaxConnsPerHost:        connections,
 		MaxIdleConns:           connections,
 		MaxIdleConnsPerHost:    connections,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        IdleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeader,
 	}
 }
