Say which connections the pool time of a connection budget is about

Cause: the comment on defaultPoolTime named package connpool, which has no default; the 20 s are those of the sidecar. Change: the two comments. Measured: go vet and go test -p 2 of ./connlimit pass.

--- a/router/connlimit/budget.go
+++ b/router/connlimit/budget.go
@@ -31,7 +31,7 @@
 	routerIdleMargin = 10 * time.Second
 	// lingerTime is how long a refused client may read the response.
 	lingerTime = 500 * time.Millisecond
-	// defaultPoolTime is that of package connpool.
+	// defaultPoolTime is how long the sidecar keeps idle connections to other hosts.
 	defaultPoolTime = 20 * time.Second
 )
 
@@ -41,7 +41,8 @@
 	MemoryBytes int64
 	// Files is the number of file descriptors that the process may open.
 	Files int
-	// PoolTime is how long routers keep idle connections to other hosts. 0 means 20 s.
+	// PoolTime is how long the process keeps idle the connections that requests have used to
+	// other hosts and to the upstream. 0 means 20 s.
 	PoolTime time.Duration
 }
 
