Check a call after its deferred body has arrived

Callers could see: a request that was run although the router had begun to stop, the zone was evacuated, the key released or the request quarantined while its body was on its way, for up to 1 s. Found by a reader of the change.

Cause: the gate checked when the request got a slot, and asked for the body afterwards. Change: the body comes first, then the checks, then the sending.

--- a/router/sidecar/deferbody_test.go
+++ b/router/sidecar/deferbody_test.go
@@ -1,15 +1,102 @@
 package sidecar
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"burdockglade.dev/router/admit"
+	"burdockglade.dev/router/boottime"
+	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/locality"
 )
 
+// heldProxy passes bytes on between a client and an address. It holds back what the client
+// sends from the chunk with the given index on until release is closed.
+type heldProxy struct {
+	listener net.Listener
+	held     int
+	holding  chan struct{}
+	release  chan struct{}
+}
+
+func newHeldProxy(t *testing.T, to string, held int) *heldProxy {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &heldProxy{listener: l, held: held, holding: make(chan struct{}), release: make(chan struct{})}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		client, err := l.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp4", to)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		go func() { _, _ = io.Copy(client, server) }()
+		p.copyHeld(server, client)
+		_ = server.Close()
+		_ = client.Close()
+	}()
+	return p
+}
+
+func (p *heldProxy) copyHeld(to io.Writer, from io.Reader) {
+	chunk := make([]byte, 64<<10)
+	for i := 0; ; i++ {
+		n, err := from.Read(chunk)
+		if err != nil {
+			return
+		}
+		if i == p.held {
+			close(p.holding)
+			<-p.release
+		}
+		if _, err := to.Write(chunk[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against a request that is run although the router has begun to stop while the body
+// of the request was on its way.
+func TestChecksFollowTheDeferredBody(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "keyed")
+	c.waitReady()
+	to := c.hosts[0]
+	proxy := newHeldProxy(t, to.settings.Listen.Hop, 2) // the refused request, the head, and the body that is held back
+	client := newHopClient(proxy.listener.Addr().String())
+	call := &Call{
+		Method: "POST", Target: "/pay/1", Host: "test", RequestID: "held", Service: "plain", Header: http.Header{},
+		Body: []byte(strings.Repeat("x", 4000)), Deadline: time.Now().Add(20 * time.Second), deferBody: true,
+	}
+	refused := *call
+	refused.Service, refused.RequestID = "other", "refused"
+	if r := sendHop(t.Context(), client, testHeaders, &refused); r.Err == nil || r.Err.Kind != errkind.WrongOwner {
+		t.Fatalf("got %+v", r)
+	}
+	go func() {
+		<-proxy.holding
+		to.stopStartedAt.Store(int64(boottime.Now().Add(-2 * drainNoticeTime)))
+		to.stopping.Store(true)
+		close(proxy.release)
+	}()
+	r := sendHop(t.Context(), client, testHeaders, call)
+	to.stopping.Store(false)
+	if r.Err == nil || r.Err.Kind != errkind.Draining || r.Arrived || to.upstream.runCount("held") != 0 {
+		t.Errorf("got %+v after %d runs, want a refusal after none", r, to.upstream.runCount("held"))
+	}
+}
+
 // Guards against a request that reaches its upstream without its body, or twice, because
 // the body is sent only after another host has admitted the request.
 func TestDeferredBodyReachesTheUpstream(t *testing.T) {
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -107,13 +107,7 @@
 		g.calls.takeBack(c)
 		return g.withLoad(&Result{Err: kindError(err)})
 	}
-	if err := cmp.Or(g.check(time.Now(), c), g.quarantine.recheck(c)); err != nil {
-		g.countRefusal(c)
-		g.calls.takeBack(c)
-		release(admit.Failed)
-		return g.withLoad(&Result{Err: err})
-	}
-	if err := c.loadBody(); err != nil {
+	if err := g.checkAdmitted(c); err != nil {
 		g.calls.takeBack(c)
 		release(admit.Failed)
 		return g.withLoad(&Result{Err: err})
@@ -128,6 +122,19 @@
 	return g.withLoad(r)
 }
 
+// checkAdmitted returns an error if a call that has a slot must not be sent. The checks follow
+// the arrival of a deferred body, because what they depend on may change while it is awaited.
+func (g *gate) checkAdmitted(c *Call) *errkind.Error {
+	if err := c.loadBody(); err != nil {
+		return err
+	}
+	err := cmp.Or(g.check(time.Now(), c), g.quarantine.recheck(c))
+	if err != nil {
+		g.countRefusal(c)
+	}
+	return err
+}
+
 // refused returns the result of a call that check refuses.
 func (g *gate) refused(c *Call, err *errkind.Error) *Result {
 	return &Result{Err: err, Unreachable: err.Kind == errkind.UpstreamDown, Holder: g.otherHolder(c)}
