Do not take a host for unreachable in whose queue a deadline passed

Callers could see: a busy host got no requests for 0.3 to 3 s after a request had waited there for a slot until its deadline, without its body.

Cause: a request whose deadline passed before it was sent meant that no connection could be made; with deferred bodies it may also wait at the host. Change: the host counts as unreachable only if there was no connection. Measured: TestDeadlineInTheQueueDoesNotMakeAHostUnreachable fails before.

--- a/router/sidecar/deferbody_test.go
+++ b/router/sidecar/deferbody_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -66,6 +67,26 @@
 	}
 }
 
+// Guards against a busy host that counts as unreachable, and so gets no requests for a while,
+// because the deadline of a request passed while it waited there without its body.
+func TestDeadlineInTheQueueDoesNotMakeAHostUnreachable(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "plain", "keyed")
+	c.waitReady()
+	proxy := newHeldProxy(t, c.hosts[0].settings.Listen.Hop, 1) // the head is held back
+	defer close(proxy.release)
+	client := newHopClient(proxy.listener.Addr().String())
+	call := &Call{Service: "other", RequestID: "refused", Header: http.Header{}, Body: make([]byte, 4000), Deadline: time.Now().Add(20 * time.Second), deferBody: true}
+	sendHop(t.Context(), client, testHeaders, call)
+	call.Deadline = time.Now().Add(50 * time.Millisecond)
+	ctx, cancel := context.WithDeadline(t.Context(), call.Deadline)
+	defer cancel()
+	r := sendHop(ctx, client, testHeaders, call)
+	if r.Err == nil || r.Err.Kind != errkind.DeadlinePassed || r.Arrived || r.Unreachable {
+		t.Errorf("got %+v", r)
+	}
+}
+
 // Guards against a request that is run although the router has begun to stop while the body
 // of the request was on its way.
 func TestChecksFollowTheDeferredBody(t *testing.T) {
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -123,7 +123,8 @@
 	case sent:
 		return &Result{Arrived: true, Unreachable: ctx.Err() == nil, Err: errkind.New(errkind.OutcomeUnknown, "host %s got the request and did not respond: %w", client.Address(), err)}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &Result{Unreachable: true, Err: errkind.New(errkind.DeadlinePassed, "the deadline passed before the request was sent")}
+		// With a connection, the request waited there for a slot before its body was wanted.
+		return &Result{Unreachable: !failure.Connected, Err: errkind.New(errkind.DeadlinePassed, "the deadline passed before the request was sent or admitted")}
 	case ctx.Err() != nil:
 		return errorResult(errkind.CallerLeft, "the caller left before the request was sent")
 	}
