Count only bodies that were deferred; keep control connections as long as clients

Cause: deferred_bodies counted the wish, also for connections on which the body travelled; the budget of run could close idle control connections after 55 s, which clients use for 60 s. Change: the response says whether the body was deferred; the time of the budget is the longer one of both pools.

--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -47,6 +47,8 @@
 type Response struct {
 	ResponseHead
 	Body io.ReadCloser
+	// BodyDeferred is true if the request was sent without its body at first.
+	BodyDeferred bool
 	// Turns is set by handlers for responses that are sent in turns with others.
 	Turns Turns
 }
@@ -117,7 +119,7 @@
 			return nil, sent, err
 		}
 	}
-	resp = &Response{}
+	resp = &Response{BodyDeferred: deferBody}
 	if err := readResponseHead(cn.Reader, &resp.ResponseHead); err != nil {
 		return nil, true, fmt.Errorf("reading the response head: %w", err)
 	}
--- a/router/node/connguard.go
+++ b/router/node/connguard.go
@@ -40,7 +40,7 @@
 	return connguard.New(connguard.Options{
 		// No connection that requests have used is kept idle for longer than those to the
 		// upstream.
-		Budget: connlimit.Options{MemoryBytes: host.MemoryBytes(), Files: host.MaxFDs, PoolTime: upstream.IdleTimeout},
+		Budget: connlimit.Options{MemoryBytes: host.MemoryBytes(), Files: host.MaxFDs, PoolTime: max(upstream.IdleTimeout, peer.ClientIdleTimeout)},
 		MaxHeadBytes: func(class connlimit.Class) int {
 			if class == connlimit.Router {
 				return 2*limits.MaxHeaderBytes + headMargin
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -21,8 +21,9 @@
 	// reuseTimeout is how long a call waits for a response on a cached
 	// connection before it is sent again on a new one. A cached connection can
 	// stop delivering without an error while new connections work.
-	reuseTimeout      = 400 * time.Millisecond
-	clientIdleTimeout = time.Minute
+	reuseTimeout = 400 * time.Millisecond
+	// ClientIdleTimeout is how long a control connection stays open without calls.
+	ClientIdleTimeout = time.Minute
 )
 
 // ErrNoResponse means that a call was sent and no response was received: whether
@@ -182,7 +183,7 @@
 	cc.lastUse = now
 	c.conns[address] = cc
 	for a, other := range c.conns {
-		if now.Sub(other.lastUse) > clientIdleTimeout {
+		if now.Sub(other.lastUse) > ClientIdleTimeout {
 			_ = other.rpc.Close()
 			delete(c.conns, a)
 		}
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -36,7 +36,7 @@
 	// time.
 	maxConnections = 2048
 	// ServerIdleTimeout closes a connection without messages. It is longer than
-	// clientIdleTimeout, so that clients close first.
+	// ClientIdleTimeout, so that clients close first.
 	ServerIdleTimeout = 5 * time.Minute
 	acceptRetryDelay  = 50 * time.Millisecond
 )
--- a/router/sidecar/call.go
+++ b/router/sidecar/call.go
@@ -171,6 +171,8 @@
 
 	// Suspects is the report of the other host on requests that crash upstreams, or empty.
 	Suspects string
+	// bodyDeferred is true if the other host got the call without its body at first.
+	bodyDeferred bool
 	// lost is true if the connection to the local upstream ended before the response, and
 	// suspect is the fingerprint of a call that was lost.
 	lost    bool
--- a/router/sidecar/deferbody.go
+++ b/router/sidecar/deferbody.go
@@ -26,7 +26,7 @@
 	now := time.Now()
 	refused := r.Err != nil && !r.Arrived && r.Err.Kind == errkind.Overloaded
 	e.refusals.Observe(now, e.target(h, c), refused, now.Sub(start))
-	if c.deferBody {
+	if r.bodyDeferred {
 		e.metrics.countDeferredBody(refused)
 	}
 }
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -109,7 +109,9 @@
 	if err != nil {
 		return hopError(ctx, client, err)
 	}
-	return hopResult(resp, names, c)
+	r := hopResult(resp, names, c)
+	r.bodyDeferred = resp.BodyDeferred
+	return r
 }
 
 func hopError(ctx context.Context, client *hop.Client, err error) *Result {
