--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -205,8 +205,8 @@
 	return s.Reader.Read(p)
 }
 
-// askForBody asks the sender for the stream or the deferred body of the request. Once the response has begun it
-// returns an error: the sender then sends nothing.
+// askForBody asks the sender for the stream or the deferred body of the request. Once the
+// response has begun it returns an error: the sender then sends nothing.
 func (c *serverConn) askForBody() error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
--- a/router/node/connguard.go
+++ b/router/node/connguard.go
@@ -38,8 +38,7 @@
 func (n *Node) buildGuard() *connguard.Guard {
 	host, limits := n.settings.Host, n.settings.Limits
 	return connguard.New(connguard.Options{
-		// No connection that requests have used is kept idle for longer than those to the
-		// upstream.
+		// The pools keep no idle connection for longer, to the upstream or to another router.
 		Budget: connlimit.Options{MemoryBytes: host.MemoryBytes(), Files: host.MaxFDs, PoolTime: max(upstream.IdleTimeout, peer.ClientIdleTimeout)},
 		MaxHeadBytes: func(class connlimit.Class) int {
 			if class == connlimit.Router {
--- a/router/upstream/client.go
+++ b/router/upstream/client.go
@@ -40,8 +40,9 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	// IdleTimeout is how long an idle connection is kept. It is below that of common servers (60 s and more), because a
-	// request fails on a connection that the server is closing.
+	// IdleTimeout is how long an idle connection is kept. It is below that of common
+	// servers (60 s and more), because a request fails on a connection that the server is
+	// closing.
 	IdleTimeout         = 45 * time.Second
 	maxResponseHeader   = 64 << 10 // bytes
 	reservedConnections = 2        // one for grants, one for a probe
