--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # the libraries of the project are there.
 set -euo pipefail
 cd "$(dirname "$0")/harness"
-go build -o ../bin-2/harness .
+go build -o bin/harness .
