Review: requests with an escaped slash go to a service that no manifest allows (case 7)

Cause: routers compare the prefixes of routes with the decoded path, in which an escaped slash has become a separator.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,7 +20,9 @@
 // cases returns whether the rule of the case was broken.
 var cases = map[string]func(options) bool{
 	"stop-pipelined": stopPipelined,
+	"split-route":    splitRoute,
 	"fuzz":           fuzz,
+	"owner-fuzz":     ownerFuzz,
 }
 
 func main() {
