Review: a server that answers early gets other bytes of the body (case 6)

Cause: while a long answer is passed on, net/http drops a part of the request's body that the upload to the server still reads, because the handler has not asked for full duplex.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,7 @@
 	"stop-pipelined": stopPipelined,
 	"split-route":    splitRoute,
 	"late-read":      lateRead,
+	"early-answer":   earlyAnswer,
 	"fuzz":           fuzz,
 	"owner-fuzz":     ownerFuzz,
 }
