--- a/review/harness/earlyanswer.go
+++ b/review/harness/earlyanswer.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"burdockglade.dev/router/vhost"
@@ -20,6 +21,7 @@
 	earlyPiece    = 8_000   // bytes that a consumer sends at once
 	earlyGap      = 20 * time.Millisecond
 	earlyReply    = 100_000 // bytes of an answer
+	shortReply    = 200
 	earlyReadOn   = 300 * time.Millisecond
 	earlyDeadline = 4 * time.Second
 )
@@ -33,7 +35,7 @@
 		Name: "place", Host: routeHost, Prefix: "/orders/", Timeout: 5 * time.Second, TargetLatency: 2 * time.Second, MaxAttempts: 2,
 		Clusters: []vhost.Cluster{{Service: "orders", Weight: 1}},
 	}})
-	p := &earlyPlay{w: w, sent: &sync.Map{}}
+	p := &earlyPlay{w: w, reply: earlyReply, sent: &sync.Map{}, working: &sync.Map{}}
 	for _, h := range w.hosts {
 		p.startServer(h)
 		h.heartbeats("i-"+h.name, 14)
@@ -57,9 +59,45 @@
 
 type earlyPlay struct {
 	w *world
-	// sent holds the bodies by id.
-	sent                        *sync.Map
-	answered, whole, cut, other atomic.Int64
+	// reply is the size of an answer in bytes.
+	reply int
+	// sent holds the bodies by id, and working the ids of the requests that a server has
+	// answered and on whose bodies it still works.
+	sent, working                         *sync.Map
+	answered, whole, cut, other, replaced atomic.Int64
+}
+
+// earlyElsewhere is earlyAnswer with servers on other hosts than the consumers, whose router
+// is stopped by SIGTERM, and with short answers.
+func earlyElsewhere(o options) bool {
+	w := newWorld(o, "desk", "orders", "orders")
+	defer w.close()
+	w.publish([]vhost.Service{{Name: "orders", HealthPath: "/healthz", MaxConnections: 120}, {Name: "desk", HealthPath: "/healthz", MaxConnections: 120}}, []vhost.Route{{
+		Name: "place", Host: routeHost, Prefix: "/orders/", Timeout: 5 * time.Second, TargetLatency: 2 * time.Second, MaxAttempts: 2,
+		Clusters: []vhost.Cluster{{Service: "orders", Weight: 1}},
+	}})
+	p := &earlyPlay{w: w, reply: shortReply, sent: &sync.Map{}, working: &sync.Map{}}
+	for _, h := range w.hosts {
+		p.startServer(h)
+		h.heartbeats("i-"+h.name, 14)
+		h.start()
+	}
+	w.awaitReady()
+	time.Sleep(lateReadCalm)
+	o.record.say("SIGTERM to the router of %s", w.hosts[0].name)
+	w.hosts[0].signal(syscall.SIGTERM)
+	var orders sync.WaitGroup
+	for i := range earlyOrders / 2 {
+		orders.Go(func() { p.place(w.hosts[0], fmt.Sprintf("order-%d", i), i%2 == 0) })
+		time.Sleep(100 * time.Millisecond)
+	}
+	orders.Wait()
+	o.record.say("%d orders sent, %d answered by a server, %d answered by the router in place of a server that had answered and was at work",
+		earlyOrders/2, p.answered.Load(), p.replaced.Load())
+	if p.replaced.Load() > 0 {
+		o.record.say("BROKEN: LOST")
+	}
+	return p.replaced.Load() > 0
 }
 
 // startServer starts a sound server. It is no server of net/http, which would itself read the
@@ -90,6 +128,7 @@
 		id := r.Header.Get(names.ID)
 		if p.w.o.trouble {
 			p.answer(conn, id)
+			p.working.Store(id, true)
 			p.w.o.record.add("%s: the server of %s has answered, and reads on later", id, h.name)
 			time.Sleep(earlyReadOn)
 		}
@@ -105,8 +144,8 @@
 }
 
 func (p *earlyPlay) answer(conn net.Conn, id string) {
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed.%s\r\nContent-Length: %d\r\n\r\n", names.ID, id, names.Signature, id, earlyReply)
-	_, _ = conn.Write(append([]byte(head), repeated("placed ", earlyReply)...)) // the router may have left
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed.%s\r\nContent-Length: %d\r\n\r\n", names.ID, id, names.Signature, id, p.reply)
+	_, _ = conn.Write(append([]byte(head), repeated("placed ", p.reply)...)) // the router may have left
 }
 
 // judge compares the body that a server has read with the one that was sent.
@@ -166,8 +205,12 @@
 	}
 	text, err := io.ReadAll(resp.Body)
 	signed := resp.Header.Get(names.Signature) != ""
-	if signed {
+	_, working := p.working.Load(id)
+	switch {
+	case signed:
 		p.answered.Add(1)
+	case working && resp.StatusCode != http.StatusServiceUnavailable:
+		p.replaced.Add(1)
 	}
 	p.w.o.record.add("%s: status %d, from a server: %v, %d bytes, %v", id, resp.StatusCode, signed, len(text), err)
 	time.Sleep(time.Duration(earlyBody/earlyPiece) * earlyGap * 3 / 2) // the rest of the body is on its way
