Refuse responses of an upstream with broken heads

Callers saw: a server in trouble sent an answer with an odd status or an odd field name, and the caller got it. Statuses above 599 were passed on; lines whose name holds a blank were joined with the line before them ("Signature: s" became "Signature: s Content-Length: 5"), dropped, or took the length of the body with them, so that chunk sizes stood in the body or the caller waited for its end; status 000 was skipped like an interim response, so that the caller got 504 when its deadline had passed; 204 with a body left the body on the connection.

Cause: net/http reads more than HTTP/1.1 allows. ReadResponse takes any three characters that Atoi accepts for a status, keeps names with blanks, joins continued lines, and decides by itself when Content-Length, Transfer-Encoding and the status contradict each other. package h1 took what it returned.

Change: package responsehead checks the lines of a head (RFC 9112) before net/http parses them; h1 waits for the whole head, checks it while it arrives and fails the request otherwise. Continued lines are refused, as RFC 9112, section 5.2, allows: a name that begins with a blank looks the same. The connection is closed. Event 1845 names the request, the instance, its address and the line; it also tells of long bodies that break off on their way, of which operators learned nothing. Key commands and calls of the store use h1 as well.

Why it works: nothing of a head is used before all of it has been checked, so that no later step has to know what net/http tolerates. The error says that the request was sent, so that it counts as possibly run: 502, no second run of what may run once, no refusal. It comes with the line that breaks the head, not at the deadline. The few byte checks stand here because the library for them (httpguts) brings the tables of internationalised names with it.

--- a/router/connpool/pool.go
+++ b/router/connpool/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -243,6 +244,12 @@
 	return n, err
 }
 
+// EnlargeBuffer replaces Reader by one whose buffer holds size bytes. Unread bytes stay unread.
+func (cn *Conn) EnlargeBuffer(size int) {
+	unread, _ := cn.Reader.Peek(cn.Reader.Buffered()) // what is buffered is there
+	cn.Reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(unread)), cn.limiter), size)
+}
+
 // SetReadLimit limits the bytes that Reader reads from the connection from now on.
 // Reading more fails with ErrTooLong.
 func (cn *Conn) SetReadLimit(bytes int64) {
--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -4,7 +4,6 @@
 package h1
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -16,6 +15,7 @@
 	"time"
 
 	"burdockglade.dev/router/connpool"
+	"burdockglade.dev/router/responsehead"
 )
 
 // maxResponsesPerRequest limits the responses read for one request: if none of them
@@ -114,7 +114,7 @@
 	history := historyOf(cn)
 	for range maxResponsesPerRequest {
 		cn.SetReadLimit(maxHeadBytes)
-		hr, err := readHead(cn.Reader, r.Method)
+		hr, err := readHead(cn, r.Method)
 		if err != nil {
 			return nil, true, err
 		}
@@ -140,20 +140,56 @@
 	return nil, true, errors.New("received only responses to other requests")
 }
 
-// readHead reads the head of the next final response and skips interim (1xx) ones.
-func readHead(br *bufio.Reader, method string) (*http.Response, error) {
+// readHead reads the head of the next final response and skips interim (1xx) ones. Heads that
+// HTTP/1.1 does not allow are errors that wrap responsehead.ErrBroken.
+func readHead(cn *connpool.Conn, method string) (*http.Response, error) {
 	for {
-		hr, err := http.ReadResponse(br, &http.Request{Method: method})
+		interim, err := awaitHead(cn)
 		if err != nil {
 			return nil, fmt.Errorf("reading the response head: %w", err)
 		}
-		if hr.StatusCode >= http.StatusOK {
+		hr, err := http.ReadResponse(cn.Reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, fmt.Errorf("reading the response head: %w: %w", responsehead.ErrBroken, err)
+		}
+		if !interim {
 			return hr, nil
 		}
-		if hr.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("unexpected response: 101 Switching Protocols")
+	}
+}
+
+// awaitHead waits until the whole head of a response has arrived, checks it and leaves it
+// unread. interim is true if another head follows it.
+func awaitHead(cn *connpool.Conn) (interim bool, err error) {
+	var checker responsehead.Checker
+	for {
+		arrived, err := cn.Reader.Peek(cn.Reader.Buffered())
+		if err != nil {
+			return false, err
+		}
+		size, err := checker.Check(arrived)
+		if err != nil || size > 0 {
+			return checker.Interim(), err
 		}
+		if err := awaitMore(cn, len(arrived)); err != nil {
+			return false, err
+		}
+	}
+}
+
+// awaitMore waits until more than the given number of unread bytes have arrived.
+func awaitMore(cn *connpool.Conn, unread int) error {
+	if unread == cn.Reader.Size() {
+		if unread >= maxHeadBytes {
+			return connpool.ErrTooLong
+		}
+		cn.EnlargeBuffer(2 * unread)
+	}
+	_, err := cn.Reader.Peek(unread + 1)
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
 	}
+	return err
 }
 
 // unframed reports whether the body of a response ends with its connection.
--- a/router/h1/fuzz_test.go
+++ b/router/h1/fuzz_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"testing"
+
+	"burdockglade.dev/router/connpool"
 )
 
 // FuzzCutResponse guards against a response that is taken for complete although it broke
@@ -41,8 +43,8 @@
 // whether its end is marked.
 func parseWhole(message []byte, method string) (length int, framed bool) {
 	src := bytes.NewReader(message)
-	br := bufio.NewReader(src)
-	hr, err := readHead(br, method)
+	br := bufio.NewReaderSize(src, maxHeadBytes)
+	hr, err := readHead(&connpool.Conn{Reader: br}, method)
 	if err != nil || checkFraming(hr) != nil {
 		return 0, false
 	}
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -19,6 +19,8 @@
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/h1"
+	"burdockglade.dev/router/keyrange"
+	"burdockglade.dev/router/responsehead"
 	"burdockglade.dev/router/upstream"
 )
 
@@ -231,11 +233,28 @@
 	resp, err := g.client.Do(ctx, req)
 	if err != nil {
 		release(admit.Failed)
+		if errors.Is(err, responsehead.ErrBroken) {
+			g.logBroken(c, holder, err)
+		}
 		return g.sendFailed(ctx, err)
 	}
 	g.local.connected()
 	g.notices.read(sent, holder, resp)
-	return g.handleResponse(c, resp, release)
+	r := g.handleResponse(c, resp, release)
+	if stream, ok := r.Body.(*streamedResponse); ok {
+		stream.onError = func(err error) {
+			if ctx.Err() == nil {
+				g.logBroken(c, holder, err)
+			}
+		}
+	}
+	return r
+}
+
+// logBroken logs a response of the upstream that is not one of HTTP/1.1, or not complete.
+func (g *gate) logBroken(c *Call, holder keyrange.Holder, err error) {
+	g.log.Log(eventBrokenResponse, event.F("request", c.RequestID), event.F("instance", holder.Instance),
+		event.F("address", g.client.Address()), event.F("error", err.Error()))
 }
 
 func (g *gate) buildRequest(c *Call, instance string, left time.Duration) *h1.Request {
@@ -378,6 +397,8 @@
 	io.Reader
 	body    io.Closer
 	release func(admit.Result)
+	// onError is called with the error if the body does not end as it should.
+	onError func(err error)
 
 	// quarantine, if it is not nil, gets the end of the call.
 	quarantine *quarantineDriver
@@ -390,6 +411,9 @@
 // Read implements io.Reader.
 func (s *streamedResponse) Read(p []byte) (int, error) {
 	n, err := s.Reader.Read(p)
+	if err != nil && err != io.EOF && s.err == nil {
+		s.onError(err)
+	}
 	s.err = err
 	return n, err
 }
