Refuse responses of other routers with broken heads

Callers saw, through a second router whose first one answers wrongly: a status of 0 or below 100 ended in a closed connection, because net/http panics on it; 100 to 199 was written as an interim response and followed by a success of the router's own; 600 and above was passed on; a field named content-length or transfer-encoding, which the filter of hop-by-hop fields does not know in lower case, stood beside the real one, and callers waited for chunks that never came; names with blanks were left out without a word.

Cause: the head of a response between routers was decoded and believed. Routers write it from what they have read, so that a router of an earlier version hands on what its upstream sent.

Change: the hop client checks status, length, signature and fields of the head and fails the request otherwise; the connection is closed. A head that cannot be decoded counts as broken too. Responses to calls of the store have no status, as before. A stand-in of TestSampleSentLeavesSlowReadersOut answered without a status, which no router does; it sends 200 now, and what the test checks is unchanged.

Why it works: the check stands where the head is read, before any of it is used, so that what the callers' side writes is always a head of HTTP/1.1. The request counts as possibly run.

--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"burdockglade.dev/router/connpool"
+	"burdockglade.dev/router/responsehead"
 )
 
 // Client sends requests to one router.
@@ -120,9 +121,16 @@
 		}
 	}
 	resp = &Response{BodyDeferred: deferBody}
-	if err := readResponseHead(cn.Reader, &resp.ResponseHead); err != nil {
+	err = readResponseHead(cn.Reader, &resp.ResponseHead)
+	if errors.Is(err, errMalformedHead) {
+		err = fmt.Errorf("%w: %w", responsehead.ErrBroken, err)
+	}
+	if err != nil {
 		return nil, true, fmt.Errorf("reading the response head: %w", err)
 	}
+	if err := resp.check(r.Flags&StoreCall != 0); err != nil {
+		return nil, true, err
+	}
 	var announced bool
 	resp.Fields, announced = takeDeferral(cache.restore(&cache.received, resp.Fields, resp.SameFields))
 	cache.defersBodies = cache.defersBodies || announced
--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -11,14 +11,20 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"burdockglade.dev/router/responsehead"
 )
 
 // maxHeadBytes is the maximum size of an encoded head.
 const maxHeadBytes = 128 << 10
 
+// maxStatus is the highest status of a response.
+const maxStatus = 599
+
 // unknownLength is the Length of a body that is sent in chunks.
 const unknownLength = -1
 
@@ -155,6 +161,27 @@
 	return time.Duration(steps-1) * configAgeStep, true
 }
 
+// check returns an error that wraps responsehead.ErrBroken if no router sends such a head.
+// Responses to calls of the store have no status.
+func (h *ResponseHead) check(storeCall bool) error {
+	noStatus := h.Kind != "" || storeCall
+	if !noStatus && (h.Status < http.StatusOK || h.Status > maxStatus) {
+		return fmt.Errorf("%w: status %d", responsehead.ErrBroken, h.Status)
+	}
+	if h.Length < unknownLength {
+		return fmt.Errorf("%w: body length %d", responsehead.ErrBroken, h.Length)
+	}
+	if !responsehead.ValidValue(h.Signature) {
+		return fmt.Errorf("%w: signature %q", responsehead.ErrBroken, h.Signature)
+	}
+	for _, f := range h.Fields {
+		if !responsehead.ValidName(f.Name) || f.Name != http.CanonicalHeaderKey(f.Name) || !responsehead.ValidValue(f.Value) {
+			return fmt.Errorf("%w: field %q with value %.60q", responsehead.ErrBroken, f.Name, f.Value)
+		}
+	}
+	return nil
+}
+
 // appendHead appends the length of the encoded head and the encoded head to b.
 func appendHead(b []byte, head any) ([]byte, error) {
 	data, err := cbor.Marshal(head)
@@ -165,6 +192,9 @@
 	return append(b, data...), nil
 }
 
+// errMalformedHead is wrapped by errors of heads that cannot be decoded.
+var errMalformedHead = errors.New("malformed head")
+
 // readHead reads a head and decodes it into head.
 func readHead(r *bufio.Reader, head any) error {
 	return readHeadWithin(r, head, func(uint64) error { return nil }, func([]byte) error { return nil })
@@ -178,7 +208,7 @@
 		return err
 	}
 	if n > maxHeadBytes {
-		return fmt.Errorf("head of %d bytes exceeds the limit", n)
+		return fmt.Errorf("%w: %d bytes exceed the limit", errMalformedHead, n)
 	}
 	if err := reserve(n); err != nil {
 		return err
@@ -191,7 +221,7 @@
 		return err
 	}
 	if err := cbor.Unmarshal(data, head); err != nil {
-		return fmt.Errorf("decoding a head: %w", err)
+		return fmt.Errorf("%w: %w", errMalformedHead, err)
 	}
 	return nil
 }
--- a/router/hop/turns_test.go
+++ b/router/hop/turns_test.go
@@ -71,7 +71,7 @@
 			size = 32 << 10 // fits into the first receive window, however slow the reader is
 		}
 		s := NewServer(func(context.Context, *Request) *Response {
-			return &Response{ResponseHead: ResponseHead{Length: size}, Body: io.NopCloser(bytes.NewReader(make([]byte, size)))}
+			return &Response{ResponseHead: ResponseHead{Status: 200, Length: size}, Body: io.NopCloser(bytes.NewReader(make([]byte, size)))}
 		})
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
--- a/router/responsehead/check.go
+++ b/router/responsehead/check.go
@@ -154,6 +154,16 @@
 	return nil
 }
 
+// ValidName reports whether name is the name of a field.
+func ValidName(name string) bool {
+	return isToken([]byte(name))
+}
+
+// ValidValue reports whether value may be the value of a field.
+func ValidValue(value string) bool {
+	return isValue([]byte(value))
+}
+
 // isToken reports whether text is a token (RFC 9110, section 5.6.2).
 func isToken(text []byte) bool {
 	return len(text) > 0 && !slices.ContainsFunc(text, func(c byte) bool {
--- a/router/responsehead/check_test.go
+++ b/router/responsehead/check_test.go
@@ -98,7 +98,7 @@
 		}
 		for name, values := range resp.Header {
 			for _, value := range values {
-				if !isToken([]byte(name)) || !isValue([]byte(value)) || name != http.CanonicalHeaderKey(name) {
+				if !ValidName(name) || !ValidValue(value) || name != http.CanonicalHeaderKey(name) {
 					t.Errorf("%q: field %q with value %q", data, name, value)
 				}
 			}
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -11,6 +11,7 @@
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/fleet"
+	"burdockglade.dev/router/responsehead"
 	"burdockglade.dev/router/retry"
 	"burdockglade.dev/router/vhost"
 )
@@ -193,6 +194,7 @@
 	} else {
 		c.deferBody = e.defersBody(start, h, c)
 		r = sendHop(ctx, h.Client, e.headers, c)
+		e.logBrokenHop(c, h, r)
 		e.observeRefusal(start, h, c, r)
 		e.evacuation.merge(r.Evacuated, h.Member().Host) // before the configuration counts as confirmed
 		e.quarantine.responded(c, r, h.Member().Host)
@@ -217,6 +219,14 @@
 	return r
 }
 
+// logBrokenHop logs the result of a call to another host whose response was broken.
+func (e *entry) logBrokenHop(c *Call, h *fleet.Host, r *Result) {
+	if r.Err != nil && errors.Is(r.Err, responsehead.ErrBroken) {
+		e.log.Log(eventBrokenHop, event.F("request", c.RequestID), event.F("host", h.Member().Host),
+			event.F("address", h.Client.Address()), event.F("error", r.Err.Detail))
+	}
+}
+
 // shouldRetry reports whether the call is offered to another host.
 func (e *entry) shouldRetry(ctx context.Context, c *Call, route *vhost.Route, r *Result, arrivals int) bool {
 	if ctx.Err() != nil {
