Refuse broken heads of upstreams and owners in burdockglade run

Callers of `run` saw: an answer of an upstream or of the owner's router with status 600 or 101 was passed on; status 000 ended in a closed connection, because net/http panics on it; a length whose name ends with a blank took the end of the body with it; of Content-Length and Transfer-Encoding, both in one head, one was believed. Answers to probes and grants with such heads counted.

Cause: http.Transport takes the same heads as http.ReadResponse. Connections without a body went back to the pool before anybody could look at the response.

Change: responsehead.Transport gives http.Transport connections that check each head where its bytes are read, from the request on to the final head. After a broken one the read fails, so that net/http closes the connection. net/http sends a request again on its own if it has read nothing of the response; it gets one byte, so that it does not. Upstream (requests, grants, probes) and the entry's hops use it; events 1203 and 1601 name address and line, 1601 also the request and the host.

Why it works: a head is checked before net/http sees its end, so nothing that net/http does with it, such as reusing the connection, comes earlier. The request was sent, so that its outcome is unknown.

--- a/router/forward/forward_test.go
+++ b/router/forward/forward_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/gate"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/note"
@@ -102,6 +103,12 @@
 
 // startEntry starts the entry of a router named self and returns its URL.
 func startEntry(t *testing.T, routes *route.Table, local gateFunc, peers peersFunc, retries int64) string {
+	t.Helper()
+	return startLoggingEntry(t, routes, local, peers, retries, nil)
+}
+
+// startLoggingEntry is startEntry with a log.
+func startLoggingEntry(t *testing.T, routes *route.Table, local gateFunc, peers peersFunc, retries int64, log *event.Logger) string {
 	t.Helper()
 	b := &budget{}
 	b.remaining.Store(retries)
@@ -118,6 +125,7 @@
 			return ownership.Group{}, errors.New("no store")
 		},
 		Budget: b,
+		Log:    log,
 	})
 	server := httptest.NewServer(e)
 	t.Cleanup(server.Close)
--- a/router/forward/hop.go
+++ b/router/forward/hop.go
@@ -18,8 +18,10 @@
 	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/connlimit"
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/gate"
 	"burdockglade.dev/router/ownership"
+	"burdockglade.dev/router/responsehead"
 )
 
 // hopPrefix is the path prefix of requests between routers.
@@ -46,19 +48,19 @@
 type hopClient struct {
 	opts  Options
 	stats *stats
-	http  http.RoundTripper
+	http  *responsehead.Transport
 }
 
 func newHopClient(opts Options, stats *stats) *hopClient {
-	return &hopClient{opts: opts, stats: stats, http: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: hopDialTimeout}).DialContext,
+	transport := &http.Transport{
 		MaxIdleConnsPerHost:    maxIdleHopConns,
 		IdleConnTimeout:        hopIdleTimeout,
 		ExpectContinueTimeout:  expectContinueTimeout,
 		MaxResponseHeaderBytes: maxHopHeaderBytes,
 		WriteBufferSize:        hopWriteBufferBytes,
 		DisableCompression:     true,
-	}}
+	}
+	return &hopClient{opts: opts, stats: stats, http: responsehead.NewTransport(transport, &net.Dialer{Timeout: hopDialTimeout})}
 }
 
 // refusal is the body of a refusal sent from the owner's router to the entry.
@@ -225,6 +227,11 @@
 	if isBodyTooLarge(err) {
 		return h.bodyTooLargeError(ctx)
 	}
+	if errors.Is(err, responsehead.ErrBroken) {
+		h.client.opts.Log.Log(evHopBroken, event.F("request", h.id), event.F("host", h.record.Holder.Name),
+			event.F("address", h.record.Holder.HopAddr), event.F("error", err.Error()))
+		return errkind.New(errkind.OutcomeUnknown, "host %s sent a broken response: %w", h.record.Holder.Name, err)
+	}
 	if !h.sent.Load() {
 		if ctx.Err() != nil {
 			return h.r.contextError(ctx)
--- a/router/forward/hopserver.go
+++ b/router/forward/hopserver.go
@@ -20,9 +20,14 @@
 	"burdockglade.dev/router/ownership"
 )
 
-var evHopRefused = event.Define(1600, log.WarnLevel, "request on the hop port refused",
-	"a process without the cluster's secret sent a request to the hop port",
-	"check the secret file of the host at the address in the line; otherwise find out who connects")
+var (
+	evHopRefused = event.Define(1600, log.WarnLevel, "request on the hop port refused",
+		"a process without the cluster's secret sent a request to the hop port",
+		"check the secret file of the host at the address in the line; otherwise find out who connects")
+	evHopBroken = event.Define(1601, log.WarnLevel, "broken response of another router",
+		"another router answered a request with a head that HTTP/1.1 does not allow; nothing of the response was used, its connection was closed, and the outcome of the request is unknown",
+		"find out which process listens at the address; the error quotes the line")
+)
 
 // HopServerOptions configure a HopServer.
 type HopServerOptions struct {
--- a/router/upstream/agent.go
+++ b/router/upstream/agent.go
@@ -30,6 +30,9 @@
 	eventRefused = event.Define(1202, log.WarnLevel, "upstream message refused",
 		"the upstream sent a message that is malformed or invalid in its state",
 		"correct the upstream's message; the error names the field")
+	eventBroken = event.Define(1203, log.WarnLevel, "broken response of the upstream",
+		"the upstream answered a request, a grant or a probe with a head that HTTP/1.1 does not allow; nothing of the response was used, and its connection was closed",
+		"check the log of the upstream process at the address; the error quotes the line")
 )
 
 const (
@@ -102,6 +105,9 @@
 		OnResponse: func() {
 			a.apply(func(t *Tracker, now time.Time) ProbeID { t.ResponseReceived(now); return 0 })
 		},
+		OnBrokenResponse: func(address string, err error) {
+			opts.Log.Log(eventBroken, event.F("address", address), event.F("error", err.Error()))
+		},
 	})
 	return a
 }
--- a/router/upstream/client.go
+++ b/router/upstream/client.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"burdockglade.dev/router/errkind"
+	"burdockglade.dev/router/responsehead"
 )
 
 // Headers of requests to the upstream.
@@ -116,6 +117,8 @@
 	OnConnectionRefused func(address string)
 	// OnResponse is called when the header of a response arrives.
 	OnResponse func()
+	// OnBrokenResponse is called when a response is not one of HTTP/1.1.
+	OnBrokenResponse func(address string, err error)
 }
 
 // Client sends requests and grants to the upstream over persistent connections. It is
@@ -130,9 +133,9 @@
 type target struct {
 	address     string
 	connections int
-	requests    *http.Transport
-	grants      *http.Transport
-	probes      *http.Transport
+	requests    *responsehead.Transport
+	grants      *responsehead.Transport
+	probes      *responsehead.Transport
 }
 
 // NewClient returns a client without a target. Until SetTarget is called, every call
@@ -171,15 +174,15 @@
 	return t
 }
 
-func newTransport(connections int) *http.Transport {
+func newTransport(connections int) *responsehead.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return &responsehead.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &sealableConn{Conn: conn}, nil
+			return responsehead.NewConn(&sealableConn{Conn: conn}), nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        connections,
@@ -187,7 +190,7 @@
 		MaxIdleConnsPerHost:    connections,
 		IdleConnTimeout:        IdleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeader,
-	}
+	}}
 }
 
 // Do sends one request and returns when the header of the response has arrived. It
@@ -209,6 +212,7 @@
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn}))
 	resp, err := t.requests.RoundTrip(req)
 	if err != nil {
+		c.noteBroken(t.address, err)
 		err = c.classify(ctx, t, a, err)
 		cancel(nil)
 		return nil, err
@@ -324,7 +328,11 @@
 // that net/http retries a request that it considers safe to retry. It is cancelled
 // and its connection sealed first, because only the retry policy decides on retries.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*sealableConn)
+	checked, ok := info.Conn.(*responsehead.Conn)
+	if !ok {
+		return
+	}
+	conn, ok := checked.Conn.(*sealableConn)
 	if !ok {
 		return
 	}
@@ -336,6 +344,13 @@
 	a.conn, a.writtenBefore = conn, conn.writtenBytes()
 }
 
+// noteBroken reports an error that is due to a broken response.
+func (c *Client) noteBroken(address string, err error) {
+	if errors.Is(err, responsehead.ErrBroken) && c.opts.OnBrokenResponse != nil {
+		c.opts.OnBrokenResponse(address, err)
+	}
+}
+
 // classify converts the error of a request without a response to one with a kind.
 func (c *Client) classify(ctx context.Context, t *target, a *attempt, err error) error {
 	if a.conn != nil && !a.conn.seal(a.writtenBefore) {
@@ -467,9 +482,10 @@
 
 // control sends a grant or a probe. Both are idempotent, so a retry by net/http is
 // harmless.
-func (c *Client) control(transport *http.Transport, req *http.Request, accepted func(status int) bool) error {
+func (c *Client) control(transport *responsehead.Transport, req *http.Request, accepted func(status int) bool) error {
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		c.noteBroken(req.URL.Host, err)
 		if errors.Is(err, syscall.ECONNREFUSED) && c.opts.OnConnectionRefused != nil {
 			c.opts.OnConnectionRefused(req.URL.Host)
 		}
