Refuse broken heads of the stores and of the administration API

Operators and hosts could be told: a status, rows or a configuration from an answer with a broken head, of the table service, the object store, the administration API or the listener that explains decisions. No caller's answer comes from these.

Cause: as for upstreams; these clients use http.Transport.

Change: they use responsehead.Transport. Tests that set the dialer of a store's client name the new type; what they check is unchanged.

An idempotent call on a kept connection is sent once more on a new one, as after any other failure of one; a publication is reported as of unknown outcome.

--- a/ctl/command/explain.go
+++ b/ctl/command/explain.go
@@ -14,6 +14,7 @@
 
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/explain"
+	"burdockglade.dev/router/responsehead"
 )
 
 // explainTimeout is the default time for which the router may take to explain.
@@ -89,7 +90,7 @@
 		return x, &usageError{err}
 	}
 	// No proxies and no redirects: the explanation is that of the router that was named.
-	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true}
+	transport := responsehead.NewTransport(&http.Transport{DisableKeepAlives: true}, &net.Dialer{})
 	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/router/admin/admin_test.go
+++ b/router/admin/admin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/keyspace"
 	"burdockglade.dev/router/note"
+	"burdockglade.dev/router/responsehead"
 )
 
 const token = "0123456789abcdef0123"
@@ -310,6 +312,38 @@
 	}
 }
 
+// Guards against a broken answer that is taken for one of the API.
+func TestBrokenHeadIsNotBelieved(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 600 Trouble\r\n", "HTTP/1.1 200 OK\r\nA b: c\r\n", "HTTP/1.1 200 OK\r\nA\x01b: c\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n", "HTTP/1.1 200 OK\r\n A: b\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n C: d\r\n",
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.ReadAtLeast(conn, make([]byte, 4096), 1)
+				_, _ = io.WriteString(conn, head+"Content-Length: 2\r\n\r\n{}")
+				_ = conn.Close()
+			}
+		}()
+		c := clientOf(t, "http://"+listener.Addr().String())
+		if _, err := c.PublishNote(t.Context(), "publish-1", []byte("x")); !errkind.Is(err, errkind.OutcomeUnknown) || !errors.Is(err, responsehead.ErrBroken) {
+			t.Errorf("%q: publish: got %v", head, err)
+		}
+		if _, err := c.Members(t.Context()); !errkind.Is(err, errkind.PeerUnreachable) || !errors.Is(err, responsehead.ErrBroken) {
+			t.Errorf("%q: members: got %v", head, err)
+		}
+	}
+}
+
 // Guards against a version reported in force while a host lags or no host is known.
 func TestInForce(t *testing.T) {
 	cases := []struct {
--- a/router/admin/client.go
+++ b/router/admin/client.go
@@ -16,6 +16,7 @@
 
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/note"
+	"burdockglade.dev/router/responsehead"
 )
 
 // Limits of the client.
@@ -54,7 +55,7 @@
 		return nil, fmt.Errorf("address %q: want http://host:port", o.BaseURL)
 	}
 	// No proxies and no redirects: the token must not reach another server.
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	transport := responsehead.NewTransport(&http.Transport{}, &net.Dialer{Timeout: dialTimeout})
 	return &Client{
 		base:  strings.TrimSuffix(o.BaseURL, "/"),
 		token: o.Token,
--- a/stores/internal/storehttp/client.go
+++ b/stores/internal/storehttp/client.go
@@ -17,6 +17,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"burdockglade.dev/router/responsehead"
 )
 
 const (
@@ -90,15 +92,11 @@
 		return nil, fmt.Errorf("%s timeout %v: want more than 0", o.Service, o.Timeout)
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	pooled := &http.Transport{
-		DialContext:         dialer.DialContext,
+	pooled := responsehead.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
-	}
-	singleUse := &http.Transport{
-		DialContext:       dialer.DialContext,
-		DisableKeepAlives: true,
-	}
+	}, dialer)
+	singleUse := responsehead.NewTransport(&http.Transport{DisableKeepAlives: true}, dialer)
 	return &Client{
 		base:             strings.TrimSuffix(o.BaseURL, "/"),
 		timeout:          o.Timeout,
@@ -110,7 +108,7 @@
 
 // newHTTPClient returns a client that follows no redirects: a redirected write
 // would go to a server that is not in the settings.
-func newHTTPClient(t *http.Transport) *http.Client {
+func newHTTPClient(t http.RoundTripper) *http.Client {
 	return &http.Client{
 		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/stores/internal/storehttp/client_test.go
+++ b/stores/internal/storehttp/client_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"burdockglade.dev/router/responsehead"
 )
 
 const longTimeout = 30 * time.Second
@@ -63,7 +65,7 @@
 			<-end
 			return nil, net.ErrClosed
 		}
-		c.singleUse.Transport.(*http.Transport).DialContext = hang
+		c.singleUse.Transport.(*responsehead.Transport).DialContext = hang
 		_, sent, err := c.SendOnce(t.Context(), Request{Method: http.MethodPost, Path: "/", Body: []byte("b")})
 		if !errors.Is(err, context.DeadlineExceeded) || sent {
 			t.Errorf("sent %v, error %v; want an unsent request", sent, err)
@@ -111,8 +113,8 @@
 			go s.serve()
 			return near, nil
 		}
-		c.pooled.Transport.(*http.Transport).DialContext = dialer
-		c.singleUse.Transport.(*http.Transport).DialContext = dialer
+		c.pooled.Transport.(*responsehead.Transport).DialContext = dialer
+		c.singleUse.Transport.(*responsehead.Transport).DialContext = dialer
 		read := func() {
 			t.Helper()
 			if a, err := c.SendIdempotent(t.Context(), Request{Method: http.MethodGet, Path: "/"}); err != nil || string(a.Body) != "ok" {
