Refuse bodies in chunks whose trailer is broken

Callers saw: an answer in chunks behind whose last chunk a server wrote a field whose name holds a blank was passed on as complete.

Cause: net/http reads the trailer like a head, and keeps names with blanks.

Change: h1 and the client of `run` check the names of the trailer when the body ends; a broken one counts as an answer that breaks off. Fields of trailers are not passed on, as before.

A control byte in such a name and a chunk size with a sign were refused before; their cases stay.

Why it works: the end of the body is reported only once the trailer has been checked, so that a short answer gets 502 and a long one ends in the middle.

--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -217,7 +218,7 @@
 		Header: hr.Header,
 		Length: hr.ContentLength,
 		First:  history.responses == 1,
-		Body:   &body{conn: cn, src: hr.Body, upload: up, reusable: !hr.Close && !unframed(hr) && !history.closing},
+		Body:   &body{conn: cn, src: hr.Body, head: hr, upload: up, reusable: !hr.Close && !unframed(hr) && !history.closing},
 	}
 }
 
@@ -238,8 +239,10 @@
 // body is the body of a response. Close returns the connection to the pool if the
 // body has been read completely.
 type body struct {
-	conn     *connpool.Conn
-	src      io.ReadCloser
+	conn *connpool.Conn
+	src  io.ReadCloser
+	// head holds the trailer once the body has been read.
+	head     *http.Response
 	upload   *upload
 	stop     func() bool
 	reusable bool
@@ -250,7 +253,8 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.src.Read(p)
 	if err == io.EOF {
-		b.ended = true
+		err = cmp.Or(responsehead.CheckTrailer(b.head.Trailer), io.EOF)
+		b.ended = err == io.EOF
 	}
 	return n, err
 }
--- a/router/responsehead/check.go
+++ b/router/responsehead/check.go
@@ -154,6 +154,16 @@
 	return nil
 }
 
+// CheckTrailer returns an error if the name of a field behind a body in chunks is broken.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !ValidName(name) {
+			return broken("name of a trailer field", []byte(name))
+		}
+	}
+	return nil
+}
+
 // ValidName reports whether name is the name of a field.
 func ValidName(name string) bool {
 	return isToken([]byte(name))
--- a/router/upstream/brokenhead_test.go
+++ b/router/upstream/brokenhead_test.go
@@ -135,6 +135,21 @@
 	}
 }
 
+// Guards against a body in chunks that is taken for complete although a broken trailer ends it.
+func TestBrokenTrailerIsAnError(t *testing.T) {
+	u := &troubledUpstream{broken: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n0\r\nA b: c\r\n\r\n"}
+	client := newClient(rawServer(t, u.serve), 8, ClientOptions{})
+	resp, err := client.Do(t.Context(), newCall(http.MethodGet))
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if !errkind.Is(err, errkind.AnswerIncomplete) {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
 // Guards against whole answers that are refused or altered, in each framing of a body.
 func TestUnusualHeadsAreAllowed(t *testing.T) {
 	long := strings.Repeat("v", 60<<10)
--- a/router/upstream/client.go
+++ b/router/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -225,7 +226,7 @@
 		cancel(nil)
 		return nil, err
 	}
-	response.Body = &responseBody{body: resp.Body, cancel: cancel}
+	response.Body = &responseBody{resp: resp, cancel: cancel}
 	return response, nil
 }
 
@@ -423,12 +424,16 @@
 // responseBody adds a kind to read errors and releases the request's resources when
 // it is closed.
 type responseBody struct {
-	body   io.ReadCloser
+	// resp has the trailer once its body has been read.
+	resp   *http.Response
 	cancel context.CancelCauseFunc
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.body.Read(p)
+	n, err := b.resp.Body.Read(p)
+	if err == io.EOF {
+		err = cmp.Or(responsehead.CheckTrailer(b.resp.Trailer), io.EOF)
+	}
 	if err != nil && err != io.EOF {
 		err = errkind.New(errkind.AnswerIncomplete, "the upstream's response was cut short: %w", err)
 	}
@@ -436,7 +441,7 @@
 }
 
 func (b *responseBody) Close() error {
-	err := b.body.Close()
+	err := b.resp.Body.Close()
 	b.cancel(nil)
 	return err
 }
