Pass on header values that are not UTF-8 between routers

Callers saw, behind a hop: 502 in place of a whole answer one of whose header values holds bytes beyond ASCII that are not UTF-8, although the request had run and the same answer was passed on at the upstream's host.

Cause: heads between routers are CBOR, whose decoder refuses texts that are not UTF-8. HTTP allows any byte from 0x80 on in a value.

Change: the decoder of hop heads takes such texts as they are.

Evidence: found by TestUnusualHeadIsPassedOn while its cases of whole answers were written.

Why it works: names and values are checked byte by byte on arrival, so that the decoder need not check them as well.

--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -192,6 +192,15 @@
 	return append(b, data...), nil
 }
 
+// headDecoding decodes heads. The values of header fields may be in any encoding.
+var headDecoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // errMalformedHead is wrapped by errors of heads that cannot be decoded.
 var errMalformedHead = errors.New("malformed head")
 
@@ -220,7 +229,7 @@
 	if err := reserveFields(data); err != nil {
 		return err
 	}
-	if err := cbor.Unmarshal(data, head); err != nil {
+	if err := headDecoding.Unmarshal(data, head); err != nil {
 		return fmt.Errorf("%w: %w", errMalformedHead, err)
 	}
 	return nil
--- a/router/sidecar/brokenhead_test.go
+++ b/router/sidecar/brokenhead_test.go
@@ -314,6 +314,7 @@
 		for _, f := range []field{
 			{"x-odd.!#$%&'*+^_`|~9:\r\n", "X-Odd.!#$%&'*+^_`|~9", ""},
 			{"X-Odd:\t a\tb \xc3\x96 \r\n", "X-Odd", "a\tb \xc3\x96"},
+			{"X-Odd: \xd6\xff\r\n", "X-Odd", "\xd6\xff"},
 			{"X-Odd: " + strings.Repeat("v", 60<<10) + "\r\n", "X-Odd", strings.Repeat("v", 60<<10)},
 			{strings.Repeat("X-Odd: v\r\n", 1000), "X-Odd", "v"},
 		} {
