--- a/router/sidecar/brokenhead_test.go
+++ b/router/sidecar/brokenhead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -338,49 +337,49 @@
 	}
 }
 
-// logLines keeps the lines of a log.
-type logLines struct {
-	mu    sync.Mutex
-	lines bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (l *logLines) Write(line []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.lines.Write(line)
-}
-
-// with returns the lines of the event with the number.
-func (l *logLines) with(number int) []string {
+// ofEvent returns the lines of the event with the number.
+func (l *logText) ofEvent(number int) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var found []string
-	for line := range strings.Lines(l.lines.String()) {
-		if strings.Contains(line, fmt.Sprintf(`"event":%d`, number)) {
+	for line := range strings.Lines(l.text.String()) {
+		if strings.Contains(line, fmt.Sprintf(`"event":%d,`, number)) {
 			found = append(found, line)
 		}
 	}
 	return found
 }
 
-// Guards against answers with broken heads of which operators learn nothing.
-func TestBrokenHeadIsLogged(t *testing.T) {
+// Guards against broken answers of which operators learn nothing: broken heads, and long
+// bodies that break off when a part of them was passed on.
+func TestBrokenResponseIsLogged(t *testing.T) {
 	t.Parallel()
-	c := newUnconfiguredCluster(t, nil)
-	lines := &logLines{}
-	c.log = event.NewLogger(lines, log.InfoLevel)
-	c.addFirst("plain", "keyed")
-	c.waitReady()
-	u := &troubledUpstream{framing: framings()[0]}
-	c.hosts[0].upstream.serveRaw(u.respond)
-	u.set(brokenHead{status: "HTTP/1.1 000 Trouble\r\n"})
-	c.hosts[1].dialRaw(t).send("/pay/broken", "r")
-	c.eventually("the event", func() bool { return len(lines.with(1845)) > 0 })
-	for _, want := range []string{`"request":"r"`, `"instance":"i-h0"`, `"address":"` + c.hosts[0].upstream.address() + `"`, `status`} {
-		if line := lines.with(1845)[0]; !strings.Contains(line, want) {
-			t.Errorf("no %s in %s", want, line)
-		}
+	for name, c := range map[string]struct{ text, cause string }{
+		"head":      {"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n", "status"},
+		"long body": {head("1.1", fmt.Sprintf("Content-Length: %d\r\n\r\n", 4*maxBufferedResponse), strings.Repeat("b", 3*maxBufferedResponse))("r"), "unexpected EOF"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cl := newUnconfiguredCluster(t, nil)
+			lines := &logText{}
+			cl.log = event.NewLogger(lines, log.InfoLevel)
+			cl.addFirst("plain", "keyed")
+			cl.waitReady()
+			cl.hosts[0].upstream.serveRaw(func(r *rawRequest) bool {
+				r.write(c.text)
+				return false
+			})
+			got := cl.hosts[1].request(t, "POST", "/pay/1", "r", "1")
+			if got.status != 0 && got.status != http.StatusBadGateway {
+				t.Errorf("got %d, want a 502 or a response that breaks off", got.status)
+			}
+			cl.eventually("the event", func() bool { return len(lines.ofEvent(eventBrokenResponse.Number)) > 0 })
+			for _, want := range []string{`"request":"r"`, `"instance":"i-h0"`, `"address":"` + cl.hosts[0].upstream.address() + `"`, c.cause} {
+				if line := lines.ofEvent(eventBrokenResponse.Number)[0]; !strings.Contains(line, want) {
+					t.Errorf("no %s in %s", want, line)
+				}
+			}
+		})
 	}
 }
 
--- a/router/sidecar/brokenhop_test.go
+++ b/router/sidecar/brokenhop_test.go
@@ -96,7 +96,7 @@
 func TestBrokenHopResponseIsNotPassedOn(t *testing.T) {
 	t.Parallel()
 	heads := brokenHopHeads()
-	lines := &logLines{}
+	lines := &logText{}
 	var mu sync.Mutex
 	runs, reused, brokenOn := map[string]int{}, 0, map[*uint64]bool{}
 	c := newClusterWithBrokenHop(t, lines, func(_ context.Context, r *hop.Request) *hop.Response {
@@ -141,9 +141,9 @@
 			})
 		}
 	}
-	c.eventually("the event", func() bool { return len(lines.with(1846)) > 0 })
+	c.eventually("the event", func() bool { return len(lines.ofEvent(eventBrokenHop.Number)) > 0 })
 	for _, want := range []string{`"request":"broken-0-false"`, `"host":"h0"`, `"address":"` + c.hosts[0].settings.Listen.Hop + `"`, `body length -2`} {
-		if line := lines.with(1846)[0]; !strings.Contains(line, want) {
+		if line := lines.ofEvent(eventBrokenHop.Number)[0]; !strings.Contains(line, want) {
 			t.Errorf("no %s in %s", want, line)
 		}
 	}
