Keep lines of broken heads out of what callers get

Callers saw, in the problem document of the 502: the line that broke the head, also with a control byte of net/http's own complaint before. It may belong to the response to another caller.

Cause: the error with the line was part of the detail of the refusal.

Evidence: the tests of broken heads also look for the line in the body.

--- a/router/errkind/errkind.go
+++ b/router/errkind/errkind.go
@@ -168,6 +168,12 @@
 	return &Error{Kind: k, Detail: err.Error(), Err: errors.Unwrap(err)}
 }
 
+// WithCause returns e with a cause that is no part of the detail.
+func (e *Error) WithCause(cause error) *Error {
+	e.Err = cause
+	return e
+}
+
 // Error returns the kind and the detail.
 func (e *Error) Error() string {
 	return string(e.Kind) + ": " + e.Detail
--- a/router/forward/brokenhead_test.go
+++ b/router/forward/brokenhead_test.go
@@ -90,7 +90,7 @@
 				}
 				g := sendRequest(t, http.MethodPost, url+"/orders/k", "body")
 				g.wantRefusal(t, errkind.OutcomeUnknown, errkind.Unknown)
-				if g.status != http.StatusBadGateway || broken.Load() != 1 || strings.Contains(g.body, "short") {
+				if g.status != http.StatusBadGateway || broken.Load() != 1 || strings.Contains(g.body, "short") || strings.Contains(g.body, "Odd") {
 					t.Errorf("got %d %q after %d broken answers; want a 502 after one", g.status, g.body, broken.Load())
 				}
 				_ = sendRequest(t, http.MethodPost, url+"/orders/k", "body")
--- a/router/forward/hop.go
+++ b/router/forward/hop.go
@@ -230,7 +230,8 @@
 	if errors.Is(err, responsehead.ErrBroken) {
 		h.client.opts.Log.Log(evHopBroken, event.F("request", h.id), event.F("host", h.record.Holder.Name),
 			event.F("address", h.record.Holder.HopAddr), event.F("error", err.Error()))
-		return errkind.New(errkind.OutcomeUnknown, "host %s sent a broken response: %w", h.record.Holder.Name, err)
+		// The error quotes a line that may belong to the response to another caller.
+		return errkind.New(errkind.OutcomeUnknown, "host %s responded with a broken head", h.record.Holder.Name)
 	}
 	if !h.sent.Load() {
 		if ctx.Err() != nil {
--- a/router/sidecar/attempts.go
+++ b/router/sidecar/attempts.go
@@ -223,7 +223,7 @@
 func (e *entry) logBrokenHop(c *Call, h *fleet.Host, r *Result) {
 	if r.Err != nil && errors.Is(r.Err, responsehead.ErrBroken) {
 		e.log.Log(eventBrokenHop, event.F("request", c.RequestID), event.F("host", h.Member().Host),
-			event.F("address", h.Client.Address()), event.F("error", r.Err.Detail))
+			event.F("address", h.Client.Address()), event.F("error", r.Err.Err.Error()))
 	}
 }
 
--- a/router/sidecar/brokenhead_test.go
+++ b/router/sidecar/brokenhead_test.go
@@ -234,7 +234,7 @@
 			t.Errorf("%s: field %q in %q", id, name, head)
 		}
 	}
-	if strings.Contains(head, "Odd") || resp.Header.Get(testHeaders.RequestID) != id {
+	if strings.Contains(head+body, "Odd") || resp.Header.Get(testHeaders.RequestID) != id {
 		t.Errorf("%s: head %q", id, head)
 	}
 }
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -282,7 +282,7 @@
 		if ctx.Err() == nil {
 			g.client.CloseIdle()
 		}
-		return &Result{Arrived: true, lost: ctx.Err() == nil, Err: errkind.New(errkind.OutcomeUnknown, "the upstream got the request and did not respond: %w", err)}
+		return &Result{Arrived: true, lost: ctx.Err() == nil, Err: unansweredError("the upstream", err)}
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -298,6 +298,16 @@
 	return r
 }
 
+// unansweredError returns the error of a request that was sent to a server, and got no response
+// or a broken one. The caller does not learn the line that breaks a head: it may belong to the
+// response to another caller. The log has it.
+func unansweredError(server string, err error) *errkind.Error {
+	if !errors.Is(err, responsehead.ErrBroken) {
+		return errkind.New(errkind.OutcomeUnknown, "%s got the request and did not respond: %w", server, err)
+	}
+	return errkind.New(errkind.OutcomeUnknown, "%s got the request and its response has a broken head", server).WithCause(err)
+}
+
 // handleResponse checks the response of the upstream and returns it as a result.
 func (g *gate) handleResponse(c *Call, resp *h1.Response, release func(admit.Result)) *Result {
 	if err := g.refusalError(resp); err != nil {
--- a/router/sidecar/hop.go
+++ b/router/sidecar/hop.go
@@ -123,7 +123,7 @@
 	}
 	switch {
 	case sent:
-		return &Result{Arrived: true, Unreachable: ctx.Err() == nil, Err: errkind.New(errkind.OutcomeUnknown, "host %s got the request and did not respond: %w", client.Address(), err)}
+		return &Result{Arrived: true, Unreachable: ctx.Err() == nil, Err: unansweredError("host "+client.Address(), err)}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		// With a connection, the request waited there for a slot before its body was wanted.
 		return &Result{Unreachable: !failure.Connected, Err: errkind.New(errkind.DeadlinePassed, "the deadline passed before the request was sent or admitted")}
--- a/router/upstream/client.go
+++ b/router/upstream/client.go
@@ -354,6 +354,10 @@
 // classify converts the error of a request without a response to one with a kind.
 func (c *Client) classify(ctx context.Context, t *target, a *attempt, err error) error {
 	if a.conn != nil && !a.conn.seal(a.writtenBefore) {
+		if errors.Is(err, responsehead.ErrBroken) {
+			// The line may belong to the response to another caller.
+			return errkind.New(errkind.OutcomeUnknown, "the request was sent and the upstream's response has a broken head").WithCause(err)
+		}
 		return errkind.New(errkind.OutcomeUnknown, "the request was sent and the upstream did not respond: %w", err)
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
