--- a/router/hop/message.go
+++ b/router/hop/message.go
@@ -22,9 +22,6 @@
 // maxHeadBytes is the maximum size of an encoded head.
 const maxHeadBytes = 128 << 10
 
-// maxStatus is the highest status of a response.
-const maxStatus = 599
-
 // unknownLength is the Length of a body that is sent in chunks.
 const unknownLength = -1
 
@@ -165,7 +162,7 @@
 // Responses to calls of the store have no status.
 func (h *ResponseHead) check(storeCall bool) error {
 	noStatus := h.Kind != "" || storeCall
-	if !noStatus && (h.Status < http.StatusOK || h.Status > maxStatus) {
+	if !noStatus && (h.Status < http.StatusOK || h.Status > responsehead.MaxStatus) {
 		return fmt.Errorf("%w: status %d", responsehead.ErrBroken, h.Status)
 	}
 	if h.Length < unknownLength {
--- a/router/responsehead/check.go
+++ b/router/responsehead/check.go
@@ -17,10 +17,10 @@
 // ErrBroken is wrapped by the errors of heads that are not allowed by HTTP/1.1 (RFC 9112).
 var ErrBroken = errors.New("broken head of a response")
 
-// Status codes outside of this range have no meaning (RFC 9110, section 15).
 const (
+	// minStatus and MaxStatus bound the status codes that have a meaning (RFC 9110, section 15).
 	minStatus = 100
-	maxStatus = 599
+	MaxStatus = 599
 )
 
 // maxQuoted is the number of bytes of a line that an error quotes.
@@ -97,7 +97,7 @@
 	if (!h.http10 && string(version) != "HTTP/1.1") || !isValue(reason) {
 		return broken("status line", line)
 	}
-	if h.status = parseStatus(code); h.status < minStatus || h.status > maxStatus {
+	if h.status = parseStatus(code); h.status < minStatus || h.status > MaxStatus {
 		return broken("status", line)
 	}
 	if h.status == http.StatusSwitchingProtocols {
