--- a/router/sidecar/connguard_test.go
+++ b/router/sidecar/connguard_test.go
@@ -191,7 +191,9 @@
 		}
 		failing := &failingListener{Listener: l}
 		failing.failures.Store(4)
-		server := hop.NewServer(func(context.Context, *hop.Request) *hop.Response { return &hop.Response{ResponseHead: hop.ResponseHead{Status: http.StatusOK}} })
+		server := hop.NewServer(func(context.Context, *hop.Request) *hop.Response {
+			return &hop.Response{ResponseHead: hop.ResponseHead{Status: http.StatusOK}}
+		})
 		ended := make(chan error, 1)
 		go func() { ended <- server.Serve(wrap(failing)) }()
 		client := newHopClient(l.Addr().String())
