Do not copy bodies in the connections that check heads

Cause: responsehead.Conn appended what it read to its head before it asked whether a head was due, and threw it away again. Found while reading the diff.

Change: it asks first.

--- a/router/responsehead/transport.go
+++ b/router/responsehead/transport.go
@@ -111,6 +111,9 @@
 func (c *Conn) check(data []byte) (first bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.expecting {
+		return false, nil
+	}
 	first = len(c.head) == 0
 	c.head = append(c.head, data...)
 	for c.expecting {
