Keep lines of broken trailers out of what callers get; drop a dead check

Callers saw, for a short answer in chunks with a broken trailer: a 502 whose detail quoted the line of the trailer, which may belong to another response.

The detail of answer_incomplete held the error of the body, both that of the trailer check and net/http's own.

Change: the detail says that the response was cut; event 1845 has the error, now for short bodies as for long ones.

Evidence: TestBrokenResponseIsNotPassedOnAsWhole looks for the line in the body; before the change it failed for both broken trailers of 100 bytes at both hosts, and passes now, as do the new case of TestBrokenResponseIsLogged and the tests of crashes and quarantine, with the race detector.

--- a/router/sidecar/brokenhead_test.go
+++ b/router/sidecar/brokenhead_test.go
@@ -356,6 +356,7 @@
 	t.Parallel()
 	for name, c := range map[string]struct{ text, cause string }{
 		"head":      {"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n", "status"},
+		"trailer":   {head("1.1", "Transfer-Encoding: chunked\r\n\r\n", chunk("short")+"0\r\nX-Odd b: c\r\n\r\n")("r"), "X-Odd b"},
 		"long body": {head("1.1", fmt.Sprintf("Content-Length: %d\r\n\r\n", 4*maxBufferedResponse), strings.Repeat("b", 3*maxBufferedResponse))("r"), "unexpected EOF"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/router/sidecar/brokenresponse_test.go
+++ b/router/sidecar/brokenresponse_test.go
@@ -119,8 +119,8 @@
 		{name: "half of the blank line behind the last chunk", text: chunked(whole + "0\r\n\r")},
 		{name: "trailer field", text: chunked(whole + "0\r\nA: b")},
 		{name: "trailer field with line end", text: chunked(whole + "0\r\nA: b\r\n")},
-		{name: "trailer field with a blank in its name", text: chunked(whole + "0\r\nA b: c\r\n\r\n")},
-		{name: "trailer field with a control byte in its name", text: chunked(whole + "0\r\nA\x01b: c\r\n\r\n")},
+		{name: "trailer field with a blank in its name", text: chunked(whole + "0\r\nX-Odd b: c\r\n\r\n")},
+		{name: "trailer field with a control byte in its name", text: chunked(whole + "0\r\nX-Odd\x01b: c\r\n\r\n")},
 		{name: "chunk size with a sign", text: chunked(whole + "+5\r\nshort\r\n0\r\n\r\n")},
 		{name: "wrong end of chunk data", text: chunked(strings.TrimSuffix(whole, "\r\n") + "xx0\r\n\r\n")},
 		{name: "negative chunk size", text: chunked(whole + "-1\r\n\r\n0\r\n\r\n")},
@@ -212,6 +212,9 @@
 			if err == nil && got.status != http.StatusBadGateway {
 				t.Errorf("%s: %s: status %d with %d bytes looks complete", entry.settings.Host.Name, b.name, got.status, len(got.body))
 			}
+			if strings.Contains(got.body, "X-Odd") {
+				t.Errorf("%s: %s: the caller got a line of the trailer: %s", entry.settings.Host.Name, b.name, got.body)
+			}
 		}
 	}
 }
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -93,7 +93,7 @@
 	eventUpstreamFailed = event.Define(1842, log.InfoLevel, "no usable response of the upstream",
 		"The gate sent a request to the local upstream, or tried to, and got no response that may be passed on.", "The field arrived says whether the upstream got the request; search the upstream's own log for its id.")
 	eventBrokenResponse = event.Define(1845, log.WarnLevel, "broken response of the upstream",
-		"The local upstream answered a request with a head that HTTP/1.1 does not allow, or its body broke off or has a broken end after a part of it was passed on. The connection was closed. If the head was broken, nothing of the response was used, and the outcome of the request is unknown; otherwise the connection of the caller ended in the middle of the response.", "Look at the log of the process at the address; the error quotes the line of the head.")
+		"The local upstream answered a request with a head that HTTP/1.1 does not allow, or the body of its response broke off or has a broken end. The connection was closed. If a part of a long body had been passed on, the connection of the caller ended in the middle of the response; otherwise nothing of it was used, and the outcome of the request is unknown.", "Look at the log of the process at the address; the error quotes the line of the head.")
 	eventBrokenHop = event.Define(1846, log.WarnLevel, "broken response of another host",
 		"Another host answered a request with a head that a router does not send. Nothing of the response was used, the connection was closed, and the outcome of the request is unknown.", "Find out which process listens at the address, and compare the versions of the two routers.")
 	eventPanic = event.Define(1843, log.ErrorLevel, "panic in the router",
--- a/router/sidecar/gate.go
+++ b/router/sidecar/gate.go
@@ -240,15 +240,11 @@
 	}
 	g.local.connected()
 	g.notices.read(sent, holder, resp)
-	r := g.handleResponse(c, resp, release)
-	if stream, ok := r.Body.(*streamedResponse); ok {
-		stream.onError = func(err error) {
-			if ctx.Err() == nil {
-				g.logBroken(c, holder, err)
-			}
+	return g.handleResponse(c, resp, release, func(err error) {
+		if ctx.Err() == nil {
+			g.logBroken(c, holder, err)
 		}
-	}
-	return r
+	})
 }
 
 // logBroken logs a response of the upstream that is not one of HTTP/1.1, or not complete.
@@ -308,8 +304,9 @@
 	return errkind.New(errkind.OutcomeUnknown, "%s got the request and its response has a broken head", server).WithCause(err)
 }
 
-// handleResponse checks the response of the upstream and returns it as a result.
-func (g *gate) handleResponse(c *Call, resp *h1.Response, release func(admit.Result)) *Result {
+// handleResponse checks the response of the upstream and returns it as a result. onError is called
+// with the error of a body that does not end as it should.
+func (g *gate) handleResponse(c *Call, resp *h1.Response, release func(admit.Result), onError func(error)) *Result {
 	if err := g.refusalError(resp); err != nil {
 		if c.Keyed && err.Kind == errkind.WrongOwner {
 			g.keys.markUncertain(c.Key)
@@ -329,7 +326,9 @@
 	if err != nil {
 		_ = resp.Body.Close()
 		release(admit.Failed)
-		return &Result{Arrived: true, lost: true, Err: errkind.New(errkind.AnswerIncomplete, "the upstream's response was cut: %w", err)}
+		onError(err)
+		// The error may quote a line of the trailer, which may belong to another response.
+		return &Result{Arrived: true, lost: true, Err: errkind.New(errkind.AnswerIncomplete, "the upstream's response was cut").WithCause(err)}
 	}
 	r := &Result{Arrived: true, Status: resp.Status, Header: resp.Header, Length: resp.Length}
 	if complete {
@@ -342,7 +341,7 @@
 		r.Body = io.NopCloser(bytes.NewReader(head))
 		return r
 	}
-	r.Body = &streamedResponse{Reader: io.MultiReader(bytes.NewReader(head), resp.Body), body: resp.Body, release: release}
+	r.Body = &streamedResponse{Reader: io.MultiReader(bytes.NewReader(head), resp.Body), body: resp.Body, release: release, onError: onError}
 	return r
 }
 
--- a/router/upstream/brokenhead_test.go
+++ b/router/upstream/brokenhead_test.go
@@ -19,6 +19,7 @@
 var brokenResponses = map[string]string{
 	"status 000":                 "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
 	"status 000 with a body":     "HTTP/1.1 000 Trouble\r\nContent-Length: 5\r\n\r\nshort",
+	"status 101":                 "HTTP/1.1 101 Switching Protocols\r\n\r\n",
 	"status 600":                 "HTTP/1.1 600 Trouble\r\nContent-Length: 0\r\n\r\n",
 	"signed status":              "HTTP/1.1 +20 OK\r\nContent-Length: 0\r\n\r\n",
 	"another version":            "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
--- a/router/upstream/response.go
+++ b/router/upstream/response.go
@@ -21,10 +21,6 @@
 		defer resp.Body.Close()
 		return nil, refusalError(resp)
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		resp.Body.Close()
-		return nil, errkind.New(errkind.OutcomeUnknown, "the upstream switched to another protocol")
-	}
 	chunked := slices.Contains(resp.TransferEncoding, "chunked")
 	if resp.ContentLength < 0 && !chunked && method != http.MethodHead {
 		resp.Body.Close()
