--- a/review/harness3/consumer.go
+++ b/review/harness3/consumer.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,8 +27,10 @@
 type consumers struct {
 	rec  *record
 	next atomic.Int64
-	stop chan struct{}
-	wg   sync.WaitGroup
+	// keyed is true if each request has a random key, and all may be repeated.
+	keyed bool
+	stop  chan struct{}
+	wg    sync.WaitGroup
 
 	mu  sync.Mutex
 	all map[string]*sent
@@ -56,7 +60,7 @@
 			client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
 			for j := 0; !c.ended(pause); j++ {
 				if in.Load() {
-					c.send(client, m, (i+j)%2 == 0)
+					c.send(client, m, !c.keyed && (i+j)%2 == 0)
 				}
 			}
 		})
@@ -96,6 +100,9 @@
 	req.Host = "review.example"
 	req.Header.Set(headers.RequestID, s.id)
 	req.Header.Set(headers.DeadlineMs, "2500")
+	if c.keyed {
+		req.Header.Set(headers.Key, strconv.Itoa(rand.IntN(65536)))
+	}
 	c.rec.printf("request %s (%s %s) sent to %s", s.id, method, path, m.name)
 	resp, err := client.Do(req)
 	if err == nil {
@@ -111,3 +118,21 @@
 	c.rec.printf("request %s is answered %d", s.id, s.status)
 	return s
 }
+
+// share returns the share of the requests sent between two times that were answered 200, and
+// their number.
+func (c *consumers) share(from, to time.Time) (served float64, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ok := 0
+	for _, s := range c.all {
+		if s.at.Before(from) || !s.at.Before(to) {
+			continue
+		}
+		n++
+		if s.status == http.StatusOK {
+			ok++
+		}
+	}
+	return float64(ok) / float64(max(n, 1)), n
+}
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -35,6 +35,7 @@
 
 var cases = map[string]func(*world) (broken bool, err error){
 	"stop-forgets-leave": stopForgetsLeave,
+	"many-lost":          manyLost,
 }
 
 func main() {
--- a/review/harness3/names.go
+++ b/review/harness3/names.go
@@ -14,7 +14,9 @@
 // names, which package platform has.
 var names struct {
 	SettingsVariable, ReadyPath, HeartbeatPath, DeregisterPath string
-	Heartbeat, Clock, Era, Signature                           string
+	Heartbeat, Clock, Era, Signature, Txn                      string
+	// TxnEntries are the lists of entries of a transaction.
+	TxnEntries []string
 }
 
 var headers = platform.Headers()
