--- a/review/harness3/consumer.go
+++ b/review/harness3/consumer.go
@@ -57,7 +57,7 @@
 	})
 	for i := range n {
 		c.wg.Go(func() {
-			client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+			client := newClient()
 			for j := 0; !c.ended(pause); j++ {
 				if in.Load() {
 					c.send(client, m, !c.keyed && (i+j)%2 == 0)
@@ -67,6 +67,11 @@
 	}
 }
 
+// newClient returns a client with connections of its own.
+func newClient() *http.Client {
+	return &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+}
+
 // ended waits for d and reports whether the consumers are to stop.
 func (c *consumers) ended(d time.Duration) bool {
 	select {
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -36,6 +36,7 @@
 var cases = map[string]func(*world) (broken bool, err error){
 	"stop-forgets-leave": stopForgetsLeave,
 	"many-lost":          manyLost,
+	"fraction-bound":     fractionBound,
 }
 
 func main() {
