--- a/review/harness3/consumer.go
+++ b/review/harness3/consumer.go
@@ -29,15 +29,17 @@
 	next atomic.Int64
 	// keyed is true if each request has a random key, and all may be repeated.
 	keyed bool
-	stop  chan struct{}
-	wg    sync.WaitGroup
+	// path is that of requests that may be repeated.
+	path string
+	stop chan struct{}
+	wg   sync.WaitGroup
 
 	mu  sync.Mutex
 	all map[string]*sent
 }
 
 func newConsumers(rec *record) *consumers {
-	return &consumers{rec: rec, stop: make(chan struct{}), all: map[string]*sent{}}
+	return &consumers{rec: rec, path: "/look/1", stop: make(chan struct{}), all: map[string]*sent{}}
 }
 
 // start lets n consumers send to the machine, each a request every pause. They send none after
@@ -93,7 +95,7 @@
 	c.mu.Lock()
 	c.all[s.id] = s
 	c.mu.Unlock()
-	method, path, body := http.MethodGet, "/look/1", io.Reader(nil)
+	method, path, body := http.MethodGet, c.path, io.Reader(nil)
 	if unsafe {
 		method, path, body = http.MethodPost, "/pay/1", strings.NewReader("pay "+s.id)
 	}
--- a/review/harness3/machine.go
+++ b/review/harness3/machine.go
@@ -178,7 +178,7 @@
 }
 
 // nextPort is the last port that freeAddresses tried. It stays below the ephemeral ports.
-var nextPort = 20000 + os.Getpid()%1000*10
+var nextPort = 20000 + os.Getpid()%50*200
 
 // freeAddresses returns n loopback addresses on which nothing listens.
 func freeAddresses(n int) ([]string, error) {
--- a/review/harness3/manylost.go
+++ b/review/harness3/manylost.go
@@ -25,8 +25,9 @@
 
 // keyedServer is a server that holds keys, the project's own stand-in.
 type keyedServer struct {
-	web  *http.Server
-	stop context.CancelFunc
+	server *standin.Server
+	web    *http.Server
+	stop   context.CancelFunc
 }
 
 func startKeyedServer(w *world, ledger *standin.Ledger, m *machine) (*keyedServer, error) {
@@ -38,7 +39,7 @@
 		Instance: "i-" + m.name, Service: m.service, Slots: 14, Control: m.control,
 		HeartbeatInterval: 870 * time.Millisecond, WorkTime: 20 * time.Millisecond, Keyed: true, Ledger: ledger,
 	})
-	k := &keyedServer{web: &http.Server{Handler: s}}
+	k := &keyedServer{server: s, web: &http.Server{Handler: s}}
 	go func() { _ = k.web.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	k.stop = cancel
@@ -52,8 +53,9 @@
 	_ = k.web.Close()
 }
 
-// manyLost: the machines of all zones but the last are lost for good at once, and others come
-// in their place at other addresses.
+// manyLost: all machines lose power at once. Those of the last zone come back; the others are
+// lost for good, and others come in their place at other addresses. With ALL=0 the machines of
+// the last zone keep running.
 func manyLost(w *world) (broken bool, err error) {
 	const service = "huvo11a"
 	perZone := machinesPerZone
@@ -104,12 +106,25 @@
 	}
 	back := time.Now()
 	if w.trouble {
-		w.rec.say("%d of %d machines lose power for good", lost, total)
+		w.rec.say("all machines lose power (with ALL=0 only those that are lost); %d of %d are lost for good", lost, total)
 		for i := range lost {
 			machines[i].signal(syscall.SIGKILL)
 			servers[i].end()
 		}
+		all := os.Getenv("ALL") != "0"
+		for i := lost; i < total && all; i++ {
+			machines[i].signal(syscall.SIGKILL)
+			servers[i].end()
+		}
 		time.Sleep(2 * time.Second)
+		for i := lost; i < total && all; i++ {
+			if err := machines[i].start(); err != nil {
+				return false, err
+			}
+			if servers[i], err = startKeyedServer(w, ledger, machines[i]); err != nil {
+				return false, err
+			}
+		}
 		if err := add(total, total+lost); err != nil {
 			return false, err
 		}
--- a/review/harness3/names.go
+++ b/review/harness3/names.go
@@ -14,7 +14,7 @@
 // names, which package platform has.
 var names struct {
 	SettingsVariable, ReadyPath, HeartbeatPath, DeregisterPath string
-	Heartbeat, Clock, Era, Signature, Txn                      string
+	Heartbeat, Clock, Era, Signature, Txn, HoldTime            string
 	// TxnEntries are the lists of entries of a transaction.
 	TxnEntries []string
 }
