--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -37,6 +37,8 @@
 	"stop-forgets-leave": stopForgetsLeave,
 	"many-lost":          manyLost,
 	"fraction-bound":     fractionBound,
+	"scale-in":           scaleIn,
+	"owner-fuzz":         ownerFuzz,
 }
 
 func main() {
