--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -39,6 +39,7 @@
 	"fraction-bound":     fractionBound,
 	"scale-in":           scaleIn,
 	"owner-fuzz":         ownerFuzz,
+	"read-behind":        readBehind,
 }
 
 func main() {
