Keep acknowledged notices of leaving in the store, beyond stops and kills

Cause: a notice was acknowledged once the process knew it. What outlasts the process, the member row, was written later, for the current incarnation only, and deleted by a planned stop. A kill before the write, a store that is away and a deregistration before the first heartbeat lost the notice as well.

Change: each notice has a row of its own in the table "leave" and is acknowledged once that row is written; a process reads the rows of earlier ones before it believes a heartbeat, or believes none for 10 s. Stops leave the rows alone; the reader of a zone removes those of hosts that are gone.

Why it works: the row is there before the acknowledgement, whatever ends the process, and no heartbeat counts before the row is read.

--- a/router/sidecar/build.go
+++ b/router/sidecar/build.go
@@ -86,7 +86,11 @@
 	}
 	s.gate.notices = &noticeReader{
 		decode: s.opts.Notice, log: s.log, scope: s.scope, local: s.local, limiter: s.gate.limiter,
-		leaves: func() { s.upstreamChanged(s.local.get()) },
+		leaves: func() {
+			state := s.local.get()
+			s.leaves.add(state.leavingSince, Withdrawal(state.incarnation()))
+			s.upstreamChanged(state)
+		},
 	}
 	s.link = newLinkScheduler(host.LinkMbps, linkMemory(host.MemoryBytes()), s.log, s.scope)
 	budget := BudgetLimits{Ratio: terms.RetryRatio, Slack: terms.RetrySlack, Window: millis(terms.RetryWindowMs)}
@@ -116,10 +120,12 @@
 		UpToDate: s.fleetUpToDate, CheckStore: s.directStore, CheckDelay: s.fleetCheckDelay, Checked: s.fleetChecked,
 	}
 	s.publisher = &publisher{store: s.store, eras: s.eras, log: s.log, member: s.memberRow, foundRow: s.ownRowFound, wakeCh: make(chan struct{}, 1)}
+	s.leaves = &leaveRecord{host: s.settings.Host.Name, store: s.store, eras: s.eras, log: s.log, found: s.earlierNoticesFound}
 	s.sweeper = &sweeper{
 		host: s.settings.Host.Name, zone: s.settings.Host.Zone, fleet: s.fleet, log: s.log,
 		readsForZone: func() bool { return s.fleetFed.Reading() != rowstore.Follows },
 		probe:        func(ctx context.Context, h *fleet.Host) error { return h.Client.Probe(ctx) },
 		remove:       s.removeMemberRow,
+		store:        s.store,
 	}
 }
--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -54,6 +54,14 @@
 		"A heartbeat of the upstream arrived that is not newer than the last one. Only a notice in it that the upstream leaves counts.", "none")
 	eventUnprovenHeartbeat = event.Define(1852, log.WarnLevel, "heartbeat not acknowledged",
 		"A heartbeat of another incarnation than the current one arrived, and nothing shows yet that it is the later one: it started before the last heartbeat of the current one, or the time of day has stepped. It is believed once it goes on sending heartbeats while the current one is silent.", "none; if it repeats for one incarnation, look for two processes at one address.")
+	eventNoticeNotWritten = event.Define(1853, log.WarnLevel, "notice of leaving not written",
+		"The store did not accept the row of a notice that the upstream leaves. The upstream gets no new requests, but the notice is not acknowledged, because a later process of this router would not know it. The write is retried.", "See event 1810.")
+	eventEarlierNotices = event.Define(1854, log.InfoLevel, "notices of leaving read",
+		"Earlier processes of this router have acknowledged that incarnations of the upstream leave; they get no requests.", "none")
+	eventEarlierNoticesUnknown = event.Define(1855, log.WarnLevel, "notices of leaving unknown",
+		"This process could not read which incarnations of the upstream have given notice to earlier ones. Until heartbeats_believed is true, 10 s after the start, heartbeats are not acknowledged and the upstream gets no requests.", "See event 1810.")
+	eventNoticesRemoved = event.Define(1856, log.InfoLevel, "notices of leaving removed",
+		"Notices that a host had kept in the store were removed, or could not be, because the host is no longer known.", "none")
 	eventPublishFailed = event.Define(1822, log.WarnLevel, "member row not written",
 		"The store did not accept this host's own row; the write is retried.", "See event 1810.")
 	eventRouteUnreadable = event.Define(1823, log.WarnLevel, "fields of a route left out",
@@ -67,7 +75,7 @@
 	eventKeysClaimed = event.Define(1828, log.InfoLevel, "keys claimed",
 		"The store was put back to an older copy. This host claims the ranges that it holds by the lease of the era before, so that a new key map can be made.", "If claims is 0, its keys are served again once all earlier leases have ended.")
 	eventWithdrawn = event.Define(1829, log.InfoLevel, "upstream withdrew",
-		"An incarnation of the local upstream gave notice that it leaves; the notice is acknowledged. If current is false, this process has no heartbeat of that incarnation: the notice is kept for its first one. started is 0 if the notice does not tell it.", "none")
+		"An incarnation of the local upstream gave notice that it leaves. The notice is acknowledged unless the store did not record it in time (event 1853). If current is false, this process has no heartbeat of that incarnation: the notice is kept for its first one. started is 0 if the notice does not tell it.", "none")
 	eventGrant = event.Define(1830, log.DebugLevel, "keys granted",
 		"The response to a heartbeat of the upstream granted it keys.", "none")
 	eventMapChanged = event.Define(1831, log.InfoLevel, "key map changed",
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -98,6 +98,7 @@
 	// explaining is held while an explanation is made.
 	explaining sync.Mutex
 	publisher  *publisher
+	leaves     *leaveRecord
 	sweeper    *sweeper
 	// memberVersions maps the names of hosts to the versions (int64) of their member rows
 	// as last read.
@@ -191,6 +192,11 @@
 // HandleHeartbeat processes a heartbeat of the local upstream. If it returns false, the
 // heartbeat must not be acknowledged: nothing that it says is in force.
 func (s *Sidecar) HandleHeartbeat(r Heartbeat) (response HeartbeatResponse, acknowledged bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveKeepTimeout)
+	defer cancel()
+	if !s.believesHeartbeats(ctx) {
+		return HeartbeatResponse{}, false
+	}
 	before := s.local.get()
 	state, verdict, changed := s.local.recordHeartbeat(time.Now(), r)
 	s.quarantine.heartbeat(before, state, verdict)
@@ -201,6 +207,9 @@
 	if coldChanged || changed {
 		s.upstreamChanged(state)
 	}
+	if verdict != heartbeatUnproven && !s.keepLeaving(ctx, state, r) {
+		return HeartbeatResponse{}, false
+	}
 	switch verdict {
 	case heartbeatOutdated:
 		s.log.Log(eventStaleHeartbeat, event.F("instance", r.Instance), event.F("started", r.Started), event.F("sequence", r.Sequence))
@@ -213,14 +222,36 @@
 	return s.keys.handleHeartbeat(state, r), true
 }
 
+// keepLeaving has the notice recorded that the incarnation of a heartbeat leaves, if it does.
+// It returns false if the heartbeat says so and the notice is not recorded in time.
+func (s *Sidecar) keepLeaving(ctx context.Context, state upstreamState, r Heartbeat) bool {
+	if state.leavingSince.IsZero() {
+		return true
+	}
+	w := Withdrawal(state.incarnation())
+	if !r.Draining { // sent before the notice
+		s.leaves.add(state.leavingSince, w)
+		return true
+	}
+	return s.leaves.keep(ctx, state.leavingSince, w)
+}
+
 // Withdraw processes the notice that an incarnation of the local upstream leaves. The
-// incarnation gets no new requests afterwards, also if its first heartbeat arrives later.
-func (s *Sidecar) Withdraw(w Withdrawal) {
-	current := s.local.withdraw(time.Now(), w)
-	s.log.Log(eventWithdrawn, event.F("instance", w.Instance), event.F("started", w.Started), event.F("current", current))
+// incarnation gets no new requests afterwards, also if its first heartbeat arrives later. If
+// it returns false, the notice must not be acknowledged: it would not outlast this process.
+func (s *Sidecar) Withdraw(w Withdrawal) (acknowledged bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveKeepTimeout)
+	defer cancel()
+	now := time.Now()
+	current := s.local.withdraw(now, w)
 	if current {
-		s.upstreamChanged(s.local.get())
+		state := s.local.get()
+		w.Started = state.holder.Started
+		s.upstreamChanged(state)
 	}
+	acknowledged = s.leaves.keep(ctx, now, w)
+	s.log.Log(eventWithdrawn, event.F("instance", w.Instance), event.F("started", w.Started), event.F("current", current), event.F("acknowledged", acknowledged))
+	return acknowledged
 }
 
 func (s *Sidecar) upstreamChanged(state upstreamState) {
@@ -241,6 +272,7 @@
 	s.log.Log(eventStorePutBack, event.F("era", s.eras.Newest()))
 	s.scope.Gauge("store_era").Update(float64(s.eras.Newest()))
 	go s.publisher.writeAgain() // the response may be one of the publisher's own calls
+	s.leaves.writeAgain()
 	s.keys.wake()
 }
 
@@ -300,6 +332,7 @@
 	}
 	<-ctx.Done()
 	s.stop(servers)
+	s.leaves.close()
 	cancel()
 	wg.Wait()
 	s.log.Log(eventStopped, event.F("unfinished", s.inFlight.Load()))
--- a/router/sidecar/sweeper_test.go
+++ b/router/sidecar/sweeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"testing"
+	"time"
 
 	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/rowstore"
@@ -41,6 +42,34 @@
 	}
 }
 
+// Guards against notices of leaving that accumulate as hosts are replaced, and against the loss
+// of those of a host whose router is just being started again.
+func TestSweeperRemovesNoticesOfGoneHosts(t *testing.T) {
+	t.Parallel()
+	store := rowstore.NewMemory()
+	h := newEvacuationHost(store)
+	keep := func(host string) {
+		r := &leaveRecord{host: host, store: store, eras: h.eras}
+		if !r.keep(t.Context(), time.Now(), Withdrawal{Instance: "a", Started: 1}) {
+			t.Fatal("the notice is not written")
+		}
+	}
+	for _, host := range []string{"gone", "known", "back"} {
+		keep(host)
+	}
+	know := func(host string) {
+		h.fleet.Put(fleet.Member{Host: host, Zone: "z1", Service: "s", Address: host + ":1", State: fleet.Ready})
+	}
+	know("known")
+	h.sweeper.sweepNotices(t.Context())
+	know("back")
+	h.sweeper.sweepNotices(t.Context())
+	hosts, _, err := store.Parts(t.Context(), tableLeave)
+	if err != nil || !slices.Equal(hosts, []string{"back", "known"}) {
+		t.Errorf("notices of %v, %v; want only the gone host's removed", hosts, err)
+	}
+}
+
 // Guards against a running host that others no longer find after its row was removed.
 func TestRemovedHostRejoins(t *testing.T) {
 	t.Parallel()
--- a/router/sidecar/upstream.go
+++ b/router/sidecar/upstream.go
@@ -176,6 +176,21 @@
 	return false
 }
 
+// recordEarlier records notices that earlier processes of this router have acknowledged. It
+// reports whether other hosts must be notified.
+func (u *localUpstream) recordEarlier(now time.Time, ws []acceptedWithdrawal) (changed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, w := range ws {
+		u.withdrawals.add(w)
+	}
+	if !u.state.known || !u.state.leavingSince.IsZero() {
+		return false
+	}
+	u.withdrawals.apply(now, &u.state)
+	return !u.state.leavingSince.IsZero()
+}
+
 // withdraw records the notice that an incarnation of the upstream leaves. It reports
 // whether that incarnation is the current one. The notice of another one is kept until its
 // first heartbeat.
