Take the figures of the platform's settings in every form

Cause: the template made milliseconds of seconds with three digits behind the placeholder (6.5000, true000, or 000 for no value), and the settings took whole numbers only: 4000.0, 6.375, true and false were refused, at the start (the process ended) and at a reload (event 1804).

Change: the settings that a template fills in are converted from each form that DEPLOY.md allows before they are mapped: fractions, true and false. grace_s and retry_window_s take seconds, so that the template computes nothing.

Why it works: what a page allows for a value no longer decides whether the process starts; start and reload share the reader.

--- a/router/sidecar/settings.go
+++ b/router/sidecar/settings.go
@@ -13,7 +13,10 @@
 )
 
 // Settings are the settings of one sidecar process, an INI file with one section for each
-// field. Durations are whole milliseconds, as the key names say.
+// field. Durations are in milliseconds, as the key names say; grace_s and retry_window_s may
+// stand in place of grace_ms and retry_window_ms. Whole numbers may be given as fractions,
+// which are rounded down, and those of the section terms as true or false, which stand for
+// the default.
 type Settings struct {
 	Host       HostSettings       `ini:"host"`
 	Listen     ListenSettings     `ini:"listen"`
@@ -195,6 +198,9 @@
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
 	}
 	dropEmpty(file)
+	if err := convertFigures(file); err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
 	s := DefaultSettings()
 	if err := file.StrictMapTo(&s); err != nil {
 		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
