Do not take a reset during an upload for the end of a response

Cause: the kernel reports the failure of a connection once. The write of the upload got the report, and the read behind it returned the end of the stream, which ends a response without a length. Likewise a peer that closes just before more of the body arrives: its end comes first, the reset behind it.

Change: router/resetconn. All clients use it: upstreams, other routers, commands and the store (connpool), and everything on http.Transport (responsehead). A failed upload no longer closes the connection under the reader: a response that is framed and whole is read to its end (h1), also if the body was sent with the head. Such connections are not used again.

TestSilentConnectionIsFoundInTime asks the connection for its socket by the interface, because its type has changed; what it checks is unchanged.

Why it works: whichever call gets the report, the reader learns of it before it reports an end, since a write that got it has not returned yet or has left the error.

--- a/router/connpool/pool.go
+++ b/router/connpool/pool.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"burdockglade.dev/router/resetconn"
 )
 
 // readBufferBytes is the size of the read buffer of a connection.
@@ -80,7 +82,7 @@
 	return p.opts.Address
 }
 
-// Conn is one connection.
+// Conn is one connection. Its reads return io.EOF only at the end that the peer has set.
 type Conn struct {
 	net.Conn
 	// Reader reads from the connection.
@@ -157,7 +159,7 @@
 	if cn.Reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := cn.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := cn.Conn.(*resetconn.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -223,6 +225,7 @@
 		}
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	nc = resetconn.New(nc)
 	cn := &Conn{Conn: nc, pool: p, limiter: &readLimiter{src: nc, remaining: math.MaxInt64}}
 	cn.Reader = bufio.NewReaderSize(cn.limiter, readBufferBytes)
 	return cn, nil
--- a/router/connpool/pool_test.go
+++ b/router/connpool/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 	}
 	defer func() { _ = cn.Close() }()
 	option := func(name int) time.Duration {
-		raw, err := cn.Conn.(*net.TCPConn).SyscallConn()
+		raw, err := cn.Conn.(syscall.Conn).SyscallConn()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"burdockglade.dev/router/connpool"
+	"burdockglade.dev/router/resetconn"
 	"burdockglade.dev/router/responsehead"
 )
 
@@ -51,7 +52,9 @@
 	// Body is sent before the response is read. It is ignored if Stream is set.
 	Body []byte
 	// Stream is a body that is sent concurrently with reading the response. Length
-	// is its length in bytes, or -1 if it is unknown.
+	// is its length in bytes, or -1 if it is unknown. If Stream has a method Begin() error,
+	// that is called before the response is read: a stream that is requested from elsewhere
+	// may no longer be had once the response is passed on.
 	Stream io.Reader
 	Length int64
 	// MaxIdle is the maximum time for which a reused connection may have been idle;
@@ -101,44 +104,63 @@
 		head = append(head, r.Body...)
 	}
 	n, err := cn.Write(head)
-	if err != nil {
-		if n == 0 {
-			err = fmt.Errorf("%w: %w", connpool.ErrNotSent, err)
+	if n == 0 && err != nil {
+		return nil, false, fmt.Errorf("%w: %w", connpool.ErrNotSent, err)
+	}
+	if err != nil && !resetconn.Failed(err) {
+		return nil, true, err
+	}
+	cut := err != nil
+	var upload *connpool.Upload
+	if b, ok := r.Stream.(interface{ Begin() error }); ok && !cut {
+		if err := b.Begin(); err != nil {
+			return nil, true, fmt.Errorf("requesting the body: %w", err)
 		}
-		return nil, n > 0, err
 	}
-	var upload *upload
-	if r.Stream != nil {
-		upload = startUpload(cn, r)
+	if r.Stream != nil && !cut {
+		upload = cn.StartUpload(func(w io.Writer) error { return sendBody(w, r) })
+	}
+	resp, err = readResponse(cn, r)
+	if err != nil {
+		return nil, true, cmp.Or(upload.SourceError(), err)
 	}
+	b := resp.Body.(*body)
+	b.upload = upload
+	b.reusable = b.reusable && !cut
+	return resp, true, nil
+}
+
+// readResponse reads the head of the response to the request. The server may have responded
+// although the upload has failed.
+func readResponse(cn *connpool.Conn, r *Request) (*Response, error) {
 	defer cn.ClearReadLimit()
 	history := historyOf(cn)
 	for range maxResponsesPerRequest {
 		cn.SetReadLimit(maxHeadBytes)
 		hr, err := readHead(cn, r.Method)
 		if err != nil {
-			return nil, true, err
+			return nil, err
 		}
 		if err := checkFraming(hr); err != nil {
-			return nil, true, err
+			return nil, err
 		}
 		belongs, err := history.attribute(r, hr)
 		if err != nil {
-			return nil, true, err
+			return nil, err
 		}
 		if belongs {
-			return newResponse(cn, hr, upload), true, nil
+			return newResponse(cn, hr), nil
 		}
 		// A response to an earlier request. Without a length its end is unknown.
 		if unframed(hr) {
-			return nil, true, errors.New("received a response to another request without a length")
+			return nil, errors.New("received a response to another request without a length")
 		}
 		cn.SetReadLimit(maxSkippedBytes)
 		if _, err := io.Copy(io.Discard, hr.Body); err != nil {
-			return nil, true, fmt.Errorf("skipping a response to another request: %w", err)
+			return nil, fmt.Errorf("skipping a response to another request: %w", err)
 		}
 	}
-	return nil, true, errors.New("received only responses to other requests")
+	return nil, errors.New("received only responses to other requests")
 }
 
 // readHead reads the head of the next final response and skips interim (1xx) ones. Heads that
@@ -210,7 +232,7 @@
 
 // newResponse returns the response whose head is hr. A response without a length ends
 // with its connection, which is then not reused.
-func newResponse(cn *connpool.Conn, hr *http.Response, up *upload) *Response {
+func newResponse(cn *connpool.Conn, hr *http.Response) *Response {
 	cn.PeerIdleTimeout = peerIdleTimeout(hr.Header.Get("Keep-Alive"))
 	history := historyOf(cn)
 	return &Response{
@@ -218,7 +240,7 @@
 		Header: hr.Header,
 		Length: hr.ContentLength,
 		First:  history.responses == 1,
-		Body:   &body{conn: cn, src: hr.Body, head: hr, upload: up, reusable: !hr.Close && !unframed(hr) && !history.closing},
+		Body:   &body{conn: cn, src: hr.Body, head: hr, reusable: !hr.Close && !unframed(hr) && !history.closing},
 	}
 }
 
@@ -243,7 +265,7 @@
 	src  io.ReadCloser
 	// head holds the trailer once the body has been read.
 	head     *http.Response
-	upload   *upload
+	upload   *connpool.Upload
 	stop     func() bool
 	reusable bool
 	ended    bool
@@ -266,54 +288,21 @@
 		b.reusable = b.stop() && b.reusable
 		b.stop = nil
 	}
-	if b.ended && b.reusable && b.conn.Reader.Buffered() == 0 && b.upload.done() {
+	if b.ended && b.reusable && b.conn.Reader.Buffered() == 0 && b.upload.Done() {
 		b.conn.Release()
 		return nil
 	}
 	return b.conn.Close()
 }
 
-// upload sends a request body concurrently with reading the response.
-type upload struct {
-	finished chan struct{}
-	err      error
-}
-
-// startUpload starts sending the body. If the body cannot be sent completely, the
-// connection is closed, so that the server does not take a truncated body for a
-// complete one.
-func startUpload(cn *connpool.Conn, r *Request) *upload {
-	u := &upload{finished: make(chan struct{})}
-	go func() {
-		defer close(u.finished)
-		if u.err = sendBody(cn, r); u.err != nil {
-			_ = cn.Close()
-		}
-	}()
-	return u
-}
-
-// done reports whether the body was sent completely. It is true for a nil upload.
-func (u *upload) done() bool {
-	if u == nil {
-		return true
-	}
-	select {
-	case <-u.finished:
-		return u.err == nil
-	default:
-		return false
-	}
-}
-
 const uploadBufferBytes = 16 << 10
 
-// sendBody writes r.Stream, in chunks if its length is unknown. A stream shorter than
+// sendBody writes r.Stream to w, in chunks if its length is unknown. A stream shorter than
 // r.Length is an error.
-func sendBody(cn *connpool.Conn, r *Request) error {
+func sendBody(w io.Writer, r *Request) error {
 	buf := make([]byte, uploadBufferBytes)
 	if r.Length >= 0 {
-		n, err := io.CopyBuffer(onlyWriter{cn}, io.LimitReader(r.Stream, r.Length), buf)
+		n, err := io.CopyBuffer(w, io.LimitReader(r.Stream, r.Length), buf)
 		if err == nil && n < r.Length {
 			err = io.ErrUnexpectedEOF
 		}
@@ -322,12 +311,12 @@
 	for {
 		n, err := r.Stream.Read(buf)
 		if n > 0 {
-			if _, werr := fmt.Fprintf(cn, "%x\r\n%s\r\n", n, buf[:n]); werr != nil {
+			if _, werr := fmt.Fprintf(w, "%x\r\n%s\r\n", n, buf[:n]); werr != nil {
 				return werr
 			}
 		}
 		if err == io.EOF {
-			_, err = io.WriteString(cn, "0\r\n\r\n")
+			_, err = io.WriteString(w, "0\r\n\r\n")
 			return err
 		}
 		if err != nil {
@@ -336,10 +325,6 @@
 	}
 }
 
-// onlyWriter hides the ReadFrom method of a connection, so that io.CopyBuffer uses
-// its buffer.
-type onlyWriter struct{ io.Writer }
-
 // appendHead appends the request line and the header.
 func appendHead(b []byte, r *Request) []byte {
 	b = append(b, r.Method...)
--- a/router/responsehead/transport.go
+++ b/router/responsehead/transport.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"burdockglade.dev/router/resetconn"
 )
 
 // Transport is an http.Transport that fails requests whose responses have broken heads with
@@ -18,7 +20,8 @@
 	*http.Transport
 }
 
-// NewTransport returns t with connections of the dialer that check the heads of responses.
+// NewTransport returns t with connections of the dialer that check the heads of responses, and
+// on which a reset does not look like the end of a response.
 func NewTransport(t *http.Transport, dialer *net.Dialer) *Transport {
 	secure := &tls.Dialer{NetDialer: dialer, Config: t.TLSClientConfig}
 	t.DialContext = checked(dialer.DialContext)
@@ -41,12 +44,23 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[Conn]
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*Conn); ok {
-			conn.expectResponse()
-			used.Store(conn)
-		}
-	}}
+	uploads := req.Body != nil && req.Body != http.NoBody
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*Conn); ok {
+				conn.expectResponse()
+				if uploads {
+					conn.resets.BeginUpload()
+				}
+				used.Store(conn)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if conn := used.Load(); conn != nil && uploads {
+				conn.resets.EndUpload()
+			}
+		},
+	}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if conn := used.Load(); err != nil && conn != nil {
 		err = cmp.Or(conn.failed(), err) // the error of net/http may not name the cause
@@ -54,9 +68,11 @@
 	return resp, err
 }
 
-// Conn is a connection to a server that checks the heads of its responses.
+// Conn is a connection to a server that checks the heads of its responses, and on which a reset
+// does not look like the end of a response.
 type Conn struct {
-	net.Conn
+	net.Conn // resets
+	resets   *resetconn.Conn
 
 	mu sync.Mutex
 	// expecting is true until the head of the final response to the last request has
@@ -70,7 +86,13 @@
 
 // NewConn returns a Conn that uses conn.
 func NewConn(conn net.Conn) *Conn {
-	return &Conn{Conn: conn}
+	resets := resetconn.New(conn)
+	return &Conn{Conn: resets, resets: resets}
+}
+
+// NetConn returns the connection that was passed to NewConn.
+func (c *Conn) NetConn() net.Conn {
+	return c.resets.Conn
 }
 
 // expectResponse is called before a request is written.
--- a/router/upstream/client.go
+++ b/router/upstream/client.go
@@ -332,7 +332,7 @@
 	if !ok {
 		return
 	}
-	conn, ok := checked.Conn.(*sealableConn)
+	conn, ok := checked.NetConn().(*sealableConn)
 	if !ok {
 		return
 	}
