Pass on whole responses that are sent early to an upload behind a hop

Callers saw: through another router, a whole response that the upstream sent before it had read a long body came as 502 ("sending the request body: ... connection reset by peer").

Cause: the hop's client read the response only once it had sent the whole body. The other router had responded meanwhile and closed the connection with a part of the body unread, which resets it and may drop the response.

Change: the client sends the body while it reads the response. The server ends its sending direction behind the response and drops what still arrives until the client closes, for 1 s at most.

Why it works: both sides keep the connection until the response has arrived, as for any early response of HTTP. A body that was begun is not sent to another host, as before, so nothing runs twice.

--- a/router/hop/client.go
+++ b/router/hop/client.go
@@ -110,9 +110,10 @@
 		}
 		return nil, n > 0, err
 	}
+	var upload *connpool.Upload
 	if r.Stream != nil {
-		if err := sendStream(cn, r); err != nil {
-			return nil, true, fmt.Errorf("sending the request body: %w", err)
+		if upload, err = sendStream(cn, r); err != nil {
+			return nil, true, fmt.Errorf("waiting to send the request body: %w", err)
 		}
 	}
 	if deferBody {
@@ -125,6 +126,9 @@
 	if errors.Is(err, errMalformedHead) {
 		err = fmt.Errorf("%w: %w", responsehead.ErrBroken, err)
 	}
+	if source := upload.SourceError(); err != nil && source != nil {
+		return nil, true, fmt.Errorf("reading the request body: %w", source)
+	}
 	if err != nil {
 		return nil, true, fmt.Errorf("reading the response head: %w", err)
 	}
@@ -143,14 +147,14 @@
 // an earlier version does not ask, and one that has a queue asks late.
 const bodyWantedTimeout = 250 * time.Millisecond
 
-// sendStream sends the stream of the request once the server asks for it. If the server
-// responds at once, the stream stays unread, so that it can be sent to another server.
-func sendStream(cn *connpool.Conn, r *Request) error {
+// sendStream starts to send the stream of the request once the server asks for it. If the
+// server responds at once, the stream stays unread, so that it can be sent to another server.
+func sendStream(cn *connpool.Conn, r *Request) (*connpool.Upload, error) {
 	responded, err := awaitBodyWanted(cn)
 	if err != nil || responded {
-		return err
+		return nil, err
 	}
-	return writeBody(cn, r.Stream, r.Length)
+	return cn.StartUpload(func(w io.Writer) error { return writeBody(w, r.Stream, r.Length) }), nil
 }
 
 // awaitBodyWanted waits until the server asks for the stream, responds or does neither in
--- a/router/hop/server.go
+++ b/router/hop/server.go
@@ -117,6 +117,9 @@
 			return
 		}
 		watchResult, err := s.handle(c, r)
+		if r.Stream != nil && err == nil {
+			c.linger()
+		}
 		c.meter().SetBusy(false)
 		if !s.end(c) || err != nil || <-watchResult != nil {
 			return
@@ -187,20 +190,26 @@
 }
 
 // askedStream is the stream of a request whose sender waits until it is asked for it, which
-// the first Read does.
+// Begin or the first Read does.
 type askedStream struct {
 	io.Reader
 	conn  *serverConn
 	asked bool
 }
 
+// Begin asks for the stream.
+func (s *askedStream) Begin() error {
+	if s.asked {
+		return nil
+	}
+	s.asked = true
+	return s.conn.askForBody()
+}
+
 // Read implements io.Reader.
 func (s *askedStream) Read(p []byte) (int, error) {
-	if !s.asked {
-		s.asked = true
-		if err := s.conn.askForBody(); err != nil {
-			return 0, err
-		}
+	if err := s.Begin(); err != nil {
+		return 0, err
 	}
 	return s.Reader.Read(p)
 }
--- a/router/sidecar/body.go
+++ b/router/sidecar/body.go
@@ -33,6 +33,19 @@
 	prefix bodyPrefix
 }
 
+// Begin requests the body from another router that has kept it. The sender of a request calls it
+// before it reads the response.
+func (b *bodyStream) Begin() error {
+	b.begun.Store(true)
+	b.mu.Lock()
+	src := b.src
+	b.mu.Unlock()
+	if kept, ok := src.(interface{ Begin() error }); ok {
+		return kept.Begin()
+	}
+	return nil
+}
+
 // Read implements io.Reader. The end of the body is returned once: for a second reader the
 // rest of the body, which is nothing, must not look like a complete body.
 func (b *bodyStream) Read(p []byte) (int, error) {
