Let responses begin before a streamed body has been read

Callers saw: an early response to a slow upload in chunks waited until 256 KiB of the body had arrived, so that also a refusal was late.

Cause: net/http reads up to 256 KiB of the rest of a body before it writes a response. That reader also took bytes from the upload to the upstream.

Change: requests whose body is streamed are served in full duplex. If the body is not read to its end when the response begins, the caller is told that the connection closes.

--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -103,6 +103,9 @@
 		e.writeError(w, req, route, start, err)
 		return
 	}
+	if body.stream != nil {
+		respondsEarly(w)
+	}
 	// A newer configuration may have come into force while the body arrived.
 	if table, route, err = e.lookup(req); err != nil {
 		e.refuseWithoutRoute(w, req, table, err)
@@ -184,6 +187,9 @@
 	defer r.close()
 	e.metrics.observe(route.Name, r, time.Since(start))
 	e.returnTracker.recordRefusal(time.Now(), c, r)
+	if c.Stream != nil && !c.Stream.ended.Load() {
+		w.Header().Set("Connection", "close") // the rest of the body may be long
+	}
 	if r.Err != nil {
 		e.writeError(w, req, route, c.Deadline, r.Err, event.F("host", r.Host), event.F("service", c.Service), event.F("config", table.Version()))
 		return
--- a/router/sidecar/explain_test.go
+++ b/router/sidecar/explain_test.go
@@ -55,6 +55,12 @@
 	return l.text.Write(p)
 }
 
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 func (l *logText) contains(part string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/router/sidecar/response.go
+++ b/router/sidecar/response.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// respondsEarly lets the response to a request with a stream begin before the stream has been
+// read. Otherwise net/http reads up to 256 KiB of the body first: the response would wait for
+// the caller, and the upstream would not get these bytes.
+func respondsEarly(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).EnableFullDuplex() // all writers here are net/http's
+}
+
 // abortResponse closes the caller's connection in the middle of a response. A response of
 // unknown length to a request of HTTP/1.0 ends with its connection, so that only a reset
 // shows that it is not complete.
