Give callers time to read a response that is sent early

Cause: the upload to the upstream still reads the body when the handler has ended. net/http interrupts that read, cannot read the rest of the body because of it, and then closes the connection at once, with unread bytes, which resets it, in place of waiting half a second as it does for a body that is too long.

--- a/router/connguard/conn.go
+++ b/router/connguard/conn.go
@@ -185,6 +185,14 @@
 	c.guard.budget.Linger(time.Now(), c.account)
 }
 
+// Linger ends the reading of the connection, whose client may still be sending, behind the last
+// response. The client is given time to read that response. It does nothing for a nil Conn.
+func (c *Conn) Linger() {
+	if c != nil {
+		c.linger()
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	if c.lingers.Load() && c.CloseWrite() == nil {
--- a/router/sidecar/body.go
+++ b/router/sidecar/body.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/quarantine"
 )
@@ -63,6 +64,15 @@
 	return n, err
 }
 
+// abandon ends the reading of the body, unless it has ended, behind the response. net/http would
+// close the connection at once if the read of an upload is interrupted, and the caller might
+// lose the response.
+func (b *bodyStream) abandon(conn *connguard.Conn) {
+	if !b.ended.Load() {
+		conn.Linger()
+	}
+}
+
 // bodyPrefix hashes the beginning of a body for its fingerprint.
 type bodyPrefix struct {
 	digest xxhash.Digest
--- a/router/sidecar/entry.go
+++ b/router/sidecar/entry.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"burdockglade.dev/router/connguard"
 	"burdockglade.dev/router/errkind"
 	"burdockglade.dev/router/event"
 	"burdockglade.dev/router/expectation"
@@ -189,6 +190,7 @@
 	e.returnTracker.recordRefusal(time.Now(), c, r)
 	if c.Stream != nil && !c.Stream.ended.Load() {
 		w.Header().Set("Connection", "close") // the rest of the body may be long
+		defer c.Stream.abandon(connguard.Of(req.Context()))
 	}
 	if r.Err != nil {
 		e.writeError(w, req, route, c.Deadline, r.Err, event.F("host", r.Host), event.F("service", c.Service), event.F("config", table.Version()))
