Wait at the end of a connection only where the end matters

Callers would have seen: an upstream that ends during a slow upload, before it has responded, answered by a 502 up to 1 s late, because every end of a connection beside an upload was examined. Found by reading; not measured.

Change: pooled connections examine the end only for a response that ends with its connection; any other is not complete there. Connections of net/http wait for 0.1 s at most. A test of h1 drops idle connections between its requests: one whose body the server's kernel had taken whole is reset later.

--- a/router/connpool/pool.go
+++ b/router/connpool/pool.go
@@ -93,6 +93,7 @@
 	// State is the state of the protocol in use on the connection.
 	State any
 
+	resets    *resetconn.Conn // Conn
 	limiter   *readLimiter
 	pool      *Pool
 	idleSince time.Time // time of the last Release
@@ -107,6 +108,12 @@
 	Suits func(*Conn) bool
 }
 
+// EndMatters is called for a response that ends with the connection: its reader must not take a
+// reset for the end.
+func (cn *Conn) EndMatters() {
+	cn.resets.EndMatters(resetconn.MaxSettleTime)
+}
+
 // Get returns an idle connection that reuse allows, or a new one.
 func (p *Pool) Get(ctx context.Context, reuse Reuse) (cn *Conn, reused bool, err error) {
 	for {
@@ -159,7 +166,7 @@
 	if cn.Reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := cn.Conn.(*resetconn.Conn).SyscallConn()
+	raw, err := cn.resets.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -225,8 +232,8 @@
 		}
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	nc = resetconn.New(nc)
-	cn := &Conn{Conn: nc, pool: p, limiter: &readLimiter{src: nc, remaining: math.MaxInt64}}
+	resets := resetconn.New(nc)
+	cn := &Conn{Conn: resets, resets: resets, pool: p, limiter: &readLimiter{src: resets, remaining: math.MaxInt64}}
 	cn.Reader = bufio.NewReaderSize(cn.limiter, readBufferBytes)
 	return cn, nil
 }
--- a/router/connpool/upload.go
+++ b/router/connpool/upload.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-
-	"burdockglade.dev/router/resetconn"
 )
 
 // Upload sends a request body concurrently with reading the response: the server may respond
@@ -20,16 +18,11 @@
 // complete one. If the connection fails, what the server has sent before can still be read.
 func (cn *Conn) StartUpload(send func(w io.Writer) error) *Upload {
 	u := &Upload{finished: make(chan struct{})}
-	announced, ok := cn.Conn.(*resetconn.Conn)
-	if ok {
-		announced.BeginUpload()
-	}
+	cn.resets.BeginUpload()
 	go func() {
 		u.err = send(uploadWriter{cn})
 		close(u.finished)
-		if ok {
-			announced.EndUpload()
-		}
+		cn.resets.EndUpload()
 		if u.SourceError() != nil {
 			_ = cn.Close()
 		}
--- a/router/h1/client.go
+++ b/router/h1/client.go
@@ -149,6 +149,9 @@
 			return nil, err
 		}
 		if belongs {
+			if unframed(hr) {
+				cn.EndMatters()
+			}
 			return newResponse(cn, hr), nil
 		}
 		// A response to an earlier request. Without a length its end is unknown.
--- a/router/h1/early_test.go
+++ b/router/h1/early_test.go
@@ -103,6 +103,7 @@
 					if err != nil && client.HasIdle() {
 						t.Error("the connection is used again")
 					}
+					client.CloseIdle() // a body that was taken whole leaves one, which the server resets
 				}
 			})
 		}
--- a/router/resetconn/conn.go
+++ b/router/resetconn/conn.go
@@ -26,16 +26,16 @@
 	// settleTime is the time in which a reset follows the end of a stream if the peer did not
 	// take what was being sent to it.
 	settleTime = 100 * time.Millisecond
-	// maxSettleTime bounds the wait for something to be sent in that time, which would show
+	// MaxSettleTime bounds the wait for something to be sent in that time, which would show
 	// whether the peer takes it.
-	maxSettleTime = time.Second
+	MaxSettleTime = time.Second
 	// settlePoll is the time between looks at what the peer has acknowledged.
 	settlePoll = time.Millisecond
 )
 
 // Conn is a connection whose Read returns io.EOF only if the peer has closed its sending
-// direction and took what was sent until then: if a write has failed, or fails in settleTime,
-// Read returns an error that wraps ErrReset. It is safe for concurrent use.
+// direction: if a write has failed, Read returns an error that wraps ErrReset. Behind EndMatters
+// it does so also if the peer did not take what was being sent. It is safe for concurrent use.
 type Conn struct {
 	net.Conn
 
@@ -46,6 +46,8 @@
 	writes int
 	// changed is signalled when one of the fields around it changes.
 	changed *sync.Cond
+	// maxWait bounds the wait at the end of the stream; 0 if the end does not matter.
+	maxWait time.Duration
 	// failure is the error of the first write that shows that the connection has failed.
 	failure error
 	// ended is true once the end of the stream was found to be that of the peer.
@@ -59,6 +61,15 @@
 	return c
 }
 
+// EndMatters makes Read wait at the end of the stream until it is known whether the peer took
+// what was being sent: for settleTime, and up to maxWait for something to be sent. It is called
+// for a response that ends with its connection; others are not complete there in any case.
+func (c *Conn) EndMatters(maxWait time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxWait = max(maxWait, settleTime)
+}
+
 // BeginUpload announces writes. They are expected until EndUpload is called.
 func (c *Conn) BeginUpload() {
 	c.mu.Lock()
@@ -115,11 +126,13 @@
 	if c.ended {
 		return io.EOF
 	}
-	c.settle()
+	if c.maxWait > 0 {
+		c.settle()
+	}
 	if c.failure != nil {
 		return fmt.Errorf("%w: %w", ErrReset, c.failure)
 	}
-	c.ended = true
+	c.ended = c.maxWait > 0
 	return io.EOF
 }
 
@@ -148,7 +161,7 @@
 		return after < settleTime && unacknowledged(c.Conn) > 0
 	}
 	sending := c.uploads > 0 && c.writing == 0 && !wrote
-	return after < settleTime || sending && after < maxSettleTime
+	return after < settleTime || sending && after < c.maxWait
 }
 
 // waitChanged waits until changed is signalled, at most for the time. c.mu must be held.
--- a/router/responsehead/transport.go
+++ b/router/responsehead/transport.go
@@ -87,6 +87,7 @@
 // NewConn returns a Conn that uses conn.
 func NewConn(conn net.Conn) *Conn {
 	resets := resetconn.New(conn)
+	resets.EndMatters(0) // net/http alone knows how a response ends
 	return &Conn{Conn: resets, resets: resets}
 }
 
