Believe upstreams that go on sending heartbeats while the store is away

Cause: the notices of earlier processes cannot be read then, and the time was the only proof that a heartbeat is none from before a notice.

Change: an incarnation is believed once three of its heartbeats with rising numbers have arrived over about two intervals. One that has left sends none but late ones, which come alone; ten seconds also believed a single one.

--- a/router/sidecar/events.go
+++ b/router/sidecar/events.go
@@ -59,7 +59,7 @@
 	eventEarlierNotices = event.Define(1854, log.InfoLevel, "notices of leaving read",
 		"Earlier processes of this router have acknowledged that incarnations of the upstream leave; they get no requests.", "none")
 	eventEarlierNoticesUnknown = event.Define(1855, log.WarnLevel, "notices of leaving unknown",
-		"This process could not read which incarnations of the upstream have given notice to earlier ones. Until heartbeats_believed is true, 10 s after the start, heartbeats are not acknowledged and the upstream gets no requests.", "See event 1810.")
+		"This process could not read which incarnations of the upstream have given notice to earlier ones. Until believed is true, because the incarnation goes on sending heartbeats, they are not acknowledged and the upstream gets no requests.", "See event 1810.")
 	eventNoticesRemoved = event.Define(1856, log.InfoLevel, "notices of leaving removed",
 		"Notices that a host had kept in the store were removed, or could not be, because the host is no longer known.", "none")
 	eventPublishFailed = event.Define(1822, log.WarnLevel, "member row not written",
--- a/router/sidecar/leaverecord.go
+++ b/router/sidecar/leaverecord.go
@@ -14,6 +14,7 @@
 
 	"burdockglade.dev/router/boottime"
 	"burdockglade.dev/router/event"
+	"burdockglade.dev/router/fleet"
 	"burdockglade.dev/router/rowstore"
 )
 
@@ -26,9 +27,10 @@
 	// upstream times out after a second.
 	leaveLoadTimeout = 400 * time.Millisecond
 	leaveKeepTimeout = 800 * time.Millisecond
-	// maxHeartbeatDelay is how late a heartbeat may arrive. One that arrives this long after
-	// the start of the process was sent to this process.
-	maxHeartbeatDelay = 10 * time.Second
+	// minHeartbeats is the number of heartbeats of one incarnation that show that it goes on
+	// sending them, if they arrive over the time of as many intervals as there are between
+	// them, but for a part of one.
+	minHeartbeats = 3
 )
 
 // leaveRecord keeps the notices that the upstream leaves in the store, where they outlast the
@@ -56,6 +58,37 @@
 	// writing is true while a goroutine writes rows or waits to try again.
 	writing bool
 	closed  bool
+
+	unverified sequence
+}
+
+// sequence counts the heartbeats of an incarnation while the notices of earlier processes are
+// not known. An incarnation that has left sends none; a late one of it comes alone.
+type sequence struct {
+	of      fleet.Incarnation
+	last    int64
+	count   int
+	firstAt boottime.Time
+}
+
+// observe counts a heartbeat and reports whether its incarnation goes on sending them.
+func (q *sequence) observe(now boottime.Time, interval time.Duration, r Heartbeat) bool {
+	of := fleet.Incarnation{Instance: r.Instance, Started: r.Started}
+	if q.of != of {
+		*q = sequence{of: of, firstAt: now, last: r.Sequence - 1}
+	}
+	if r.Sequence > q.last {
+		q.last = r.Sequence
+		q.count++
+	}
+	return q.count >= minHeartbeats && now.Sub(q.firstAt) >= interval*(minHeartbeats-1)-interval/4
+}
+
+// goesOn counts a heartbeat while the notices of earlier processes are not known.
+func (r *leaveRecord) goesOn(interval time.Duration, h Heartbeat) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.unverified.observe(boottime.Now(), interval, h)
 }
 
 // recordedNotice is a notice with the version of its row, 0 until that is written.
@@ -293,17 +326,17 @@
 	return version, len(obsolete), err
 }
 
-// believesHeartbeats reports whether a heartbeat can be believed: the notices of earlier
-// processes are known, or the process runs for so long that it was sent after them.
-func (s *Sidecar) believesHeartbeats(ctx context.Context) bool {
+// believes reports whether a heartbeat can be believed: the notices of earlier processes are
+// known, or its incarnation goes on sending heartbeats that do not say that it leaves.
+func (s *Sidecar) believes(ctx context.Context, r Heartbeat) bool {
 	ctx, cancel := context.WithTimeout(ctx, leaveLoadTimeout)
 	defer cancel()
 	err := s.leaves.load(ctx)
 	if err == nil {
 		return true
 	}
-	believed := boottime.Now().Sub(s.createdAt) > maxHeartbeatDelay
-	s.log.Log(eventEarlierNoticesUnknown, event.F("heartbeats_believed", believed), event.F("error", err.Error()))
+	believed := s.leaves.goesOn(millis(s.settings.Upstream.HeartbeatMs), r)
+	s.log.Log(eventEarlierNoticesUnknown, event.F("instance", r.Instance), event.F("believed", believed), event.F("error", err.Error()))
 	return believed
 }
 
--- a/router/sidecar/sidecar.go
+++ b/router/sidecar/sidecar.go
@@ -194,7 +194,7 @@
 func (s *Sidecar) HandleHeartbeat(r Heartbeat) (response HeartbeatResponse, acknowledged bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveKeepTimeout)
 	defer cancel()
-	if !s.believesHeartbeats(ctx) {
+	if !s.believes(ctx, r) {
 		return HeartbeatResponse{}, false
 	}
 	before := s.local.get()
